--- /dev/null
+++ b/sageladder-core/src/main/java/org/sageladder/core/platform/package-info.java
@@ -0,0 +1,5 @@
+/** What sageladder needs of the platform's list of VMs. */
+@NullMarked
+package org.sageladder.core.platform;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/sageladder-core/src/main/java/org/sageladder/core/result/ResultCode.java
@@ -0,0 +1,79 @@
+package org.sageladder.core.result;
+
+import java.util.Arrays;
+import java.util.Optional;
+
+/**
+ * Numbered results that callers and operators see, with the outcome each one asserts.
+ *
+ * <p>Example: {@code ResultCode.QUEUE_FULL.outcome() == Outcome.NOT_RUN}, so a caller may resend.
+ * The table in {@code docs/RESULT-CODES.md} lists the same numbers; a test keeps the two alike.
+ */
+public enum ResultCode {
+  OK(0, 200, Outcome.RAN),
+
+  MALFORMED_REQUEST(10, 400, Outcome.NOT_RUN),
+  HEAD_TOO_LARGE(11, 431, Outcome.NOT_RUN),
+  BODY_LENGTH_INVALID(12, 400, Outcome.NOT_RUN),
+  UNKNOWN_CONTRACT(13, 404, Outcome.NOT_RUN),
+  UNKNOWN_SERVICE(14, 404, Outcome.NOT_RUN),
+  DEADLINE_REQUIRED(15, 400, Outcome.NOT_RUN),
+  DEADLINE_INVALID(16, 400, Outcome.NOT_RUN),
+  PERMIT_REQUIRED(17, 428, Outcome.NOT_RUN),
+  PERMIT_INVALID(18, 400, Outcome.NOT_RUN),
+  PERMIT_EXPIRED(19, 410, Outcome.UNKNOWN),
+  UNKNOWN_ROUTE(20, 404, Outcome.NOT_RUN),
+  UNKNOWN_BLOCK(21, 400, Outcome.NOT_RUN),
+
+  QUEUE_FULL(30, 503, Outcome.NOT_RUN),
+  QUEUE_DEADLINE(31, 503, Outcome.NOT_RUN),
+  SHIFT_CAP(32, 503, Outcome.NOT_RUN),
+  NO_TARGET(33, 503, Outcome.NOT_RUN),
+  TARGET_REFUSED(34, 503, Outcome.NOT_RUN),
+  BACKGROUND_SHED(35, 503, Outcome.NOT_RUN),
+  CANCELLED(36, 499, Outcome.NOT_RUN),
+
+  NO_CONTRACT_IN_FORCE(40, 503, Outcome.NOT_RUN),
+  STOPPING(41, 503, Outcome.NOT_RUN),
+  GATE_MOVED(42, 503, Outcome.NOT_RUN),
+  QUARANTINED(43, 422, Outcome.NOT_RUN),
+
+  TARGET_LOST(50, 502, Outcome.UNKNOWN),
+  TARGET_TIMEOUT(51, 504, Outcome.UNKNOWN),
+  HOME_LOST(52, 502, Outcome.UNKNOWN),
+  GATE_LOST(53, 502, Outcome.UNKNOWN),
+  PERMIT_RUNNING(54, 409, Outcome.UNKNOWN),
+  OUTCOME_UNKNOWN(55, 409, Outcome.UNKNOWN),
+
+  ANSWER_NOT_KEPT(60, 409, Outcome.RAN);
+
+  private final int number;
+  private final int httpStatus;
+  private final Outcome outcome;
+
+  ResultCode(int number, int httpStatus, Outcome outcome) {
+    this.number = number;
+    this.httpStatus = httpStatus;
+    this.outcome = outcome;
+  }
+
+  /** Stable number, 0 to 99; never reused for another meaning. */
+  public int number() {
+    return number;
+  }
+
+  /** HTTP status sent with this result where sageladder itself answers. */
+  public int httpStatus() {
+    return httpStatus;
+  }
+
+  /** What this result asserts about the request having run. */
+  public Outcome outcome() {
+    return outcome;
+  }
+
+  /** The code with {@code number}, or empty where no code has it. */
+  public static Optional<ResultCode> ofNumber(int number) {
+    return Arrays.stream(values()).filter(code -> code.number == number).findFirst();
+  }
+}
--- /dev/null
+++ b/sageladder-core/src/main/java/org/sageladder/core/steering/package-info.java
@@ -0,0 +1,5 @@
+/** Decisions on which zone and entry VM serve a caller. */
+@NullMarked
+package org.sageladder.core.steering;
+
+import org.jspecify.annotations.NullMarked;
