--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/settings/EntrySettings.java
@@ -0,0 +1,237 @@
+package org.sageladder.entry.settings;
+
+import java.net.URI;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.sageladder.platform.settings.Names;
+import org.sageladder.platform.settings.SettingsDocument;
+import org.sageladder.platform.settings.SettingsException;
+import org.sageladder.platform.settings.SettingsSection;
+
+/**
+ * Settings of one entry daemon, read once at start.
+ *
+ * <pre>{@code
+ * EntrySettings settings = EntrySettings.read(Path.of("entry.yaml"));
+ * }</pre>
+ *
+ * @param vm name of this entry VM, unique in the platform
+ * @param customer the one customer whose requests this entry VM carries
+ * @param zone availability zone that this entry VM runs in
+ * @param host IP number that all ports are opened on
+ * @param seeds inner addresses of peers to ask first; may be empty
+ */
+public record EntrySettings(
+    String vm,
+    String customer,
+    String zone,
+    String host,
+    Ports ports,
+    StoreSettings store,
+    VmListSettings vmList,
+    List<PeerAddress> seeds,
+    Incarnation incarnation,
+    Logs logs,
+    CallerLimits callerLimits) {
+  private static final int HIGHEST_PORT = 65_535;
+
+  /** Copies the list, so that the settings cannot change. */
+  public EntrySettings {
+    seeds = List.copyOf(seeds);
+  }
+
+  /** TCP ports; 0 lets the machine choose a free one. */
+  public record Ports(int callers, int inner, int operators) {}
+
+  /**
+   * The platform's key-value service.
+   *
+   * @param timeout longest wait for the answer to one call, a watch's own wait not counted
+   */
+  public record StoreSettings(URI uri, Duration timeout) {}
+
+  /**
+   * The platform's list of live and leaving VMs.
+   *
+   * @param every time between two fetches
+   */
+  public record VmListSettings(URI uri, Duration every) {}
+
+  /** IP number and TCP port of a peer's inner protocol. */
+  public record PeerAddress(String host, int port) {
+    static PeerAddress parse(String text) {
+      int colon = text.lastIndexOf(':');
+      String host = text.substring(0, colon).replace("[", "").replace("]", "");
+      return new PeerAddress(host, Integer.parseInt(text.substring(colon + 1)));
+    }
+  }
+
+  /** Where the number comes from that grows with each start of this entry VM. */
+  public enum IncarnationSource {
+    /** The revision of one write to the store at start; safe against clocks that go back. */
+    STORE,
+    /** Milliseconds since the Unix epoch at start; needs no store. */
+    CLOCK,
+    /** The number in the settings, from whoever makes the VM. */
+    FIXED
+  }
+
+  /** Source of the incarnation; {@code number} counts only for {@link IncarnationSource#FIXED}. */
+  public record Incarnation(IncarnationSource source, long number) {}
+
+  /** Form of the logs. */
+  public enum LogFormat {
+    TEXT,
+    JSON
+  }
+
+  /** Least level that is logged; {@code DEBUG} explains decisions. */
+  public enum LogLevel {
+    ERROR,
+    WARNING,
+    INFO,
+    DEBUG
+  }
+
+  /** Logs go to standard error. */
+  public record Logs(LogFormat format, LogLevel level) {}
+
+  /**
+   * Limits of the callers' port.
+   *
+   * @param headBytes largest request head
+   * @param bodyBytes largest request body
+   * @param connections most open connections
+   * @param workers threads of the pool that serves them
+   */
+  public record CallerLimits(int headBytes, long bodyBytes, int connections, int workers) {}
+
+  /**
+   * Reads and checks a settings file.
+   *
+   * @throws SettingsException naming the first mistake in one line
+   */
+  public static EntrySettings read(Path file) throws SettingsException {
+    return from(SettingsDocument.read(file));
+  }
+
+  /** Checks settings given as text; {@code fileName} is only used in errors. */
+  public static EntrySettings parse(String fileName, String yaml) throws SettingsException {
+    return from(SettingsDocument.parse(fileName, yaml));
+  }
+
+  private static EntrySettings from(SettingsDocument document) throws SettingsException {
+    SettingsSection root =
+        document.root(
+            "vm",
+            "customer",
+            "zone",
+            "host",
+            "ports",
+            "store",
+            "vmList",
+            "seeds",
+            "incarnation",
+            "logs",
+            "callerLimits");
+    return new EntrySettings(
+        root.text("vm", Names.NAME, Names.NAME_ALLOWED),
+        root.text("customer", Names.NAME, Names.NAME_ALLOWED),
+        root.text("zone", Names.NAME, Names.NAME_ALLOWED),
+        root.text("host", Names.IP_NUMBER, Names.IP_NUMBER_ALLOWED),
+        ports(root),
+        store(root),
+        vmList(root),
+        seeds(root),
+        incarnation(root),
+        logs(root),
+        callerLimits(root));
+  }
+
+  /** Two listeners on one port would leave the second one closed, so a clash is refused here. */
+  private static Ports ports(SettingsSection root) throws SettingsException {
+    SettingsSection section = root.section("ports", "callers", "inner", "operators");
+    Ports ports =
+        new Ports(
+            section.wholeNumber("callers", 0, HIGHEST_PORT),
+            section.wholeNumber("inner", 0, HIGHEST_PORT),
+            section.wholeNumber("operators", 0, HIGHEST_PORT));
+    refuseClash(section, "inner", ports.inner(), "callers", ports.callers());
+    refuseClash(section, "operators", ports.operators(), "callers", ports.callers());
+    refuseClash(section, "operators", ports.operators(), "inner", ports.inner());
+    return ports;
+  }
+
+  private static void refuseClash(
+      SettingsSection section, String key, int port, String otherKey, int otherPort)
+      throws SettingsException {
+    if (port != 0 && port == otherPort) {
+      throw section.error(
+          key, String.valueOf(port), "a port that ports." + otherKey + " does not use, or 0");
+    }
+  }
+
+  private static StoreSettings store(SettingsSection root) throws SettingsException {
+    SettingsSection section = root.section("store", "uri", "timeout");
+    return new StoreSettings(
+        URI.create(section.text("uri", Names.HTTP_URI, Names.HTTP_URI_ALLOWED)),
+        section.duration(
+            "timeout", Duration.ofMillis(10), Duration.ofSeconds(30), Duration.ofSeconds(1)));
+  }
+
+  private static VmListSettings vmList(SettingsSection root) throws SettingsException {
+    SettingsSection section = root.section("vmList", "uri", "every");
+    return new VmListSettings(
+        URI.create(section.text("uri", Names.HTTP_URI, Names.HTTP_URI_ALLOWED)),
+        section.duration(
+            "every", Duration.ofMillis(50), Duration.ofMinutes(10), Duration.ofSeconds(1)));
+  }
+
+  private static List<PeerAddress> seeds(SettingsSection root) throws SettingsException {
+    List<PeerAddress> seeds = new ArrayList<>();
+    for (String text : root.texts("seeds", Names.ADDRESS, Names.ADDRESS_ALLOWED)) {
+      PeerAddress seed = PeerAddress.parse(text);
+      if (seed.port() > HIGHEST_PORT) {
+        throw root.error("seeds", text, "ports from 1 to " + HIGHEST_PORT);
+      }
+      seeds.add(seed);
+    }
+    return seeds;
+  }
+
+  private static Incarnation incarnation(SettingsSection root) throws SettingsException {
+    SettingsSection section = root.sectionOrEmpty("incarnation", "source", "number");
+    IncarnationSource source =
+        section.choice("source", IncarnationSource.class, IncarnationSource.CLOCK);
+    if (source == IncarnationSource.FIXED) {
+      return new Incarnation(source, section.longNumber("number", 1, Long.MAX_VALUE));
+    }
+    if (section.has("number")) {
+      throw section.error(
+          "number",
+          "a number beside source " + source.name().toLowerCase(Locale.ROOT),
+          "it only with source fixed");
+    }
+    return new Incarnation(source, 0);
+  }
+
+  private static Logs logs(SettingsSection root) throws SettingsException {
+    SettingsSection section = root.sectionOrEmpty("logs", "format", "level");
+    return new Logs(
+        section.choice("format", LogFormat.class, LogFormat.TEXT),
+        section.choice("level", LogLevel.class, LogLevel.INFO));
+  }
+
+  private static CallerLimits callerLimits(SettingsSection root) throws SettingsException {
+    SettingsSection section =
+        root.sectionOrEmpty("callerLimits", "headBytes", "bodyBytes", "connections", "workers");
+    return new CallerLimits(
+        section.wholeNumber("headBytes", 512, 1_048_576, 16_384),
+        section.has("bodyBytes") ? section.longNumber("bodyBytes", 0, 1L << 40) : 1L << 30,
+        section.wholeNumber("connections", 1, 100_000, 4_000),
+        section.wholeNumber("workers", 1, 256, 4));
+  }
+}
--- /dev/null
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/settings/EntrySettingsTest.java
@@ -0,0 +1,150 @@
+package org.sageladder.entry.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.sageladder.platform.settings.SettingsException;
+
+class EntrySettingsTest {
+  private static final String GOOD =
+      """
+      vm: tallinn-1-a
+      customer: kannelkoda
+      zone: tallinn-1
+      host: 127.0.0.1
+      ports:
+        callers: 7101
+        inner: 0
+        operators: 0
+      store:
+        uri: http://127.0.0.1:7000
+        timeout: 500ms
+      vmList:
+        uri: http://127.0.0.1:7000
+        every: 1s
+      seeds: ["127.0.0.1:7201"]
+      incarnation:
+        source: clock
+      logs:
+        format: json
+        level: debug
+      callerLimits:
+        workers: 4
+      """;
+
+  @Test
+  void goodSettingsAreReadWithTheirDefaults() throws Exception {
+    EntrySettings settings = EntrySettings.parse("entry.yaml", GOOD);
+
+    assertEquals(new EntrySettings.Ports(7101, 0, 0), settings.ports());
+    assertEquals(List.of(new EntrySettings.PeerAddress("127.0.0.1", 7201)), settings.seeds());
+    assertEquals(EntrySettings.LogFormat.JSON, settings.logs().format());
+    assertEquals(16_384, settings.callerLimits().headBytes());
+  }
+
+  static Stream<Arguments> mistakes() {
+    return Stream.of(
+        mistake(
+            "unknown key",
+            "vmList:",
+            "vmlist:",
+            "entry.yaml: vmlist: unknown key; did you mean 'vmList'? Allowed here: callerLimits,"
+                + " customer, host, incarnation, logs, ports, seeds, store, vm, vmList, zone"),
+        mistake(
+            "missing key",
+            "zone: tallinn-1\n",
+            "",
+            "entry.yaml: zone: missing; give a name of 1 to 63 lower case letters a-z, digits and"
+                + " hyphens inside"),
+        mistake(
+            "wrong type",
+            "workers: 4",
+            "workers: four",
+            "entry.yaml: callerLimits.workers: 'four' is not allowed; give a whole number from 1"
+                + " to 256"),
+        mistake(
+            "port out of range",
+            "callers: 7101",
+            "callers: 70000",
+            "entry.yaml: ports.callers: '70000' is not allowed; give a whole number from 0 to"
+                + " 65535"),
+        mistake(
+            "clash of ports",
+            "operators: 0",
+            "operators: 7101",
+            "entry.yaml: ports.operators: 7101 is not allowed; give a port that ports.callers does"
+                + " not use, or 0"),
+        mistake(
+            "duration without unit",
+            "timeout: 500ms",
+            "timeout: 500",
+            "entry.yaml: store.timeout: '500' is not allowed; give a duration from 10ms to 30s,"
+                + " such as 250ms, 6s or 10m"),
+        mistake(
+            "host name in place of an IP number",
+            "host: 127.0.0.1",
+            "host: localhost",
+            "entry.yaml: host: 'localhost' is not allowed; give an IP number such as 10.0.0.7"),
+        mistake(
+            "unknown choice",
+            "format: json",
+            "format: xml",
+            "entry.yaml: logs.format: 'xml' is not allowed; give one of text, json"),
+        mistake(
+            "seed without port",
+            "127.0.0.1:7201",
+            "127.0.0.1",
+            "entry.yaml: seeds[0]: '127.0.0.1' is not allowed; give an IP number and port such as"
+                + " 10.0.0.7:7101"),
+        mistake(
+            "key given twice",
+            "host: 127.0.0.1",
+            "host: 127.0.0.1\nhost: 127.0.0.2",
+            "entry.yaml: line 5: Duplicate field 'host'"),
+        mistake(
+            "list in place of keys",
+            "store:\n  uri: http://127.0.0.1:7000\n  timeout: 500ms",
+            "store: [1]",
+            "entry.yaml: store: [1] is not allowed; give keys uri, timeout"),
+        mistake(
+            "fixed incarnation without number",
+            "source: clock",
+            "source: fixed",
+            "entry.yaml: incarnation.number: missing; give a whole number from 1 to"
+                + " 9223372036854775807"));
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("mistakes")
+  void eachMistakeGivesOneLineNamingFileKeyValueAndWhatIsAllowed(
+      String name, String good, String bad, String message) {
+    SettingsException error =
+        assertThrows(
+            SettingsException.class,
+            () -> EntrySettings.parse("entry.yaml", GOOD.replace(good, bad)),
+            name);
+
+    assertEquals(message, error.getMessage());
+  }
+
+  @Test
+  void absentFileIsNamed() {
+    SettingsException error =
+        assertThrows(
+            SettingsException.class, () -> EntrySettings.read(Path.of("no-such-file.yaml")));
+
+    assertEquals(
+        "no-such-file.yaml: cannot be read (NoSuchFileException); give a file", error.getMessage());
+  }
+
+  private static Arguments mistake(String name, String good, String bad, String message) {
+    return Arguments.of(name, good, bad, message);
+  }
+}
--- /dev/null
+++ b/sageladder-platform/src/main/java/org/sageladder/platform/settings/Names.java
@@ -0,0 +1,37 @@
+package org.sageladder.platform.settings;
+
+import java.util.regex.Pattern;
+
+/** Forms of text that several settings share, each with the words that errors describe it by. */
+public final class Names {
+  /** Name of a customer, region, zone, service or VM. */
+  public static final Pattern NAME = Pattern.compile("[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?");
+
+  /** What {@link #NAME} allows. */
+  public static final String NAME_ALLOWED =
+      "a name of 1 to 63 lower case letters a-z, digits and hyphens inside";
+
+  /** IPv4 number, or IPv6 number without brackets. */
+  public static final Pattern IP_NUMBER =
+      Pattern.compile(
+          "((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(?!$)|$)){4}|(?=.*:)(?!.*:::)[0-9a-fA-F:]{2,39}");
+
+  /** What {@link #IP_NUMBER} allows. */
+  public static final String IP_NUMBER_ALLOWED = "an IP number such as 10.0.0.7";
+
+  /** IP number and port. */
+  public static final Pattern ADDRESS =
+      Pattern.compile("(\\d{1,3}(\\.\\d{1,3}){3}|\\[[0-9a-fA-F:]{2,39}\\]):[1-9]\\d{0,4}");
+
+  /** What {@link #ADDRESS} allows. */
+  public static final String ADDRESS_ALLOWED = "an IP number and port such as 10.0.0.7:7101";
+
+  /** Base URI over HTTP with an IP number. */
+  public static final Pattern HTTP_URI =
+      Pattern.compile("http://(\\d{1,3}(\\.\\d{1,3}){3}|\\[[0-9a-fA-F:]{2,39}\\]):[1-9]\\d{0,4}/?");
+
+  /** What {@link #HTTP_URI} allows. */
+  public static final String HTTP_URI_ALLOWED = "a URI such as http://10.0.0.1:7000";
+
+  private Names() {}
+}
