Contracts: check of limits against one another and changes by compare-and-swap

Cause: a contract whose parts do not fit could be accepted, and two operators could undo each other's change without notice. ContractWriter writes by compare-and-swap, tells a lost answer from a conflict by the change id (also in the history kept beside the contract), and shows the loser the winner and the fields that both changed.

--- a/sageladder-platform/src/main/java/org/sageladder/platform/contract/StoredContract.java
+++ b/sageladder-platform/src/main/java/org/sageladder/platform/contract/StoredContract.java
@@ -1,34 +1,94 @@
 package org.sageladder.platform.contract;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Pattern;
 import org.sageladder.core.contract.Contract;
 import org.sageladder.core.store.StoredValue;
 import org.sageladder.platform.settings.SettingsDocument;
 import org.sageladder.platform.settings.SettingsException;
+import org.sageladder.platform.settings.SettingsSection;
 
 /**
  * A contract as the platform's store keeps it under {@code contracts/<customer>}.
  *
- * @param changeId unique for each write, so that a writer whose answer was lost can tell by reading
- *     back whether its own write took effect
+ * @param changeId unique for each change, so that a writer whose answer was lost can tell by
+ *     reading back whether its own write took effect
  * @param author operator who made the change
+ * @param history the latest changes, newest first, this one included; at most {@link
+ *     #LONGEST_HISTORY}
  */
-public record StoredContract(String changeId, String author, Contract contract) {
+public record StoredContract(
+    String changeId, String author, Contract contract, List<Change> history) {
   /** Keys of contracts in the store start with this. */
   public static final String KEY_PREFIX = "contracts/";
 
+  /** Most changes that are kept beside the contract. */
+  public static final int LONGEST_HISTORY = 20;
+
+  private static final int MOST_FIELDS = 20;
+  private static final Pattern FIELD = Pattern.compile("\\S{1,200}");
+
+  /** Copies the list, so that the stored contract cannot change. */
+  public StoredContract {
+    history = List.copyOf(history);
+  }
+
+  /** A stored contract without history, such as the first one. */
+  public StoredContract(String changeId, String author, Contract contract) {
+    this(changeId, author, contract, List.of());
+  }
+
+  /**
+   * One accepted change.
+   *
+   * @param revision store revision of the change; 0 in a value not yet written
+   * @param atMillis wall clock of the operator's machine, milliseconds since the Unix epoch
+   * @param fields keys whose values changed; the first 20 where there are more
+   */
+  public record Change(
+      long revision, String changeId, String author, long atMillis, List<String> fields) {
+    /** Copies the list and cuts it to the number that is kept. */
+    public Change {
+      fields = List.copyOf(fields.subList(0, Math.min(MOST_FIELDS, fields.size())));
+    }
+
+    Change atRevision(long accepted) {
+      return new Change(accepted, changeId, author, atMillis, fields);
+    }
+  }
+
   /** The store's key of that customer's contract. */
   public static String keyOf(String customer) {
     return KEY_PREFIX + customer;
   }
 
+  /** True where the change with that id is this one or came before it. */
+  public boolean includes(String id) {
+    return changeId.equals(id) || history.stream().anyMatch(change -> change.changeId().equals(id));
+  }
+
   /** The value to store: YAML text in UTF-8. */
   public byte[] toBytes() {
     ObjectNode tree = JsonNodeFactory.instance.objectNode();
     tree.put("changeId", changeId).put("author", author);
     tree.set("contract", ContractFormat.tree(contract));
+    ArrayNode changes = tree.putArray("history");
+    for (Change change : history) {
+      ObjectNode node =
+          changes
+              .addObject()
+              .put("revision", change.revision())
+              .put("changeId", change.changeId())
+              .put("author", change.author())
+              .put("atMillis", change.atMillis());
+      ArrayNode fields = node.putArray("fields");
+      change.fields().forEach(fields::add);
+    }
     return ContractFormat.yaml(tree).getBytes(StandardCharsets.UTF_8);
   }
 
@@ -39,9 +99,32 @@
    */
   public static StoredContract fromStored(StoredValue stored) throws SettingsException {
     String yaml = new String(stored.value(), StandardCharsets.UTF_8);
-    var root = SettingsDocument.parse(stored.key(), yaml).root("changeId", "author", "contract");
+    SettingsSection root =
+        SettingsDocument.parse(stored.key(), yaml)
+            .root("changeId", "author", "contract", "history");
     Contract contract = ContractYaml.read(root.section("contract", ContractYaml.contractKeys()));
     return new StoredContract(
-        root.text("changeId"), root.text("author"), contract.atRevision(stored.revision()));
+        root.text("changeId"),
+        root.text("author"),
+        contract.atRevision(stored.revision()),
+        history(root, stored.revision()));
+  }
+
+  /** The newest change was written before its revision was known, so it takes the value's. */
+  private static List<Change> history(SettingsSection root, long revision)
+      throws SettingsException {
+    List<Change> history = new ArrayList<>();
+    for (SettingsSection section :
+        root.sections("history", "revision", "changeId", "author", "atMillis", "fields")) {
+      Change change =
+          new Change(
+              section.longNumber("revision", 0, Long.MAX_VALUE),
+              section.text("changeId"),
+              section.text("author"),
+              section.longNumber("atMillis", 0, Long.MAX_VALUE),
+              section.texts("fields", FIELD, "a key"));
+      history.add(history.isEmpty() ? change.atRevision(revision) : change);
+    }
+    return history;
   }
 }
--- /dev/null
+++ b/sageladder-platform/src/test/java/org/sageladder/platform/contract/ContractWriterTest.java
@@ -0,0 +1,147 @@
+package org.sageladder.platform.contract;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.core.time.VirtualTime;
+import org.sageladder.platform.contract.FakeStore.Fault;
+
+class ContractWriterTest {
+  private final FakeStore store = new FakeStore();
+  private final ContractWriter maie = writer("maie");
+  private final ContractWriter juris = writer("juris");
+  private long base;
+
+  @BeforeEach
+  void contractStands() throws Exception {
+    ApplyResult first = maie.apply(contract("", ""), 0);
+    base = assertInstanceOf(ApplyResult.Accepted.class, first).revision();
+  }
+
+  @Test
+  void acceptedChangeNamesWhatItChanged() throws Exception {
+    ApplyResult result = maie.apply(contract("queueWait: 2s", "queueWait: 3s"), base);
+
+    var accepted = assertInstanceOf(ApplyResult.Accepted.class, result);
+    assertEquals(
+        List.of("services[donation-cataloguing].queueWait: 2s -> 3s"),
+        accepted.differences().stream().map(Object::toString).toList());
+    assertEquals(accepted.revision(), standing().history().get(0).revision());
+    assertEquals(base, standing().history().get(1).revision());
+  }
+
+  @Test
+  void sameContractAgainWritesNothing() throws Exception {
+    assertEquals(new ApplyResult.Unchanged(base), maie.apply(contract("", ""), base));
+  }
+
+  // Story: two operators edit the same contract from one revision. Juris's change of the queue is
+  // accepted; Maie's, sent a moment later from the same base, would silently undo it. Cause: both
+  // read before either wrote.
+  @Test
+  void losingOperatorIsShownTheWinnerAndTheConflictingFields() throws Exception {
+    Contract his = contract("queueWait: 2s", "queueWait: 4s");
+    store.beforeNextWrite(() -> juris.apply(his, base));
+
+    ApplyResult result = maie.apply(contract("queueWait: 2s", "queueWait: 1s"), base);
+
+    var conflict = assertInstanceOf(ApplyResult.Conflict.class, result);
+    assertEquals("juris", conflict.current().author());
+    assertEquals(List.of("services[donation-cataloguing].queueWait"), conflict.conflicting());
+    assertEquals(his.atRevision(base + 1), standing().contract());
+  }
+
+  // Story: the store carries out a write and its answer is lost; the operator would be told of a
+  // conflict with her own change, or would apply it twice. Cause: a cut connection after effect.
+  @Test
+  void lostAnswerAfterEffectIsReportedAsAccepted() throws Exception {
+    store.fail(Fault.LOST_AFTER_EFFECT);
+
+    ApplyResult result = maie.apply(contract("queueWait: 2s", "queueWait: 3s"), base);
+
+    assertEquals(base + 1, assertInstanceOf(ApplyResult.Accepted.class, result).revision());
+    assertEquals(2, standing().history().size());
+  }
+
+  // Story: as above, but before Maie's tool sends again Juris changes the contract on top of hers.
+  // Maie would be told that she lost, though her change was in force and is part of what stands.
+  @Test
+  void lostAnswerIsFoundInTheHistoryAfterAnotherChange() throws Exception {
+    store.fail(Fault.LOST_AFTER_EFFECT);
+    Contract hers = contract("queueWait: 2s", "queueWait: 3s");
+    store.beforeNextWrite(
+        () ->
+            store.beforeNextWrite(
+                () -> juris.apply(contract("drainLimit: 60s", "drainLimit: 90s"), base + 1)));
+
+    ApplyResult result = maie.apply(hers, base);
+
+    assertEquals(base + 1, assertInstanceOf(ApplyResult.Accepted.class, result).revision());
+    assertEquals("juris", standing().author());
+  }
+
+  @Test
+  void writeThatNeverTakesEffectIsSentAgain() throws Exception {
+    store.fail(Fault.LOST_BEFORE_EFFECT, Fault.LOST_BEFORE_EFFECT);
+
+    ApplyResult result = maie.apply(contract("queueWait: 2s", "queueWait: 3s"), base);
+
+    assertInstanceOf(ApplyResult.Accepted.class, result);
+  }
+
+  // Story: an answer is lost and then the store goes down. "Nothing was written" would be a lie if
+  // the first write took effect. Cause: the outage is of the second call, not of the first.
+  @Test
+  void outageAfterALostAnswerIsNotReportedAsNothingWritten() throws Exception {
+    store.fail(Fault.LOST_AFTER_EFFECT, Fault.REFUSED, Fault.REFUSED, Fault.REFUSED, Fault.REFUSED);
+
+    ApplyResult result = maie.apply(contract("queueWait: 2s", "queueWait: 3s"), base);
+
+    assertInstanceOf(ApplyResult.OutcomeUnknown.class, result);
+  }
+
+  @Test
+  void outageBeforeAnythingIsSentIsReportedAsNothingWritten() throws Exception {
+    store.fail(Fault.REFUSED);
+
+    ApplyResult result = maie.apply(contract("queueWait: 2s", "queueWait: 3s"), base);
+
+    assertInstanceOf(ApplyResult.Unavailable.class, result);
+  }
+
+  @Test
+  void contractWhoseLimitsDoNotFitIsRejected() throws Exception {
+    ApplyResult result = maie.apply(contract("queuePerTarget: 12", "queuePerTarget: 900"), base);
+
+    assertInstanceOf(ApplyResult.Rejected.class, result);
+    assertEquals(base, standing().contract().revision());
+  }
+
+  private ContractWriter writer(String author) {
+    int[] count = {0};
+    return ContractWriter.of(
+        store, VirtualTime.startingAt(1_000), author, () -> author + "-" + ++count[0]);
+  }
+
+  private StoredContract standing() throws Exception {
+    @Nullable StoredContract standing = maie.read("kannelkoda");
+    assertInstanceOf(StoredContract.class, standing);
+    return standing;
+  }
+
+  private static Contract contract(String good, String bad) {
+    try {
+      String yaml = Files.readString(Path.of("..", "contracts", "kannelkoda.yaml"));
+      return ContractYaml.parse("k.yaml", yaml.replace(good, bad));
+    } catch (Exception e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
