--- /dev/null
+++ b/sageladder-core/src/main/java/org/sageladder/core/permit/Decision.java
@@ -0,0 +1,32 @@
+package org.sageladder.core.permit;
+
+/** What a permit's home says to one copy of a request. */
+public sealed interface Decision {
+  /** This copy is the one to run; end the execution exactly once. */
+  record Execute(Execution execution) implements Decision {}
+
+  /** The request ran before; this is the answer it got. */
+  record Replay(RecordedAnswer answer) implements Decision {}
+
+  /** An earlier copy is being run now; ask again with the same permit. */
+  record Running() implements Decision {}
+
+  /** An earlier copy was not run and no copy ever will be: a new try needs a fresh permit. */
+  record NotRun() implements Decision {}
+
+  /** An earlier copy may have run and its answer is lost; no copy will be run. */
+  record Unknown() implements Decision {}
+
+  /**
+   * Too old: this copy is not run, nor will any later one be.
+   *
+   * @param neverRan true where the home still knows that no earlier copy ran
+   */
+  record Expired(boolean neverRan) implements Decision {}
+
+  /** The permit was used for another request, or belongs to another service or key. */
+  record Mismatch(String reason) implements Decision {}
+
+  /** Another incarnation minted the permit; only that one may run it. */
+  record Foreign(String home, long incarnation) implements Decision {}
+}
