--- a/sageladder-core/src/main/java/org/sageladder/core/limits/Gate.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/Gate.java
@@ -6,7 +6,7 @@
  * The one place that lets work onto the targets of one service that this entry VM holds.
  *
  * <pre>{@code
- * Cancellable wait = gate.request(new AdmissionRequest("r-17", deadlineNanos, "", 0), admission -> {
+ * Cancellable wait = gate.request(new AdmissionRequest("r-17", deadlineNanos, "", ""), admission -> {
  *   switch (admission) { ... }
  * });
  * }</pre>
--- a/sageladder-core/src/main/java/org/sageladder/core/membership/ZoneSummary.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/membership/ZoneSummary.java
@@ -9,6 +9,8 @@
  * @param queued requests waiting at gates
  * @param admittedPerSecond requests admitted a second of late
  * @param ceilingPerSecond most the zone will admit a second now, by cap and capacity
+ * @param demandPerSecond requests a second that callers who ask this zone for routes want of the
+ *     service, wherever they are served
  */
 public record ZoneSummary(
     String zone,
@@ -19,4 +21,5 @@
     int busy,
     int queued,
     double admittedPerSecond,
-    double ceilingPerSecond) {}
+    double ceilingPerSecond,
+    double demandPerSecond) {}
