Platform: store and VM list over HTTP, with a stand-in that can fail

The whole path needs the platform's key-value service; the real one is not at hand in tests. The adapter tells a call that was never sent (Unavailable) from one whose answer was lost (OutcomeUnknown); the stand-in counts each call by kind and can be slow, down, silent, or lose a request or an answer.

--- /dev/null
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/http/ConnectionTable.java
@@ -0,0 +1,92 @@
+package org.sageladder.standin.http;
+
+import java.net.SocketAddress;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import org.apache.hc.core5.http.EndpointDetails;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.reactor.IOSessionListener;
+import org.apache.hc.core5.util.Timeout;
+
+/**
+ * Open connections by the caller's address, so that a fault can cut the one that a request came on.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class ConnectionTable implements IOSessionListener {
+  private final Map<SocketAddress, IOSession> open = new ConcurrentHashMap<>();
+  private final Consumer<SocketAddress> onClosed;
+
+  private ConnectionTable(Consumer<SocketAddress> onClosed) {
+    this.onClosed = onClosed;
+  }
+
+  /** An empty table that tells {@code onClosed} of each connection that ends. */
+  public static ConnectionTable create(Consumer<SocketAddress> onClosed) {
+    return new ConnectionTable(onClosed);
+  }
+
+  /** The caller's address of the connection that {@code context} belongs to. */
+  public static SocketAddress peer(HttpContext context) {
+    EndpointDetails details = HttpCoreContext.cast(context).getEndpointDetails();
+    if (details == null) {
+      throw new IllegalStateException("the request has no connection");
+    }
+    return details.getRemoteAddress();
+  }
+
+  /** Cuts the connection from {@code peer} at once, whatever is under way on it. */
+  public void cut(SocketAddress peer) {
+    IOSession session = open.get(peer);
+    if (session != null) {
+      session.close(CloseMode.IMMEDIATE);
+    }
+  }
+
+  /** Cuts every connection. */
+  public void cutAll() {
+    open.values().forEach(session -> session.close(CloseMode.IMMEDIATE));
+  }
+
+  /** Number of open connections. */
+  public int size() {
+    return open.size();
+  }
+
+  @Override
+  public void connected(IOSession session) {
+    open.put(session.getRemoteAddress(), session);
+  }
+
+  @Override
+  public void startTls(IOSession session) {}
+
+  @Override
+  public void inputReady(IOSession session) {}
+
+  @Override
+  public void outputReady(IOSession session) {}
+
+  @Override
+  public void timeout(IOSession session) {}
+
+  @Override
+  public void exception(IOSession session, Exception failure) {}
+
+  @Override
+  public void disconnected(IOSession session) {
+    SocketAddress peer = session.getRemoteAddress();
+    if (peer != null && open.remove(peer) != null) {
+      onClosed.accept(peer);
+    }
+  }
+
+  /** No limit on a silent connection: a watch may wait for a minute. */
+  static Timeout unlimited() {
+    return Timeout.DISABLED;
+  }
+}
--- /dev/null
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/store/StoreServer.java
@@ -0,0 +1,306 @@
+package org.sageladder.standin.store;
+
+import java.io.IOException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+import org.sageladder.core.platform.ListedVm;
+import org.sageladder.core.store.StoredValue;
+import org.sageladder.core.store.WatchBatch;
+import org.sageladder.core.store.WriteResult;
+import org.sageladder.core.time.TimeSource;
+import org.sageladder.platform.store.StoreMessages;
+import org.sageladder.standin.http.JsonServer;
+import org.sageladder.standin.http.JsonServer.Call;
+import org.sageladder.standin.http.JsonServer.Reply;
+
+/**
+ * The platform's key-value service and list of VMs as one process on loopback.
+ *
+ * <pre>{@code
+ * try (StoreServer server = StoreServer.start("127.0.0.1", 0);
+ *     HttpStore store = HttpStore.connect(server.address(), Duration.ofSeconds(2))) {
+ *   server.faults(StoreFaults.none().loseAnswers(1));
+ *   // the next write takes effect, and its caller sees StoreException.OutcomeUnknown
+ * }
+ * }</pre>
+ *
+ * <p>{@code /admin/faults}, {@code /admin/counts} and {@code /admin/vms/<id>} stay reachable during
+ * every fault and are not counted.
+ */
+public final class StoreServer implements AutoCloseable {
+  private static final long TICK_MILLIS = 20;
+
+  private final StoreState state;
+  private final VmTable vms;
+  private final WatchTable watches;
+  private final Map<String, LongAdder> counts = new ConcurrentHashMap<>();
+  private final ScheduledExecutorService timer;
+  private final JsonServer server;
+  private final String host;
+  private final Object faultLock = new Object();
+  private StoreFaults faults = StoreFaults.none();
+  private SplittableRandom random = new SplittableRandom(0);
+
+  private StoreServer(String host, int port, TimeSource time) throws IOException {
+    this.host = host;
+    this.state = StoreState.create(time);
+    this.vms = VmTable.create(time);
+    this.watches = WatchTable.create(state, time);
+    this.timer =
+        Executors.newScheduledThreadPool(
+            2,
+            task -> {
+              Thread thread = new Thread(task, "store-stand-in");
+              thread.setDaemon(true);
+              return thread;
+            });
+    this.server = JsonServer.start(host, port, this::handle);
+    ScheduledFuture<?> unused =
+        timer.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** An empty store that listens on {@code port} of {@code host}; 0 picks a free port. */
+  public static StoreServer start(String host, int port) throws IOException {
+    return start(host, port, TimeSource.system());
+  }
+
+  /** An empty store whose leases, watches and list of VMs go by {@code time}. */
+  public static StoreServer start(String host, int port, TimeSource time) throws IOException {
+    return new StoreServer(host, port, time);
+  }
+
+  /** The port that callers connect to. */
+  public int port() {
+    return server.port();
+  }
+
+  /** What callers pass to {@code HttpStore.connect}. */
+  public URI address() {
+    return URI.create("http://" + host + ":" + port());
+  }
+
+  /** The state behind the server, for tests that look past the faults. */
+  public StoreState state() {
+    return state;
+  }
+
+  /** Replaces all faults; calls under way keep the old ones. */
+  public void faults(StoreFaults next) {
+    synchronized (faultLock) {
+      faults = next;
+      random = new SplittableRandom(next.seed());
+    }
+    vms.lag(Duration.ofMillis(next.vmListLagMillis()));
+  }
+
+  /** The faults in force, with what is left of the counted ones. */
+  public StoreFaults faults() {
+    synchronized (faultLock) {
+      return faults;
+    }
+  }
+
+  /** Calls received since the start by kind, refused and lost ones among them. */
+  public Map<String, Long> counts() {
+    Map<String, Long> result = new TreeMap<>();
+    counts.forEach((kind, count) -> result.put(kind, count.sum()));
+    return result;
+  }
+
+  /** Adds a VM to the platform's list, or replaces the one with its id. */
+  public void putVm(ListedVm vm) {
+    vms.put(vm);
+  }
+
+  /** Takes a VM off the platform's list. */
+  public void removeVm(String id) {
+    vms.remove(id);
+  }
+
+  @Override
+  public void close() {
+    server.close();
+    timer.shutdownNow();
+  }
+
+  private void tick() {
+    state.expireLeases();
+    watches.deliver();
+  }
+
+  private CompletableFuture<Reply> handle(Call call) {
+    if (call.path().startsWith("/admin/")) {
+      return admin(call);
+    }
+    StoreCall kind = StoreCall.ofPath(call.path());
+    if (kind == null) {
+      return now(Reply.json(404, Map.of("error", "no such path: " + call.path())));
+    }
+    counts.computeIfAbsent(kind.label(), ignored -> new LongAdder()).increment();
+    Fate fate = fate(kind);
+    if (fate.hang) {
+      return new CompletableFuture<>();
+    }
+    if (fate.slowMillis == 0) {
+      return run(kind, call, fate);
+    }
+    CompletableFuture<Reply> later = new CompletableFuture<>();
+    ScheduledFuture<?> unused =
+        timer.schedule(
+            () -> complete(later, run(kind, call, fate)), fate.slowMillis, TimeUnit.MILLISECONDS);
+    return later;
+  }
+
+  private static void complete(CompletableFuture<Reply> later, CompletableFuture<Reply> source) {
+    CompletableFuture<Void> unused = source.thenAccept(later::complete);
+  }
+
+  private record Fate(
+      long slowMillis, boolean down, boolean hang, boolean loseRequest, boolean loseAnswer) {}
+
+  private Fate fate(StoreCall kind) {
+    synchronized (faultLock) {
+      boolean open = kind.isWrite() && !faults.down() && !faults.hang();
+      boolean loseRequest = open && faults.loseRequests() > 0;
+      boolean loseAnswer = open && !loseRequest && faults.loseAnswers() > 0;
+      if (loseRequest) {
+        faults = faults.loseRequests(faults.loseRequests() - 1);
+      }
+      if (loseAnswer) {
+        faults = faults.loseAnswers(faults.loseAnswers() - 1);
+      }
+      boolean drawn = open && random.nextDouble() < faults.loseProbability();
+      return new Fate(
+          faults.slowMillis(), faults.down(), faults.hang(), loseRequest, loseAnswer || drawn);
+    }
+  }
+
+  private CompletableFuture<Reply> run(StoreCall kind, Call call, Fate fate) {
+    if (fate.down) {
+      return now(Reply.json(503, Map.of("error", "the store is down")));
+    }
+    if (fate.loseRequest) {
+      return now(Reply.none());
+    }
+    CompletableFuture<Reply> reply;
+    try {
+      reply = effect(kind, call);
+    } catch (IOException | RuntimeException e) {
+      reply = now(Reply.json(400, Map.of("error", String.valueOf(e.getMessage()))));
+    }
+    if (kind.isWrite()) {
+      watches.deliver();
+    }
+    return fate.loseAnswer ? now(Reply.none()) : reply;
+  }
+
+  private CompletableFuture<Reply> effect(StoreCall kind, Call call) throws IOException {
+    return switch (kind) {
+      case READ -> now(read(call));
+      case LIST -> now(Reply.json(200, new StoreMessages.Values(state.list(prefix(call)))));
+      case WATCH -> watch(call);
+      case VMS -> now(Reply.json(200, new StoreMessages.Vms(vms.shown())));
+      case COMPARE_AND_SET -> now(compareAndSet(call.body(StoreMessages.CompareAndSet.class)));
+      case COMPARE_AND_DELETE ->
+          now(compareAndDelete(call.body(StoreMessages.CompareAndDelete.class)));
+      case LEASE_GRANT -> now(grant(call.body(StoreMessages.GrantLease.class)));
+      case LEASE_KEEP_ALIVE ->
+          now(alive(state.keepAlive(call.body(StoreMessages.Lease.class).lease())));
+      case LEASE_REVOKE ->
+          now(alive(state.revokeLease(call.body(StoreMessages.Lease.class).lease())));
+    };
+  }
+
+  private Reply read(Call call) {
+    return state
+        .read(call.query("key", ""))
+        .map(value -> Reply.json(200, value))
+        .orElseGet(() -> Reply.json(404, Map.of("error", "no such key")));
+  }
+
+  private CompletableFuture<Reply> watch(Call call) {
+    long after = Long.parseLong(call.query("after", "0"));
+    Duration wait = Duration.ofMillis(Long.parseLong(call.query("waitMillis", "0")));
+    CompletableFuture<WatchBatch> batch = watches.await(prefix(call), after, wait);
+    return batch.thenApply(result -> Reply.json(200, result));
+  }
+
+  private Reply compareAndSet(StoreMessages.CompareAndSet body) {
+    return written(
+        state.compareAndSet(body.key(), body.expectedRevision(), body.value(), body.lease()));
+  }
+
+  private Reply compareAndDelete(StoreMessages.CompareAndDelete body) {
+    return written(state.compareAndDelete(body.key(), body.expectedRevision()));
+  }
+
+  private Reply grant(StoreMessages.GrantLease body) {
+    long lease = state.grantLease(Duration.ofMillis(body.ttlMillis()));
+    return Reply.json(200, new StoreMessages.Lease(lease));
+  }
+
+  private static Reply alive(boolean alive) {
+    return Reply.json(200, new StoreMessages.Alive(alive));
+  }
+
+  private static Reply written(WriteResult result) {
+    if (result instanceof WriteResult.Written done) {
+      return Reply.json(200, new StoreMessages.Written(done.revision()));
+    }
+    StoredValue current = ((WriteResult.Conflict) result).current();
+    return Reply.json(409, new StoreMessages.Conflict(current));
+  }
+
+  private CompletableFuture<Reply> admin(Call call) {
+    try {
+      return now(adminReply(call));
+    } catch (IOException | RuntimeException e) {
+      return now(Reply.json(400, Map.of("error", String.valueOf(e.getMessage()))));
+    }
+  }
+
+  private Reply adminReply(Call call) throws IOException {
+    if (call.path().equals("/admin/counts")) {
+      return Reply.json(200, counts());
+    }
+    if (call.path().equals("/admin/faults")) {
+      if (call.method().equals("PUT")) {
+        faults(call.body(StoreFaults.class));
+      }
+      return Reply.json(200, faults());
+    }
+    String vm = call.path().startsWith("/admin/vms/") ? call.path().substring(11) : "";
+    if (!vm.isEmpty() && call.method().equals("PUT")) {
+      ListedVm listed = call.body(ListedVm.class);
+      if (!vm.equals(listed.id())) {
+        throw new IOException("path names VM \"" + vm + "\", body \"" + listed.id() + "\"");
+      }
+      putVm(listed);
+      return Reply.json(200, List.of());
+    }
+    if (!vm.isEmpty() && call.method().equals("DELETE")) {
+      removeVm(vm);
+      return Reply.json(200, List.of());
+    }
+    return Reply.json(404, Map.of("error", "no " + call.method() + " at " + call.path()));
+  }
+
+  private static String prefix(Call call) {
+    return call.query("prefix", "");
+  }
+
+  private static CompletableFuture<Reply> now(Reply reply) {
+    return CompletableFuture.completedFuture(reply);
+  }
+}
--- /dev/null
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/store/VmTable.java
@@ -0,0 +1,59 @@
+package org.sageladder.standin.store;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+import org.sageladder.core.platform.ListedVm;
+import org.sageladder.core.time.TimeSource;
+
+/** The platform's list of VMs, which shows each change only after a lag. */
+final class VmTable {
+  private final TimeSource time;
+  private final Map<String, ListedVm> shown = new TreeMap<>();
+  private final Deque<Change> pending = new ArrayDeque<>();
+  private long lagNanos;
+
+  private VmTable(TimeSource time) {
+    this.time = time;
+  }
+
+  static VmTable create(TimeSource time) {
+    return new VmTable(time);
+  }
+
+  private record Change(long atNanos, String id, @Nullable ListedVm vm) {}
+
+  /** From now on a change shows {@code lag} after it was made. */
+  synchronized void lag(Duration lag) {
+    lagNanos = lag.toNanos();
+  }
+
+  synchronized void put(ListedVm vm) {
+    pending.add(new Change(time.nanos(), vm.id(), vm));
+  }
+
+  synchronized void remove(String id) {
+    pending.add(new Change(time.nanos(), id, null));
+  }
+
+  /** The list as callers see it now, ordered by id. */
+  synchronized List<ListedVm> shown() {
+    long now = time.nanos();
+    while (!pending.isEmpty() && pending.peek().atNanos() + lagNanos - now <= 0) {
+      apply(pending.remove());
+    }
+    return List.copyOf(shown.values());
+  }
+
+  private void apply(Change change) {
+    if (change.vm() == null) {
+      shown.remove(change.id());
+    } else {
+      shown.put(change.id(), change.vm());
+    }
+  }
+}
