Time line: one causally sensible line of events from all processes

Cause: logs of several VMs sorted by their clocks put effects before causes. Change: sageladder-timeline fetches each process's events, bounds each clock by the fetch and by forwarded requests and their answers (shortest paths over all bounds), merges so that a message is sent before it is received, filters by request, contract, target and revision, and writes text, JSON or a page with a picture. Loss and uncertainty are stated in each form. Conclusion: with a clock 40 ms behind the receipt still follows the sending, and two messages narrow a fetch's bounds of 50 ms to 2 ms.

--- /dev/null
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/timeline/Messages.java
@@ -0,0 +1,106 @@
+package org.sageladder.tools.timeline;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.sageladder.core.event.Event;
+import org.sageladder.core.event.EventKind;
+
+/**
+ * Finds the messages that processes exchanged about requests.
+ *
+ * <p>A request that one entry VM forwards and another receives gives one message there; where the
+ * sender records an answer, the receiver's own end of the request gives one back. A sender that
+ * fails or refuses may have given up by itself, before the receiver's end, so that gives none.
+ */
+final class Messages {
+  private final List<ProcessEvents> processes;
+  private final Map<String, Integer> indexes = new HashMap<>();
+  private final List<Map<String, List<Integer>>> byRequest = new ArrayList<>();
+  private final List<Message> found = new ArrayList<>();
+
+  private Messages(List<ProcessEvents> processes) {
+    this.processes = processes;
+    for (int p = 0; p < processes.size(); p++) {
+      indexes.put(processes.get(p).process(), p);
+      byRequest.add(positions(processes.get(p).events()));
+    }
+  }
+
+  static List<Message> in(List<ProcessEvents> processes) {
+    Messages messages = new Messages(processes);
+    for (int p = 0; p < processes.size(); p++) {
+      messages.find(p);
+    }
+    return List.copyOf(messages.found);
+  }
+
+  private static Map<String, List<Integer>> positions(List<Event> events) {
+    Map<String, List<Integer>> positions = new HashMap<>();
+    for (int i = 0; i < events.size(); i++) {
+      String request = events.get(i).request();
+      if (!request.isEmpty()) {
+        positions.computeIfAbsent(request, ignored -> new ArrayList<>()).add(i);
+      }
+    }
+    return positions;
+  }
+
+  private void find(int sender) {
+    List<Event> events = processes.get(sender).events();
+    for (int sent = 0; sent < events.size(); sent++) {
+      Event event = events.get(sent);
+      Integer receiver = indexes.get(event.subject());
+      if (event.kind() != EventKind.FORWARDED || receiver == null || receiver == sender) {
+        continue;
+      }
+      List<Integer> there = byRequest.get(receiver).getOrDefault(event.request(), List.of());
+      int received = firstOfKind(receiver, there, sender);
+      if (received < 0) {
+        continue;
+      }
+      found.add(new Message(sender, sent, receiver, received));
+      int ended = firstEnd(receiver, there, received);
+      int back = firstAnswer(sender, byRequest.get(sender).get(event.request()), sent);
+      if (ended >= 0 && back >= 0) {
+        found.add(new Message(receiver, ended, sender, back));
+      }
+    }
+  }
+
+  /** A request forwarded to one process by several is told apart by who forwarded it. */
+  private int firstOfKind(int receiver, List<Integer> positions, int sender) {
+    String name = processes.get(sender).process();
+    for (int position : positions) {
+      Event event = processes.get(receiver).events().get(position);
+      boolean fromSender = event.detail().isEmpty() || event.detail().contains(name);
+      if (event.kind() == EventKind.RECEIVED && fromSender) {
+        return position;
+      }
+    }
+    return -1;
+  }
+
+  private int firstAnswer(int process, List<Integer> positions, int after) {
+    for (int position : positions) {
+      EventKind kind = processes.get(process).events().get(position).kind();
+      if (position > after && kind == EventKind.ANSWERED) {
+        return position;
+      }
+    }
+    return -1;
+  }
+
+  private int firstEnd(int process, List<Integer> positions, int after) {
+    for (int position : positions) {
+      EventKind kind = processes.get(process).events().get(position).kind();
+      boolean end =
+          kind == EventKind.ANSWERED || kind == EventKind.REFUSED || kind == EventKind.FAILED;
+      if (position > after && end) {
+        return position;
+      }
+    }
+    return -1;
+  }
+}
--- /dev/null
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/timeline/TimeLineHtml.java
@@ -0,0 +1,210 @@
+package org.sageladder.tools.timeline;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Predicate;
+import org.sageladder.core.event.Event;
+import org.sageladder.core.event.EventKind;
+
+/** Page with a picture of a time line: a lane for each process, arrows for messages. */
+final class TimeLineHtml {
+  private static final int MOST_DRAWN = 2_000;
+  private static final int LANE_HEIGHT = 44;
+  private static final int LABEL_WIDTH = 190;
+  private static final int WIDTH = 1_400;
+  private static final int TOP = 30;
+
+  private final TimeLine line;
+  private final List<TimeLine.Entry> entries;
+  private final List<TimeLine.Entry> drawn;
+  private final StringBuilder html = new StringBuilder();
+
+  private TimeLineHtml(TimeLine line, Predicate<Event> filter) {
+    this.line = line;
+    this.entries = line.entries(filter);
+    this.drawn = entries.subList(0, Math.min(MOST_DRAWN, entries.size()));
+  }
+
+  static String write(TimeLine line, Predicate<Event> filter) {
+    TimeLineHtml page = new TimeLineHtml(line, filter);
+    page.head();
+    if (!page.drawn.isEmpty()) {
+      page.picture(filter);
+    }
+    page.table();
+    return page.html.append("</body></html>\n").toString();
+  }
+
+  private void head() {
+    html.append("<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\">")
+        .append("<title>sageladder time line</title><style>")
+        .append("body{font:14px sans-serif;margin:1em}table{border-collapse:collapse}")
+        .append("td,th{padding:2px 8px;text-align:left;border-bottom:1px solid #ddd}")
+        .append("td.n{font-family:monospace;white-space:nowrap}svg{border:1px solid #ccc}")
+        .append("</style></head><body><h1>Time line</h1><ul>");
+    for (int p = 0; p < line.processes().size(); p++) {
+      html.append("<li>").append(escape(TimeLineText.processLine(line, p))).append("</li>");
+    }
+    html.append("</ul>");
+    if (line.lost() > 0) {
+      html.append("<p><strong>")
+          .append(line.lost())
+          .append(" events were lost: they had given way before they were fetched.</strong></p>");
+    }
+    if (drawn.size() < entries.size()) {
+      html.append("<p>The picture shows the first ")
+          .append(drawn.size())
+          .append(" of ")
+          .append(entries.size())
+          .append(" events; the table shows all.</p>");
+    }
+  }
+
+  private void picture(Predicate<Event> filter) {
+    int height = TOP + LANE_HEIGHT * line.processes().size() + 20;
+    html.append(
+        String.format(
+            Locale.ROOT,
+            "<svg width=\"%d\" height=\"%d\" role=\"img\" aria-label=\"events by process\">",
+            WIDTH,
+            height));
+    html.append(
+        "<defs><marker id=\"a\" markerWidth=\"8\" markerHeight=\"8\" refX=\"7\" refY=\"4\""
+            + " orient=\"auto\"><path d=\"M0,1 L7,4 L0,7\" fill=\"none\" stroke=\"#888\"/>"
+            + "</marker></defs>");
+    for (int p = 0; p < line.processes().size(); p++) {
+      html.append(
+          String.format(
+              Locale.ROOT,
+              "<text x=\"6\" y=\"%d\" font-size=\"12\">%s</text>"
+                  + "<line x1=\"%d\" y1=\"%d\" x2=\"%d\" y2=\"%d\" stroke=\"#ddd\"/>",
+              laneY(p) + 4,
+              escape(line.processes().get(p).process()),
+              LABEL_WIDTH,
+              laneY(p),
+              WIDTH - 10,
+              laneY(p)));
+    }
+    axis(height);
+    arrows(filter);
+    for (TimeLine.Entry entry : drawn) {
+      mark(entry);
+    }
+    html.append("</svg>");
+  }
+
+  private void axis(int height) {
+    long first = drawn.get(0).micros();
+    long span = span();
+    for (int tick = 0; tick <= 5; tick++) {
+      double x = LABEL_WIDTH + tick * (WIDTH - LABEL_WIDTH - 20) / 5.0;
+      html.append(
+          String.format(
+              Locale.ROOT,
+              "<text x=\"%.1f\" y=\"16\" font-size=\"11\" fill=\"#666\">%+.3f ms</text>"
+                  + "<line x1=\"%.1f\" y1=\"20\" x2=\"%.1f\" y2=\"%d\" stroke=\"#f0f0f0\"/>",
+              x,
+              tick * span / 5.0 / 1e3,
+              x,
+              x,
+              height));
+    }
+    html.append("<!-- starts at ").append(TimeLineText.clock(first)).append(" -->");
+  }
+
+  private void arrows(Predicate<Event> filter) {
+    long last = drawn.get(drawn.size() - 1).micros();
+    for (TimeLine.Arrow arrow : line.arrows(filter)) {
+      if (arrow.to().micros() > last) {
+        continue;
+      }
+      html.append(
+          String.format(
+              Locale.ROOT,
+              "<line x1=\"%.1f\" y1=\"%d\" x2=\"%.1f\" y2=\"%d\" stroke=\"#888\""
+                  + " marker-end=\"url(#a)\"/>",
+              x(arrow.from()),
+              laneY(arrow.from().process()),
+              x(arrow.to()),
+              laneY(arrow.to().process())));
+    }
+  }
+
+  private void mark(TimeLine.Entry entry) {
+    double spread = entry.uncertainty() * pixelsPerMicro();
+    html.append(
+        String.format(
+            Locale.ROOT,
+            "<g><title>%s</title><line x1=\"%.1f\" y1=\"%d\" x2=\"%.1f\" y2=\"%d\" stroke=\"%s\""
+                + " stroke-opacity=\"0.3\" stroke-width=\"5\"/>"
+                + "<circle cx=\"%.1f\" cy=\"%d\" r=\"5\" fill=\"%s\"/></g>",
+            escape(TimeLineText.entryLine(entry)),
+            x(entry) - spread,
+            laneY(entry.process()),
+            x(entry) + spread,
+            laneY(entry.process()),
+            colour(entry.event().kind()),
+            x(entry),
+            laneY(entry.process()),
+            colour(entry.event().kind())));
+  }
+
+  private void table() {
+    html.append("<table><tr><th>time (UTC)</th><th>&plusmn; ms</th><th>process</th><th>event</th>")
+        .append("<th>request</th><th>subject</th><th>revision</th><th>detail</th></tr>");
+    for (TimeLine.Entry entry : entries) {
+      Event event = entry.event();
+      html.append("<tr><td class=\"n\">")
+          .append(TimeLineText.clock(entry.micros()))
+          .append("</td><td class=\"n\">")
+          .append(String.format(Locale.ROOT, "%.3f", entry.uncertainty() / 1e3));
+      for (String cell :
+          List.of(
+              entry.vm(),
+              event.kind().name(),
+              event.request(),
+              event.subject(),
+              event.revision() == 0 ? "" : String.valueOf(event.revision()),
+              event.detail())) {
+        html.append("</td><td>").append(escape(cell));
+      }
+      html.append("</td></tr>");
+    }
+    html.append("</table>");
+  }
+
+  private double x(TimeLine.Entry entry) {
+    return LABEL_WIDTH + (entry.micros() - drawn.get(0).micros()) * pixelsPerMicro();
+  }
+
+  private double pixelsPerMicro() {
+    return (WIDTH - LABEL_WIDTH - 20) / (double) span();
+  }
+
+  private long span() {
+    return Math.max(1, drawn.get(drawn.size() - 1).micros() - drawn.get(0).micros());
+  }
+
+  private static int laneY(int process) {
+    return TOP + LANE_HEIGHT * process + LANE_HEIGHT / 2;
+  }
+
+  private static String colour(EventKind kind) {
+    return switch (kind) {
+      case REFUSED, FAILED, TARGET_CRASHED, QUARANTINED, STORE_DOWN, LINK_DROPPED, LEASE_LOST ->
+          "#c0392b";
+      case RETRIED, CANCELLED, MEMBER_SILENT, TARGET_LEAVING, STOPPING, PERMIT_REPEATED ->
+          "#d68910";
+      case CONTRACT_IN_FORCE, VIEW_CHANGED, LEASE_GAINED, SHARE_MOVED -> "#6c3483";
+      case ANSWERED -> "#1e8449";
+      default -> "#2471a3";
+    };
+  }
+
+  private static String escape(String text) {
+    return text.replace("&", "&amp;")
+        .replace("<", "&lt;")
+        .replace(">", "&gt;")
+        .replace("\"", "&quot;");
+  }
+}
--- /dev/null
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/timeline/TimeLineJson.java
@@ -0,0 +1,48 @@
+package org.sageladder.tools.timeline;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+import org.sageladder.core.event.Event;
+
+/** JSON form of a time line. */
+final class TimeLineJson {
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private TimeLineJson() {}
+
+  private record Document(long lost, List<Source> processes, List<TimeLine.Entry> entries) {}
+
+  private record Source(
+      String vm,
+      String zone,
+      long incarnation,
+      long lost,
+      long clockLeadMicros,
+      long clockUncertaintyMicros) {}
+
+  static String write(TimeLine line, Predicate<Event> filter) {
+    List<Source> processes = new ArrayList<>();
+    for (int p = 0; p < line.processes().size(); p++) {
+      ProcessEvents events = line.processes().get(p);
+      Offset offset = line.offsets().get(p);
+      processes.add(
+          new Source(
+              events.process(),
+              events.zone(),
+              events.incarnation(),
+              events.lost(),
+              offset.middle(),
+              offset.uncertainty()));
+    }
+    try {
+      return JSON.writerWithDefaultPrettyPrinter()
+              .writeValueAsString(new Document(line.lost(), processes, line.entries(filter)))
+          + "\n";
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("records of plain values could not be written", e);
+    }
+  }
+}
--- /dev/null
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/timeline/TimeLineMain.java
@@ -0,0 +1,167 @@
+package org.sageladder.tools.timeline;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.PrintWriter;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.jspecify.annotations.Nullable;
+import org.sageladder.core.event.Event;
+import org.sageladder.platform.settings.ExitCode;
+import org.sageladder.platform.settings.Names;
+import org.sageladder.tools.http.HttpCaller;
+
+/** Entry point of {@code sageladder-timeline}. */
+public final class TimeLineMain {
+  private static final Duration CALL_TIMEOUT = Duration.ofSeconds(5);
+  private static final String USAGE =
+      "sageladder-timeline --operators IP:PORT[,IP:PORT...] [options]";
+
+  private TimeLineMain() {}
+
+  /** Fetches and prints; the exit code follows {@link ExitCode}. */
+  public static void main(String[] args) {
+    System.exit(run(args, System.out, System.err).status());
+  }
+
+  /**
+   * As {@link #main}, without ending the process. A process that does not answer is named on {@code
+   * err} and the others are shown; where none answers the exit code is {@code UNAVAILABLE}.
+   */
+  public static ExitCode run(String[] args, PrintStream out, PrintStream err) {
+    Options options = options();
+    try {
+      CommandLine line = new DefaultParser().parse(options, args);
+      if (line.hasOption("help")) {
+        help(options, out);
+        return ExitCode.OK;
+      }
+      if (!line.getArgList().isEmpty()) {
+        throw new ParseException("unexpected '" + line.getArgList().get(0) + "'");
+      }
+      return show(line, out, err);
+    } catch (ParseException e) {
+      err.println(e.getMessage() + "; see --help");
+      return ExitCode.USAGE;
+    } catch (IOException e) {
+      err.println(e.getMessage());
+      return ExitCode.UNAVAILABLE;
+    }
+  }
+
+  private static ExitCode show(CommandLine line, PrintStream out, PrintStream err)
+      throws ParseException, IOException {
+    List<URI> operators = addresses(line.getOptionValue("operators"));
+    TimeLineFormat format = format(line.getOptionValue("format", "text"));
+    Predicate<Event> filter =
+        EventFilter.of(
+            line.getOptionValue("request"),
+            line.getOptionValue("contract"),
+            line.getOptionValue("target"),
+            revision(line.getOptionValue("revision")));
+    List<ProcessEvents> fetched = fetch(operators, err);
+    if (fetched.isEmpty()) {
+      err.println("no process answered");
+      return ExitCode.UNAVAILABLE;
+    }
+    String text = format.write(TimeLine.merge(fetched), filter);
+    String file = line.getOptionValue("output");
+    if (file == null) {
+      out.print(text);
+    } else {
+      Files.writeString(Path.of(file), text, StandardCharsets.UTF_8);
+    }
+    return ExitCode.OK;
+  }
+
+  /** What each process has; those that do not answer are named on {@code err} and left out. */
+  public static List<ProcessEvents> fetch(List<URI> operators, PrintStream err) {
+    List<ProcessEvents> fetched = new ArrayList<>();
+    try (HttpCaller caller = HttpCaller.withTimeout(CALL_TIMEOUT)) {
+      for (URI uri : operators) {
+        try {
+          fetched.add(EventFetcher.of(uri, caller).fetch());
+        } catch (IOException e) {
+          err.println("left out: " + e.getMessage());
+        }
+      }
+    }
+    return fetched;
+  }
+
+  static List<URI> addresses(@Nullable String text) throws ParseException {
+    if (text == null) {
+      throw new ParseException("no process to ask; give --operators IP:PORT[,IP:PORT...]");
+    }
+    List<URI> uris = new ArrayList<>();
+    for (String address : text.split(",")) {
+      if (!Names.ADDRESS.matcher(address).matches()) {
+        throw new ParseException(
+            "--operators '" + address + "' is not allowed; give " + Names.ADDRESS_ALLOWED);
+      }
+      uris.add(URI.create("http://" + address));
+    }
+    return uris;
+  }
+
+  private static TimeLineFormat format(String name) throws ParseException {
+    return switch (name) {
+      case "text" -> TimeLineFormat.text();
+      case "json" -> TimeLineFormat.json();
+      case "html" -> TimeLineFormat.html();
+      default ->
+          throw new ParseException(
+              "--format '"
+                  + name
+                  + "' is not allowed; give one of "
+                  + String.join(", ", TimeLineFormat.names()));
+    };
+  }
+
+  private static @Nullable Long revision(@Nullable String text) throws ParseException {
+    if (text == null) {
+      return null;
+    }
+    try {
+      return Long.valueOf(text);
+    } catch (NumberFormatException e) {
+      throw new ParseException("--revision '" + text + "' is not allowed; give a whole number");
+    }
+  }
+
+  private static Options options() {
+    return new Options()
+        .addOption(option("operators", "IP:PORT,...", "operators' ports of the entry VMs to ask"))
+        .addOption(option("request", "ID", "only events about that request"))
+        .addOption(option("contract", "CUSTOMER", "only events about that customer's contract"))
+        .addOption(option("target", "NAME", "only events about that target, peer or zone"))
+        .addOption(option("revision", "N", "only events about that revision or view number"))
+        .addOption(option("format", "FORMAT", "text, json or html; text by default"))
+        .addOption(option("output", "FILE", "write there and not to standard output"))
+        .addOption(Option.builder().longOpt("help").desc("show this").get());
+  }
+
+  private static Option option(String name, String argument, String summary) {
+    return Option.builder().longOpt(name).hasArg().argName(argument).desc(summary).get();
+  }
+
+  private static void help(Options options, PrintStream out) {
+    PrintWriter writer = new PrintWriter(out, true, StandardCharsets.UTF_8);
+    writer.println("usage: " + USAGE);
+    for (Option option : options.getOptions()) {
+      String argument = option.hasArg() ? " " + option.getArgName() : "";
+      writer.printf("  %-26s %s%n", "--" + option.getLongOpt() + argument, option.getDescription());
+    }
+  }
+}
--- /dev/null
+++ b/sageladder-tools/src/test/java/org/sageladder/tools/timeline/TimeLineTest.java
@@ -0,0 +1,143 @@
+package org.sageladder.tools.timeline;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.sageladder.core.event.Event;
+import org.sageladder.core.event.EventKind;
+
+class TimeLineTest {
+  // Story: an operator reads that the gate received a request before it was forwarded, and blames
+  // the wrong VM. Cause: the gate's clock is 40 ms behind and lines were sorted by wall clock.
+  @Test
+  void receiptNeverComesBeforeItsSendingWhateverTheClocksSay() {
+    ProcessEvents edge =
+        process(
+            "edge",
+            new Offset(-3_000, 3_000),
+            event(1, 100_000, EventKind.FORWARDED, "r", "gate"),
+            event(2, 112_000, EventKind.ANSWERED, "r", "gate"));
+    ProcessEvents gate =
+        process(
+            "gate",
+            new Offset(-90_000, 10_000),
+            event(1, 62_000, EventKind.RECEIVED, "r", ""),
+            event(2, 70_000, EventKind.ANSWERED, "r", "t-1"));
+
+    TimeLine line = TimeLine.merge(List.of(edge, gate));
+
+    assertEquals(
+        List.of("edge FORWARDED", "gate RECEIVED", "gate ANSWERED", "edge ANSWERED"), order(line));
+    assertEquals(2, line.arrows(EventFilter.all()).size());
+  }
+
+  @Test
+  void messagesNarrowTheClockOfAProcessThatAnsweredTheFetchSlowly() {
+    ProcessEvents edge =
+        process(
+            "edge",
+            new Offset(0, 0),
+            event(1, 100_000, EventKind.FORWARDED, "r", "gate"),
+            event(2, 112_000, EventKind.ANSWERED, "r", "gate"));
+    ProcessEvents gate =
+        process(
+            "gate",
+            new Offset(-90_000, 10_000),
+            event(1, 62_000, EventKind.RECEIVED, "r", ""),
+            event(2, 70_000, EventKind.ANSWERED, "r", "t-1"));
+
+    Offset clock = TimeLine.merge(List.of(edge, gate)).offsets().get(1);
+
+    assertEquals(new Offset(-42_000, -38_000), clock);
+    assertEquals(2_000, clock.uncertainty());
+  }
+
+  // Story: the line is empty for two processes though both have events. Cause: a caller used one
+  // request id twice, so that two wrongly paired messages wait for one another.
+  @Test
+  void wronglyPairedMessagesHideNoEvent() {
+    ProcessEvents a =
+        process(
+            "a",
+            new Offset(0, 0),
+            event(1, 10, EventKind.RECEIVED, "r", ""),
+            event(2, 20, EventKind.FORWARDED, "r", "b"));
+    ProcessEvents b =
+        process(
+            "b",
+            new Offset(0, 0),
+            event(1, 15, EventKind.RECEIVED, "r", ""),
+            event(2, 25, EventKind.FORWARDED, "r", "a"));
+
+    assertEquals(4, TimeLine.merge(List.of(a, b)).entries(EventFilter.all()).size());
+  }
+
+  @Test
+  void aClockThatJumpedFallsBackToTheFetches() {
+    ProcessEvents edge =
+        process(
+            "edge",
+            new Offset(0, 10),
+            event(1, 100_000, EventKind.FORWARDED, "r", "gate"),
+            event(2, 112_000, EventKind.ANSWERED, "r", "gate"));
+    ProcessEvents gate =
+        process(
+            "gate",
+            new Offset(0, 10),
+            event(1, 62_000, EventKind.RECEIVED, "r", ""),
+            event(2, 70_000, EventKind.ANSWERED, "r", "t-1"));
+
+    TimeLine line = TimeLine.merge(List.of(edge, gate));
+
+    assertEquals(new Offset(0, 10), line.offsets().get(1));
+    assertEquals("gate RECEIVED", order(line).get(1));
+  }
+
+  @Test
+  void filtersChooseByRequestContractSubjectAndRevision() {
+    Event contract =
+        new Event(1, 5, EventKind.CONTRACT_IN_FORCE, "", "kannelkoda", "contracts/k", 41, "");
+    ProcessEvents a =
+        process("a", new Offset(0, 0), contract, event(2, 10, EventKind.DISPATCHED, "r", "t-1"));
+    TimeLine line = TimeLine.merge(List.of(a));
+
+    assertEquals(1, line.entries(EventFilter.of("r", null, null, null)).size());
+    assertEquals(1, line.entries(EventFilter.of(null, "kannelkoda", null, 41L)).size());
+    assertEquals(1, line.entries(EventFilter.of(null, null, "t-1", null)).size());
+    assertEquals(0, line.entries(EventFilter.of("r", "kannelkoda", null, null)).size());
+  }
+
+  @Test
+  void eachFormatStatesLossAndUncertaintyAndEscapesText() {
+    Event hostile = new Event(1, 5, EventKind.RECEIVED, "<b>", "k", "", 0, "\"&");
+    ProcessEvents a =
+        new ProcessEvents("a", 1, "z", 7, new Offset(-2_000, 2_000), List.of(hostile));
+    TimeLine line = TimeLine.merge(List.of(a));
+
+    String text = TimeLineFormat.text().write(line, EventFilter.all());
+    String json = TimeLineFormat.json().write(line, EventFilter.all());
+    String html = TimeLineFormat.html().write(line, EventFilter.all());
+
+    assertTrue(text.contains("1 events, 7 lost, clock +0.000 ms +-2.000 ms"), text);
+    assertTrue(json.contains("\"lost\" : 7") && json.contains("\"uncertainty\" : 2000"), json);
+    assertTrue(html.contains("7 events were lost") && html.contains("&lt;b&gt;"), html);
+    assertTrue(html.contains("<svg") && !html.contains("<b>"), html);
+  }
+
+  private static ProcessEvents process(String name, Offset clock, Event... events) {
+    return new ProcessEvents(name, 1, "z", 0, clock, List.of(events));
+  }
+
+  private static Event event(
+      long sequence, long micros, EventKind kind, String request, String subject) {
+    return new Event(sequence, micros, kind, request, "", subject, 0, "");
+  }
+
+  private static List<String> order(TimeLine line) {
+    return line.entries(EventFilter.all()).stream()
+        .map(entry -> entry.vm() + " " + entry.event().kind())
+        .toList();
+  }
+}
