--- a/sageladder-platform/src/main/java/org/sageladder/platform/contract/ContractYaml.java
+++ b/sageladder-platform/src/main/java/org/sageladder/platform/contract/ContractYaml.java
@@ -1,5 +1,6 @@
 package org.sageladder.platform.contract;
 
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -66,6 +67,11 @@
     return read(SettingsDocument.parse(fileName, yaml).root(CONTRACT_KEYS));
   }
 
+  /** Reads a contract file in UTF-8, as {@link #parse}. */
+  public static Contract read(Path file) throws SettingsException {
+    return read(SettingsDocument.read(file).root(CONTRACT_KEYS));
+  }
+
   /** The contract as YAML text that {@link #parse} reads back alike, but for the revision. */
   public static String format(Contract contract) {
     return ContractFormat.yaml(ContractFormat.tree(contract));
--- /dev/null
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/ctl/ContractCommands.java
@@ -0,0 +1,217 @@
+package org.sageladder.tools.ctl;
+
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.core.contract.ContractCheck;
+import org.sageladder.core.store.Store;
+import org.sageladder.core.store.StoreException;
+import org.sageladder.core.time.TimeSource;
+import org.sageladder.platform.contract.ApplyResult;
+import org.sageladder.platform.contract.ContractDiff;
+import org.sageladder.platform.contract.ContractDiff.Difference;
+import org.sageladder.platform.contract.ContractWriter;
+import org.sageladder.platform.contract.ContractYaml;
+import org.sageladder.platform.contract.StoredContract;
+import org.sageladder.platform.settings.ExitCode;
+import org.sageladder.platform.settings.SettingsException;
+
+/** The commands that read, check and change contracts. */
+final class ContractCommands {
+  static final String BASE = "base";
+
+  private static final String LATEST = "latest";
+
+  private ContractCommands() {}
+
+  static ExitCode check(Invocation invocation) throws CtlException {
+    boolean good = true;
+    for (String file : invocation.operands()) {
+      List<ContractCheck.Problem> problems = ContractCheck.problems(contract(file));
+      if (problems.isEmpty()) {
+        invocation.out().println(file + ": good");
+      } else {
+        print(file, problems, invocation.err());
+        good = false;
+      }
+    }
+    return good ? ExitCode.OK : ExitCode.BAD_CONTRACT;
+  }
+
+  static ExitCode show(Invocation invocation) throws CtlException {
+    StoredContract stored = required(invocation, invocation.operand(0));
+    PrintStream out = invocation.out();
+    out.println("# revision " + stored.contract().revision() + " by " + stored.author());
+    out.print(ContractYaml.format(stored.contract()));
+    return ExitCode.OK;
+  }
+
+  static ExitCode diff(Invocation invocation) throws CtlException {
+    Contract wanted = contract(invocation.operand(0));
+    StoredContract stored = required(invocation, wanted.customer());
+    List<Difference> differences = ContractDiff.between(stored.contract(), wanted);
+    invocation.out().println("store: revision " + stored.contract().revision());
+    differences.forEach(difference -> invocation.out().println("  " + difference));
+    return differences.isEmpty() ? ExitCode.OK : ExitCode.VERDICT_FAILED;
+  }
+
+  static ExitCode history(Invocation invocation) throws CtlException {
+    StoredContract stored = required(invocation, invocation.operand(0));
+    if (stored.history().isEmpty()) {
+      invocation.out().println("no changes are recorded");
+    }
+    for (StoredContract.Change change : stored.history()) {
+      String fields = change.fields().isEmpty() ? "first" : String.join(", ", change.fields());
+      invocation
+          .out()
+          .printf(
+              "%d  %s  %s  %s%n",
+              change.revision(), Instant.ofEpochMilli(change.atMillis()), change.author(), fields);
+    }
+    return ExitCode.OK;
+  }
+
+  static ExitCode apply(Invocation invocation) throws CtlException {
+    String file = invocation.operand(0);
+    Contract wanted = contract(file);
+    try (Store store = invocation.store()) {
+      ContractWriter writer = ContractWriter.of(store, TimeSource.system(), invocation.author());
+      long base = base(invocation, writer, wanted.customer());
+      return report(writer.apply(wanted, base), file, wanted.customer(), invocation);
+    }
+  }
+
+  /**
+   * The revision that the operator's change starts from. Where a contract stands already it must be
+   * stated: reading it here would make every change start from the latest one, and an edit of an
+   * older copy would silently undo what another operator changed since.
+   */
+  private static long base(Invocation invocation, ContractWriter writer, String customer)
+      throws CtlException {
+    String text = invocation.option(BASE);
+    if (text != null && !text.equals(LATEST)) {
+      try {
+        return Long.parseLong(text);
+      } catch (NumberFormatException e) {
+        throw Invocation.usage(
+            "--base '" + text + "' is not allowed; give a revision or '" + LATEST + "'");
+      }
+    }
+    StoredContract standing = read(writer, customer);
+    if (standing == null) {
+      return 0;
+    }
+    long revision = standing.contract().revision();
+    if (text == null) {
+      throw new CtlException(
+          ExitCode.USAGE,
+          "a contract of "
+              + customer
+              + " stands at revision "
+              + revision
+              + " (by "
+              + standing.author()
+              + "); look at 'sageladderctl diff FILE', then give --base "
+              + revision);
+    }
+    return revision;
+  }
+
+  private static ExitCode report(
+      ApplyResult result, String file, String customer, Invocation invocation) {
+    PrintStream out = invocation.out();
+    PrintStream err = invocation.err();
+    if (result instanceof ApplyResult.Accepted accepted) {
+      out.println(customer + ": accepted at revision " + accepted.revision());
+      accepted.differences().forEach(difference -> out.println("  " + difference));
+      return ExitCode.OK;
+    }
+    if (result instanceof ApplyResult.Unchanged unchanged) {
+      out.println(customer + ": no change, revision " + unchanged.revision() + " is alike");
+      return ExitCode.OK;
+    }
+    if (result instanceof ApplyResult.Rejected rejected) {
+      print(file, rejected.problems(), err);
+      return ExitCode.BAD_CONTRACT;
+    }
+    if (result instanceof ApplyResult.Conflict conflict) {
+      reportConflict(conflict, customer, err);
+      return ExitCode.CONFLICT;
+    }
+    if (result instanceof ApplyResult.OutcomeUnknown unknown) {
+      err.println(
+          customer
+              + ": the store gave no answer ("
+              + unknown.reason()
+              + "); change "
+              + unknown.changeId()
+              + " may or may not stand: look at 'sageladderctl history "
+              + customer
+              + "' before trying again");
+      return ExitCode.OUTCOME_UNKNOWN;
+    }
+    err.println(customer + ": nothing was written: " + ((ApplyResult.Unavailable) result).reason());
+    return ExitCode.UNAVAILABLE;
+  }
+
+  private static void reportConflict(
+      ApplyResult.Conflict conflict, String customer, PrintStream err) {
+    StoredContract current = conflict.current();
+    if (current == null) {
+      err.println(customer + ": nothing was written: no contract stands; give --base 0");
+      return;
+    }
+    err.println(
+        customer
+            + ": nothing was written: "
+            + current.author()
+            + "'s change came first, at revision "
+            + current.contract().revision());
+    err.println("your file differs from what stands (there -> yours):");
+    for (Difference difference : conflict.differences()) {
+      String mark = conflict.conflicting().contains(difference.key()) ? "! " : "  ";
+      err.println("  " + mark + difference);
+    }
+    if (!conflict.conflicting().isEmpty()) {
+      err.println("lines with ! were changed by both");
+    }
+    err.println("to write yours all the same, give --base " + current.contract().revision());
+  }
+
+  private static StoredContract required(Invocation invocation, String customer)
+      throws CtlException {
+    try (Store store = invocation.store()) {
+      StoredContract stored =
+          read(ContractWriter.of(store, TimeSource.system(), "reader"), customer);
+      if (stored == null) {
+        throw new CtlException(
+            ExitCode.NOT_FOUND, "the store has no contract of '" + customer + "'");
+      }
+      return stored;
+    }
+  }
+
+  private static @Nullable StoredContract read(ContractWriter writer, String customer)
+      throws CtlException {
+    try {
+      return writer.read(customer);
+    } catch (StoreException e) {
+      throw new CtlException(ExitCode.UNAVAILABLE, "the store cannot be read: " + e.getMessage());
+    }
+  }
+
+  private static Contract contract(String file) throws CtlException {
+    try {
+      return ContractYaml.read(Path.of(file));
+    } catch (SettingsException e) {
+      throw new CtlException(ExitCode.BAD_CONTRACT, e.getMessage());
+    }
+  }
+
+  private static void print(String file, List<ContractCheck.Problem> problems, PrintStream stream) {
+    problems.forEach(problem -> stream.println(file + ": " + problem));
+  }
+}
--- /dev/null
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/ctl/CtlException.java
@@ -0,0 +1,19 @@
+package org.sageladder.tools.ctl;
+
+import org.sageladder.platform.settings.ExitCode;
+
+/** Ends a command with one line for the operator and an exit code. */
+final class CtlException extends Exception {
+  private static final long serialVersionUID = 1L;
+
+  private final ExitCode exitCode;
+
+  CtlException(ExitCode exitCode, String message) {
+    super(message);
+    this.exitCode = exitCode;
+  }
+
+  ExitCode exitCode() {
+    return exitCode;
+  }
+}
--- /dev/null
+++ b/sageladder-tools/src/test/java/org/sageladder/tools/ctl/CtlTest.java
@@ -0,0 +1,141 @@
+package org.sageladder.tools.ctl;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.sageladder.platform.settings.ExitCode;
+import org.sageladder.standin.store.StoreFaults;
+import org.sageladder.standin.store.StoreServer;
+
+class CtlTest {
+  private static final String GOOD = Path.of("..", "contracts", "kannelkoda.yaml").toString();
+
+  private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+  private StoreServer store;
+
+  @BeforeEach
+  void startStore() throws Exception {
+    store = StoreServer.start("127.0.0.1", 0);
+  }
+
+  @AfterEach
+  void stopStore() {
+    store.close();
+  }
+
+  @Test
+  void helpGroupsCommands() {
+    assertEquals(ExitCode.OK, run("--help"));
+    assertTrue(out().contains("Contracts:\n  check FILE..."), out());
+    assertTrue(out().contains("The running system:\n  status"), out());
+  }
+
+  @Test
+  void misspeltCommandIsSuggested() {
+    assertEquals(ExitCode.USAGE, run("aply", GOOD));
+    assertTrue(err().startsWith("sageladderctl: no command 'aply'; did you mean 'apply'?"), err());
+  }
+
+  @Test
+  void checkNeedsNoStoreAndNamesEachProblem(@TempDir Path directory) throws Exception {
+    Path bad = changed(directory, "retryFraction: 0\n", "retryFraction: 0.2\n");
+
+    assertEquals(ExitCode.OK, run("check", GOOD));
+    assertEquals(ExitCode.BAD_CONTRACT, run("check", GOOD, bad.toString()));
+    assertTrue(err().contains("services[donation-cataloguing].retryFraction"), err());
+  }
+
+  @Test
+  void appliedContractIsShownDifferedAndInTheHistory(@TempDir Path directory) throws Exception {
+    assertEquals(ExitCode.OK, run("apply", GOOD, "--store", uri(), "--author", "maie"));
+    Path wider = changed(directory, "queueWait: 2s", "queueWait: 3s");
+
+    assertEquals(ExitCode.VERDICT_FAILED, run("diff", wider.toString(), "--store", uri()));
+    assertTrue(out().contains("services[donation-cataloguing].queueWait: 2s -> 3s"), out());
+    assertEquals(
+        ExitCode.OK,
+        run("apply", wider.toString(), "--store", uri(), "--author", "juris", "--base", "latest"));
+    assertEquals(ExitCode.OK, run("history", "kannelkoda", "--store", uri()));
+    assertTrue(out().contains("juris  services[donation-cataloguing].queueWait"), out());
+    assertEquals(ExitCode.OK, run("show", "kannelkoda", "--store", uri()));
+    assertTrue(out().contains("by juris\ncustomer: kannelkoda\n"), out());
+  }
+
+  // Story: an operator edits a copy of last week's contract and applies it; a colleague's change of
+  // yesterday is gone from the contract in force and nobody is told. Cause: a tool that takes
+  // whatever revision stands as the one that the operator started from.
+  @Test
+  void changeOfAStandingContractNeedsItsBaseRevision(@TempDir Path directory) throws Exception {
+    run("apply", GOOD, "--store", uri());
+    Path wider = changed(directory, "queueWait: 2s", "queueWait: 3s");
+
+    assertEquals(ExitCode.USAGE, run("apply", wider.toString(), "--store", uri()));
+    assertTrue(err().contains("stands at revision"), err());
+    assertEquals(
+        ExitCode.CONFLICT, run("apply", wider.toString(), "--store", uri(), "--base", "0"));
+    assertTrue(err().contains("queueWait: 2s -> 3s"), err());
+  }
+
+  @Test
+  void lostAnswerOfTheStoreIsReportedAsAccepted() {
+    store.faults(StoreFaults.none().loseAnswers(1));
+
+    ExitCode code = run("apply", GOOD, "--store", uri(), "--timeout", "300ms");
+
+    assertEquals(ExitCode.OK, code, err());
+    assertTrue(out().contains("accepted at revision"), out());
+  }
+
+  @Test
+  void storeThatIsDownIsNamedAndNothingIsWritten() {
+    String gone = uri();
+    store.close();
+
+    assertEquals(
+        ExitCode.UNAVAILABLE, run("show", "kannelkoda", "--store", gone, "--timeout", "300ms"));
+    assertTrue(err().startsWith("sageladderctl show: the store cannot be read"), err());
+  }
+
+  @Test
+  void unknownOptionAndMissingOperandAreUsageErrors() {
+    assertEquals(ExitCode.USAGE, run("show", "--stoer", "x", "kannelkoda"));
+    assertEquals(ExitCode.USAGE, run("show", "--store", uri()));
+    assertTrue(err().contains("expected: sageladderctl show CUSTOMER"), err());
+  }
+
+  private ExitCode run(String... args) {
+    out.reset();
+    err.reset();
+    return Ctl.run(
+        args,
+        new PrintStream(out, true, StandardCharsets.UTF_8),
+        new PrintStream(err, true, StandardCharsets.UTF_8));
+  }
+
+  private String uri() {
+    return store.address().toString();
+  }
+
+  private String out() {
+    return out.toString(StandardCharsets.UTF_8);
+  }
+
+  private String err() {
+    return err.toString(StandardCharsets.UTF_8);
+  }
+
+  private static Path changed(Path directory, String good, String bad) throws Exception {
+    String yaml = Files.readString(Path.of(GOOD));
+    return Files.writeString(directory.resolve("changed.yaml"), yaml.replace(good, bad));
+  }
+}
