Entry daemon: look-up, gate, dispatch and answer over HttpCore

Cause: the parts had no daemon around them. Change: asynchronous request path (caller exchange, bounded body pipe, outbound exchange that reuses a connection only after a whole answer), gates following the zone view, look-ups from the table, permits guarded at their home, a control plane that polls the store (the baseline for relays), operators' port, structured logs, result code table with a test that keeps it true to the code. Not yet: a forwarded copy of a request is believed to come from its home by a plain header, permit keys are per process, answers are not kept for replay; these come with safe requests.

--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -0,0 +1,182 @@
+package org.sageladder.entry;
+
+import com.google.common.flogger.FluentLogger;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.apache.hc.core5.util.Timeout;
+import org.sageladder.core.event.EventKind;
+import org.sageladder.core.event.EventSink;
+import org.sageladder.core.limits.Scheduler;
+import org.sageladder.core.limits.ServiceGate;
+import org.sageladder.core.platform.VmList;
+import org.sageladder.core.store.Store;
+import org.sageladder.core.time.TimeSource;
+import org.sageladder.entry.control.ControlPlane;
+import org.sageladder.entry.control.StoreControlPlane;
+import org.sageladder.entry.exchange.CallerExchange;
+import org.sageladder.entry.exchange.OutboundClient;
+import org.sageladder.entry.gates.GateTable;
+import org.sageladder.entry.http.HttpListener;
+import org.sageladder.entry.http.OperatorPort;
+import org.sageladder.entry.request.RequestPath;
+import org.sageladder.entry.settings.EntrySettings;
+import org.sageladder.platform.store.HttpStore;
+import org.sageladder.platform.store.HttpVmList;
+
+/**
+ * One entry VM's daemon: look-ups, gates and the path of each request.
+ *
+ * <pre>{@code
+ * try (EntryDaemon daemon = EntryDaemon.start(EntrySettings.read(file))) {
+ *   System.out.println(daemon.callersPort());
+ * }
+ * }</pre>
+ */
+public final class EntryDaemon implements AutoCloseable {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int CONNECTIONS_PER_HOST = 390;
+  private static final Duration POLL = Duration.ofMillis(250);
+  private static final Duration STOP_GRACE = Duration.ofSeconds(30);
+
+  private final EntrySettings settings;
+  private final Store store;
+  private final ControlPlane control;
+  private final ScheduledExecutorService timers;
+  private final OutboundClient client;
+  private final GateTable gates;
+  private final HttpListener callers;
+  private final HttpListener operators;
+  private final EventSink events;
+
+  private EntryDaemon(
+      EntrySettings settings,
+      Store store,
+      ControlPlane control,
+      ScheduledExecutorService timers,
+      OutboundClient client,
+      GateTable gates,
+      HttpListener callers,
+      HttpListener operators,
+      EventSink events) {
+    this.settings = settings;
+    this.store = store;
+    this.control = control;
+    this.timers = timers;
+    this.client = client;
+    this.gates = gates;
+    this.callers = callers;
+    this.operators = operators;
+    this.events = events;
+  }
+
+  /** Starts all parts; the ports are open when it returns. */
+  public static EntryDaemon start(EntrySettings settings) throws IOException, InterruptedException {
+    TimeSource time = TimeSource.system();
+    EventSink events = EventSink.none();
+    PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    new JvmMemoryMetrics().bindTo(metrics);
+    Store store = HttpStore.connect(settings.store().uri(), settings.store().timeout());
+    VmList list = HttpVmList.connect(settings.vmList().uri(), settings.store().timeout());
+    ScheduledExecutorService timers =
+        Executors.newScheduledThreadPool(2, task -> new Thread(task, "timers"));
+    ControlPlane control = StoreControlPlane.start(settings.customer(), store, list, POLL, events);
+    OutboundClient client =
+        OutboundClient.start(settings.callerLimits().workers(), CONNECTIONS_PER_HOST);
+    GateTable gates =
+        GateTable.create(
+            settings.vm(),
+            settings.zone(),
+            settings.customer(),
+            time,
+            service ->
+                ServiceGate.create(
+                    settings.customer(), service, time, Scheduler.of(timers), events));
+    RequestPath path =
+        RequestPath.assemble(settings, client, timers, time, events, metrics, control, gates);
+    control.onChange(gates::follow);
+    control.onChange(path::follow);
+    control.summaries(gates::summaries);
+    gauges(metrics, control, settings.customer());
+    HttpListener callers =
+        HttpListener.open(
+            settings.host(),
+            settings.ports().callers(),
+            settings.callerLimits().workers(),
+            settings.callerLimits().headBytes(),
+            () -> CallerExchange.create(path.router()));
+    HttpListener operators =
+        HttpListener.open(
+            settings.host(),
+            settings.ports().operators(),
+            1,
+            settings.callerLimits().headBytes(),
+            () -> CallerExchange.create(OperatorPort.of(settings.vm(), metrics, control, gates)));
+    events.record(EventKind.STARTED, "", settings.customer(), settings.zone(), 0, settings.vm());
+    logger.atInfo().log(
+        "%s serves callers on %s:%d and operators on port %d",
+        settings.vm(), settings.host(), callers.port(), operators.port());
+    return new EntryDaemon(
+        settings, store, control, timers, client, gates, callers, operators, events);
+  }
+
+  private static void gauges(
+      PrometheusMeterRegistry metrics, ControlPlane control, String customer) {
+    Gauge.builder(
+            "sageladder.contract.revision",
+            control,
+            plane -> {
+              var contract = plane.state().contracts().get(customer);
+              return contract == null ? 0 : contract.revision();
+            })
+        .description("Revision of the contract in force here, 0 while none is")
+        .register(metrics);
+  }
+
+  /** The port that callers use. */
+  public int callersPort() {
+    return callers.port();
+  }
+
+  /** The port that operators' tools use. */
+  public int operatorsPort() {
+    return operators.port();
+  }
+
+  /** Whether this entry VM may serve what needs a contract. */
+  public ControlPlane.Readiness readiness() {
+    return control.readiness();
+  }
+
+  /** True once a contract is in force here and {@code members} entry VMs are known. */
+  public boolean isServing(int members) {
+    long known =
+        control.state().views().values().stream().mapToLong(view -> view.members().size()).sum();
+    return readiness() == ControlPlane.Readiness.READY && known >= members;
+  }
+
+  /** A planned stop: takes no new duties, lets what is in flight end, then closes. */
+  public void stop() throws InterruptedException {
+    events.record(EventKind.STOPPING, "", settings.customer(), "", 0, settings.vm());
+    control.beginLeaving();
+    callers.stop(Timeout.of(STOP_GRACE));
+    close();
+  }
+
+  @Override
+  public void close() {
+    callers.close();
+    operators.close();
+    gates.close();
+    control.close();
+    client.close();
+    timers.shutdownNow();
+    store.close();
+    events.record(EventKind.STOPPED, "", settings.customer(), "", 0, settings.vm());
+  }
+}
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/control/ControlPlane.java
@@ -0,0 +1,38 @@
+package org.sageladder.entry.control;
+
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.sageladder.core.membership.ClusterState;
+import org.sageladder.core.membership.ZoneSummary;
+
+/** How an entry VM learns of contracts, members and targets, and tells others of itself. */
+public interface ControlPlane extends AutoCloseable {
+  /** Whether this entry VM may serve what needs a contract. */
+  enum Readiness {
+    /** Neither the store nor a peer has told which contract is in force. */
+    WAITING,
+    /** A contract is in force here. */
+    READY,
+    /** A planned stop has begun. */
+    LEAVING
+  }
+
+  /** The state as known now; never blocks. */
+  ClusterState state();
+
+  /** Calls {@code listener} with each new state, one at a time, from a control thread. */
+  void onChange(Consumer<ClusterState> listener);
+
+  /** Names where this entry VM's own summaries come from. */
+  void summaries(Supplier<List<ZoneSummary>> own);
+
+  /** Tells the others that this entry VM takes no new duties and holds no targets from now on. */
+  void beginLeaving();
+
+  /** Whether this entry VM may serve what needs a contract. */
+  Readiness readiness();
+
+  @Override
+  void close();
+}
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/exchange/BodyPipe.java
@@ -0,0 +1,210 @@
+package org.sageladder.entry.exchange;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import org.apache.hc.core5.http.nio.CapacityChannel;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Carries a message body from one connection to another in bounded memory.
+ *
+ * <p>The receiving connection may read no further than its window; each byte written to the sending
+ * connection opens the window by one byte. So a body of any size holds at most one window (64 KB as
+ * configured) here, whichever side is slower.
+ *
+ * <p>Lock order: {@code produceLock}, then the sending connection's own lock, then {@code lock}. No
+ * channel of either connection is called with {@code lock} held.
+ */
+public final class BodyPipe {
+  private final Object produceLock = new Object();
+  private final Object lock = new Object();
+  private final ArrayDeque<ByteBuffer> buffers = new ArrayDeque<>();
+  private @Nullable CapacityChannel source;
+  private @Nullable DataStreamChannel sink;
+  private int creditBeforeSource;
+  private boolean discarding;
+  private boolean ended;
+  private @Nullable Exception failure;
+  private long carried;
+
+  private BodyPipe() {}
+
+  /** An empty pipe whose body is still to come. */
+  public static BodyPipe open() {
+    return new BodyPipe();
+  }
+
+  /** A pipe that holds a whole body already. */
+  public static BodyPipe of(byte[] body) {
+    BodyPipe pipe = new BodyPipe();
+    if (body.length > 0) {
+      pipe.buffers.add(ByteBuffer.wrap(body));
+    }
+    pipe.ended = true;
+    return pipe;
+  }
+
+  /** Names the channel by which the receiving connection is told to read on. */
+  void source(CapacityChannel channel) throws IOException {
+    int credit;
+    synchronized (lock) {
+      source = channel;
+      credit = creditBeforeSource;
+      creditBeforeSource = 0;
+    }
+    if (credit > 0) {
+      channel.update(credit);
+    }
+  }
+
+  /** Takes bytes that the receiving connection has read. */
+  void accept(ByteBuffer bytes) throws IOException {
+    int length = bytes.remaining();
+    DataStreamChannel wake = null;
+    CapacityChannel credit = null;
+    synchronized (lock) {
+      if (discarding) {
+        bytes.position(bytes.limit());
+        credit = source;
+      } else if (length > 0) {
+        ByteBuffer copy = ByteBuffer.allocate(length);
+        copy.put(bytes).flip();
+        buffers.add(copy);
+        wake = sink;
+      }
+    }
+    if (credit != null) {
+      credit.update(length);
+    }
+    if (wake != null) {
+      wake.requestOutput();
+    }
+  }
+
+  /** Marks the body as whole: all its bytes were accepted. */
+  void end() {
+    DataStreamChannel wake;
+    synchronized (lock) {
+      ended = true;
+      wake = sink;
+    }
+    if (wake != null) {
+      wake.requestOutput();
+    }
+  }
+
+  /**
+   * Marks the body as cut. The sending connection is closed by the next {@link #produce}, so that
+   * its reader sees a cut connection and never a short body that looks whole.
+   */
+  public void fail(Exception cause) {
+    DataStreamChannel wake;
+    synchronized (lock) {
+      if (ended && buffers.isEmpty()) {
+        return;
+      }
+      if (failure == null) {
+        failure = cause;
+      }
+      wake = sink;
+    }
+    if (wake != null) {
+      wake.requestOutput();
+    }
+  }
+
+  /** Throws away what was read and what is still to come, so that an early answer can be sent. */
+  public void discard() throws IOException {
+    int credit = 0;
+    CapacityChannel channel;
+    synchronized (lock) {
+      discarding = true;
+      for (ByteBuffer buffer : buffers) {
+        credit += buffer.remaining();
+      }
+      buffers.clear();
+      channel = source;
+      if (channel == null) {
+        creditBeforeSource += credit;
+      }
+    }
+    if (channel != null && credit > 0) {
+      channel.update(credit);
+    }
+  }
+
+  /** Bytes that can be written now; 1 where only the end or a failure is to be written. */
+  int available() {
+    synchronized (lock) {
+      if (failure != null) {
+        return 1;
+      }
+      int bytes = 0;
+      for (ByteBuffer buffer : buffers) {
+        bytes += buffer.remaining();
+      }
+      return bytes == 0 && ended ? 1 : bytes;
+    }
+  }
+
+  /** Bytes written to the sending connection so far. */
+  public long carried() {
+    synchronized (lock) {
+      return carried;
+    }
+  }
+
+  /** Writes what the sending connection takes; throws where the body was cut. */
+  void produce(DataStreamChannel channel) throws IOException {
+    synchronized (produceLock) {
+      synchronized (lock) {
+        sink = channel;
+      }
+      while (true) {
+        ByteBuffer head;
+        boolean last;
+        synchronized (lock) {
+          if (failure != null) {
+            throw new IOException("body cut after " + carried + " bytes", failure);
+          }
+          head = buffers.peek();
+          last = ended && head == null;
+        }
+        if (last) {
+          channel.endStream(null);
+          return;
+        }
+        if (head == null) {
+          return;
+        }
+        int written = channel.write(head);
+        credit(written, head);
+        if (head.hasRemaining()) {
+          return;
+        }
+      }
+    }
+  }
+
+  // discard() may have emptied the queue while this buffer was being written: only the same buffer
+  // is taken off, never one with equal content.
+  @SuppressWarnings("ReferenceEquality")
+  private void credit(int written, ByteBuffer head) throws IOException {
+    CapacityChannel channel;
+    synchronized (lock) {
+      carried += written;
+      if (!head.hasRemaining() && buffers.peek() == head) {
+        buffers.remove();
+      }
+      channel = source;
+      if (channel == null) {
+        creditBeforeSource += written;
+      }
+    }
+    if (channel != null && written > 0) {
+      channel.update(written);
+    }
+  }
+}
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/exchange/CarriedEntity.java
@@ -0,0 +1,47 @@
+package org.sageladder.entry.exchange;
+
+import java.util.Set;
+import org.apache.hc.core5.http.EntityDetails;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Length and type of a body that is passed on as it comes.
+ *
+ * @param length bytes, or -1 where the sender did not say; such a body is sent in chunks
+ */
+public record CarriedEntity(long length, @Nullable String type, @Nullable String encoding)
+    implements EntityDetails {
+
+  /** The same length, type and encoding as {@code details}; null where that is null. */
+  public static @Nullable CarriedEntity of(@Nullable EntityDetails details) {
+    return details == null
+        ? null
+        : new CarriedEntity(
+            details.getContentLength(), details.getContentType(), details.getContentEncoding());
+  }
+
+  @Override
+  public long getContentLength() {
+    return length;
+  }
+
+  @Override
+  public @Nullable String getContentType() {
+    return type;
+  }
+
+  @Override
+  public @Nullable String getContentEncoding() {
+    return encoding;
+  }
+
+  @Override
+  public boolean isChunked() {
+    return length < 0;
+  }
+
+  @Override
+  public Set<String> getTrailerNames() {
+    return Set.of();
+  }
+}
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/http/HttpListener.java
@@ -0,0 +1,112 @@
+package org.sageladder.entry.http;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.ExecutionException;
+import org.apache.hc.core5.function.Supplier;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpResponseInterceptor;
+import org.apache.hc.core5.http.URIScheme;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.HttpProcessors;
+import org.apache.hc.core5.http.impl.bootstrap.AsyncServerBootstrap;
+import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
+import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.ListenerEndpoint;
+import org.apache.hc.core5.util.TimeValue;
+import org.apache.hc.core5.util.Timeout;
+import org.sageladder.core.result.ResultCode;
+import org.sageladder.entry.request.Answers;
+import org.sageladder.entry.request.Headers;
+
+/** One listening HTTP port of an entry VM. */
+public final class HttpListener implements AutoCloseable {
+  private static final int LONGEST_LINE_SHARE = 2;
+  private static final int MOST_HEADERS = 100;
+
+  private final HttpAsyncServer server;
+  private final int port;
+
+  private HttpListener(HttpAsyncServer server, int port) {
+    this.server = server;
+    this.port = port;
+  }
+
+  /**
+   * Opens a port.
+   *
+   * @param port 0 lets the machine choose
+   * @param workers threads that read, decide and write for all connections
+   * @param headBytes a request line or header longer than half of this is refused
+   * @throws java.net.BindException where the port is taken
+   */
+  public static HttpListener open(
+      String host,
+      int port,
+      int workers,
+      int headBytes,
+      Supplier<AsyncServerExchangeHandler> exchanges)
+      throws java.io.IOException, InterruptedException {
+    HttpAsyncServer server =
+        AsyncServerBootstrap.bootstrap()
+            .setIOReactorConfig(
+                IOReactorConfig.custom()
+                    .setIoThreadCount(workers)
+                    .setTcpNoDelay(true)
+                    .setSoReuseAddress(true)
+                    .setBacklogSize(1024)
+                    .setSelectInterval(TimeValue.ofMilliseconds(200))
+                    .build())
+            .setHttp1Config(
+                Http1Config.custom()
+                    .setMaxLineLength(headBytes / LONGEST_LINE_SHARE)
+                    .setMaxHeaderCount(MOST_HEADERS)
+                    .build())
+            .setHttpProcessor(HttpProcessors.customServer("sageladder").addLast(numbered()).build())
+            .setRequestRouter((request, context) -> exchanges)
+            .create();
+    server.start();
+    try {
+      ListenerEndpoint endpoint =
+          server.listen(new InetSocketAddress(host, port), URIScheme.HTTP).get();
+      return new HttpListener(server, ((InetSocketAddress) endpoint.getAddress()).getPort());
+    } catch (ExecutionException e) {
+      server.close(CloseMode.IMMEDIATE);
+      throw new java.io.IOException(
+          "cannot listen on " + host + ":" + port + ": " + e.getCause().getMessage(), e.getCause());
+    }
+  }
+
+  /** Gives a number to the answers that the HTTP library makes for requests it cannot read. */
+  private static HttpResponseInterceptor numbered() {
+    return (response, entity, context) -> {
+      if (response.getCode() < 400 || response.containsHeader(Headers.RESULT)) {
+        return;
+      }
+      mark(response);
+    };
+  }
+
+  private static void mark(org.apache.hc.core5.http.HttpResponse response) throws HttpException {
+    boolean tooLarge = response.getCode() == 431;
+    Answers.mark(response, tooLarge ? ResultCode.HEAD_TOO_LARGE : ResultCode.MALFORMED_REQUEST);
+  }
+
+  /** The port that is open. */
+  public int port() {
+    return port;
+  }
+
+  /** Closes all connections that have no exchange, then the rest after {@code grace}. */
+  public void stop(Timeout grace) throws InterruptedException {
+    server.initiateShutdown();
+    server.awaitShutdown(grace);
+    server.close(CloseMode.GRACEFUL);
+  }
+
+  @Override
+  public void close() {
+    server.close(CloseMode.IMMEDIATE);
+  }
+}
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/log/Logs.java
@@ -0,0 +1,97 @@
+package org.sageladder.entry.log;
+
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.time.Instant;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import java.util.logging.StreamHandler;
+import org.sageladder.entry.settings.EntrySettings;
+
+/** Sets up what is logged and in which form: text for people or one JSON object a line. */
+public final class Logs {
+  private static final JsonMapper JSON = new JsonMapper();
+
+  private Logs() {}
+
+  /** Logs to standard error from now on, as {@code settings} say. */
+  public static void configure(EntrySettings.Logs settings, String vm) {
+    LogManager.getLogManager().reset();
+    Logger root = Logger.getLogger("");
+    root.setLevel(Level.WARNING);
+    Logger.getLogger("org.sageladder").setLevel(level(settings.level()));
+    Handler handler = new Flushing(formatter(settings.format(), vm));
+    handler.setLevel(Level.ALL);
+    root.addHandler(handler);
+  }
+
+  private static Level level(EntrySettings.LogLevel level) {
+    return switch (level) {
+      case ERROR -> Level.SEVERE;
+      case WARNING -> Level.WARNING;
+      case INFO -> Level.INFO;
+      case DEBUG -> Level.FINE;
+    };
+  }
+
+  private static Formatter formatter(EntrySettings.LogFormat format, String vm) {
+    return new Formatter() {
+      @Override
+      public String format(LogRecord line) {
+        return format == EntrySettings.LogFormat.JSON ? json(line, vm) : text(line, vm);
+      }
+
+      private String text(LogRecord line, String name) {
+        String trace = line.getThrown() == null ? "" : "\n" + trace(line.getThrown());
+        return line.getInstant()
+            + " "
+            + line.getLevel()
+            + " "
+            + name
+            + " "
+            + formatMessage(line)
+            + trace
+            + "\n";
+      }
+
+      private String json(LogRecord line, String name) {
+        ObjectNode json = JSON.createObjectNode();
+        Instant at = line.getInstant();
+        json.put("time", at.toString());
+        json.put("level", line.getLevel().getName());
+        json.put("vm", name);
+        json.put("logger", line.getLoggerName());
+        json.put("message", formatMessage(line));
+        if (line.getThrown() != null) {
+          json.put("error", trace(line.getThrown()));
+        }
+        return json + "\n";
+      }
+    };
+  }
+
+  private static String trace(Throwable thrown) {
+    StringWriter text = new StringWriter();
+    thrown.printStackTrace(new PrintWriter(text));
+    return text.toString().stripTrailing();
+  }
+
+  /** Writes each line at once, so that the last lines of a dying process are not lost. */
+  private static final class Flushing extends StreamHandler {
+    Flushing(Formatter formatter) {
+      super(System.err, formatter);
+    }
+
+    @Override
+    public synchronized void publish(LogRecord line) {
+      super.publish(line);
+      flush();
+    }
+  }
+}
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/log/package-info.java
@@ -0,0 +1,5 @@
+/** Structured logs. */
+@NullMarked
+package org.sageladder.entry.log;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/Answers.java
@@ -0,0 +1,101 @@
+package org.sageladder.entry.request;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Locale;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.impl.BasicEntityDetails;
+import org.apache.hc.core5.http.message.BasicHttpResponse;
+import org.sageladder.core.result.Outcome;
+import org.sageladder.core.result.Result;
+import org.sageladder.core.result.ResultCode;
+import org.sageladder.entry.exchange.BodyPipe;
+import org.sageladder.entry.exchange.CallerExchange;
+
+/** The answers that an entry VM gives of its own. */
+public final class Answers {
+  private static final JsonMapper JSON = new JsonMapper();
+
+  private Answers() {}
+
+  /** {@code number NAME}, as the result header says it. */
+  public static String label(ResultCode code) {
+    return code.number() + " " + code.name();
+  }
+
+  /** {@code ran}, {@code not-run} or {@code unknown}, as the outcome header says it. */
+  public static String label(Outcome outcome) {
+    return outcome.name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+
+  /** The outcome with that label; unknown where no outcome has it. */
+  static Outcome outcome(String label) {
+    for (Outcome outcome : Outcome.values()) {
+      if (label(outcome).equals(label)) {
+        return outcome;
+      }
+    }
+    return Outcome.UNKNOWN;
+  }
+
+  /** Sends a result as a small JSON document; false where another answer was begun before. */
+  public static boolean send(CallerExchange exchange, Result result) {
+    return exchange.isAnswered() ? false : send(exchange, head(result), result);
+  }
+
+  /** Sends a result with a head made by {@link #head} and added to. */
+  public static boolean send(CallerExchange exchange, HttpResponse head, Result result) {
+    ObjectNode json = JSON.createObjectNode();
+    json.put("code", result.code().number());
+    json.put("name", result.code().name());
+    json.put("outcome", label(result.code().outcome()));
+    json.put("detail", detail(result));
+    json.put("retryAfterMillis", retryAfter(result).toMillis());
+    return send(exchange, head, json);
+  }
+
+  /** Sends a JSON document with a head of its own. */
+  public static boolean send(CallerExchange exchange, HttpResponse head, JsonNode json) {
+    return send(exchange, head, ContentType.APPLICATION_JSON, json + "\n");
+  }
+
+  /** Sends text with a head of its own. */
+  public static boolean send(
+      CallerExchange exchange, HttpResponse head, ContentType type, String text) {
+    byte[] body = text.getBytes(StandardCharsets.UTF_8);
+    return exchange.answer(head, new BasicEntityDetails(body.length, type), BodyPipe.of(body));
+  }
+
+  /** The head of the answer that tells {@code result}. */
+  public static HttpResponse head(Result result) {
+    BasicHttpResponse response = new BasicHttpResponse(result.code().httpStatus());
+    mark(response, result.code());
+    Duration retryAfter = retryAfter(result);
+    if (!retryAfter.isZero()) {
+      response.setHeader(Headers.RETRY_AFTER, retryAfter.toMillis());
+      response.setHeader("Retry-After", Math.max(1, retryAfter.toSeconds()));
+    }
+    return response;
+  }
+
+  /** Adds number, name and outcome of {@code code} to an answer. */
+  public static void mark(HttpResponse response, ResultCode code) {
+    response.setHeader(Headers.RESULT, label(code));
+    response.setHeader(Headers.OUTCOME, label(code.outcome()));
+  }
+
+  private static Duration retryAfter(Result result) {
+    return result instanceof Result.NotRun notRun ? notRun.retryAfter() : Duration.ZERO;
+  }
+
+  private static String detail(Result result) {
+    if (result instanceof Result.NotRun notRun) {
+      return notRun.detail();
+    }
+    return result instanceof Result.Unknown unknown ? unknown.detail() : "";
+  }
+}
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/FlowParts.java
@@ -0,0 +1,18 @@
+package org.sageladder.entry.request;
+
+import java.time.Duration;
+import java.util.concurrent.ScheduledExecutorService;
+import org.sageladder.core.event.EventSink;
+import org.sageladder.core.time.TimeSource;
+import org.sageladder.entry.exchange.OutboundClient;
+
+/** What every request flow of one entry VM shares. */
+record FlowParts(
+    String vm,
+    String customer,
+    OutboundClient client,
+    ScheduledExecutorService timers,
+    TimeSource time,
+    EventSink events,
+    RequestCounters counters,
+    Duration connectTimeout) {}
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/LookUps.java
@@ -0,0 +1,87 @@
+package org.sageladder.entry.request;
+
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ThreadLocalRandom;
+import org.jspecify.annotations.Nullable;
+import org.sageladder.core.membership.ClusterState;
+import org.sageladder.core.steering.LookUpTable;
+import org.sageladder.core.steering.Route;
+import org.sageladder.core.steering.SteeringInputs;
+import org.sageladder.core.time.TimeSource;
+
+/** Answers look-ups from a table that is replaced whole whenever the state changes. */
+public final class LookUps {
+  /** Path of look-ups. */
+  public static final String PATH = "/v1/look-up";
+
+  private final TimeSource time;
+  private volatile @Nullable LookUpTable table;
+
+  private LookUps(TimeSource time) {
+    this.time = time;
+  }
+
+  /** Look-ups without a table yet. */
+  public static LookUps create(TimeSource time) {
+    return new LookUps(time);
+  }
+
+  /** Builds the table that follows from {@code state}. */
+  public void follow(ClusterState state) {
+    LookUpTable old = table;
+    long now = time.wallMillis();
+    table =
+        LookUpTable.build(
+            state, old == null ? SteeringInputs.at(now) : SteeringInputs.after(old, now));
+  }
+
+  /** The answer for one caller, or null where there is none. */
+  @Nullable Route route(String contract, String service, int block) {
+    LookUpTable now = table;
+    return now == null
+        ? null
+        : now.lookUp(contract, service, block, ThreadLocalRandom.current().nextLong());
+  }
+
+  /**
+   * The query of a look-up.
+   *
+   * @param block the client block, or -1 where it is absent or not a number
+   */
+  record Query(String contract, String service, int block, String blockText) {
+    static Query parse(String path) {
+      String contract = "";
+      String service = "";
+      String block = "";
+      int start = path.indexOf('?');
+      for (String pair : (start < 0 ? "" : path.substring(start + 1)).split("&", -1)) {
+        int equals = pair.indexOf('=');
+        String name = equals < 0 ? pair : pair.substring(0, equals);
+        String value = equals < 0 ? "" : decoded(pair.substring(equals + 1));
+        switch (name) {
+          case "contract" -> contract = value;
+          case "service" -> service = value;
+          case "block" -> block = value;
+          default -> {
+            // Callers may add parameters of their own, such as one that defeats a cache.
+          }
+        }
+      }
+      return new Query(contract, service, number(block), block);
+    }
+
+    private static String decoded(String text) {
+      try {
+        return URLDecoder.decode(text, StandardCharsets.UTF_8);
+      } catch (IllegalArgumentException e) {
+        return text;
+      }
+    }
+
+    private static int number(String text) {
+      boolean digits = !text.isEmpty() && text.chars().allMatch(c -> c >= '0' && c <= '9');
+      return digits && text.length() <= 9 ? Integer.parseInt(text) : -1;
+    }
+  }
+}
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestCounters.java
@@ -0,0 +1,28 @@
+package org.sageladder.entry.request;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import org.sageladder.core.result.ResultCode;
+
+/** Counts results for the metrics endpoint. */
+public final class RequestCounters {
+  private final MeterRegistry registry;
+
+  private RequestCounters(MeterRegistry registry) {
+    this.registry = registry;
+  }
+
+  /** Counters kept in {@code registry}. */
+  public static RequestCounters in(MeterRegistry registry) {
+    return new RequestCounters(registry);
+  }
+
+  /** Counts one answer given to a caller. */
+  public void result(String service, ResultCode code) {
+    registry.counter("sageladder.results", "service", service, "code", code.name()).increment();
+  }
+
+  /** Counts one look-up answered. */
+  public void lookUp(String service) {
+    registry.counter("sageladder.look.ups", "service", service).increment();
+  }
+}
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestHead.java
@@ -0,0 +1,118 @@
+package org.sageladder.entry.request;
+
+import java.time.Duration;
+import java.util.UUID;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpRequest;
+import org.sageladder.core.result.Result;
+import org.sageladder.core.result.ResultCode;
+
+/**
+ * The head of a request as a caller sent it, checked.
+ *
+ * @param id the caller's request id, or a fresh one
+ * @param path path and query for the target, starting with a slash
+ * @param deadline time from now by which the caller wants the whole answer
+ * @param permit the sealed permit, or empty
+ * @param idempotencyKey the caller's own key, or empty
+ * @param forwardedBy entry VM that passed the request on, or empty
+ */
+public record RequestHead(
+    String id,
+    String customer,
+    String service,
+    String path,
+    Duration deadline,
+    String permit,
+    String idempotencyKey,
+    String forwardedBy) {
+
+  /** Path under which requests are taken. */
+  public static final String PREFIX = "/v1/request/";
+
+  private static final int LONGEST_VALUE = 512;
+
+  /** A head that passed the checks, or the refusal to send. */
+  public sealed interface Parsed {
+    /** The checked head. */
+    record Accepted(RequestHead head) implements Parsed {}
+
+    /** What was wrong. */
+    record Rejected(Result.NotRun result) implements Parsed {}
+  }
+
+  /** Checks the head of a request whose path starts with {@link #PREFIX}. */
+  public static Parsed parse(HttpRequest request, String path) {
+    String rest = path.substring(PREFIX.length());
+    int firstSlash = rest.indexOf('/');
+    String customer = firstSlash < 0 ? rest : rest.substring(0, firstSlash);
+    String afterCustomer = firstSlash < 0 ? "" : rest.substring(firstSlash + 1);
+    int serviceEnd = endOfSegment(afterCustomer);
+    String service = afterCustomer.substring(0, serviceEnd);
+    if (customer.isEmpty() || service.isEmpty()) {
+      return rejected(
+          ResultCode.UNKNOWN_ROUTE,
+          "path '" + path + "' must be " + PREFIX + "CONTRACT/SERVICE/PATH");
+    }
+    String targetPath = afterCustomer.substring(serviceEnd);
+    if (!targetPath.startsWith("/")) {
+      targetPath = "/" + targetPath;
+    }
+    String deadlineText = value(request, Headers.DEADLINE);
+    if (deadlineText.isEmpty()) {
+      return rejected(
+          ResultCode.DEADLINE_REQUIRED,
+          "header " + Headers.DEADLINE + " is missing; send the milliseconds you will wait");
+    }
+    long deadlineMillis = wholeNumber(deadlineText);
+    if (deadlineMillis < 1) {
+      return rejected(
+          ResultCode.DEADLINE_INVALID,
+          Headers.DEADLINE + " '" + deadlineText + "' must be a whole number of at least 1");
+    }
+    for (String name : Headers.CHECKED) {
+      if (value(request, name).length() > LONGEST_VALUE) {
+        return rejected(
+            ResultCode.MALFORMED_REQUEST,
+            "header " + name + " is longer than " + LONGEST_VALUE + " characters");
+      }
+    }
+    String id = value(request, Headers.REQUEST_ID);
+    return new Parsed.Accepted(
+        new RequestHead(
+            id.isEmpty() ? UUID.randomUUID().toString() : id,
+            customer,
+            service,
+            targetPath,
+            Duration.ofMillis(deadlineMillis),
+            value(request, Headers.PERMIT),
+            value(request, Headers.IDEMPOTENCY_KEY),
+            value(request, Headers.FORWARDED_BY)));
+  }
+
+  private static int endOfSegment(String text) {
+    for (int i = 0; i < text.length(); i++) {
+      char c = text.charAt(i);
+      if (c == '/' || c == '?') {
+        return i;
+      }
+    }
+    return text.length();
+  }
+
+  private static Parsed rejected(ResultCode code, String detail) {
+    return new Parsed.Rejected(Result.notRun(code, detail));
+  }
+
+  private static String value(HttpRequest request, String name) {
+    Header header = request.getFirstHeader(name);
+    return header == null || header.getValue() == null ? "" : header.getValue().trim();
+  }
+
+  private static long wholeNumber(String text) {
+    if (text.length() > 12 || !text.chars().allMatch(c -> c >= '0' && c <= '9')) {
+      return -1;
+    }
+    return Long.parseLong(text);
+  }
+}
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestRouter.java
@@ -0,0 +1,260 @@
+package org.sageladder.entry.request;
+
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Optional;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.message.BasicHttpResponse;
+import org.jspecify.annotations.Nullable;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.core.event.EventKind;
+import org.sageladder.core.limits.ServiceGate;
+import org.sageladder.core.membership.ClusterState;
+import org.sageladder.core.membership.Holding;
+import org.sageladder.core.membership.Member;
+import org.sageladder.core.membership.ZoneView;
+import org.sageladder.core.result.Result;
+import org.sageladder.core.result.ResultCode;
+import org.sageladder.core.steering.Route;
+import org.sageladder.entry.control.ControlPlane;
+import org.sageladder.entry.exchange.CallerExchange;
+import org.sageladder.entry.gates.GateTable;
+
+/** Decides for each request of a caller: answer a look-up, pass a gate here, or pass it on. */
+public final class RequestRouter implements CallerExchange.Handler {
+  private static final JsonMapper JSON = new JsonMapper();
+
+  private final FlowParts parts;
+  private final String customer;
+  private final String zone;
+  private final ControlPlane control;
+  private final GateTable gates;
+  private final LookUps lookUps;
+  private final Permits permits;
+
+  RequestRouter(
+      FlowParts parts,
+      String customer,
+      String zone,
+      ControlPlane control,
+      GateTable gates,
+      LookUps lookUps,
+      Permits permits) {
+    this.parts = parts;
+    this.customer = customer;
+    this.zone = zone;
+    this.control = control;
+    this.gates = gates;
+    this.lookUps = lookUps;
+    this.permits = permits;
+  }
+
+  @Override
+  public void begin(CallerExchange exchange) throws IOException {
+    String path = exchange.request().getPath();
+    if (path.startsWith(LookUps.PATH)) {
+      lookUp(exchange, path);
+    } else if (path.startsWith(RequestHead.PREFIX)) {
+      request(exchange, path);
+    } else {
+      refuse(
+          exchange,
+          Result.notRun(
+              ResultCode.UNKNOWN_ROUTE,
+              "path '" + path + "' is neither " + LookUps.PATH + " nor " + RequestHead.PREFIX));
+    }
+  }
+
+  private void lookUp(CallerExchange exchange, String path) throws IOException {
+    LookUps.Query query = LookUps.Query.parse(path);
+    Optional<Result.NotRun> fault = check(query.contract(), query.service());
+    if (fault.isEmpty() && query.block() < 0) {
+      fault =
+          Optional.of(
+              Result.notRun(
+                  ResultCode.UNKNOWN_BLOCK,
+                  "block '" + query.blockText() + "' must be a whole number of at least 0"));
+    }
+    if (fault.isPresent()) {
+      refuse(exchange, fault.get());
+      return;
+    }
+    Route route = lookUps.route(query.contract(), query.service(), query.block());
+    if (route == null) {
+      refuse(
+          exchange,
+          Result.notRun(
+              ResultCode.UNKNOWN_BLOCK,
+              "no entry VM is known for block " + query.block() + " of this contract"));
+      return;
+    }
+    parts.counters().lookUp(query.service());
+    ObjectNode json = JSON.createObjectNode();
+    json.put("contract", query.contract());
+    json.put("revision", route.revision());
+    json.put("service", query.service());
+    json.put("ttlMillis", route.ttlMillis());
+    json.put("reason", route.reason());
+    ArrayNode entries = json.putArray("entries");
+    for (Member member : route.entries()) {
+      entries
+          .addObject()
+          .put("vm", member.vm())
+          .put("zone", member.zone())
+          .put("address", member.host() + ":" + member.port());
+    }
+    Contract.Service service = service(query.service());
+    if (service != null && !service.repeatable()) {
+      json.put("permit", permits.mint(service, ""));
+    }
+    HttpResponse head = new BasicHttpResponse(200);
+    Answers.mark(head, ResultCode.OK);
+    Answers.send(exchange, head, json);
+  }
+
+  private void request(CallerExchange exchange, String path) throws IOException {
+    RequestHead.Parsed parsed = RequestHead.parse(exchange.request(), path);
+    if (parsed instanceof RequestHead.Parsed.Rejected rejected) {
+      refuse(exchange, rejected.result());
+      return;
+    }
+    RequestHead head = ((RequestHead.Parsed.Accepted) parsed).head();
+    Optional<Result.NotRun> fault = check(head.customer(), head.service());
+    if (fault.isPresent()) {
+      refuse(exchange, fault.get());
+      return;
+    }
+    Contract.Service service = service(head.service());
+    if (service == null) {
+      refuse(exchange, Result.notRun(ResultCode.UNKNOWN_SERVICE, "the contract has just changed"));
+      return;
+    }
+    if (head.deadline().compareTo(service.longestDeadline()) > 0) {
+      refuse(
+          exchange,
+          Result.notRun(
+              ResultCode.DEADLINE_INVALID,
+              Headers.DEADLINE
+                  + " "
+                  + head.deadline().toMillis()
+                  + " is above the "
+                  + service.longestDeadline().toMillis()
+                  + " that the contract allows for "
+                  + service.name()));
+      return;
+    }
+    parts
+        .events()
+        .record(EventKind.RECEIVED, head.id(), customer, service.name(), 0, head.forwardedBy());
+    if (service.repeatable()) {
+      carry(RequestFlow.begin(parts, exchange, head, service), head);
+      return;
+    }
+    permits.guard(exchange, head, service, flow -> carry(flow, head));
+  }
+
+  private void carry(RequestFlow flow, RequestHead head) {
+    ServiceGate gate = gates.holding(head.service());
+    if (gate != null) {
+      flow.through(gate);
+      return;
+    }
+    Member holder = head.forwardedBy().isEmpty() ? holderElsewhere(head.service()) : null;
+    if (holder != null) {
+      flow.forwardTo(holder);
+      return;
+    }
+    flow.refuse(
+        new Result.NotRun(
+            head.forwardedBy().isEmpty() ? ResultCode.NO_TARGET : ResultCode.GATE_MOVED,
+            Duration.ofMillis(500),
+            "no target of " + head.service() + " is held at this entry VM"));
+  }
+
+  /** The nearest entry VM that holds a target of {@code service}: own zone, own region, others. */
+  private @Nullable Member holderElsewhere(String service) {
+    ClusterState state = control.state();
+    Contract contract = state.contracts().get(customer);
+    if (contract == null) {
+      return null;
+    }
+    Member found = holderIn(state, zone, service);
+    if (found != null) {
+      return found;
+    }
+    String region = contract.regionOfZone(zone).map(Contract.Region::name).orElse("");
+    Member elsewhere = null;
+    for (Contract.Region candidate : contract.regions()) {
+      for (String other : candidate.zones()) {
+        Member holder = holderIn(state, other, service);
+        if (holder != null && candidate.name().equals(region)) {
+          return holder;
+        }
+        if (holder != null && elsewhere == null) {
+          elsewhere = holder;
+        }
+      }
+    }
+    return elsewhere;
+  }
+
+  private @Nullable Member holderIn(ClusterState state, String inZone, String service) {
+    ZoneView view = state.views().get(inZone);
+    if (view == null) {
+      return null;
+    }
+    for (Holding holding : view.holdings()) {
+      if (!holding.service().equals(service) || holding.leaving()) {
+        continue;
+      }
+      for (Member member : view.members()) {
+        if (member.vm().equals(holding.holder()) && !member.vm().equals(parts.vm())) {
+          return member;
+        }
+      }
+    }
+    return null;
+  }
+
+  private Contract.@Nullable Service service(String name) {
+    Contract contract = control.state().contracts().get(customer);
+    return contract == null ? null : contract.service(name).orElse(null);
+  }
+
+  private Optional<Result.NotRun> check(String contract, String service) {
+    if (!contract.equals(customer)) {
+      return Optional.of(
+          Result.notRun(
+              ResultCode.UNKNOWN_CONTRACT,
+              "contract '" + contract + "' is not carried here; '" + customer + "' is"));
+    }
+    Contract known = control.state().contracts().get(customer);
+    if (known == null) {
+      return Optional.of(
+          new Result.NotRun(
+              ResultCode.NO_CONTRACT_IN_FORCE,
+              Duration.ofSeconds(1),
+              "this entry VM has not yet learnt which contract is in force"));
+    }
+    if (known.service(service).isEmpty()) {
+      return Optional.of(
+          Result.notRun(
+              ResultCode.UNKNOWN_SERVICE,
+              "service '"
+                  + service
+                  + "' is not in the contract; it has "
+                  + known.services().stream().map(Contract.Service::name).toList()));
+    }
+    return Optional.empty();
+  }
+
+  private void refuse(CallerExchange exchange, Result.NotRun result) throws IOException {
+    parts.counters().result("", result.code());
+    exchange.requestBody().discard();
+    Answers.send(exchange, result);
+    exchange.acceptBody();
+  }
+}
