Operators' port: events for the time line and a planned stop on request

Cause: the entry daemon recorded its events into nothing, and a planned stop needed a signal on the VM itself. Change: the daemon keeps an EventBuffer of the settings' size, GET /v1/events?after=N serves it, POST /v1/drain makes EntryMain run the planned stop; an answer passed on from a peer is recorded, so that the time line can bound the peer's clock.

--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -7,9 +7,11 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import org.apache.hc.core5.util.Timeout;
+import org.sageladder.core.event.EventBuffer;
 import org.sageladder.core.event.EventKind;
 import org.sageladder.core.event.EventSink;
 import org.sageladder.core.limits.Scheduler;
@@ -26,6 +28,7 @@
 import org.sageladder.entry.http.OperatorPort;
 import org.sageladder.entry.request.RequestPath;
 import org.sageladder.entry.settings.EntrySettings;
+import org.sageladder.platform.event.EventPage;
 import org.sageladder.platform.store.HttpStore;
 import org.sageladder.platform.store.HttpVmList;
 
@@ -42,6 +45,7 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int CONNECTIONS_PER_HOST = 390;
   private static final Duration POLL = Duration.ofMillis(250);
+  private static final int EVENTS_PER_PAGE = 2_000;
   private static final Duration STOP_GRACE = Duration.ofSeconds(30);
 
   private final EntrySettings settings;
@@ -53,6 +57,7 @@
   private final HttpListener callers;
   private final HttpListener operators;
   private final EventSink events;
+  private final CountDownLatch drainAsked;
 
   private EntryDaemon(
       EntrySettings settings,
@@ -63,7 +68,8 @@
       GateTable gates,
       HttpListener callers,
       HttpListener operators,
-      EventSink events) {
+      EventSink events,
+      CountDownLatch drainAsked) {
     this.settings = settings;
     this.store = store;
     this.control = control;
@@ -73,12 +79,14 @@
     this.callers = callers;
     this.operators = operators;
     this.events = events;
+    this.drainAsked = drainAsked;
   }
 
   /** Starts all parts; the ports are open when it returns. */
   public static EntryDaemon start(EntrySettings settings) throws IOException, InterruptedException {
     TimeSource time = TimeSource.system();
-    EventSink events = EventSink.none();
+    EventBuffer events = EventBuffer.holding(settings.eventCapacity(), time);
+    long startedMillis = time.wallMillis();
     PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     new JvmMemoryMetrics().bindTo(metrics);
     Store store = HttpStore.connect(settings.store().uri(), settings.store().timeout());
@@ -110,19 +118,30 @@
             settings.callerLimits().workers(),
             settings.callerLimits().headBytes(),
             () -> CallerExchange.create(path.router()));
+    CountDownLatch drainAsked = new CountDownLatch(1);
+    OperatorPort operatorPort =
+        OperatorPort.of(
+            settings.vm(),
+            metrics,
+            control,
+            gates,
+            after ->
+                EventPage.of(
+                    settings.vm(), startedMillis, settings.zone(), events, after, EVENTS_PER_PAGE),
+            drainAsked::countDown);
     HttpListener operators =
         HttpListener.open(
             settings.host(),
             settings.ports().operators(),
             1,
             settings.callerLimits().headBytes(),
-            () -> CallerExchange.create(OperatorPort.of(settings.vm(), metrics, control, gates)));
+            () -> CallerExchange.create(operatorPort));
     events.record(EventKind.STARTED, "", settings.customer(), settings.zone(), 0, settings.vm());
     logger.atInfo().log(
         "%s serves callers on %s:%d and operators on port %d",
         settings.vm(), settings.host(), callers.port(), operators.port());
     return new EntryDaemon(
-        settings, store, control, timers, client, gates, callers, operators, events);
+        settings, store, control, timers, client, gates, callers, operators, events, drainAsked);
   }
 
   private static void gauges(
@@ -160,6 +179,11 @@
     return readiness() == ControlPlane.Readiness.READY && known >= members;
   }
 
+  /** Returns once an operator has asked for a planned stop; the caller then stops the daemon. */
+  public void awaitDrainAsked() throws InterruptedException {
+    drainAsked.await();
+  }
+
   /** A planned stop: takes no new duties, lets what is in flight end, then closes. */
   public void stop() throws InterruptedException {
     events.record(EventKind.STOPPING, "", settings.customer(), "", 0, settings.vm());
--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryMain.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryMain.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.concurrent.CountDownLatch;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
@@ -61,7 +60,6 @@
             + daemon.callersPort()
             + " operators="
             + daemon.operatorsPort());
-    CountDownLatch stopped = new CountDownLatch(1);
     Runtime.getRuntime()
         .addShutdownHook(
             new Thread(
@@ -71,11 +69,11 @@
                   } catch (InterruptedException e) {
                     Thread.currentThread().interrupt();
                   }
-                  stopped.countDown();
                   // A JVM ended by SIGTERM reports 143; a planned stop that went well reports 0.
                   Runtime.getRuntime().halt(ExitCode.OK.status());
                 },
                 "stop"));
-    stopped.await();
+    daemon.awaitDrainAsked();
+    System.exit(ExitCode.OK.status());
   }
 }
--- a/sageladder-entry/src/main/java/org/sageladder/entry/http/OperatorPort.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/http/OperatorPort.java
@@ -3,6 +3,9 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.nio.charset.StandardCharsets;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
 import org.sageladder.core.membership.ClusterState;
@@ -15,28 +18,55 @@
 import org.sageladder.entry.exchange.CallerExchange;
 import org.sageladder.entry.gates.GateTable;
 import org.sageladder.entry.request.Answers;
+import org.sageladder.platform.event.EventPage;
 
 /** What operators and their tools read of one entry VM: metrics, state and events. */
 public final class OperatorPort implements CallerExchange.Handler {
   private static final JsonMapper JSON = new JsonMapper();
+  private static final Pattern EVENTS = Pattern.compile("/v1/events(?:\\?after=(\\d{1,18}))?");
 
   private final String vm;
   private final PrometheusMeterRegistry metrics;
   private final ControlPlane control;
   private final GateTable gates;
+  private final EventSource events;
+  private final Runnable drain;
 
   private OperatorPort(
-      String vm, PrometheusMeterRegistry metrics, ControlPlane control, GateTable gates) {
+      String vm,
+      PrometheusMeterRegistry metrics,
+      ControlPlane control,
+      GateTable gates,
+      EventSource events,
+      Runnable drain) {
     this.vm = vm;
     this.metrics = metrics;
     this.control = control;
     this.gates = gates;
+    this.events = events;
+    this.drain = drain;
   }
 
-  /** The routes of the operators' port of {@code vm}. */
+  /** Where the events that this port serves come from. */
+  @FunctionalInterface
+  public interface EventSource {
+    /** The events after {@code sequence}. */
+    EventPage after(long sequence);
+  }
+
+  /**
+   * The routes of the operators' port of {@code vm}.
+   *
+   * @param drain begins a planned stop; must return at once and may be run more than once
+   */
   public static OperatorPort of(
-      String vm, PrometheusMeterRegistry metrics, ControlPlane control, GateTable gates) {
-    return new OperatorPort(vm, metrics, control, gates);
+      String vm,
+      PrometheusMeterRegistry metrics,
+      ControlPlane control,
+      GateTable gates,
+      EventSource events,
+      Runnable drain) {
+    return new OperatorPort(vm, metrics, control, gates, events, drain);
   }
 
   @Override
@@ -51,12 +81,38 @@
           metrics.scrape());
     } else if (path.equals("/v1/state")) {
       Answers.send(exchange, new BasicHttpResponse(200), state());
+    } else if (path.equals("/v1/events") || path.startsWith("/v1/events?")) {
+      sendEvents(exchange, path);
+    } else if (path.equals("/v1/drain") && exchange.request().getMethod().equals("POST")) {
+      Answers.send(
+          exchange, new BasicHttpResponse(202), JSON.createObjectNode().put("draining", true));
+      drain.run();
     } else {
       Answers.send(
           exchange,
           Result.notRun(
-              ResultCode.UNKNOWN_ROUTE, "path '" + path + "' is not /v1/metrics or /v1/state"));
+              ResultCode.UNKNOWN_ROUTE,
+              "path '"
+                  + path
+                  + "' is not /v1/metrics, /v1/state, /v1/events?after=N or POST /v1/drain"));
+    }
+  }
+
+  private void sendEvents(CallerExchange exchange, String path) {
+    Matcher query = EVENTS.matcher(path);
+    if (!query.matches()) {
+      Answers.send(
+          exchange,
+          Result.notRun(
+              ResultCode.MALFORMED_REQUEST, "query of '" + path + "' is not ?after=WHOLE-NUMBER"));
+      return;
     }
+    long after = query.group(1) == null ? 0 : Long.parseLong(query.group(1));
+    Answers.send(
+        exchange,
+        new BasicHttpResponse(200),
+        ContentType.APPLICATION_JSON,
+        new String(events.after(after).toJson(), StandardCharsets.UTF_8));
   }
 
   private ObjectNode state() {
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestFlow.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestFlow.java
@@ -370,7 +370,9 @@
       if (said != null) {
         outcome = Answers.outcome(said.getValue());
       }
-      passOn(response, details, body, true);
+      if (passOn(response, details, body, true)) {
+        record(EventKind.ANSWERED, member.vm(), "status " + response.getCode());
+      }
     }
 
     @Override
--- a/sageladder-tools/src/main/java/org/sageladder/tools/timeline/Messages.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/timeline/Messages.java
@@ -69,13 +69,12 @@
     }
   }
 
-  /** A request forwarded to one process by several is told apart by who forwarded it. */
+  /** The detail of a receipt names who forwarded the request; it is empty for a caller's own. */
   private int firstOfKind(int receiver, List<Integer> positions, int sender) {
     String name = processes.get(sender).process();
     for (int position : positions) {
       Event event = processes.get(receiver).events().get(position);
-      boolean fromSender = event.detail().isEmpty() || event.detail().contains(name);
-      if (event.kind() == EventKind.RECEIVED && fromSender) {
+      if (event.kind() == EventKind.RECEIVED && event.detail().equals(name)) {
         return position;
       }
     }
--- a/sageladder-tools/src/test/java/org/sageladder/tools/timeline/TimeLineTest.java
+++ b/sageladder-tools/src/test/java/org/sageladder/tools/timeline/TimeLineTest.java
@@ -23,7 +23,7 @@
         process(
             "gate",
             new Offset(-90_000, 10_000),
-            event(1, 62_000, EventKind.RECEIVED, "r", ""),
+            event(1, 62_000, EventKind.RECEIVED, "r", "", "edge"),
             event(2, 70_000, EventKind.ANSWERED, "r", "t-1"));
 
     TimeLine line = TimeLine.merge(List.of(edge, gate));
@@ -45,7 +45,7 @@
         process(
             "gate",
             new Offset(-90_000, 10_000),
-            event(1, 62_000, EventKind.RECEIVED, "r", ""),
+            event(1, 62_000, EventKind.RECEIVED, "r", "", "edge"),
             event(2, 70_000, EventKind.ANSWERED, "r", "t-1"));
 
     Offset clock = TimeLine.merge(List.of(edge, gate)).offsets().get(1);
@@ -62,13 +62,13 @@
         process(
             "a",
             new Offset(0, 0),
-            event(1, 10, EventKind.RECEIVED, "r", ""),
+            event(1, 10, EventKind.RECEIVED, "r", "", "b"),
             event(2, 20, EventKind.FORWARDED, "r", "b"));
     ProcessEvents b =
         process(
             "b",
             new Offset(0, 0),
-            event(1, 15, EventKind.RECEIVED, "r", ""),
+            event(1, 15, EventKind.RECEIVED, "r", "", "a"),
             event(2, 25, EventKind.FORWARDED, "r", "a"));
 
     assertEquals(4, TimeLine.merge(List.of(a, b)).entries(EventFilter.all()).size());
@@ -86,7 +86,7 @@
         process(
             "gate",
             new Offset(0, 10),
-            event(1, 62_000, EventKind.RECEIVED, "r", ""),
+            event(1, 62_000, EventKind.RECEIVED, "r", "", "edge"),
             event(2, 70_000, EventKind.ANSWERED, "r", "t-1"));
 
     TimeLine line = TimeLine.merge(List.of(edge, gate));
@@ -132,7 +132,12 @@
 
   private static Event event(
       long sequence, long micros, EventKind kind, String request, String subject) {
-    return new Event(sequence, micros, kind, request, "", subject, 0, "");
+    return event(sequence, micros, kind, request, subject, "");
+  }
+
+  private static Event event(
+      long sequence, long micros, EventKind kind, String request, String subject, String detail) {
+    return new Event(sequence, micros, kind, request, "", subject, 0, detail);
   }
 
   private static List<String> order(TimeLine line) {
