--- a/sageladder-standin/src/main/java/org/sageladder/standin/http/ConnectionTable.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/http/ConnectionTable.java
@@ -10,7 +10,6 @@
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.IOSessionListener;
-import org.apache.hc.core5.util.Timeout;
 
 /**
  * Open connections by the caller's address, so that a fault can cut the one that a request came on.
@@ -84,9 +83,4 @@
       onClosed.accept(peer);
     }
   }
-
-  /** No limit on a silent connection: a watch may wait for a minute. */
-  static Timeout unlimited() {
-    return Timeout.DISABLED;
-  }
 }
--- /dev/null
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/http/Listeners.java
@@ -0,0 +1,58 @@
+package org.sageladder.standin.http;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.ExecutionException;
+import org.apache.hc.core5.function.Supplier;
+import org.apache.hc.core5.http.HttpRequestMapper;
+import org.apache.hc.core5.http.URIScheme;
+import org.apache.hc.core5.http.impl.bootstrap.AsyncServerBootstrap;
+import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
+import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
+import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.ListenerEndpoint;
+import org.apache.hc.core5.util.Timeout;
+import org.sageladder.platform.http.HangUpSession;
+
+/** Builds the HTTP servers of the stand-ins and binds them. */
+public final class Listeners {
+  private Listeners() {}
+
+  /** A server, not yet started, whose connections never time out for being silent. */
+  public static HttpAsyncServer server(
+      int ioThreads,
+      ConnectionTable connections,
+      HttpRequestMapper<Supplier<AsyncServerExchangeHandler>> router) {
+    return AsyncServerBootstrap.bootstrap()
+        .setCanonicalHostName("localhost")
+        .setIOReactorConfig(
+            IOReactorConfig.custom()
+                .setIoThreadCount(ioThreads)
+                .setSoTimeout(Timeout.DISABLED)
+                .setSoReuseAddress(true)
+                .setTcpNoDelay(true)
+                .build())
+        .setIOSessionDecorator(HangUpSession.decorator())
+        .setIOSessionListener(connections)
+        .setRequestRouter(router)
+        .create();
+  }
+
+  /** Binds {@code server}, which has been started; port 0 picks a free one. */
+  public static ListenerEndpoint bind(HttpAsyncServer server, String host, int port)
+      throws IOException {
+    try {
+      return server.listen(new InetSocketAddress(host, port), URIScheme.HTTP).get();
+    } catch (ExecutionException e) {
+      throw new IOException("cannot listen on " + host + ":" + port, e.getCause());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException("interrupted while binding " + host + ":" + port, e);
+    }
+  }
+
+  /** The port that {@code endpoint} listens on. */
+  public static int port(ListenerEndpoint endpoint) {
+    return ((InetSocketAddress) endpoint.getAddress()).getPort();
+  }
+}
--- a/sageladder-standin/src/main/java/org/sageladder/standin/store/StoreServer.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/store/StoreServer.java
@@ -20,9 +20,9 @@
 import org.sageladder.core.store.WriteResult;
 import org.sageladder.core.time.TimeSource;
 import org.sageladder.platform.store.StoreMessages;
+import org.sageladder.standin.http.JsonExchange.Call;
+import org.sageladder.standin.http.JsonExchange.Reply;
 import org.sageladder.standin.http.JsonServer;
-import org.sageladder.standin.http.JsonServer.Call;
-import org.sageladder.standin.http.JsonServer.Reply;
 
 /**
  * The platform's key-value service and list of VMs as one process on loopback.
