Operators' port: explain a look-up

Cause: an operator could not see why callers of a block are sent where they are. Change: GET /v1/explain gives the shares of each route by asking the look-up table itself with fixed random bits, the rule of each route, the caps, and each zone's summary with its age.

--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -128,6 +128,7 @@
             after ->
                 EventPage.of(
                     settings.vm(), startedMillis, settings.zone(), events, after, EVENTS_PER_PAGE),
+            path.explanation(),
             drainAsked::countDown);
     HttpListener operators =
         HttpListener.open(
--- a/sageladder-entry/src/main/java/org/sageladder/entry/http/OperatorPort.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/http/OperatorPort.java
@@ -18,6 +18,7 @@
 import org.sageladder.entry.exchange.CallerExchange;
 import org.sageladder.entry.gates.GateTable;
 import org.sageladder.entry.request.Answers;
+import org.sageladder.entry.request.Explanation;
 import org.sageladder.platform.event.EventPage;
 
 /** What operators and their tools read of one entry VM: metrics, state and events. */
@@ -30,6 +31,7 @@
   private final ControlPlane control;
   private final GateTable gates;
   private final EventSource events;
+  private final Explanation explanation;
   private final Runnable drain;
 
   private OperatorPort(
@@ -38,12 +40,14 @@
       ControlPlane control,
       GateTable gates,
       EventSource events,
+      Explanation explanation,
       Runnable drain) {
     this.vm = vm;
     this.metrics = metrics;
     this.control = control;
     this.gates = gates;
     this.events = events;
+    this.explanation = explanation;
     this.drain = drain;
   }
 
@@ -65,8 +69,9 @@
       ControlPlane control,
       GateTable gates,
       EventSource events,
+      Explanation explanation,
       Runnable drain) {
-    return new OperatorPort(vm, metrics, control, gates, events, drain);
+    return new OperatorPort(vm, metrics, control, gates, events, explanation, drain);
   }
 
   @Override
@@ -83,6 +88,8 @@
       Answers.send(exchange, new BasicHttpResponse(200), state());
     } else if (path.equals("/v1/events") || path.startsWith("/v1/events?")) {
       sendEvents(exchange, path);
+    } else if (path.startsWith("/v1/explain?")) {
+      explain(exchange, path);
     } else if (path.equals("/v1/drain") && exchange.request().getMethod().equals("POST")) {
       Answers.send(
           exchange, new BasicHttpResponse(202), JSON.createObjectNode().put("draining", true));
@@ -94,7 +101,7 @@
               ResultCode.UNKNOWN_ROUTE,
               "path '"
                   + path
-                  + "' is not /v1/metrics, /v1/state, /v1/events?after=N or POST /v1/drain"));
+                  + "' is not /v1/metrics, /v1/state, /v1/events?after=N, /v1/explain?contract=C&service=S&block=N or POST /v1/drain"));
     }
   }
 
@@ -115,6 +122,19 @@
         new String(events.after(after).toJson(), StandardCharsets.UTF_8));
   }
 
+  private void explain(CallerExchange exchange, String path) {
+    ObjectNode json = explanation.explain(path, control.state());
+    if (json == null) {
+      Answers.send(
+          exchange,
+          Result.notRun(
+              ResultCode.UNKNOWN_SERVICE,
+              "'" + path + "' names no contract, service and client block in force here"));
+    } else {
+      Answers.send(exchange, new BasicHttpResponse(200), json);
+    }
+  }
+
   private ObjectNode state() {
     ClusterState state = control.state();
     ObjectNode json = JSON.createObjectNode();
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/LookUps.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/LookUps.java
@@ -44,6 +44,14 @@
         : now.lookUp(contract, service, block, ThreadLocalRandom.current().nextLong());
   }
 
+  /** The answer for one caller with {@code random} bits; equal bits give equal answers. */
+  @Nullable Route route(Query query, long random) {
+    LookUpTable now = table;
+    return now == null
+        ? null
+        : now.lookUp(query.contract(), query.service(), query.block(), random);
+  }
+
   /**
    * The query of a look-up.
    *
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestPath.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestPath.java
@@ -23,10 +23,12 @@
 
   private final RequestRouter router;
   private final LookUps lookUps;
+  private final Explanation explanation;
 
-  private RequestPath(RequestRouter router, LookUps lookUps) {
+  private RequestPath(RequestRouter router, LookUps lookUps, TimeSource time) {
     this.router = router;
     this.lookUps = lookUps;
+    this.explanation = Explanation.of(lookUps, time);
   }
 
   /** The request path of one entry VM. */
@@ -61,7 +63,8 @@
     return new RequestPath(
         new RequestRouter(
             parts, settings.customer(), settings.zone(), control, gates, lookUps, permits),
-        lookUps);
+        lookUps,
+        time);
   }
 
   /** A key of this process alone; permits of other entry VMs are passed on to their homes. */
@@ -76,6 +79,11 @@
     return router;
   }
 
+  /** What operators ask why a look-up is answered as it is. */
+  public Explanation explanation() {
+    return explanation;
+  }
+
   /** Follows a new state. */
   public void follow(ClusterState state) {
     lookUps.follow(state);
