Permits: hand-over at a planned stop, keys in the store, and an explorer of all orders

A planned stop used to lose the state of the permits homed there. PermitHome now closes itself for one named successor and hands its states over; a second successor is never given them, since both could run an unused permit.

An expiry that was told is now kept as a state.

--- a/sageladder-core/src/main/java/org/sageladder/core/permit/Decision.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/permit/Decision.java
@@ -17,16 +17,15 @@
   /** An earlier copy may have run and its answer is lost; no copy will be run. */
   record Unknown() implements Decision {}
 
-  /**
-   * Too old: this copy is not run, nor will any later one be.
-   *
-   * @param neverRan true where the home still knows that no earlier copy ran
-   */
-  record Expired(boolean neverRan) implements Decision {}
+  /** So old that its state is gone: this copy is not run, an earlier one may have. */
+  record Expired() implements Decision {}
 
   /** The permit was used for another request, or belongs to another service or key. */
   record Mismatch(String reason) implements Decision {}
 
   /** Another incarnation minted the permit; only that one may run it. */
   record Foreign(String home, long incarnation) implements Decision {}
+
+  /** This home has stopped; {@code successor} decides in its place. */
+  record Moved(String successor) implements Decision {}
 }
--- a/sageladder-core/src/main/java/org/sageladder/core/permit/PermitHome.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/permit/PermitHome.java
@@ -1,47 +1,40 @@
 package org.sageladder.core.permit;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.HashMap;
-import java.util.Iterator;
 import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Mints the permits of one incarnation of an entry VM and decides which copy of a request may run.
  *
- * <p>Memory is bounded: permits are numbered in sequence, the numbers are kept in segments that end
- * by time, and a segment is dropped whole once its last permit has expired. A sequence below the
- * lowest kept segment is expired by that fact alone, whatever the clock says.
+ * <p>Memory is bounded by rate times lifetime: permits are numbered in sequence, and the state of a
+ * number is dropped some time after its expiry. At a planned stop the states go to one successor,
+ * which then decides in the place of the one that stopped.
  *
  * <pre>{@code
- * Permit permit = home.mint("kannelkoda", "donations", "", nowMillis);
+ * Permit permit = home.mint("kannelkoda", "donations", nowMillis).orElseThrow();
  * if (home.begin(permit, digest, nowMillis) instanceof Decision.Execute execute) {
  *   execute.execution().finish(answer);
  * }
  * }</pre>
  *
- * <p>All methods are safe for use by several threads; one lock guards the whole state and nothing
- * is called while it is held.
+ * <p>All methods are safe for use by several threads.
  */
 public final class PermitHome {
   private final String vm;
   private final long incarnation;
   private final Limits limits;
-  private final Object lock = new Object();
-  // Guarded by lock.
-  private final Deque<Segment> segments = new ArrayDeque<>();
-  private final Map<Long, RecordedAnswer> answers = new HashMap<>();
-  private final Deque<Long> answerOrder = new ArrayDeque<>();
-  private long answerBytes;
-  private long nextSequence = 1;
-  private long latestMillis;
+  private final PermitTable own;
+  private final Map<Incarnation, PermitTable> adopted = new ConcurrentHashMap<>();
 
   private PermitHome(String vm, long incarnation, Limits limits) {
     this.vm = vm;
     this.incarnation = incarnation;
     this.limits = limits;
+    this.own = new PermitTable(limits);
   }
 
   /** The home of the permits of {@code vm} in {@code incarnation}. */
@@ -53,33 +46,44 @@
    * What bounds the state of a home.
    *
    * @param lifetime time from minting to expiry
-   * @param segmentSpan time that one segment covers; state outlives the expiry by as much
+   * @param segmentSpan time that one segment of states covers
+   * @param retention time that states outlive the last expiry of their segment
    * @param answerBytes most memory for recorded answers; the oldest go first
    */
-  public record Limits(Duration lifetime, Duration segmentSpan, long answerBytes) {
-    /** Two minutes to live, segments of ten seconds, 16 MiB of answers. */
+  public record Limits(
+      Duration lifetime, Duration segmentSpan, Duration retention, long answerBytes) {
+    /** Two minutes to live and one more to be asked about, 16 MiB of answers. */
     public static Limits standard() {
-      return new Limits(Duration.ofMinutes(2), Duration.ofSeconds(10), 16L << 20);
+      return new Limits(
+          Duration.ofMinutes(2), Duration.ofSeconds(10), Duration.ofMinutes(1), 16L << 20);
     }
   }
 
-  /** A fresh permit, bound to the digest of an idempotency key where {@code boundTo} is given. */
-  public Permit mint(String customer, String service, String boundTo, long nowMillis) {
-    synchronized (lock) {
-      long now = advance(nowMillis);
-      long expiry = now + limits.lifetime().toMillis();
-      Segment last = segments.peekLast();
-      if (last == null || last.isFull() || now - last.startMillis >= spanMillis()) {
-        last = new Segment(nextSequence, now);
-        segments.addLast(last);
-      }
-      last.add(expiry);
-      return new Permit(vm, incarnation, nextSequence++, expiry, customer, service, boundTo);
+  private record Incarnation(String vm, long number) implements Comparable<Incarnation> {
+    @Override
+    public int compareTo(Incarnation other) {
+      int byVm = vm.compareTo(other.vm);
+      return byVm != 0 ? byVm : Long.compare(number, other.number);
     }
   }
 
-  /** A fresh permit that is bound to no key. */
-  public Permit mint(String customer, String service, long nowMillis) {
+  /**
+   * A fresh permit, or empty once this home was handed over.
+   *
+   * @param boundTo digest of the idempotency key that the permit is for, or empty
+   */
+  public Optional<Permit> mint(String customer, String service, String boundTo, long nowMillis) {
+    PermitTable.Minted minted = own.mint(nowMillis);
+    if (minted == null) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new Permit(
+            vm, incarnation, minted.sequence(), minted.expiryMillis(), customer, service, boundTo));
+  }
+
+  /** A fresh permit that is bound to no key, or empty once this home was handed over. */
+  public Optional<Permit> mint(String customer, String service, long nowMillis) {
     return mint(customer, service, "", nowMillis);
   }
 
@@ -91,106 +95,75 @@
    * @param nowMillis wall clock of this VM
    */
   public Decision begin(Permit permit, String requestDigest, long nowMillis) {
-    if (!permit.home().equals(vm) || permit.incarnation() != incarnation) {
+    PermitTable table = tableOf(permit);
+    if (table == null) {
       return new Decision.Foreign(permit.home(), permit.incarnation());
     }
-    synchronized (lock) {
-      long now = advance(nowMillis);
-      Segment segment = segmentOf(permit.sequence());
-      if (segment == null) {
-        return new Decision.Expired(false);
-      }
-      return decide(segment, permit, fold(requestDigest), now);
-    }
+    return table.begin(permit, fold(requestDigest), nowMillis);
   }
 
-  private Decision decide(Segment segment, Permit permit, long digest, long now) {
-    int index = segment.index(permit.sequence());
-    byte state = segment.states[index];
-    if (state != Segment.UNUSED && segment.digests[index] != digest) {
-      return new Decision.Mismatch("the permit was first used for another request");
-    }
-    return switch (state) {
-      case Segment.UNUSED -> start(segment, index, permit, digest, now);
-      case Segment.RUNNING -> new Decision.Running();
-      case Segment.NOT_RUN -> new Decision.NotRun();
-      case Segment.RAN -> new Decision.Replay(answerOf(permit.sequence()));
-      default -> new Decision.Unknown();
-    };
-  }
-
-  private Decision start(Segment segment, int index, Permit permit, long digest, long now) {
-    if (now >= permit.expiryMillis()) {
-      return new Decision.Expired(true);
-    }
-    segment.states[index] = Segment.RUNNING;
-    segment.digests[index] = digest;
-    return new Decision.Execute(new Run(permit));
+  /** True where this home decides on the permits of that incarnation. */
+  public boolean answersFor(String home, long homeIncarnation) {
+    return isOwn(home, homeIncarnation)
+        || adopted.containsKey(new Incarnation(home, homeIncarnation));
   }
 
-  private RecordedAnswer answerOf(long sequence) {
-    RecordedAnswer answer = answers.get(sequence);
-    return answer == null ? RecordedAnswer.notKept() : answer;
+  /**
+   * Closes this home and returns its states for {@code successor}, or empty where another successor
+   * was named before; from then on every copy is told to ask the successor.
+   */
+  public Optional<HandOver> close(String successor, long nowMillis) {
+    return Optional.ofNullable(own.close(vm, incarnation, successor, nowMillis));
   }
 
-  /** Permits whose state is held now. */
-  public long held() {
-    synchronized (lock) {
-      long held = 0;
-      for (Segment segment : segments) {
-        held += segment.count;
-      }
-      return held;
-    }
+  /**
+   * Takes the permits of a stopped incarnation over; a second copy of the same hand-over changes
+   * nothing, so the sender may send again when the acknowledgement was lost.
+   */
+  public void adopt(HandOver handOver) {
+    adopted.computeIfAbsent(
+        new Incarnation(handOver.vm(), handOver.incarnation()),
+        key -> PermitTable.adopted(handOver, limits));
   }
 
-  /** Time as this home has seen it: a wall clock that jumps back cannot revive a permit. */
-  private long advance(long nowMillis) {
-    latestMillis = Math.max(latestMillis, nowMillis);
-    while (!segments.isEmpty() && latestMillis >= segments.getFirst().endMillis + spanMillis()) {
-      drop(segments.removeFirst());
-    }
-    return latestMillis;
+  /** Drops the states of adopted incarnations whose permits have all expired. */
+  public void expire(long nowMillis) {
+    adopted.values().removeIf(table -> table.held(nowMillis) == 0);
   }
 
-  private void drop(Segment segment) {
-    for (Iterator<Long> oldest = answerOrder.iterator(); oldest.hasNext(); ) {
-      long sequence = oldest.next();
-      if (sequence >= segment.first && sequence < segment.first + segment.count) {
-        oldest.remove();
-        forget(sequence);
-      }
+  /** Executions that have not ended. */
+  public int running() {
+    int running = own.running();
+    for (PermitTable table : adopted.values()) {
+      running += table.running();
     }
+    return running;
   }
 
-  private void forget(long sequence) {
-    RecordedAnswer answer = answers.remove(sequence);
-    if (answer != null) {
-      answerBytes -= answer.cost();
+  /** Permits whose state is held now, adopted ones included. */
+  public long held(long nowMillis) {
+    long held = own.held(nowMillis);
+    for (PermitTable table : adopted.values()) {
+      held += table.held(nowMillis);
     }
+    return held;
   }
 
-  private void keep(long sequence, RecordedAnswer answer) {
-    answers.put(sequence, answer);
-    answerOrder.addLast(sequence);
-    answerBytes += answer.cost();
-    while (answerBytes > limits.answerBytes() && !answerOrder.isEmpty()) {
-      forget(answerOrder.removeFirst());
-    }
+  /** Its own table and the adopted ones, for operators. */
+  @Override
+  public String toString() {
+    return vm + "/" + incarnation + " own: " + own + " adopted: " + new TreeMap<>(adopted);
   }
 
-  private @Nullable Segment segmentOf(long sequence) {
-    for (Iterator<Segment> newest = segments.descendingIterator(); newest.hasNext(); ) {
-      Segment segment = newest.next();
-      if (sequence >= segment.first) {
-        return sequence < segment.first + segment.count ? segment : null;
-      }
+  private @Nullable PermitTable tableOf(Permit permit) {
+    if (isOwn(permit.home(), permit.incarnation())) {
+      return own;
     }
-    return null;
+    return adopted.get(new Incarnation(permit.home(), permit.incarnation()));
   }
 
-  private long spanMillis() {
-    return limits.segmentSpan().toMillis();
+  private boolean isOwn(String home, long homeIncarnation) {
+    return home.equals(vm) && homeIncarnation == incarnation;
   }
 
   private static long fold(String requestDigest) {
@@ -200,55 +173,4 @@
     }
     return hash;
   }
-
-  private final class Run implements Execution {
-    private final Permit permit;
-
-    Run(Permit permit) {
-      this.permit = permit;
-    }
-
-    @Override
-    public Permit permit() {
-      return permit;
-    }
-
-    @Override
-    public boolean finish(RecordedAnswer answer) {
-      synchronized (lock) {
-        if (!move(Segment.RUNNING, Segment.RAN) && !move(Segment.UNKNOWN, Segment.RAN)) {
-          return false;
-        }
-        keep(permit.sequence(), answer);
-        return true;
-      }
-    }
-
-    @Override
-    public boolean notRun() {
-      synchronized (lock) {
-        return move(Segment.RUNNING, Segment.NOT_RUN);
-      }
-    }
-
-    @Override
-    public boolean unknown() {
-      synchronized (lock) {
-        return move(Segment.RUNNING, Segment.UNKNOWN);
-      }
-    }
-
-    private boolean move(byte from, byte to) {
-      Segment segment = segmentOf(permit.sequence());
-      if (segment == null) {
-        return false;
-      }
-      int index = segment.index(permit.sequence());
-      if (segment.states[index] != from) {
-        return false;
-      }
-      segment.states[index] = to;
-      return true;
-    }
-  }
 }
--- /dev/null
+++ b/sageladder-core/src/main/java/org/sageladder/core/permit/PermitTable.java
@@ -0,0 +1,244 @@
+package org.sageladder.core.permit;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The states of all live permits of one incarnation, in segments that end by time.
+ *
+ * <p>A sequence below the lowest kept segment is expired by that fact alone, so a wall clock that
+ * jumps back cannot revive a permit whose state is gone. One lock guards the whole table; nothing
+ * is called while it is held.
+ */
+final class PermitTable {
+  private final PermitHome.Limits limits;
+  private final Object lock = new Object();
+  // All below is guarded by lock.
+  private final Deque<Segment> segments = new ArrayDeque<>();
+  private final Map<Long, RecordedAnswer> answers = new HashMap<>();
+  private final Deque<Long> answerOrder = new ArrayDeque<>();
+  private long answerBytes;
+  private long nextSequence = 1;
+  private long latestMillis;
+  private @Nullable String successor;
+
+  PermitTable(PermitHome.Limits limits) {
+    this.limits = limits;
+  }
+
+  /** A table that goes on where the one that was handed over ended. */
+  static PermitTable adopted(HandOver handOver, PermitHome.Limits limits) {
+    PermitTable table = new PermitTable(limits);
+    synchronized (table.lock) {
+      handOver.segments().forEach(state -> table.segments.addLast(Segment.of(state)));
+      handOver.answers().forEach((sequence, answer) -> table.keep(sequence, answer));
+      table.nextSequence = handOver.nextSequence();
+    }
+    return table;
+  }
+
+  /** Sequence and expiry of a new permit, or null once the table was handed over. */
+  @Nullable Minted mint(long nowMillis) {
+    synchronized (lock) {
+      if (successor != null) {
+        return null;
+      }
+      long now = advance(nowMillis);
+      long expiry = now + limits.lifetime().toMillis();
+      Segment last = segments.peekLast();
+      if (last == null || last.isFull() || now - last.startMillis >= spanMillis()) {
+        last = new Segment(nextSequence, now);
+        segments.addLast(last);
+      }
+      last.add(expiry);
+      return new Minted(nextSequence++, expiry);
+    }
+  }
+
+  record Minted(long sequence, long expiryMillis) {}
+
+  Decision begin(Permit permit, long digest, long nowMillis) {
+    synchronized (lock) {
+      if (successor != null) {
+        return new Decision.Moved(successor);
+      }
+      long now = advance(nowMillis);
+      Segment segment = segmentOf(permit.sequence());
+      if (segment == null) {
+        return new Decision.Expired();
+      }
+      return decide(segment, permit, digest, now);
+    }
+  }
+
+  private Decision decide(Segment segment, Permit permit, long digest, long now) {
+    int index = segment.index(permit.sequence());
+    byte state = segment.state(index);
+    if (state != Segment.UNUSED && segment.digest(index) != digest) {
+      return new Decision.Mismatch("the permit was first used for another request");
+    }
+    return switch (state) {
+      case Segment.UNUSED -> start(segment, index, permit, digest, now);
+      case Segment.RUNNING -> new Decision.Running();
+      case Segment.NOT_RUN -> new Decision.NotRun();
+      case Segment.RAN -> new Decision.Replay(answerOf(permit.sequence()));
+      default -> new Decision.Unknown();
+    };
+  }
+
+  private Decision start(Segment segment, int index, Permit permit, long digest, long now) {
+    if (now >= permit.expiryMillis()) {
+      // The caller will be told "not run". That has to be kept as a state: the clock may jump back,
+      // or a successor's clock may be behind, and a later copy would run after all.
+      segment.refuse(index, digest);
+      return new Decision.NotRun();
+    }
+    segment.begin(index, digest);
+    return new Decision.Execute(new Run(permit));
+  }
+
+  private RecordedAnswer answerOf(long sequence) {
+    RecordedAnswer answer = answers.get(sequence);
+    return answer == null ? RecordedAnswer.notKept() : answer;
+  }
+
+  /**
+   * Closes the table for {@code to} and returns its states; the same for each call with that
+   * successor, null for any other.
+   *
+   * <p>Two successors could both run a permit that was unused at the closing. So the first named
+   * one stays the only one, also where it is not known whether it took the states over.
+   */
+  @Nullable HandOver close(String vm, long incarnation, String to, long nowMillis) {
+    synchronized (lock) {
+      if (successor != null && !successor.equals(to)) {
+        return null;
+      }
+      advance(nowMillis);
+      successor = to;
+      List<HandOver.SegmentState> states = new ArrayList<>();
+      segments.forEach(segment -> states.add(segment.handedOver()));
+      Map<Long, RecordedAnswer> kept = new HashMap<>(answers);
+      return new HandOver(vm, incarnation, nextSequence, states, kept);
+    }
+  }
+
+  int running() {
+    synchronized (lock) {
+      return segments.stream().mapToInt(Segment::running).sum();
+    }
+  }
+
+  long held(long nowMillis) {
+    synchronized (lock) {
+      advance(nowMillis);
+      return segments.stream().mapToLong(Segment::count).sum();
+    }
+  }
+
+  /** Who decides, the latest time seen and how many permits are in which state, by segment. */
+  @Override
+  public String toString() {
+    synchronized (lock) {
+      return "successor=" + successor + " latest=" + latestMillis + " segments=" + segments;
+    }
+  }
+
+  private long advance(long nowMillis) {
+    latestMillis = Math.max(latestMillis, nowMillis);
+    long retention = limits.retention().toMillis();
+    while (!segments.isEmpty() && latestMillis >= segments.getFirst().endMillis() + retention) {
+      drop(segments.removeFirst());
+    }
+    return latestMillis;
+  }
+
+  private void drop(Segment segment) {
+    for (Iterator<Long> oldest = answerOrder.iterator(); oldest.hasNext(); ) {
+      long sequence = oldest.next();
+      if (segment.has(sequence)) {
+        oldest.remove();
+        forget(sequence);
+      }
+    }
+  }
+
+  private void keep(long sequence, RecordedAnswer answer) {
+    answers.put(sequence, answer);
+    answerOrder.addLast(sequence);
+    answerBytes += answer.cost();
+    while (answerBytes > limits.answerBytes() && !answerOrder.isEmpty()) {
+      forget(answerOrder.removeFirst());
+    }
+  }
+
+  private void forget(long sequence) {
+    RecordedAnswer answer = answers.remove(sequence);
+    if (answer != null) {
+      answerBytes -= answer.cost();
+    }
+  }
+
+  private @Nullable Segment segmentOf(long sequence) {
+    for (Iterator<Segment> newest = segments.descendingIterator(); newest.hasNext(); ) {
+      Segment segment = newest.next();
+      if (segment.has(sequence)) {
+        return segment;
+      }
+    }
+    return null;
+  }
+
+  private long spanMillis() {
+    return limits.segmentSpan().toMillis();
+  }
+
+  private final class Run implements Execution {
+    private final Permit permit;
+
+    Run(Permit permit) {
+      this.permit = permit;
+    }
+
+    @Override
+    public Permit permit() {
+      return permit;
+    }
+
+    @Override
+    public boolean finish(RecordedAnswer answer) {
+      synchronized (lock) {
+        if (!move(Segment.RUNNING, Segment.RAN) && !move(Segment.UNKNOWN, Segment.RAN)) {
+          return false;
+        }
+        keep(permit.sequence(), answer);
+        return true;
+      }
+    }
+
+    @Override
+    public boolean notRun() {
+      synchronized (lock) {
+        return move(Segment.RUNNING, Segment.NOT_RUN);
+      }
+    }
+
+    @Override
+    public boolean unknown() {
+      synchronized (lock) {
+        return move(Segment.RUNNING, Segment.UNKNOWN);
+      }
+    }
+
+    private boolean move(byte from, byte to) {
+      Segment segment = successor == null ? segmentOf(permit.sequence()) : null;
+      return segment != null && segment.move(segment.index(permit.sequence()), from, to);
+    }
+  }
+}
--- /dev/null
+++ b/sageladder-core/src/test/java/org/sageladder/core/permit/HandOverCodecTest.java
@@ -0,0 +1,69 @@
+package org.sageladder.core.permit;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What a successor reads of a hand-over. */
+class HandOverCodecTest {
+  private final PermitHome home = PermitHome.of("a", 3, PermitHome.Limits.standard());
+  private final PermitHome successor = PermitHome.of("b", 9, PermitHome.Limits.standard());
+
+  private Permit mint() {
+    return home.mint("kannelkoda", "donations", 1_000).orElseThrow();
+  }
+
+  private Execution start(Permit permit) {
+    return ((Decision.Execute) home.begin(permit, "digest", 1_000)).execution();
+  }
+
+  /**
+   * An archivist repeats a registration after the entry VM that ran it stopped for maintenance. The
+   * successor must give the answer that was recorded there, not run it again.
+   */
+  @Test
+  void theSuccessorGivesTheAnswerThatTheStoppedHomeRecorded() throws IOException {
+    Permit ran = mint();
+    Permit refused = mint();
+    Permit running = mint();
+    Permit unused = mint();
+    List<RecordedAnswer.Header> headers = List.of(new RecordedAnswer.Header("ETag", "x"));
+    start(ran).finish(RecordedAnswer.whole(201, headers, new byte[] {1, 2, 3}));
+    start(refused).notRun();
+    start(running);
+    HandOver closed = home.close("b", 2_000).orElseThrow();
+    successor.adopt(HandOverCodec.decode(HandOverCodec.encode(closed)));
+
+    Decision.Replay replay = (Decision.Replay) successor.begin(ran, "digest", 2_000);
+    assertArrayEquals(new byte[] {1, 2, 3}, replay.answer().body());
+    assertEquals(headers, replay.answer().headers());
+    assertInstanceOf(Decision.NotRun.class, successor.begin(refused, "digest", 2_000));
+    assertInstanceOf(Decision.Unknown.class, successor.begin(running, "digest", 2_000));
+    assertInstanceOf(Decision.Execute.class, successor.begin(unused, "digest", 2_000));
+    assertEquals(new Decision.Moved("b"), home.begin(unused, "digest", 2_000));
+  }
+
+  /** A hand-over cut on its way must not count as one that holds fewer permits. */
+  @Test
+  void cutBytesAreRefused() {
+    for (int i = 0; i < 500; i++) {
+      start(mint())
+          .finish(
+              RecordedAnswer.whole(
+                  200,
+                  List.of(),
+                  ("answer " + i).getBytes(java.nio.charset.StandardCharsets.UTF_8)));
+    }
+    byte[] bytes = HandOverCodec.encode(home.close("b", 1_000).orElseThrow());
+    for (int length = 0; length < bytes.length - 4; length += 97) {
+      byte[] cut = Arrays.copyOf(bytes, length);
+      assertThrows(IOException.class, () -> HandOverCodec.decode(cut));
+    }
+  }
+}
--- /dev/null
+++ b/sageladder-core/src/test/java/org/sageladder/core/permit/PermitHomeProperties.java
@@ -0,0 +1,53 @@
+package org.sageladder.core.permit;
+
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+
+/** Long random orders of steps, beyond the depth of the explorer. */
+class PermitHomeProperties {
+  @Property(tries = 5_000, seed = "20261202")
+  void aPermitRunsAtMostOnceOverLongRuns(
+      @ForAll @Size(min = 10, max = 60) List<PermitModel.Step> steps) {
+    PermitModel model = new PermitModel();
+    List<PermitModel.Step> taken = new ArrayList<>();
+    for (PermitModel.Step step : steps) {
+      taken.add(step);
+      model.apply(step);
+      model.broken().ifPresent(reason -> fail(reason, taken));
+    }
+  }
+
+  /** Each permit keeps its own state and its own answer, whatever the others do. */
+  @Property(tries = 300, seed = "20261203")
+  void permitsOfOneHomeDoNotMix(@ForAll @Size(max = 400) List<Boolean> ends) {
+    PermitHome home = PermitHome.of("a", 1, PermitHome.Limits.standard());
+    List<Permit> permits = new ArrayList<>();
+    for (int i = 0; i < ends.size(); i++) {
+      Permit permit = home.mint("kannelkoda", "donations", 1_000 + i * 100L).orElseThrow();
+      permits.add(permit);
+      Decision.Execute execute = (Decision.Execute) home.begin(permit, "r" + i, 1_000 + i * 100L);
+      if (ends.get(i)) {
+        execute.execution().finish(RecordedAnswer.whole(200, List.of(), new byte[] {(byte) i}));
+      } else {
+        execute.execution().notRun();
+      }
+    }
+    for (int i = 0; i < ends.size(); i++) {
+      Decision again = home.begin(permits.get(i), "r" + i, 50_000);
+      boolean right =
+          ends.get(i)
+              ? again instanceof Decision.Replay replay && replay.answer().body()[0] == (byte) i
+              : again instanceof Decision.NotRun;
+      if (!right) {
+        fail("permit " + i + " got " + again, List.of());
+      }
+    }
+  }
+
+  private static void fail(String reason, List<PermitModel.Step> steps) {
+    throw new AssertionError(reason + " after " + steps);
+  }
+}
--- /dev/null
+++ b/sageladder-core/src/test/java/org/sageladder/core/permit/PermitKeysTest.java
@@ -0,0 +1,159 @@
+package org.sageladder.core.permit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+import org.sageladder.core.store.Store;
+import org.sageladder.core.store.StoreException;
+import org.sageladder.core.store.StoredValue;
+import org.sageladder.core.store.WatchBatch;
+import org.sageladder.core.store.WriteResult;
+
+/** Creating, sharing and rotating the MAC keys through the platform's store. */
+class PermitKeysTest {
+  private static final Duration PERIOD = Duration.ofHours(1);
+  private static final Permit PERMIT = new Permit("a", 1, 1, 99_000, "kannelkoda", "donations", "");
+
+  private final OneKeyStore store = new OneKeyStore();
+  private final PermitKeys first = keys();
+  private final PermitKeys second = keys();
+
+  private PermitKeys keys() {
+    return PermitKeys.of(store, "kannelkoda", PERIOD, new SecureRandom());
+  }
+
+  private static void assertOpens(PermitKeys by, String text) {
+    assertInstanceOf(OpenedPermit.Valid.class, PermitCodec.of(by::ring).open(text));
+  }
+
+  private static String sealedBy(PermitKeys keys) {
+    return PermitCodec.of(keys::ring).seal(PERMIT);
+  }
+
+  @Test
+  void twoEntryVmsOpenEachOthersPermits() throws Exception {
+    first.refresh(0);
+    second.refresh(0);
+    assertOpens(second, sealedBy(first));
+    assertOpens(first, sealedBy(second));
+  }
+
+  /**
+   * An archivist's permit is sealed just before a rotation and used just after it. Were the old key
+   * dropped at once, the donation would be refused at every entry VM.
+   */
+  @Test
+  void aPermitSealedBeforeARotationOpensAfterIt() throws Exception {
+    first.refresh(0);
+    String before = sealedBy(first);
+    second.refresh(PERIOD.toMillis());
+    first.refresh(PERIOD.toMillis());
+    assertOpens(first, before);
+    assertOpens(second, before);
+    assertOpens(first, sealedBy(second));
+  }
+
+  /**
+   * The store takes the write of a new key and its answer is lost. Writing another key over it
+   * would leave entry VMs that read the first one refusing permits of the second.
+   */
+  @Test
+  void aWriteWhoseAnswerIsLostIsReadBack() throws Exception {
+    store.loseNextAnswer = true;
+    first.refresh(0);
+    second.refresh(0);
+    assertEquals(1, store.revision);
+    assertOpens(second, sealedBy(first));
+  }
+
+  /**
+   * An entry VM starts while the store is down. It must still seal permits that it can open itself,
+   * and others must pass them on instead of calling them invalid.
+   */
+  @Test
+  void withoutAStoreAVmOpensItsOwnPermitsAndOthersPassThemOn() throws Exception {
+    second.refresh(0);
+    store.down = true;
+    assertThrows(StoreException.Unavailable.class, () -> first.refresh(0));
+    String text = sealedBy(first);
+    assertOpens(first, text);
+    assertInstanceOf(OpenedPermit.UnknownKey.class, PermitCodec.of(second::ring).open(text));
+    store.down = false;
+    first.refresh(0);
+    assertOpens(first, text);
+  }
+
+  /** One key under compare-and-swap; all that these tests need of a store. */
+  private static final class OneKeyStore implements Store {
+    boolean down;
+    boolean loseNextAnswer;
+    long revision;
+    byte[] value = new byte[0];
+
+    @Override
+    public Optional<StoredValue> read(String key) throws StoreException {
+      if (down) {
+        throw new StoreException.Unavailable("down", new java.io.IOException("refused"));
+      }
+      return revision == 0
+          ? Optional.empty()
+          : Optional.of(new StoredValue(key, revision, value.clone()));
+    }
+
+    @Override
+    public WriteResult compareAndSet(
+        String key, long expectedRevision, byte[] newValue, @Nullable Long lease)
+        throws StoreException {
+      if (expectedRevision != revision) {
+        return new WriteResult.Conflict(read(key).orElse(null));
+      }
+      revision++;
+      value = newValue.clone();
+      if (loseNextAnswer) {
+        loseNextAnswer = false;
+        throw new StoreException.OutcomeUnknown("lost", new java.io.IOException("reset"));
+      }
+      return new WriteResult.Written(revision);
+    }
+
+    @Override
+    public List<StoredValue> list(String prefix) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public WriteResult compareAndDelete(String key, long expectedRevision) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public long grantLease(Duration timeToLive) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public boolean keepAlive(long lease) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void revokeLease(long lease) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public WatchBatch watch(String prefix, long afterRevision, Duration wait) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void close() {}
+  }
+}
--- /dev/null
+++ b/sageladder-core/src/test/java/org/sageladder/core/permit/PermitModel.java
@@ -0,0 +1,178 @@
+package org.sageladder.core.permit;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * One permit, its home, two possible successors, a target and what callers were told: run step by
+ * step by the explorer and the properties, which check it after each step.
+ */
+final class PermitModel {
+  static final PermitHome.Limits LIMITS =
+      new PermitHome.Limits(
+          Duration.ofMillis(20), Duration.ofMillis(5), Duration.ofMillis(10), 1 << 10);
+  private static final String DIGEST = "POST /donations 1";
+  private static final RecordedAnswer ANSWER = RecordedAnswer.whole(201, List.of(), new byte[] {7});
+  private static final long START = 1_000;
+  private static final long LATEST = START + 56;
+
+  /** What may happen next. */
+  enum Step {
+    COPY_AT_HOME,
+    COPY_AT_SUCCESSORS,
+    TARGET_RUNS,
+    TARGET_REFUSES,
+    ANSWER_COMES,
+    ANSWER_IS_LOST,
+    ORPHAN_RUNS,
+    CLOSE_TO_B,
+    CLOSE_TO_C,
+    HAND_OVER_ARRIVES,
+    HOME_RESTARTS,
+    TIME_PASSES,
+    CLOCK_JUMPS_BACK
+  }
+
+  private record Attempt(Execution execution, PermitHome vm) {}
+
+  private record Message(PermitHome to, String name, HandOver state) {}
+
+  private final PermitHome b = PermitHome.of("b", 1, LIMITS);
+  private final PermitHome c = PermitHome.of("c", 1, LIMITS);
+  private PermitHome home = PermitHome.of("a", 1, LIMITS);
+  private final Permit permit = home.mint("kannelkoda", "donations", START).orElseThrow();
+  private final List<Attempt> dispatched = new ArrayList<>();
+  private final List<Attempt> ran = new ArrayList<>();
+  private final List<Message> messages = new ArrayList<>();
+  private long now = START;
+  private int orphans;
+  private int executions;
+  private boolean toldNotRun;
+  private boolean toldRan;
+
+  /** False where the step cannot happen now. */
+  boolean apply(Step step) {
+    return switch (step) {
+      case COPY_AT_HOME -> copyAt(home);
+      case COPY_AT_SUCCESSORS -> copyAt(b) && copyAt(c);
+      case TARGET_RUNS -> targetRuns();
+      case TARGET_REFUSES -> targetRefuses();
+      case ANSWER_COMES -> answerComes();
+      case ANSWER_IS_LOST -> !ran.isEmpty() && ran.get(0).execution().unknown();
+      case ORPHAN_RUNS -> orphanRuns();
+      case CLOSE_TO_B -> close(b, "b");
+      case CLOSE_TO_C -> close(c, "c");
+      case HAND_OVER_ARRIVES -> handOverArrives();
+      case HOME_RESTARTS -> homeRestarts();
+      case TIME_PASSES -> moveClock(7);
+      case CLOCK_JUMPS_BACK -> moveClock(-21);
+    };
+  }
+
+  private boolean copyAt(PermitHome vm) {
+    Decision decision = vm.begin(permit, DIGEST, now);
+    if (decision instanceof Decision.Execute execute) {
+      dispatched.add(new Attempt(execute.execution(), vm));
+    } else if (decision instanceof Decision.NotRun) {
+      toldNotRun = true;
+    } else if (decision instanceof Decision.Replay) {
+      toldRan = true;
+    }
+    return true;
+  }
+
+  private boolean targetRuns() {
+    if (dispatched.isEmpty()) {
+      return false;
+    }
+    executions++;
+    return ran.add(dispatched.remove(0));
+  }
+
+  private boolean targetRefuses() {
+    if (dispatched.isEmpty()) {
+      return false;
+    }
+    toldNotRun |= dispatched.remove(0).execution().notRun();
+    return true;
+  }
+
+  private boolean answerComes() {
+    if (ran.isEmpty()) {
+      return false;
+    }
+    toldRan |= ran.remove(0).execution().finish(ANSWER);
+    return true;
+  }
+
+  private boolean orphanRuns() {
+    if (orphans == 0) {
+      return false;
+    }
+    orphans--;
+    executions++;
+    return true;
+  }
+
+  private boolean close(PermitHome to, String name) {
+    Optional<HandOver> state = home.close(name, now);
+    if (messages.size() < 2) {
+      state.ifPresent(each -> messages.add(0, new Message(to, name, each)));
+    }
+    return true;
+  }
+
+  /** A message stays where it is: it may be sent again. */
+  private boolean handOverArrives() {
+    for (Message message : messages) {
+      message.to().adopt(message.state());
+    }
+    return !messages.isEmpty();
+  }
+
+  /** What the dead process had sent may still run; nobody hears of it. */
+  private boolean homeRestarts() {
+    PermitHome dead = home;
+    orphans += (int) dispatched.stream().filter(each -> each.vm() == dead).count();
+    dispatched.removeIf(each -> each.vm() == dead);
+    ran.removeIf(each -> each.vm() == dead);
+    home = PermitHome.of("a", 2, LIMITS);
+    return true;
+  }
+
+  private boolean moveClock(long millis) {
+    now += millis;
+    return now >= START && now <= LATEST;
+  }
+
+  /** The promise that does not hold, or empty. */
+  Optional<String> broken() {
+    if (executions > 1) {
+      return Optional.of("the request ran " + executions + " times");
+    }
+    if (toldNotRun && executions > 0) {
+      return Optional.of("told not run, and it ran");
+    }
+    if (toldNotRun && (!dispatched.isEmpty() || orphans > 0)) {
+      return Optional.of("told not run, and a copy may still run");
+    }
+    if (toldRan && executions == 0) {
+      return Optional.of("told ran, and it did not run");
+    }
+    return Optional.empty();
+  }
+
+  /** All that the future depends on; two models with the same text need no second visit. */
+  @Override
+  public String toString() {
+    StringBuilder text = new StringBuilder();
+    text.append(home).append(b).append(c).append(now).append(' ').append(orphans);
+    text.append(executions).append(toldNotRun).append(toldRan);
+    dispatched.forEach(each -> text.append(" sent by ").append(each.vm()));
+    ran.forEach(each -> text.append(" ran for ").append(each.vm()));
+    messages.forEach(each -> text.append(each.name()).append(each.state().permits()));
+    return text.toString();
+  }
+}
