Entry: permits tied to the run, with recorded answers and "not run" said by the home alone

The first path refused a repeat with ANSWER_NOT_KEPT, took a permit of an unknown key for invalid ("not run", though its home may be running it), believed any caller's Sageladder-Forwarded-By, and used the settings' incarnation number, which is 0 unless fixed there: after a restart used permits were unused again.

Now the permit's incarnation is random, a copy passed on for running carries the home's sealed word, answers up to 64 KiB are recorded and replayed, and a run whose caller went or whose deadline passed is listened to so that "unknown" can become "ran". An answer "not run" brings a fresh permit. Look-ups bring a permit only where the VM asked is the one to use: elsewhere it would cost two hops. A body given up can no longer be written on, where it could look like a short one.

--- a/sageladder-entry/src/main/java/org/sageladder/entry/exchange/BodyPipe.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/exchange/BodyPipe.java
@@ -28,6 +28,7 @@
   private boolean ended;
   private @Nullable Exception failure;
   private long carried;
+  private @Nullable AnswerRecorder recorder;
 
   private BodyPipe() {}
 
@@ -46,6 +47,20 @@
     return pipe;
   }
 
+  /** Copies all that is accepted from now on to {@code to} as well. */
+  public void record(AnswerRecorder to) {
+    synchronized (lock) {
+      recorder = to;
+    }
+  }
+
+  /** True once all bytes of the body were accepted. */
+  public boolean isWhole() {
+    synchronized (lock) {
+      return ended && failure == null;
+    }
+  }
+
   /** Names the channel by which the receiving connection is told to read on. */
   void source(CapacityChannel channel) throws IOException {
     int credit;
@@ -65,6 +80,9 @@
     DataStreamChannel wake = null;
     CapacityChannel credit = null;
     synchronized (lock) {
+      if (recorder != null) {
+        recorder.add(bytes);
+      }
       if (discarding) {
         bytes.position(bytes.limit());
         credit = source;
@@ -102,7 +120,8 @@
   public void fail(Exception cause) {
     DataStreamChannel wake;
     synchronized (lock) {
-      if (ended && buffers.isEmpty()) {
+      if (ended) {
+        // All bytes are here: the receiving connection may go without making the body any shorter.
         return;
       }
       if (failure == null) {
@@ -115,7 +134,11 @@
     }
   }
 
-  /** Throws away what was read and what is still to come, so that an early answer can be sent. */
+  /**
+   * Throws away what was read and what is still to come, so that an early answer can be sent or the
+   * rest be read for the record alone. Whoever would still write the body is cut off: what is left
+   * of it could pass for a short body that is whole.
+   */
   public void discard() throws IOException {
     int credit = 0;
     CapacityChannel channel;
@@ -169,6 +192,9 @@
           if (failure != null) {
             throw new IOException("body cut after " + carried + " bytes", failure);
           }
+          if (discarding) {
+            throw new IOException("body given up after " + carried + " bytes");
+          }
           head = buffers.peek();
           last = ended && head == null;
         }
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/Headers.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/Headers.java
@@ -19,6 +19,9 @@
   /** The entry VM that passed the request on; such a request is not passed on again. */
   public static final String FORWARDED_BY = "Sageladder-Forwarded-By";
 
+  /** Between entry VMs: the sealed word of a permit's home that this copy may be run. */
+  public static final String DISPATCH = "Sageladder-Dispatch";
+
   /** Number and name of the result. */
   public static final String RESULT = "Sageladder-Result";
 
@@ -40,7 +43,8 @@
   /** Remaining milliseconds as targets know them. */
   public static final String TARGET_DEADLINE = "Deadline-Millis";
 
-  static final List<String> CHECKED = List.of(PERMIT, IDEMPOTENCY_KEY, REQUEST_ID, FORWARDED_BY);
+  static final List<String> CHECKED =
+      List.of(PERMIT, IDEMPOTENCY_KEY, REQUEST_ID, FORWARDED_BY, DISPATCH);
 
   private Headers() {}
 }
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/PermitSuccessors.java
@@ -0,0 +1,32 @@
+package org.sageladder.entry.request;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Which entry VM answers for the permits of one that has stopped.
+ *
+ * <p>Entries are dropped after their expiry, when no permit of the stopped incarnation lives.
+ */
+public final class PermitSuccessors {
+  private final Map<Stopped, Successor> successors = new ConcurrentHashMap<>();
+
+  private record Stopped(String vm, long incarnation) {}
+
+  private record Successor(String vm, long expiryMillis) {}
+
+  /** Notes that {@code successor} answers for the permits of {@code incarnation} of {@code vm}. */
+  public void note(
+      String vm, long incarnation, String successor, long expiryMillis, long nowMillis) {
+    successors.values().removeIf(each -> each.expiryMillis() <= nowMillis);
+    if (expiryMillis > nowMillis) {
+      successors.put(new Stopped(vm, incarnation), new Successor(successor, expiryMillis));
+    }
+  }
+
+  /** The successor of that incarnation, where one is known. */
+  public Optional<String> of(String vm, long incarnation) {
+    return Optional.ofNullable(successors.get(new Stopped(vm, incarnation))).map(Successor::vm);
+  }
+}
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/Permits.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/Permits.java
@@ -1,13 +1,16 @@
 package org.sageladder.entry.request;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import java.io.IOException;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.HttpResponse;
 import org.sageladder.core.contract.Contract;
 import org.sageladder.core.event.EventKind;
 import org.sageladder.core.membership.Member;
 import org.sageladder.core.permit.Decision;
+import org.sageladder.core.permit.Execution;
 import org.sageladder.core.permit.OpenedPermit;
 import org.sageladder.core.permit.Permit;
 import org.sageladder.core.permit.PermitCodec;
@@ -19,34 +22,53 @@
 import org.sageladder.entry.control.ControlPlane;
 import org.sageladder.entry.exchange.CallerExchange;
 
-/** Lets a request that must not repeat run only where its permit says, and only once. */
+/**
+ * Lets a request that must not repeat run only where its permit says, and only once.
+ *
+ * <p>Of a request with a permit only the permit's home says "not run": another copy may have
+ * reached the home by another way. Everywhere else what goes wrong is told as "unknown", which asks
+ * the caller to send the same permit again.
+ */
 public final class Permits {
+  private static final String DISPATCH_PREFIX = "dispatch/";
+
   private final FlowParts parts;
   private final ControlPlane control;
   private final PermitCodec codec;
   private final PermitHome home;
+  private final PermitSuccessors successors;
 
-  Permits(FlowParts parts, ControlPlane control, PermitCodec codec, PermitHome home) {
+  Permits(
+      FlowParts parts,
+      ControlPlane control,
+      PermitCodec codec,
+      PermitHome home,
+      PermitSuccessors successors) {
     this.parts = parts;
     this.control = control;
     this.codec = codec;
     this.home = home;
+    this.successors = successors;
   }
 
-  /** A fresh sealed permit, bound to the idempotency key where one is given. */
-  String mint(Contract.Service service, String idempotencyKey) {
-    Permit permit =
-        home.mint(parts.customer(), service.name(), idempotencyKey, parts.time().wallMillis());
+  /** A fresh sealed permit, bound to the idempotency key if one is given; empty when stopping. */
+  String mint(String service, String idempotencyKey) {
+    Optional<Permit> minted =
+        home.mint(parts.customer(), service, keyDigest(idempotencyKey), parts.time().wallMillis());
+    if (minted.isEmpty()) {
+      return "";
+    }
+    long sequence = minted.get().sequence();
     parts
         .events()
-        .record(
-            EventKind.PERMIT_MINTED,
-            "",
-            parts.customer(),
-            service.name(),
-            permit.sequence(),
-            idempotencyKey);
-    return codec.seal(permit);
+        .record(EventKind.PERMIT_MINTED, "", parts.customer(), service, sequence, idempotencyKey);
+    return codec.seal(minted.get());
+  }
+
+  private static String keyDigest(String idempotencyKey) {
+    return idempotencyKey.isEmpty()
+        ? ""
+        : Long.toHexString(Hashing.komihash5_0().hashCharsToLong(idempotencyKey));
   }
 
   /** Runs {@code carry} if this copy of the request may run; answers it otherwise. */
@@ -56,128 +78,271 @@
       Contract.Service service,
       Consumer<RequestFlow> carry)
       throws IOException {
-    if (head.permit().isEmpty()) {
-      Result.NotRun result =
-          Result.notRun(
-              ResultCode.PERMIT_REQUIRED,
-              service.name() + " must not repeat; send the request again with the permit given");
-      HttpResponse answer = Answers.head(result);
-      answer.setHeader(Headers.PERMIT, mint(service, head.idempotencyKey()));
-      exchange.requestBody().discard();
-      parts.counters().result(service.name(), result.code());
-      Answers.send(exchange, answer, result);
+    Copy copy = new Copy(exchange, head, service, carry);
+    if (!head.dispatch().isEmpty()) {
+      dispatched(copy);
+    } else if (head.permit().isEmpty()) {
+      askForPermit(copy);
+    } else {
+      opened(copy, codec.open(head.permit()));
+    }
+  }
+
+  /** One copy of a request, and what to do if it may run. */
+  private record Copy(
+      CallerExchange exchange,
+      RequestHead head,
+      Contract.Service service,
+      Consumer<RequestFlow> carry) {}
+
+  /** The home let this copy run and holds no target itself; its word is sealed. */
+  private void dispatched(Copy copy) throws IOException {
+    OpenedPermit opened = codec.open(copy.head().dispatch());
+    if (opened instanceof OpenedPermit.Valid valid
+        && valid.permit().boundTo().equals(DISPATCH_PREFIX + copy.head().id())
+        && isFor(valid.permit(), copy)) {
+      copy.carry().accept(RequestFlow.begin(parts, copy.exchange(), copy.head(), copy.service()));
+      return;
+    }
+    refuse(
+        copy,
+        Result.notRun(ResultCode.PERMIT_INVALID, "the word of the permit's home cannot be read"));
+  }
+
+  private void askForPermit(Copy copy) throws IOException {
+    Result.NotRun result =
+        Result.notRun(
+            ResultCode.PERMIT_REQUIRED,
+            copy.service().name()
+                + " must not repeat; send the request again with the permit given");
+    refuse(copy, result, mint(copy.service().name(), copy.head().idempotencyKey()));
+  }
+
+  private void opened(Copy copy, OpenedPermit opened) throws IOException {
+    if (opened instanceof OpenedPermit.Invalid invalid) {
+      refuse(copy, Result.notRun(ResultCode.PERMIT_INVALID, invalid.reason()));
       return;
     }
-    OpenedPermit opened = codec.open(head.permit());
-    if (!(opened instanceof OpenedPermit.Valid valid)) {
-      String why =
-          opened instanceof OpenedPermit.Invalid invalid ? invalid.reason() : "unknown key";
-      refuse(exchange, service, Result.notRun(ResultCode.PERMIT_INVALID, why));
+    if (opened instanceof OpenedPermit.UnknownKey unknown) {
+      Permit claimed = unknown.claimed();
+      toHome(copy, claimed.home(), claimed.incarnation());
       return;
     }
-    Permit permit = valid.permit();
-    if (!permit.service().equals(service.name()) || !permit.customer().equals(head.customer())) {
+    Permit permit = ((OpenedPermit.Valid) opened).permit();
+    if (!isFor(permit, copy)) {
       refuse(
-          exchange,
-          service,
+          copy,
           Result.notRun(
               ResultCode.PERMIT_INVALID, "the permit is for service '" + permit.service() + "'"));
       return;
     }
-    String digest = exchange.request().getMethod() + ' ' + head.path();
-    Decision decision = home.begin(permit, digest, parts.time().wallMillis());
-    decide(decision, permit, exchange, head, service, carry);
+    String bound = permit.boundTo();
+    if (!bound.isEmpty() && !bound.equals(keyDigest(copy.head().idempotencyKey()))) {
+      refuse(
+          copy,
+          Result.notRun(
+              ResultCode.PERMIT_INVALID,
+              "the permit is for another idempotency key than '"
+                  + copy.head().idempotencyKey()
+                  + "'"));
+      return;
+    }
+    decide(copy, permit, home.begin(permit, digest(copy), parts.time().wallMillis()));
   }
 
-  private void decide(
-      Decision decision,
-      Permit permit,
-      CallerExchange exchange,
-      RequestHead head,
-      Contract.Service service,
-      Consumer<RequestFlow> carry)
-      throws IOException {
+  private static boolean isFor(Permit permit, Copy copy) {
+    return permit.service().equals(copy.service().name())
+        && permit.customer().equals(copy.head().customer());
+  }
+
+  /** What every copy of one request has in common and two requests seldom have. */
+  private static String digest(Copy copy) {
+    EntityDetails entity = copy.exchange().entity();
+    return copy.exchange().request().getMethod()
+        + ' '
+        + copy.head().path()
+        + ' '
+        + (entity == null ? 0 : entity.getContentLength())
+        + ' '
+        + copy.head().idempotencyKey();
+  }
+
+  private void decide(Copy copy, Permit permit, Decision decision) throws IOException {
     if (decision instanceof Decision.Execute execute) {
-      RequestFlow flow = RequestFlow.begin(parts, exchange, head, service);
-      flow.whenKnown(
-          outcome -> {
-            switch (outcome) {
-              case RAN -> execute.execution().finish(RecordedAnswer.notKept());
-              case NOT_RUN -> execute.execution().notRun();
-              default -> execute.execution().unknown();
-            }
-          });
-      carry.accept(flow);
-    } else if (decision instanceof Decision.Foreign foreign) {
-      toHome(foreign, exchange, head, service, carry);
+      record(EventKind.PERMIT_USED, copy, permit, "");
+      copy.carry()
+          .accept(
+              RequestFlow.beginPermitted(
+                  parts,
+                  copy.exchange(),
+                  copy.head(),
+                  copy.service(),
+                  new Run(execute.execution(), copy.head().id(), copy.head().idempotencyKey())));
+      return;
+    }
+    if (decision instanceof Decision.Foreign foreign) {
+      toHome(copy, foreign.home(), foreign.incarnation());
+      return;
+    }
+    if (decision instanceof Decision.Moved moved) {
+      toSuccessor(copy, moved.successor());
+      return;
+    }
+    record(EventKind.PERMIT_REPEATED, copy, permit, decision.getClass().getSimpleName());
+    repeat(copy, permit, decision);
+  }
+
+  private void repeat(Copy copy, Permit permit, Decision decision) throws IOException {
+    if (decision instanceof Decision.Replay replay && replay.answer().bodyKept()) {
+      discardBody(copy);
+      parts.counters().result(copy.service().name(), ResultCode.OK);
+      Recording.send(copy.exchange(), replay.answer());
     } else if (decision instanceof Decision.Replay) {
-      refuse(exchange, service, new Result.Ran(ResultCode.ANSWER_NOT_KEPT));
+      refuse(copy, new Result.Ran(ResultCode.ANSWER_NOT_KEPT));
     } else if (decision instanceof Decision.Running) {
-      refuse(exchange, service, unknown(ResultCode.PERMIT_RUNNING, "an earlier copy is running"));
+      refuse(copy, unknown(ResultCode.PERMIT_RUNNING, "an earlier copy is running; ask again"));
     } else if (decision instanceof Decision.NotRun) {
       refuse(
-          exchange,
-          service,
-          Result.notRun(ResultCode.PERMIT_REQUIRED, "this permit ended unused; ask for another"));
+          copy,
+          Result.notRun(
+              ResultCode.PERMIT_REQUIRED, "this permit ended without a run; use the one given"),
+          mint(copy.service().name(), copy.head().idempotencyKey()));
     } else if (decision instanceof Decision.Mismatch mismatch) {
-      refuse(exchange, service, Result.notRun(ResultCode.PERMIT_INVALID, mismatch.reason()));
+      refuse(copy, Result.notRun(ResultCode.PERMIT_INVALID, mismatch.reason()));
     } else if (decision instanceof Decision.Expired) {
       refuse(
-          exchange,
-          service,
+          copy,
           unknown(ResultCode.PERMIT_EXPIRED, "the permit expired at " + permit.expiryMillis()));
     } else {
-      refuse(
-          exchange, service, unknown(ResultCode.OUTCOME_UNKNOWN, "an earlier copy may have run"));
+      refuse(copy, unknown(ResultCode.OUTCOME_UNKNOWN, "an earlier copy may have run"));
     }
   }
 
-  private void toHome(
-      Decision.Foreign foreign,
-      CallerExchange exchange,
-      RequestHead head,
-      Contract.Service service,
-      Consumer<RequestFlow> carry)
-      throws IOException {
-    if (head.forwardedBy().equals(foreign.home())) {
-      // The home has let this copy run and holds no target itself.
-      carry.accept(RequestFlow.begin(parts, exchange, head, service));
+  private void toHome(Copy copy, String vm, long incarnation) throws IOException {
+    Optional<String> successor = successors.of(vm, incarnation);
+    if (!copy.head().forwardedBy().isEmpty()) {
+      homeLost(copy, vm);
       return;
     }
-    Optional<Member> member = control.state().member(foreign.home());
-    if (!head.forwardedBy().isEmpty()
-        || member.isEmpty()
-        || member.get().incarnation() != foreign.incarnation()) {
-      refuse(
-          exchange,
-          service,
-          unknown(
-              ResultCode.HOME_LOST,
-              "entry VM " + foreign.home() + ", which gave the permit, is not known any more"));
+    forward(copy, successor.orElse(vm), vm);
+  }
+
+  /** A home that has stopped passes on also what was passed to it: its successor ends the chain. */
+  private void toSuccessor(Copy copy, String successor) throws IOException {
+    forward(copy, successor, parts.vm());
+  }
+
+  private void forward(Copy copy, String to, String vm) throws IOException {
+    Optional<Member> member = control.state().member(to);
+    if (member.isEmpty() || to.equals(parts.vm())) {
+      homeLost(copy, vm);
       return;
     }
-    RequestFlow.begin(parts, exchange, head, service).forwardTo(member.get());
+    RequestFlow.begin(parts, copy.exchange(), copy.head(), copy.service())
+        .forwardToHome(member.get());
+  }
+
+  private void homeLost(Copy copy, String vm) throws IOException {
+    refuse(
+        copy,
+        unknown(
+            ResultCode.HOME_LOST,
+            "entry VM " + vm + ", which gave the permit, does not answer for it any more"));
   }
 
   private static Result unknown(ResultCode code, String detail) {
     return new Result.Unknown(code, detail);
   }
 
-  private void refuse(CallerExchange exchange, Contract.Service service, Result result)
-      throws IOException {
-    if (result.code().outcome() != Outcome.NOT_RUN) {
-      parts
-          .events()
-          .record(
-              EventKind.PERMIT_REPEATED,
-              "",
-              parts.customer(),
-              service.name(),
-              0,
-              result.code().name());
-    }
-    parts.counters().result(service.name(), result.code());
-    exchange.requestBody().discard();
-    Answers.send(exchange, result);
+  private void refuse(Copy copy, Result result) throws IOException {
+    refuse(copy, result, "");
+  }
+
+  private void refuse(Copy copy, Result result, String freshPermit) throws IOException {
+    parts.counters().result(copy.service().name(), result.code());
+    discardBody(copy);
+    HttpResponse answer = Answers.head(result);
+    if (!freshPermit.isEmpty() && result.code().outcome() == Outcome.NOT_RUN) {
+      answer.setHeader(Headers.PERMIT, freshPermit);
+    }
+    Answers.send(copy.exchange(), answer, result);
+  }
+
+  private static void discardBody(Copy copy) throws IOException {
+    copy.exchange().requestBody().discard();
+  }
+
+  private void record(EventKind kind, Copy copy, Permit permit, String detail) {
+    parts
+        .events()
+        .record(
+            kind,
+            copy.head().id(),
+            parts.customer(),
+            copy.service().name(),
+            permit.sequence(),
+            detail);
+  }
+
+  /** The run of one permit homed here. */
+  private final class Run implements PermitRun {
+    private final Execution execution;
+    private final String requestId;
+    private final String idempotencyKey;
+
+    Run(Execution execution, String requestId, String idempotencyKey) {
+      this.execution = execution;
+      this.requestId = requestId;
+      this.idempotencyKey = idempotencyKey;
+    }
+
+    @Override
+    public void ran(RecordedAnswer answer) {
+      ended(execution.finish(answer), "ran");
+    }
+
+    @Override
+    public void notRun() {
+      ended(execution.notRun(), "not run");
+    }
+
+    @Override
+    public void unknown() {
+      ended(execution.unknown(), "unknown");
+    }
+
+    private void ended(boolean first, String how) {
+      if (first) {
+        Permit permit = execution.permit();
+        parts
+            .events()
+            .record(
+                EventKind.PERMIT_USED,
+                requestId,
+                parts.customer(),
+                permit.service(),
+                permit.sequence(),
+                how);
+      }
+    }
+
+    @Override
+    public String freshPermit() {
+      return mint(execution.permit().service(), idempotencyKey);
+    }
+
+    @Override
+    public String dispatch() {
+      Permit permit = execution.permit();
+      return codec.seal(
+          new Permit(
+              permit.home(),
+              permit.incarnation(),
+              permit.sequence(),
+              permit.expiryMillis(),
+              permit.customer(),
+              permit.service(),
+              DISPATCH_PREFIX + requestId));
+    }
   }
 }
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/Recording.java
@@ -0,0 +1,59 @@
+package org.sageladder.entry.request;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.message.BasicHttpResponse;
+import org.jspecify.annotations.Nullable;
+import org.sageladder.core.permit.RecordedAnswer;
+import org.sageladder.entry.exchange.BodyPipe;
+import org.sageladder.entry.exchange.CallerExchange;
+import org.sageladder.entry.exchange.CarriedEntity;
+
+/** Turns answers into what a permit's home keeps, and back. */
+final class Recording {
+  private Recording() {}
+
+  /** What to keep of an answer; without {@code body} only that there was one. */
+  static RecordedAnswer of(
+      HttpResponse passed, @Nullable EntityDetails details, Optional<byte[]> body) {
+    if (body.isEmpty()) {
+      return RecordedAnswer.notKept();
+    }
+    List<RecordedAnswer.Header> headers = new ArrayList<>();
+    for (Header header : passed.getHeaders()) {
+      headers.add(new RecordedAnswer.Header(header.getName(), header.getValue()));
+    }
+    if (details != null && details.getContentType() != null) {
+      headers.add(new RecordedAnswer.Header(HttpHeaders.CONTENT_TYPE, details.getContentType()));
+    }
+    if (details != null && details.getContentEncoding() != null) {
+      headers.add(
+          new RecordedAnswer.Header(HttpHeaders.CONTENT_ENCODING, details.getContentEncoding()));
+    }
+    return RecordedAnswer.whole(passed.getCode(), headers, body.get());
+  }
+
+  /** Answers a repeat with what was kept. */
+  static void send(CallerExchange exchange, RecordedAnswer kept) {
+    BasicHttpResponse response = new BasicHttpResponse(kept.status());
+    String type = null;
+    String encoding = null;
+    for (RecordedAnswer.Header header : kept.headers()) {
+      switch (header.name()) {
+        case HttpHeaders.CONTENT_TYPE -> type = header.value();
+        case HttpHeaders.CONTENT_ENCODING -> encoding = header.value();
+        default -> response.addHeader(header.name(), header.value());
+      }
+    }
+    boolean empty = kept.body().length == 0;
+    exchange.answer(
+        response,
+        empty ? null : new CarriedEntity(kept.body().length, type, encoding),
+        BodyPipe.of(kept.body()));
+  }
+}
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestFlow.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestFlow.java
@@ -4,7 +4,6 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.Consumer;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpResponse;
@@ -18,9 +17,11 @@
 import org.sageladder.core.limits.Gate;
 import org.sageladder.core.membership.Holding;
 import org.sageladder.core.membership.Member;
+import org.sageladder.core.permit.RecordedAnswer;
 import org.sageladder.core.result.Outcome;
 import org.sageladder.core.result.Result;
 import org.sageladder.core.result.ResultCode;
+import org.sageladder.entry.exchange.AnswerRecorder;
 import org.sageladder.entry.exchange.BodyPipe;
 import org.sageladder.entry.exchange.CallerExchange;
 import org.sageladder.entry.exchange.CarriedEntity;
@@ -34,6 +35,10 @@
  */
 final class RequestFlow {
   private static final int MOST_TRIES = 3;
+  private static final int LARGEST_RECORDED = 1 << 16;
+
+  /** How long a run is still listened to after its caller was told "unknown". */
+  private static final Duration LATE_ANSWERS = Duration.ofSeconds(5);
 
   /** Ends a flow before it has its answer. */
   private enum Ending {
@@ -45,20 +50,26 @@
   private final CallerExchange exchange;
   private final RequestHead head;
   private final Contract.Service service;
+  private final @Nullable PermitRun run;
   private final long deadlineNanos;
   private final AtomicBoolean over = new AtomicBoolean();
   private final Object lock = new Object();
   private Runnable cancelStep = () -> {};
   private boolean ended;
   private int tries;
-  private final AtomicBoolean told = new AtomicBoolean();
-  private volatile Consumer<Outcome> outcomeListener = outcome -> {};
   private volatile boolean dispatched;
+  private volatile boolean callerGone;
+  private volatile @Nullable BodyPipe answerBody;
   private @Nullable ScheduledFuture<?> timer;
 
   private RequestFlow(
-      FlowParts parts, CallerExchange exchange, RequestHead head, Contract.Service service) {
+      FlowParts parts,
+      CallerExchange exchange,
+      RequestHead head,
+      Contract.Service service,
+      @Nullable PermitRun run) {
     this.parts = parts;
+    this.run = run;
     this.exchange = exchange;
     this.head = head;
     this.service = service;
@@ -68,18 +79,29 @@
   /** Starts a flow with its deadline running. */
   static RequestFlow begin(
       FlowParts parts, CallerExchange exchange, RequestHead head, Contract.Service service) {
-    RequestFlow flow = new RequestFlow(parts, exchange, head, service);
-    flow.timer =
-        parts
-            .timers()
-            .schedule(
-                () -> flow.giveUp(Ending.DEADLINE),
-                head.deadline().toNanos(),
-                TimeUnit.NANOSECONDS);
-    exchange.onGone(() -> flow.giveUp(Ending.CALLER_GONE));
+    return begin(new RequestFlow(parts, exchange, head, service, null));
+  }
+
+  /** Starts the flow of the one copy that a permit lets run. */
+  static RequestFlow beginPermitted(
+      FlowParts parts,
+      CallerExchange exchange,
+      RequestHead head,
+      Contract.Service service,
+      PermitRun run) {
+    return begin(new RequestFlow(parts, exchange, head, service, run));
+  }
+
+  private static RequestFlow begin(RequestFlow flow) {
+    flow.timer = flow.later(() -> flow.giveUp(Ending.DEADLINE), flow.head.deadline());
+    flow.exchange.onGone(() -> flow.giveUp(Ending.CALLER_GONE));
     return flow;
   }
 
+  private ScheduledFuture<?> later(Runnable action, Duration delay) {
+    return parts.timers().schedule(action, delay.toNanos(), TimeUnit.NANOSECONDS);
+  }
+
   /** Asks {@code gate} for a slot and sends the request to its target. */
   void through(Gate gate) {
     admit(gate, "");
@@ -88,13 +110,27 @@
   /** Passes the request on to the entry VM that holds a gate. */
   void forwardTo(Member member) {
     record(EventKind.FORWARDED, member.vm(), "no target of " + service.name() + " is held here");
+    passTo(member, new PeerLeg(member, false));
+  }
+
+  /** Passes the request on to the entry VM that decides on its permit. */
+  void forwardToHome(Member member) {
+    record(EventKind.FORWARDED, member.vm(), "it is the home of the permit");
+    passTo(member, new PeerLeg(member, true));
+  }
+
+  private void passTo(Member member, PeerLeg leg) {
     BasicHttpRequest request =
         new BasicHttpRequest(exchange.request().getMethod(), exchange.request().getPath());
     PassedHeaders.copy(exchange.request(), request, true);
     request.setHeader(Headers.REQUEST_ID, head.id());
     request.setHeader(Headers.DEADLINE, remainingMillis());
     request.setHeader(Headers.FORWARDED_BY, parts.vm());
-    send(new HttpHost(member.host(), member.port()), request, new PeerLeg(member));
+    request.removeHeaders(Headers.DISPATCH);
+    if (run != null) {
+      request.setHeader(Headers.DISPATCH, run.dispatch());
+    }
+    send(new HttpHost(member.host(), member.port()), request, leg);
   }
 
   private void admit(Gate gate, String avoid) {
@@ -165,6 +201,16 @@
   }
 
   private void giveUp(Ending ending) {
+    if (run != null && exchange.requestBody().isWhole()) {
+      if (ending == Ending.CALLER_GONE) {
+        goOnAlone();
+        return;
+      }
+      if (dispatched) {
+        listenOn();
+        return;
+      }
+    }
     boolean first = over.compareAndSet(false, true);
     Runnable cancel;
     synchronized (lock) {
@@ -177,11 +223,9 @@
     cancel.run();
     stopTimer();
     if (!first || ending == Ending.CALLER_GONE) {
-      tell(first && !dispatched ? Outcome.NOT_RUN : Outcome.UNKNOWN);
+      endRun(first && !dispatched);
       record(EventKind.CANCELLED, "", ending.name());
-      return;
-    }
-    if (dispatched) {
+    } else if (dispatched) {
       answer(new Result.Unknown(ResultCode.TARGET_TIMEOUT, "no answer by the deadline"));
     } else {
       answer(
@@ -189,14 +233,52 @@
     }
   }
 
-  /** Names who is told, once, what became of the request; set before the flow is carried on. */
-  void whenKnown(Consumer<Outcome> listener) {
-    outcomeListener = listener;
+  /**
+   * The caller of a donation or bid is gone and will ask again with the same permit. Cancelling
+   * would leave it with "unknown" for good; the run goes on, and its answer is recorded.
+   */
+  private void goOnAlone() {
+    callerGone = true;
+    BodyPipe begun = answerBody;
+    if (begun != null) {
+      discard(begun);
+    }
+  }
+
+  /** The deadline passed on a run that may still be answered: say so, and record what comes. */
+  private void listenOn() {
+    synchronized (lock) {
+      if (ended) {
+        return;
+      }
+      timer = later(this::stopListening, LATE_ANSWERS);
+    }
+    if (over.compareAndSet(false, true)) {
+      answer(new Result.Unknown(ResultCode.TARGET_TIMEOUT, "no answer by the deadline"));
+    }
+  }
+
+  private void stopListening() {
+    Runnable cancel;
+    synchronized (lock) {
+      if (ended) {
+        return;
+      }
+      ended = true;
+      cancel = cancelStep;
+    }
+    endRun(false);
+    cancel.run();
   }
 
-  private void tell(Outcome outcome) {
-    if (told.compareAndSet(false, true)) {
-      outcomeListener.accept(outcome);
+  private void endRun(boolean notRun) {
+    if (run == null) {
+      return;
+    }
+    if (notRun) {
+      run.notRun();
+    } else {
+      run.unknown();
     }
   }
 
@@ -220,14 +302,22 @@
         result instanceof Result.NotRun ? EventKind.REFUSED : EventKind.FAILED,
         "",
         result.code().name());
-    tell(result.code().outcome());
+    endRun(result instanceof Result.NotRun);
     parts.counters().result(service.name(), result.code());
-    try {
-      exchange.requestBody().discard();
-    } catch (java.io.IOException ignored) {
-      // The caller's connection is gone; sending the answer finds the same.
+    if (run == null || !dispatched) {
+      discard(exchange.requestBody());
+    }
+    HttpResponse answer = Answers.head(result);
+    addFreshPermit(answer, result.code().outcome());
+    Answers.send(exchange, answer, result);
+  }
+
+  /** A permit told "not run" is used up, so the answer brings the one for a new try. */
+  private void addFreshPermit(HttpResponse answer, Outcome outcome) {
+    String fresh = run != null && outcome == Outcome.NOT_RUN ? run.freshPermit() : "";
+    if (!fresh.isEmpty()) {
+      answer.setHeader(Headers.PERMIT, fresh);
     }
-    Answers.send(exchange, result);
   }
 
   private void finish() {
@@ -254,16 +344,21 @@
 
   /** Passes an answer on to the caller; its body follows as it comes. */
   private boolean passOn(
-      HttpResponse response, @Nullable EntityDetails details, BodyPipe body, boolean fromPeer) {
+      HttpResponse passed, @Nullable EntityDetails details, BodyPipe body, Outcome outcome) {
     if (!over.compareAndSet(false, true)) {
+      if (run != null) {
+        discard(body);
+      }
       return false;
     }
-    BasicHttpResponse passed = new BasicHttpResponse(response.getCode());
-    PassedHeaders.copy(response, passed, fromPeer);
-    if (!fromPeer) {
-      Answers.mark(passed, ResultCode.OK);
+    addFreshPermit(passed, outcome);
+    answerBody = body;
+    boolean begun = !callerGone && exchange.answer(passed, CarriedEntity.of(details), body);
+    if (begun && !callerGone) {
+      return true;
     }
-    if (exchange.answer(passed, CarriedEntity.of(details), body)) {
+    if (run != null) {
+      discard(body);
       return true;
     }
     giveUp(Ending.CALLER_GONE);
@@ -272,7 +367,10 @@
 
   /** One try: what is done with the news of one exchange. */
   private abstract class Leg implements OutboundClient.Listener {
+    private final AnswerRecorder recorder = AnswerRecorder.upTo(LARGEST_RECORDED);
     private volatile boolean retried;
+    private volatile @Nullable HttpResponse begun;
+    private volatile @Nullable EntityDetails begunDetails;
 
     void retry(Runnable again) {
       retried = true;
@@ -289,6 +387,25 @@
           && (!sent || exchange.entity() == null)
           && Duration.ofNanos(deadlineNanos - parts.time().nanos()).toMillis() > 0;
     }
+
+    /** Keeps a copy of an answer that proves a run, for repeats of its permit. */
+    void recordRun(HttpResponse passed, @Nullable EntityDetails details, BodyPipe body) {
+      if (run != null) {
+        begunDetails = details;
+        begun = passed;
+        body.record(recorder);
+      }
+    }
+
+    /** Ends the permit's run if an answer had begun: cut or whole, it proves that a target ran. */
+    boolean endProvenRun(boolean whole) {
+      HttpResponse head = begun;
+      if (run == null || head == null) {
+        return false;
+      }
+      run.ran(whole ? Recording.of(head, begunDetails, recorder.body()) : RecordedAnswer.notKept());
+      return true;
+    }
   }
 
   /** A try at a target whose slot is held. */
@@ -311,8 +428,12 @@
         discard(body);
         return;
       }
-      response.setHeader(Headers.TARGET, slot.target().target());
-      if (passOn(response, details, body, false)) {
+      BasicHttpResponse passed = new BasicHttpResponse(response.getCode());
+      PassedHeaders.copy(response, passed, false);
+      passed.setHeader(Headers.TARGET, slot.target().target());
+      Answers.mark(passed, ResultCode.OK);
+      recordRun(passed, details, body);
+      if (passOn(passed, details, body, Outcome.RAN)) {
         record(EventKind.ANSWERED, slot.target().target(), "status " + response.getCode());
         parts.counters().result(service.name(), ResultCode.OK);
       }
@@ -322,7 +443,7 @@
     public void done() {
       slot.release(Admission.Completion.ANSWERED);
       if (isCurrent()) {
-        tell(Outcome.RAN);
+        endProvenRun(true);
         finish();
       }
     }
@@ -330,7 +451,12 @@
     @Override
     public void lost(boolean sent, Exception cause) {
       slot.release(sent ? Admission.Completion.LOST : Admission.Completion.REFUSED);
-      if (!isCurrent() || over.get()) {
+      if (!isCurrent()) {
+        return;
+      }
+      if (over.get()) {
+        endProvenRun(false);
+        finish();
         return;
       }
       if (!sent) {
@@ -355,44 +481,57 @@
     }
   }
 
-  /** A try through the entry VM that holds a gate. */
+  /** A try through another entry VM: the holder of a gate, or the home of the permit. */
   private final class PeerLeg extends Leg {
     private final Member member;
-    private volatile Outcome outcome = Outcome.UNKNOWN;
+    private final boolean toHome;
 
-    PeerLeg(Member member) {
+    PeerLeg(Member member, boolean toHome) {
       this.member = member;
+      this.toHome = toHome;
     }
 
     @Override
     public void head(HttpResponse response, @Nullable EntityDetails details, BodyPipe body) {
       var said = response.getFirstHeader(Headers.OUTCOME);
-      if (said != null) {
-        outcome = Answers.outcome(said.getValue());
+      Outcome outcome = said == null ? Outcome.UNKNOWN : Answers.outcome(said.getValue());
+      BasicHttpResponse passed = new BasicHttpResponse(response.getCode());
+      PassedHeaders.copy(response, passed, true);
+      if (outcome == Outcome.RAN) {
+        recordRun(passed, details, body);
+      } else {
+        endRun(outcome == Outcome.NOT_RUN);
       }
-      passOn(response, details, body, true);
+      passOn(passed, details, body, outcome);
     }
 
     @Override
     public void done() {
-      tell(outcome);
+      endProvenRun(true);
       finish();
     }
 
     @Override
     public void lost(boolean sent, Exception cause) {
       if (over.get()) {
+        endProvenRun(false);
+        finish();
         return;
       }
-      if (!sent) {
+      if (toHome) {
+        // Another copy may have reached the home: "not run" could be said by the home alone.
+        unknown(
+            ResultCode.HOME_LOST,
+            "entry VM " + member.vm() + ", home of the permit, cannot be reached: " + cause);
+      } else if (sent) {
+        unknown(ResultCode.GATE_LOST, "entry VM " + member.vm() + " was lost: " + cause);
+      } else {
         refuse(
             new Result.NotRun(
                 ResultCode.GATE_MOVED,
                 Duration.ofMillis(500),
                 "cannot connect to entry VM " + member.vm()));
-        return;
       }
-      unknown(ResultCode.GATE_LOST, "entry VM " + member.vm() + " was lost: " + cause);
     }
   }
 
@@ -400,7 +539,7 @@
     try {
       body.discard();
     } catch (java.io.IOException ignored) {
-      // The refused exchange's connection is gone, and so is its body.
+      // The connection that the body came on is gone, and so is the rest of the body.
     }
   }
 }
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestHead.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestHead.java
@@ -16,6 +16,7 @@
  * @param permit the sealed permit, or empty
  * @param idempotencyKey the caller's own key, or empty
  * @param forwardedBy entry VM that passed the request on, or empty
+ * @param dispatch sealed word of the permit's home that this copy may be run, or empty
  */
 public record RequestHead(
     String id,
@@ -25,7 +26,8 @@
     Duration deadline,
     String permit,
     String idempotencyKey,
-    String forwardedBy) {
+    String forwardedBy,
+    String dispatch) {
 
   /** Path under which requests are taken. */
   public static final String PREFIX = "/v1/request/";
@@ -87,7 +89,8 @@
             Duration.ofMillis(deadlineMillis),
             value(request, Headers.PERMIT),
             value(request, Headers.IDEMPOTENCY_KEY),
-            value(request, Headers.FORWARDED_BY)));
+            value(request, Headers.FORWARDED_BY),
+            value(request, Headers.DISPATCH)));
   }
 
   private static int endOfSegment(String text) {
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestPath.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestPath.java
@@ -55,8 +55,8 @@
             parts,
             control,
             PermitCodec.of(() -> ring),
-            PermitHome.of(
-                settings.vm(), settings.incarnation().number(), PermitHome.Limits.standard()));
+            PermitHome.of(settings.vm(), permitIncarnation(), PermitHome.Limits.standard()),
+            new PermitSuccessors());
     LookUps lookUps = LookUps.create(time);
     return new RequestPath(
         new RequestRouter(
@@ -64,6 +64,14 @@
         lookUps);
   }
 
+  /**
+   * A number that no other start of this VM has had. Permits are numbered from 1 in each
+   * incarnation: with a number seen before, a permit used before the restart would be unused again.
+   */
+  private static long permitIncarnation() {
+    return new SecureRandom().nextLong();
+  }
+
   /** A key of this process alone; permits of other entry VMs are passed on to their homes. */
   private static KeyRing ownRing(long nowMillis) {
     byte[] secret = new byte[SECRET_BYTES];
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestRouter.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestRouter.java
@@ -107,8 +107,11 @@
           .put("address", member.host() + ":" + member.port());
     }
     Contract.Service service = service(query.service());
-    if (service != null && !service.repeatable()) {
-      json.put("permit", permits.mint(service, ""));
+    boolean goesHere = route.entries().get(0).vm().equals(parts.vm());
+    if (service != null && !service.repeatable() && goesHere) {
+      // A permit sends its request to the VM that minted it. Minted here for a request that is to
+      // go elsewhere it would cost two more hops, so there the first try fetches it.
+      json.put("permit", permits.mint(service.name(), ""));
     }
     HttpResponse head = new BasicHttpResponse(200);
     Answers.mark(head, ResultCode.OK);
