Entry: planned stop that hands permits over, and MAC keys from the store

SIGTERM used to close the port at once and lose the state of the permits homed there. A stop now lets older look-ups expire (answers ask for the connection to be closed), begins no more runs, hands the used set to the nearest entry VM that answers, tells the others, and ends once no exchange is open. A copy that reaches the stopped home meanwhile is passed on to the successor.

Keys come from keys/<customer>; a new one signs only once every VM has had time to read it, since messages between entry VMs are sealed with it too.

--- a/sageladder-core/src/main/java/org/sageladder/core/permit/PermitHome.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/permit/PermitHome.java
@@ -82,6 +82,11 @@
             vm, incarnation, minted.sequence(), minted.expiryMillis(), customer, service, boundTo));
   }
 
+  /** The incarnation in its own permits. */
+  public long incarnation() {
+    return incarnation;
+  }
+
   /** A fresh permit that is bound to no key, or empty once this home was handed over. */
   public Optional<Permit> mint(String customer, String service, long nowMillis) {
     return mint(customer, service, "", nowMillis);
@@ -108,6 +113,14 @@
         || adopted.containsKey(new Incarnation(home, homeIncarnation));
   }
 
+  /**
+   * Begins no further run of its own permits and mints no more; a copy that might have been run is
+   * told "running", which asks its caller to come back when the successor decides.
+   */
+  public void beginClosing() {
+    own.beginClosing();
+  }
+
   /**
    * Closes this home and returns its states for {@code successor}, or empty where another successor
    * was named before; from then on every copy is told to ask the successor.
@@ -155,6 +168,11 @@
     return vm + "/" + incarnation + " own: " + own + " adopted: " + new TreeMap<>(adopted);
   }
 
+  /** Executions of its own permits that have not ended. */
+  public int runningOwn() {
+    return own.running();
+  }
+
   private @Nullable PermitTable tableOf(Permit permit) {
     if (isOwn(permit.home(), permit.incarnation())) {
       return own;
--- a/sageladder-core/src/main/java/org/sageladder/core/permit/PermitKeys.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/permit/PermitKeys.java
@@ -32,6 +32,7 @@
 public final class PermitKeys {
   private static final int SECRET_BYTES = 32;
   private static final int TRIES = 3;
+  private static final int SETTLING_SHARE = 48;
 
   private final Store store;
   private final String key;
@@ -74,7 +75,7 @@
       Optional<StoredValue> stored = store.read(key);
       List<KeyRing.Key> keys = stored.map(value -> parse(value.value())).orElse(List.of());
       if (isFresh(keys, nowMillis)) {
-        ring = withLocal(keys);
+        ring = withLocal(inOrderOfUse(keys, nowMillis));
         return;
       }
       replace(stored.orElse(null), rotated(keys, nowMillis));
@@ -107,6 +108,24 @@
     return keys;
   }
 
+  /**
+   * The key that signs first. A new key signs only once every entry VM has had time to read it:
+   * what entry VMs send each other under a key not read yet would be refused.
+   */
+  private List<KeyRing.Key> inOrderOfUse(List<KeyRing.Key> keys, long nowMillis) {
+    long settled = nowMillis - settling().toMillis();
+    List<KeyRing.Key> ordered = new ArrayList<>(keys);
+    if (ordered.size() > 1 && ordered.get(0).createdMillis() > settled) {
+      ordered.add(1, ordered.remove(0));
+    }
+    return ordered;
+  }
+
+  /** Time for which a new key is only verified with; refresh at least twice as often. */
+  public Duration settling() {
+    return period.dividedBy(SETTLING_SHARE);
+  }
+
   private KeyRing withLocal(List<KeyRing.Key> keys) {
     List<KeyRing.Key> all = new ArrayList<>(keys);
     all.add(localKey);
--- a/sageladder-core/src/main/java/org/sageladder/core/permit/PermitTable.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/permit/PermitTable.java
@@ -27,6 +27,7 @@
   private long nextSequence = 1;
   private long latestMillis;
   private @Nullable String successor;
+  private boolean closing;
 
   PermitTable(PermitHome.Limits limits) {
     this.limits = limits;
@@ -46,7 +47,7 @@
   /** Sequence and expiry of a new permit, or null once the table was handed over. */
   @Nullable Minted mint(long nowMillis) {
     synchronized (lock) {
-      if (successor != null) {
+      if (successor != null || closing) {
         return null;
       }
       long now = advance(nowMillis);
@@ -99,6 +100,9 @@
       segment.refuse(index, digest);
       return new Decision.NotRun();
     }
+    if (closing) {
+      return new Decision.Running();
+    }
     segment.begin(index, digest);
     return new Decision.Execute(new Run(permit));
   }
@@ -108,6 +112,13 @@
     return answer == null ? RecordedAnswer.notKept() : answer;
   }
 
+  /** From now on mints none and begins none, so that what runs can end before the closing. */
+  void beginClosing() {
+    synchronized (lock) {
+      closing = true;
+    }
+  }
+
   /**
    * Closes the table for {@code to} and returns its states; the same for each call with that
    * successor, null for any other.
--- a/sageladder-core/src/test/java/org/sageladder/core/permit/PermitKeysTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/permit/PermitKeysTest.java
@@ -60,6 +60,22 @@
     assertOpens(first, sealedBy(second));
   }
 
+  /**
+   * One entry VM has read the new key, the other has not. Were the new key used at once, what the
+   * first one seals for the second would be refused there.
+   */
+  @Test
+  void aNewKeySignsOnlyOnceAllHaveHadTimeToReadIt() throws Exception {
+    first.refresh(0);
+    second.refresh(0);
+    long rotation = PERIOD.toMillis();
+    first.refresh(rotation);
+    assertOpens(second, sealedBy(first));
+    second.refresh(rotation + 1);
+    first.refresh(rotation + first.settling().toMillis());
+    assertOpens(second, sealedBy(first));
+  }
+
   /**
    * The store takes the write of a new key and its answer is lost. Writing another key over it
    * would leave entry VMs that read the first one refusing permits of the second.
--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -6,6 +6,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
+import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -14,18 +15,23 @@
 import org.sageladder.core.event.EventSink;
 import org.sageladder.core.limits.Scheduler;
 import org.sageladder.core.limits.ServiceGate;
+import org.sageladder.core.permit.PermitHome;
+import org.sageladder.core.permit.PermitKeys;
 import org.sageladder.core.platform.VmList;
 import org.sageladder.core.store.Store;
 import org.sageladder.core.time.TimeSource;
 import org.sageladder.entry.control.ControlPlane;
 import org.sageladder.entry.control.StoreControlPlane;
 import org.sageladder.entry.exchange.CallerExchange;
+import org.sageladder.entry.exchange.InFlight;
 import org.sageladder.entry.exchange.OutboundClient;
 import org.sageladder.entry.gates.GateTable;
 import org.sageladder.entry.http.HttpListener;
 import org.sageladder.entry.http.OperatorPort;
 import org.sageladder.entry.request.RequestPath;
 import org.sageladder.entry.settings.EntrySettings;
+import org.sageladder.entry.stop.PermitHandOver;
+import org.sageladder.entry.stop.PlannedStop;
 import org.sageladder.platform.store.HttpStore;
 import org.sageladder.platform.store.HttpVmList;
 
@@ -42,7 +48,8 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int CONNECTIONS_PER_HOST = 390;
   private static final Duration POLL = Duration.ofMillis(250);
-  private static final Duration STOP_GRACE = Duration.ofSeconds(30);
+  private static final Duration STOP_GRACE = Duration.ofSeconds(1);
+  private static final Duration KEY_PERIOD = Duration.ofDays(1);
 
   private final EntrySettings settings;
   private final Store store;
@@ -53,6 +60,8 @@
   private final HttpListener callers;
   private final HttpListener operators;
   private final EventSink events;
+  private final KeyRefresher keys;
+  private final PlannedStop plannedStop;
 
   private EntryDaemon(
       EntrySettings settings,
@@ -63,7 +72,11 @@
       GateTable gates,
       HttpListener callers,
       HttpListener operators,
-      EventSink events) {
+      EventSink events,
+      KeyRefresher keys,
+      PlannedStop plannedStop) {
+    this.keys = keys;
+    this.plannedStop = plannedStop;
     this.settings = settings;
     this.store = store;
     this.control = control;
@@ -97,8 +110,30 @@
             service ->
                 ServiceGate.create(
                     settings.customer(), service, time, Scheduler.of(timers), events));
+    PermitKeys permitKeys =
+        PermitKeys.of(store, settings.customer(), KEY_PERIOD, new SecureRandom());
+    KeyRefresher keys = KeyRefresher.start(permitKeys, time);
     RequestPath path =
-        RequestPath.assemble(settings, client, timers, time, events, metrics, control, gates);
+        RequestPath.assemble(
+            settings, client, timers, time, events, metrics, control, gates, permitKeys::ring);
+    InFlight inFlight = InFlight.create();
+    PlannedStop plannedStop =
+        PlannedStop.of(
+            control,
+            inFlight,
+            path.home(),
+            PermitHandOver.of(
+                settings.vm(),
+                settings.zone(),
+                settings.customer(),
+                control,
+                path.home(),
+                path.codec(),
+                PermitHome.Limits.standard(),
+                client,
+                time),
+            time,
+            PlannedStop.Limits.standard());
     control.onChange(gates::follow);
     control.onChange(path::follow);
     control.summaries(gates::summaries);
@@ -109,7 +144,7 @@
             settings.ports().callers(),
             settings.callerLimits().workers(),
             settings.callerLimits().headBytes(),
-            () -> CallerExchange.create(path.router()));
+            () -> CallerExchange.create(path.router(), inFlight));
     HttpListener operators =
         HttpListener.open(
             settings.host(),
@@ -122,7 +157,17 @@
         "%s serves callers on %s:%d and operators on port %d",
         settings.vm(), settings.host(), callers.port(), operators.port());
     return new EntryDaemon(
-        settings, store, control, timers, client, gates, callers, operators, events);
+        settings,
+        store,
+        control,
+        timers,
+        client,
+        gates,
+        callers,
+        operators,
+        events,
+        keys,
+        plannedStop);
   }
 
   private static void gauges(
@@ -163,7 +208,8 @@
   /** A planned stop: takes no new duties, lets what is in flight end, then closes. */
   public void stop() throws InterruptedException {
     events.record(EventKind.STOPPING, "", settings.customer(), "", 0, settings.vm());
-    control.beginLeaving();
+    PlannedStop.Outcome outcome = plannedStop.run();
+    logger.atFine().log("planned stop: %s", outcome);
     callers.stop(Timeout.of(STOP_GRACE));
     close();
   }
@@ -173,6 +219,7 @@
     callers.close();
     operators.close();
     gates.close();
+    keys.close();
     control.close();
     client.close();
     timers.shutdownNow();
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/KeyRefresher.java
@@ -0,0 +1,63 @@
+package org.sageladder.entry;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.sageladder.core.permit.PermitKeys;
+import org.sageladder.core.store.StoreException;
+import org.sageladder.core.time.TimeSource;
+
+/** Keeps the permits' MAC keys in step with the platform's store, a few reads an hour. */
+final class KeyRefresher implements AutoCloseable {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration RETRY = Duration.ofSeconds(2);
+
+  private final PermitKeys keys;
+  private final TimeSource time;
+  private final ScheduledExecutorService thread =
+      Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "keys"));
+
+  private KeyRefresher(PermitKeys keys, TimeSource time) {
+    this.keys = keys;
+    this.time = time;
+  }
+
+  static KeyRefresher start(PermitKeys keys, TimeSource time) {
+    KeyRefresher refresher = new KeyRefresher(keys, time);
+    refresher.after(Duration.ZERO);
+    return refresher;
+  }
+
+  private void refresh() {
+    try {
+      keys.refresh(time.wallMillis());
+      after(untilNext());
+    } catch (StoreException | RuntimeException e) {
+      logger.atWarning().atMostEvery(1, TimeUnit.MINUTES).withCause(e).log(
+          "the permits' keys cannot be read; those known stay in use");
+      after(RETRY);
+    }
+  }
+
+  /** Spread over time, so that VMs started together do not read together for ever. */
+  private Duration untilNext() {
+    long most = keys.settling().toMillis() / 2;
+    return Duration.ofMillis(ThreadLocalRandom.current().nextLong(most / 2, most));
+  }
+
+  private void after(Duration delay) {
+    if (!thread.isShutdown()) {
+      ScheduledFuture<?> unused =
+          thread.schedule(this::refresh, delay.toMillis(), TimeUnit.MILLISECONDS);
+    }
+  }
+
+  @Override
+  public void close() {
+    thread.shutdownNow();
+  }
+}
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/exchange/BodyCollector.java
@@ -0,0 +1,62 @@
+package org.sageladder.entry.exchange;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.function.Consumer;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
+import org.jspecify.annotations.Nullable;
+
+/** Reads a whole body into memory, for the messages between entry VMs. */
+public final class BodyCollector implements DataStreamChannel {
+  private final BodyPipe body;
+  private final int limit;
+  private final Consumer<byte[]> whenWhole;
+  private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+
+  private BodyCollector(BodyPipe body, int limit, Consumer<byte[]> whenWhole) {
+    this.body = body;
+    this.limit = limit;
+    this.whenWhole = whenWhole;
+  }
+
+  /**
+   * Calls {@code whenWhole} once with the whole body; never for a body that is cut, and with an
+   * empty one where it is larger than {@code limit} bytes.
+   */
+  public static void collect(BodyPipe body, int limit, Consumer<byte[]> whenWhole) {
+    new BodyCollector(body, limit, whenWhole).requestOutput();
+  }
+
+  @Override
+  public void requestOutput() {
+    try {
+      body.produce(this);
+    } catch (IOException ignored) {
+      // The body was cut: its exchange fails by itself, and the message counts as never sent.
+    }
+  }
+
+  @Override
+  public int write(ByteBuffer source) {
+    int length = source.remaining();
+    byte[] part = new byte[length];
+    source.get(part);
+    if (bytes.size() + length <= limit) {
+      bytes.writeBytes(part);
+    }
+    return length;
+  }
+
+  @Override
+  public void endStream() {
+    endStream(null);
+  }
+
+  @Override
+  public void endStream(@Nullable List<? extends Header> trailers) {
+    whenWhole.accept(bytes.toByteArray());
+  }
+}
--- a/sageladder-entry/src/main/java/org/sageladder/entry/exchange/CallerExchange.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/exchange/CallerExchange.java
@@ -43,15 +43,23 @@
   private volatile @Nullable ResponseChannel channel;
   private volatile @Nullable HttpContext context;
   private volatile @Nullable BodyPipe answerBody;
+  private final InFlight inFlight;
+  private final AtomicBoolean counted = new AtomicBoolean();
   private volatile boolean answerWhole;
 
-  private CallerExchange(Handler handler) {
+  private CallerExchange(Handler handler, InFlight inFlight) {
     this.handler = handler;
+    this.inFlight = inFlight;
   }
 
   /** An exchange that waits for its request. */
   public static CallerExchange create(Handler handler) {
-    return new CallerExchange(handler);
+    return create(handler, InFlight.create());
+  }
+
+  /** An exchange that waits for its request and is counted in {@code inFlight} until its end. */
+  public static CallerExchange create(Handler handler, InFlight inFlight) {
+    return new CallerExchange(handler, inFlight);
   }
 
   /** The head of the request; only after {@link Handler#begin} was called. */
@@ -116,6 +124,10 @@
       if (details == null) {
         answerWhole = true;
       }
+      if (inFlight.isLeaving()) {
+        // The caller must not send its next request on a connection that is about to be closed.
+        response.setHeader(HttpHeaders.CONNECTION, "close");
+      }
       to.sendResponse(response, details, in);
       return true;
     } catch (IOException | HttpException e) {
@@ -136,6 +148,8 @@
     entity = entityDetails;
     channel = responseChannel;
     context = httpContext;
+    counted.set(true);
+    inFlight.begin();
     if (entityDetails == null) {
       requestBody.end();
     }
@@ -187,6 +201,9 @@
 
   private void gone() {
     ended.set(true);
+    if (counted.getAndSet(false)) {
+      inFlight.end();
+    }
     Runnable action = onGone.getAndSet(null);
     if (action != null) {
       action.run();
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestPath.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestPath.java
@@ -3,8 +3,8 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import java.security.SecureRandom;
 import java.time.Duration;
-import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Supplier;
 import org.sageladder.core.event.EventSink;
 import org.sageladder.core.membership.ClusterState;
 import org.sageladder.core.permit.KeyRing;
@@ -19,14 +19,18 @@
 /** Puts together the parts that a request passes. */
 public final class RequestPath {
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
-  private static final int SECRET_BYTES = 32;
 
   private final RequestRouter router;
   private final LookUps lookUps;
 
-  private RequestPath(RequestRouter router, LookUps lookUps) {
+  private final PermitHome home;
+  private final PermitCodec codec;
+
+  private RequestPath(RequestRouter router, LookUps lookUps, PermitHome home, PermitCodec codec) {
     this.router = router;
     this.lookUps = lookUps;
+    this.home = home;
+    this.codec = codec;
   }
 
   /** The request path of one entry VM. */
@@ -38,7 +42,8 @@
       EventSink events,
       MeterRegistry metrics,
       ControlPlane control,
-      GateTable gates) {
+      GateTable gates,
+      Supplier<KeyRing> keys) {
     FlowParts parts =
         new FlowParts(
             settings.vm(),
@@ -49,19 +54,19 @@
             events,
             RequestCounters.in(metrics),
             CONNECT_TIMEOUT);
-    KeyRing ring = ownRing(time.wallMillis());
-    Permits permits =
-        new Permits(
-            parts,
-            control,
-            PermitCodec.of(() -> ring),
-            PermitHome.of(settings.vm(), permitIncarnation(), PermitHome.Limits.standard()),
-            new PermitSuccessors());
+    PermitCodec codec = PermitCodec.of(keys);
+    PermitHome home =
+        PermitHome.of(settings.vm(), permitIncarnation(), PermitHome.Limits.standard());
+    PermitSuccessors successors = new PermitSuccessors();
+    Permits permits = new Permits(parts, control, codec, home, successors);
+    PeerRoutes peers = new PeerRoutes(settings.customer(), codec, home, successors, time, timers);
     LookUps lookUps = LookUps.create(time);
     return new RequestPath(
         new RequestRouter(
-            parts, settings.customer(), settings.zone(), control, gates, lookUps, permits),
-        lookUps);
+            parts, settings.customer(), settings.zone(), control, gates, lookUps, permits, peers),
+        lookUps,
+        home,
+        codec);
   }
 
   /**
@@ -72,11 +77,14 @@
     return new SecureRandom().nextLong();
   }
 
-  /** A key of this process alone; permits of other entry VMs are passed on to their homes. */
-  private static KeyRing ownRing(long nowMillis) {
-    byte[] secret = new byte[SECRET_BYTES];
-    new SecureRandom().nextBytes(secret);
-    return KeyRing.of(List.of(new KeyRing.Key("own", nowMillis, KeyRing.Secret.of(secret))));
+  /** The permits minted here. */
+  public PermitHome home() {
+    return home;
+  }
+
+  /** What seals and opens permits and the messages about them. */
+  public PermitCodec codec() {
+    return codec;
   }
 
   /** What the callers' port hands its requests to. */
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestRouter.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestRouter.java
@@ -34,6 +34,7 @@
   private final GateTable gates;
   private final LookUps lookUps;
   private final Permits permits;
+  private final PeerRoutes peers;
 
   RequestRouter(
       FlowParts parts,
@@ -42,7 +43,9 @@
       ControlPlane control,
       GateTable gates,
       LookUps lookUps,
-      Permits permits) {
+      Permits permits,
+      PeerRoutes peers) {
+    this.peers = peers;
     this.parts = parts;
     this.customer = customer;
     this.zone = zone;
@@ -59,6 +62,8 @@
       lookUp(exchange, path);
     } else if (path.startsWith(RequestHead.PREFIX)) {
       request(exchange, path);
+    } else if (path.startsWith(PeerRoutes.PREFIX)) {
+      peers.begin(exchange);
     } else {
       refuse(
           exchange,
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/stop/PermitHandOver.java
@@ -0,0 +1,193 @@
+package org.sageladder.entry.stop;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.impl.BasicEntityDetails;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.jspecify.annotations.Nullable;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.core.membership.ClusterState;
+import org.sageladder.core.membership.Member;
+import org.sageladder.core.membership.ZoneView;
+import org.sageladder.core.permit.HandOver;
+import org.sageladder.core.permit.HandOverCodec;
+import org.sageladder.core.permit.Permit;
+import org.sageladder.core.permit.PermitCodec;
+import org.sageladder.core.permit.PermitHome;
+import org.sageladder.core.time.TimeSource;
+import org.sageladder.entry.control.ControlPlane;
+import org.sageladder.entry.exchange.BodyPipe;
+import org.sageladder.entry.exchange.OutboundClient;
+import org.sageladder.entry.request.Headers;
+import org.sageladder.entry.request.PeerRoutes;
+
+/** Hands the states of the permits homed here to a successor and tells the others of it. */
+public final class PermitHandOver {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration CONNECT = Duration.ofMillis(500);
+  private static final Duration ANSWER = Duration.ofSeconds(2);
+  private static final int TRIES = 5;
+
+  private final String vm;
+  private final String zone;
+  private final String customer;
+  private final ControlPlane control;
+  private final PermitHome home;
+  private final PermitCodec codec;
+  private final PermitHome.Limits limits;
+  private final OutboundClient client;
+  private final TimeSource time;
+
+  private PermitHandOver(
+      String vm,
+      String zone,
+      String customer,
+      ControlPlane control,
+      PermitHome home,
+      PermitCodec codec,
+      PermitHome.Limits limits,
+      OutboundClient client,
+      TimeSource time) {
+    this.vm = vm;
+    this.zone = zone;
+    this.customer = customer;
+    this.control = control;
+    this.home = home;
+    this.codec = codec;
+    this.limits = limits;
+    this.client = client;
+    this.time = time;
+  }
+
+  /** The hand-over of {@code home}, not begun yet. */
+  public static PermitHandOver of(
+      String vm,
+      String zone,
+      String customer,
+      ControlPlane control,
+      PermitHome home,
+      PermitCodec codec,
+      PermitHome.Limits limits,
+      OutboundClient client,
+      TimeSource time) {
+    return new PermitHandOver(vm, zone, customer, control, home, codec, limits, client, time);
+  }
+
+  /**
+   * Closes the home for the first candidate that answers, and sends it the states.
+   *
+   * @return false where no successor has acknowledged them: their permits' outcomes stay unknown
+   */
+  public boolean run() throws InterruptedException {
+    Optional<Member> successor = Optional.empty();
+    for (Member candidate : candidates()) {
+      // Once the home is closed its successor is fixed, so only one that answers is named.
+      if (tellSuccessor(candidate, candidate)) {
+        successor = Optional.of(candidate);
+        break;
+      }
+    }
+    if (successor.isEmpty()) {
+      logger.atWarning().log("no entry VM answers, so permits homed here cannot be handed over");
+      return false;
+    }
+    Optional<HandOver> state = home.close(successor.get().vm(), time.wallMillis());
+    boolean taken = state.isPresent() && send(successor.get(), state.get());
+    for (Member member : candidates()) {
+      if (!member.vm().equals(successor.get().vm())) {
+        tellSuccessor(member, successor.get());
+      }
+    }
+    return taken;
+  }
+
+  /** Members that stay, nearest first: own zone, own region, others. */
+  private List<Member> candidates() {
+    ClusterState state = control.state();
+    Contract contract = state.contracts().get(customer);
+    List<String> zones = new ArrayList<>();
+    zones.add(zone);
+    if (contract != null) {
+      contract.regionOfZone(zone).ifPresent(region -> zones.addAll(region.zones()));
+      zones.addAll(contract.zones());
+    }
+    List<Member> members = new ArrayList<>();
+    for (String each : zones.stream().distinct().toList()) {
+      ZoneView view = state.views().get(each);
+      if (view != null) {
+        view.members().stream()
+            .filter(member -> !member.leaving() && !member.vm().equals(vm))
+            .forEach(members::add);
+      }
+    }
+    return members;
+  }
+
+  private boolean send(Member successor, HandOver state) throws InterruptedException {
+    byte[] bytes = HandOverCodec.encode(state);
+    for (int i = 0; i < TRIES; i++) {
+      // The same bytes to the same VM: where only the acknowledgement was lost, nothing changes.
+      if (post(successor, PeerRoutes.HAND_OVER, successor.vm(), bytes)) {
+        logger.atInfo().log(
+            "handed %d permits to %s in %d bytes", state.permits(), successor.vm(), bytes.length);
+        return true;
+      }
+    }
+    logger.atWarning().log("%s has not acknowledged the permits handed to it", successor.vm());
+    return false;
+  }
+
+  private boolean tellSuccessor(Member to, Member successor) throws InterruptedException {
+    return post(to, PeerRoutes.SUCCESSOR, successor.vm(), new byte[0]);
+  }
+
+  private boolean post(Member to, String route, String successor, byte[] body)
+      throws InterruptedException {
+    long expiry = time.wallMillis() + limits.lifetime().toMillis() + limits.retention().toMillis();
+    BasicHttpRequest request = new BasicHttpRequest("PUT", route);
+    Permit word = new Permit(vm, home.incarnation(), 0, expiry, customer, route, successor);
+    request.setHeader(Headers.DISPATCH, codec.seal(word));
+    CompletableFuture<Boolean> answered = new CompletableFuture<>();
+    Runnable cancel =
+        client.send(
+            new HttpHost(to.host(), to.port()),
+            request,
+            new BasicEntityDetails(body.length, ContentType.APPLICATION_OCTET_STREAM),
+            BodyPipe.of(body),
+            CONNECT,
+            new Acknowledgement(answered));
+    try {
+      return answered.get(ANSWER.toMillis(), TimeUnit.MILLISECONDS);
+    } catch (ExecutionException | TimeoutException e) {
+      cancel.run();
+      return false;
+    }
+  }
+
+  private record Acknowledgement(CompletableFuture<Boolean> answered)
+      implements OutboundClient.Listener {
+    @Override
+    public void head(HttpResponse response, @Nullable EntityDetails details, BodyPipe body) {
+      answered.complete(response.getCode() == 204);
+    }
+
+    @Override
+    public void done() {}
+
+    @Override
+    public void lost(boolean sent, Exception cause) {
+      answered.complete(false);
+    }
+  }
+}
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/stop/PlannedStop.java
@@ -0,0 +1,105 @@
+package org.sageladder.entry.stop;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.function.BooleanSupplier;
+import org.sageladder.core.permit.PermitHome;
+import org.sageladder.core.time.TimeSource;
+import org.sageladder.entry.control.ControlPlane;
+import org.sageladder.entry.exchange.InFlight;
+
+/**
+ * Takes an entry VM out of service without cutting what is in flight.
+ *
+ * <p>The steps, each bounded: tell the others, so that look-ups stop naming this VM and its gates
+ * go to others; serve those who come by older look-ups until these have expired; let permits' runs
+ * end and hand the used set to a successor; wait for the last exchange.
+ */
+public final class PlannedStop {
+  /** Longest times of the steps. */
+  public record Limits(Duration lookUpsExpire, Duration runsEnd, Duration exchangesEnd) {
+    /** Look-ups live 2 s and news of the leaving takes up to 1 s more. */
+    public static Limits standard() {
+      return new Limits(Duration.ofSeconds(3), Duration.ofSeconds(30), Duration.ofSeconds(60));
+    }
+  }
+
+  /** How a stop went. */
+  public record Outcome(boolean handedOver, int exchangesCut, Duration took) {}
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration STEP = Duration.ofMillis(5);
+  private static final Duration QUIET = Duration.ofMillis(300);
+
+  private final ControlPlane control;
+  private final InFlight inFlight;
+  private final PermitHome home;
+  private final PermitHandOver handOver;
+  private final TimeSource time;
+  private final Limits limits;
+
+  private PlannedStop(
+      ControlPlane control,
+      InFlight inFlight,
+      PermitHome home,
+      PermitHandOver handOver,
+      TimeSource time,
+      Limits limits) {
+    this.control = control;
+    this.inFlight = inFlight;
+    this.home = home;
+    this.handOver = handOver;
+    this.time = time;
+    this.limits = limits;
+  }
+
+  /** A stop that has not begun. */
+  public static PlannedStop of(
+      ControlPlane control,
+      InFlight inFlight,
+      PermitHome home,
+      PermitHandOver handOver,
+      TimeSource time,
+      Limits limits) {
+    return new PlannedStop(control, inFlight, home, handOver, time, limits);
+  }
+
+  /** Runs all steps; the listening ports may be closed when it returns. */
+  public Outcome run() throws InterruptedException {
+    long start = time.nanos();
+    inFlight.beginLeaving();
+    control.beginLeaving();
+    Thread.sleep(limits.lookUpsExpire().toMillis());
+    home.beginClosing();
+    await(limits.runsEnd(), () -> home.runningOwn() == 0);
+    boolean handedOver = handOver.run();
+    await(limits.runsEnd(), () -> home.running() == 0);
+    awaitQuiet();
+    int cut = inFlight.count();
+    Duration took = Duration.ofNanos(time.nanos() - start);
+    logger.atInfo().log(
+        "stopped after %d ms: permits handed over: %s, exchanges cut: %d",
+        took.toMillis(), handedOver, cut);
+    return new Outcome(handedOver, cut, took);
+  }
+
+  /** A caller on a kept connection may send again at once, so one moment of idleness is no end. */
+  private void awaitQuiet() throws InterruptedException {
+    long[] busySeen = {time.nanos()};
+    await(
+        limits.exchangesEnd(),
+        () -> {
+          if (inFlight.count() > 0) {
+            busySeen[0] = time.nanos();
+          }
+          return time.nanos() - busySeen[0] > QUIET.toNanos();
+        });
+  }
+
+  private void await(Duration longest, BooleanSupplier done) throws InterruptedException {
+    long end = time.nanos() + longest.toNanos();
+    while (!done.getAsBoolean() && time.nanos() - end < 0) {
+      Thread.sleep(STEP.toMillis());
+    }
+  }
+}
