Callers' library: look-up cache, permits, retries by outcome, whole answers

Callers need one small way in that keeps the promises on their side of the wire. SageladderClient caches look-ups for their time to live, sends again only where that is safe, and never asks for a second permit while the first may have run; Answer tells ran, not run and unknown apart.

--- /dev/null
+++ b/sageladder-client/src/main/java/org/sageladder/client/BodyConsumer.java
@@ -0,0 +1,115 @@
+package org.sageladder.client;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.List;
+import org.apache.hc.core5.concurrent.FutureCallback;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.nio.AsyncResponseConsumer;
+import org.apache.hc.core5.http.nio.CapacityChannel;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.jspecify.annotations.Nullable;
+
+/** Reads one answer and completes only where it is provably whole. */
+final class BodyConsumer implements AsyncResponseConsumer<BodyConsumer.Received> {
+  private final @Nullable BodySink sink;
+  private final long mostBytes;
+  private final ByteArrayOutputStream kept = new ByteArrayOutputStream();
+  private @Nullable HttpResponse head;
+  private @Nullable FutureCallback<Received> callback;
+  private boolean toSink;
+
+  private BodyConsumer(@Nullable BodySink sink, long mostBytes) {
+    this.sink = sink;
+    this.mostBytes = mostBytes;
+  }
+
+  /** Keeps the body in memory up to {@code mostBytes}, or hands a target's answer to a sink. */
+  static BodyConsumer create(@Nullable BodySink sink, long mostBytes) {
+    return new BodyConsumer(sink, mostBytes);
+  }
+
+  /** A whole answer. */
+  @SuppressWarnings("ArrayRecordComponent")
+  record Received(HttpResponse head, byte[] body) {}
+
+  @Override
+  public void consumeResponse(
+      HttpResponse response,
+      @Nullable EntityDetails entity,
+      HttpContext context,
+      FutureCallback<Received> resultCallback)
+      throws IOException {
+    head = response;
+    callback = resultCallback;
+    if (entity == null) {
+      resultCallback.completed(new Received(response, new byte[0]));
+      return;
+    }
+    refuseEndless(response);
+    BodySink to = sink;
+    toSink = to != null && EntryCalls.isTargetsAnswer(response);
+    if (to != null && toSink) {
+      to.begin();
+    }
+  }
+
+  /**
+   * Failure guarded against: a body that ends with its connection looks the same whole and cut, and
+   * the HTTP library reports it as chunked. Entry VMs send none; one from anything in between must
+   * not pass for a whole answer, so the headers themselves are asked.
+   */
+  private static void refuseEndless(HttpResponse response) throws IOException {
+    if (!response.containsHeader(HttpHeaders.CONTENT_LENGTH)
+        && !response.containsHeader(HttpHeaders.TRANSFER_ENCODING)) {
+      throw new IOException("the answer states neither its length nor its end");
+    }
+  }
+
+  @Override
+  public void informationResponse(HttpResponse response, HttpContext context) {}
+
+  @Override
+  public void updateCapacity(CapacityChannel channel) throws IOException {
+    channel.update(Integer.MAX_VALUE);
+  }
+
+  @Override
+  public void consume(ByteBuffer piece) throws IOException {
+    BodySink to = sink;
+    if (to != null && toSink) {
+      to.accept(piece);
+      return;
+    }
+    if (kept.size() + (long) piece.remaining() > mostBytes) {
+      throw new IOException("the answer is larger than " + mostBytes + " bytes; pass a sink");
+    }
+    byte[] bytes = new byte[piece.remaining()];
+    piece.get(bytes);
+    kept.writeBytes(bytes);
+  }
+
+  @Override
+  public void streamEnd(@Nullable List<? extends Header> trailers) {
+    FutureCallback<Received> to = callback;
+    HttpResponse response = head;
+    if (to != null && response != null) {
+      to.completed(new Received(response, kept.toByteArray()));
+    }
+  }
+
+  @Override
+  public void failed(Exception cause) {
+    FutureCallback<Received> to = callback;
+    if (to != null) {
+      to.failed(cause);
+    }
+  }
+
+  @Override
+  public void releaseResources() {}
+}
--- /dev/null
+++ b/sageladder-client/src/main/java/org/sageladder/client/RouteCache.java
@@ -0,0 +1,55 @@
+package org.sageladder.client;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.sageladder.core.time.TimeSource;
+
+/**
+ * Answers to look-ups until their time to live is over; the least recently used go first.
+ *
+ * <p>Safe for use by several threads; one lock guards everything.
+ */
+final class RouteCache {
+  private static final int MOST_ROUTES = 10_000;
+
+  private final TimeSource time;
+  private final Map<Key, Kept> routes = new LinkedHashMap<>(16, 0.75f, true);
+
+  private RouteCache(TimeSource time) {
+    this.time = time;
+  }
+
+  static RouteCache create(TimeSource time) {
+    return new RouteCache(time);
+  }
+
+  record Key(String contract, String service, int block) {}
+
+  private record Kept(Route route, long endNanos) {}
+
+  synchronized void put(Key key, Route route) {
+    long ttlNanos = TimeUnit.MILLISECONDS.toNanos(route.ttlMillis());
+    routes.put(key, new Kept(route, time.nanos() + ttlNanos));
+    if (routes.size() > MOST_ROUTES) {
+      routes.remove(routes.keySet().iterator().next());
+    }
+  }
+
+  /** The route, where it is still to be used. */
+  synchronized Optional<Route> fresh(Key key) {
+    Kept kept = routes.get(key);
+    boolean usable = kept != null && kept.endNanos() - time.nanos() > 0;
+    return usable ? Optional.of(kept.route()) : Optional.empty();
+  }
+
+  /** The route even past its time, for when no entry VM answers a look-up. */
+  synchronized Optional<Route> stale(Key key) {
+    return Optional.ofNullable(routes.get(key)).map(Kept::route);
+  }
+
+  synchronized void forget(Key key) {
+    routes.remove(key);
+  }
+}
--- /dev/null
+++ b/sageladder-client/src/test/java/org/sageladder/client/SageladderClientTest.java
@@ -0,0 +1,225 @@
+package org.sageladder.client;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.sageladder.core.result.ResultCode;
+
+/** The client against two entry VMs that say and do what each test names. */
+class SageladderClientTest {
+  private static final String OK = "Sageladder-Result: 0 OK\r\nSageladder-Outcome: ran\r\n";
+  private static final String CUT =
+      "HTTP/1.1 200 OK\r\n" + OK + "Content-Length: 100\r\n\r\nonly this";
+
+  private ScriptedEntry one;
+  private ScriptedEntry two;
+  private SageladderClient client;
+
+  @BeforeEach
+  void start() throws IOException {
+    one = ScriptedEntry.start();
+    two = ScriptedEntry.start();
+    client = SageladderClient.start(ClientOptions.seeds(List.of(one.address())));
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    client.close();
+    one.close();
+    two.close();
+  }
+
+  private String route(int ttlMillis, String permit) {
+    String json =
+        "{\"revision\":3,\"ttlMillis\":"
+            + ttlMillis
+            + ",\"entries\":[{\"address\":\""
+            + one.address()
+            + "\"},{\"address\":\""
+            + two.address()
+            + "\"}]"
+            + (permit.isEmpty() ? "" : ",\"permit\":\"" + permit + "\"")
+            + "}";
+    return ScriptedEntry.answer(200, OK, json);
+  }
+
+  private static String said(ResultCode code, String more) {
+    String result = "Sageladder-Result: " + code.number() + " " + code + "\r\n" + more;
+    return ScriptedEntry.answer(code.httpStatus(), result, "{\"detail\":\"why\"}");
+  }
+
+  private static boolean isLookUp(String head) {
+    return head.startsWith("GET /v1/look-up");
+  }
+
+  private static Request search() {
+    return Request.get("kannelkoda", "search", 4, "/lyrics?q=regilaul")
+        .deadline(Duration.ofSeconds(20));
+  }
+
+  private static Request bid() {
+    byte[] body = "bid".getBytes(StandardCharsets.UTF_8);
+    return Request.post("kalnins-dauge", "bid", 4, "/bids", body, "text/plain")
+        .deadline(Duration.ofSeconds(20));
+  }
+
+  private static String permitOf(String head) {
+    return head.lines()
+        .filter(line -> line.startsWith("Sageladder-Permit: "))
+        .map(line -> line.substring(19))
+        .findFirst()
+        .orElse("none");
+  }
+
+  @Test
+  void aLookUpIsKeptForItsTimeToLive() {
+    one.answers(head -> isLookUp(head) ? route(60_000, "") : ScriptedEntry.answer(200, OK, "song"));
+    Answer.Whole first = assertInstanceOf(Answer.Whole.class, client.send(search()));
+    assertInstanceOf(Answer.Whole.class, client.send(search()));
+    assertArrayEquals("song".getBytes(StandardCharsets.UTF_8), first.body());
+    assertEquals(1, one.lookUps());
+    assertTrue(one.requests().get(0).startsWith("GET /v1/request/kannelkoda/search/lyrics?q="));
+    assertTrue(one.requests().get(0).contains("Sageladder-Deadline-Millis: "));
+  }
+
+  @Test
+  void aLookUpPastItsTimeIsAskedAnew() {
+    one.answers(head -> isLookUp(head) ? route(0, "") : ScriptedEntry.answer(200, OK, "song"));
+    client.send(search());
+    client.send(search());
+    assertEquals(2, one.lookUps());
+  }
+
+  // A recording is cut short on its way: the connection ends after nine of a hundred bytes. Passed
+  // on as an answer, a researcher would keep half a song; it must be fetched again instead.
+  @Test
+  void aCutAnswerIsNeverASuccessAndIsFetchedFromTheNext() {
+    one.answers(head -> isLookUp(head) ? route(60_000, "") : CUT);
+    two.answers(head -> ScriptedEntry.answer(200, OK, "whole song"));
+    Answer.Whole whole = assertInstanceOf(Answer.Whole.class, client.send(search()));
+    assertEquals("whole song", new String(whole.body(), StandardCharsets.UTF_8));
+    assertEquals(2, whole.tries());
+  }
+
+  @Test
+  void anAnswerWithoutLengthOrEndIsNotWhole() {
+    one.answers(
+        head ->
+            isLookUp(head)
+                ? route(60_000, "")
+                : "HTTP/1.1 200 OK\r\n" + OK + "Connection: close\r\n\r\nperhaps all");
+    two.answers(head -> ScriptedEntry.answer(200, OK, "all"));
+    Answer.Whole whole = assertInstanceOf(Answer.Whole.class, client.send(search()));
+    assertEquals("all", new String(whole.body(), StandardCharsets.UTF_8));
+  }
+
+  @Test
+  void aSinkIsToldToStartOverBeforeTheSecondTry() {
+    one.answers(head -> isLookUp(head) ? route(60_000, "") : CUT);
+    two.answers(head -> ScriptedEntry.answer(200, OK, "whole song"));
+    ByteArrayOutputStream received = new ByteArrayOutputStream();
+    Answer answer =
+        client.send(
+            search(),
+            new BodySink() {
+              @Override
+              public void begin() {
+                received.reset();
+              }
+
+              @Override
+              public void accept(ByteBuffer piece) {
+                byte[] bytes = new byte[piece.remaining()];
+                piece.get(bytes);
+                received.writeBytes(bytes);
+              }
+            });
+    assertInstanceOf(Answer.Whole.class, answer);
+    assertEquals("whole song", received.toString(StandardCharsets.UTF_8));
+  }
+
+  // The entry VM that took a bid dies before it answers. The dealer's program must ask the next
+  // one with the very same permit: under another one the bid could run a second time.
+  @Test
+  void aLostBidIsSentAgainUnderItsOwnPermitOnly() {
+    one.answers(head -> isLookUp(head) ? route(60_000, "p-1") : "");
+    two.answers(head -> said(ResultCode.ANSWER_NOT_KEPT, ""));
+    Answer answer = client.send(bid());
+    assertInstanceOf(Answer.RanUnseen.class, answer);
+    assertEquals("p-1", permitOf(one.requests().get(0)));
+    assertEquals(
+        List.of("p-1"), two.requests().stream().map(SageladderClientTest::permitOf).toList());
+    assertEquals(1, one.lookUps());
+  }
+
+  @Test
+  void anUnknownOutcomeNamesThePermitToResumeWith() {
+    one.answers(head -> isLookUp(head) ? route(60_000, "p-1") : "");
+    two.answers(head -> said(ResultCode.OUTCOME_UNKNOWN, ""));
+    Answer.Unknown unknown = assertInstanceOf(Answer.Unknown.class, client.send(bid()));
+    assertEquals("p-1", unknown.permit());
+    two.answers(head -> said(ResultCode.ANSWER_NOT_KEPT, ""));
+    assertInstanceOf(Answer.RanUnseen.class, client.resume(bid(), unknown.permit()));
+  }
+
+  @Test
+  void aRefusedBidThatWasNotRunGetsANewPermit() {
+    int[] lookUps = {0};
+    one.answers(
+        head -> {
+          if (isLookUp(head)) {
+            lookUps[0]++;
+            return route(60_000, "p-" + lookUps[0]);
+          }
+          return permitOf(head).equals("p-1")
+              ? said(ResultCode.QUEUE_FULL, "Sageladder-Retry-After-Millis: 1\r\n")
+              : ScriptedEntry.answer(201, OK, "bid taken");
+        });
+    Answer.Whole whole = assertInstanceOf(Answer.Whole.class, client.send(bid()));
+    assertEquals(201, whole.status());
+    assertEquals(
+        List.of("p-1", "p-2"),
+        one.requests().stream().map(SageladderClientTest::permitOf).toList());
+  }
+
+  @Test
+  void aServiceThatTheContractLacksIsRefusedWithoutASecondTry() {
+    one.answers(head -> said(ResultCode.UNKNOWN_SERVICE, ""));
+    Answer.NotRun notRun = assertInstanceOf(Answer.NotRun.class, client.send(search()));
+    assertEquals(ResultCode.UNKNOWN_SERVICE, notRun.code());
+    assertTrue(notRun.detail().contains("why"), notRun.detail());
+  }
+
+  @Test
+  void anAnswerFromSomethingThatIsNoEntryVmIsNotTaken() {
+    one.answers(
+        head ->
+            isLookUp(head) ? route(60_000, "") : ScriptedEntry.answer(200, "", "captive portal"));
+    two.answers(head -> "");
+    Answer answer = client.send(search());
+    assertFalse(answer instanceof Answer.Whole, answer.toString());
+  }
+
+  @Test
+  void retriesStopAtTheBudget() {
+    try (SageladderClient thrifty =
+        SageladderClient.start(ClientOptions.seeds(List.of(one.address())).retryFraction(0))) {
+      one.answers(head -> isLookUp(head) ? route(60_000, "") : said(ResultCode.QUEUE_FULL, ""));
+      two.answers(head -> said(ResultCode.QUEUE_FULL, ""));
+      Answer.NotRun notRun = assertInstanceOf(Answer.NotRun.class, thrifty.send(search()));
+      assertEquals(1, notRun.tries());
+    }
+  }
+}
--- /dev/null
+++ b/sageladder-client/src/test/java/org/sageladder/client/ScriptedEntry.java
@@ -0,0 +1,95 @@
+package org.sageladder.client;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.function.Function;
+
+/** An entry VM's port that answers each head with the bytes that a test names, then closes. */
+final class ScriptedEntry implements AutoCloseable {
+  private final ServerSocket server;
+  private final List<String> heads = Collections.synchronizedList(new ArrayList<>());
+  private volatile Function<String, String> script = head -> "";
+
+  private ScriptedEntry(ServerSocket server) {
+    this.server = server;
+  }
+
+  static ScriptedEntry start() throws IOException {
+    ScriptedEntry entry =
+        new ScriptedEntry(new ServerSocket(0, 50, InetAddress.getLoopbackAddress()));
+    Thread thread = new Thread(entry::serve, "scripted-entry");
+    thread.setDaemon(true);
+    thread.start();
+    return entry;
+  }
+
+  String address() {
+    return "127.0.0.1:" + server.getLocalPort();
+  }
+
+  /** {@code newScript} gives the raw answer to a head; empty: the connection is just closed. */
+  ScriptedEntry answers(Function<String, String> newScript) {
+    script = newScript;
+    return this;
+  }
+
+  /** Heads of all requests so far that are no look-ups. */
+  List<String> requests() {
+    return List.copyOf(heads).stream().filter(head -> head.contains("/v1/request/")).toList();
+  }
+
+  /** Number of look-ups so far. */
+  long lookUps() {
+    return List.copyOf(heads).stream().filter(head -> head.contains("/v1/look-up")).count();
+  }
+
+  private void serve() {
+    while (!server.isClosed()) {
+      try (Socket socket = server.accept()) {
+        String head = head(new BufferedInputStream(socket.getInputStream()));
+        heads.add(head);
+        socket.getOutputStream().write(script.apply(head).getBytes(StandardCharsets.UTF_8));
+      } catch (IOException ignored) {
+        // The client went away or the test is over.
+      }
+    }
+  }
+
+  private static String head(InputStream in) throws IOException {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    for (int b = in.read(); b >= 0; b = in.read()) {
+      bytes.write(b);
+      String text = bytes.toString(StandardCharsets.UTF_8);
+      if (text.endsWith("\r\n\r\n")) {
+        return text;
+      }
+    }
+    return bytes.toString(StandardCharsets.UTF_8);
+  }
+
+  /** A whole answer with the connection's end announced. */
+  static String answer(int status, String resultHeaders, String body) {
+    return "HTTP/1.1 "
+        + status
+        + " X\r\nConnection: close\r\n"
+        + resultHeaders
+        + "Content-Length: "
+        + body.length()
+        + "\r\n\r\n"
+        + body;
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+  }
+}
