The whole system in one process: sageladder-local

Cause: nothing ran end to end. Not yet: the load does not ask for permits and uses one deadline for all services.

--- /dev/null
+++ b/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalMain.java
@@ -0,0 +1,214 @@
+package org.sageladder.assembly;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.HdrHistogram.Histogram;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.core.store.StoreException;
+import org.sageladder.platform.contract.ContractYaml;
+import org.sageladder.platform.settings.ExitCode;
+import org.sageladder.platform.settings.SettingsException;
+import org.sageladder.standin.store.StoreServer;
+import org.sageladder.standin.target.TargetServer;
+
+/**
+ * The command {@code sageladder-local}: runs every given contract's whole system for a short while,
+ * ends one entry VM and drains one target on the way, and tells what callers saw.
+ */
+public final class LocalMain {
+  private static final int ENTRIES_PER_ZONE = 1;
+
+  private LocalMain() {}
+
+  /** Exits 0 only where every request got an answer. */
+  public static void main(String[] args) throws Exception {
+    Options options = new Options();
+    options.addOption(
+        Option.builder()
+            .longOpt("seconds")
+            .hasArg()
+            .argName("N")
+            .desc("how long to send requests (default 8)")
+            .get());
+    options.addOption(
+        Option.builder()
+            .longOpt("load")
+            .hasArg()
+            .argName("FRACTION")
+            .desc("rate as a fraction of all targets' capacity (default 0.2)")
+            .get());
+    options.addOption(
+        Option.builder()
+            .longOpt("contracts")
+            .hasArg()
+            .argName("DIR")
+            .desc("where the contracts are that are run when none is named (default contracts)")
+            .get());
+    CommandLine line;
+    try {
+      line = new DefaultParser().parse(options, args);
+    } catch (ParseException e) {
+      System.err.println(
+          "sageladder-local: "
+              + e.getMessage()
+              + "; use [--seconds N] [--load FRACTION] CONTRACT…");
+      System.exit(ExitCode.USAGE.status());
+      return;
+    }
+    Duration duration = Duration.ofSeconds(Long.parseLong(line.getOptionValue("seconds", "8")));
+    double load = Double.parseDouble(line.getOptionValue("load", "0.2"));
+    List<Path> files = line.getArgList().stream().map(Path::of).toList();
+    if (files.isEmpty()) {
+      files = contractsIn(Path.of(line.getOptionValue("contracts", "contracts")));
+    }
+    boolean whole = !files.isEmpty();
+    for (Path file : files) {
+      whole &= run(file, duration, load, System.out);
+    }
+    System.exit((whole ? ExitCode.OK : ExitCode.VERDICT_FAILED).status());
+  }
+
+  private static List<Path> contractsIn(Path directory) throws IOException {
+    try (Stream<Path> files = Files.list(directory)) {
+      return files.filter(file -> file.toString().endsWith(".yaml")).sorted().toList();
+    }
+  }
+
+  private static boolean run(Path file, Duration duration, double load, PrintStream out)
+      throws IOException, InterruptedException, SettingsException, StoreException {
+    Contract contract = ContractYaml.parse(file.toString(), Files.readString(file));
+    try (StoreServer store = StoreServer.start("127.0.0.1", 0);
+        LocalSystem system = LocalSystem.start(store, contract, ENTRIES_PER_ZONE)) {
+      system.awaitReady();
+      try (LocalLoad callers = LocalLoad.create(contract, system.addresses(), 1)) {
+        LoadEvents events = new LoadEvents(system);
+        Thread faults = new Thread(() -> events.run(duration), "faults");
+        faults.start();
+        callers.run(load, duration);
+        faults.join();
+        return report(contract, system, callers, events, duration, out);
+      }
+    }
+  }
+
+  private static boolean report(
+      Contract contract,
+      LocalSystem system,
+      LocalLoad callers,
+      LoadEvents events,
+      Duration duration,
+      PrintStream out) {
+    Histogram latency = callers.latency();
+    out.printf(
+        "%n%s: %d entry VMs in %d zones, %d targets, %d s%n",
+        contract.customer(),
+        system.entries().size() + 1,
+        contract.zones().size(),
+        system.targets().size(),
+        duration.toSeconds());
+    out.printf("  requests   %d sent, %d answered%n", callers.sent(), callers.ended());
+    for (Map.Entry<String, Long> result : callers.results().entrySet()) {
+      out.printf("  result     %-28s %d%n", result.getKey(), result.getValue());
+    }
+    out.printf(
+        "  latency    p50 %.1f ms, p90 %.1f ms, p99 %.1f ms, max %.1f ms%n",
+        latency.getValueAtPercentile(50) / 1000.0,
+        latency.getValueAtPercentile(90) / 1000.0,
+        latency.getValueAtPercentile(99) / 1000.0,
+        latency.getMaxValue() / 1000.0);
+    out.printf(
+        "  headroom   %.0f %% of slots free at the busiest sample%n", events.leastHeadroom() * 100);
+    out.printf("  entry VM   %s ended mid-run%n", events.killed());
+    out.printf(
+        "  drain      %s idle %d ms after its sign%n", events.drained(), events.drainMillis());
+    long missing = callers.sent() - callers.ended();
+    long silent = callers.results().getOrDefault("NO_ANSWER", 0L);
+    if (missing > 0 || silent > 0) {
+      out.printf("  MISSING    %d requests without any answer%n", missing + silent);
+    }
+    return missing == 0 && silent == 0 && callers.sent() > 0;
+  }
+
+  /** What happens to the system while it carries load, and what is sampled of it. */
+  private static final class LoadEvents {
+    private final LocalSystem system;
+    private volatile double leastHeadroom = 1;
+    private volatile String killed = "none";
+    private volatile String drained = "none";
+    private volatile long drainMillis = -1;
+
+    LoadEvents(LocalSystem system) {
+      this.system = system;
+    }
+
+    void run(Duration duration) {
+      try {
+        sample(duration.dividedBy(3));
+        killed = new ArrayList<>(system.entries().keySet()).get(0);
+        system.killEntry(killed);
+        sample(duration.dividedBy(3));
+        drain();
+        sample(duration.dividedBy(6));
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+
+    private void drain() throws InterruptedException {
+      List<String> ids = new ArrayList<>(system.targets().keySet());
+      drained = ids.get(ids.size() / 2);
+      TargetServer target = system.targets().get(drained);
+      if (target == null) {
+        return;
+      }
+      long start = System.nanoTime();
+      system.drainTarget(drained);
+      while (target.busy() > 0) {
+        Thread.sleep(1);
+      }
+      drainMillis = (System.nanoTime() - start) / 1_000_000;
+    }
+
+    private void sample(Duration span) throws InterruptedException {
+      long until = System.nanoTime() + span.toNanos();
+      while (System.nanoTime() < until) {
+        int busy = 0;
+        int slots = 0;
+        for (TargetServer target : system.targets().values()) {
+          busy += target.busy();
+          slots += target.options().slots();
+        }
+        leastHeadroom = Math.min(leastHeadroom, 1 - busy / (double) slots);
+        Thread.sleep(20);
+      }
+    }
+
+    double leastHeadroom() {
+      return leastHeadroom;
+    }
+
+    String killed() {
+      return killed;
+    }
+
+    String drained() {
+      return drained;
+    }
+
+    long drainMillis() {
+      return drainMillis;
+    }
+  }
+}
--- /dev/null
+++ b/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalSystem.java
@@ -0,0 +1,221 @@
+package org.sageladder.assembly;
+
+import java.io.IOException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.core.platform.ListedVm;
+import org.sageladder.core.platform.VmRole;
+import org.sageladder.core.store.Store;
+import org.sageladder.core.store.StoreException;
+import org.sageladder.core.store.WriteResult;
+import org.sageladder.entry.EntryDaemon;
+import org.sageladder.entry.settings.EntrySettings;
+import org.sageladder.platform.contract.StoredContract;
+import org.sageladder.platform.settings.SettingsException;
+import org.sageladder.platform.store.HttpStore;
+import org.sageladder.standin.store.StoreServer;
+import org.sageladder.standin.target.ServiceTime;
+import org.sageladder.standin.target.TargetOptions;
+import org.sageladder.standin.target.TargetServer;
+
+/**
+ * One customer's whole system on loopback: store, targets and entry VMs, all on ephemeral ports.
+ *
+ * <pre>{@code
+ * try (StoreServer store = StoreServer.start("127.0.0.1", 0);
+ *     LocalSystem system = LocalSystem.start(store, contract, LocalOptions.standard())) {
+ *   system.awaitReady();
+ * }
+ * }</pre>
+ */
+public final class LocalSystem implements AutoCloseable {
+  private static final String HOST = "127.0.0.1";
+  private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
+  private static final long READY_MILLIS = 15_000;
+
+  private final StoreServer store;
+  private final Contract contract;
+  private final Map<String, EntryDaemon> entries = new LinkedHashMap<>();
+  private final Map<String, TargetServer> targets = new LinkedHashMap<>();
+  private final Map<String, ListedVm> listed = new LinkedHashMap<>();
+
+  private LocalSystem(StoreServer store, Contract contract) {
+    this.store = store;
+    this.contract = contract;
+  }
+
+  /**
+   * Applies {@code contract} and starts its targets and {@code entriesPerZone} entry VMs a zone.
+   */
+  public static LocalSystem start(StoreServer store, Contract contract, int entriesPerZone)
+      throws IOException, InterruptedException, StoreException, SettingsException {
+    LocalSystem system = new LocalSystem(store, contract);
+    system.apply();
+    system.startTargets();
+    for (String zone : contract.zones()) {
+      for (int i = 1; i <= entriesPerZone; i++) {
+        system.startEntry(zone, i);
+      }
+    }
+    return system;
+  }
+
+  private void apply() throws StoreException {
+    String key = StoredContract.keyOf(contract.customer());
+    try (Store client = HttpStore.connect(store.address(), CALL_TIMEOUT)) {
+      WriteResult result =
+          client.compareAndSet(
+              key, 0, new StoredContract("local", "sageladder-local", contract).toBytes(), null);
+      if (!(result instanceof WriteResult.Written)) {
+        throw new IllegalStateException("the store already has " + key);
+      }
+    }
+  }
+
+  private void startTargets() throws IOException {
+    List<String> zones = contract.zones();
+    for (Contract.Service service : contract.services()) {
+      for (int i = 0; i < service.targets(); i++) {
+        String zone = zones.get(i % zones.size());
+        String id = contract.customer() + "-" + service.name() + "-" + (i + 1);
+        TargetServer target = TargetServer.start(options(id, service));
+        targets.put(id, target);
+        list(
+            new ListedVm(
+                VmRole.TARGET,
+                id,
+                contract.customer(),
+                service.name(),
+                zone,
+                HOST,
+                target.port(),
+                0,
+                1,
+                false));
+      }
+    }
+  }
+
+  private static TargetOptions options(String id, Contract.Service service) {
+    return TargetOptions.create(id)
+        .slots(service.slotsPerTarget())
+        .serviceTime(ServiceTime.fixed(service.meanServiceMillis()));
+  }
+
+  private void startEntry(String zone, int number)
+      throws IOException, InterruptedException, SettingsException {
+    String vm = contract.customer() + "-entry-" + zone + "-" + number;
+    EntryDaemon daemon = EntryDaemon.start(settings(vm, zone));
+    entries.put(vm, daemon);
+    list(
+        new ListedVm(
+            VmRole.ENTRY,
+            vm,
+            contract.customer(),
+            "",
+            zone,
+            HOST,
+            daemon.callersPort(),
+            0,
+            1,
+            false));
+  }
+
+  private EntrySettings settings(String vm, String zone) throws SettingsException {
+    URI uri = store.address();
+    String yaml =
+        String.join(
+            "\n",
+            "vm: " + vm,
+            "customer: " + contract.customer(),
+            "zone: " + zone,
+            "host: " + HOST,
+            "ports: {callers: 0, inner: 0, operators: 0}",
+            "store: {uri: '" + uri + "', timeout: 2s}",
+            "vmList: {uri: '" + uri + "', every: 1s}",
+            "incarnation: {source: fixed, number: 1}",
+            "callerLimits: {workers: 2}",
+            "");
+    return EntrySettings.parse(vm + ".yaml", yaml);
+  }
+
+  private void list(ListedVm vm) {
+    listed.put(vm.id(), vm);
+    store.putVm(vm);
+  }
+
+  /** Waits until every entry VM has the contract in force and sees all entry VMs. */
+  public void awaitReady() throws InterruptedException, IOException {
+    long until = System.currentTimeMillis() + READY_MILLIS;
+    List<String> waiting = new ArrayList<>(entries.keySet());
+    while (!waiting.isEmpty()) {
+      waiting.removeIf(vm -> entries.get(vm).isServing(entries.size()));
+      if (System.currentTimeMillis() > until) {
+        throw new IOException("not ready after " + READY_MILLIS + " ms: " + waiting);
+      }
+      Thread.sleep(20);
+    }
+  }
+
+  /** The contract that was applied. */
+  public Contract contract() {
+    return contract;
+  }
+
+  /** The entry VMs that run, by name. */
+  public Map<String, EntryDaemon> entries() {
+    return Map.copyOf(entries);
+  }
+
+  /** The targets, by name. */
+  public Map<String, TargetServer> targets() {
+    return Map.copyOf(targets);
+  }
+
+  /** Callers' addresses of the entry VMs that run. */
+  public List<String> addresses() {
+    return entries.values().stream().map(daemon -> HOST + ":" + daemon.callersPort()).toList();
+  }
+
+  /** Ends an entry VM at once, with whatever it carries; the list goes on naming it for a while. */
+  public void killEntry(String vm) {
+    EntryDaemon daemon = entries.remove(vm);
+    if (daemon != null) {
+      daemon.close();
+      store.removeVm(vm);
+    }
+  }
+
+  /** Announces the end of a target in the list and tells the target to drain. */
+  public void drainTarget(String id) {
+    ListedVm vm = listed.get(id);
+    TargetServer target = targets.get(id);
+    if (vm == null || target == null) {
+      throw new IllegalArgumentException("no target '" + id + "'; there are " + targets.keySet());
+    }
+    target.drain();
+    list(
+        new ListedVm(
+            vm.role(),
+            vm.id(),
+            vm.customer(),
+            vm.service(),
+            vm.zone(),
+            vm.host(),
+            vm.port(),
+            vm.innerPort(),
+            vm.incarnation(),
+            true));
+  }
+
+  @Override
+  public void close() {
+    entries.values().forEach(EntryDaemon::close);
+    targets.values().forEach(TargetServer::close);
+  }
+}
--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -109,15 +109,7 @@
     ControlPlane control = StoreControlPlane.start(settings.customer(), store, list, POLL, events);
     OutboundClient client =
         OutboundClient.start(settings.callerLimits().workers(), CONNECTIONS_PER_HOST);
-    GateTable gates =
-        GateTable.create(
-            settings.vm(),
-            settings.zone(),
-            settings.customer(),
-            time,
-            service ->
-                ServiceGate.create(
-                    settings.customer(), service, time, Scheduler.of(timers), events));
+    GateTable gates = gates(settings, time, timers, events);
     PermitKeys permitKeys =
         PermitKeys.of(store, settings.customer(), KEY_PERIOD, new SecureRandom());
     KeyRefresher keys = KeyRefresher.start(permitKeys, time);
@@ -125,23 +117,7 @@
         RequestPath.assemble(
             settings, client, timers, time, events, metrics, control, gates, permitKeys::ring);
     InFlight inFlight = InFlight.create();
-    PlannedStop plannedStop =
-        PlannedStop.of(
-            control,
-            inFlight,
-            path.home(),
-            PermitHandOver.of(
-                settings.vm(),
-                settings.zone(),
-                settings.customer(),
-                control,
-                path.home(),
-                path.codec(),
-                PermitHome.Limits.standard(),
-                client,
-                time),
-            time,
-            PlannedStop.Limits.standard());
+    PlannedStop plannedStop = plannedStop(settings, control, inFlight, path, client, time);
     control.onChange(gates::follow);
     control.onChange(path::follow);
     control.summaries(gates::summaries);
@@ -191,6 +167,42 @@
         plannedStop);
   }
 
+  private static PlannedStop plannedStop(
+      EntrySettings settings,
+      ControlPlane control,
+      InFlight inFlight,
+      RequestPath path,
+      OutboundClient client,
+      TimeSource time) {
+    return PlannedStop.of(
+        control,
+        inFlight,
+        path.home(),
+        PermitHandOver.of(
+            settings.vm(),
+            settings.zone(),
+            settings.customer(),
+            control,
+            path.home(),
+            path.codec(),
+            PermitHome.Limits.standard(),
+            client,
+            time),
+        time,
+        PlannedStop.Limits.standard());
+  }
+
+  private static GateTable gates(
+      EntrySettings settings, TimeSource time, ScheduledExecutorService timers, EventSink events) {
+    return GateTable.create(
+        settings.vm(),
+        settings.zone(),
+        settings.customer(),
+        time,
+        service ->
+            ServiceGate.create(settings.customer(), service, time, Scheduler.of(timers), events));
+  }
+
   private static void gauges(
       PrometheusMeterRegistry metrics, ControlPlane control, String customer) {
     Gauge.builder(
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestFlow.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestFlow.java
@@ -9,6 +9,7 @@
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
+import org.apache.hc.core5.net.URIAuthority;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.contract.Contract;
 import org.sageladder.core.event.EventKind;
@@ -167,6 +168,8 @@
   }
 
   private void send(HttpHost host, BasicHttpRequest request, Leg leg) {
+    request.setScheme(host.getSchemeName());
+    request.setAuthority(new URIAuthority(host));
     Runnable cancel =
         parts
             .client()
--- /dev/null
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/target/TargetServer.java
@@ -0,0 +1,311 @@
+package org.sageladder.standin.target;
+
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.net.URI;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.apache.hc.core5.function.Supplier;
+import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
+import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.ListenerEndpoint;
+import org.sageladder.core.time.TimeSource;
+import org.sageladder.standin.http.ConnectionTable;
+import org.sageladder.standin.http.JsonExchange;
+import org.sageladder.standin.http.JsonExchange.Call;
+import org.sageladder.standin.http.JsonExchange.Reply;
+import org.sageladder.standin.http.Listeners;
+
+/**
+ * A target that runs requests in slots, reports its load and can fail in the ways that targets do.
+ *
+ * <pre>{@code
+ * try (TargetServer target = TargetServer.start(TargetOptions.create("t-1").slots(3))) {
+ *   URI bids = target.address().resolve("/bids?work=17&answerBytes=2048");
+ *   // ... send it twice
+ *   target.executions().repeated(); // {17=2}
+ * }
+ * }</pre>
+ *
+ * <p>Every other path than {@code /load}, {@code /health} and {@code /admin/...} is work. All
+ * targets of one process share two timer threads; each has one I/O thread of its own.
+ */
+public final class TargetServer implements AutoCloseable {
+  private static final ScheduledExecutorService TIMER =
+      Executors.newScheduledThreadPool(
+          2,
+          task -> {
+            Thread thread = new Thread(task, "target-stand-in");
+            thread.setDaemon(true);
+            return thread;
+          });
+  private static final int IO_THREADS = 1;
+  private static final int CRASH_EXIT_CODE = 70;
+  private static final long REBIND_MILLIS = 50;
+
+  private final TargetOptions options;
+  private final SlotTable slots;
+  private final Executions executions = Executions.create();
+  private final ConnectionTable connections = ConnectionTable.create(peer -> {});
+  private final AtomicLong answered = new AtomicLong();
+  private final AtomicLong refused = new AtomicLong();
+  private final AtomicLong cancelled = new AtomicLong();
+  private final HttpAsyncServer server;
+  private final Object listenLock = new Object();
+  private ListenerEndpoint endpoint;
+  private final int port;
+  private boolean closed;
+
+  private TargetServer(TargetOptions options) throws IOException {
+    this.options = options;
+    this.slots = SlotTable.create(options, TimeSource.system());
+    this.server =
+        Listeners.server(IO_THREADS, connections, (request, context) -> route(request.getPath()));
+    server.start();
+    try {
+      this.endpoint = Listeners.bind(server, options.host(), options.port());
+    } catch (IOException e) {
+      server.close(CloseMode.IMMEDIATE);
+      throw e;
+    }
+    this.port = Listeners.port(endpoint);
+  }
+
+  /** Starts a target and returns once it listens. */
+  public static TargetServer start(TargetOptions options) throws IOException {
+    return new TargetServer(options);
+  }
+
+  /** The port that it listens on, also after a crash. */
+  public int port() {
+    return port;
+  }
+
+  /** The address that work is sent to. */
+  public URI address() {
+    return URI.create("http://" + options.host() + ":" + port);
+  }
+
+  /** How it was built. */
+  public TargetOptions options() {
+    return options;
+  }
+
+  /** How often each request was started. */
+  public Executions executions() {
+    return executions;
+  }
+
+  /** Number of the present start; a crash or restart adds one. */
+  public long incarnation() {
+    return slots.incarnation();
+  }
+
+  /** Busy slots, in truth. */
+  public int busy() {
+    return slots.load().busy();
+  }
+
+  /** Requests whose caller closed the connection before the answer began. */
+  public long cancellations() {
+    return cancelled.get();
+  }
+
+  /** Requests refused before running. */
+  public long refusals() {
+    return refused.get();
+  }
+
+  /** Whole answers handed to connections. */
+  public long answers() {
+    return answered.get();
+  }
+
+  /** Open connections. */
+  public int openConnections() {
+    return connections.size();
+  }
+
+  /** Replaces all faults. */
+  public void faults(TargetFaults next) {
+    slots.faults(next);
+  }
+
+  /** The faults in force. */
+  public TargetFaults faults() {
+    return slots.faults();
+  }
+
+  /** From now on refuses new work; work under way goes on. Only a restart ends this. */
+  public void drain() {
+    slots.drain();
+  }
+
+  /** Ends the process, or cuts everything and keeps the port closed for a while. */
+  public void crash() {
+    if (options.crashMillis() < 0) {
+      Runtime.getRuntime().halt(CRASH_EXIT_CODE);
+    }
+    schedule(this::crashNow, 0);
+  }
+
+  /** Cuts everything and starts as a new incarnation on the same port at once. */
+  public void restart() {
+    die();
+    listenAgain();
+  }
+
+  private void crashNow() {
+    die();
+    schedule(this::listenAgain, options.crashMillis());
+  }
+
+  private void die() {
+    synchronized (listenLock) {
+      endpoint.close(CloseMode.IMMEDIATE);
+      connections.cutAll();
+      slots.restart();
+    }
+  }
+
+  private void listenAgain() {
+    synchronized (listenLock) {
+      if (closed || !endpoint.isClosed()) {
+        return;
+      }
+      try {
+        endpoint = Listeners.bind(server, options.host(), port);
+      } catch (IOException e) {
+        schedule(this::listenAgain, REBIND_MILLIS);
+      }
+    }
+  }
+
+  private static void schedule(Runnable task, long delayMillis) {
+    ScheduledFuture<?> unused = TIMER.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void close() {
+    synchronized (listenLock) {
+      closed = true;
+    }
+    server.close(CloseMode.IMMEDIATE);
+  }
+
+  SlotTable slots() {
+    return slots;
+  }
+
+  ScheduledFuture<?> after(long nanos, Runnable task) {
+    return TIMER.schedule(task, nanos, TimeUnit.NANOSECONDS);
+  }
+
+  void started(String key) {
+    if (!key.isEmpty()) {
+      executions.add(key);
+    }
+  }
+
+  void answered() {
+    answered.incrementAndGet();
+  }
+
+  void refused() {
+    refused.incrementAndGet();
+  }
+
+  void cancelled() {
+    cancelled.incrementAndGet();
+  }
+
+  void cut(SocketAddress peer) {
+    connections.cut(peer);
+  }
+
+  private Supplier<AsyncServerExchangeHandler> route(String pathAndQuery) {
+    int end = pathAndQuery.indexOf('?');
+    String path = end < 0 ? pathAndQuery : pathAndQuery.substring(0, end);
+    if (path.equals("/load") || path.equals("/health") || path.startsWith("/admin/")) {
+      return () -> JsonExchange.create(this::report, connections);
+    }
+    return () -> WorkExchange.create(this);
+  }
+
+  private CompletableFuture<Reply> report(Call call) throws IOException {
+    boolean probe = call.path().equals("/load") || call.path().equals("/health");
+    if (probe && slots.faults().loadSilent()) {
+      return new CompletableFuture<>();
+    }
+    return CompletableFuture.completedFuture(reply(call));
+  }
+
+  private Reply reply(Call call) throws IOException {
+    return switch (call.path()) {
+      case "/load" -> Reply.json(200, slots.reportedLoad());
+      case "/health" -> health();
+      case "/admin/faults" -> faultsReply(call);
+      case "/admin/executions" -> executionsReply(call);
+      case "/admin/state" -> stateReply();
+      case "/admin/drain" -> posted(call, this::drain);
+      case "/admin/crash" -> posted(call, this::crash);
+      case "/admin/restart" -> posted(call, this::restartSoon);
+      default -> Reply.json(404, Map.of("error", "no such path: " + call.path()));
+    };
+  }
+
+  /** After the answer to the call that asked for it. */
+  private void restartSoon() {
+    schedule(this::restart, REBIND_MILLIS);
+  }
+
+  private Reply health() {
+    boolean up = slots.reportedUp();
+    return Reply.json(up ? 200 : 503, Map.of("up", up));
+  }
+
+  private Reply faultsReply(Call call) throws IOException {
+    if (call.method().equals("PUT")) {
+      faults(call.body(TargetFaults.class));
+    }
+    return Reply.json(200, faults());
+  }
+
+  private Reply executionsReply(Call call) {
+    String key = call.query("key", "");
+    if (!key.isEmpty()) {
+      return Reply.json(200, Map.of("key", key, "count", executions.count(key)));
+    }
+    if (call.query().containsKey("keys")) {
+      return Reply.json(200, new TreeSet<>(executions.keys()));
+    }
+    return Reply.json(200, Map.of("total", executions.total(), "repeated", executions.repeated()));
+  }
+
+  private Reply stateReply() {
+    return Reply.json(
+        200,
+        Map.of(
+            "id", options.id(),
+            "load", slots.load(),
+            "connections", connections.size(),
+            "answered", answered.get(),
+            "refused", refused.get(),
+            "cancelled", cancelled.get()));
+  }
+
+  private static Reply posted(Call call, Runnable action) {
+    if (!call.method().equals("POST")) {
+      return Reply.json(405, Map.of("error", call.method() + ": expected POST"));
+    }
+    action.run();
+    return Reply.json(200, Map.of());
+  }
+}
--- /dev/null
+++ b/sageladder-standin/src/test/java/org/sageladder/standin/target/SlotTableTest.java
@@ -0,0 +1,95 @@
+package org.sageladder.standin.target;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.sageladder.core.time.VirtualTime;
+
+/** Slots, reports and the cold start on a virtual clock. */
+class SlotTableTest {
+  private static void work() {}
+
+  private final VirtualTime time = VirtualTime.startingAt(0);
+
+  private SlotTable table(TargetOptions options) {
+    return SlotTable.create(options, time);
+  }
+
+  private static TargetOptions options() {
+    return TargetOptions.create("t").slots(1).queue(1).serviceTime(ServiceTime.fixed(10));
+  }
+
+  @Test
+  void aLaggingReportShowsTheLoadOfThen() {
+    SlotTable table = table(options());
+    table.faults(TargetFaults.none().loadLag(1000));
+    table.offer(SlotTableTest::work, 0);
+    assertEquals(0, table.reportedLoad().busy());
+    time.advance(Duration.ofMillis(999));
+    assertEquals(0, table.reportedLoad().busy());
+    time.advance(Duration.ofMillis(1));
+    assertEquals(1, table.reportedLoad().busy());
+    assertNull(table.release(1));
+    assertEquals(1, table.reportedLoad().busy());
+    time.advance(Duration.ofSeconds(1));
+    assertEquals(0, table.reportedLoad().busy());
+  }
+
+  @Test
+  void aColdTargetRefusesThenIsSlowThenUsual() {
+    SlotTable table = table(options().coldStart(1000, 2000, 5));
+    assertEquals(SlotTable.Decision.STARTING, table.offer(SlotTableTest::work, 0));
+    assertFalse(table.reportedUp());
+    time.advance(Duration.ofSeconds(1));
+    assertTrue(table.reportedUp());
+    assertEquals(50_000_000, table.serviceNanos());
+    time.advance(Duration.ofSeconds(1));
+    assertEquals(30_000_000, table.serviceNanos());
+    time.advance(Duration.ofSeconds(1));
+    assertEquals(10_000_000, table.serviceNanos());
+  }
+
+  @Test
+  void aFreedSlotGoesToTheWorkThatWaits() {
+    SlotTable table = table(options());
+    assertEquals(SlotTable.Decision.STARTED, table.offer(SlotTableTest::work, 0));
+    assertEquals(SlotTable.Decision.QUEUED, table.offer(SlotTableTest::work, 0));
+    assertEquals(SlotTable.Decision.SHEDDING, table.offer(SlotTableTest::work, 0));
+    assertNotNull(table.release(1));
+    assertEquals(1, table.load().busy());
+    assertNull(table.release(1));
+    assertEquals(0, table.load().busy());
+  }
+
+  // Work of a crashed incarnation ends late: giving back its slot would let the restarted target
+  // run one request more than it has slots.
+  @Test
+  void aSlotOfAnEndedIncarnationIsNotGivenBackTwice() {
+    SlotTable table = table(options());
+    table.offer(SlotTableTest::work, 0);
+    table.restart();
+    table.offer(SlotTableTest::work, 0);
+    assertNull(table.release(1));
+    assertEquals(1, table.load().busy());
+    assertEquals(SlotTable.Decision.QUEUED, table.offer(SlotTableTest::work, 0));
+  }
+
+  @Test
+  void theSameSeedDrawsTheSameTimes() {
+    TargetOptions random = options().serviceTime(ServiceTime.parse("lognormal:20:0.5")).seed(3);
+    SlotTable one = table(random);
+    SlotTable two = table(random);
+    double sum = 0;
+    for (int i = 0; i < 2000; i++) {
+      long nanos = one.serviceNanos();
+      assertEquals(nanos, two.serviceNanos());
+      sum += nanos / 1e6;
+    }
+    assertEquals(20, sum / 2000, 1);
+  }
+}
--- /dev/null
+++ b/sageladder-standin/src/test/java/org/sageladder/standin/target/TargetServerTest.java
@@ -0,0 +1,242 @@
+package org.sageladder.standin.target;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.Test;
+
+/** The target stand-in over real connections, seen by a client that is not HttpCore's. */
+class TargetServerTest {
+  private static final ServiceTime LONG = ServiceTime.fixed(3_600_000);
+  private static final ServiceTime NONE = ServiceTime.fixed(0);
+  private final HttpClient client = HttpClient.newHttpClient();
+
+  private static TargetOptions options() {
+    return TargetOptions.create("t-1").slots(1).queue(0).serviceTime(NONE);
+  }
+
+  private static HttpRequest.Builder to(TargetServer target, String pathAndQuery) {
+    return HttpRequest.newBuilder(target.address().resolve(pathAndQuery));
+  }
+
+  private HttpResponse<byte[]> send(HttpRequest.Builder request)
+      throws IOException, InterruptedException {
+    return client.send(request.build(), HttpResponse.BodyHandlers.ofByteArray());
+  }
+
+  private String text(TargetServer target, String path) throws IOException, InterruptedException {
+    return new String(send(to(target, path)).body(), StandardCharsets.UTF_8);
+  }
+
+  private Future<HttpResponse<byte[]>> sendLater(HttpRequest.Builder request) {
+    return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofByteArray());
+  }
+
+  private static void await(BooleanSupplier condition) throws InterruptedException {
+    long giveUp = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+    while (!condition.getAsBoolean()) {
+      assertTrue(System.nanoTime() < giveUp, "condition not met within 20 s");
+      Thread.sleep(2);
+    }
+  }
+
+  @Test
+  void anAnswerCarriesItsOwnRequestsChecksumAndBytes() throws Exception {
+    try (TargetServer target = TargetServer.start(options())) {
+      byte[] body = "a bid".getBytes(StandardCharsets.UTF_8);
+      String path = "/bids?work=17&answerBytes=70000";
+      HttpResponse<byte[]> answer =
+          send(to(target, path).POST(HttpRequest.BodyPublishers.ofByteArray(body)));
+      long checksum = RequestChecksum.of("POST", path, body);
+      AnswerPattern.Checker checker = AnswerPattern.checker(checksum);
+      checker.add(ByteBuffer.wrap(answer.body()));
+      assertEquals(200, answer.statusCode());
+      assertEquals(
+          String.valueOf(checksum), answer.headers().firstValue("Request-Checksum").orElseThrow());
+      assertEquals(70_000, checker.length());
+      assertTrue(checker.matches());
+      assertEquals(1, target.executions().count("17"));
+      await(() -> target.busy() == 0);
+    }
+  }
+
+  @Test
+  void aRecordingOfAHundredMegabytesIsStreamed() throws Exception {
+    long size = 100_000_000;
+    try (TargetServer target = TargetServer.start(options())) {
+      HttpRequest request = to(target, "/audio?chunked=1&answerBytes=" + size).build();
+      HttpResponse<InputStream> answer =
+          client.send(request, HttpResponse.BodyHandlers.ofInputStream());
+      long seen = 0;
+      byte[] piece = new byte[64 * 1024];
+      try (InputStream body = answer.body()) {
+        for (int read = body.read(piece); read >= 0; read = body.read(piece)) {
+          seen += read;
+        }
+      }
+      assertEquals(size, seen);
+      assertTrue(answer.headers().firstValue("Content-Length").isEmpty());
+    }
+  }
+
+  @Test
+  void workBeyondSlotsAndQueueIsShedBeforeRunning() throws Exception {
+    try (TargetServer target = TargetServer.start(options().queue(1).serviceTime(LONG))) {
+      Future<?> running = sendLater(to(target, "/x?work=1"));
+      await(() -> target.busy() == 1);
+      Future<?> queued = sendLater(to(target, "/x?work=2"));
+      await(() -> target.slots().load().queued() == 1);
+      HttpResponse<byte[]> answer = send(to(target, "/x?work=3"));
+      assertEquals(503, answer.statusCode());
+      assertEquals("shedding", answer.headers().firstValue("Target-Refused").orElseThrow());
+      assertEquals(0, target.executions().count("3"));
+      assertEquals(0, target.executions().count("2"));
+      running.cancel(true);
+      queued.cancel(true);
+    }
+  }
+
+  @Test
+  void queuedWorkStartsWhenTheSlotIsFree() throws Exception {
+    try (TargetServer target =
+        TargetServer.start(options().queue(1).serviceTime(ServiceTime.fixed(30)))) {
+      Future<HttpResponse<byte[]>> first = sendLater(to(target, "/x?work=1"));
+      await(() -> target.busy() == 1);
+      Future<HttpResponse<byte[]>> second = sendLater(to(target, "/x?work=2"));
+      assertEquals(200, first.get().statusCode());
+      assertEquals(200, second.get().statusCode());
+      assertEquals(Map.of(), target.executions().repeated());
+    }
+  }
+
+  @Test
+  void aDrainingTargetFinishesWhatItHasAndTakesNothingNew() throws Exception {
+    try (TargetServer target =
+        TargetServer.start(options().slots(2).serviceTime(ServiceTime.fixed(100)))) {
+      Future<HttpResponse<byte[]>> inFlight = sendLater(to(target, "/x?work=1"));
+      await(() -> target.busy() == 1);
+      send(to(target, "/admin/drain").POST(HttpRequest.BodyPublishers.noBody()));
+      HttpResponse<byte[]> refused = send(to(target, "/x?work=2"));
+      assertEquals("draining", refused.headers().firstValue("Target-Refused").orElseThrow());
+      assertEquals(503, send(to(target, "/health")).statusCode());
+      assertTrue(text(target, "/load").contains("\"draining\":true"));
+      assertEquals(200, inFlight.get().statusCode());
+      await(() -> target.busy() == 0);
+    }
+  }
+
+  @Test
+  void aCallerThatClosesItsConnectionCancelsTheWork() throws Exception {
+    try (TargetServer target = TargetServer.start(options().serviceTime(LONG))) {
+      try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), target.port())) {
+        socket
+            .getOutputStream()
+            .write("GET /x?work=1 HTTP/1.1\r\nHost: t\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        await(() -> target.busy() == 1);
+      }
+      await(() -> target.busy() == 0);
+      assertEquals(1, target.cancellations());
+      assertEquals(1, target.executions().count("1"));
+    }
+  }
+
+  @Test
+  void workPastItsDeadlineIsGivenUpAndQueuedWorkRefused() throws Exception {
+    try (TargetServer target = TargetServer.start(options().queue(1).serviceTime(LONG))) {
+      Future<HttpResponse<byte[]>> running =
+          sendLater(to(target, "/x?work=1").header("Deadline-Millis", "400"));
+      await(() -> target.busy() == 1);
+      HttpResponse<byte[]> queued = send(to(target, "/x?work=2").header("Deadline-Millis", "50"));
+      assertEquals("shedding", queued.headers().firstValue("Target-Refused").orElseThrow());
+      assertEquals(0, target.executions().count("2"));
+      assertEquals(504, running.get().statusCode());
+      assertEquals(1, target.executions().count("1"));
+      await(() -> target.busy() == 0);
+    }
+  }
+
+  // A target dies in the middle of two requests: their callers must see cut connections, not short
+  // answers; new connections are refused until it is back as the next incarnation, on its port.
+  @Test
+  void aCrashCutsAllConnectionsAndComesBackAsTheNextIncarnation() throws Exception {
+    try (TargetServer target =
+        TargetServer.start(options().slots(3).serviceTime(LONG).crashMillis(300))) {
+      CompletableFuture<HttpResponse<byte[]>> running =
+          client.sendAsync(
+              to(target, "/x?work=1").build(), HttpResponse.BodyHandlers.ofByteArray());
+      await(() -> target.busy() == 1);
+      assertThrows(IOException.class, () -> send(to(target, "/x?work=2&crash=1")));
+      assertThrows(Exception.class, running::get);
+      assertThrows(
+          ConnectException.class,
+          () -> new Socket(InetAddress.getLoopbackAddress(), target.port()).close());
+      await(() -> canConnect(target));
+      assertTrue(text(target, "/load").contains("\"incarnation\":2"));
+      assertEquals(1, target.executions().count("2"));
+      assertEquals(0, target.busy());
+    }
+  }
+
+  private static boolean canConnect(TargetServer target) {
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), target.port())) {
+      return socket.isConnected();
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  @Test
+  void aCutAnswerEndsInABrokenConnection() throws Exception {
+    try (TargetServer target = TargetServer.start(options())) {
+      target.faults(TargetFaults.none().truncate(1));
+      assertThrows(IOException.class, () -> send(to(target, "/x?answerBytes=50000")));
+      assertThrows(IOException.class, () -> send(to(target, "/x?answerBytes=500&chunked=1")));
+      target.faults(TargetFaults.none());
+      assertEquals(500, send(to(target, "/x?answerBytes=500")).body().length);
+    }
+  }
+
+  @Test
+  void reportsCanMisleadWhileTheWorkIsRight() throws Exception {
+    try (TargetServer target = TargetServer.start(options().serviceTime(LONG))) {
+      Future<?> running = sendLater(to(target, "/x?work=1"));
+      await(() -> target.busy() == 1);
+      assertTrue(text(target, "/load").contains("\"busy\":1"));
+      target.faults(TargetFaults.none().reportBusy(0).health(TargetFaults.Health.ALWAYS_DOWN));
+      assertTrue(text(target, "/load").contains("\"busy\":0"));
+      assertEquals(503, send(to(target, "/health")).statusCode());
+      running.cancel(true);
+    }
+  }
+
+  @Test
+  void faultsAreSetAndReadOverHttp() throws Exception {
+    try (TargetServer target = TargetServer.start(options())) {
+      String before = text(target, "/admin/faults");
+      String body = before.replace("\"shed\":false", "\"shed\":true");
+      assertNotEquals(before, body);
+      HttpResponse<byte[]> put =
+          send(to(target, "/admin/faults").PUT(HttpRequest.BodyPublishers.ofString(body)));
+      assertEquals(200, put.statusCode());
+      assertEquals(TargetFaults.none().shed(true), target.faults());
+      assertEquals(503, send(to(target, "/x")).statusCode());
+    }
+  }
+}
