sageladder-load: open-loop experiments whose checks give the verdict

Cause: nothing showed under load and faults that caps, slots, at most one run, true refusals, whole answers and drains hold. Change: an experiment in YAML states arrivals, faults and limits; arrivals are drawn beforehand and sent at their times whatever the answers do, latency counts from when each was due; targets are sampled from behind; checks go by the contract and by what targets really started; baselines (random choice, local only) meet the same arrivals; the report is Markdown and HTML with plots. Conclusion: seven kinds of breach each fail the verdict in tests, and a surge within the cap does not.

--- /dev/null
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/Arrivals.java
@@ -0,0 +1,89 @@
+package org.sageladder.tools.load;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.tools.load.Experiment.Load;
+import org.sageladder.tools.load.Experiment.Step;
+import org.sageladder.tools.load.Experiment.Weight;
+
+/** Draws an experiment's arrivals beforehand, so that every variant meets the same ones. */
+final class Arrivals {
+  private Arrivals() {}
+
+  /** All arrivals ordered by time; {@code prefix} starts each key. */
+  static List<Arrival> of(Experiment experiment, String prefix) {
+    List<Arrival> arrivals = new ArrayList<>();
+    SplittableRandom random = new SplittableRandom(experiment.seed());
+    for (Load load : experiment.loads()) {
+      add(experiment.contract(), load, prefix, random.split(), arrivals);
+    }
+    arrivals.sort(Comparator.comparingLong(Arrival::dueNanos));
+    return arrivals;
+  }
+
+  private static void add(
+      Contract contract,
+      Load load,
+      String prefix,
+      SplittableRandom random,
+      List<Arrival> arrivals) {
+    boolean repeatable = contract.service(load.service()).orElseThrow().repeatable();
+    List<Weight> weights = weights(contract, load);
+    double start = 0;
+    int number = 0;
+    for (Step step : load.steps()) {
+      double end = start + step.length().toNanos();
+      double due = start;
+      while (step.rate() > 0) {
+        due += -Math.log(1 - random.nextDouble()) * 1e9 / step.rate();
+        if (due >= end) {
+          break;
+        }
+        String region = draw(weights, random);
+        arrivals.add(
+            new Arrival(
+                (long) due,
+                prefix + "-" + load.service() + "-" + ++number,
+                load.service(),
+                repeatable,
+                region,
+                block(contract, region, random),
+                load.deadline(),
+                load.answerBytes()));
+      }
+      start = end;
+    }
+  }
+
+  private static List<Weight> weights(Contract contract, Load load) {
+    if (!load.weights().isEmpty()) {
+      return load.weights();
+    }
+    return contract.regions().stream().map(region -> new Weight(region.name(), 1)).toList();
+  }
+
+  private static String draw(List<Weight> weights, SplittableRandom random) {
+    double sum = weights.stream().mapToDouble(Weight::weight).sum();
+    double left = random.nextDouble() * sum;
+    for (Weight weight : weights) {
+      left -= weight.weight();
+      if (left < 0) {
+        return weight.region();
+      }
+    }
+    return weights.get(weights.size() - 1).region();
+  }
+
+  private static int block(Contract contract, String region, SplittableRandom random) {
+    List<Contract.ClientBlocks> ranges =
+        contract.clientBlocks().stream().filter(range -> range.region().equals(region)).toList();
+    if (ranges.isEmpty()) {
+      return 0;
+    }
+    Contract.ClientBlocks range = ranges.get(random.nextInt(ranges.size()));
+    return random.nextInt(range.first(), range.last() + 1);
+  }
+}
--- /dev/null
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/FaultSchedule.java
@@ -0,0 +1,115 @@
+package org.sageladder.tools.load;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.sageladder.tools.load.Experiment.Fault;
+import org.sageladder.tools.load.Experiment.FaultKind;
+
+/** Injects an experiment's faults at their times, on a thread of its own. */
+final class FaultSchedule implements AutoCloseable {
+  private static final long IN_FORCE_POLL_MILLIS = 20;
+  private static final long IN_FORCE_MOST_NANOS = 30_000_000_000L;
+
+  private final List<Fault> faults;
+  private final SystemUnderTest system;
+  private final long startNanos;
+  private final Consumer<String> progress;
+  private final List<Injected> injected = new ArrayList<>();
+  private final Thread thread;
+
+  /**
+   * A fault that was injected.
+   *
+   * @param atNanos when it had been done, after the experiment's start
+   * @param hit what was hit, or why nothing was
+   * @param done false where the system could not do it
+   * @param inForceNanos how long a changed contract took to be in force everywhere; -1 where the
+   *     fault is no such change or it was not in force within 30 s
+   */
+  record Injected(Fault fault, long atNanos, String hit, boolean done, long inForceNanos) {}
+
+  private FaultSchedule(
+      List<Fault> faults, SystemUnderTest system, long startNanos, Consumer<String> progress) {
+    this.faults = faults.stream().sorted(Comparator.comparing(Fault::at)).toList();
+    this.system = system;
+    this.startNanos = startNanos;
+    this.progress = progress;
+    this.thread = new Thread(this::run, "faults");
+  }
+
+  static FaultSchedule start(
+      List<Fault> faults, SystemUnderTest system, long startNanos, Consumer<String> progress) {
+    FaultSchedule schedule = new FaultSchedule(faults, system, startNanos, progress);
+    schedule.thread.start();
+    return schedule;
+  }
+
+  private void run() {
+    try {
+      for (Fault fault : faults) {
+        long left = startNanos + fault.at().toNanos() - System.nanoTime();
+        if (left > 0) {
+          Thread.sleep(left / 1_000_000, (int) (left % 1_000_000));
+        }
+        inject(fault);
+      }
+    } catch (InterruptedException e) {
+      progress.accept("faults: interrupted before all were injected");
+    }
+  }
+
+  private void inject(Fault fault) throws InterruptedException {
+    Injected result;
+    try {
+      Map<String, Long> before =
+          fault.kind() == FaultKind.CHANGE_CONTRACT ? system.revisionsInForce() : Map.of();
+      long began = System.nanoTime();
+      String hit = system.inject(fault);
+      long at = began - startNanos;
+      long inForce = fault.kind() == FaultKind.CHANGE_CONTRACT ? awaitInForce(before, began) : -1;
+      result = new Injected(fault, at, hit, true, inForce);
+    } catch (IOException e) {
+      result =
+          new Injected(
+              fault, System.nanoTime() - startNanos, "failed: " + e.getMessage(), false, -1);
+    }
+    synchronized (this) {
+      injected.add(result);
+    }
+    progress.accept(
+        "fault " + fault.kind() + " at " + result.atNanos() / 1_000_000 + " ms: " + result.hit());
+  }
+
+  private long awaitInForce(Map<String, Long> before, long began)
+      throws IOException, InterruptedException {
+    long highest = before.values().stream().mapToLong(Long::longValue).max().orElse(0);
+    while (System.nanoTime() - began < IN_FORCE_MOST_NANOS) {
+      Map<String, Long> now = system.revisionsInForce();
+      long asked = System.nanoTime();
+      if (!now.isEmpty() && now.values().stream().allMatch(revision -> revision > highest)) {
+        return asked - began;
+      }
+      Thread.sleep(IN_FORCE_POLL_MILLIS);
+    }
+    return -1;
+  }
+
+  /** What was injected so far. */
+  synchronized List<Injected> injected() {
+    return List.copyOf(injected);
+  }
+
+  /** Waits until all faults have been injected. */
+  void join() throws InterruptedException {
+    thread.join();
+  }
+
+  @Override
+  public void close() {
+    thread.interrupt();
+  }
+}
--- /dev/null
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/LoadMain.java
@@ -0,0 +1,157 @@
+package org.sageladder.tools.load;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.ServiceLoader;
+import java.util.function.UnaryOperator;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.core.contract.Contract.ShiftCap;
+import org.sageladder.platform.settings.ExitCode;
+import org.sageladder.platform.settings.SettingsException;
+
+/** Entry point of {@code sageladder-load}. */
+public final class LoadMain {
+  private static final String USAGE = "sageladder-load EXPERIMENT.yaml [options]";
+  private static final ShiftCap NO_CAP = new ShiftCap(1, Duration.ofMillis(100));
+
+  private LoadMain() {}
+
+  /** Runs an experiment; exits 0 where its verdict holds and 1 where it fails. */
+  public static void main(String[] args) {
+    System.setProperty("java.awt.headless", "true");
+    System.exit(run(args, System.out, System.err).status());
+  }
+
+  /** As {@link #main}, without ending the process. */
+  public static ExitCode run(String[] args, PrintStream out, PrintStream err) {
+    try {
+      CommandLine line = new DefaultParser().parse(options(), args);
+      if (line.hasOption("help") || line.getArgList().size() != 1) {
+        help(line.hasOption("help") ? out : err);
+        return line.hasOption("help") ? ExitCode.OK : ExitCode.USAGE;
+      }
+      return run(line, out);
+    } catch (ParseException e) {
+      err.println("sageladder-load: " + e.getMessage() + "; see --help");
+      return ExitCode.USAGE;
+    } catch (SettingsException e) {
+      err.println("sageladder-load: " + e.getMessage());
+      return ExitCode.BAD_SETTINGS;
+    } catch (IOException e) {
+      err.println("sageladder-load: " + e.getMessage());
+      return ExitCode.UNAVAILABLE;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      err.println("sageladder-load: interrupted");
+      return ExitCode.INTERNAL;
+    }
+  }
+
+  private static ExitCode run(CommandLine line, PrintStream out)
+      throws ParseException, SettingsException, IOException, InterruptedException {
+    Experiment experiment = Experiment.read(Path.of(line.getArgList().get(0)));
+    UnaryOperator<Contract> change = disabled(line.getOptionValue("disable", "nothing"));
+    ExperimentRun run = ExperimentRun.of(experiment, provider(line), out::println);
+    List<VariantResult> variants = new ArrayList<>();
+    variants.add(run.system(change.apply(experiment.contract())));
+    if (!line.hasOption("no-baselines")) {
+      variants.add(run.random());
+      variants.add(run.localOnly());
+    }
+    List<CheckResult> checks = Checks.of(variants.get(0));
+    Path directory = Path.of(line.getOptionValue("output", "target/load/" + experiment.name()));
+    Report.write(directory, variants, checks);
+    out.print(Report.summary(checks));
+    boolean holds = Report.holds(checks);
+    out.println("report: " + directory.resolve("report.html"));
+    out.println(experiment.name() + ": verdict " + (holds ? "holds" : "FAILS"));
+    return holds ? ExitCode.OK : ExitCode.VERDICT_FAILED;
+  }
+
+  /**
+   * Breaks the system on purpose while the checks go on by the experiment's contract, to show that
+   * they can fail.
+   */
+  private static UnaryOperator<Contract> disabled(String what) throws ParseException {
+    return switch (what) {
+      case "nothing" -> UnaryOperator.identity();
+      case "caps" -> LoadMain::withoutCaps;
+      default ->
+          throw new ParseException("--disable '" + what + "' is not allowed; give caps or nothing");
+    };
+  }
+
+  private static Contract withoutCaps(Contract contract) {
+    List<Contract.Service> services = new ArrayList<>();
+    for (Contract.Service service : contract.services()) {
+      services.add(
+          new Contract.Service(
+              service.name(),
+              service.requestClass(),
+              service.repeatable(),
+              service.targets(),
+              service.slotsPerTarget(),
+              service.connectionsPerTarget(),
+              service.meanServiceMillis(),
+              service.queuePerTarget(),
+              service.queueWait(),
+              service.longestDeadline(),
+              service.drainLimit(),
+              service.retryFraction(),
+              NO_CAP,
+              NO_CAP));
+    }
+    return new Contract(
+        contract.customer(),
+        contract.revision(),
+        contract.regions(),
+        contract.delays(),
+        contract.clientBlocks(),
+        contract.linkLimits(),
+        services);
+  }
+
+  private static SystemUnderTest.Provider provider(CommandLine line) throws ParseException {
+    String entries = line.getOptionValue("entries");
+    if (entries != null) {
+      return RemoteSystem.provider(List.of(entries.split(",")), line.getOptionValue("targets", ""));
+    }
+    for (SystemUnderTest.Provider provider : ServiceLoader.load(SystemUnderTest.Provider.class)) {
+      return provider;
+    }
+    throw new ParseException("no system to start here; give --entries IP:PORT[,IP:PORT...]");
+  }
+
+  private static Options options() {
+    return new Options()
+        .addOption(option("output", "DIRECTORY", "where the report goes; target/load/NAME"))
+        .addOption(option("entries", "IP:PORT,...", "callers' ports of entry VMs that run already"))
+        .addOption(
+            option("targets", "FILE", "YAML list of the target stand-ins behind them, for checks"))
+        .addOption(
+            option("disable", "WHAT", "caps: run without shift caps, which must fail the verdict"))
+        .addOption(Option.builder().longOpt("no-baselines").desc("run the system only").get())
+        .addOption(Option.builder().longOpt("help").desc("show this").get());
+  }
+
+  private static Option option(String name, String argument, String summary) {
+    return Option.builder().longOpt(name).hasArg().argName(argument).desc(summary).get();
+  }
+
+  private static void help(PrintStream out) {
+    out.println("usage: " + USAGE);
+    for (Option option : options().getOptions()) {
+      String argument = option.hasArg() ? " " + option.getArgName() : "";
+      out.printf("  %-26s %s%n", "--" + option.getLongOpt() + argument, option.getDescription());
+    }
+  }
+}
--- /dev/null
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/Report.java
@@ -0,0 +1,251 @@
+package org.sageladder.tools.load;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.tools.load.Ending.What;
+
+/** Report of an experiment in Markdown and as one HTML page. */
+final class Report {
+  private final List<VariantResult> variants;
+  private final List<CheckResult> checks;
+  private final StringBuilder markdown = new StringBuilder();
+
+  private Report(List<VariantResult> variants, List<CheckResult> checks) {
+    this.variants = variants;
+    this.checks = checks;
+  }
+
+  /** Writes report.md, report.html and the pictures into {@code directory}. */
+  static void write(Path directory, List<VariantResult> variants, List<CheckResult> checks)
+      throws IOException {
+    Files.createDirectories(directory);
+    List<Plots.Plot> plots = Plots.of(variants);
+    for (Plots.Plot plot : plots) {
+      Files.write(directory.resolve(plot.fileName()), plot.png());
+    }
+    Report report = new Report(variants, checks);
+    report.body();
+    Files.writeString(
+        directory.resolve("report.md"), report.markdown(plots), StandardCharsets.UTF_8);
+    Files.writeString(directory.resolve("report.html"), report.html(plots), StandardCharsets.UTF_8);
+  }
+
+  /** True where every check holds. */
+  static boolean holds(List<CheckResult> checks) {
+    return checks.stream().allMatch(CheckResult::holds);
+  }
+
+  /** The checks as a table of text. */
+  static String summary(List<CheckResult> checks) {
+    StringBuilder text = new StringBuilder();
+    for (CheckResult check : checks) {
+      text.append(
+          String.format(
+              Locale.ROOT,
+              "  %-5s %-58s %s (%s)%n",
+              check.holds() ? "holds" : "FAILS",
+              check.name(),
+              check.measured(),
+              check.required()));
+    }
+    return text.toString();
+  }
+
+  private void body() {
+    VariantResult first = variants.get(0);
+    Experiment experiment = first.experiment();
+    markdown
+        .append("# Experiment ")
+        .append(experiment.name())
+        .append("\n\nVerdict: **")
+        .append(holds(checks) ? "holds" : "FAILS")
+        .append("**\n\n")
+        .append(first.endings().size())
+        .append(" requests in ")
+        .append(experiment.length().toMillis() / 1_000.0)
+        .append(" s, seed ")
+        .append(experiment.seed())
+        .append(", ")
+        .append(first.samples().targets().size())
+        .append(" targets; the tool itself started requests at most ")
+        .append(Checks.millis(first.senderLagNanos()))
+        .append(" late, which counts as latency.\n");
+    checks();
+    faults(first);
+    comparison();
+    results(first);
+  }
+
+  private void checks() {
+    heading("Checks");
+    row("verdict", "property", "measured", "required");
+    row("---", "---", "---", "---");
+    for (CheckResult check : checks) {
+      row(check.holds() ? "holds" : "**FAILS**", check.name(), check.measured(), check.required());
+    }
+  }
+
+  private void faults(VariantResult variant) {
+    if (variant.injected().isEmpty()) {
+      return;
+    }
+    heading("Faults injected");
+    row("at", "fault", "hit");
+    row("---", "---", "---");
+    for (FaultSchedule.Injected fault : variant.injected()) {
+      row(Checks.millis(fault.atNanos()), fault.fault().kind().name(), fault.hit());
+    }
+  }
+
+  private void comparison() {
+    heading("Variants");
+    row(
+        "service",
+        "variant",
+        "requests",
+        "whole",
+        "p50 ms",
+        "p90 ms",
+        "p99 ms",
+        "max ms",
+        "least headroom",
+        "outside region");
+    row("---", "---", "--:", "--:", "--:", "--:", "--:", "--:", "--:", "--:");
+    for (Contract.Service service : variants.get(0).experiment().contract().services()) {
+      for (VariantResult variant : variants) {
+        if (!variant.endings(service.name()).isEmpty()) {
+          compare(service.name(), variant);
+        }
+      }
+    }
+    markdown.append(
+        "\nThe baselines send the same arrivals straight to the same number of fresh targets, with"
+            + " no entry VM in between; links add no delay in either. Latency is that of whole"
+            + " answers only, so it is to be read beside their share. 'outside region' is the share"
+            + " of whole answers from a target outside the caller's region, each of which would"
+            + " pay the contract's delay between regions twice.\n");
+  }
+
+  private void compare(String service, VariantResult variant) {
+    Histogram latency = variant.latency(service);
+    row(
+        service,
+        variant.name(),
+        String.valueOf(variant.endings(service).size()),
+        Checks.percent(variant.wholeShare(service)),
+        millis(latency, 50),
+        millis(latency, 90),
+        millis(latency, 99),
+        millis(latency, 100),
+        Checks.percent(variant.leastHeadroom(service)),
+        Checks.percent(variant.abroadShare(service)));
+  }
+
+  private static String millis(Histogram histogram, double percentile) {
+    return String.format(Locale.ROOT, "%.1f", histogram.getValueAtPercentile(percentile) / 1e3);
+  }
+
+  private void results(VariantResult variant) {
+    heading("Results that callers saw");
+    row("service", "told", "result", "requests");
+    row("---", "---", "---", "--:");
+    Map<String, Integer> counts = new TreeMap<>();
+    for (Ending ending : variant.endings()) {
+      String key = ending.arrival().service() + " | " + ending.what() + " | " + ending.code();
+      counts.merge(key, 1, Integer::sum);
+    }
+    counts.forEach((key, count) -> row(key, String.valueOf(count)));
+    long unknown = variant.endings().stream().filter(e -> e.what() == What.UNKNOWN).count();
+    markdown.append("\nUnknown: ").append(unknown).append(".\n");
+  }
+
+  private void heading(String text) {
+    markdown.append("\n## ").append(text).append("\n\n");
+  }
+
+  private void row(String... cells) {
+    markdown.append("| ").append(String.join(" | ", cells)).append(" |\n");
+  }
+
+  private String markdown(List<Plots.Plot> plots) {
+    StringBuilder text = new StringBuilder(markdown);
+    text.append("\n## Pictures\n");
+    for (Plots.Plot plot : plots) {
+      text.append("\n![").append(plot.title()).append("](").append(plot.fileName()).append(")\n");
+    }
+    return text.toString();
+  }
+
+  private String html(List<Plots.Plot> plots) {
+    StringBuilder html = new StringBuilder();
+    html.append("<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>Experiment ")
+        .append(escape(variants.get(0).experiment().name()))
+        .append("</title><style>body{font:14px sans-serif;margin:1.5em;max-width:72em}")
+        .append("table{border-collapse:collapse}td{padding:2px 10px;border-bottom:1px solid #ddd}")
+        .append("</style></head><body>");
+    List<String> table = new ArrayList<>();
+    for (String line : markdown.toString().split("\n", -1)) {
+      if (line.startsWith("| ")) {
+        table.add(line);
+        continue;
+      }
+      flush(table, html);
+      if (line.startsWith("## ")) {
+        html.append("<h2>").append(escape(line.substring(3))).append("</h2>");
+      } else if (line.startsWith("# ")) {
+        html.append("<h1>").append(escape(line.substring(2))).append("</h1>");
+      } else if (!line.isBlank()) {
+        html.append("<p>").append(bold(escape(line))).append("</p>");
+      }
+    }
+    flush(table, html);
+    for (Plots.Plot plot : plots) {
+      html.append("<p><img alt=\"")
+          .append(escape(plot.title()))
+          .append("\" src=\"data:image/png;base64,")
+          .append(Base64.getEncoder().encodeToString(plot.png()))
+          .append("\"></p>");
+    }
+    return html.append("</body></html>\n").toString();
+  }
+
+  private static void flush(List<String> table, StringBuilder html) {
+    if (table.isEmpty()) {
+      return;
+    }
+    html.append("<table>");
+    for (int i = 0; i < table.size(); i++) {
+      if (i == 1) {
+        continue;
+      }
+      String tag = i == 0 ? "th" : "td";
+      html.append("<tr>");
+      String line = table.get(i);
+      for (String cell : line.substring(2, line.length() - 2).split(" \\| ", -1)) {
+        html.append("<").append(tag).append(">").append(bold(escape(cell)));
+        html.append("</").append(tag).append(">");
+      }
+      html.append("</tr>");
+    }
+    html.append("</table>");
+    table.clear();
+  }
+
+  private static String bold(String text) {
+    return text.replaceAll("\\*\\*([^*]+)\\*\\*", "<strong>$1</strong>");
+  }
+
+  private static String escape(String text) {
+    return text.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;");
+  }
+}
--- /dev/null
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/SystemSender.java
@@ -0,0 +1,73 @@
+package org.sageladder.tools.load;
+
+import java.util.List;
+import org.sageladder.client.Answer;
+import org.sageladder.client.ClientOptions;
+import org.sageladder.client.Request;
+import org.sageladder.client.SageladderClient;
+import org.sageladder.tools.load.Ending.What;
+
+/** Sends through sageladder with the callers' library. */
+final class SystemSender implements Sender {
+  private static final int CONNECTIONS_PER_ENTRY = 256;
+
+  private final String customer;
+  private final SageladderClient client;
+
+  private SystemSender(String customer, SageladderClient client) {
+    this.customer = customer;
+    this.client = client;
+  }
+
+  /** Callers of {@code customer} who know the entry VMs at {@code addresses}. */
+  static SystemSender of(String customer, List<String> addresses) {
+    ClientOptions options =
+        ClientOptions.seeds(addresses).connectionsPerEntry(CONNECTIONS_PER_ENTRY);
+    return new SystemSender(customer, SageladderClient.start(options));
+  }
+
+  @Override
+  public Outcome send(Arrival arrival) {
+    TargetRequest target = TargetRequest.of(arrival);
+    Request request =
+        arrival.repeatable()
+            ? Request.get(customer, arrival.service(), arrival.block(), target.path())
+            : Request.post(
+                customer,
+                arrival.service(),
+                arrival.block(),
+                target.path(),
+                target.body(),
+                "application/octet-stream");
+    return outcome(client.send(request.deadline(arrival.deadline()).id(arrival.key())), target);
+  }
+
+  private static Outcome outcome(Answer answer, TargetRequest request) {
+    if (answer instanceof Answer.Whole whole) {
+      return whole(whole, request);
+    }
+    if (answer instanceof Answer.RanUnseen ran) {
+      return new Outcome(What.RAN_UNSEEN, ran.code().name(), "", ran.tries());
+    }
+    if (answer instanceof Answer.NotRun notRun) {
+      return new Outcome(What.NOT_RUN, notRun.code().name(), "", notRun.tries());
+    }
+    Answer.Unknown unknown = (Answer.Unknown) answer;
+    return new Outcome(What.UNKNOWN, unknown.code().name(), "", unknown.tries());
+  }
+
+  /** A status of the target's own, such as 504 past the deadline, tells that it ran or may have. */
+  private static Outcome whole(Answer.Whole whole, TargetRequest request) {
+    if (whole.status() != 200) {
+      return new Outcome(What.UNKNOWN, "STATUS_" + whole.status(), whole.target(), whole.tries());
+    }
+    String checksum = whole.header(TargetRequest.CHECKSUM).orElse("");
+    boolean right = request.isAnsweredBy(checksum, whole.body());
+    return new Outcome(right ? What.WHOLE : What.WRONG, "OK", whole.target(), whole.tries());
+  }
+
+  @Override
+  public void close() {
+    client.close();
+  }
+}
--- /dev/null
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/TargetRequest.java
@@ -0,0 +1,33 @@
+package org.sageladder.tools.load;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.sageladder.standin.target.AnswerPattern;
+import org.sageladder.standin.target.RequestChecksum;
+
+/** The HTTP form of an arrival at a target stand-in, and the check of the answer to it. */
+@SuppressWarnings("ArrayRecordComponent")
+record TargetRequest(String method, String path, byte[] body, int answerBytes) {
+  /** Header in which the stand-in echoes the checksum of the request it answers. */
+  static final String CHECKSUM = "Request-Checksum";
+
+  static TargetRequest of(Arrival arrival) {
+    String path = "/x?work=" + arrival.key() + "&answerBytes=" + arrival.answerBytes();
+    if (arrival.repeatable()) {
+      return new TargetRequest("GET", path, new byte[0], arrival.answerBytes());
+    }
+    byte[] body = ("record of " + arrival.key()).getBytes(StandardCharsets.UTF_8);
+    return new TargetRequest("POST", path, body, arrival.answerBytes());
+  }
+
+  /** True where the answer is to this request and every byte of it is there and right. */
+  boolean isAnsweredBy(String checksum, byte[] answer) {
+    long mine = RequestChecksum.of(method, path, body);
+    if (!String.valueOf(mine).equals(checksum) || answer.length != answerBytes) {
+      return false;
+    }
+    AnswerPattern.Checker checker = AnswerPattern.checker(mine);
+    checker.add(ByteBuffer.wrap(answer));
+    return checker.matches();
+  }
+}
--- /dev/null
+++ b/sageladder-tools/src/test/java/org/sageladder/tools/load/ChecksTest.java
@@ -0,0 +1,190 @@
+package org.sageladder.tools.load;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.URI;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongUnaryOperator;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.sageladder.tools.load.Ending.What;
+import org.sageladder.tools.load.Experiment.Fault;
+import org.sageladder.tools.load.Experiment.FaultKind;
+import org.sageladder.tools.load.TargetView.Reading;
+
+class ChecksTest {
+  private static final String SEARCH = "lyric-search";
+  private static final String DONATION = "donation-cataloguing";
+  private Experiment experiment;
+
+  @BeforeEach
+  void readExperiment() throws Exception {
+    Experiment whole = Experiment.read(Path.of("..", "experiments", "kannelkoda.yaml"));
+    experiment =
+        new Experiment(
+            whole.name(), whole.contract(), 1, 1, whole.loads(), List.of(), whole.limits());
+  }
+
+  @Test
+  void bothExperimentsAreRead() throws Exception {
+    assertEquals(Duration.ofSeconds(24), experiment.length());
+    Experiment other = Experiment.read(Path.of("..", "experiments", "kalnins-dauge.yaml"));
+    assertEquals(5, other.faults().size());
+  }
+
+  @Test
+  void equalSeedsGiveEqualArrivalsAtTheStatedRates() {
+    List<Arrival> arrivals = Arrivals.of(experiment, "a");
+
+    assertEquals(arrivals, Arrivals.of(experiment, "a"));
+    long searches = arrivals.stream().filter(arrival -> arrival.service().equals(SEARCH)).count();
+    assertTrue(5_600 < searches && searches < 6_400, "searches: " + searches);
+  }
+
+  @Test
+  void secondRunOfADonationFailsTheVerdict() {
+    Ending ending = ending(DONATION, false, What.WHOLE, 10);
+
+    VariantResult twice = result(List.of(ending), steady(1), Map.of(ending.arrival().key(), 2));
+
+    assertTrue(failed(twice).contains("what must not repeat runs at most once"));
+  }
+
+  @Test
+  void refusalOfWhatHadRunFailsTheVerdict() {
+    Ending ending = ending(SEARCH, true, What.NOT_RUN, 10);
+
+    VariantResult untrue = result(List.of(ending), steady(1), Map.of(ending.arrival().key(), 1));
+
+    assertTrue(failed(untrue).contains("what callers are told was not run was not run"));
+  }
+
+  @Test
+  void answerToAnotherRequestFailsTheVerdict() {
+    VariantResult wrong =
+        result(List.of(ending(SEARCH, true, What.WRONG, 10)), steady(1), Map.of());
+
+    assertTrue(failed(wrong).contains("each caller gets the whole answer to its own request"));
+  }
+
+  @Test
+  void workBeyondTheSlotsFailsTheVerdict() {
+    VariantResult beyond = result(List.of(), step -> step, 4, Map.of(), List.of());
+
+    assertTrue(failed(beyond).contains("no target holds more than its slots"));
+  }
+
+  // Story: a surge of searches lands on a cold region at once; its caches are empty and every
+  // search
+  // is slow. Cause: admission without the cap. The target may gain 0.34 of 150 requests a second in
+  // a window of 5 s, which is 255 requests; here it gains 500.
+  @Test
+  void surgeBeyondTheCapFailsTheVerdictAndOneWithinItDoesNot() {
+    VariantResult surge = result(List.of(), step -> step < 100 ? step : 100 + 12 * (step - 100));
+    VariantResult slow = result(List.of(), step -> step < 100 ? step : 100 + 5 * (step - 100));
+
+    assertTrue(failed(surge).contains("shift toward a target stays under its cap"));
+    assertTrue(!failed(slow).contains("shift toward a target stays under its cap"));
+  }
+
+  @Test
+  void newWorkOnALeavingTargetFailsTheVerdict() {
+    Fault fault =
+        new Fault(Duration.ofSeconds(2), FaultKind.DRAIN_TARGET, "", "", Duration.ZERO, 1);
+    List<FaultSchedule.Injected> drained =
+        List.of(new FaultSchedule.Injected(fault, 2_000_000_000L, "t", true, -1));
+
+    VariantResult goesOn = result(List.of(), step -> step, 1, Map.of(), drained);
+    VariantResult stops = result(List.of(), step -> Math.min(step, 30), 0, Map.of(), drained);
+
+    assertTrue(failed(goesOn).contains("leaving target t gets no new work"));
+    assertTrue(failed(goesOn).contains("drain time of t"));
+    assertTrue(!failed(stops).contains("leaving target t gets no new work"));
+    assertTrue(!failed(stops).contains("drain time of t"));
+  }
+
+  private static List<String> failed(VariantResult result) {
+    return Checks.of(result).stream()
+        .filter(check -> !check.holds())
+        .map(CheckResult::name)
+        .toList();
+  }
+
+  private static LongUnaryOperator steady(long perStep) {
+    return step -> step * perStep;
+  }
+
+  private VariantResult result(
+      List<Ending> endings, LongUnaryOperator started, Map<String, Integer> executions) {
+    return result(endings, started, 1, executions, List.of());
+  }
+
+  private VariantResult result(List<Ending> endings, LongUnaryOperator started) {
+    return result(endings, started, Map.of());
+  }
+
+  /** A run of 20 s with one search target, read every 100 ms. */
+  private VariantResult result(
+      List<Ending> endings,
+      LongUnaryOperator started,
+      int busy,
+      Map<String, Integer> executions,
+      List<FaultSchedule.Injected> injected) {
+    List<Long> at = new ArrayList<>();
+    List<List<Reading>> readings = new ArrayList<>();
+    for (long step = 0; step < 200; step++) {
+      at.add(step * 100_000_000L);
+      readings.add(List.of(new Reading(started.applyAsLong(step), busy, 0)));
+    }
+    Samples samples = new Samples(List.of(new FixedTarget()), at, readings);
+    return new VariantResult("sageladder", experiment, endings, samples, injected, executions, 0);
+  }
+
+  private static Ending ending(String service, boolean repeatable, What what, long millis) {
+    Arrival arrival =
+        new Arrival(0, "k-1", service, repeatable, "tallinn", 1, Duration.ofSeconds(1), 16);
+    return new Ending(arrival, millis * 1_000_000, what, "OK", "t", 1);
+  }
+
+  private record FixedTarget() implements TargetView {
+    @Override
+    public String id() {
+      return "t";
+    }
+
+    @Override
+    public String service() {
+      return SEARCH;
+    }
+
+    @Override
+    public String zone() {
+      return "tallinn-1";
+    }
+
+    @Override
+    public int slots() {
+      return 3;
+    }
+
+    @Override
+    public URI address() {
+      return URI.create("http://127.0.0.1:1");
+    }
+
+    @Override
+    public Reading read() {
+      return new Reading(0, 0, 0);
+    }
+
+    @Override
+    public Map<String, Integer> executions() {
+      return Map.of();
+    }
+  }
+}
--- /dev/null
+++ b/sageladder-tools/src/test/java/org/sageladder/tools/load/OpenLoopTest.java
@@ -0,0 +1,74 @@
+package org.sageladder.tools.load;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.sageladder.tools.load.Ending.What;
+
+class OpenLoopTest {
+  // Story: a system hangs for a while and the report shows a fine 99th percentile. Cause: a sender
+  // that waits for each answer sends nothing while the system hangs, so only one request is slow
+  // (coordinated omission). Here the first request does not end before all others have been sent.
+  @Test
+  void requestsAreSentThoughTheFirstOneHangs() throws Exception {
+    int count = 50;
+    CountDownLatch othersCame = new CountDownLatch(count - 1);
+    Sender sender =
+        arrival -> {
+          if (arrival.key().equals("k-0")) {
+            awaitQuietly(othersCame);
+          } else {
+            othersCame.countDown();
+          }
+          return new Sender.Outcome(What.WHOLE, "OK", "", 1);
+        };
+
+    List<Ending> endings = new OpenLoop().run(arrivals(count), sender, System.nanoTime());
+
+    assertEquals(count, endings.size());
+    assertEquals(0, othersCame.getCount());
+  }
+
+  @Test
+  void latencyCountsFromWhenARequestWasDue() throws Exception {
+    Sender sender = arrival -> new Sender.Outcome(What.WHOLE, "OK", "", 1);
+    long overdue = System.nanoTime() - Duration.ofSeconds(3).toNanos();
+
+    List<Ending> endings = new OpenLoop().run(arrivals(1), sender, overdue);
+
+    assertTrue(endings.get(0).latencyNanos() >= Duration.ofSeconds(3).toNanos());
+  }
+
+  @Test
+  void aSenderThatThrowsLosesNoRequest() throws Exception {
+    Sender sender =
+        arrival -> {
+          throw new IllegalStateException("broken");
+        };
+
+    List<Ending> endings = new OpenLoop().run(arrivals(2), sender, System.nanoTime());
+
+    assertEquals(List.of(What.UNKNOWN, What.UNKNOWN), endings.stream().map(Ending::what).toList());
+  }
+
+  private static void awaitQuietly(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static List<Arrival> arrivals(int count) {
+    List<Arrival> arrivals = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      arrivals.add(new Arrival(i * 1_000L, "k-" + i, "s", true, "r", 1, Duration.ofSeconds(1), 16));
+    }
+    return arrivals;
+  }
+}
