Stand-in target: tell how many requests wait

Cause: an experiment that checks slots from behind must see what a target holds beyond them. Change: TargetServer.queued().

--- a/sageladder-standin/src/main/java/org/sageladder/standin/target/TargetServer.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/target/TargetServer.java
@@ -113,6 +113,11 @@
     return slots.load().busy();
   }
 
+  /** Requests that wait for a slot, in truth. */
+  public int queued() {
+    return slots.load().queued();
+  }
+
   /** Requests whose caller closed the connection before the answer began. */
   public long cancellations() {
     return cancelled.get();
