sageladder-load: the system in one process, faults and warm-up

Cause: experiments had no system to run against. Change: the assembly offers itself as a service to sageladder-load, which can kill and stop entry VMs, announce a target's end by the list alone, crash, slow and mislead targets, take the store down and change the contract. Fresh processes run code that is not compiled yet; latency and headroom leave that warm-up out, and the report says so.

--- /dev/null
+++ b/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalExperiment.java
@@ -0,0 +1,308 @@
+package org.sageladder.assembly;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.core.platform.ListedVm;
+import org.sageladder.core.platform.VmRole;
+import org.sageladder.core.store.Store;
+import org.sageladder.core.store.StoreException;
+import org.sageladder.core.time.TimeSource;
+import org.sageladder.entry.EntryDaemon;
+import org.sageladder.platform.contract.ApplyResult;
+import org.sageladder.platform.contract.ContractWriter;
+import org.sageladder.platform.contract.StoredContract;
+import org.sageladder.platform.store.HttpStore;
+import org.sageladder.platform.store.HttpVmList;
+import org.sageladder.standin.store.StoreFaults;
+import org.sageladder.standin.store.StoreServer;
+import org.sageladder.standin.target.TargetFaults;
+import org.sageladder.standin.target.TargetServer;
+import org.sageladder.tools.http.HttpCaller;
+import org.sageladder.tools.load.Experiment.Fault;
+import org.sageladder.tools.load.SystemUnderTest;
+import org.sageladder.tools.load.TargetView;
+
+/** The whole system in this process as an experiment sees it. */
+final class LocalExperiment implements SystemUnderTest {
+  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+  private static final JsonMapper JSON = new JsonMapper();
+
+  private final StoreServer store;
+  private final LocalSystem system;
+  private final Map<String, ListedVm> listed = new TreeMap<>();
+  private final Map<String, EntryDaemon> entries;
+  private final List<TargetView> targets = new ArrayList<>();
+  private final HttpCaller caller = HttpCaller.withTimeout(TIMEOUT);
+  private final ScheduledExecutorService timers =
+      Executors.newScheduledThreadPool(2, task -> new Thread(task, "experiment"));
+
+  private LocalExperiment(StoreServer store, LocalSystem system) {
+    this.store = store;
+    this.system = system;
+    this.entries = new ConcurrentHashMap<>(system.entries());
+  }
+
+  static LocalExperiment of(StoreServer store, LocalSystem system) throws IOException {
+    LocalExperiment experiment = new LocalExperiment(store, system);
+    try (HttpVmList list = HttpVmList.connect(store.address(), TIMEOUT)) {
+      for (ListedVm vm : list.fetch()) {
+        experiment.listed.put(vm.id(), vm);
+      }
+    } catch (StoreException e) {
+      throw new IOException("the list of VMs cannot be read: " + e.getMessage(), e);
+    }
+    for (ListedVm vm : experiment.listed.values()) {
+      TargetServer server = system.targets().get(vm.id());
+      if (server != null) {
+        experiment.targets.add(new LocalTarget(vm, server));
+      }
+    }
+    return experiment;
+  }
+
+  private record LocalTarget(ListedVm vm, TargetServer server) implements TargetView {
+    @Override
+    public String id() {
+      return vm.id();
+    }
+
+    @Override
+    public String service() {
+      return vm.service();
+    }
+
+    @Override
+    public String zone() {
+      return vm.zone();
+    }
+
+    @Override
+    public int slots() {
+      return server.options().slots();
+    }
+
+    @Override
+    public URI address() {
+      return server.address();
+    }
+
+    @Override
+    public Reading read() {
+      return new Reading(server.executions().total(), server.busy(), server.queued());
+    }
+
+    @Override
+    public Map<String, Integer> executions() {
+      Map<String, Integer> counts = new HashMap<>();
+      for (String key : server.executions().keys()) {
+        counts.put(key, server.executions().count(key));
+      }
+      return counts;
+    }
+  }
+
+  @Override
+  public List<String> callerAddresses() {
+    return system.addresses();
+  }
+
+  @Override
+  public List<TargetView> targets() {
+    return List.copyOf(targets);
+  }
+
+  @Override
+  public String inject(Fault fault) throws IOException {
+    return switch (fault.kind()) {
+      case KILL_ENTRY -> killEntry(chosen(fault, VmRole.ENTRY));
+      case STOP_ENTRY -> stopEntry(chosen(fault, VmRole.ENTRY));
+      case DRAIN_TARGET -> announceEnd(chosen(fault, VmRole.TARGET));
+      case CRASH_TARGET -> crash(chosen(fault, VmRole.TARGET));
+      case SLOW_TARGET -> breakTarget(fault, faults -> faults.slow(fault.factor()));
+      case SHED_TARGET -> breakTarget(fault, faults -> faults.shed(true));
+      case MISLEADING_LOAD -> breakTarget(fault, faults -> faults.reportBusy(0));
+      case STORE_DOWN -> storeDown(fault);
+      case CHANGE_CONTRACT -> changeContract();
+    };
+  }
+
+  private ListedVm chosen(Fault fault, VmRole role) throws IOException {
+    for (ListedVm vm : listed.values()) {
+      boolean matches =
+          vm.role() == role
+              && !vm.leaving()
+              && (fault.zone().isEmpty() || fault.zone().equals(vm.zone()))
+              && (fault.service().isEmpty() || fault.service().equals(vm.service()));
+      if (matches && (role == VmRole.TARGET || entries.containsKey(vm.id()))) {
+        return vm;
+      }
+    }
+    throw new IOException("no " + role + " is left in the chosen zone and service");
+  }
+
+  private String killEntry(ListedVm vm) {
+    entries.remove(vm.id());
+    system.killEntry(vm.id());
+    return vm.id();
+  }
+
+  private String stopEntry(ListedVm vm) {
+    EntryDaemon daemon = entries.remove(vm.id());
+    leaving(vm);
+    if (daemon != null) {
+      timers.execute(
+          () -> {
+            try {
+              daemon.stop();
+            } catch (InterruptedException e) {
+              Thread.currentThread().interrupt();
+            }
+            store.removeVm(vm.id());
+          });
+    }
+    return vm.id();
+  }
+
+  /**
+   * Only the list tells of the end: the target itself goes on taking work, so that what it gets
+   * after the sign shows whether the gates heed the list.
+   */
+  private String announceEnd(ListedVm vm) {
+    leaving(vm);
+    return vm.id();
+  }
+
+  private void leaving(ListedVm vm) {
+    ListedVm marked =
+        new ListedVm(
+            vm.role(),
+            vm.id(),
+            vm.customer(),
+            vm.service(),
+            vm.zone(),
+            vm.host(),
+            vm.port(),
+            vm.innerPort(),
+            vm.incarnation(),
+            true);
+    listed.put(vm.id(), marked);
+    store.putVm(marked);
+  }
+
+  private String crash(ListedVm vm) throws IOException {
+    server(vm).crash();
+    return vm.id();
+  }
+
+  private String breakTarget(Fault fault, UnaryOperator<TargetFaults> change) throws IOException {
+    ListedVm vm = chosen(fault, VmRole.TARGET);
+    TargetServer server = server(vm);
+    server.faults(change.apply(server.faults()));
+    undoAfter(fault, () -> server.faults(TargetFaults.none()));
+    return vm.id();
+  }
+
+  private String storeDown(Fault fault) {
+    store.faults(StoreFaults.none().down(true));
+    undoAfter(fault, () -> store.faults(StoreFaults.none()));
+    return "store";
+  }
+
+  private void undoAfter(Fault fault, Runnable undo) {
+    if (!fault.length().isZero()) {
+      var unused = timers.schedule(undo, fault.length().toNanos(), TimeUnit.NANOSECONDS);
+    }
+  }
+
+  private TargetServer server(ListedVm vm) throws IOException {
+    TargetServer server = system.targets().get(vm.id());
+    if (server == null) {
+      throw new IOException("no target '" + vm.id() + "' runs here");
+    }
+    return server;
+  }
+
+  /** Lets every leaving target have a second more, which changes nothing under load. */
+  private String changeContract() throws IOException {
+    String customer = system.contract().customer();
+    try (Store client = HttpStore.connect(store.address(), TIMEOUT)) {
+      ContractWriter writer = ContractWriter.of(client, TimeSource.system(), "sageladder-load");
+      StoredContract standing = writer.read(customer);
+      if (standing == null) {
+        throw new IOException("the store has no contract of " + customer);
+      }
+      ApplyResult result =
+          writer.apply(longerDrain(standing.contract()), standing.contract().revision());
+      if (result instanceof ApplyResult.Accepted accepted) {
+        return "revision " + accepted.revision();
+      }
+      throw new IOException("the change was not accepted: " + result);
+    } catch (StoreException e) {
+      throw new IOException("the store cannot be read: " + e.getMessage(), e);
+    }
+  }
+
+  private static Contract longerDrain(Contract contract) {
+    List<Contract.Service> services = new ArrayList<>();
+    for (Contract.Service service : contract.services()) {
+      services.add(
+          new Contract.Service(
+              service.name(),
+              service.requestClass(),
+              service.repeatable(),
+              service.targets(),
+              service.slotsPerTarget(),
+              service.connectionsPerTarget(),
+              service.meanServiceMillis(),
+              service.queuePerTarget(),
+              service.queueWait(),
+              service.longestDeadline(),
+              service.drainLimit().plusSeconds(1),
+              service.retryFraction(),
+              service.regionShiftCap(),
+              service.targetShiftCap()));
+    }
+    return new Contract(
+        contract.customer(),
+        0,
+        contract.regions(),
+        contract.delays(),
+        contract.clientBlocks(),
+        contract.linkLimits(),
+        services);
+  }
+
+  @Override
+  public Map<String, Long> revisionsInForce() throws IOException {
+    Map<String, Long> revisions = new TreeMap<>();
+    for (Map.Entry<String, EntryDaemon> entry : entries.entrySet()) {
+      URI state = URI.create("http://127.0.0.1:" + entry.getValue().operatorsPort() + "/v1/state");
+      JsonNode json = JSON.readTree(caller.get(state).body());
+      String customer = system.contract().customer();
+      revisions.put(entry.getKey(), json.path("revisions").path(customer).asLong());
+    }
+    return revisions;
+  }
+
+  @Override
+  public void close() {
+    timers.shutdownNow();
+    caller.close();
+    system.close();
+    store.close();
+  }
+}
--- /dev/null
+++ b/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalExperimentProvider.java
@@ -0,0 +1,26 @@
+package org.sageladder.assembly;
+
+import java.io.IOException;
+import java.time.Duration;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.core.store.StoreException;
+import org.sageladder.platform.settings.SettingsException;
+import org.sageladder.standin.store.StoreServer;
+import org.sageladder.tools.load.SystemUnderTest;
+
+/** Starts the whole system in this process for {@code sageladder-load}; found as a service. */
+public final class LocalExperimentProvider implements SystemUnderTest.Provider {
+  @Override
+  public SystemUnderTest start(Contract contract, int entriesPerZone, Duration readyWithin)
+      throws IOException, InterruptedException {
+    StoreServer store = StoreServer.start("127.0.0.1", 0);
+    try {
+      LocalSystem system = LocalSystem.start(store, contract, entriesPerZone);
+      system.awaitReady();
+      return LocalExperiment.of(store, system);
+    } catch (StoreException | SettingsException e) {
+      store.close();
+      throw new IOException("the system did not start: " + e.getMessage(), e);
+    }
+  }
+}
--- a/sageladder-tools/src/main/java/org/sageladder/tools/load/Experiment.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/Experiment.java
@@ -10,6 +10,8 @@
  *
  * @param contract the contract that the system runs and the checks go by
  * @param seed seed of all draws; equal seeds give equal arrivals
+ * @param warmUp time from the first arrival during which latency and headroom do not count, because
+ *     freshly started processes run code that is not compiled yet; all else counts from the start
  * @param entriesPerZone entry VMs in each zone where the experiment starts the system itself
  */
 public record Experiment(
@@ -17,6 +19,7 @@
     Contract contract,
     long seed,
     int entriesPerZone,
+    Duration warmUp,
     List<Load> loads,
     List<Fault> faults,
     Limits limits) {
--- a/sageladder-tools/src/main/java/org/sageladder/tools/load/ExperimentYaml.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/ExperimentYaml.java
@@ -35,7 +35,15 @@
   static Experiment read(Path file) throws SettingsException {
     SettingsSection root =
         SettingsDocument.read(file)
-            .root("name", "contract", "seed", "entriesPerZone", "loads", "faults", "limits");
+            .root(
+                "name",
+                "contract",
+                "seed",
+                "entriesPerZone",
+                "warmUp",
+                "loads",
+                "faults",
+                "limits");
     Path contract = file.toAbsolutePath().resolveSibling(root.text("contract")).normalize();
     return new ExperimentYaml(root, ContractYaml.read(contract)).experiment();
   }
@@ -46,6 +54,7 @@
         contract,
         root.longNumber("seed", 0, Long.MAX_VALUE),
         root.wholeNumber("entriesPerZone", 1, 10, 1),
+        root.duration("warmUp", Duration.ZERO, HOUR, Duration.ZERO),
         loads(),
         faults(),
         limits());
--- a/sageladder-tools/src/main/java/org/sageladder/tools/load/Report.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/Report.java
@@ -79,7 +79,9 @@
         .append(first.samples().targets().size())
         .append(" targets; the tool itself started requests at most ")
         .append(Checks.millis(first.senderLagNanos()))
-        .append(" late, which counts as latency.\n");
+        .append(" late, which counts as latency. Latency and headroom leave out the first ")
+        .append(Checks.millis(experiment.warmUp().toNanos()))
+        .append(", the warm-up of fresh processes; all else counts from the first request.\n");
     checks();
     faults(first);
     comparison();
--- a/sageladder-tools/src/main/java/org/sageladder/tools/load/VariantResult.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/VariantResult.java
@@ -35,11 +35,15 @@
     return endings.stream().filter(ending -> ending.arrival().service().equals(service)).toList();
   }
 
-  /** Latency of whole answers of one service, in microseconds. */
+  private boolean isWarm(long nanos) {
+    return nanos >= experiment.warmUp().toNanos();
+  }
+
+  /** Latency of whole answers of one service after the warm-up, in microseconds. */
   Histogram latency(String service) {
     Histogram histogram = new Histogram(LONGEST_MICROS, 3);
     for (Ending ending : endings(service)) {
-      if (ending.what() == What.WHOLE) {
+      if (ending.what() == What.WHOLE && isWarm(ending.arrival().dueNanos())) {
         histogram.recordValue(Math.min(LONGEST_MICROS, Math.max(1, ending.latencyNanos() / 1_000)));
       }
     }
@@ -80,12 +84,15 @@
     return whole == 0 ? 0 : abroad / (double) whole;
   }
 
-  /** Free slots of a service's targets at its busiest moment, as a fraction. */
+  /** Free slots of a service's targets at its busiest moment after the warm-up, as a fraction. */
   double leastHeadroom(String service) {
+    double[] headroom =
+        samples.headroom(samples.choose(target -> target.service().equals(service)));
     double least = 1;
-    for (double fraction :
-        samples.headroom(samples.choose(target -> target.service().equals(service)))) {
-      least = Math.min(least, fraction);
+    for (int step = 0; step < headroom.length; step++) {
+      if (isWarm(samples.atNanos().get(step))) {
+        least = Math.min(least, headroom[step]);
+      }
     }
     return least;
   }
