Callers' library: asking for a permit is no retry

Change: a refusal that brings its permit is followed at once, at the entry VM that gave it (its home, one hop less).

--- a/sageladder-client/src/main/java/org/sageladder/client/SageladderClient.java
+++ b/sageladder-client/src/main/java/org/sageladder/client/SageladderClient.java
@@ -140,17 +140,22 @@
           continue;
         }
         RetryRules.Step.Renew renew = (RetryRules.Step.Renew) step;
+        if (!rules.lacksPermit()) {
+          // The refusal brought the permit it asked for: no work was tried, so nothing is retried,
+          // and the entry VM that gave the permit is its home.
+          questions++;
+          next--;
+          continue;
+        }
         if (!mayRetry(++retries) || !pause(renew.pause(), retries)) {
           return renew.ifNoTimeIsLeft();
         }
-        Route renewed = rules.lacksPermit() ? lookUp() : route;
+        Route renewed = lookUp();
         if (renewed == null) {
           return renew.ifNoTimeIsLeft();
         }
-        if (rules.lacksPermit()) {
-          rules.renewed(renewed.permit());
-          next = 0;
-        }
+        rules.renewed(renewed.permit());
+        next = 0;
         route = renewed;
       }
       return new Answer.Unknown(
--- a/sageladder-client/src/test/java/org/sageladder/client/SageladderClientTest.java
+++ b/sageladder-client/src/test/java/org/sageladder/client/SageladderClientTest.java
@@ -194,6 +194,29 @@
         one.requests().stream().map(SageladderClientTest::permitOf).toList());
   }
 
+  // A look-up names another entry VM and so brings no permit; each bid's first try is answered with
+  // the permit to use. Counted as a retry it would spend the budget, and with one bid in five
+  // allowed a retry, the other four dealers would be told "permit required" and give up.
+  @Test
+  void askingForAPermitIsNoRetryAndGoesToTheEntryVmThatGaveIt() {
+    client.close();
+    client = SageladderClient.start(ClientOptions.seeds(List.of(one.address())).retryFraction(0));
+    one.answers(
+        head -> {
+          if (isLookUp(head)) {
+            return route(60_000, "");
+          }
+          return permitOf(head).equals("none")
+              ? said(ResultCode.PERMIT_REQUIRED, "Sageladder-Permit: fresh\r\n")
+              : ScriptedEntry.answer(200, OK, "taken");
+        });
+    two.answers(head -> said(ResultCode.HOME_LOST, ""));
+    for (int i = 0; i < 3; i++) {
+      assertInstanceOf(Answer.Whole.class, client.send(bid()));
+    }
+    assertEquals(0, two.requests().size());
+  }
+
   @Test
   void aServiceThatTheContractLacksIsRefusedWithoutASecondTry() {
     one.answers(head -> said(ResultCode.UNKNOWN_SERVICE, ""));
