Requests: the decision to send and the decision to end are one step

Cause: a flow checked that it had not ended and then sent; a broken connection or deadline in between recorded 'not run' of a request that went out, so a repeat of the permit was told to bid again. Ruled out: the cancel that follows, since a pooled connection takes the request before it. Change: both decisions under the flow's lock; Outbound is an interface, so the test holds the flow in that instant.

--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/exchange/Outbound.java
@@ -0,0 +1,41 @@
+package org.sageladder.entry.exchange;
+
+import java.time.Duration;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.jspecify.annotations.Nullable;
+
+/** Sends requests to targets and to other entry VMs. */
+public interface Outbound {
+  /** Hears how one request went; each method at most once, from an I/O thread. */
+  public interface Listener {
+    /** The head of the answer; {@code body} carries the rest as it comes. */
+    void head(HttpResponse response, @Nullable EntityDetails details, BodyPipe body);
+
+    /** The whole answer was read. */
+    void done();
+
+    /**
+     * The request failed.
+     *
+     * @param sent false only where no byte of the request was given to the connection
+     */
+    void lost(boolean sent, Exception cause);
+  }
+
+  /**
+   * Sends one request.
+   *
+   * @return stops the exchange and closes its connection, so that a late answer is never read as
+   *     the answer to another request
+   */
+  Runnable send(
+      HttpHost host,
+      HttpRequest request,
+      @Nullable EntityDetails details,
+      BodyPipe body,
+      Duration connectTimeout,
+      Listener listener);
+}
--- a/sageladder-entry/src/main/java/org/sageladder/entry/exchange/OutboundClient.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/exchange/OutboundClient.java
@@ -7,7 +7,6 @@
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpRequest;
-import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.impl.bootstrap.AsyncRequesterBootstrap;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
 import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
@@ -19,23 +18,7 @@
 import org.jspecify.annotations.Nullable;
 
 /** Sends requests to targets and to other entry VMs over pooled connections. */
-public final class OutboundClient implements AutoCloseable {
-  /** Hears how one request went; each method at most once, from an I/O thread. */
-  public interface Listener {
-    /** The head of the answer; {@code body} carries the rest as it comes. */
-    void head(HttpResponse response, @Nullable EntityDetails details, BodyPipe body);
-
-    /** The whole answer was read. */
-    void done();
-
-    /**
-     * The request failed.
-     *
-     * @param sent false only where no byte of the request was given to the connection
-     */
-    void lost(boolean sent, Exception cause);
-  }
-
+public final class OutboundClient implements Outbound, AutoCloseable {
   private final HttpAsyncRequester requester;
 
   private OutboundClient(HttpAsyncRequester requester) {
@@ -64,12 +47,7 @@
     return new OutboundClient(requester);
   }
 
-  /**
-   * Sends one request.
-   *
-   * @return stops the exchange and closes its connection, so that a late answer is never read as
-   *     the answer to another request
-   */
+  @Override
   public Runnable send(
       HttpHost host,
       HttpRequest request,
--- a/sageladder-entry/src/main/java/org/sageladder/entry/exchange/OutboundExchange.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/exchange/OutboundExchange.java
@@ -28,7 +28,7 @@
   private final HttpRequest request;
   private final @Nullable EntityDetails details;
   private final BodyPipe body;
-  private final OutboundClient.Listener listener;
+  private final Outbound.Listener listener;
   private final BodyPipe answer = BodyPipe.open();
   private final AtomicBoolean finished = new AtomicBoolean();
   private final Object lock = new Object();
@@ -40,7 +40,7 @@
       HttpRequest request,
       @Nullable EntityDetails details,
       BodyPipe body,
-      OutboundClient.Listener listener) {
+      Outbound.Listener listener) {
     this.request = request;
     this.details = details;
     this.body = body;
@@ -51,7 +51,7 @@
       HttpRequest request,
       @Nullable EntityDetails details,
       BodyPipe body,
-      OutboundClient.Listener listener) {
+      Outbound.Listener listener) {
     return new OutboundExchange(request, details, body, listener);
   }
 
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/FlowParts.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/FlowParts.java
@@ -4,13 +4,13 @@
 import java.util.concurrent.ScheduledExecutorService;
 import org.sageladder.core.event.EventSink;
 import org.sageladder.core.time.TimeSource;
-import org.sageladder.entry.exchange.OutboundClient;
+import org.sageladder.entry.exchange.Outbound;
 
 /** What every request flow of one entry VM shares. */
 record FlowParts(
     String vm,
     String customer,
-    OutboundClient client,
+    Outbound client,
     ScheduledExecutorService timers,
     TimeSource time,
     EventSink events,
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestFlow.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestFlow.java
@@ -26,7 +26,7 @@
 import org.sageladder.entry.exchange.BodyPipe;
 import org.sageladder.entry.exchange.CallerExchange;
 import org.sageladder.entry.exchange.CarriedEntity;
-import org.sageladder.entry.exchange.OutboundClient;
+import org.sageladder.entry.exchange.Outbound;
 
 /**
  * One request on its way: gate, target, answer, or on to the entry VM that holds a gate.
@@ -121,6 +121,9 @@
   }
 
   private void passTo(Member member, PeerLeg leg) {
+    if (!beginDispatch()) {
+      return;
+    }
     BasicHttpRequest request =
         new BasicHttpRequest(exchange.request().getMethod(), exchange.request().getPath());
     PassedHeaders.copy(exchange.request(), request, true);
@@ -149,12 +152,7 @@
       return;
     }
     Admission.Slot slot = ((Admission.Admitted) admission).slot();
-    synchronized (lock) {
-      if (!ended) {
-        cancelStep = () -> {};
-      }
-    }
-    if (over.get()) {
+    if (!beginDispatch()) {
       slot.release(Admission.Completion.UNUSED);
       return;
     }
@@ -167,6 +165,25 @@
     send(new HttpHost(target.host(), target.port()), request, new TargetLeg(gate, slot));
   }
 
+  /**
+   * Decides, once and for all, that the request is sent; false where the flow has ended.
+   *
+   * <p>A deadline or a broken connection in this very instant must not see a request as waiting
+   * that is being sent: the caller would be told "not run" of a request that runs. So the decision
+   * to send and the decision to end are taken under one lock, and the later one knows of the
+   * earlier.
+   */
+  private boolean beginDispatch() {
+    synchronized (lock) {
+      if (ended) {
+        return false;
+      }
+      dispatched = true;
+      cancelStep = () -> {};
+      return true;
+    }
+  }
+
   private void send(HttpHost host, BasicHttpRequest request, Leg leg) {
     request.setScheme(host.getSchemeName());
     request.setAuthority(new URIAuthority(host));
@@ -180,7 +197,6 @@
                 exchange.requestBody(),
                 parts.connectTimeout(),
                 leg);
-    dispatched = true;
     step(cancel);
     try {
       exchange.acceptBody();
@@ -216,19 +232,21 @@
     }
     boolean first = over.compareAndSet(false, true);
     Runnable cancel;
+    boolean sent;
     synchronized (lock) {
       if (ended) {
         return;
       }
       ended = true;
+      sent = dispatched;
       cancel = cancelStep;
     }
     cancel.run();
     stopTimer();
     if (!first || ending == Ending.CALLER_GONE) {
-      endRun(first && !dispatched);
+      endRun(first && !sent);
       record(EventKind.CANCELLED, "", ending.name());
-    } else if (dispatched) {
+    } else if (sent) {
       answer(new Result.Unknown(ResultCode.TARGET_TIMEOUT, "no answer by the deadline"));
     } else {
       answer(
@@ -369,7 +387,7 @@
   }
 
   /** One try: what is done with the news of one exchange. */
-  private abstract class Leg implements OutboundClient.Listener {
+  private abstract class Leg implements Outbound.Listener {
     private final AnswerRecorder recorder = AnswerRecorder.upTo(LARGEST_RECORDED);
     private volatile boolean retried;
     private volatile @Nullable HttpResponse begun;
--- a/sageladder-entry/src/main/java/org/sageladder/entry/stop/PermitHandOver.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/stop/PermitHandOver.java
@@ -28,6 +28,7 @@
 import org.sageladder.core.time.TimeSource;
 import org.sageladder.entry.control.ControlPlane;
 import org.sageladder.entry.exchange.BodyPipe;
+import org.sageladder.entry.exchange.Outbound;
 import org.sageladder.entry.exchange.OutboundClient;
 import org.sageladder.entry.request.Headers;
 import org.sageladder.entry.request.PeerRoutes;
@@ -175,8 +176,7 @@
     }
   }
 
-  private record Acknowledgement(CompletableFuture<Boolean> answered)
-      implements OutboundClient.Listener {
+  private record Acknowledgement(CompletableFuture<Boolean> answered) implements Outbound.Listener {
     @Override
     public void head(HttpResponse response, @Nullable EntityDetails details, BodyPipe body) {
       answered.complete(response.getCode() == 204);
--- /dev/null
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/request/NotRunIsTrueTest.java
@@ -0,0 +1,156 @@
+package org.sageladder.entry.request;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.http.nio.AsyncPushProducer;
+import org.apache.hc.core5.http.nio.ResponseChannel;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.core.contract.RequestClass;
+import org.sageladder.core.event.EventKind;
+import org.sageladder.core.event.EventSink;
+import org.sageladder.core.limits.Admission;
+import org.sageladder.core.limits.Gate;
+import org.sageladder.core.membership.Holding;
+import org.sageladder.core.permit.RecordedAnswer;
+import org.sageladder.core.time.TimeSource;
+import org.sageladder.entry.exchange.CallerExchange;
+import org.sageladder.entry.exchange.CarriedEntity;
+import org.sageladder.entry.exchange.Outbound;
+
+/** What is said to be "not run" must never reach a target. */
+class NotRunIsTrueTest {
+  private static final Duration LONG = Duration.ofSeconds(20);
+
+  // A dealer's connection breaks in the instant in which the gate lets the bid through. The flow
+  // records "not run" for the permit, the target gets the bid all the same, and a repeat of the
+  // permit is answered "not run": the dealer bids again and wins two sheets. The cause was a check
+  // for the end of the flow and the sending of the request that were not one step.
+  @Test
+  void aCallerThatGoesWhileTheGateAdmitsIsNotRecordedAsNotRunOnceTheBidWasSent() throws Exception {
+    ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
+    AtomicReference<@Nullable CallerExchange> exchange = new AtomicReference<>();
+    EventSink callerGoesAtDispatch =
+        (kind, request, contract, subject, revision, detail) -> {
+          CallerExchange caller = exchange.get();
+          if (kind == EventKind.DISPATCHED && caller != null) {
+            caller.failed(new IOException("the dealer's connection broke"));
+          }
+        };
+    AtomicBoolean sent = new AtomicBoolean();
+    Outbound target =
+        (host, request, details, body, connectTimeout, listener) -> {
+          sent.set(true);
+          return () -> {};
+        };
+    FlowParts parts =
+        new FlowParts(
+            "entry-1",
+            "kalnins-dauge",
+            target,
+            timers,
+            TimeSource.system(),
+            callerGoesAtDispatch,
+            RequestCounters.in(new SimpleMeterRegistry()),
+            Duration.ofSeconds(1));
+    RecordingRun run = new RecordingRun();
+    CallerExchange caller =
+        CallerExchange.create(
+            begun -> RequestFlow.beginPermitted(parts, begun, head(), bids(), run).through(gate()));
+    exchange.set(caller);
+    // The body is still on its way, so the flow may not go on without its caller.
+    caller.handleRequest(
+        new BasicHttpRequest("POST", "/v1/request/kalnins-dauge/bid/x"),
+        new CarriedEntity(100, "text/plain", null),
+        new SilentChannel(),
+        HttpCoreContext.create());
+    timers.shutdownNow();
+    assertFalse(run.notRun.get() && sent.get(), "told not run, yet sent to the target");
+    assertTrue(run.notRun.get() || run.unknown.get(), "the permit was told nothing");
+  }
+
+  private static RequestHead head() {
+    return new RequestHead("r-1", "kalnins-dauge", "bid", "/x", LONG, "", "", "", "");
+  }
+
+  private static Contract.Service bids() {
+    Contract.ShiftCap cap = new Contract.ShiftCap(1, Duration.ofSeconds(1));
+    return new Contract.Service(
+        "bid", RequestClass.CRITICAL, false, 1, 3, 10, 20, 5, LONG, LONG, LONG, 0, cap, cap);
+  }
+
+  private static Gate gate() {
+    Holding holding =
+        new Holding("t-1", "kalnins-dauge", "bid", "127.0.0.1", 1, 1, "entry-1", 3, false);
+    Admission.Slot slot =
+        new Admission.Slot() {
+          @Override
+          public Holding target() {
+            return holding;
+          }
+
+          @Override
+          public void release(Admission.Completion completion) {}
+        };
+    return (request, whenDecided) -> {
+      whenDecided.accept(new Admission.Admitted(slot));
+      return () -> false;
+    };
+  }
+
+  private static final class RecordingRun implements PermitRun {
+    final AtomicBoolean notRun = new AtomicBoolean();
+    final AtomicBoolean unknown = new AtomicBoolean();
+
+    @Override
+    public void ran(RecordedAnswer answer) {}
+
+    @Override
+    public void notRun() {
+      notRun.set(true);
+    }
+
+    @Override
+    public void unknown() {
+      unknown.set(true);
+    }
+
+    @Override
+    public String freshPermit() {
+      return "";
+    }
+
+    @Override
+    public String dispatch() {
+      return "";
+    }
+  }
+
+  /** Takes answers that nobody reads. */
+  private static final class SilentChannel implements ResponseChannel {
+    @Override
+    public void sendInformation(HttpResponse response, HttpContext context) {}
+
+    @Override
+    public void sendResponse(
+        HttpResponse response, @Nullable EntityDetails details, HttpContext context) {}
+
+    @Override
+    public void pushPromise(HttpRequest promise, AsyncPushProducer producer, HttpContext context) {}
+  }
+}
