Limits: caps on shifts, experience, classes and hand-over of a target's history

Cause: the first gate let a place take any load at once and believed reports. Change: a gate admits into steps of a tenth of the cap's window only while no window, now or later, would hold more requests than the window before plus the gain; its share of the region's gain follows the targets it holds. A target taken over waits one window, unless the gate before tells what it counted. Refusals and failures outweigh reports, a cold target starts with one slot, background work is the first to find no place to wait.

Tests: 60 random runs of two gates with moves, lost and repeated histories and restarts, checked by a plain counter. Releasing the gain part without the check is not found by these runs.

--- a/sageladder-core/src/main/java/org/sageladder/core/limits/ServiceGate.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/ServiceGate.java
@@ -3,15 +3,13 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
-import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.jspecify.annotations.Nullable;
 import org.sageladder.core.contract.Contract;
+import org.sageladder.core.contract.RequestClass;
 import org.sageladder.core.event.EventKind;
 import org.sageladder.core.event.EventSink;
 import org.sageladder.core.membership.Holding;
@@ -33,33 +31,36 @@
  * order. All methods may be called from any thread.
  */
 public final class ServiceGate implements Gate, AutoCloseable {
+  private static final long SHORTEST_WAKE_NANOS = Duration.ofMillis(1).toNanos();
+
   private final String customer;
   private final TimeSource time;
   private final Scheduler scheduler;
   private final EventSink events;
+  private final WaitBudget budget;
 
   private final Object lock = new Object();
-  private Contract.Service service;
-  private final Map<String, TargetSlots> targets = new HashMap<>();
+  private final TargetPool pool;
   private final ArrayDeque<Waiting> queue = new ArrayDeque<>();
   private boolean closed;
   private boolean wakeScheduled;
   private long offered;
   private long admitted;
   private long refused;
-  private int busy;
 
   private ServiceGate(
       String customer,
       Contract.Service service,
       TimeSource time,
       Scheduler scheduler,
-      EventSink events) {
+      EventSink events,
+      WaitBudget budget) {
     this.customer = customer;
-    this.service = service;
+    this.pool = new TargetPool(service, time.nanos());
     this.time = time;
     this.scheduler = scheduler;
     this.events = events;
+    this.budget = budget;
   }
 
   /** A gate that holds no targets yet and so refuses all work. */
@@ -69,52 +70,88 @@
       TimeSource time,
       Scheduler scheduler,
       EventSink events) {
-    return new ServiceGate(customer, service, time, scheduler, events);
+    return create(customer, service, time, scheduler, events, WaitBudget.of(Integer.MAX_VALUE));
+  }
+
+  /** As above, with a bound on the requests that wait at all gates of this entry VM together. */
+  public static ServiceGate create(
+      String customer,
+      Contract.Service service,
+      TimeSource time,
+      Scheduler scheduler,
+      EventSink events,
+      WaitBudget budget) {
+    return new ServiceGate(customer, service, time, scheduler, events, budget);
   }
 
   /**
-   * Replaces the targets that this VM holds.
+   * Replaces the targets that this VM holds; none counts as taken over from another entry VM.
    *
    * <p>Targets no longer named get no new work; slots in use stay valid until released.
    */
   public void holdings(List<Holding> holdings) {
+    holdings(holdings, Set.of());
+  }
+
+  /**
+   * Replaces the targets that this VM holds.
+   *
+   * @param takenOver names of those that another entry VM, or an earlier incarnation of this one,
+   *     held until now; they get work one window later, or once {@link #learn} tells of them
+   */
+  public void holdings(List<Holding> holdings, Set<String> takenOver) {
     List<Decision> decisions = new ArrayList<>();
     synchronized (lock) {
-      Set<String> named = new HashSet<>();
-      for (Holding holding : holdings) {
-        named.add(holding.target());
-        hold(holding);
-      }
-      for (TargetSlots target : targets.values()) {
-        if (!named.contains(target.holding().target())) {
-          target.loseHold();
-        }
-      }
-      targets.values().removeIf(t -> !named.contains(t.holding().target()) && t.inFlight() == 0);
+      pool.hold(holdings, takenOver, time.nanos());
       pump(decisions);
     }
     deliver(decisions);
   }
 
-  private void hold(Holding holding) {
-    TargetSlots known = targets.get(holding.target());
-    if (known != null && known.holding().targetIncarnation() == holding.targetIncarnation()) {
-      known.update(holding);
-      return;
+  /**
+   * What this gate counted of a target that {@link #holdings} took from it, to be sent to the entry
+   * VM that holds it now; empty where there is nothing to tell or it has been told.
+   */
+  public Optional<TargetHistory> handOver(String target) {
+    synchronized (lock) {
+      return Optional.ofNullable(pool.handOver(target, time.nanos(), time.wallMillis()));
+    }
+  }
+
+  /** Takes what the entry VM that held a target before counted of it; repeats have no effect. */
+  public void learn(TargetHistory history) {
+    List<Decision> decisions = new ArrayList<>();
+    synchronized (lock) {
+      pool.learn(history, time.nanos(), time.wallMillis());
+      pump(decisions);
     }
-    targets.put(holding.target(), new TargetSlots(holding));
+    deliver(decisions);
   }
 
   /** Puts the limits of a new revision in force; waiting requests keep their places. */
   public void contract(Contract.Service newService) {
     List<Decision> decisions = new ArrayList<>();
     synchronized (lock) {
-      service = newService;
+      pool.service(newService, time.nanos());
       pump(decisions);
     }
     deliver(decisions);
   }
 
+  /** Sets the gain that other gates lent this one, less what it lent; requests a window. */
+  public void borrowedUnits(int units) {
+    synchronized (lock) {
+      pool.borrowedUnits(units, time.nanos());
+    }
+  }
+
+  /** This gate's own share of the region's gain, before any transfer; requests a window. */
+  public int ownUnits() {
+    synchronized (lock) {
+      return pool.ownUnits(time.nanos());
+    }
+  }
+
   /**
    * Takes a target's own, possibly late or wrong, report.
    *
@@ -123,8 +160,12 @@
   public void targetLoad(
       String target, int reportedBusy, int reportedSlots, boolean draining, long nowNanos) {
     synchronized (lock) {
-      TargetSlots known = targets.get(target);
-      if (known != null && draining) {
+      TargetSlots known = pool.target(target);
+      if (known == null) {
+        return;
+      }
+      known.report(reportedBusy, reportedSlots, nowNanos);
+      if (draining) {
         known.markLeaving();
       }
     }
@@ -156,60 +197,40 @@
       refuse(waiting, ResultCode.NO_TARGET, "no target held here may take it", decisions);
       return;
     }
-    TargetSlots free = queue.isEmpty() ? choose(waiting.request.avoidTarget()) : null;
-    if (free != null) {
-      admit(waiting, free, decisions);
+    TargetPool.Choice choice = pool.choose(waiting.request.avoidTarget(), time.nanos());
+    if (queue.isEmpty() && choice.target() != null) {
+      admit(waiting, choice.target(), decisions);
+      return;
+    }
+    if (queue.size() >= pool.heldTargets() * pool.service().queuePerTarget()) {
+      String detail = queue.size() + " requests wait already";
+      refuse(
+          waiting,
+          choice.capped() ? ResultCode.SHIFT_CAP : ResultCode.QUEUE_FULL,
+          detail,
+          decisions);
       return;
     }
-    if (queue.size() >= queueLimit()) {
-      refuse(waiting, ResultCode.QUEUE_FULL, queue.size() + " requests wait already", decisions);
+    if (!budget.take(pool.service().requestClass())) {
+      refuse(waiting, shedCode(), budget.waiting() + " requests wait on this entry VM", decisions);
       return;
     }
+    waiting.capped = choice.capped();
     queue.add(waiting);
     scheduleWake();
   }
 
-  private int queueLimit() {
-    int held = 0;
-    for (TargetSlots target : targets.values()) {
-      if (target.takesWork()) {
-        held++;
-      }
-    }
-    return held * service.queuePerTarget();
-  }
-
-  /** The target with the largest free part of its slots; not {@code avoid} if another has any. */
-  private @Nullable TargetSlots choose(String avoid) {
-    TargetSlots best = null;
-    for (TargetSlots target : targets.values()) {
-      if (target.freeSlots() == 0 || target.holding().target().equals(avoid)) {
-        continue;
-      }
-      if (best == null || freeFraction(target) > freeFraction(best)) {
-        best = target;
-      }
-    }
-    return best;
-  }
-
-  private static double freeFraction(TargetSlots target) {
-    return (double) target.freeSlots() / target.usableSlots();
+  private ResultCode shedCode() {
+    boolean background = pool.service().requestClass() == RequestClass.BACKGROUND;
+    return background ? ResultCode.BACKGROUND_SHED : ResultCode.QUEUE_FULL;
   }
 
   private boolean hasNoTargetFor(Waiting waiting) {
-    String avoid = waiting.request.avoidTarget();
-    for (TargetSlots target : targets.values()) {
-      if (target.usableSlots() > 0 && !target.holding().target().equals(avoid)) {
-        return false;
-      }
-    }
-    return true;
+    return !pool.hasTargetBesides(waiting.request.avoidTarget());
   }
 
   private void admit(Waiting waiting, TargetSlots target, List<Decision> decisions) {
-    target.take();
-    busy++;
+    pool.take(target);
     admitted++;
     waiting.decided = true;
     decisions.add(new Decision(waiting, new Admission.Admitted(new HeldSlot(target))));
@@ -226,9 +247,8 @@
     if (code == ResultCode.STOPPING) {
       return Duration.ofMillis(1);
     }
-    double serviceMillis = service.meanServiceMillis();
-    int slots = Math.max(1, usableSlots());
-    return Duration.ofMillis(Math.max(10, (long) (serviceMillis * (queue.size() + 1) / slots)));
+    double perSecond = Math.max(1, pool.ceilingPerSecond(time.nanos()));
+    return Duration.ofMillis(Math.max(10, (long) (1000 * (queue.size() + 1) / perSecond)));
   }
 
   /** Ends waits that are over and hands free slots to the others, oldest first. */
@@ -238,35 +258,43 @@
     while (oldestFirst.hasNext()) {
       Waiting waiting = oldestFirst.next();
       if (waiting.giveUpAt - now <= 0) {
-        oldestFirst.remove();
-        refuse(waiting, ResultCode.QUEUE_DEADLINE, "no slot came free in time", decisions);
+        leaveQueue(oldestFirst);
+        ResultCode code = waiting.capped ? ResultCode.SHIFT_CAP : ResultCode.QUEUE_DEADLINE;
+        refuse(waiting, code, "no slot came free in time", decisions);
         continue;
       }
       if (hasNoTargetFor(waiting)) {
-        oldestFirst.remove();
-        refuse(waiting, ResultCode.NO_TARGET, "no target may take the request", decisions);
+        leaveQueue(oldestFirst);
+        refuse(waiting, ResultCode.NO_TARGET, "no target held here may take it", decisions);
         continue;
       }
-      TargetSlots free = choose(waiting.request.avoidTarget());
-      if (free != null) {
-        oldestFirst.remove();
-        admit(waiting, free, decisions);
+      TargetPool.Choice choice = pool.choose(waiting.request.avoidTarget(), now);
+      waiting.capped = choice.capped();
+      if (choice.target() != null) {
+        leaveQueue(oldestFirst);
+        admit(waiting, choice.target(), decisions);
       }
     }
     scheduleWake();
   }
 
+  private void leaveQueue(Iterator<Waiting> position) {
+    position.remove();
+    budget.giveBack();
+  }
+
+  /** Sees to it that waits end in time and that a cap or pause that gives way is noticed. */
   private void scheduleWake() {
     if (wakeScheduled || queue.isEmpty()) {
       return;
     }
-    long earliest = Long.MAX_VALUE;
     long now = time.nanos();
+    long earliest = pool.nextChangeNanos(now) - now;
     for (Waiting waiting : queue) {
       earliest = Math.min(earliest, waiting.giveUpAt - now);
     }
     wakeScheduled = true;
-    scheduler.runAfter(Duration.ofNanos(Math.max(1_000_000, earliest)), this::wake);
+    scheduler.runAfter(Duration.ofNanos(Math.max(SHORTEST_WAKE_NANOS, earliest)), this::wake);
   }
 
   private void wake() {
@@ -284,7 +312,9 @@
         return false;
       }
       waiting.decided = true;
-      queue.remove(waiting);
+      if (queue.remove(waiting)) {
+        budget.giveBack();
+      }
       return true;
     }
   }
@@ -292,24 +322,12 @@
   private void release(TargetSlots target, Admission.Completion completion) {
     List<Decision> decisions = new ArrayList<>();
     synchronized (lock) {
-      target.giveBack();
-      busy--;
-      if (completion == Admission.Completion.LEAVING) {
-        target.markLeaving();
-      }
-      forgetIfDone(target);
+      pool.giveBack(target, completion, time.nanos());
       pump(decisions);
     }
     deliver(decisions);
   }
 
-  private void forgetIfDone(TargetSlots target) {
-    boolean current = targets.get(target.holding().target()) == target;
-    if (current && !target.isHeld() && target.inFlight() == 0) {
-      targets.remove(target.holding().target());
-    }
-  }
-
   private void deliver(List<Decision> decisions) {
     for (Decision decision : decisions) {
       record(decision);
@@ -330,21 +348,21 @@
   /** Limits in force. */
   public Contract.Service service() {
     synchronized (lock) {
-      return service;
+      return pool.service();
     }
   }
 
   /** Slots in use, those of targets no longer held included. */
   public int busy() {
     synchronized (lock) {
-      return busy;
+      return pool.busy();
     }
   }
 
   /** Requests in flight on {@code target} through this gate. */
   public int busy(String target) {
     synchronized (lock) {
-      TargetSlots known = targets.get(target);
+      TargetSlots known = pool.target(target);
       return known == null ? 0 : known.inFlight();
     }
   }
@@ -356,27 +374,33 @@
     }
   }
 
-  /** Slots that may be used now. */
-  public int slots() {
+  /** True while this gate holds a target that is not leaving, paused or not. */
+  public boolean holdsTargets() {
     synchronized (lock) {
-      return usableSlots();
+      return pool.heldTargets() > 0;
     }
   }
 
-  private int usableSlots() {
-    int slots = 0;
-    for (TargetSlots target : targets.values()) {
-      slots += target.usableSlots();
+  /** Slots that may be used now. */
+  public int slots() {
+    synchronized (lock) {
+      return pool.usableSlots(time.nanos());
     }
-    return slots;
   }
 
   /** All numbers of one moment. */
   public GateNumbers numbers() {
     synchronized (lock) {
-      double capacity = usableSlots() * 1000.0 / service.meanServiceMillis();
+      long now = time.nanos();
       return new GateNumbers(
-          usableSlots(), busy, queue.size(), offered, admitted, refused, 0, capacity);
+          pool.usableSlots(now),
+          pool.busy(),
+          queue.size(),
+          offered,
+          admitted,
+          refused,
+          pool.admittedPerSecond(now),
+          pool.ceilingPerSecond(now));
     }
   }
 
@@ -387,6 +411,7 @@
     synchronized (lock) {
       closed = true;
       for (Waiting waiting : queue) {
+        budget.giveBack();
         refuse(waiting, ResultCode.STOPPING, "this entry VM is stopping", decisions);
       }
       queue.clear();
@@ -398,6 +423,7 @@
     private final AdmissionRequest request;
     private final Consumer<Admission> whenDecided;
     private final long giveUpAt;
+    private boolean capped;
     private boolean decided;
 
     Waiting(AdmissionRequest request, Consumer<Admission> whenDecided, long giveUpAt) {
--- /dev/null
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/TargetHistory.java
@@ -0,0 +1,33 @@
+package org.sageladder.core.limits;
+
+import java.util.List;
+
+/**
+ * What a gate that lost a target tells the gate that has it now, so that a warm target need not
+ * start as a cold one.
+ *
+ * <p>It is sent after the old gate has stopped giving the target work, at most once per loss. If it
+ * is lost on the way, the new gate waits one window and starts the target as cold: headroom is
+ * lost, no cap is broken.
+ *
+ * @param takenAtMillis wall clock of the old gate when it counted
+ * @param inFlight requests of the old gate that still run on the target
+ * @param targetSteps admissions in steps of a tenth of the target cap's window, newest first
+ * @param regionSteps the same in steps of the region cap's window
+ * @param gainReleased true where the old gate does without the target's part of the region's gain
+ *     from now on; otherwise the new gate may use that part one window later
+ */
+public record TargetHistory(
+    String target,
+    long targetIncarnation,
+    long takenAtMillis,
+    int inFlight,
+    List<Integer> targetSteps,
+    List<Integer> regionSteps,
+    boolean gainReleased) {
+  /** Copies the lists, so that the history cannot change. */
+  public TargetHistory {
+    targetSteps = List.copyOf(targetSteps);
+    regionSteps = List.copyOf(regionSteps);
+  }
+}
--- /dev/null
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/TargetPool.java
@@ -0,0 +1,350 @@
+package org.sageladder.core.limits;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.core.membership.Holding;
+
+/**
+ * The targets that one gate holds, and how much their shift caps and this gate's share of the
+ * region's shift cap still allow.
+ *
+ * <p>Not safe for use by several threads; the gate's lock guards it.
+ */
+final class TargetPool {
+  private final Map<String, TargetSlots> targets = new HashMap<>();
+
+  /** Lost targets whose growth still counts here, because nobody else may know of it. */
+  private final List<TargetSlots> lost = new ArrayList<>();
+
+  private Contract.Service service;
+  private int borrowedUnits;
+  private int gateAllowance;
+  private int gateStepLimit;
+  private int gateInStep;
+  private RateHistory stepClock;
+
+  TargetPool(Contract.Service service, long nowNanos) {
+    this.service = service;
+    this.stepClock = RateHistory.create(service.regionShiftCap().window(), nowNanos);
+  }
+
+  /** Why no target could be chosen, or which was. */
+  record Choice(@Nullable TargetSlots target, boolean capped) {}
+
+  Contract.Service service() {
+    return service;
+  }
+
+  void service(Contract.Service newService, long nowNanos) {
+    boolean sameWindows =
+        newService.regionShiftCap().window().equals(service.regionShiftCap().window())
+            && newService.targetShiftCap().window().equals(service.targetShiftCap().window());
+    service = newService;
+    if (!sameWindows) {
+      stepClock = RateHistory.create(newService.regionShiftCap().window(), nowNanos);
+      targets.values().forEach(target -> target.resample(newService, nowNanos));
+      lost.forEach(target -> target.resample(newService, nowNanos));
+    }
+    recount(nowNanos);
+  }
+
+  /**
+   * Replaces the targets held.
+   *
+   * @param takenOver those that another entry VM held until now: they get work one window later,
+   *     since the other may have made them grow a moment ago, or as soon as their history is known
+   */
+  void hold(List<Holding> holdings, Set<String> takenOver, long nowNanos) {
+    Set<String> named = new HashSet<>();
+    for (Holding holding : holdings) {
+      named.add(holding.target());
+      holdOne(holding, takenOver.contains(holding.target()), nowNanos);
+    }
+    for (TargetSlots target : List.copyOf(targets.values())) {
+      if (!named.contains(target.holding().target())) {
+        target.loseHold();
+      }
+    }
+    recount(nowNanos);
+  }
+
+  private void holdOne(Holding holding, boolean takenOver, long nowNanos) {
+    TargetSlots known = targets.get(holding.target());
+    boolean sameIncarnation =
+        known != null && known.holding().targetIncarnation() == holding.targetIncarnation();
+    if (known != null && sameIncarnation && (known.isHeld() || !takenOver)) {
+      known.update(holding);
+      return;
+    }
+    if (known != null) {
+      known.loseHold();
+      lost.add(known);
+    }
+    Duration window = service.regionShiftCap().window();
+    long waitNanos = window.toNanos() + window.toNanos() / RateHistory.STEPS;
+    long workFrom = takenOver ? nowNanos + waitNanos : nowNanos;
+    targets.put(
+        holding.target(),
+        new TargetSlots(holding, service, nowNanos, workFrom, sameIncarnation ? known : null));
+  }
+
+  @Nullable TargetSlots target(String name) {
+    return targets.get(name);
+  }
+
+  /**
+   * What this gate counted of a target that it no longer holds; null where it knows of none or not
+   * of the whole window, because it still waited for the gate before it.
+   *
+   * <p>The target's part of the region's gain is released only where the targets left here keep to
+   * what is left of it, whatever the new gate does.
+   */
+  @Nullable TargetHistory handOver(String name, long nowNanos, long nowMillis) {
+    TargetSlots target = targets.get(name);
+    if (target == null || target.isHeld() || target.wasHandedOver()) {
+      return null;
+    }
+    if (target.awaitsWindow(nowNanos)) {
+      return null;
+    }
+    recount(nowNanos);
+    target.markHandedOver();
+    boolean released = target.hasGainPart(nowNanos) && worstGrowth(true) <= gainUnits(nowNanos);
+    return new TargetHistory(
+        name,
+        target.holding().targetIncarnation(),
+        nowMillis,
+        target.mayRun(nowNanos),
+        target.history().steps(),
+        target.regionHistory().steps(),
+        released);
+  }
+
+  /** Takes what the gate before counted of a target held here now. */
+  void learn(TargetHistory told, long nowNanos, long nowMillis) {
+    TargetSlots target = targets.get(told.target());
+    if (target == null || target.holding().targetIncarnation() != told.targetIncarnation()) {
+      return;
+    }
+    recount(nowNanos);
+    long agoNanos = Math.max(0, nowMillis - told.takenAtMillis()) * 1_000_000;
+    int stepsAgo = (int) Math.min(10_000, agoNanos / target.history().stepNanos());
+    int regionStepsAgo = (int) Math.min(10_000, agoNanos / target.regionHistory().stepNanos());
+    target.learn(told, stepsAgo, regionStepsAgo, nowNanos);
+    recount(nowNanos);
+  }
+
+  /** Gain units lent by other gates, less those lent to them. */
+  void borrowedUnits(int units, long nowNanos) {
+    borrowedUnits = units;
+    recount(nowNanos);
+  }
+
+  boolean hasTargetBesides(String avoid) {
+    for (TargetSlots target : targets.values()) {
+      if (target.takesWork() && !target.holding().target().equals(avoid)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  int heldTargets() {
+    int held = 0;
+    for (TargetSlots target : targets.values()) {
+      held += target.takesWork() ? 1 : 0;
+    }
+    return held;
+  }
+
+  int usableSlots(long nowNanos) {
+    int slots = 0;
+    for (TargetSlots target : targets.values()) {
+      slots += target.usableSlots(nowNanos);
+    }
+    return slots;
+  }
+
+  int busy() {
+    int busy = 0;
+    for (TargetSlots target : targets.values()) {
+      busy += target.ownInFlight();
+    }
+    for (TargetSlots target : lost) {
+      busy += target.ownInFlight();
+    }
+    return busy;
+  }
+
+  /** The target with the largest free part of its slots that its cap lets grow. */
+  Choice choose(String avoid, long nowNanos) {
+    rollTo(nowNanos);
+    boolean gateCapped = gateAllowance <= 0 || gateInStep >= gateStepLimit;
+    boolean capped = false;
+    TargetSlots best = null;
+    for (TargetSlots target : targets.values()) {
+      if (target.freeSlots(nowNanos) == 0 || target.holding().target().equals(avoid)) {
+        continue;
+      }
+      if (gateCapped || target.isCapped()) {
+        capped = true;
+        continue;
+      }
+      if (best == null || freeFraction(target, nowNanos) > freeFraction(best, nowNanos)) {
+        best = target;
+      }
+    }
+    return new Choice(best, best == null && capped);
+  }
+
+  private static double freeFraction(TargetSlots target, long nowNanos) {
+    return (double) target.freeSlots(nowNanos) / target.usableSlots(nowNanos);
+  }
+
+  private int targetUnits(TargetSlots target) {
+    Contract.ShiftCap cap = service.targetShiftCap();
+    return Math.max(1, (int) (cap.gainFraction() * capacity(target) * seconds(cap.window())));
+  }
+
+  private double capacity(TargetSlots target) {
+    return target.holding().slots() * 1000.0 / service.meanServiceMillis();
+  }
+
+  private static double seconds(Duration window) {
+    return window.toNanos() / 1e9;
+  }
+
+  void take(TargetSlots target) {
+    target.take();
+    gateAllowance--;
+    gateInStep++;
+  }
+
+  void giveBack(TargetSlots target, Admission.Completion completion, long nowNanos) {
+    target.giveBack();
+    target.experience().learn(completion, target.holding().slots(), nowNanos);
+    if (completion == Admission.Completion.LEAVING) {
+      target.markLeaving();
+    }
+  }
+
+  /** Requests by which this gate may grow its window: its own share and what it borrowed. */
+  int gainUnits(long nowNanos) {
+    return Math.max(0, ownUnits(nowNanos) + borrowedUnits);
+  }
+
+  /** This gate's own share of the region's gain; at least one, or a slow service never starts. */
+  int ownUnits(long nowNanos) {
+    Contract.ShiftCap cap = service.regionShiftCap();
+    double sharedCapacity = 0;
+    for (TargetSlots target : targets.values()) {
+      sharedCapacity += target.sharesGain(nowNanos) ? capacity(target) : 0;
+    }
+    if (sharedCapacity == 0) {
+      return 0;
+    }
+    return Math.max(1, (int) (cap.gainFraction() * sharedCapacity * seconds(cap.window())));
+  }
+
+  /** Most requests a second that caps and slots allow now. */
+  double ceilingPerSecond(long nowNanos) {
+    rollTo(nowNanos);
+    double bySlots = usableSlots(nowNanos) * 1000.0 / service.meanServiceMillis();
+    int windowLimit = gainUnits(nowNanos);
+    for (TargetSlots target : targets.values()) {
+      windowLimit += target.takesWork() ? target.regionHistory().before() : 0;
+    }
+    return Math.min(bySlots, windowLimit / seconds(service.regionShiftCap().window()));
+  }
+
+  /** Requests a second over the last whole window. */
+  double admittedPerSecond(long nowNanos) {
+    rollTo(nowNanos);
+    int recent = 0;
+    for (TargetSlots target : targets.values()) {
+      recent += target.regionHistory().recent();
+    }
+    return recent / seconds(service.regionShiftCap().window());
+  }
+
+  /** Monotonic time at which a cap or a pause may next give way. */
+  long nextChangeNanos(long nowNanos) {
+    long next = stepClock.nextStepNanos();
+    for (TargetSlots target : targets.values()) {
+      if (target.experience().isPaused(nowNanos)) {
+        next = Math.min(next, target.experience().pausedUntilNanos());
+      }
+      if (target.awaitsWindow(nowNanos)) {
+        next = Math.min(next, target.workFromNanos());
+      }
+      next = Math.min(next, target.nextStepNanos());
+    }
+    return next;
+  }
+
+  private void rollTo(long nowNanos) {
+    boolean newStep = stepClock.rollTo(nowNanos);
+    for (TargetSlots target : targets.values()) {
+      newStep |= target.rollTo(nowNanos);
+    }
+    if (newStep) {
+      recount(nowNanos);
+    }
+  }
+
+  private void recount(long nowNanos) {
+    stepClock.rollTo(nowNanos);
+    targets.values().forEach(target -> target.rollTo(nowNanos));
+    lost.forEach(target -> target.rollTo(nowNanos));
+    forgetLost();
+    int before = 0;
+    gateInStep = 0;
+    for (TargetSlots target : targets.values()) {
+      before += target.regionHistory().before();
+      gateInStep += target.regionHistory().inStep();
+      target.recap(targetUnits(target));
+    }
+    gateAllowance = gainUnits(nowNanos) - worstGrowth(false);
+    gateStepLimit = RateHistory.stepLimit(before + gainUnits(nowNanos));
+  }
+
+  /**
+   * Growth of all targets together, now or in a step to come.
+   *
+   * <p>A target no longer held counts only where it has grown: whoever holds it now may not know of
+   * that growth, and the base that it would bring if it had shrunk went with it.
+   */
+  private int worstGrowth(boolean heldOnly) {
+    int worst = Integer.MIN_VALUE;
+    for (int ahead = 0; ahead < RateHistory.STEPS; ahead++) {
+      int growth = 0;
+      for (TargetSlots target : targets.values()) {
+        int own = target.regionHistory().growth(ahead);
+        growth += target.isHeld() ? own : heldOnly ? 0 : Math.max(0, own);
+      }
+      for (TargetSlots target : lost) {
+        growth += heldOnly ? 0 : Math.max(0, target.regionHistory().growth(ahead));
+      }
+      worst = Math.max(worst, growth);
+    }
+    return worst;
+  }
+
+  private void forgetLost() {
+    targets.values().removeIf(target -> !target.isHeld() && isSpent(target));
+    lost.removeIf(TargetPool::isSpent);
+  }
+
+  private static boolean isSpent(TargetSlots target) {
+    return target.ownInFlight() == 0
+        && target.regionHistory().recent() == 0
+        && target.regionHistory().before() == 0;
+  }
+}
--- a/sageladder-core/src/main/java/org/sageladder/core/limits/TargetSlots.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/TargetSlots.java
@@ -1,27 +1,153 @@
 package org.sageladder.core.limits;
 
+import java.time.Duration;
+import org.jspecify.annotations.Nullable;
+import org.sageladder.core.contract.Contract;
 import org.sageladder.core.membership.Holding;
 
-/** The slots of one incarnation of one target as its gate counts them; guarded by the gate. */
+/**
+ * One incarnation of one target as its gate counts it: slots in use, shift cap and experience.
+ *
+ * <p>Not safe for use by several threads; the gate's lock guards it.
+ */
 final class TargetSlots {
+  private static final long REPORT_LIFE_NANOS = Duration.ofSeconds(2).toNanos();
+
+  private final TargetExperience experience;
+  private RateHistory history;
+  private RateHistory regionHistory;
+  private final boolean coldStartHere;
+  private long workFromNanos;
+  private long gainFromNanos;
   private Holding holding;
+  private final @Nullable TargetSlots earlier;
   private boolean held = true;
   private boolean leaving;
+  private boolean handedOver;
   private int inFlight;
+  private int allowance;
+  private int stepLimit;
+  private int toldBusy;
+  private long toldAtNanos;
+  private int foreignBusy;
+  private int reportedSlots = Integer.MAX_VALUE;
+  private long reportTakenNanos;
 
-  TargetSlots(Holding holding) {
+  /**
+   * @param workFromNanos from when on the target may get work and add to the gate's gain
+   * @param earlier the same target as this gate held it before another did, or null
+   */
+  TargetSlots(
+      Holding holding,
+      Contract.Service service,
+      long nowNanos,
+      long workFromNanos,
+      @Nullable TargetSlots earlier) {
+    this.earlier = earlier;
     this.holding = holding;
     this.leaving = holding.leaving();
+    this.experience = TargetExperience.ofColdTarget(service);
+    this.history = RateHistory.create(service.targetShiftCap().window(), nowNanos);
+    this.regionHistory = RateHistory.create(service.regionShiftCap().window(), nowNanos);
+    this.coldStartHere = workFromNanos - nowNanos <= 0;
+    this.workFromNanos = workFromNanos;
+    this.gainFromNanos = workFromNanos;
   }
 
   Holding holding() {
     return holding;
   }
 
-  int inFlight() {
+  /** Requests in flight of this hold alone. */
+  int ownInFlight() {
     return inFlight;
   }
 
+  /** Requests in flight from this gate, those of an earlier hold of the target included. */
+  int inFlight() {
+    return inFlight + (earlier == null ? 0 : earlier.inFlight());
+  }
+
+  /** Admissions in steps of the target's own window. */
+  RateHistory history() {
+    return history;
+  }
+
+  /** Admissions in steps of the region's window. */
+  RateHistory regionHistory() {
+    return regionHistory;
+  }
+
+  long nextStepNanos() {
+    return Math.min(history.nextStepNanos(), regionHistory.nextStepNanos());
+  }
+
+  /** Moves the counts on to {@code nowNanos}; true where a step of either window has begun. */
+  boolean rollTo(long nowNanos) {
+    boolean newStep = history.rollTo(nowNanos);
+    boolean newRegionStep = regionHistory.rollTo(nowNanos);
+    return newStep || newRegionStep;
+  }
+
+  /** Counts in steps of the windows of a new revision. */
+  void resample(Contract.Service service, long nowNanos) {
+    history = history.resampled(service.targetShiftCap().window(), nowNanos);
+    regionHistory = regionHistory.resampled(service.regionShiftCap().window(), nowNanos);
+  }
+
+  /** Works out what this step still allows where the target's window may grow by {@code units}. */
+  void recap(int units) {
+    allowance = units - history.worstGrowth();
+    stepLimit = RateHistory.stepLimit(history.before() + units);
+  }
+
+  boolean isCapped() {
+    return allowance <= 0 || history.inStep() >= stepLimit;
+  }
+
+  TargetExperience experience() {
+    return experience;
+  }
+
+  boolean isHeld() {
+    return held;
+  }
+
+  /** True once the gain of the window before the take-over can no longer be in use elsewhere. */
+  boolean sharesGain(long nowNanos) {
+    return takesWork() && hasGainPart(nowNanos);
+  }
+
+  boolean hasGainPart(long nowNanos) {
+    return nowNanos - gainFromNanos >= 0;
+  }
+
+  /** True while the gate that had the target may still be the cause of growth at the target. */
+  boolean awaitsWindow(long nowNanos) {
+    return nowNanos - workFromNanos < 0;
+  }
+
+  /** When the wait for the window of the gate before is over. */
+  long workFromNanos() {
+    return workFromNanos;
+  }
+
+  /** Takes what the gate before counted; only a target that still waits for it accepts it. */
+  void learn(TargetHistory told, int stepsAgo, int regionStepsAgo, long nowNanos) {
+    if (coldStartHere || !awaitsWindow(nowNanos)) {
+      return;
+    }
+    history.addPast(told.targetSteps(), stepsAgo);
+    workFromNanos = nowNanos;
+    experience.trustWarmTarget(holding.slots());
+    toldBusy = told.inFlight();
+    toldAtNanos = nowNanos;
+    if (told.gainReleased()) {
+      regionHistory.addPast(told.regionSteps(), regionStepsAgo);
+      gainFromNanos = nowNanos;
+    }
+  }
+
   /** Takes a newer holding of the same incarnation; leaving is never undone. */
   void update(Holding newer) {
     holding = newer;
@@ -29,12 +155,16 @@
     leaving |= newer.leaving();
   }
 
-  void loseHold() {
-    held = false;
+  void markHandedOver() {
+    handedOver = true;
   }
 
-  boolean isHeld() {
-    return held;
+  boolean wasHandedOver() {
+    return handedOver;
+  }
+
+  void loseHold() {
+    held = false;
   }
 
   void markLeaving() {
@@ -49,16 +179,58 @@
     return held && !leaving;
   }
 
-  int usableSlots() {
-    return takesWork() ? holding.slots() : 0;
+  /** Slots that may be used by view, report and experience together. */
+  int usableSlots(long nowNanos) {
+    if (!takesWork() || awaitsWindow(nowNanos)) {
+      return 0;
+    }
+    int allowed =
+        Math.min(reportedAllowance(nowNanos), experience.limit(holding.slots(), nowNanos));
+    return Math.max(0, Math.min(allowed, holding.slots() - toldBusy(nowNanos)));
+  }
+
+  /** Requests of the gate before that may still run, until a report is newer than its word. */
+  private int toldBusy(long nowNanos) {
+    return nowNanos - toldAtNanos > REPORT_LIFE_NANOS ? 0 : toldBusy;
+  }
+
+  /** Requests that may run on the target by way of this gate or the one before. */
+  int mayRun(long nowNanos) {
+    return inFlight() + toldBusy(nowNanos);
+  }
+
+  /**
+   * Slots by view and report alone.
+   *
+   * <p>Reports lag and mislead, so one alone never takes the last slot: a target that reported
+   * "full" for ever would otherwise get no work and so could never show that it is well.
+   */
+  private int reportedAllowance(long nowNanos) {
+    if (nowNanos - reportTakenNanos > REPORT_LIFE_NANOS) {
+      return holding.slots();
+    }
+    return Math.max(1, Math.min(holding.slots(), reportedSlots) - foreignBusy);
+  }
+
+  /** Takes the target's report; busy slots beyond those in flight here belong to somebody else. */
+  void report(int busy, int slots, long takenNanos) {
+    foreignBusy = Math.max(0, busy - inFlight());
+    reportedSlots = slots;
+    reportTakenNanos = takenNanos;
+    if (takenNanos - toldAtNanos > 0) {
+      toldBusy = 0;
+    }
   }
 
-  int freeSlots() {
-    return Math.max(0, usableSlots() - inFlight);
+  int freeSlots(long nowNanos) {
+    return Math.max(0, usableSlots(nowNanos) - inFlight());
   }
 
   void take() {
     inFlight++;
+    allowance--;
+    history.add();
+    regionHistory.add();
   }
 
   void giveBack() {
--- a/sageladder-core/src/test/java/org/sageladder/core/limits/Gates.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/limits/Gates.java
@@ -52,10 +52,15 @@
 
   /** A service of 100 ms requests, 4 waits a target and a cap that never binds. */
   static Contract.Service service(RequestClass requestClass) {
-    return service(requestClass, new Contract.ShiftCap(1, Duration.ofMillis(100)));
+    return service(requestClass, new Contract.ShiftCap(1, Duration.ofSeconds(100)));
   }
 
   static Contract.Service service(RequestClass requestClass, Contract.ShiftCap cap) {
+    return service(requestClass, cap, cap);
+  }
+
+  static Contract.Service service(
+      RequestClass requestClass, Contract.ShiftCap regionCap, Contract.ShiftCap targetCap) {
     return new Contract.Service(
         "s",
         requestClass,
@@ -69,7 +74,7 @@
         Duration.ofSeconds(10),
         Duration.ofSeconds(30),
         0.1,
-        cap,
-        cap);
+        regionCap,
+        targetCap);
   }
 }
--- a/sageladder-core/src/test/java/org/sageladder/core/limits/ServiceGateTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/limits/ServiceGateTest.java
@@ -24,7 +24,7 @@
   void slotsOfATargetAreNeverExceededAndWaitsAreBounded() {
     // A caller burst of 20 meets one target of 3 slots: were the gate to count wrongly, the target
     // would run more than its slots and shed work that had already been told it was admitted.
-    gate.holdings(Gates.holdings(1, 3));
+    holdWarm(1, 3);
     for (int i = 0; i < 20; i++) {
       gate.request(gates.within(Duration.ofSeconds(5)), decisions::add);
     }
@@ -63,7 +63,7 @@
   void leavingTargetGetsNoNewWorkAndKeepsWhatItHas() {
     // The platform announces a stop while two requests run: the list still names the target later
     // on, and a gate that believed it again would send work to a VM about to end.
-    gate.holdings(Gates.holdings(1, 3));
+    holdWarm(1, 3);
     gate.request(gates.within(Duration.ofSeconds(5)), decisions::add);
     gate.targetLoad("t0", 1, 3, true, gates.time.nanos());
     gate.holdings(Gates.holdings(1, 3));
@@ -121,6 +121,129 @@
     assertFalse(wait.cancel());
   }
 
+  @Test
+  void coldTargetStartsWithOneSlotAndGainsOneWithEachAnswer() {
+    gate.holdings(Gates.holdings(1, 3));
+    assertEquals(1, gate.slots());
+    gate.request(gates.within(Duration.ofSeconds(5)), decisions::add);
+    slot(0).release(Admission.Completion.ANSWERED);
+    assertEquals(2, gate.slots());
+  }
+
+  @Test
+  void refusalsOutweighAReportThatSaysIdle() {
+    // The target's load endpoint answers "idle" from a cache while the target sheds all work. A
+    // gate that believed the report would send it request after request, each refused.
+    holdWarm(1, 3);
+    gate.targetLoad("t0", 0, 3, false, gates.time.nanos());
+    int sent = decisions.size();
+    for (int i = 0; i < 50; i++) {
+      gate.request(gates.within(Duration.ofSeconds(5)), decisions::add);
+      releaseLast(Admission.Completion.REFUSED);
+      gates.advance(Duration.ofMillis(20));
+      gate.targetLoad("t0", 0, 3, false, gates.time.nanos());
+    }
+    assertTrue(admissions() - sent <= 5, "sent to a shedding target: " + (admissions() - sent));
+  }
+
+  @Test
+  void reportOfFullNeverTakesTheLastSlot() {
+    // A target reports all slots busy for ever although it is idle. Were the report believed whole,
+    // the target would get nothing, and nothing would ever show that the report is wrong.
+    holdWarm(1, 3);
+    gate.targetLoad("t0", 3, 3, false, gates.time.nanos());
+    assertEquals(1, gate.slots());
+    gates.advance(Duration.ofSeconds(3));
+    assertEquals(3, gate.slots(), "an old report must lose its weight");
+  }
+
+  @Test
+  void targetThatCutsAnswersIsProbedAndNotFed() {
+    holdWarm(2, 3);
+    int sent = decisions.size();
+    int toBroken = 0;
+    for (int i = 0; i < 100; i++) {
+      gate.request(gates.within(Duration.ofSeconds(5)), decisions::add);
+      boolean broken = last().target().target().equals("t0");
+      toBroken += broken ? 1 : 0;
+      releaseLast(broken ? Admission.Completion.LOST : Admission.Completion.ANSWERED);
+      gates.advance(Duration.ofMillis(10));
+    }
+    assertEquals(sent + 100, decisions.size());
+    assertTrue(toBroken <= 6, "sent to the broken target: " + toBroken);
+  }
+
+  @Test
+  void backgroundWaitsAreShedBeforeCriticalOnes() {
+    // One entry VM carries overnight pulls and bids. The pulls fill its waiting places; a bid that
+    // came next would be turned away for work that could as well run hours later.
+    WaitBudget budget = WaitBudget.of(4);
+    ServiceGate pulls = gateOf(RequestClass.BACKGROUND, budget);
+    ServiceGate bids = gateOf(RequestClass.CRITICAL, budget);
+    for (ServiceGate each : List.of(pulls, bids)) {
+      each.holdings(Gates.holdings(1, 1));
+      for (int i = 0; i < 4; i++) {
+        each.request(gates.within(Duration.ofSeconds(5)), decisions::add);
+      }
+    }
+    assertEquals(2, pulls.queued());
+    assertEquals(1, refusals(ResultCode.BACKGROUND_SHED));
+    assertEquals(2, bids.queued());
+    bids.close();
+    pulls.close();
+    assertEquals(0, budget.waiting(), "places of refused waits must come back");
+  }
+
+  private ServiceGate gateOf(RequestClass requestClass, WaitBudget budget) {
+    return ServiceGate.create(
+        "c", Gates.service(requestClass), gates.time, gates, EventSink.none(), budget);
+  }
+
+  /** Holds targets that have answered often enough to be given all their slots. */
+  private void holdWarm(int targets, int slots) {
+    gate.holdings(Gates.holdings(targets, slots));
+    for (int i = 0; i < targets * slots; i++) {
+      gate.request(gates.within(Duration.ofSeconds(5)), decisions::add);
+      releaseLast(Admission.Completion.ANSWERED);
+    }
+    if (gate.slots() < targets * slots) {
+      warmTheRest(targets, slots);
+    }
+    assertEquals(targets * slots, gate.slots());
+    decisions.clear();
+  }
+
+  private void warmTheRest(int targets, int slots) {
+    for (int round = 0; round < slots; round++) {
+      List<Admission.Slot> taken = new ArrayList<>();
+      for (int i = 0; i < targets * slots; i++) {
+        gate.request(gates.within(Duration.ofSeconds(5)), decisions::add);
+      }
+      for (Admission decision : List.copyOf(decisions)) {
+        if (decision instanceof Admission.Admitted yes) {
+          taken.add(yes.slot());
+        }
+      }
+      taken.forEach(slot -> slot.release(Admission.Completion.ANSWERED));
+      gates.advance(Duration.ofSeconds(2));
+    }
+  }
+
+  private Admission.Slot last() {
+    return slot(decisions.size() - 1);
+  }
+
+  private void releaseLast(Admission.Completion completion) {
+    if (!decisions.isEmpty()
+        && decisions.get(decisions.size() - 1) instanceof Admission.Admitted yes) {
+      yes.slot().release(completion);
+    }
+  }
+
+  private long admissions() {
+    return decisions.stream().filter(Admission.Admitted.class::isInstance).count();
+  }
+
   private Admission.Slot slot(int index) {
     return assertInstanceOf(Admission.Admitted.class, decisions.get(index)).slot();
   }
--- /dev/null
+++ b/sageladder-core/src/test/java/org/sageladder/core/limits/ShiftCapProperties.java
@@ -0,0 +1,187 @@
+package org.sageladder.core.limits;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.core.contract.RequestClass;
+import org.sageladder.core.event.EventSink;
+import org.sageladder.core.membership.Holding;
+
+/** The caps on shifts, checked by a counter that is slow and plainly right. */
+class ShiftCapProperties {
+  private static final int TARGETS = 4;
+  private static final int SLOTS = 3;
+  private static final double TARGET_CAPACITY = SLOTS * 10.0;
+
+  private final Gates gates = new Gates();
+  private final Map<String, List<Long>> admissions = new HashMap<>();
+  private final Map<String, String> lastHolder = new HashMap<>();
+  private final Map<String, Integer> inFlight = new HashMap<>();
+  private Random messages = new Random(0);
+
+  /**
+   * A region of two gates meets random demand, slow and fast, while targets move between the gates,
+   * histories of moved targets arrive, get lost or come twice, and gates start anew. A counter of
+   * all admissions must never find a window with more requests than the window before it plus the
+   * gain that the contract allows.
+   */
+  @Property(tries = 60, seed = "20461")
+  void noWindowOutgrowsTheWindowBefore(
+      @ForAll long seed,
+      @ForAll @DoubleRange(min = 0.1, max = 0.5) double gain,
+      @ForAll @IntRange(min = 1, max = 10) int windowSeconds) {
+    // One object serves all tries of a property, so each try gets a region of its own.
+    new ShiftCapProperties().runRegion(seed, gain, windowSeconds);
+  }
+
+  private void runRegion(long seed, double gain, int windowSeconds) {
+    Random random = new Random(seed);
+    messages = new Random(seed + 1);
+    Contract.ShiftCap cap = new Contract.ShiftCap(gain, Duration.ofSeconds(windowSeconds));
+    Contract.ShiftCap targetCap =
+        new Contract.ShiftCap(2 * gain, Duration.ofSeconds(windowSeconds));
+    Contract.Service service = Gates.service(RequestClass.INTERACTIVE, cap, targetCap);
+    ServiceGate[] region = {gate(service), gate(service)};
+    String[] holderOf = new String[TARGETS];
+    moveTargets(region, holderOf, random);
+    int steps = 60 * RateHistory.STEPS;
+    double perStep = 1;
+    for (int step = 0; step < steps; step++) {
+      if (random.nextInt(40) == 0) {
+        perStep = random.nextDouble() * TARGETS * TARGET_CAPACITY * windowSeconds / 10 * 2;
+      }
+      if (random.nextInt(60) == 0) {
+        moveTargets(region, holderOf, random);
+      }
+      if (random.nextInt(150) == 0) {
+        restart(region, holderOf, random.nextInt(2), service);
+      }
+      demand(region, perStep, random, windowSeconds);
+    }
+    double targetGain = 2 * gain * TARGET_CAPACITY * windowSeconds;
+    for (Map.Entry<String, List<Long>> target : admissions.entrySet()) {
+      assertCap(target.getValue(), (int) targetGain, windowSeconds, "a target");
+    }
+    List<Long> all = new ArrayList<>();
+    admissions.values().forEach(all::addAll);
+    int regionGain = (int) (gain * TARGETS * TARGET_CAPACITY * windowSeconds);
+    assertCap(all, regionGain, windowSeconds, "the region");
+  }
+
+  private ServiceGate gate(Contract.Service service) {
+    return ServiceGate.create("c", service, gates.time, gates, EventSink.none());
+  }
+
+  private void moveTargets(ServiceGate[] region, String[] holderOf, Random random) {
+    for (int i = 0; i < TARGETS; i++) {
+      if (holderOf[i] == null || random.nextInt(3) == 0) {
+        holderOf[i] = String.valueOf(random.nextInt(2));
+      }
+    }
+    tell(region, holderOf, -1);
+  }
+
+  private void restart(
+      ServiceGate[] region, String[] holderOf, int which, Contract.Service service) {
+    region[which].close();
+    region[which] = gate(service);
+    tell(region, holderOf, which);
+  }
+
+  private void tell(ServiceGate[] region, String[] holderOf, int restarted) {
+    for (int gate = 0; gate < region.length; gate++) {
+      List<Holding> held = new ArrayList<>();
+      Set<String> takenOver = new TreeSet<>();
+      for (int i = 0; i < TARGETS; i++) {
+        if (!holderOf[i].equals(String.valueOf(gate))) {
+          continue;
+        }
+        held.add(Gates.holding("t" + i, SLOTS));
+        String previous = lastHolder.get("t" + i);
+        if (previous != null && (!previous.equals(holderOf[i]) || gate == restarted)) {
+          takenOver.add("t" + i);
+        }
+      }
+      region[gate].holdings(held, takenOver);
+    }
+    for (int i = 0; i < TARGETS; i++) {
+      String previous = lastHolder.put("t" + i, holderOf[i]);
+      if (previous != null && !previous.equals(holderOf[i])) {
+        tellHistory(region[Integer.parseInt(previous)], region[Integer.parseInt(holderOf[i])], i);
+      }
+    }
+  }
+
+  private void tellHistory(ServiceGate from, ServiceGate to, int target) {
+    int copies = messages.nextInt(3);
+    from.handOver("t" + target)
+        .ifPresent(
+            history -> {
+              for (int i = 0; i < copies; i++) {
+                to.learn(history);
+              }
+            });
+  }
+
+  private void demand(ServiceGate[] region, double perStep, Random random, int windowSeconds) {
+    Duration tick = Duration.ofMillis(10L * windowSeconds);
+    for (int i = 0; i < RateHistory.STEPS; i++) {
+      int arrivals = (int) (perStep / RateHistory.STEPS + random.nextDouble());
+      for (int n = 0; n < arrivals; n++) {
+        region[random.nextInt(2)].request(gates.within(Duration.ofMillis(500)), this::count);
+      }
+      gates.advance(tick);
+    }
+  }
+
+  private void count(Admission admission) {
+    if (admission instanceof Admission.Admitted yes) {
+      admissions
+          .computeIfAbsent(yes.slot().target().target(), name -> new ArrayList<>())
+          .add(gates.time.nanos());
+      String target = yes.slot().target().target();
+      int running = inFlight.merge(target, 1, Integer::sum);
+      assertTrue(running <= SLOTS, target + " runs " + running + " requests");
+      gates.runAfter(Duration.ofMillis(100), () -> answer(yes.slot()));
+    }
+  }
+
+  private void answer(Admission.Slot slot) {
+    inFlight.merge(slot.target().target(), -1, Integer::sum);
+    slot.release(Admission.Completion.ANSWERED);
+  }
+
+  /** Counts every window that ends with a step, and the one before it. */
+  private static void assertCap(List<Long> times, int gain, int windowSeconds, String place) {
+    long stepNanos = windowSeconds * 100_000_000L;
+    Map<Long, Integer> perStep = new HashMap<>();
+    long lastStep = 0;
+    for (long time : times) {
+      perStep.merge(time / stepNanos, 1, Integer::sum);
+      lastStep = Math.max(lastStep, time / stepNanos);
+    }
+    for (long end = 0; end <= lastStep + RateHistory.STEPS; end++) {
+      int window = 0;
+      int before = 0;
+      for (int back = 0; back < RateHistory.STEPS; back++) {
+        window += perStep.getOrDefault(end - back, 0);
+        before += perStep.getOrDefault(end - back - RateHistory.STEPS, 0);
+      }
+      assertTrue(
+          window <= before + gain,
+          place + " took " + window + " after " + before + ", allowed gain " + gain);
+    }
+  }
+}
