--- /dev/null
+++ b/sageladder-core/src/main/java/org/sageladder/core/membership/Rendezvous.java
@@ -0,0 +1,38 @@
+package org.sageladder.core.membership;
+
+import com.dynatrace.hash4j.hashing.Hasher64;
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Rendezvous hashing: each subject goes to the candidate with the highest hash of the pair.
+ *
+ * <p>When one of n candidates comes or goes, about one subject in n moves and no other does.
+ */
+public final class Rendezvous {
+  private static final Hasher64 HASHER = Hashing.komihash5_0();
+
+  private Rendezvous() {}
+
+  /** The candidate for {@code subject}, or empty where there are no candidates. */
+  public static Optional<String> choose(String subject, Collection<String> candidates) {
+    return candidates.stream().max(byWeight(subject));
+  }
+
+  /** All candidates, best first. */
+  public static List<String> order(String subject, Collection<String> candidates) {
+    return candidates.stream().sorted(byWeight(subject).reversed()).toList();
+  }
+
+  private static Comparator<String> byWeight(String subject) {
+    return Comparator.<String>comparingLong(candidate -> weight(subject, candidate))
+        .thenComparing(Comparator.naturalOrder());
+  }
+
+  private static long weight(String subject, String candidate) {
+    return HASHER.hashCharsToLong(subject + '\n' + candidate);
+  }
+}
--- /dev/null
+++ b/sageladder-core/src/main/java/org/sageladder/core/membership/ViewMaker.java
@@ -0,0 +1,189 @@
+package org.sageladder.core.membership;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.ToIntFunction;
+import org.sageladder.core.platform.ListedVm;
+import org.sageladder.core.time.TimeSource;
+
+/**
+ * Makes a zone's views out of heartbeats and the platform's list, in the zone's relay.
+ *
+ * <pre>{@code
+ * ViewMaker maker = ViewMaker.of(settings, time, "tartu-a", "vm-1", fencing, lastView, totalSlots);
+ * maker.heartbeat(heartbeat);
+ * maker.tick().ifPresent(view -> spreader.publish(encode(view)));
+ * }</pre>
+ *
+ * <p>Not thread-safe.
+ */
+public final class ViewMaker {
+  private static final int COUNTER_BITS = 20;
+  private static final long BETWEEN_VIEWS_NANOS = Duration.ofMillis(100).toNanos();
+
+  private final TimeSource time;
+  private final String zone;
+  private final String relay;
+  private final ToIntFunction<String> totalSlots;
+  private final MemberTable members;
+  private final HoldingPlan plan;
+  private ZoneView last;
+  private List<RelayedView.Withheld> lastWithheld = List.of();
+  private boolean made;
+  private long madeNanos;
+
+  private ViewMaker(
+      MembershipSettings settings,
+      TimeSource time,
+      String zone,
+      String relay,
+      long fencing,
+      Optional<RelayedView> previous,
+      ToIntFunction<String> totalSlots) {
+    this.time = time;
+    this.zone = zone;
+    this.relay = relay;
+    this.totalSlots = totalSlots;
+    this.members = new MemberTable(settings, time);
+    this.plan = new HoldingPlan(settings, time, members);
+    long lastNumber = previous.map(last -> last.view().number()).orElse(0L);
+    long first = Math.max(fencing << COUNTER_BITS, lastNumber + 1);
+    this.last = new ZoneView(zone, first - 1, List.of(), List.of());
+    previous.ifPresent(
+        view -> {
+          members.seed(view.view().members());
+          plan.seed(view);
+        });
+  }
+
+  /**
+   * A maker that goes on from {@code previous}.
+   *
+   * @param relay this entry VM
+   * @param fencing the relay's fencing revision; views of a later relay have higher numbers
+   * @param totalSlots slots of one target of a service by the contract in force, 0 where unknown
+   */
+  public static ViewMaker of(
+      MembershipSettings settings,
+      TimeSource time,
+      String zone,
+      String relay,
+      long fencing,
+      Optional<RelayedView> previous,
+      ToIntFunction<String> totalSlots) {
+    return new ViewMaker(settings, time, zone, relay, fencing, previous, totalSlots);
+  }
+
+  /** The fencing revision in a view's number. */
+  public static long fencingOf(long viewNumber) {
+    return viewNumber >> COUNTER_BITS;
+  }
+
+  /** Takes a heartbeat in and says what to answer. */
+  public HeartbeatAnswer heartbeat(Heartbeat heartbeat) {
+    boolean current = members.heartbeat(heartbeat);
+    if (current) {
+      plan.reported(heartbeat.reports());
+    }
+    MemberTable.Entry entry = members.entry(heartbeat.sender().vm());
+    long known = entry == null ? 0 : entry.member().incarnation();
+    boolean confirmed = current && made && heartbeat.viewNumber() >= last.number();
+    return new HeartbeatAnswer(heartbeat.sentNanos(), last.number(), true, confirmed, known);
+  }
+
+  /** Takes in a fetch of the platform's list. */
+  public void listed(List<ListedVm> lines) {
+    members.listed(lines);
+    plan.listed(zone, lines);
+  }
+
+  /** A new view where something changed since the last one. */
+  public Optional<RelayedView> tick() {
+    members.tick();
+    if (made && time.nanos() - madeNanos < BETWEEN_VIEWS_NANOS) {
+      return Optional.empty();
+    }
+    long number = last.number() + 1;
+    ZoneView next = new ZoneView(zone, number, members.live(), plan.holdings(number, totalSlots));
+    List<RelayedView.Withheld> withheld = plan.withheld();
+    boolean same =
+        made
+            && next.members().equals(last.members())
+            && next.holdings().equals(last.holdings())
+            && withheld.equals(lastWithheld);
+    if (same) {
+      return Optional.empty();
+    }
+    lastWithheld = withheld;
+    made = true;
+    madeNanos = time.nanos();
+    last = next;
+    return Optional.of(new RelayedView(next, relay, withheld));
+  }
+
+  /** Whether the counter in the view number is used up, so that the duty must be claimed anew. */
+  public boolean exhausted() {
+    return (last.number() & ((1L << COUNTER_BITS) - 1)) == (1L << COUNTER_BITS) - 2;
+  }
+
+  /** Fraction of the zone's members that are heard, 0 to 1. */
+  public double heardFraction() {
+    return members.heardFraction();
+  }
+
+  /** What the zone's gates did lately, added up for each service. */
+  public List<ZoneSummary> summaries() {
+    Map<String, ZoneSummary> sums = new TreeMap<>();
+    for (MemberTable.Entry entry : members.liveEntries()) {
+      Heartbeat heartbeat = entry.last();
+      if (heartbeat != null) {
+        for (ZoneSummary summary : heartbeat.summaries()) {
+          sums.merge(summary.service(), inZone(summary), ViewMaker::add);
+        }
+      }
+    }
+    return new ArrayList<>(sums.values());
+  }
+
+  /** Contract revision in force at each live member, by name. */
+  public Map<String, Long> revisionsInForce() {
+    Map<String, Long> revisions = new TreeMap<>();
+    for (MemberTable.Entry entry : members.liveEntries()) {
+      Heartbeat heartbeat = entry.last();
+      revisions.put(entry.member().vm(), heartbeat == null ? 0 : heartbeat.contractRevision());
+    }
+    return revisions;
+  }
+
+  private ZoneSummary inZone(ZoneSummary summary) {
+    return new ZoneSummary(
+        zone,
+        summary.customer(),
+        summary.service(),
+        time.wallMillis(),
+        summary.slots(),
+        summary.busy(),
+        summary.queued(),
+        summary.admittedPerSecond(),
+        summary.ceilingPerSecond(),
+        summary.demandPerSecond());
+  }
+
+  private static ZoneSummary add(ZoneSummary left, ZoneSummary right) {
+    return new ZoneSummary(
+        left.zone(),
+        left.customer(),
+        left.service(),
+        left.takenAtMillis(),
+        left.slots() + right.slots(),
+        left.busy() + right.busy(),
+        left.queued() + right.queued(),
+        left.admittedPerSecond() + right.admittedPerSecond(),
+        left.ceilingPerSecond() + right.ceilingPerSecond(),
+        left.demandPerSecond() + right.demandPerSecond());
+  }
+}
--- /dev/null
+++ b/sageladder-core/src/main/java/org/sageladder/core/spread/Item.java
@@ -0,0 +1,52 @@
+package org.sageladder.core.spread;
+
+import java.util.Arrays;
+
+/**
+ * One version of one thing that is spread.
+ *
+ * @param version higher replaces lower, at least 1
+ * @param expiresAtMillis wall clock after which nobody keeps it; 0 means never
+ * @param payload encoded content; must not be changed
+ */
+@SuppressWarnings("ArrayRecordComponent")
+public record Item(ItemKey key, long version, long expiresAtMillis, byte[] payload) {
+  /** Largest payload: the store's largest value and some room for its envelope. */
+  public static final int LARGEST_PAYLOAD = (1 << 20) + (1 << 14);
+
+  private static final int HEAD_BYTES = 24;
+
+  /** Checks version and size. */
+  public Item {
+    if (version < 1) {
+      throw new IllegalArgumentException("version " + version + " of " + key + " is below 1");
+    }
+    if (payload.length > LARGEST_PAYLOAD) {
+      throw new IllegalArgumentException(
+          key + " has " + payload.length + " bytes; at most " + LARGEST_PAYLOAD + " are carried");
+    }
+  }
+
+  /** An item that does not expire. */
+  public static Item of(ItemKind kind, String name, long version, byte[] payload) {
+    return new Item(new ItemKey(kind, name), version, 0, payload);
+  }
+
+  /**
+   * Whether this one replaces {@code other}, which has the same key.
+   *
+   * <p>Two payloads under one version come only from two relays that both act without a lease while
+   * the store is down. Comparing bytes makes all processes keep the same one of the two.
+   */
+  public boolean replaces(Item other) {
+    if (version != other.version) {
+      return version > other.version;
+    }
+    return Arrays.compareUnsigned(payload, other.payload) > 0;
+  }
+
+  /** Bytes this item takes in a message, rounded up. */
+  public int wireBytes() {
+    return HEAD_BYTES + key.name().length() + payload.length;
+  }
+}
--- /dev/null
+++ b/sageladder-core/src/main/java/org/sageladder/core/spread/RelayDuty.java
@@ -0,0 +1,279 @@
+package org.sageladder.core.spread;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+import org.sageladder.core.store.StoredValue;
+import org.sageladder.core.store.WriteResult;
+import org.sageladder.core.time.TimeSource;
+
+/**
+ * Decides whether this entry VM is its zone's relay, and which store call comes next.
+ *
+ * <p>The duty is a key in the store, bound to a lease; the revision of that key's write fences the
+ * duty, since a later holder's is higher. A relay whose lease lapsed because the store is out of
+ * reach goes on unchallenged: nobody else can take the key either. It steps down as soon as the
+ * store says the lease has ended, or a view with a higher fencing revision is seen. Not
+ * thread-safe.
+ */
+public final class RelayDuty {
+  /** What this entry VM is to its zone. */
+  public enum State {
+    /** Another entry VM is relay, or nobody is. */
+    FOLLOWING,
+    /** Relay under a lease that is valid now. */
+    HOLDING,
+    /** Relay whose lease could not be renewed because the store does not answer. */
+    LAPSED,
+    /** Relay without ever having had a lease: old relay and store are both out of reach. */
+    ACTING
+  }
+
+  private enum Step {
+    READ,
+    GRANT,
+    CLAIM,
+    RENEW
+  }
+
+  private static final Duration OTHER_HOLDS_WAIT = Duration.ofMillis(400);
+
+  private final RelaySettings settings;
+  private final TimeSource time;
+  private final String key;
+  private final byte[] claim;
+  private final RandomGenerator random;
+  private final Backoff backoff;
+  private State state = State.FOLLOWING;
+  private Step step = Step.READ;
+  private boolean calling;
+  private @Nullable Long lease;
+  private long leaseAskedNanos;
+  private long validUntilNanos;
+  private long nextCallNanos;
+  private long fencing;
+  private boolean storeFailing;
+  private long failingSinceNanos;
+
+  private RelayDuty(
+      RelaySettings settings, TimeSource time, String key, String claim, RandomGenerator random) {
+    this.settings = settings;
+    this.time = time;
+    this.key = key;
+    this.claim = claim.getBytes(StandardCharsets.UTF_8);
+    this.random = random;
+    this.backoff = Backoff.of(Duration.ofMillis(200), Duration.ofSeconds(5), random);
+    this.nextCallNanos = time.nanos() + (long) (random.nextDouble() * 1e8);
+  }
+
+  /**
+   * The duty at {@code key}.
+   *
+   * @param vm this entry VM
+   * @param incarnation makes the claim unique, so that a claim whose answer was lost is recognised
+   */
+  public static RelayDuty of(
+      RelaySettings settings,
+      TimeSource time,
+      String key,
+      String vm,
+      long incarnation,
+      RandomGenerator random) {
+    return new RelayDuty(settings, time, key, vm + '\n' + incarnation, random);
+  }
+
+  /** What this entry VM is now; a valid lease lapses by itself. */
+  public State state() {
+    if (state == State.HOLDING && time.nanos() - validUntilNanos >= 0) {
+      state = State.LAPSED;
+    }
+    return state;
+  }
+
+  /** Whether this entry VM makes the zone's views, with or without a lease. */
+  public boolean relaying() {
+    return state() != State.FOLLOWING;
+  }
+
+  /** The fencing revision of the duty; has meaning only while relaying. */
+  public long fencing() {
+    return fencing;
+  }
+
+  /** Whether the last store call of the duty failed. */
+  public boolean storeFailing() {
+    return storeFailing;
+  }
+
+  /**
+   * The store call to make now, if any; its end is reported by one of the {@code on} methods.
+   *
+   * @param silentNanos how long the zone's relay has been silent here
+   * @param rank place of this VM among those that may follow; 0 tries first
+   * @param mayServe false while this VM leaves or has no snapshot yet
+   */
+  public Optional<DutyCall> next(long silentNanos, int rank, boolean mayServe) {
+    if (calling || time.nanos() - nextCallNanos < 0) {
+      return Optional.empty();
+    }
+    long patience = settings.silence().toNanos() + rank * settings.rankStep().toNanos();
+    boolean candidate = mayServe && silentNanos >= patience;
+    if (step != Step.RENEW && state == State.FOLLOWING && !candidate) {
+      step = Step.READ;
+      return Optional.empty();
+    }
+    calling = true;
+    return Optional.of(call());
+  }
+
+  private DutyCall call() {
+    Long held = lease;
+    if (held == null && (step == Step.CLAIM || step == Step.RENEW)) {
+      step = Step.READ;
+    }
+    return switch (step) {
+      case READ -> new DutyCall.ReadOwner(key);
+      case GRANT -> {
+        leaseAskedNanos = time.nanos();
+        yield new DutyCall.Grant();
+      }
+      case CLAIM -> new DutyCall.Claim(key, claim, held == null ? 0 : held);
+      case RENEW -> {
+        leaseAskedNanos = time.nanos();
+        yield new DutyCall.Renew(held == null ? 0 : held);
+      }
+    };
+  }
+
+  /**
+   * Acts without a lease where relay and store have both been out of reach for long enough.
+   *
+   * @param lastFencing fencing revision of the last view seen
+   */
+  public boolean actIfAbandoned(long silentNanos, int rank, long lastFencing) {
+    long patience = settings.actAfter().toNanos() + rank * settings.rankStep().toNanos();
+    boolean abandoned =
+        state == State.FOLLOWING
+            && silentNanos >= patience
+            && storeFailing
+            && time.nanos() - failingSinceNanos >= settings.silence().toNanos();
+    if (abandoned) {
+      state = State.ACTING;
+      fencing = lastFencing;
+    }
+    return abandoned;
+  }
+
+  /** The owner was read. */
+  public void onOwner(Optional<StoredValue> owner) {
+    answered();
+    if (owner.isEmpty()) {
+      step = Step.GRANT;
+      return;
+    }
+    if (lease != null && Arrays.equals(owner.get().value(), claim)) {
+      hold(owner.get().revision());
+      return;
+    }
+    stepDown();
+    waitAbout(OTHER_HOLDS_WAIT);
+  }
+
+  /** A lease was opened. */
+  public void onGranted(long grantedLease) {
+    answered();
+    lease = grantedLease;
+    step = Step.CLAIM;
+  }
+
+  /** The claim was answered. */
+  public void onClaimed(WriteResult result) {
+    answered();
+    if (result instanceof WriteResult.Written written) {
+      hold(written.revision());
+      return;
+    }
+    stepDown();
+    waitAbout(OTHER_HOLDS_WAIT);
+  }
+
+  /** The renewal was answered. */
+  public void onRenewed(boolean stillHeld) {
+    answered();
+    if (!stillHeld) {
+      stepDown();
+      return;
+    }
+    state = State.HOLDING;
+    validUntilNanos = leaseAskedNanos + settings.timeToLive().toNanos();
+    waitAbout(settings.renewEvery());
+  }
+
+  /**
+   * The call gave no result; it may have taken effect.
+   *
+   * <p>After a claim the next call reads the key: if it carries this incarnation's claim, the lost
+   * answer was a success.
+   */
+  public void onFailure() {
+    calling = false;
+    if (!storeFailing) {
+      storeFailing = true;
+      failingSinceNanos = time.nanos();
+    }
+    if (step != Step.RENEW) {
+      step = Step.READ;
+    }
+    nextCallNanos = time.nanos() + backoff.failed().toNanos();
+  }
+
+  /** A view of this zone with a fencing revision was seen; a higher one ends this VM's duty. */
+  public void onViewSeen(long seenFencing) {
+    if (relaying() && seenFencing > fencing) {
+      stepDown();
+    }
+  }
+
+  /** A relay that may be followed was heard; one that only acts gives way to it. */
+  public void onRelayHeard() {
+    if (state == State.ACTING) {
+      stepDown();
+    }
+  }
+
+  /** Gives the duty up, for a planned stop; returns the lease to revoke. */
+  public Optional<Long> resign() {
+    Long held = lease;
+    stepDown();
+    return Optional.ofNullable(held);
+  }
+
+  private void hold(long revision) {
+    state = State.HOLDING;
+    fencing = revision;
+    validUntilNanos = leaseAskedNanos + settings.timeToLive().toNanos();
+    step = Step.RENEW;
+    waitAbout(settings.renewEvery());
+  }
+
+  private void stepDown() {
+    state = State.FOLLOWING;
+    step = Step.READ;
+    lease = null;
+  }
+
+  private void answered() {
+    calling = false;
+    storeFailing = false;
+    backoff.succeeded();
+    nextCallNanos = time.nanos();
+  }
+
+  private void waitAbout(Duration wait) {
+    double factor = 0.8 + 0.4 * random.nextDouble();
+    nextCallNanos = time.nanos() + (long) (wait.toNanos() * factor);
+  }
+}
--- /dev/null
+++ b/sageladder-core/src/main/java/org/sageladder/core/spread/SpreadSettings.java
@@ -0,0 +1,25 @@
+package org.sageladder.core.spread;
+
+import java.time.Duration;
+
+/**
+ * Limits of one spreader.
+ *
+ * @param bytesPerSecond budget for what may wait: summaries, notices and repairs
+ * @param burstBytes most that may be sent at once after a quiet time
+ * @param repairInterval mean time between two comparisons with a random peer
+ * @param largestPush most bytes of items put in one message, unless one item alone is larger
+ * @param mostItems most keys kept
+ */
+public record SpreadSettings(
+    double bytesPerSecond,
+    double burstBytes,
+    Duration repairInterval,
+    int largestPush,
+    int mostItems) {
+
+  /** 5 of the 7 KB a second a node may use for control; heartbeats take the rest. */
+  public static SpreadSettings standard() {
+    return new SpreadSettings(5_000, 64 * 1024, Duration.ofSeconds(1), 256 * 1024, 8_192);
+  }
+}
--- /dev/null
+++ b/sageladder-core/src/main/java/org/sageladder/core/spread/Spreader.java
@@ -0,0 +1,362 @@
+package org.sageladder.core.spread;
+
+import com.dynatrace.hash4j.hashing.Hasher64;
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedSet;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+import org.sageladder.core.time.TimeSource;
+
+/**
+ * Hands new items on to the neighbours at once and finds lost ones by comparing with random peers.
+ *
+ * <p>Contracts and views are sent the moment they are accepted, as a difference where the neighbour
+ * is known to have the version before; all else waits for {@link #tick()} and for the byte budget,
+ * and a newer version replaces one that still waits. Not thread-safe: one control thread calls it.
+ *
+ * <pre>{@code
+ * Spreader spreader = Spreader.of(settings, time, random, links::send, state::accept);
+ * spreader.neighbours(Overlay.zoneTree(members, relay, self, 2));
+ * spreader.publish(Item.of(ItemKind.SUMMARY, "tartu-a", 17, bytes));
+ * }</pre>
+ */
+public final class Spreader {
+  private static final Hasher64 HASHER = Hashing.komihash5_0();
+
+  private final SpreadSettings settings;
+  private final TimeSource time;
+  private final RandomGenerator random;
+  private final Network network;
+  private final Consumer<Item> accepted;
+  private final VersionedTable table;
+  private final TokenBucket budget;
+  private final Map<String, PeerState> peers = new HashMap<>();
+  private final Map<ItemKey, Item> previous = new HashMap<>();
+  private Set<String> neighbours = Set.of();
+  private List<String> repairPeers = List.of();
+  private long nextRepairNanos;
+  private boolean ready;
+
+  /** Sends one message to one entry VM; may drop it. */
+  @FunctionalInterface
+  public interface Network {
+    /** Returns false where the message was surely not sent. */
+    boolean send(String vm, SpreadMessage message);
+  }
+
+  private static final class PeerState {
+    private final SortedSet<ItemKey> waiting = new TreeSet<>();
+    private final Map<ItemKey, Long> known = new HashMap<>();
+    private boolean owesSnapshotEnd;
+  }
+
+  private Spreader(
+      SpreadSettings settings,
+      TimeSource time,
+      RandomGenerator random,
+      Network network,
+      Consumer<Item> accepted) {
+    this.settings = settings;
+    this.time = time;
+    this.random = random;
+    this.network = network;
+    this.accepted = accepted;
+    this.table = VersionedTable.withCapacity(settings.mostItems());
+    this.budget = TokenBucket.of(time, settings.bytesPerSecond(), settings.burstBytes());
+    this.nextRepairNanos = time.nanos();
+  }
+
+  /** A spreader with an empty table; {@code accepted} is told each item that replaced another. */
+  public static Spreader of(
+      SpreadSettings settings,
+      TimeSource time,
+      RandomGenerator random,
+      Network network,
+      Consumer<Item> accepted) {
+    return new Spreader(settings, time, random, network, accepted);
+  }
+
+  /**
+   * Sets who is handed new items; a neighbour that was not one before gets all that it may lack.
+   */
+  public void neighbours(Set<String> vms) {
+    for (String vm : vms) {
+      if (!neighbours.contains(vm)) {
+        network.send(vm, new SpreadMessage.DigestOffer(table.digest()));
+      }
+    }
+    neighbours = Set.copyOf(vms);
+    peers.keySet().removeIf(vm -> !neighbours.contains(vm) && peers.get(vm).waiting.isEmpty());
+  }
+
+  /** Sets whom to compare with at random. */
+  public void repairPeers(List<String> vms) {
+    repairPeers = List.copyOf(vms);
+  }
+
+  /** Tells peers' snapshots from now on that this process has loaded its own. */
+  public void ready(boolean nowReady) {
+    ready = nowReady;
+  }
+
+  /** What is held. */
+  public VersionedTable table() {
+    return table;
+  }
+
+  /** Takes in an item of this process's own; false where a higher version is held. */
+  public boolean publish(Item item) {
+    return accept(item, null);
+  }
+
+  /** Forgets what {@code vm} is believed to have, since messages to it may have been lost. */
+  public void linkLost(String vm) {
+    PeerState peer = peers.get(vm);
+    if (peer != null) {
+      peer.known.clear();
+    }
+  }
+
+  /** Asks {@code vm} for everything it has. */
+  public boolean requestSnapshot(String vm) {
+    return network.send(vm, new SpreadMessage.Versions(table.repairedStamps(), true));
+  }
+
+  /** Takes in what {@code from} said. */
+  public void receive(String from, SpreadMessage message) {
+    if (message instanceof SpreadMessage.Push push) {
+      receivePush(from, push);
+    } else if (message instanceof SpreadMessage.DigestOffer offer) {
+      if (offer.digest() != table.digest()) {
+        sendVersions(from);
+      }
+    } else if (message instanceof SpreadMessage.Versions versions) {
+      receiveVersions(from, versions);
+    } else if (message instanceof SpreadMessage.Pull pull) {
+      receivePull(from, pull);
+    }
+  }
+
+  /** Sends what waits, as far as the budget goes, and compares with a peer when it is time. */
+  public void tick() {
+    table.dropExpired(time.wallMillis());
+    for (String vm : new ArrayList<>(peers.keySet())) {
+      flush(vm, peers.get(vm));
+    }
+    if (time.nanos() - nextRepairNanos >= 0) {
+      nextRepairNanos =
+          time.nanos() + (long) (settings.repairInterval().toNanos() * (0.5 + random.nextDouble()));
+      if (!repairPeers.isEmpty()) {
+        String vm = repairPeers.get(random.nextInt(repairPeers.size()));
+        network.send(vm, new SpreadMessage.DigestOffer(table.digest()));
+      }
+    }
+  }
+
+  /** Bytes that may be sent now without waiting; negative while an overdraft is paid back. */
+  public double budgetLeft() {
+    return budget.left();
+  }
+
+  private boolean accept(Item item, @Nullable String from) {
+    if (item.expiresAtMillis() > 0 && item.expiresAtMillis() <= time.wallMillis()) {
+      return false;
+    }
+    Optional<Item> held = table.item(item.key());
+    if (!table.merge(item)) {
+      return false;
+    }
+    held.ifPresent(older -> previous.put(item.key(), older));
+    accepted.accept(item);
+    for (String vm : neighbours) {
+      if (!vm.equals(from)) {
+        handOn(vm, item);
+      }
+    }
+    return true;
+  }
+
+  private void handOn(String vm, Item item) {
+    PeerState peer = peer(vm);
+    if (peer.known.getOrDefault(item.key(), 0L) >= item.version()) {
+      return;
+    }
+    peer.waiting.add(item.key());
+    if (isUrgent(item.key().kind())) {
+      flush(vm, peer);
+    }
+  }
+
+  private void receivePush(String from, SpreadMessage.Push push) {
+    PeerState peer = peer(from);
+    for (Item item : push.items()) {
+      noteKnown(peer, item.key(), item.version());
+      accept(item, from);
+    }
+    List<ItemKey> missing = new ArrayList<>();
+    for (SpreadMessage.DeltaItem delta : push.deltas()) {
+      noteKnown(peer, delta.key(), delta.version());
+      if (table.version(delta.key()) >= delta.version()) {
+        continue;
+      }
+      Optional<Item> whole = rebuild(delta);
+      if (whole.isEmpty()) {
+        missing.add(delta.key());
+        continue;
+      }
+      accept(whole.get(), from);
+    }
+    if (!missing.isEmpty()) {
+      network.send(from, new SpreadMessage.Pull(missing));
+    }
+  }
+
+  private Optional<Item> rebuild(SpreadMessage.DeltaItem delta) {
+    Optional<Item> base = table.item(delta.key());
+    if (base.isEmpty() || base.get().version() != delta.baseVersion()) {
+      return Optional.empty();
+    }
+    Optional<byte[]> payload = delta.delta().applyTo(base.get().payload());
+    if (payload.isEmpty() || HASHER.hashBytesToLong(payload.get()) != delta.payloadHash()) {
+      return Optional.empty();
+    }
+    return Optional.of(new Item(delta.key(), delta.version(), 0, payload.get()));
+  }
+
+  private void receiveVersions(String from, SpreadMessage.Versions theirs) {
+    PeerState peer = peer(from);
+    List<ItemKey> missing = new ArrayList<>();
+    for (Map.Entry<ItemKey, SpreadMessage.Stamp> entry : theirs.versions().entrySet()) {
+      noteKnown(peer, entry.getKey(), entry.getValue().version());
+      if (entry.getValue().version() > table.version(entry.getKey())) {
+        missing.add(entry.getKey());
+      }
+    }
+    if (!missing.isEmpty()) {
+      missing.sort(null);
+      network.send(from, new SpreadMessage.Pull(missing));
+    }
+    for (Item item : table.items()) {
+      boolean wanted = item.key().kind().repaired() || theirs.snapshot();
+      if (wanted && mayReplace(item, theirs.versions().get(item.key()))) {
+        peer.waiting.add(item.key());
+      }
+    }
+    peer.owesSnapshotEnd |= theirs.snapshot();
+    flush(from, peer);
+  }
+
+  private static boolean mayReplace(Item item, SpreadMessage.@Nullable Stamp theirs) {
+    if (theirs == null || item.version() != theirs.version()) {
+      return theirs == null || item.version() > theirs.version();
+    }
+    return VersionedTable.payloadHash(item) != theirs.payloadHash();
+  }
+
+  private void receivePull(String from, SpreadMessage.Pull pull) {
+    PeerState peer = peer(from);
+    for (ItemKey key : new LinkedHashSet<>(pull.keys())) {
+      if (table.version(key) > 0) {
+        peer.known.remove(key);
+        peer.waiting.add(key);
+      }
+    }
+    flush(from, peer);
+  }
+
+  private void sendVersions(String vm) {
+    network.send(vm, new SpreadMessage.Versions(table.repairedStamps(), false));
+  }
+
+  private void flush(String vm, PeerState peer) {
+    while (!peer.waiting.isEmpty()) {
+      List<Item> items = new ArrayList<>();
+      List<SpreadMessage.DeltaItem> deltas = new ArrayList<>();
+      int bytes = collect(peer, items, deltas);
+      if (bytes == 0) {
+        return;
+      }
+      if (!network.send(vm, new SpreadMessage.Push(items, deltas))) {
+        peer.known.clear();
+        peer.waiting.clear();
+        return;
+      }
+    }
+    if (peer.owesSnapshotEnd) {
+      peer.owesSnapshotEnd = false;
+      network.send(vm, new SpreadMessage.SnapshotEnd(ready));
+    }
+  }
+
+  private int collect(PeerState peer, List<Item> items, List<SpreadMessage.DeltaItem> deltas) {
+    int bytes = 0;
+    while (!peer.waiting.isEmpty()) {
+      ItemKey key = peer.waiting.first();
+      Optional<Item> item = table.item(key);
+      if (item.isEmpty()) {
+        peer.waiting.remove(key);
+        continue;
+      }
+      Optional<SpreadMessage.DeltaItem> delta = delta(peer, item.get());
+      int size = delta.isPresent() ? deltaBytes(delta.get()) : item.get().wireBytes();
+      if (bytes > 0 && bytes + size > settings.largestPush()) {
+        break;
+      }
+      if (isUrgent(key.kind()) || peer.owesSnapshotEnd) {
+        budget.take(size);
+      } else if (!budget.tryTake(size)) {
+        break;
+      }
+      peer.waiting.remove(key);
+      noteKnown(peer, key, item.get().version());
+      delta.ifPresentOrElse(deltas::add, () -> items.add(item.get()));
+      bytes += size;
+    }
+    return bytes;
+  }
+
+  private Optional<SpreadMessage.DeltaItem> delta(PeerState peer, Item item) {
+    Item older = previous.get(item.key());
+    if (older == null
+        || !isUrgent(item.key().kind())
+        || peer.known.getOrDefault(item.key(), 0L) != older.version()) {
+      return Optional.empty();
+    }
+    PayloadDelta difference = PayloadDelta.between(older.payload(), item.payload());
+    if (difference.middle().length > item.payload().length / 2) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new SpreadMessage.DeltaItem(
+            item.key(),
+            item.version(),
+            older.version(),
+            HASHER.hashBytesToLong(item.payload()),
+            difference));
+  }
+
+  private static int deltaBytes(SpreadMessage.DeltaItem delta) {
+    return 48 + delta.key().name().length() + delta.delta().middle().length;
+  }
+
+  private static boolean isUrgent(ItemKind kind) {
+    return kind == ItemKind.CONTRACT || kind == ItemKind.VIEW;
+  }
+
+  private PeerState peer(String vm) {
+    return peers.computeIfAbsent(vm, name -> new PeerState());
+  }
+
+  private static void noteKnown(PeerState peer, ItemKey key, long version) {
+    peer.known.merge(key, version, Math::max);
+  }
+}
--- /dev/null
+++ b/sageladder-core/src/main/java/org/sageladder/core/spread/VersionedTable.java
@@ -0,0 +1,119 @@
+package org.sageladder.core.spread;
+
+import com.dynatrace.hash4j.hashing.Hasher64;
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * Keeps the highest version of every item that was offered.
+ *
+ * <p>Merging is commutative, associative and idempotent, so two tables that saw the same items in
+ * any order are equal, and no key ever goes back to a lower version. Not thread-safe.
+ *
+ * <pre>{@code
+ * table.merge(Item.of(CONTRACT, "kannelkoda", 8, newer)); // true
+ * table.merge(Item.of(CONTRACT, "kannelkoda", 7, older)); // false: 8 stays
+ * }</pre>
+ */
+public final class VersionedTable {
+  private static final Hasher64 HASHER = Hashing.komihash5_0();
+
+  private final int mostItems;
+  private final SortedMap<ItemKey, Item> items = new TreeMap<>();
+  private long digest;
+
+  private VersionedTable(int mostItems) {
+    this.mostItems = mostItems;
+  }
+
+  /** An empty table that refuses new keys beyond {@code mostItems}, so a peer cannot fill it. */
+  public static VersionedTable withCapacity(int mostItems) {
+    return new VersionedTable(mostItems);
+  }
+
+  /** Takes {@code item} in if it replaces what is held; false where it does not. */
+  public boolean merge(Item item) {
+    Item held = items.get(item.key());
+    if (held == null && items.size() >= mostItems) {
+      return false;
+    }
+    if (held != null && !item.replaces(held)) {
+      return false;
+    }
+    if (held != null) {
+      toggle(held);
+    }
+    items.put(item.key(), item);
+    toggle(item);
+    return true;
+  }
+
+  /** The held version of {@code key}. */
+  public Optional<Item> item(ItemKey key) {
+    return Optional.ofNullable(items.get(key));
+  }
+
+  /** The held version number of {@code key}, 0 where there is none. */
+  public long version(ItemKey key) {
+    Item held = items.get(key);
+    return held == null ? 0 : held.version();
+  }
+
+  /** All items, ordered by key. */
+  public List<Item> items() {
+    return new ArrayList<>(items.values());
+  }
+
+  /** Versions and payload hashes of all items that are repaired, ordered by key. */
+  public Map<ItemKey, SpreadMessage.Stamp> repairedStamps() {
+    SortedMap<ItemKey, SpreadMessage.Stamp> stamps = new TreeMap<>();
+    for (Item item : items.values()) {
+      if (item.key().kind().repaired()) {
+        stamps.put(item.key(), new SpreadMessage.Stamp(item.version(), payloadHash(item)));
+      }
+    }
+    return Collections.unmodifiableMap(stamps);
+  }
+
+  static int payloadHash(Item item) {
+    return (int) HASHER.hashBytesToLong(item.payload());
+  }
+
+  /** A hash over all repaired keys and versions; equal tables have equal digests. */
+  public long digest() {
+    return digest;
+  }
+
+  /** Forgets what has expired and returns its keys. */
+  public List<ItemKey> dropExpired(long wallMillis) {
+    List<ItemKey> dropped = new ArrayList<>();
+    for (Item item : items()) {
+      if (item.expiresAtMillis() > 0 && item.expiresAtMillis() <= wallMillis) {
+        items.remove(item.key());
+        toggle(item);
+        dropped.add(item.key());
+      }
+    }
+    return dropped;
+  }
+
+  private void toggle(Item item) {
+    if (item.key().kind().repaired()) {
+      digest ^=
+          HASHER.hashCharsToLong(
+              item.key().kind().name()
+                  + '/'
+                  + item.key().name()
+                  + '/'
+                  + item.version()
+                  + '/'
+                  + HASHER.hashBytesToLong(item.payload()));
+    }
+  }
+}
--- /dev/null
+++ b/sageladder-core/src/test/java/org/sageladder/core/membership/ConfirmationGuardTest.java
@@ -0,0 +1,86 @@
+package org.sageladder.core.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.sageladder.core.time.VirtualTime;
+
+class ConfirmationGuardTest {
+  private static final Holding THREE_SLOTS =
+      new Holding("t-1", "k", "search", "127.0.0.1", 1, 1, "vm-1", 3, false);
+
+  private final VirtualTime time = VirtualTime.startingAt(0);
+  private final ConfirmationGuard guard = ConfirmationGuard.of(MembershipSettings.standard(), time);
+
+  @Test
+  void allowsNothingBeforeTheFirstConfirmation() {
+    assertEquals(0, guard.slots(THREE_SLOTS));
+    guard.confirmed(time.nanos());
+    assertEquals(3, guard.slots(THREE_SLOTS));
+  }
+
+  // The relay no longer hears this VM and will give half of its slots away. Heartbeats leave and
+  // nothing comes back; the count starts when the last confirmed one was sent.
+  @Test
+  void givesUpHalfOnceUnconfirmedForTheWindow() {
+    long sent = time.nanos();
+    run(Duration.ofMillis(2_400));
+    guard.confirmed(sent);
+    assertEquals(3, guard.slots(THREE_SLOTS));
+    run(Duration.ofMillis(200));
+    assertEquals(2, guard.slots(THREE_SLOTS));
+    guard.confirmed(time.nanos());
+    assertEquals(3, guard.slots(THREE_SLOTS));
+  }
+
+  // The process is stopped for a minute and goes on unaware. Its targets were given away meanwhile.
+  // A request worker may run before the control thread does, and must not dispatch.
+  @Test
+  void pausedVmDispatchesNothingUntilConfirmedAnew() {
+    guard.confirmed(time.nanos());
+    long sentBefore = time.nanos();
+    time.advance(Duration.ofMinutes(1));
+    assertEquals(0, guard.slots(THREE_SLOTS), "before the control thread ran");
+    guard.tick();
+    assertEquals(0, guard.slots(THREE_SLOTS), "after it ran");
+    guard.confirmed(sentBefore);
+    assertEquals(0, guard.slots(THREE_SLOTS), "an answer to a heartbeat from before the pause");
+    guard.confirmed(time.nanos());
+    assertEquals(3, guard.slots(THREE_SLOTS));
+  }
+
+  // After a pause the VM finds itself cut off from its zone, while its targets still answer.
+  @Test
+  void pausedAndThenAloneItServesWithItsHalf() {
+    guard.confirmed(time.nanos());
+    time.advance(Duration.ofMinutes(1));
+    run(Duration.ofMillis(2_400));
+    assertEquals(0, guard.slots(THREE_SLOTS));
+    run(Duration.ofMillis(300));
+    assertEquals(2, guard.slots(THREE_SLOTS));
+  }
+
+  @Test
+  void halvesMakeUpTheWholeAndNoMore() {
+    for (int slots = 0; slots < 50; slots++) {
+      assertEquals(slots, ConfirmationGuard.keptHalf(slots) + ConfirmationGuard.takenHalf(slots));
+    }
+  }
+
+  @Test
+  void refusesTimesThatLetATakeOverOvertakeAPause() {
+    Duration second = Duration.ofSeconds(1);
+    assertThrows(
+        IllegalArgumentException.class,
+        () -> new MembershipSettings(second, second, second, second, second, 1));
+  }
+
+  private void run(Duration length) {
+    for (long i = 0; i < length.toMillis() / 50; i++) {
+      time.advance(Duration.ofMillis(50));
+      guard.tick();
+    }
+  }
+}
--- /dev/null
+++ b/sageladder-core/src/test/java/org/sageladder/core/membership/HoldingSafetyProperties.java
@@ -0,0 +1,92 @@
+package org.sageladder.core.membership;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+
+class HoldingSafetyProperties {
+  // Members are cut off, paused, stopped, restarted and healed, and the relay changes, in any
+  // order.
+  // Were there a moment at which two members believe they may use more slots of one target together
+  // than it has, the target would be overloaded. Loads never agree here, so that nobody is given
+  // the
+  // whole of a silent member's slots on the strength of a reading. Requests are shorter than the
+  // confirm window; what a longer one still uses of a silent member's target, only the target's own
+  // load tells, and the next holder's gate minds it.
+  @Property(tries = 60, seed = "20261202")
+  void membersTogetherNeverMayUseMoreSlotsThanATargetHas(
+      @ForAll @LongRange(min = 0, max = 100_000) long seed) {
+    Random random = new Random(seed);
+    ZoneFake zone = new ZoneFake(4);
+    zone.members.values().forEach(member -> member.loadAgrees = false);
+    zone.run(Duration.ofSeconds(10));
+    long fencing = 1;
+    StringBuilder story = new StringBuilder();
+    for (int i = 0; i < 40; i++) {
+      ZoneFake.MemberFake member = zone.members.get("vm-" + random.nextInt(4));
+      int fault = random.nextInt(7);
+      story.append(fault).append(member.vm).append(' ');
+      switch (fault) {
+        case 0 -> member.cutOff = true;
+        case 1 -> member.cutOff = false;
+        case 2 -> member.paused = true;
+        case 3 -> member.paused = false;
+        case 4 -> member.dead = true;
+        case 5 -> {
+          if (member.dead) {
+            member.restart();
+          }
+        }
+        default -> {
+          if (random.nextInt(4) == 0) {
+            zone.relay(++fencing);
+          }
+        }
+      }
+      useSomeSlots(zone, random);
+      for (int step = random.nextInt(120); step >= 0; step--) {
+        zone.step();
+        check(zone, story);
+      }
+    }
+  }
+
+  private static void useSomeSlots(ZoneFake zone, Random random) {
+    for (ZoneFake.MemberFake member : List.copyOf(zone.members.values())) {
+      if (member.dead) {
+        member.inFlight.clear();
+      } else if (!member.paused) {
+        for (String target : zone.targetIncarnations.keySet()) {
+          int usable = member.usable(target);
+          member.inFlight.merge(
+              target, 0, (old, zero) -> random.nextBoolean() ? old : random.nextInt(old + 1));
+          int now = member.inFlight.getOrDefault(target, 0);
+          if (usable > now && random.nextBoolean()) {
+            member.inFlight.put(target, now + random.nextInt(usable - now + 1));
+          }
+        }
+      }
+    }
+  }
+
+  private static void check(ZoneFake zone, StringBuilder story) {
+    for (String target : zone.targetIncarnations.keySet()) {
+      int together = zone.usableTogether(target);
+      assertTrue(
+          together <= ZoneFake.SLOTS,
+          () ->
+              together
+                  + " slots of "
+                  + target
+                  + " may be used: "
+                  + zone.explain(target)
+                  + " after "
+                  + story);
+    }
+  }
+}
--- /dev/null
+++ b/sageladder-core/src/test/java/org/sageladder/core/membership/ViewMakerTest.java
@@ -0,0 +1,214 @@
+package org.sageladder.core.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+
+class ViewMakerTest {
+  private static final Duration SETTLE = Duration.ofSeconds(15);
+
+  @Test
+  void everyTargetHasOneHolderWithAllItsSlots() {
+    ZoneFake zone = new ZoneFake(3);
+    zone.run(SETTLE);
+    for (Holding holding : zone.view().holdings()) {
+      assertEquals(ZoneFake.SLOTS, holding.slots(), holding.target());
+      assertTrue(zone.members.containsKey(holding.holder()));
+    }
+    assertEquals(ZoneFake.TARGETS, zone.view().holdings().size());
+  }
+
+  // A new VM joins and rendezvous hashing gives it a target whose old holder still has two requests
+  // running there. With all three slots at once, the target would run five.
+  @Test
+  void movedTargetHasOnlyTheSlotsThatTheOldHoldersRequestsLeave() {
+    ZoneFake zone = new ZoneFake(1);
+    zone.run(SETTLE);
+    ZoneFake.MemberFake old = zone.members.get("vm-0");
+    for (int t = 0; t < ZoneFake.TARGETS; t++) {
+      old.inFlight.put("t-" + t, 2);
+    }
+    zone.add("vm-1");
+    zone.run(SETTLE);
+    Set<String> moved =
+        zone.view().holdings().stream()
+            .filter(holding -> holding.holder().equals("vm-1"))
+            .map(Holding::target)
+            .collect(Collectors.toSet());
+    assertFalse(moved.isEmpty());
+    for (String target : moved) {
+      assertEquals(1, zone.holding(target).slots());
+    }
+    old.inFlight.clear();
+    zone.run(Duration.ofSeconds(2));
+    for (String target : moved) {
+      assertEquals(ZoneFake.SLOTS, zone.holding(target).slots());
+    }
+  }
+
+  // A member falls silent. It may be dead, or only cut off and still sending to its targets with
+  // the half that its guard leaves it.
+  @Test
+  void silentMembersTargetsGoToAnotherWithHalfTheSlotsWhileItsEndIsNotSure() {
+    ZoneFake zone = new ZoneFake(2);
+    zone.run(SETTLE);
+    String target = targetOf(zone, "vm-0");
+    zone.members.get("vm-0").cutOff = true;
+    zone.members.get("vm-1").loadAgrees = false;
+    zone.run(Duration.ofSeconds(30));
+    assertEquals("vm-1", zone.holding(target).holder());
+    assertEquals(1, zone.holding(target).slots());
+    assertEquals(2, zone.members.get("vm-0").usable(target));
+  }
+
+  @Test
+  void halfBecomesTheWholeOnceTheTargetsOwnLoadShowsNobodyElse() {
+    ZoneFake zone = new ZoneFake(2);
+    zone.run(SETTLE);
+    String target = targetOf(zone, "vm-0");
+    zone.members.get("vm-0").dead = true;
+    zone.run(Duration.ofSeconds(5));
+    assertEquals(1, zone.holding(target).slots());
+    zone.run(Duration.ofSeconds(12));
+    assertEquals(ZoneFake.SLOTS, zone.holding(target).slots());
+  }
+
+  @Test
+  void halfBecomesTheWholeAtOnceWhenThePlatformNoLongerListsTheSilentOne() {
+    ZoneFake zone = new ZoneFake(2);
+    zone.run(SETTLE);
+    String target = targetOf(zone, "vm-0");
+    zone.members.get("vm-1").loadAgrees = false;
+    zone.members.get("vm-0").dead = true;
+    zone.members.get("vm-0").unlisted = true;
+    zone.run(Duration.ofSeconds(8));
+    assertEquals(ZoneFake.SLOTS, zone.holding(target).slots());
+  }
+
+  // The list lags and does not show a VM that has just started. It is heard, so it stays.
+  @Test
+  void heardMemberMissingFromThePlatformsListStays() {
+    ZoneFake zone = new ZoneFake(2);
+    zone.members.get("vm-0").unlisted = true;
+    zone.run(SETTLE);
+    assertEquals(2, zone.view().members().size());
+  }
+
+  // The platform's list still shows a target as leaving after it was started anew; and, the other
+  // way round, no longer shows as leaving one that still is.
+  @Test
+  void leavingIsNeverUndoneWithinAnIncarnationAndEndsWithIt() {
+    ZoneFake zone = new ZoneFake(2);
+    zone.leavingTargets.add("t-1");
+    zone.run(Duration.ofSeconds(3));
+    assertTrue(zone.holding("t-1").leaving());
+    zone.leavingTargets.remove("t-1");
+    zone.run(Duration.ofSeconds(3));
+    assertTrue(zone.holding("t-1").leaving(), "same incarnation");
+    zone.relay(2);
+    zone.run(Duration.ofSeconds(3));
+    assertTrue(zone.holding("t-1").leaving(), "also under the next relay");
+    zone.targetIncarnations.put("t-1", 2L);
+    zone.run(Duration.ofSeconds(3));
+    assertFalse(zone.holding("t-1").leaving(), "next incarnation");
+  }
+
+  @Test
+  void leavingMemberHandsItsTargetsOver() {
+    ZoneFake zone = new ZoneFake(2);
+    zone.run(SETTLE);
+    zone.members.get("vm-0").leaving = true;
+    zone.run(Duration.ofSeconds(3));
+    for (Holding holding : zone.view().holdings()) {
+      assertEquals("vm-1", holding.holder());
+      assertEquals(ZoneFake.SLOTS, holding.slots());
+    }
+    zone.members.get("vm-0").leaving = false;
+    zone.run(Duration.ofSeconds(3));
+    assertTrue(zone.view().members().get(0).leaving(), "leaving is not undone");
+  }
+
+  // The relay itself is paused for a minute and hears nothing meanwhile. On waking, all members
+  // seem silent to it; taking their targets over would halve the whole zone's slots.
+  @Test
+  void relayThatWasPausedDoesNotTakeEveryoneForSilent() {
+    ZoneFake zone = new ZoneFake(3);
+    zone.run(SETTLE);
+    ZoneView before = zone.view();
+    zone.time.advance(Duration.ofMinutes(1));
+    zone.run(Duration.ofSeconds(3));
+    assertEquals(before.members(), zone.view().members());
+    assertEquals(before.holdings(), zone.view().holdings());
+  }
+
+  @Test
+  void nextRelaysViewsHaveHigherNumbersAndKeepTheHolders() {
+    ZoneFake zone = new ZoneFake(3);
+    zone.run(SETTLE);
+    ZoneView before = zone.view();
+    zone.relay(2);
+    zone.run(Duration.ofSeconds(6));
+    assertTrue(zone.view().number() > before.number());
+    assertEquals(2, ViewMaker.fencingOf(zone.view().number()));
+    assertEquals(before.holdings(), zone.view().holdings());
+  }
+
+  // A VM restarts faster than its silence is noticed. Messages of its earlier incarnation that are
+  // still on their way must not bring that one back.
+  @Test
+  void heartbeatOfAnEarlierIncarnationIsNotConfirmed() {
+    ZoneFake zone = new ZoneFake(2);
+    zone.run(SETTLE);
+    Member old = zone.view().members().get(0);
+    zone.members.get(old.vm()).restart();
+    zone.run(Duration.ofSeconds(2));
+    HeartbeatAnswer answer =
+        zone.maker()
+            .heartbeat(
+                new Heartbeat(
+                    old,
+                    zone.time.nanos(),
+                    zone.view().number(),
+                    5,
+                    java.util.List.of(),
+                    java.util.List.of()));
+    assertFalse(answer.confirmed());
+    assertEquals(old.incarnation() + 1, answer.knownIncarnation());
+    assertNotEquals(old, zone.view().members().get(0));
+  }
+
+  // A cut-off member comes back. Its targets return a few at a time, not all in one view.
+  @Test
+  void healedMemberGetsItsTargetsBackWithoutABurst() {
+    ZoneFake zone = new ZoneFake(2);
+    zone.run(SETTLE);
+    long mine = count(zone, "vm-0");
+    zone.members.get("vm-0").cutOff = true;
+    zone.run(Duration.ofSeconds(30));
+    assertEquals(0, count(zone, "vm-0"));
+    zone.members.get("vm-0").cutOff = false;
+    zone.run(SETTLE);
+    assertEquals(mine, count(zone, "vm-0"));
+    for (Holding holding : zone.view().holdings()) {
+      assertEquals(ZoneFake.SLOTS, holding.slots());
+    }
+  }
+
+  private static String targetOf(ZoneFake zone, String vm) {
+    return zone.view().holdings().stream()
+        .filter(holding -> holding.holder().equals(vm))
+        .findFirst()
+        .orElseThrow()
+        .target();
+  }
+
+  private static long count(ZoneFake zone, String vm) {
+    return zone.view().holdings().stream().filter(h -> h.holder().equals(vm)).count();
+  }
+}
--- /dev/null
+++ b/sageladder-core/src/test/java/org/sageladder/core/spread/FirstSnapshotTest.java
@@ -0,0 +1,53 @@
+package org.sageladder.core.spread;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.sageladder.core.time.VirtualTime;
+
+class FirstSnapshotTest {
+  private final VirtualTime time = VirtualTime.startingAt(0);
+  private final FirstSnapshot snapshot = FirstSnapshot.of(time, Duration.ofSeconds(1));
+
+  @Test
+  void withNeitherStoreNorPeersItNeverCompletes() {
+    snapshot.asked("vm-2");
+    time.advance(Duration.ofHours(1));
+    assertFalse(snapshot.complete());
+    assertTrue(snapshot.explanation().contains("neither the store nor a ready peer"));
+  }
+
+  // A whole zone restarts during a store outage; the fresh VMs ask each other. If a fresh peer's
+  // empty answer counted, all would be ready with nothing and serve unknown contracts as absent.
+  @Test
+  void answerOfAPeerThatIsItselfFreshDoesNotCount() {
+    snapshot.asked("vm-2");
+    snapshot.peerAnswered("vm-2", false);
+    time.advance(Duration.ofHours(1));
+    assertFalse(snapshot.complete());
+  }
+
+  // Store down, peers at mixed revisions: the first to answer may be the one that lags. The VM
+  // waits
+  // for the others it asked, but not for one that is dead.
+  @Test
+  void waitsForAllAskedPeersOrAShortWhile() {
+    snapshot.asked("vm-2");
+    snapshot.asked("vm-3");
+    snapshot.peerAnswered("vm-2", true);
+    assertFalse(snapshot.complete());
+    time.advance(Duration.ofMillis(999));
+    assertFalse(snapshot.complete());
+    time.advance(Duration.ofMillis(1));
+    assertTrue(snapshot.complete());
+  }
+
+  @Test
+  void storesAnswerSettlesItAtOnce() {
+    snapshot.asked("vm-2");
+    snapshot.storeAnswered();
+    assertTrue(snapshot.complete());
+  }
+}
--- /dev/null
+++ b/sageladder-core/src/test/java/org/sageladder/core/spread/OverlayProperties.java
@@ -0,0 +1,81 @@
+package org.sageladder.core.spread;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+class OverlayProperties {
+  @Property(tries = 100, seed = "20261202")
+  void zoneTreeReachesEveryMemberAndLoadsNoneWithMoreThanItsFanOut(
+      @ForAll @IntRange(min = 1, max = 60) int size,
+      @ForAll @IntRange(min = 1, max = 4) int fanOut) {
+    List<String> members = names("vm-", size);
+    Map<String, Integer> hops = walk("vm-00", vm -> Overlay.zoneTree(members, "vm-00", vm, fanOut));
+    assertEquals(size, hops.size());
+    for (String member : members) {
+      List<String> neighbours = Overlay.zoneTree(members, "vm-00", member, fanOut);
+      assertTrue(neighbours.size() <= fanOut + 1);
+      for (String neighbour : neighbours) {
+        assertTrue(Overlay.zoneTree(members, "vm-00", neighbour, fanOut).contains(member));
+      }
+    }
+  }
+
+  // A zone is lost. If all paths between two others led through it, they would stop hearing each
+  // other although they can reach each other.
+  @Property(tries = 100, seed = "20261202")
+  void lossOfAnyOneZoneLeavesTheOthersConnected(
+      @ForAll @IntRange(min = 3, max = 94) int size, @ForAll @IntRange(max = 93) int lostIndex) {
+    List<String> zones = names("zone-", size);
+    String lost = zones.get(lostIndex % size);
+    String start = zones.get((lostIndex + 1) % size);
+    Map<String, Integer> hops =
+        walk(
+            start,
+            zone ->
+                Overlay.zoneNeighbours(zones, zone).stream().filter(z -> !z.equals(lost)).toList());
+    assertEquals(size - 1, hops.size());
+  }
+
+  @Property(tries = 94, seed = "20261202")
+  void zoneHasAtMostFourNeighboursAndPathsStayNearTheSquareRoot(
+      @ForAll @IntRange(min = 1, max = 94) int size) {
+    List<String> zones = names("zone-", size);
+    Map<String, Integer> hops = walk("zone-00", zone -> Overlay.zoneNeighbours(zones, zone));
+    int root = (int) Math.ceil(Math.sqrt(size));
+    assertTrue(hops.values().stream().allMatch(distance -> distance <= root + 1), hops::toString);
+    for (String zone : zones) {
+      assertTrue(Overlay.zoneNeighbours(zones, zone).size() <= 4);
+    }
+  }
+
+  private static List<String> names(String prefix, int size) {
+    return IntStream.range(0, size).mapToObj(i -> String.format("%s%02d", prefix, i)).toList();
+  }
+
+  private static Map<String, Integer> walk(
+      String start, Function<String, Collection<String>> neighbours) {
+    Map<String, Integer> hops = new HashMap<>(Map.of(start, 0));
+    Deque<String> open = new ArrayDeque<>(List.of(start));
+    while (!open.isEmpty()) {
+      String here = open.remove();
+      for (String next : neighbours.apply(here)) {
+        if (hops.putIfAbsent(next, hops.get(here) + 1) == null) {
+          open.add(next);
+        }
+      }
+    }
+    return hops;
+  }
+}
--- /dev/null
+++ b/sageladder-core/src/test/java/org/sageladder/core/spread/SpreaderTest.java
@@ -0,0 +1,249 @@
+package org.sageladder.core.spread;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.BiPredicate;
+import org.junit.jupiter.api.Test;
+import org.sageladder.core.time.VirtualTime;
+
+class SpreaderTest {
+  private static final ItemKey CONTRACT = new ItemKey(ItemKind.CONTRACT, "kannelkoda");
+
+  private final VirtualTime time = VirtualTime.startingAt(1_000_000);
+  private final Map<String, Spreader> spreaders = new HashMap<>();
+  private final Queue<Runnable> wire = new ArrayDeque<>();
+  private final List<SpreadMessage> sent = new ArrayList<>();
+  private final Set<String> down = new HashSet<>();
+  private BiPredicate<String, SpreadMessage> lost = (to, message) -> false;
+
+  @Test
+  void contractReachesTheWholeZoneAlongTheTreeWithoutATick() {
+    List<String> members = zone(27);
+    spreaders.get("vm-00").publish(contract(5, "whole contract"));
+    deliver();
+    for (String member : members) {
+      assertEquals(5, version(member), member);
+    }
+    assertEquals(26, pushes());
+  }
+
+  // The relay dies after it told only some; or a link breaks and a push is lost. Those left out
+  // would stay behind until the next change, were it not for the comparison with random peers.
+  @Test
+  void lostPushIsFoundByComparingWithRandomPeers() {
+    List<String> members = zone(9);
+    lost = (to, message) -> message instanceof SpreadMessage.Push && !to.equals("vm-01");
+    spreaders.get("vm-00").publish(contract(5, "whole contract"));
+    deliver();
+    lost = (to, message) -> to.equals("vm-00");
+    down.add("vm-00");
+    tickUntilAllAt(5, members.subList(1, 9), 20);
+  }
+
+  // Messages overtake each other: revision 6 arrives before revision 5. A process that then took 5
+  // would serve limits that the operator has already replaced.
+  @Test
+  void olderRevisionArrivingLateChangesNothing() {
+    zone(2);
+    Spreader late = spreaders.get("vm-01");
+    late.receive("vm-00", push(contract(6, "newer")));
+    late.receive("vm-00", push(contract(5, "older")));
+    assertEquals(6, version("vm-01"));
+  }
+
+  @Test
+  void secondRevisionTravelsAsADifference() {
+    zone(2);
+    String text = "limits: ".repeat(500);
+    spreaders.get("vm-00").publish(contract(5, text + "100" + text));
+    deliver();
+    sent.clear();
+    spreaders.get("vm-00").publish(contract(6, text + "120" + text));
+    deliver();
+    assertEquals(6, version("vm-01"));
+    SpreadMessage.Push push = (SpreadMessage.Push) sent.get(0);
+    assertEquals(0, push.items().size());
+    assertEquals(1, push.deltas().get(0).delta().middle().length);
+  }
+
+  // The sender believes that the receiver has revision 5, but that message was lost with its link.
+  // A difference put onto the wrong base would make a contract that nobody wrote.
+  @Test
+  void differenceOnAMissingBaseIsAnsweredByAskingForTheWhole() {
+    zone(2);
+    String text = "limits: ".repeat(500);
+    lost = (to, message) -> message instanceof SpreadMessage.Push;
+    spreaders.get("vm-00").publish(contract(5, text + "100" + text));
+    deliver();
+    lost = (to, message) -> false;
+    spreaders.get("vm-00").publish(contract(6, text + "120" + text));
+    deliver();
+    assertEquals(6, version("vm-01"));
+    Item whole = spreaders.get("vm-01").table().item(CONTRACT).orElseThrow();
+    assertTrue(Arrays.equals((text + "120" + text).getBytes(UTF_8), whole.payload()));
+  }
+
+  // A fresh VM asks a peer that holds much more than its byte budget allows in a second.
+  @Test
+  void snapshotBringsEverythingAndSaysWhetherThePeerIsReady() {
+    zone(1);
+    Spreader full = spreaders.get("vm-00");
+    full.ready(true);
+    for (int i = 0; i < 300; i++) {
+      full.publish(Item.of(ItemKind.SUMMARY, "zone-" + i, 1, new byte[2_000]));
+    }
+    full.publish(contract(5, "whole contract"));
+    add("vm-99");
+    spreaders.get("vm-99").requestSnapshot("vm-00");
+    deliver();
+    assertEquals(5, version("vm-99"));
+    assertEquals(301, spreaders.get("vm-99").table().items().size());
+    assertEquals(new SpreadMessage.SnapshotEnd(true), sent.get(sent.size() - 1));
+  }
+
+  // Summaries of 94 zones change all the time. Sent each time they would use up the budget of
+  // control traffic; a newer one must replace one that waits.
+  @Test
+  void summariesKeepToTheByteBudgetAndOnlyTheLatestIsSent() {
+    zone(2);
+    Spreader relay = spreaders.get("vm-00");
+    int seconds = 60;
+    for (int i = 1; i <= seconds * 10; i++) {
+      for (int z = 0; z < 94; z++) {
+        relay.publish(Item.of(ItemKind.SUMMARY, "zone-" + z, i, new byte[70]));
+      }
+      time.advance(Duration.ofMillis(100));
+      relay.tick();
+      deliver();
+    }
+    long bytes = 0;
+    for (SpreadMessage message : sent) {
+      if (message instanceof SpreadMessage.Push push) {
+        bytes += push.items().stream().mapToLong(Item::wireBytes).sum();
+      }
+    }
+    SpreadSettings settings = SpreadSettings.standard();
+    double allowed = settings.bytesPerSecond() * seconds + settings.burstBytes() + 200;
+    assertTrue(bytes <= allowed, bytes + " bytes, " + allowed + " allowed");
+    assertTrue(bytes > allowed / 2, "the budget is used, not idle");
+    time.advance(Duration.ofSeconds(10));
+    relay.tick();
+    deliver();
+    ItemKey last = new ItemKey(ItemKind.SUMMARY, "zone-93");
+    assertEquals(600, spreaders.get("vm-01").table().version(last));
+  }
+
+  // Contracts must be in force within seconds also while summaries have used the budget up.
+  @Test
+  void contractDoesNotWaitBehindSummaries() {
+    zone(2);
+    Spreader relay = spreaders.get("vm-00");
+    for (int z = 0; z < 90; z++) {
+      relay.publish(Item.of(ItemKind.SUMMARY, "zone-" + z, 1, new byte[2_000]));
+    }
+    relay.tick();
+    relay.publish(contract(5, "whole contract"));
+    deliver();
+    assertEquals(5, version("vm-01"));
+  }
+
+  @Test
+  void expiredNoticeIsForgottenAndNotTakenBackFromASlowerPeer() {
+    zone(2);
+    Item notice =
+        new Item(new ItemKey(ItemKind.NOTICE, "quarantine/ab12"), 1, 1_005_000, new byte[4]);
+    spreaders.get("vm-00").publish(notice);
+    spreaders.get("vm-00").tick();
+    deliver();
+    assertEquals(1, spreaders.get("vm-01").table().version(notice.key()));
+    time.advance(Duration.ofSeconds(6));
+    spreaders.get("vm-01").tick();
+    assertEquals(0, spreaders.get("vm-01").table().version(notice.key()));
+    spreaders.get("vm-01").receive("vm-00", push(notice));
+    assertEquals(0, spreaders.get("vm-01").table().version(notice.key()));
+  }
+
+  private List<String> zone(int size) {
+    List<String> members = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      members.add(String.format("vm-%02d", i));
+    }
+    members.forEach(this::add);
+    for (String member : members) {
+      Spreader spreader = spreaders.get(member);
+      spreader.neighbours(new HashSet<>(Overlay.zoneTree(members, "vm-00", member, 2)));
+      spreader.repairPeers(members.stream().filter(peer -> !peer.equals(member)).toList());
+    }
+    deliver();
+    sent.clear();
+    return members;
+  }
+
+  private void add(String vm) {
+    Spreader spreader =
+        Spreader.of(
+            SpreadSettings.standard(),
+            time,
+            new SplittableRandom(vm.hashCode()),
+            (to, message) -> {
+              wire.add(() -> arrive(vm, to, message));
+              return true;
+            },
+            item -> {});
+    spreaders.put(vm, spreader);
+  }
+
+  private void arrive(String from, String to, SpreadMessage message) {
+    sent.add(message);
+    if (!down.contains(from) && !lost.test(to, message)) {
+      spreaders.get(to).receive(from, message);
+    }
+  }
+
+  private void deliver() {
+    while (!wire.isEmpty()) {
+      wire.remove().run();
+    }
+  }
+
+  private void tickUntilAllAt(long version, List<String> members, int mostSeconds) {
+    for (int i = 0; i < mostSeconds * 20; i++) {
+      if (members.stream().allMatch(member -> version(member) == version)) {
+        return;
+      }
+      time.advance(Duration.ofMillis(50));
+      members.forEach(member -> spreaders.get(member).tick());
+      deliver();
+    }
+    throw new AssertionError("not all at " + version + " after " + mostSeconds + " s");
+  }
+
+  private long version(String vm) {
+    return spreaders.get(vm).table().version(CONTRACT);
+  }
+
+  private long pushes() {
+    return sent.stream().filter(message -> message instanceof SpreadMessage.Push).count();
+  }
+
+  private static Item contract(long revision, String text) {
+    return new Item(CONTRACT, revision, 0, text.getBytes(UTF_8));
+  }
+
+  private static SpreadMessage.Push push(Item item) {
+    return new SpreadMessage.Push(List.of(item), List.of());
+  }
+}
