Protocol: inner messages in protobuf, authenticated frames and links

Entry VMs need one bounded, versioned way to talk. Messages are protobuf in length-prefixed frames, each with a MAC under a key of that connection and direction, derived from the customer's key and both first frames; links are dialled when there is something to send and closed when idle.

--- /dev/null
+++ b/sageladder-protocol/src/main/java/org/sageladder/protocol/InnerLinks.java
@@ -0,0 +1,318 @@
+package org.sageladder.protocol;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.sageladder.core.permit.KeyRing;
+
+/**
+ * The connections of one entry VM to its peers, made when there is something to send and closed
+ * when idle.
+ *
+ * <pre>{@code
+ * InnerLinks links = InnerLinks.open("127.0.0.1", 0, identity, keys::ring, receiver);
+ * links.address(new PeerAddress("vm-2", "127.0.0.1", 7102));
+ * links.send("vm-2", message);
+ * }</pre>
+ *
+ * <p>Messages to one peer arrive in order or the connection ends; a message sent while a connection
+ * breaks may be lost without notice. All methods may be called from any thread.
+ */
+public final class InnerLinks implements AutoCloseable {
+  private static final int CONNECT_MILLIS = 1_000;
+  private static final int IDLE_SECONDS = 30;
+  private static final int MOST_LINKS = 1_024;
+  private static final int MOST_WAITING = 256;
+  private static final int LOW_WATER = 1 << 20;
+  private static final int HIGH_WATER = 4 << 20;
+  private static final long REDIAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  private final Receiver receiver;
+  private final Handshake handshake;
+  private final LinkCounters counters = new LinkCounters();
+  private final EventLoopGroup loop;
+  private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private final Map<String, PeerAddress> addresses = new ConcurrentHashMap<>();
+  private final Map<String, Channel> links = new ConcurrentHashMap<>();
+  private final Map<String, Long> redialNanos = new ConcurrentHashMap<>();
+  // Only touched on the loop's single thread.
+  private final Map<String, Queue<byte[]>> waiting = new HashMap<>();
+  private @Nullable Channel server;
+
+  /** What comes in; called on the links' own thread and must not block. */
+  public interface Receiver {
+    /** A message of an authenticated peer. */
+    void received(String vm, InnerMessage message);
+
+    /** A peer can be reached. */
+    void opened(String vm);
+
+    /** The connection with a peer ended, or could not be made; messages may be lost. */
+    void lost(String vm);
+  }
+
+  private InnerLinks(LinkIdentity identity, Supplier<Optional<KeyRing>> keys, Receiver receiver) {
+    this.receiver = receiver;
+    this.handshake = new Handshake(identity, keys);
+    this.loop =
+        new MultiThreadIoEventLoopGroup(
+            1, new DefaultThreadFactory("links", true), NioIoHandler.newFactory());
+  }
+
+  /**
+   * Listens on {@code port} of {@code host}; 0 picks a free port.
+   *
+   * @param keys the customer's keys; while there are none, no connection is made or accepted
+   * @throws IOException where the port cannot be opened
+   */
+  public static InnerLinks open(
+      String host,
+      int port,
+      LinkIdentity identity,
+      Supplier<Optional<KeyRing>> keys,
+      Receiver receiver)
+      throws IOException {
+    InnerLinks links = new InnerLinks(identity, keys, receiver);
+    links.listen(host, port);
+    return links;
+  }
+
+  private void listen(String host, int port) throws IOException {
+    ChannelFuture bound =
+        new ServerBootstrap()
+            .group(loop)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(
+                ChannelOption.WRITE_BUFFER_WATER_MARK,
+                new WriteBufferWaterMark(LOW_WATER, HIGH_WATER))
+            .childHandler(initializer(null))
+            .bind(host, port)
+            .awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      close();
+      throw new IOException(
+          "inner port " + host + ":" + port + " cannot be opened; is it in use?", bound.cause());
+    }
+    server = bound.channel();
+  }
+
+  /** The port that peers connect to. */
+  public int port() {
+    Channel listening = server;
+    return listening == null ? 0 : ((InetSocketAddress) listening.localAddress()).getPort();
+  }
+
+  /** Says where a peer is; a later address replaces an earlier one. */
+  public void address(PeerAddress peer) {
+    PeerAddress before = addresses.put(peer.vm(), peer);
+    if (before != null && !before.equals(peer)) {
+      redialNanos.remove(peer.vm());
+    }
+  }
+
+  /** Connects to a peer whose name is not known yet; {@link Receiver#opened} will name it. */
+  public void introduce(String host, int port) {
+    dial(new PeerAddress("", host, port), "");
+  }
+
+  /** Whether a connection with the peer is open now. */
+  public boolean isOpen(String vm) {
+    return links.containsKey(vm);
+  }
+
+  /** Number of open connections. */
+  public int openLinks() {
+    return links.size();
+  }
+
+  /**
+   * Sends a message, connecting first where need be.
+   *
+   * @return false where the peer's address is not known, it was not reached a moment ago, or it
+   *     takes nothing
+   */
+  public boolean send(String vm, InnerMessage message) {
+    byte[] body = MessageCodec.encode(message);
+    Channel link = links.get(vm);
+    if (link != null) {
+      if (!link.isWritable()) {
+        counters.unsent();
+        return false;
+      }
+      var unused = link.writeAndFlush(body, link.voidPromise());
+      return true;
+    }
+    PeerAddress address = addresses.get(vm);
+    Long redial = redialNanos.get(vm);
+    if (address == null || (redial != null && System.nanoTime() - redial < 0)) {
+      counters.unsent();
+      return false;
+    }
+    loop.execute(() -> sendLater(address, body));
+    return true;
+  }
+
+  /** What went over the links so far. */
+  public LinkCounters counters() {
+    return counters;
+  }
+
+  @Override
+  public void close() {
+    channels.close().awaitUninterruptibly(1, TimeUnit.SECONDS);
+    Channel listening = server;
+    if (listening != null) {
+      listening.close().awaitUninterruptibly(1, TimeUnit.SECONDS);
+    }
+    var unused = loop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  private void sendLater(PeerAddress address, byte[] body) {
+    Channel link = links.get(address.vm());
+    if (link != null) {
+      var unused = link.writeAndFlush(body, link.voidPromise());
+      return;
+    }
+    Queue<byte[]> queue = waiting.get(address.vm());
+    if (queue == null) {
+      queue = new ArrayDeque<>();
+      waiting.put(address.vm(), queue);
+      dial(address, address.vm());
+    }
+    if (queue.size() < MOST_WAITING) {
+      queue.add(body);
+    } else {
+      counters.unsent();
+    }
+  }
+
+  private void dial(PeerAddress address, String expectedVm) {
+    ChannelFuture connecting =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(
+                ChannelOption.WRITE_BUFFER_WATER_MARK,
+                new WriteBufferWaterMark(LOW_WATER, HIGH_WATER))
+            .handler(initializer(expectedVm))
+            .connect(address.host(), address.port());
+    var unused =
+        connecting.addListener(
+            done -> {
+              if (!done.isSuccess()) {
+                dialFailed(expectedVm);
+              }
+            });
+  }
+
+  private void dialFailed(String vm) {
+    if (vm.isEmpty()) {
+      return;
+    }
+    long jitter = (long) (REDIAL_NANOS * (0.5 + ThreadLocalRandom.current().nextDouble()));
+    redialNanos.put(vm, System.nanoTime() + jitter);
+    waiting.remove(vm);
+    receiver.lost(vm);
+  }
+
+  private ChannelInitializer<SocketChannel> initializer(@Nullable String expectedVm) {
+    return new ChannelInitializer<>() {
+      @Override
+      protected void initChannel(SocketChannel channel) {
+        if (expectedVm == null && channels.size() >= MOST_LINKS) {
+          var unused = channel.close();
+          return;
+        }
+        channels.add(channel);
+        ChannelPipeline pipeline = channel.pipeline();
+        pipeline.addLast(new IdleStateHandler(IDLE_SECONDS, 0, 0));
+        pipeline.addLast(
+            LinkHandler.FRAME_DECODER,
+            new LengthFieldBasedFrameDecoder(
+                LinkHandler.LARGEST_FIRST_FRAME,
+                0,
+                LinkHandler.LENGTH_BYTES,
+                0,
+                LinkHandler.LENGTH_BYTES));
+        LinkEvents events = new LinkEvents(expectedVm);
+        pipeline.addLast(
+            expectedVm == null
+                ? LinkHandler.accepting(handshake, counters, events)
+                : LinkHandler.connecting(handshake, counters, events, expectedVm));
+      }
+    };
+  }
+
+  private final class LinkEvents implements LinkHandler.Events {
+    private final @Nullable String dialledVm;
+    private boolean wasOpen;
+
+    private LinkEvents(@Nullable String dialledVm) {
+      this.dialledVm = dialledVm;
+    }
+
+    @Override
+    public void opened(String vm, ChannelHandlerContext context) {
+      wasOpen = true;
+      links.put(vm, context.channel());
+      redialNanos.remove(vm);
+      Queue<byte[]> queue = waiting.remove(vm);
+      if (queue != null) {
+        for (byte[] body : queue) {
+          var unused = context.channel().write(body, context.channel().voidPromise());
+        }
+        context.channel().flush();
+      }
+      receiver.opened(vm);
+    }
+
+    @Override
+    public void received(String vm, InnerMessage message) {
+      receiver.received(vm, message);
+    }
+
+    @Override
+    public void closed(@Nullable String vm, ChannelHandlerContext context) {
+      if (!wasOpen && dialledVm != null) {
+        dialFailed(dialledVm);
+      }
+      if (vm != null && links.remove(vm, context.channel())) {
+        receiver.lost(vm);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/sageladder-protocol/src/main/java/org/sageladder/protocol/LinkCounters.java
@@ -0,0 +1,74 @@
+package org.sageladder.protocol;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.atomic.LongAdder;
+import org.sageladder.protocol.ProtocolException.Reason;
+
+/** What went over all links of this process since its start; thread-safe. */
+public final class LinkCounters {
+  private final LongAdder bytesIn = new LongAdder();
+  private final LongAdder bytesOut = new LongAdder();
+  private final LongAdder framesIn = new LongAdder();
+  private final LongAdder framesOut = new LongAdder();
+  private final LongAdder unsent = new LongAdder();
+  private final Map<Reason, LongAdder> dropped = new EnumMap<>(Reason.class);
+
+  LinkCounters() {
+    for (Reason reason : Reason.values()) {
+      dropped.put(reason, new LongAdder());
+    }
+  }
+
+  void in(int bytes) {
+    framesIn.increment();
+    bytesIn.add(bytes);
+  }
+
+  void out(int bytes) {
+    framesOut.increment();
+    bytesOut.add(bytes);
+  }
+
+  void unsent() {
+    unsent.increment();
+  }
+
+  void dropped(Reason reason) {
+    LongAdder adder = dropped.get(reason);
+    if (adder != null) {
+      adder.increment();
+    }
+  }
+
+  /** Bytes received, frame lengths and MACs included, TCP and IP heads not. */
+  public long bytesIn() {
+    return bytesIn.sum();
+  }
+
+  /** Bytes sent, counted like {@link #bytesIn}. */
+  public long bytesOut() {
+    return bytesOut.sum();
+  }
+
+  /** Frames received. */
+  public long framesIn() {
+    return framesIn.sum();
+  }
+
+  /** Frames sent. */
+  public long framesOut() {
+    return framesOut.sum();
+  }
+
+  /** Messages given up because the peer took nothing. */
+  public long unsentMessages() {
+    return unsent.sum();
+  }
+
+  /** Connections dropped for that reason. */
+  public long dropCount(Reason reason) {
+    LongAdder adder = dropped.get(reason);
+    return adder == null ? 0 : adder.sum();
+  }
+}
--- /dev/null
+++ b/sageladder-protocol/src/main/java/org/sageladder/protocol/LinkHandler.java
@@ -0,0 +1,232 @@
+package org.sageladder.protocol;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.Arrays;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.sageladder.protocol.Handshake.Session;
+import org.sageladder.protocol.ProtocolException.Reason;
+import org.sageladder.protocol.generated.Inner;
+
+/** One connection: handshake, then sealed frames; whatever does not fit ends it. */
+final class LinkHandler extends ChannelDuplexHandler {
+  /** Largest frame before the peer has proved that it has the key. */
+  static final int LARGEST_FIRST_FRAME = 1_024;
+
+  /** Largest frame afterwards: the largest item, or a push of many, and its envelope. */
+  static final int LARGEST_FRAME = (1 << 20) + (1 << 18);
+
+  /** Bytes of a frame's length. */
+  static final int LENGTH_BYTES = 4;
+
+  static final String FRAME_DECODER = "frames";
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long HANDSHAKE_SECONDS = 5;
+  private static final byte[] PROOF =
+      Inner.Envelope.newBuilder().setProof(Inner.Proof.getDefaultInstance()).build().toByteArray();
+
+  private final Handshake handshake;
+  private final LinkCounters counters;
+  private final Events events;
+  private final @Nullable String dialled;
+  private byte @Nullable [] hello;
+  private @Nullable Session session;
+  private boolean open;
+  private @Nullable Future<?> deadline;
+
+  /** What the owner of the links is told; called on the connection's thread. */
+  interface Events {
+    void opened(String vm, ChannelHandlerContext context);
+
+    void received(String vm, InnerMessage message);
+
+    void closed(@Nullable String vm, ChannelHandlerContext context);
+  }
+
+  private LinkHandler(
+      Handshake handshake, LinkCounters counters, Events events, @Nullable String dialled) {
+    this.handshake = handshake;
+    this.counters = counters;
+    this.events = events;
+    this.dialled = dialled;
+  }
+
+  /** The side that was connected to. */
+  static LinkHandler accepting(Handshake handshake, LinkCounters counters, Events events) {
+    return new LinkHandler(handshake, counters, events, null);
+  }
+
+  /** The side that connects; {@code expectedVm} is empty where the name is not known. */
+  static LinkHandler connecting(
+      Handshake handshake, LinkCounters counters, Events events, String expectedVm) {
+    return new LinkHandler(handshake, counters, events, expectedVm);
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext context) {
+    deadline =
+        context
+            .executor()
+            .schedule(
+                () -> drop(context, Reason.SLOW_HANDSHAKE, "no proof of the key in time"),
+                HANDSHAKE_SECONDS,
+                TimeUnit.SECONDS);
+    if (dialled == null) {
+      return;
+    }
+    hello = handshake.hello(dialled).orElse(null);
+    if (hello == null) {
+      close(context);
+      return;
+    }
+    writeFrame(context, hello, context.newPromise());
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object frame) {
+    ByteBuf buffer = (ByteBuf) frame;
+    byte[] bytes = new byte[buffer.readableBytes()];
+    buffer.readBytes(bytes);
+    ReferenceCountUtil.release(frame);
+    counters.in(bytes.length + LENGTH_BYTES);
+    try {
+      read(context, bytes);
+    } catch (ProtocolException e) {
+      drop(context, e.reason(), String.valueOf(e.getMessage()));
+    }
+  }
+
+  private void read(ChannelHandlerContext context, byte[] bytes) throws ProtocolException {
+    Session now = session;
+    byte[] sentHello = hello;
+    if (now == null && dialled == null) {
+      Handshake.Accepted accepted = handshake.accept(bytes);
+      writeFrame(context, accepted.welcome(), context.newPromise());
+      session = accepted.session();
+      return;
+    }
+    if (now == null && sentHello != null) {
+      Session complete = handshake.complete(sentHello, bytes);
+      session = complete;
+      writeFrame(context, seal(complete, PROOF), context.newPromise());
+      open(context, complete);
+      return;
+    }
+    if (now == null) {
+      return;
+    }
+    byte[] body = unseal(now, bytes);
+    if (!open) {
+      open(context, now);
+      return;
+    }
+    events.received(now.peer(), MessageCodec.decode(body));
+  }
+
+  private void open(ChannelHandlerContext context, Session with) {
+    open = true;
+    Future<?> waiting = deadline;
+    if (waiting != null) {
+      waiting.cancel(false);
+    }
+    context
+        .pipeline()
+        .replace(
+            FRAME_DECODER,
+            FRAME_DECODER,
+            new LengthFieldBasedFrameDecoder(LARGEST_FRAME, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+    events.opened(with.peer(), context);
+  }
+
+  private static byte[] seal(Session with, byte[] body) {
+    byte[] tag = with.writing().next(body);
+    byte[] sealed = Arrays.copyOf(tag, tag.length + body.length);
+    System.arraycopy(body, 0, sealed, tag.length, body.length);
+    return sealed;
+  }
+
+  private static byte[] unseal(Session with, byte[] sealed) throws ProtocolException {
+    if (sealed.length < FrameMac.TAG_BYTES) {
+      throw new ProtocolException(Reason.MALFORMED, "a frame of " + sealed.length + " bytes");
+    }
+    byte[] body = Arrays.copyOfRange(sealed, FrameMac.TAG_BYTES, sealed.length);
+    if (!with.reading().matchesNext(body, Arrays.copyOf(sealed, FrameMac.TAG_BYTES))) {
+      throw new ProtocolException(
+          Reason.NOT_AUTHENTIC, "a frame from '" + with.peer() + "' has a wrong MAC");
+    }
+    return body;
+  }
+
+  /** Takes encoded envelopes from the owner of the links. */
+  @Override
+  public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+    Session now = session;
+    if (!open || now == null || !(message instanceof byte[] body)) {
+      promise.setFailure(new IllegalStateException("the link is not open"));
+      return;
+    }
+    writeFrame(context, seal(now, body), promise);
+  }
+
+  private void writeFrame(ChannelHandlerContext context, byte[] bytes, ChannelPromise promise) {
+    counters.out(bytes.length + LENGTH_BYTES);
+    ByteBuf head = Unpooled.buffer(LENGTH_BYTES).writeInt(bytes.length);
+    var unused =
+        context.writeAndFlush(Unpooled.wrappedBuffer(head, Unpooled.wrappedBuffer(bytes)), promise);
+  }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof IdleStateEvent) {
+      close(context);
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    if (cause instanceof TooLongFrameException
+        || cause.getCause() instanceof TooLongFrameException) {
+      drop(context, Reason.TOO_LARGE, String.valueOf(cause.getMessage()));
+      return;
+    }
+    logger.atFine().withCause(cause).log("link to %s failed", peerName());
+    close(context);
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    Future<?> waiting = deadline;
+    if (waiting != null) {
+      waiting.cancel(false);
+    }
+    events.closed(open ? peerName() : null, context);
+  }
+
+  private void drop(ChannelHandlerContext context, Reason reason, String detail) {
+    counters.dropped(reason);
+    logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+        "dropped the inner connection with %s (%s): %s: %s",
+        context.channel().remoteAddress(), peerName(), reason, detail);
+    close(context);
+  }
+
+  private static void close(ChannelHandlerContext context) {
+    var unused = context.close();
+  }
+
+  private String peerName() {
+    Session now = session;
+    return now == null ? "unknown" : now.peer();
+  }
+}
