--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -6,26 +6,35 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
+import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import org.apache.hc.core5.util.Timeout;
+import org.sageladder.core.event.EventBuffer;
 import org.sageladder.core.event.EventKind;
 import org.sageladder.core.event.EventSink;
 import org.sageladder.core.limits.Scheduler;
 import org.sageladder.core.limits.ServiceGate;
+import org.sageladder.core.permit.PermitHome;
+import org.sageladder.core.permit.PermitKeys;
 import org.sageladder.core.platform.VmList;
 import org.sageladder.core.store.Store;
 import org.sageladder.core.time.TimeSource;
 import org.sageladder.entry.control.ControlPlane;
 import org.sageladder.entry.control.StoreControlPlane;
 import org.sageladder.entry.exchange.CallerExchange;
+import org.sageladder.entry.exchange.InFlight;
 import org.sageladder.entry.exchange.OutboundClient;
 import org.sageladder.entry.gates.GateTable;
 import org.sageladder.entry.http.HttpListener;
 import org.sageladder.entry.http.OperatorPort;
 import org.sageladder.entry.request.RequestPath;
 import org.sageladder.entry.settings.EntrySettings;
+import org.sageladder.entry.stop.PermitHandOver;
+import org.sageladder.entry.stop.PlannedStop;
+import org.sageladder.platform.event.EventPage;
 import org.sageladder.platform.store.HttpStore;
 import org.sageladder.platform.store.HttpVmList;
 
@@ -42,7 +51,9 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int CONNECTIONS_PER_HOST = 390;
   private static final Duration POLL = Duration.ofMillis(250);
-  private static final Duration STOP_GRACE = Duration.ofSeconds(30);
+  private static final int EVENTS_PER_PAGE = 2_000;
+  private static final Duration STOP_GRACE = Duration.ofSeconds(1);
+  private static final Duration KEY_PERIOD = Duration.ofDays(1);
 
   private final EntrySettings settings;
   private final Store store;
@@ -53,6 +64,9 @@
   private final HttpListener callers;
   private final HttpListener operators;
   private final EventSink events;
+  private final CountDownLatch drainAsked;
+  private final KeyRefresher keys;
+  private final PlannedStop plannedStop;
 
   private EntryDaemon(
       EntrySettings settings,
@@ -63,7 +77,12 @@
       GateTable gates,
       HttpListener callers,
       HttpListener operators,
-      EventSink events) {
+      EventSink events,
+      CountDownLatch drainAsked,
+      KeyRefresher keys,
+      PlannedStop plannedStop) {
+    this.keys = keys;
+    this.plannedStop = plannedStop;
     this.settings = settings;
     this.store = store;
     this.control = control;
@@ -73,12 +92,14 @@
     this.callers = callers;
     this.operators = operators;
     this.events = events;
+    this.drainAsked = drainAsked;
   }
 
   /** Starts all parts; the ports are open when it returns. */
   public static EntryDaemon start(EntrySettings settings) throws IOException, InterruptedException {
     TimeSource time = TimeSource.system();
-    EventSink events = EventSink.none();
+    EventBuffer events = EventBuffer.holding(settings.eventCapacity(), time);
+    long startedMillis = time.wallMillis();
     PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     new JvmMemoryMetrics().bindTo(metrics);
     Store store = HttpStore.connect(settings.store().uri(), settings.store().timeout());
@@ -97,8 +118,30 @@
             service ->
                 ServiceGate.create(
                     settings.customer(), service, time, Scheduler.of(timers), events));
+    PermitKeys permitKeys =
+        PermitKeys.of(store, settings.customer(), KEY_PERIOD, new SecureRandom());
+    KeyRefresher keys = KeyRefresher.start(permitKeys, time);
     RequestPath path =
-        RequestPath.assemble(settings, client, timers, time, events, metrics, control, gates);
+        RequestPath.assemble(
+            settings, client, timers, time, events, metrics, control, gates, permitKeys::ring);
+    InFlight inFlight = InFlight.create();
+    PlannedStop plannedStop =
+        PlannedStop.of(
+            control,
+            inFlight,
+            path.home(),
+            PermitHandOver.of(
+                settings.vm(),
+                settings.zone(),
+                settings.customer(),
+                control,
+                path.home(),
+                path.codec(),
+                PermitHome.Limits.standard(),
+                client,
+                time),
+            time,
+            PlannedStop.Limits.standard());
     control.onChange(gates::follow);
     control.onChange(path::follow);
     control.summaries(gates::summaries);
@@ -109,20 +152,43 @@
             settings.ports().callers(),
             settings.callerLimits().workers(),
             settings.callerLimits().headBytes(),
-            () -> CallerExchange.create(path.router()));
+            () -> CallerExchange.create(path.router(), inFlight));
+    CountDownLatch drainAsked = new CountDownLatch(1);
+    OperatorPort operatorPort =
+        OperatorPort.of(
+            settings.vm(),
+            metrics,
+            control,
+            gates,
+            after ->
+                EventPage.of(
+                    settings.vm(), startedMillis, settings.zone(), events, after, EVENTS_PER_PAGE),
+            path.explanation(),
+            drainAsked::countDown);
     HttpListener operators =
         HttpListener.open(
             settings.host(),
             settings.ports().operators(),
             1,
             settings.callerLimits().headBytes(),
-            () -> CallerExchange.create(OperatorPort.of(settings.vm(), metrics, control, gates)));
+            () -> CallerExchange.create(operatorPort));
     events.record(EventKind.STARTED, "", settings.customer(), settings.zone(), 0, settings.vm());
     logger.atInfo().log(
         "%s serves callers on %s:%d and operators on port %d",
         settings.vm(), settings.host(), callers.port(), operators.port());
     return new EntryDaemon(
-        settings, store, control, timers, client, gates, callers, operators, events);
+        settings,
+        store,
+        control,
+        timers,
+        client,
+        gates,
+        callers,
+        operators,
+        events,
+        drainAsked,
+        keys,
+        plannedStop);
   }
 
   private static void gauges(
@@ -160,10 +226,16 @@
     return readiness() == ControlPlane.Readiness.READY && known >= members;
   }
 
+  /** Returns once an operator has asked for a planned stop; the caller then stops the daemon. */
+  public void awaitDrainAsked() throws InterruptedException {
+    drainAsked.await();
+  }
+
   /** A planned stop: takes no new duties, lets what is in flight end, then closes. */
   public void stop() throws InterruptedException {
     events.record(EventKind.STOPPING, "", settings.customer(), "", 0, settings.vm());
-    control.beginLeaving();
+    PlannedStop.Outcome outcome = plannedStop.run();
+    logger.atFine().log("planned stop: %s", outcome);
     callers.stop(Timeout.of(STOP_GRACE));
     close();
   }
@@ -173,6 +245,7 @@
     callers.close();
     operators.close();
     gates.close();
+    keys.close();
     control.close();
     client.close();
     timers.shutdownNow();
