Limits: a switch that both linters take; a paused gate still counts as a holder

Change: an arrow switch with a default. GateTable asks holdsTargets(), since slots() is 0 for a moment when all targets pause after refusals, and requests would have been forwarded away. mvn verify of core, platform and entry passes.

--- a/sageladder-core/src/main/java/org/sageladder/core/limits/TargetExperience.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/TargetExperience.java
@@ -56,19 +56,12 @@
 
   void learn(Admission.Completion completion, int most, long nowNanos) {
     switch (completion) {
-      case ANSWERED:
-        answered(most);
-        break;
-      case REFUSED:
-        pause(Math.max(1, limit / 2), nowNanos);
-        break;
-      case LOST:
-      case TIMEOUT:
-        failed(nowNanos);
-        break;
-      default:
+      case ANSWERED -> answered(most);
+      case REFUSED -> pause(Math.max(1, limit / 2), nowNanos);
+      case LOST, TIMEOUT -> failed(nowNanos);
+      default -> {
         // The others say nothing about how well the target carries work.
-        break;
+      }
     }
   }
 
--- a/sageladder-entry/src/main/java/org/sageladder/entry/gates/GateTable.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/gates/GateTable.java
@@ -73,7 +73,7 @@
   /** The gate of {@code service} where this entry VM holds a target of it, else null. */
   public @Nullable ServiceGate holding(String service) {
     ServiceGate gate = gates.get(service);
-    return gate != null && gate.slots() > 0 ? gate : null;
+    return gate != null && gate.holdsTargets() ? gate : null;
   }
 
   /** What this entry VM reports of its gates. */
