Steering: waterfall by demand and headroom, ages of readings, arrays for look-ups

Cause: the first table knew only the caller's region. Change: each region's demand is served at home as far as the ceilings there go, the rest goes to the others by what they have left, within link limits; readings that grow old stop drawing callers. A look-up reads one byte for the block and one of 64 prepared answers. A build takes over the tables of services whose facts and parts are unchanged.

--- /dev/null
+++ b/sageladder-core/src/main/java/org/sageladder/core/steering/Apportion.java
@@ -0,0 +1,39 @@
+package org.sageladder.core.steering;
+
+import java.util.List;
+
+/** Divides a whole number of places in proportion to weights, by largest remainder. */
+final class Apportion {
+  private Apportion() {}
+
+  /** Places for each weight; they add up to {@code places} unless all weights are 0. */
+  static int[] of(List<Double> weights, int places) {
+    double sum = 0;
+    for (double weight : weights) {
+      sum += weight;
+    }
+    int[] counts = new int[weights.size()];
+    if (sum <= 0) {
+      return counts;
+    }
+    double[] remainders = new double[counts.length];
+    int given = 0;
+    for (int i = 0; i < counts.length; i++) {
+      double exact = weights.get(i) / sum * places;
+      counts[i] = (int) exact;
+      remainders[i] = exact - counts[i];
+      given += counts[i];
+    }
+    for (; given < places; given++) {
+      int largest = 0;
+      for (int i = 1; i < counts.length; i++) {
+        if (remainders[i] > remainders[largest]) {
+          largest = i;
+        }
+      }
+      counts[largest]++;
+      remainders[largest] = -1;
+    }
+    return counts;
+  }
+}
--- a/sageladder-core/src/main/java/org/sageladder/core/steering/LookUpTable.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/steering/LookUpTable.java
@@ -1,10 +1,13 @@
 package org.sageladder.core.steering;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.contract.Contract;
 import org.sageladder.core.membership.ClusterState;
+import org.sageladder.core.membership.ZoneSummary;
 
 /**
  * Answers look-ups from arrays made beforehand.
@@ -14,25 +17,39 @@
  * Route route = table.lookUp("kannelkoda", "search", 4711, random.nextLong());
  * }</pre>
  *
- * <p>Immutable; a look-up takes no lock and makes no object.
+ * <p>Immutable; a look-up takes no lock and makes no object. A build that is given the table before
+ * takes over what has not changed.
  */
 public final class LookUpTable {
-  private final Map<String, ServiceTable> tables;
+  private final Map<String, CustomerTable> customers;
 
-  private LookUpTable(Map<String, ServiceTable> tables) {
-    this.tables = tables;
+  private LookUpTable(Map<String, CustomerTable> customers) {
+    this.customers = customers;
   }
 
   /** Makes the table for all contracts in {@code state}. */
   public static LookUpTable build(ClusterState state, SteeringInputs inputs) {
-    Map<String, ServiceTable> tables = new HashMap<>();
+    Map<String, Map<String, List<ZoneSummary>>> summaries = byCustomerAndService(state);
+    Map<String, CustomerTable> customers = new HashMap<>();
+    LookUpTable previous = inputs.previous();
     for (Contract contract : state.contracts().values()) {
-      for (Contract.Service service : contract.services()) {
-        ServiceTable table = ServiceTable.build(contract, service, state, inputs);
-        tables.put(key(contract.customer(), service.name()), table);
-      }
+      CustomerTable before = previous == null ? null : previous.customers.get(contract.customer());
+      Map<String, List<ZoneSummary>> own = summaries.getOrDefault(contract.customer(), Map.of());
+      customers.put(contract.customer(), CustomerTable.build(contract, state, own, inputs, before));
     }
-    return new LookUpTable(tables);
+    return new LookUpTable(customers);
+  }
+
+  private static Map<String, Map<String, List<ZoneSummary>>> byCustomerAndService(
+      ClusterState state) {
+    Map<String, Map<String, List<ZoneSummary>>> summaries = new HashMap<>();
+    for (ZoneSummary summary : state.summaries()) {
+      summaries
+          .computeIfAbsent(summary.customer(), name -> new HashMap<>())
+          .computeIfAbsent(summary.service(), name -> new ArrayList<>())
+          .add(summary);
+    }
+    return summaries;
   }
 
   /**
@@ -42,11 +59,23 @@
    * @return null where the contract, the service or the block is unknown or no entry VM can serve
    */
   public @Nullable Route lookUp(String customer, String service, int block, long random) {
-    ServiceTable table = tables.get(key(customer, service));
+    ServiceTable table = table(customer, service);
     return table == null ? null : table.route(block, random);
   }
 
-  private static String key(String customer, String service) {
-    return customer + '/' + service;
+  /**
+   * Part of the callers of one region that is sent to one zone, 0 to 1.
+   *
+   * @param region position of the region in the contract
+   * @param zone position of the zone among all zones of the contract
+   */
+  public double part(String customer, String service, int region, int zone) {
+    ServiceTable table = table(customer, service);
+    return table == null ? 0 : table.part(region, zone);
+  }
+
+  private @Nullable ServiceTable table(String customer, String service) {
+    CustomerTable contract = customers.get(customer);
+    return contract == null ? null : contract.service(service);
   }
 }
--- /dev/null
+++ b/sageladder-core/src/main/java/org/sageladder/core/steering/RegionIndex.java
@@ -0,0 +1,50 @@
+package org.sageladder.core.steering;
+
+import java.util.Arrays;
+import java.util.List;
+import org.sageladder.core.contract.Contract;
+
+/** Which region each block of clients counts as: one byte a block. */
+final class RegionIndex {
+  private static final int MOST_BLOCKS = 1 << 24;
+
+  private final List<Contract.ClientBlocks> ranges;
+  private final List<Contract.Region> regions;
+  private final byte[] regionOfBlock;
+
+  private RegionIndex(
+      List<Contract.ClientBlocks> ranges, List<Contract.Region> regions, byte[] regionOfBlock) {
+    this.ranges = ranges;
+    this.regions = regions;
+    this.regionOfBlock = regionOfBlock;
+  }
+
+  /** The index of {@code contract}; the first range that names a block counts. */
+  static RegionIndex of(Contract contract) {
+    int last = -1;
+    for (Contract.ClientBlocks range : contract.clientBlocks()) {
+      last = Math.max(last, Math.min(range.last(), MOST_BLOCKS - 1));
+    }
+    byte[] index = new byte[last + 1];
+    Arrays.fill(index, (byte) -1);
+    List<String> names = contract.regions().stream().map(Contract.Region::name).toList();
+    for (Contract.ClientBlocks range : contract.clientBlocks()) {
+      byte region = (byte) names.indexOf(range.region());
+      for (int block = Math.max(0, range.first()); block <= Math.min(range.last(), last); block++) {
+        if (index[block] < 0) {
+          index[block] = region;
+        }
+      }
+    }
+    return new RegionIndex(contract.clientBlocks(), contract.regions(), index);
+  }
+
+  boolean fits(Contract contract) {
+    return ranges.equals(contract.clientBlocks()) && regions.equals(contract.regions());
+  }
+
+  /** Position of the block's region in the contract, or -1. */
+  int of(int block) {
+    return block >= 0 && block < regionOfBlock.length ? regionOfBlock[block] : -1;
+  }
+}
--- a/sageladder-core/src/main/java/org/sageladder/core/steering/ServiceTable.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/steering/ServiceTable.java
@@ -6,122 +6,131 @@
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.contract.Contract;
-import org.sageladder.core.membership.ClusterState;
-import org.sageladder.core.membership.Holding;
 import org.sageladder.core.membership.Member;
-import org.sageladder.core.membership.ZoneView;
 
-/** The routes of one service, one set for the callers of each region. */
+/** The routes of one service: for the callers of each region, an array that a look-up indexes. */
 final class ServiceTable {
+  /** Answers in an array, so a zone's part is a whole number of 64ths. */
+  static final int ANSWERS = 64;
+
   private static final int MOST_ENTRIES = 4;
 
-  private final Contract contract;
-  private final Map<String, List<Route>> routesByRegion;
+  private final ServiceFacts facts;
+  private final double[][] parts;
+  private final RegionIndex regions;
+  private final Route[][] answers;
 
-  private ServiceTable(Contract contract, Map<String, List<Route>> routesByRegion) {
-    this.contract = contract;
-    this.routesByRegion = routesByRegion;
+  private ServiceTable(
+      ServiceFacts facts, double[][] parts, RegionIndex regions, Route[][] answers) {
+    this.facts = facts;
+    this.parts = parts;
+    this.regions = regions;
+    this.answers = answers;
   }
 
+  /** Makes the table, or returns {@code previous} where nothing that it rests on has changed. */
   static ServiceTable build(
-      Contract contract, Contract.Service service, ClusterState state, SteeringInputs inputs) {
-    Map<String, List<Route>> routes = new HashMap<>();
-    for (Contract.Region region : contract.regions()) {
-      routes.put(region.name(), routesFor(region, contract, service, state, inputs));
+      ServiceFacts facts, RegionIndex regions, int ttlMillis, @Nullable ServiceTable previous) {
+    double[][] target = Waterfall.divide(facts.contract(), facts.readings());
+    double[][] parts =
+        previous == null ? target : Damping.step(previous.facts, previous.parts, facts, target);
+    if (previous != null && previous.isStillGood(facts, parts)) {
+      return previous;
     }
-    return new ServiceTable(contract, routes);
-  }
-
-  @Nullable Route route(int block, long random) {
-    String region = contract.regionOfBlock(block).orElse("");
-    List<Route> routes = routesByRegion.getOrDefault(region, List.of());
-    return routes.isEmpty() ? null : routes.get((int) Math.floorMod(random, (long) routes.size()));
+    int count = facts.contract().regions().size();
+    Route[][] answers = new Route[count][];
+    for (int region = 0; region < count; region++) {
+      answers[region] = answersFor(region, facts, parts[region], ttlMillis);
+    }
+    return new ServiceTable(facts, parts, regions, answers);
   }
 
-  /** One route for each gate holder of the nearest region that has any. */
-  private static List<Route> routesFor(
-      Contract.Region home,
-      Contract contract,
-      Contract.Service service,
-      ClusterState state,
-      SteeringInputs inputs) {
-    for (Contract.Region region : nearestFirst(home, contract)) {
-      List<Route> routes = new ArrayList<>();
-      for (String zone : region.zones()) {
-        for (Member first : holders(zone, contract, service, state)) {
-          List<Member> entries = entries(first, home, contract, service, state);
-          String reason =
-              (region.equals(home) ? "in the caller's region, " : "nearest region, ") + zone;
-          routes.add(new Route(entries, contract.revision(), inputs.ttlMillis(), reason));
+  private boolean isStillGood(ServiceFacts newFacts, double[][] newParts) {
+    if (!facts.sameRoutes(newFacts)) {
+      return false;
+    }
+    for (int region = 0; region < parts.length; region++) {
+      for (int zone = 0; zone < parts[region].length; zone++) {
+        if (Math.abs(parts[region][zone] - newParts[region][zone]) > 0.5 / ANSWERS) {
+          return false;
         }
       }
-      if (!routes.isEmpty()) {
-        return List.copyOf(routes);
-      }
     }
-    return List.of();
+    return true;
   }
 
-  private static List<Contract.Region> nearestFirst(Contract.Region home, Contract contract) {
-    List<Contract.Region> regions = new ArrayList<>(contract.regions());
-    regions.remove(home);
-    regions.add(0, home);
-    return regions;
+  @Nullable Route route(int block, long random) {
+    int region = regions.of(block);
+    if (region < 0) {
+      return null;
+    }
+    Route[] choices = answers[region];
+    return choices.length == 0 ? null : choices[(int) random & (ANSWERS - 1)];
+  }
+
+  /** Part of the callers of {@code region} that is sent to {@code zone}, both by index. */
+  double part(int region, int zone) {
+    return parts[region][zone];
   }
 
-  /** Entry VMs of the zone that hold a usable target, one mention for each target they hold. */
-  private static List<Member> holders(
-      String zone, Contract contract, Contract.Service service, ClusterState state) {
-    ZoneView view = state.views().get(zone);
+  private static Route[] answersFor(int region, ServiceFacts facts, double[] parts, int ttlMillis) {
     List<Member> holders = new ArrayList<>();
-    if (view == null) {
-      return holders;
-    }
-    for (Holding holding : view.holdings()) {
-      if (!isUsable(holding, contract, service)) {
-        continue;
-      }
-      for (Member member : view.members()) {
-        if (member.vm().equals(holding.holder()) && !member.leaving()) {
-          holders.add(member);
+    List<Double> weights = new ArrayList<>();
+    for (int zone = 0; zone < parts.length; zone++) {
+      ServiceFacts.Zone place = facts.zones().get(zone);
+      for (ServiceFacts.Holder holder : place.holders()) {
+        if (parts[zone] > 0) {
+          holders.add(holder.member());
+          weights.add(parts[zone] * holder.slots() / place.slots());
         }
       }
     }
-    return holders;
-  }
-
-  private static boolean isUsable(Holding holding, Contract contract, Contract.Service service) {
-    return holding.customer().equals(contract.customer())
-        && holding.service().equals(service.name())
-        && !holding.leaving()
-        && holding.slots() > 0;
+    int[] counts = Apportion.of(weights, ANSWERS);
+    Route[] routes = new Route[holders.isEmpty() ? 0 : ANSWERS];
+    Map<Member, Route> made = new HashMap<>();
+    int filled = 0;
+    for (int i = 0; i < counts.length; i++) {
+      Member first = holders.get(i);
+      for (int n = 0; n < counts[i]; n++) {
+        routes[filled++] =
+            made.computeIfAbsent(first, member -> routeVia(member, region, facts, ttlMillis));
+      }
+    }
+    return routes;
   }
 
-  private static List<Member> entries(
-      Member first,
-      Contract.Region home,
-      Contract contract,
-      Contract.Service service,
-      ClusterState state) {
+  private static Route routeVia(Member first, int region, ServiceFacts facts, int ttlMillis) {
+    Contract.Region home = facts.contract().regions().get(region);
+    boolean atHome = home.zones().contains(first.zone());
     List<Member> entries = new ArrayList<>();
     entries.add(first);
-    addOthers(entries, holders(first.zone(), contract, service, state));
-    for (Contract.Region region : nearestFirst(home, contract)) {
-      for (String zone : region.zones()) {
-        addOthers(entries, holders(zone, contract, service, state));
-      }
-    }
-    return entries;
+    addOthers(entries, facts, zone -> zone.name().equals(first.zone()));
+    addOthers(entries, facts, zone -> home.zones().contains(zone.name()));
+    addOthers(entries, facts, zone -> true);
+    String reason =
+        (atHome ? "in the caller's region, zone " : "home is full, headroom in zone ")
+            + first.zone();
+    return new Route(entries, facts.contract().revision(), ttlMillis, reason);
   }
 
-  private static void addOthers(List<Member> entries, List<Member> more) {
-    for (Member member : more) {
-      if (entries.size() >= MOST_ENTRIES) {
-        return;
+  private static void addOthers(List<Member> entries, ServiceFacts facts, ZoneFilter filter) {
+    for (ServiceFacts.Zone zone : facts.zones()) {
+      if (!filter.test(zone)) {
+        continue;
       }
-      if (!entries.contains(member)) {
-        entries.add(member);
+      for (ServiceFacts.Holder holder : zone.holders()) {
+        if (entries.size() >= MOST_ENTRIES) {
+          return;
+        }
+        if (!entries.contains(holder.member())) {
+          entries.add(holder.member());
+        }
       }
     }
   }
+
+  @FunctionalInterface
+  private interface ZoneFilter {
+    boolean test(ServiceFacts.Zone zone);
+  }
 }
--- /dev/null
+++ b/sageladder-core/src/main/java/org/sageladder/core/steering/Waterfall.java
@@ -0,0 +1,226 @@
+package org.sageladder.core.steering;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.sageladder.core.contract.Contract;
+
+/**
+ * Divides each region's demand for one service over the zones: at home first, the rest over the
+ * other regions by what they have left, within the limits of the links.
+ *
+ * <pre>{@code
+ * double[][] parts = Waterfall.divide(contract, readings);
+ * double toZone = parts[homeRegionIndex][zoneIndex]; // parts of one region add up to 1
+ * }</pre>
+ *
+ * <p>A pure function of its arguments: entry VMs with the same readings come to the same parts, and
+ * because it goes by demand and not by idle slots, they do not all run after the same idle zone.
+ */
+public final class Waterfall {
+  private static final double LEAST_DEMAND = 1e-6;
+
+  private final Contract contract;
+  private final List<ZoneReading> zones;
+  private final double[] demand;
+  private final double[] left;
+  private final double[][] flow;
+
+  private Waterfall(Contract contract, List<ZoneReading> zones) {
+    int regions = contract.regions().size();
+    this.contract = contract;
+    this.zones = zones;
+    this.demand = new double[regions];
+    this.left = new double[zones.size()];
+    this.flow = new double[regions][zones.size()];
+  }
+
+  /**
+   * Parts by region of the caller (in the contract's order) and by zone (in the order of {@code
+   * zones}); each region's add up to 1, or are all 0 where no zone can carry anything.
+   */
+  public static double[][] divide(Contract contract, List<ZoneReading> zones) {
+    Waterfall waterfall = new Waterfall(contract, zones);
+    waterfall.readZones();
+    int regions = contract.regions().size();
+    double[] excess = new double[regions];
+    for (int region = 0; region < regions; region++) {
+      excess[region] = waterfall.fillHome(region);
+    }
+    double[] spilled = waterfall.spill(excess);
+    for (int region = 0; region < regions; region++) {
+      waterfall.keep(region, excess[region] - spilled[region]);
+    }
+    return waterfall.parts();
+  }
+
+  private void readZones() {
+    for (int zone = 0; zone < zones.size(); zone++) {
+      left[zone] = zones.get(zone).limit();
+      int region = regionIndex(zones.get(zone).region());
+      if (region >= 0 && zones.get(zone).age() != ReadingAge.ABSENT) {
+        demand[region] += zones.get(zone).demandPerSecond();
+      }
+    }
+    for (int region = 0; region < demand.length; region++) {
+      demand[region] = Math.max(LEAST_DEMAND, demand[region]);
+    }
+  }
+
+  private int regionIndex(String name) {
+    for (int region = 0; region < contract.regions().size(); region++) {
+      if (contract.regions().get(region).name().equals(name)) {
+        return region;
+      }
+    }
+    return -1;
+  }
+
+  /** Serves the region's own callers at home as far as it can; answers what is left of them. */
+  private double fillHome(int region) {
+    List<Integer> home = zonesOf(region);
+    double carried = Math.min(demand[region], sumLeft(home));
+    pour(region, home, carried);
+    return demand[region] - carried;
+  }
+
+  /**
+   * Sends what regions cannot serve to the others, by the headroom that these have left.
+   *
+   * <p>All regions pour together, each in proportion to its excess, so that the order of the
+   * contract's regions favours none.
+   */
+  private double[] spill(double[] excess) {
+    double total = 0;
+    for (double one : excess) {
+      total += one;
+    }
+    double[] before = left.clone();
+    double[] spilled = new double[excess.length];
+    for (int from = 0; from < excess.length; from++) {
+      if (excess[from] <= 0) {
+        continue;
+      }
+      double share = excess[from] / total;
+      spilled[from] = spillFrom(from, excess[from], share, before);
+    }
+    return spilled;
+  }
+
+  private double spillFrom(int from, double excess, double share, double[] headroom) {
+    double reachable = 0;
+    double[] room = new double[contract.regions().size()];
+    for (int to = 0; to < room.length; to++) {
+      if (to != from) {
+        room[to] = Math.min(linkLimit(from, to), share * openRoom(to, headroom));
+        reachable += room[to];
+      }
+    }
+    double sent = Math.min(excess, reachable);
+    for (int to = 0; to < room.length && reachable > 0; to++) {
+      if (room[to] > 0) {
+        pour(from, openZonesOf(to), sent * room[to] / reachable);
+      }
+    }
+    return sent;
+  }
+
+  private double openRoom(int region, double[] headroom) {
+    double room = 0;
+    for (int zone : openZonesOf(region)) {
+      room += headroom[zone];
+    }
+    return room;
+  }
+
+  private double linkLimit(int from, int to) {
+    String fromName = contract.regions().get(from).name();
+    String toName = contract.regions().get(to).name();
+    for (Contract.LinkLimit limit : contract.linkLimits()) {
+      if (limit.from().equals(fromName) && limit.to().equals(toName)) {
+        return limit.requestsPerSecond();
+      }
+    }
+    return Double.MAX_VALUE;
+  }
+
+  /** What nobody can carry stays at home, where it waits or is refused; abroad only if it must. */
+  private void keep(int region, double rest) {
+    if (rest <= 0) {
+      return;
+    }
+    List<Integer> places = withCapacity(zonesOf(region));
+    if (places.isEmpty()) {
+      places = withCapacity(allZones());
+    }
+    double capacity = 0;
+    for (int zone : places) {
+      capacity += zones.get(zone).capacityPerSecond();
+    }
+    for (int zone : places) {
+      flow[region][zone] += rest * zones.get(zone).capacityPerSecond() / capacity;
+    }
+  }
+
+  private void pour(int region, List<Integer> places, double amount) {
+    double room = sumLeft(places);
+    if (room <= 0 || amount <= 0) {
+      return;
+    }
+    double poured = Math.min(amount, room);
+    for (int zone : places) {
+      double part = poured * left[zone] / room;
+      flow[region][zone] += part;
+      left[zone] -= part;
+    }
+  }
+
+  private double sumLeft(List<Integer> places) {
+    double sum = 0;
+    for (int zone : places) {
+      sum += left[zone];
+    }
+    return sum;
+  }
+
+  private List<Integer> zonesOf(int region) {
+    List<Integer> found = new ArrayList<>();
+    for (int zone = 0; zone < zones.size(); zone++) {
+      if (zones.get(zone).region().equals(contract.regions().get(region).name())) {
+        found.add(zone);
+      }
+    }
+    return found;
+  }
+
+  private List<Integer> openZonesOf(int region) {
+    List<Integer> found = zonesOf(region);
+    found.removeIf(zone -> !zones.get(zone).takesOthers());
+    return found;
+  }
+
+  private List<Integer> allZones() {
+    List<Integer> all = new ArrayList<>();
+    for (int zone = 0; zone < zones.size(); zone++) {
+      all.add(zone);
+    }
+    return all;
+  }
+
+  private List<Integer> withCapacity(List<Integer> places) {
+    places.removeIf(zone -> zones.get(zone).capacityPerSecond() <= 0);
+    return places;
+  }
+
+  private double[][] parts() {
+    for (double[] row : flow) {
+      double sum = 0;
+      for (double one : row) {
+        sum += one;
+      }
+      for (int zone = 0; zone < row.length && sum > 0; zone++) {
+        row[zone] /= sum;
+      }
+    }
+    return flow;
+  }
+}
