--- /dev/null
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/process/Reply.java
@@ -0,0 +1,51 @@
+package org.sageladder.bench.process;
+
+import java.net.http.HttpResponse;
+import org.sageladder.standin.target.AnswerPattern;
+
+/** What a caller saw of one exchange. */
+@SuppressWarnings("ArrayRecordComponent")
+public record Reply(
+    int status, String result, String outcome, String permit, byte[] body, long checksum) {
+  /** An exchange without a whole answer. */
+  public static final Reply NONE = new Reply(0, "", "", "", new byte[0], -1);
+
+  static Reply of(HttpResponse<byte[]> response) {
+    return new Reply(
+        response.statusCode(),
+        header(response, "Sageladder-Result"),
+        header(response, "Sageladder-Outcome"),
+        header(response, "Sageladder-Permit"),
+        response.body(),
+        response.headers().firstValueAsLong("Request-Checksum").orElse(-1));
+  }
+
+  private static String header(HttpResponse<byte[]> response, String name) {
+    return response.headers().firstValue(name).orElse("");
+  }
+
+  /** True where no whole answer came. */
+  public boolean isLost() {
+    return status == 0;
+  }
+
+  /** True where the answer says that the request ran. */
+  public boolean ran() {
+    return outcome.equals("ran");
+  }
+
+  /** True where the answer says that the request was not run. */
+  public boolean notRun() {
+    return outcome.equals("not-run");
+  }
+
+  /** True where this is the target's whole answer to the request with that checksum. */
+  public boolean isAnswerTo(long requestChecksum, long length) {
+    if (checksum != requestChecksum || body.length != length) {
+      return false;
+    }
+    AnswerPattern.Checker checker = AnswerPattern.checker(requestChecksum);
+    checker.add(java.nio.ByteBuffer.wrap(body));
+    return checker.matches();
+  }
+}
