--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -8,9 +8,11 @@
 import java.io.IOException;
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import org.apache.hc.core5.util.Timeout;
+import org.sageladder.core.event.EventBuffer;
 import org.sageladder.core.event.EventKind;
 import org.sageladder.core.event.EventSink;
 import org.sageladder.core.limits.Scheduler;
@@ -32,6 +34,7 @@
 import org.sageladder.entry.settings.EntrySettings;
 import org.sageladder.entry.stop.PermitHandOver;
 import org.sageladder.entry.stop.PlannedStop;
+import org.sageladder.platform.event.EventPage;
 import org.sageladder.platform.store.HttpStore;
 import org.sageladder.platform.store.HttpVmList;
 
@@ -48,6 +51,7 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int CONNECTIONS_PER_HOST = 390;
   private static final Duration POLL = Duration.ofMillis(250);
+  private static final int EVENTS_PER_PAGE = 2_000;
   private static final Duration STOP_GRACE = Duration.ofSeconds(1);
   private static final Duration KEY_PERIOD = Duration.ofDays(1);
 
@@ -60,6 +64,7 @@
   private final HttpListener callers;
   private final HttpListener operators;
   private final EventSink events;
+  private final CountDownLatch drainAsked;
   private final KeyRefresher keys;
   private final PlannedStop plannedStop;
 
@@ -73,6 +78,7 @@
       HttpListener callers,
       HttpListener operators,
       EventSink events,
+      CountDownLatch drainAsked,
       KeyRefresher keys,
       PlannedStop plannedStop) {
     this.keys = keys;
@@ -86,12 +92,14 @@
     this.callers = callers;
     this.operators = operators;
     this.events = events;
+    this.drainAsked = drainAsked;
   }
 
   /** Starts all parts; the ports are open when it returns. */
   public static EntryDaemon start(EntrySettings settings) throws IOException, InterruptedException {
     TimeSource time = TimeSource.system();
-    EventSink events = EventSink.none();
+    EventBuffer events = EventBuffer.holding(settings.eventCapacity(), time);
+    long startedMillis = time.wallMillis();
     PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     new JvmMemoryMetrics().bindTo(metrics);
     Store store = HttpStore.connect(settings.store().uri(), settings.store().timeout());
@@ -101,15 +109,7 @@
     ControlPlane control = StoreControlPlane.start(settings.customer(), store, list, POLL, events);
     OutboundClient client =
         OutboundClient.start(settings.callerLimits().workers(), CONNECTIONS_PER_HOST);
-    GateTable gates =
-        GateTable.create(
-            settings.vm(),
-            settings.zone(),
-            settings.customer(),
-            time,
-            service ->
-                ServiceGate.create(
-                    settings.customer(), service, time, Scheduler.of(timers), events));
+    GateTable gates = gates(settings, time, timers, events);
     PermitKeys permitKeys =
         PermitKeys.of(store, settings.customer(), KEY_PERIOD, new SecureRandom());
     KeyRefresher keys = KeyRefresher.start(permitKeys, time);
@@ -117,23 +117,7 @@
         RequestPath.assemble(
             settings, client, timers, time, events, metrics, control, gates, permitKeys::ring);
     InFlight inFlight = InFlight.create();
-    PlannedStop plannedStop =
-        PlannedStop.of(
-            control,
-            inFlight,
-            path.home(),
-            PermitHandOver.of(
-                settings.vm(),
-                settings.zone(),
-                settings.customer(),
-                control,
-                path.home(),
-                path.codec(),
-                PermitHome.Limits.standard(),
-                client,
-                time),
-            time,
-            PlannedStop.Limits.standard());
+    PlannedStop plannedStop = plannedStop(settings, control, inFlight, path, client, time);
     control.onChange(gates::follow);
     control.onChange(path::follow);
     control.summaries(gates::summaries);
@@ -145,13 +129,25 @@
             settings.callerLimits().workers(),
             settings.callerLimits().headBytes(),
             () -> CallerExchange.create(path.router(), inFlight));
+    CountDownLatch drainAsked = new CountDownLatch(1);
+    OperatorPort operatorPort =
+        OperatorPort.of(
+            settings.vm(),
+            metrics,
+            control,
+            gates,
+            after ->
+                EventPage.of(
+                    settings.vm(), startedMillis, settings.zone(), events, after, EVENTS_PER_PAGE),
+            path.explanation(),
+            drainAsked::countDown);
     HttpListener operators =
         HttpListener.open(
             settings.host(),
             settings.ports().operators(),
             1,
             settings.callerLimits().headBytes(),
-            () -> CallerExchange.create(OperatorPort.of(settings.vm(), metrics, control, gates)));
+            () -> CallerExchange.create(operatorPort));
     events.record(EventKind.STARTED, "", settings.customer(), settings.zone(), 0, settings.vm());
     logger.atInfo().log(
         "%s serves callers on %s:%d and operators on port %d",
@@ -166,10 +162,47 @@
         callers,
         operators,
         events,
+        drainAsked,
         keys,
         plannedStop);
   }
 
+  private static PlannedStop plannedStop(
+      EntrySettings settings,
+      ControlPlane control,
+      InFlight inFlight,
+      RequestPath path,
+      OutboundClient client,
+      TimeSource time) {
+    return PlannedStop.of(
+        control,
+        inFlight,
+        path.home(),
+        PermitHandOver.of(
+            settings.vm(),
+            settings.zone(),
+            settings.customer(),
+            control,
+            path.home(),
+            path.codec(),
+            PermitHome.Limits.standard(),
+            client,
+            time),
+        time,
+        PlannedStop.Limits.standard());
+  }
+
+  private static GateTable gates(
+      EntrySettings settings, TimeSource time, ScheduledExecutorService timers, EventSink events) {
+    return GateTable.create(
+        settings.vm(),
+        settings.zone(),
+        settings.customer(),
+        time,
+        service ->
+            ServiceGate.create(settings.customer(), service, time, Scheduler.of(timers), events));
+  }
+
   private static void gauges(
       PrometheusMeterRegistry metrics, ControlPlane control, String customer) {
     Gauge.builder(
@@ -205,6 +238,11 @@
     return readiness() == ControlPlane.Readiness.READY && known >= members;
   }
 
+  /** Returns once an operator has asked for a planned stop; the caller then stops the daemon. */
+  public void awaitDrainAsked() throws InterruptedException {
+    drainAsked.await();
+  }
+
   /** A planned stop: takes no new duties, lets what is in flight end, then closes. */
   public void stop() throws InterruptedException {
     events.record(EventKind.STOPPING, "", settings.customer(), "", 0, settings.vm());
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestPath.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestPath.java
@@ -22,13 +22,16 @@
 
   private final RequestRouter router;
   private final LookUps lookUps;
+  private final Explanation explanation;
 
   private final PermitHome home;
   private final PermitCodec codec;
 
-  private RequestPath(RequestRouter router, LookUps lookUps, PermitHome home, PermitCodec codec) {
+  private RequestPath(
+      RequestRouter router, LookUps lookUps, TimeSource time, PermitHome home, PermitCodec codec) {
     this.router = router;
     this.lookUps = lookUps;
+    this.explanation = Explanation.of(lookUps, time);
     this.home = home;
     this.codec = codec;
   }
@@ -65,6 +68,7 @@
         new RequestRouter(
             parts, settings.customer(), settings.zone(), control, gates, lookUps, permits, peers),
         lookUps,
+        time,
         home,
         codec);
   }
@@ -92,6 +96,11 @@
     return router;
   }
 
+  /** What operators ask why a look-up is answered as it is. */
+  public Explanation explanation() {
+    return explanation;
+  }
+
   /** Follows a new state. */
   public void follow(ClusterState state) {
     lookUps.follow(state);
