--- a/sageladder-core/src/main/java/org/sageladder/core/permit/PermitKeys.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/permit/PermitKeys.java
@@ -65,6 +65,13 @@
     return ring;
   }
 
+  /** The keys that the store holds, as last read; empty while none were read. Never blocks. */
+  public Optional<KeyRing> storedRing() {
+    List<KeyRing.Key> stored =
+        ring.keys().stream().filter(each -> !each.id().equals(localKey.id())).toList();
+    return stored.isEmpty() ? Optional.empty() : Optional.of(KeyRing.of(stored));
+  }
+
   /**
    * Reads the keys, creates them where there are none and rotates them where the newest is old.
    *
--- a/sageladder-core/src/main/java/org/sageladder/core/spread/RelayDuty.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/spread/RelayDuty.java
@@ -185,6 +185,9 @@
   /** A lease was opened. */
   public void onGranted(long grantedLease) {
     answered();
+    if (step != Step.GRANT) {
+      return;
+    }
     lease = grantedLease;
     step = Step.CLAIM;
   }
@@ -192,7 +195,7 @@
   /** The claim was answered. */
   public void onClaimed(WriteResult result) {
     answered();
-    if (result instanceof WriteResult.Written written) {
+    if (lease != null && result instanceof WriteResult.Written written) {
       hold(written.revision());
       return;
     }
@@ -203,7 +206,7 @@
   /** The renewal was answered. */
   public void onRenewed(boolean stillHeld) {
     answered();
-    if (!stillHeld) {
+    if (lease == null || !stillHeld) {
       stepDown();
       return;
     }
--- a/sageladder-core/src/main/java/org/sageladder/core/spread/Spreader.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/spread/Spreader.java
@@ -126,6 +126,13 @@
     }
   }
 
+  /** A connection with {@code vm} was made: compares with it where it is a neighbour. */
+  public void linkOpened(String vm) {
+    if (neighbours.contains(vm)) {
+      network.send(vm, new SpreadMessage.DigestOffer(table.digest()));
+    }
+  }
+
   /** Asks {@code vm} for everything it has. */
   public boolean requestSnapshot(String vm) {
     return network.send(vm, new SpreadMessage.Versions(table.repairedStamps(), true));
--- a/sageladder-entry/src/main/java/org/sageladder/entry/control/ControlPlane.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/control/ControlPlane.java
@@ -4,7 +4,11 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.sageladder.core.membership.ClusterState;
+import org.sageladder.core.membership.HoldingGuard;
+import org.sageladder.core.membership.TargetReport;
 import org.sageladder.core.membership.ZoneSummary;
+import org.sageladder.core.spread.PeerMessages;
+import org.sageladder.protocol.ZoneReport;
 
 /** How an entry VM learns of contracts, members and targets, and tells others of itself. */
 public interface ControlPlane extends AutoCloseable {
@@ -33,6 +37,32 @@
   /** Whether this entry VM may serve what needs a contract. */
   Readiness readiness();
 
+  /** Names where reports on the targets that this entry VM holds or still uses come from. */
+  default void targets(Supplier<List<TargetReport>> own) {}
+
+  /** Says, before each dispatch, how many slots of a holding may be used now. */
+  default HoldingGuard guard() {
+    return HoldingGuard.trusting();
+  }
+
+  /** Tells peers where callers reach this entry VM; only then does it join its zone's view. */
+  default void serving(int callersPort) {}
+
+  /** Small payloads to other entry VMs. */
+  default PeerMessages messages() {
+    return PeerMessages.none();
+  }
+
+  /** Latest report of each zone: lowest revision in force and who lags. */
+  default List<ZoneReport> reports() {
+    return List.of();
+  }
+
+  /** Whether this entry VM is its zone's relay now. */
+  default boolean relaying() {
+    return false;
+  }
+
   @Override
   void close();
 }
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/control/PeerDirectory.java
@@ -0,0 +1,166 @@
+package org.sageladder.entry.control;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.random.RandomGenerator;
+import org.sageladder.core.membership.Member;
+import org.sageladder.core.membership.RelayedView;
+import org.sageladder.core.membership.Rendezvous;
+import org.sageladder.core.platform.ListedVm;
+import org.sageladder.core.platform.VmRole;
+import org.sageladder.core.spread.Overlay;
+import org.sageladder.protocol.PeerAddress;
+
+/** Which peers there are, from the views and, where there is no view yet, the platform's list. */
+final class PeerDirectory {
+  private static final int TREE_FAN_OUT = 2;
+  private static final int OTHER_ZONES_TO_COMPARE_WITH = 2;
+
+  private final ControlIdentity identity;
+  private final RandomGenerator random;
+  private final Map<String, ListedVm> listed = new TreeMap<>();
+
+  PeerDirectory(ControlIdentity identity, RandomGenerator random) {
+    this.identity = identity;
+    this.random = random;
+  }
+
+  /** Takes in the platform's list; returns the addresses it tells. */
+  List<PeerAddress> listed(List<ListedVm> lines) {
+    listed.clear();
+    List<PeerAddress> addresses = new ArrayList<>();
+    for (ListedVm line : lines) {
+      boolean peer =
+          line.role() == VmRole.ENTRY
+              && line.customer().equals(identity.customer())
+              && line.innerPort() > 0
+              && !line.id().equals(identity.vm());
+      if (peer) {
+        listed.put(line.id(), line);
+        addresses.add(new PeerAddress(line.id(), line.host(), line.innerPort()));
+      }
+    }
+    return addresses;
+  }
+
+  /** Addresses that a view tells. */
+  List<PeerAddress> addresses(RelayedView view) {
+    return view.view().members().stream()
+        .filter(member -> !member.vm().equals(identity.vm()))
+        .map(member -> new PeerAddress(member.vm(), member.host(), member.innerPort()))
+        .toList();
+  }
+
+  /**
+   * Whom to ask for a first snapshot: a few VMs of the own zone, one of another, and seeds.
+   *
+   * @param most how many, so that a fresh VM does not load all its peers
+   */
+  List<String> snapshotPeers(Set<String> seeds, Map<String, RelayedView> views, int most) {
+    List<String> own = new ArrayList<>();
+    List<String> others = new ArrayList<>(seeds);
+    for (ListedVm line : listed.values()) {
+      (line.zone().equals(identity.zone()) ? own : others).add(line.id());
+    }
+    for (RelayedView view : views.values()) {
+      for (Member member : view.view().members()) {
+        (member.zone().equals(identity.zone()) ? own : others).add(member.vm());
+      }
+    }
+    Set<String> chosen = new LinkedHashSet<>();
+    pick(own, most - 1, chosen);
+    pick(others, most, chosen);
+    chosen.remove(identity.vm());
+    return List.copyOf(chosen);
+  }
+
+  /** Who gets new items from this VM at once. */
+  Set<String> neighbours(Map<String, RelayedView> views, boolean relaying) {
+    Set<String> neighbours = new HashSet<>();
+    RelayedView own = views.get(identity.zone());
+    if (own != null) {
+      List<String> names = own.view().members().stream().map(Member::vm).toList();
+      neighbours.addAll(Overlay.zoneTree(names, own.relay(), identity.vm(), TREE_FAN_OUT));
+    }
+    if (relaying) {
+      for (String zone : Overlay.zoneNeighbours(zones(views), identity.zone())) {
+        RelayedView view = views.get(zone);
+        if (view == null) {
+          Rendezvous.choose(identity.zone(), listedIn(zone)).ifPresent(neighbours::add);
+        } else {
+          neighbours.add(view.relay());
+        }
+      }
+    }
+    neighbours.remove(identity.vm());
+    return neighbours;
+  }
+
+  /** Whom to compare with at random: all of the own zone, and a few of others. */
+  List<String> comparisonPeers(Map<String, RelayedView> views) {
+    Set<String> peers = new TreeSet<>(listedIn(identity.zone()));
+    RelayedView own = views.get(identity.zone());
+    if (own != null) {
+      peers.clear();
+      own.view().members().forEach(member -> peers.add(member.vm()));
+    }
+    List<String> others = new ArrayList<>();
+    for (String zone : zones(views)) {
+      if (!zone.equals(identity.zone())) {
+        RelayedView view = views.get(zone);
+        if (view == null) {
+          others.addAll(listedIn(zone));
+        } else {
+          others.add(view.relay());
+        }
+      }
+    }
+    pick(others, OTHER_ZONES_TO_COMPARE_WITH, peers);
+    peers.remove(identity.vm());
+    return List.copyOf(peers);
+  }
+
+  /** This VM's place among those that follow a relay that fell silent; 0 is first. */
+  int rank(Map<String, RelayedView> views) {
+    Set<String> candidates = new TreeSet<>();
+    RelayedView own = views.get(identity.zone());
+    if (own == null) {
+      candidates.addAll(listedIn(identity.zone()));
+    } else {
+      for (Member member : own.view().members()) {
+        if (!member.leaving() && !member.vm().equals(own.relay())) {
+          candidates.add(member.vm());
+        }
+      }
+    }
+    candidates.add(identity.vm());
+    return Rendezvous.order(identity.zone(), candidates).indexOf(identity.vm());
+  }
+
+  private List<String> zones(Map<String, RelayedView> views) {
+    Set<String> zones = new TreeSet<>(views.keySet());
+    zones.add(identity.zone());
+    listed.values().forEach(line -> zones.add(line.zone()));
+    return List.copyOf(zones);
+  }
+
+  private List<String> listedIn(String zone) {
+    return listed.values().stream()
+        .filter(line -> line.zone().equals(zone))
+        .map(ListedVm::id)
+        .toList();
+  }
+
+  private void pick(List<String> from, int most, Set<String> into) {
+    List<String> left = new ArrayList<>(new TreeSet<>(from));
+    for (int i = 0; i < most && !left.isEmpty(); i++) {
+      into.add(left.remove(random.nextInt(left.size())));
+    }
+  }
+}
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestPath.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestPath.java
@@ -28,11 +28,7 @@
   private final PermitCodec codec;
 
   private RequestPath(
-      RequestRouter router,
-      LookUps lookUps,
-      TimeSource time,
-      PermitHome home,
-      PermitCodec codec) {
+      RequestRouter router, LookUps lookUps, TimeSource time, PermitHome home, PermitCodec codec) {
     this.router = router;
     this.lookUps = lookUps;
     this.explanation = Explanation.of(lookUps, time);
