--- a/sageladder-bench/src/main/java/org/sageladder/bench/capacity/Capacity.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/capacity/Capacity.java
@@ -13,9 +13,12 @@
 
   private Capacity() {}
 
-  /** Code slopes always; with {@code --full} also those of fleets of processes. */
+  /** Code slopes always; with {@code --full} also those of control, which take two minutes. */
   public static void main(String[] args) throws Exception {
     List<Line> lines = new ArrayList<>(CodeSlopes.measure());
+    if (args.length > 0 && args[0].equals("--full")) {
+      lines.addAll(ControlSlopes.measure());
+    }
     double worst = 0;
     String where = "";
     for (Line line : lines) {
--- a/sageladder-bench/src/main/java/org/sageladder/bench/capacity/CodeSlopes.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/capacity/CodeSlopes.java
@@ -80,7 +80,7 @@
             "time to check and parse a contract",
             "us",
             "zone",
-            fit(ZONES, CodeSlopes::contractMicros),
+            fit(new int[] {94, 188, 376, 564, 752}, CodeSlopes::contractMicros),
             TargetSize.ZONES,
             "platform.contract.ContractYaml"));
     lines.add(
