--- a/sageladder-tools/src/main/java/org/sageladder/tools/load/Checks.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/Checks.java
@@ -151,6 +151,7 @@
     long[] started = samples.started(chosen);
     long signed = fault.atNanos();
     long lastStart = signed;
+    long before = 0;
     long idle = -1;
     for (int step = 1; step < samples.steps(); step++) {
       long at = samples.atNanos().get(step);
@@ -159,16 +160,18 @@
         lastStart = at;
       }
       boolean isIdle = reading.busy() + reading.queued() == 0;
-      if (at > signed) {
+      if (at <= signed) {
+        before = started[step];
+      } else {
         idle = isIdle ? (idle < 0 ? at : idle) : -1;
       }
     }
     long late = lastStart - signed;
     add(
         "leaving target " + fault.hit() + " gets no new work",
-        late <= limits.noNewWorkAfter().toNanos(),
-        "last start " + millis(late) + " after the sign",
-        "at most " + millis(limits.noNewWorkAfter().toNanos()));
+        before > 0 && late <= limits.noNewWorkAfter().toNanos(),
+        before + " starts before the sign, the last " + millis(late) + " after it",
+        "some before, at most " + millis(limits.noNewWorkAfter().toNanos()) + " after");
     add(
         "drain time of " + fault.hit(),
         idle >= 0 && idle - signed <= limits.drainWithin().toNanos(),
--- a/sageladder-tools/src/main/java/org/sageladder/tools/load/Report.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/Report.java
@@ -136,6 +136,25 @@
             + " answers only, so it is to be read beside their share. 'outside region' is the share"
             + " of whole answers from a target outside the caller's region, each of which would"
             + " pay the contract's delay between regions twice.\n");
+    breaches();
+  }
+
+  /** What the same checks say of each variant, so that a baseline's speed is read with its cost. */
+  private void breaches() {
+    markdown.append("\n");
+    for (VariantResult variant : variants) {
+      List<String> failed = new ArrayList<>();
+      for (CheckResult check : Checks.of(variant)) {
+        if (!check.holds()) {
+          failed.add(check.name() + " (" + check.measured() + ")");
+        }
+      }
+      markdown
+          .append("- ")
+          .append(variant.name())
+          .append(failed.isEmpty() ? ": every check holds" : " fails: " + String.join("; ", failed))
+          .append(".\n");
+    }
   }
 
   private void compare(String service, VariantResult variant) {
