sageladder-load: the run without caps accepts a changed contract

Cause: with caps disabled the changed contract failed the check of contracts, because a window of 100 ms admits less than one request more. Change: the window without caps is one second, in which a place may gain its whole capacity.

--- a/sageladder-tools/src/main/java/org/sageladder/tools/load/LoadMain.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/LoadMain.java
@@ -21,7 +21,7 @@
 /** Entry point of {@code sageladder-load}. */
 public final class LoadMain {
   private static final String USAGE = "sageladder-load EXPERIMENT.yaml [options]";
-  private static final ShiftCap NO_CAP = new ShiftCap(1, Duration.ofMillis(100));
+  private static final ShiftCap NO_CAP = new ShiftCap(1, Duration.ofSeconds(1));
 
   private LoadMain() {}
 
