--- /dev/null
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/policy/Arrivals.java
@@ -0,0 +1,50 @@
+package org.sageladder.bench.policy;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+/** The same random arrivals for every policy that is run with the same seed. */
+final class Arrivals {
+  static final int TICKS = 50;
+  static final Duration TICK = Duration.ofMillis(1000 / TICKS);
+
+  private final Setup setup;
+  private final Demand demand;
+  private final Random random;
+
+  Arrivals(Setup setup, Demand demand) {
+    this.setup = setup;
+    this.demand = demand;
+    this.random = new Random(setup.seed() * 31 + 7);
+  }
+
+  /** Home regions of the requests that come in one tick, mixed. */
+  List<Integer> of(int tick) {
+    List<Integer> homes = new ArrayList<>();
+    for (int region = 0; region < setup.regions(); region++) {
+      double mean = demand.perSecond(region, (double) tick / TICKS) / TICKS;
+      for (int i = poisson(mean); i > 0; i--) {
+        homes.add(random.nextInt(homes.size() + 1), region);
+      }
+    }
+    return homes;
+  }
+
+  private int poisson(double mean) {
+    double limit = Math.exp(-mean);
+    double product = random.nextDouble();
+    int count = 0;
+    while (product > limit) {
+      product *= random.nextDouble();
+      count++;
+    }
+    return count;
+  }
+
+  /** Half to one and a half of the planned time. */
+  static Duration serviceTime(Setup setup, Random random) {
+    return Duration.ofNanos((long) (setup.meanMillis() * 1e6 * (0.5 + random.nextDouble())));
+  }
+}
--- /dev/null
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/policy/EntryVm.java
@@ -0,0 +1,89 @@
+package org.sageladder.bench.policy;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.sageladder.core.event.EventSink;
+import org.sageladder.core.limits.GateNumbers;
+import org.sageladder.core.limits.ServiceGate;
+import org.sageladder.core.membership.ClusterState;
+import org.sageladder.core.membership.Holding;
+import org.sageladder.core.membership.Member;
+import org.sageladder.core.membership.ZoneSummary;
+import org.sageladder.core.steering.LookUpTable;
+import org.sageladder.core.steering.SteeringInputs;
+
+/** One entry VM of a run: a real gate and a real table, fed by hand. */
+final class EntryVm {
+  private static final double DEMAND_SMOOTHING = 0.3;
+
+  final int region;
+  final String zone;
+  final String name;
+  final List<Holding> holdings = new ArrayList<>();
+  LookUpTable table = LookUpTable.build(ClusterState.empty(), SteeringInputs.at(0));
+  ServiceGate gate;
+  long incarnation = 1;
+  int asked;
+  double demandPerSecond;
+
+  EntryVm(Setup setup, Agenda agenda, int region, String zone, int number) {
+    this.region = region;
+    this.zone = zone;
+    this.name = zone + "v" + number;
+    for (int t = 0; t < setup.targetsPerVm(); t++) {
+      holdings.add(
+          new Holding(
+              name + "t" + t,
+              Setup.CUSTOMER,
+              Setup.SERVICE,
+              "127.0.0.1",
+              1,
+              1,
+              name,
+              setup.slots(),
+              false));
+    }
+    this.gate = newGate(setup, agenda);
+    gate.holdings(holdings);
+  }
+
+  private static ServiceGate newGate(Setup setup, Agenda agenda) {
+    return ServiceGate.create(
+        Setup.CUSTOMER, setup.service(), agenda.time(), agenda, EventSink.none());
+  }
+
+  /** Loses all memory, as a new process would, and gets the same targets back. */
+  void restart(Setup setup, Agenda agenda) {
+    gate.close();
+    incarnation++;
+    gate = newGate(setup, agenda);
+    gate.holdings(holdings, Set.copyOf(holdings.stream().map(Holding::target).toList()));
+    asked = 0;
+  }
+
+  Member member() {
+    return new Member(name, zone, incarnation, "127.0.0.1", 1, 2, false);
+  }
+
+  /** Call once a second. */
+  void measureDemand() {
+    demandPerSecond += DEMAND_SMOOTHING * (asked - demandPerSecond);
+    asked = 0;
+  }
+
+  ZoneSummary summary(long nowMillis) {
+    GateNumbers numbers = gate.numbers();
+    return new ZoneSummary(
+        zone,
+        Setup.CUSTOMER,
+        Setup.SERVICE,
+        nowMillis,
+        numbers.slots(),
+        numbers.busy(),
+        numbers.queued(),
+        numbers.admittedPerSecond(),
+        numbers.ceilingPerSecond(),
+        demandPerSecond);
+  }
+}
--- /dev/null
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/policy/World.java
@@ -0,0 +1,289 @@
+package org.sageladder.bench.policy;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.IntPredicate;
+import org.jspecify.annotations.Nullable;
+import org.sageladder.core.limits.Admission;
+import org.sageladder.core.limits.AdmissionRequest;
+import org.sageladder.core.membership.ClusterState;
+import org.sageladder.core.membership.Holding;
+import org.sageladder.core.membership.Member;
+import org.sageladder.core.membership.ZoneSummary;
+import org.sageladder.core.membership.ZoneView;
+import org.sageladder.core.steering.LookUpTable;
+import org.sageladder.core.steering.Route;
+import org.sageladder.core.steering.SteeringInputs;
+
+/**
+ * Callers, entry VMs and targets of one service on a virtual clock: real gates and tables, and
+ * between them only delays, losses and cut links.
+ */
+final class World {
+  private static final int CLIENTS = 100;
+  private static final long TTL_NANOS = Duration.ofSeconds(2).toNanos();
+
+  /** Who picks the entry VM for a caller. */
+  enum Policy {
+    /** The table of a random entry VM of the caller's region. */
+    STEERED,
+    /** Any gate of the caller's region. */
+    LOCAL,
+    /** Any gate. */
+    RANDOM,
+    /** Idle slots by delayed readings, the first and obvious policy. */
+    IDLE_SLOTS
+  }
+
+  private final Setup setup;
+  private final Policy policy;
+  private final Agenda agenda = new Agenda();
+  private final Tally tally;
+  private final Arrivals arrivals;
+  private final Random random;
+  private final Random service;
+  private final List<EntryVm> vms = new ArrayList<>();
+  private final Map<String, EntryVm> byName = new HashMap<>();
+  private final Map<String, ZoneView> views = new HashMap<>();
+  private final List<List<ZoneSummary>> history = new ArrayList<>();
+  private final Client[][] clients;
+  private final Oscillation oscillation;
+  private IntPredicate cutRegion = region -> false;
+
+  private static final class Client {
+    private @Nullable EntryVm route;
+    private long expires;
+  }
+
+  World(Setup setup, Demand demand, Policy policy) {
+    this.setup = setup;
+    this.policy = policy;
+    this.tally = new Tally(setup);
+    this.arrivals = new Arrivals(setup, demand);
+    this.random = new Random(setup.seed() + 1);
+    this.service = new Random(setup.seed());
+    this.clients = new Client[setup.regions()][CLIENTS];
+    for (int region = 0; region < setup.regions(); region++) {
+      makeRegion(region);
+    }
+    refreshViews();
+    this.oscillation = new Oscillation(setup.regions(), vms.size());
+  }
+
+  private void makeRegion(int region) {
+    for (int zone = 0; zone < setup.zonesPerRegion(); zone++) {
+      for (int n = 0; n < setup.vmsPerZone(); n++) {
+        EntryVm vm = new EntryVm(setup, agenda, region, "r" + region + "z" + zone, n);
+        vms.add(vm);
+        byName.put(vm.name, vm);
+      }
+    }
+    for (int i = 0; i < CLIENTS; i++) {
+      clients[region][i] = new Client();
+    }
+  }
+
+  private void refreshViews() {
+    Map<String, List<Member>> members = new HashMap<>();
+    Map<String, List<Holding>> holdings = new HashMap<>();
+    for (EntryVm vm : vms) {
+      members.computeIfAbsent(vm.zone, zone -> new ArrayList<>()).add(vm.member());
+      holdings.computeIfAbsent(vm.zone, zone -> new ArrayList<>()).addAll(vm.holdings);
+    }
+    for (String zone : members.keySet()) {
+      views.put(
+          zone,
+          new ZoneView(
+              zone,
+              1,
+              members.getOrDefault(zone, List.of()),
+              holdings.getOrDefault(zone, List.of())));
+    }
+  }
+
+  /** Regions that hear nothing of others, and are not heard, while the predicate says so. */
+  void cut(IntPredicate regions) {
+    cutRegion = regions;
+  }
+
+  void restart(int vm) {
+    vms.get(vm).restart(setup, agenda);
+  }
+
+  Tally tally() {
+    return tally;
+  }
+
+  Oscillation oscillation() {
+    return oscillation;
+  }
+
+  long nowNanos() {
+    return agenda.time().nanos();
+  }
+
+  int vmCount() {
+    return vms.size();
+  }
+
+  static Tally run(Setup setup, Demand demand, Policy policy, int seconds) {
+    World world = new World(setup, demand, policy);
+    world.run(seconds);
+    return world.tally();
+  }
+
+  void run(int seconds) {
+    int first = (int) Math.round(agenda.seconds() * Arrivals.TICKS);
+    for (int tick = first; tick < first + seconds * Arrivals.TICKS; tick++) {
+      if (tick % Arrivals.TICKS == 0) {
+        everySecond();
+      }
+      for (int region : arrivals.of(tick)) {
+        arrive(region);
+      }
+      agenda.advance(Arrivals.TICK);
+    }
+  }
+
+  private void everySecond() {
+    vms.forEach(EntryVm::measureDemand);
+    List<ZoneSummary> now = new ArrayList<>();
+    vms.forEach(vm -> now.add(vm.summary(agenda.time().wallMillis())));
+    history.add(now);
+    for (int i = 0; i < vms.size(); i++) {
+      EntryVm vm = vms.get(i);
+      ClusterState state =
+          new ClusterState(Map.of(Setup.CUSTOMER, setup.contract()), views, heardBy(vm));
+      SteeringInputs inputs = SteeringInputs.after(vm.table, agenda.time().wallMillis());
+      vm.table = LookUpTable.build(state, inputs);
+      oscillation.sample(i, remoteParts(vm));
+    }
+  }
+
+  private double[] remoteParts(EntryVm vm) {
+    double[] remote = new double[setup.regions()];
+    int zones = setup.regions() * setup.zonesPerRegion();
+    for (int region = 0; region < setup.regions(); region++) {
+      for (int zone = 0; zone < zones; zone++) {
+        double part =
+            policy == Policy.IDLE_SLOTS
+                ? idlePart(vm, zone)
+                : vm.table.part(Setup.CUSTOMER, Setup.SERVICE, region, zone);
+        remote[region] += zone / setup.zonesPerRegion() == region ? 0 : part;
+      }
+    }
+    return remote;
+  }
+
+  /** The latest summary of each entry VM that has reached {@code listener}. */
+  private List<ZoneSummary> heardBy(EntryVm listener) {
+    List<ZoneSummary> heard = new ArrayList<>();
+    int delaySeconds = (int) Math.ceil(setup.readingDelayMillis() / 1000.0);
+    for (int i = 0; i < vms.size(); i++) {
+      EntryVm teller = vms.get(i);
+      int delay = teller.region == listener.region ? 0 : delaySeconds;
+      ZoneSummary latest = latest(listener, teller, i, history.size() - 1 - delay);
+      if (latest != null) {
+        heard.add(latest);
+      }
+    }
+    return heard;
+  }
+
+  private final Map<String, ZoneSummary> lastHeard = new HashMap<>();
+
+  private @Nullable ZoneSummary latest(EntryVm listener, EntryVm teller, int index, int at) {
+    String link = listener.name + ' ' + teller.name;
+    boolean apart = listener.region != teller.region;
+    boolean cut = apart && (cutRegion.test(listener.region) || cutRegion.test(teller.region));
+    boolean arrives = at >= 0 && !cut && random.nextDouble() >= setup.readingLoss();
+    if (arrives) {
+      lastHeard.put(link, history.get(at).get(index));
+    }
+    return lastHeard.get(link);
+  }
+
+  private void arrive(int region) {
+    tally.offered();
+    Client client = clients[region][random.nextInt(CLIENTS)];
+    if (client.route == null || agenda.time().nanos() >= client.expires) {
+      client.route = choose(region);
+      client.expires = agenda.time().nanos() + TTL_NANOS;
+    }
+    EntryVm asked = randomVm(region);
+    asked.asked++;
+    EntryVm chosen = client.route;
+    if (chosen == null) {
+      return;
+    }
+    if (chosen.region != region && (cutRegion.test(region) || cutRegion.test(chosen.region))) {
+      client.route = null;
+      return;
+    }
+    long deadline = agenda.time().nanos() + Duration.ofSeconds(5).toNanos();
+    chosen.gate.request(
+        new AdmissionRequest("", deadline, "", ""),
+        admission -> decided(admission, chosen, region));
+  }
+
+  private void decided(Admission admission, EntryVm vm, int home) {
+    if (!(admission instanceof Admission.Admitted yes)) {
+      return;
+    }
+    String target = yes.slot().target().target();
+    tally.admitted(target, "r" + vm.region, "r" + home, agenda.time().nanos());
+    agenda.runAfter(
+        Arrivals.serviceTime(setup, service),
+        () -> {
+          tally.answered(target);
+          yes.slot().release(Admission.Completion.ANSWERED);
+        });
+  }
+
+  private EntryVm randomVm(int region) {
+    int perRegion = setup.zonesPerRegion() * setup.vmsPerZone();
+    return vms.get(region * perRegion + random.nextInt(perRegion));
+  }
+
+  private @Nullable EntryVm choose(int region) {
+    return switch (policy) {
+      case LOCAL -> randomVm(region);
+      case RANDOM -> vms.get(random.nextInt(vms.size()));
+      case IDLE_SLOTS -> idlest(randomVm(region));
+      case STEERED -> steered(region);
+    };
+  }
+
+  private @Nullable EntryVm steered(int region) {
+    Route route =
+        randomVm(region).table.lookUp(Setup.CUSTOMER, Setup.SERVICE, region, random.nextLong());
+    return route == null ? null : byName.get(route.entries().get(0).vm());
+  }
+
+  private EntryVm idlest(EntryVm asked) {
+    double point = random.nextDouble();
+    int zones = setup.regions() * setup.zonesPerRegion();
+    for (int zone = 0; zone < zones; zone++) {
+      point -= idlePart(asked, zone);
+      if (point < 0) {
+        return vms.get(zone * setup.vmsPerZone() + random.nextInt(setup.vmsPerZone()));
+      }
+    }
+    return randomVm(asked.region);
+  }
+
+  private double idlePart(EntryVm asked, int zone) {
+    double idle = 0;
+    double all = 0;
+    for (ZoneSummary summary : heardBy(asked)) {
+      double free = Math.max(0, summary.slots() - summary.busy() - summary.queued());
+      all += free;
+      idle += summary.zone().equals(vms.get(zone * setup.vmsPerZone()).zone) ? free : 0;
+    }
+    return all == 0 ? 0 : idle / all;
+  }
+}
