Entry: the daemon learns of contracts, members and targets through relays

The daemon polled the store four times a second and computed every view itself. It now runs the control plane with relays, publishes its inner port and control meters, and joins its zone's view once its callers' port is open.

--- a/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalSystem.java
+++ b/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalSystem.java
@@ -121,7 +121,7 @@
             zone,
             HOST,
             daemon.callersPort(),
-            0,
+            daemon.innerPort(),
             1,
             false));
   }
--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -17,13 +18,18 @@
 import org.sageladder.core.event.EventSink;
 import org.sageladder.core.limits.Scheduler;
 import org.sageladder.core.limits.ServiceGate;
+import org.sageladder.core.membership.Member;
 import org.sageladder.core.permit.PermitHome;
 import org.sageladder.core.permit.PermitKeys;
 import org.sageladder.core.platform.VmList;
 import org.sageladder.core.store.Store;
+import org.sageladder.core.store.StoreException;
 import org.sageladder.core.time.TimeSource;
+import org.sageladder.entry.control.ControlMetrics;
 import org.sageladder.entry.control.ControlPlane;
-import org.sageladder.entry.control.StoreControlPlane;
+import org.sageladder.entry.control.ControlSettings;
+import org.sageladder.entry.control.Incarnations;
+import org.sageladder.entry.control.RelayControlPlane;
 import org.sageladder.entry.exchange.CallerExchange;
 import org.sageladder.entry.exchange.InFlight;
 import org.sageladder.entry.exchange.OutboundClient;
@@ -37,6 +43,7 @@
 import org.sageladder.platform.event.EventPage;
 import org.sageladder.platform.store.HttpStore;
 import org.sageladder.platform.store.HttpVmList;
+import org.sageladder.protocol.PeerAddress;
 
 /**
  * One entry VM's daemon: look-ups, gates and the path of each request.
@@ -50,14 +57,13 @@
 public final class EntryDaemon implements AutoCloseable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int CONNECTIONS_PER_HOST = 390;
-  private static final Duration POLL = Duration.ofMillis(250);
   private static final int EVENTS_PER_PAGE = 2_000;
   private static final Duration STOP_GRACE = Duration.ofSeconds(1);
   private static final Duration KEY_PERIOD = Duration.ofDays(1);
 
   private final EntrySettings settings;
   private final Store store;
-  private final ControlPlane control;
+  private final RelayControlPlane control;
   private final ScheduledExecutorService timers;
   private final OutboundClient client;
   private final GateTable gates;
@@ -71,7 +77,7 @@
   private EntryDaemon(
       EntrySettings settings,
       Store store,
-      ControlPlane control,
+      RelayControlPlane control,
       ScheduledExecutorService timers,
       OutboundClient client,
       GateTable gates,
@@ -106,13 +112,14 @@
     VmList list = HttpVmList.connect(settings.vmList().uri(), settings.store().timeout());
     ScheduledExecutorService timers =
         Executors.newScheduledThreadPool(2, task -> new Thread(task, "timers"));
-    ControlPlane control = StoreControlPlane.start(settings.customer(), store, list, POLL, events);
-    OutboundClient client =
-        OutboundClient.start(settings.callerLimits().workers(), CONNECTIONS_PER_HOST);
-    GateTable gates = gates(settings, time, timers, events);
     PermitKeys permitKeys =
         PermitKeys.of(store, settings.customer(), KEY_PERIOD, new SecureRandom());
     KeyRefresher keys = KeyRefresher.start(permitKeys, time);
+    RelayControlPlane control = controlPlane(settings, store, list, permitKeys, time, events);
+    ControlMetrics.bind(metrics, control);
+    OutboundClient client =
+        OutboundClient.start(settings.callerLimits().workers(), CONNECTIONS_PER_HOST);
+    GateTable gates = gates(settings, time, timers, events);
     RequestPath path =
         RequestPath.assemble(
             settings, client, timers, time, events, metrics, control, gates, permitKeys::ring);
@@ -129,6 +136,7 @@
             settings.callerLimits().workers(),
             settings.callerLimits().headBytes(),
             () -> CallerExchange.create(path.router(), inFlight));
+    control.serving(callers.port());
     CountDownLatch drainAsked = new CountDownLatch(1);
     OperatorPort operatorPort =
         OperatorPort.of(
@@ -203,6 +211,41 @@
             ServiceGate.create(settings.customer(), service, time, Scheduler.of(timers), events));
   }
 
+  private static RelayControlPlane controlPlane(
+      EntrySettings settings,
+      Store store,
+      VmList list,
+      PermitKeys keys,
+      TimeSource time,
+      EventSink events)
+      throws IOException {
+    long incarnation;
+    try {
+      incarnation =
+          Incarnations.atStart(
+              settings.incarnation(), settings.customer(), settings.vm(), store, time);
+    } catch (StoreException e) {
+      throw new IOException(
+          "incarnation.source is store, and the store gives no answer: " + e.getMessage(), e);
+    }
+    Member self =
+        new Member(
+            settings.vm(),
+            settings.zone(),
+            incarnation,
+            settings.host(),
+            0,
+            settings.ports().inner(),
+            false);
+    List<PeerAddress> seeds =
+        settings.seeds().stream()
+            .map(seed -> new PeerAddress("", seed.host(), seed.port()))
+            .toList();
+    ControlSettings control =
+        new ControlSettings(settings.customer(), self, seeds, settings.vmList().every());
+    return RelayControlPlane.start(control, store, list, keys::storedRing, time, events);
+  }
+
   private static void gauges(
       PrometheusMeterRegistry metrics, ControlPlane control, String customer) {
     Gauge.builder(
@@ -221,6 +264,11 @@
     return callers.port();
   }
 
+  /** The port that peers use. */
+  public int innerPort() {
+    return control.innerPort();
+  }
+
   /** The port that operators' tools use. */
   public int operatorsPort() {
     return operators.port();
