Bench: time from acceptance of a contract to in force on 42 processes

Spread was not measured. bench/spread starts 42 entry VMs in 6 zones as processes with 40 MB heaps and reads from each one's events when a revision came into force there; times run from before the write was sent.

--- /dev/null
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/fleet/Fleet.java
@@ -0,0 +1,386 @@
+package org.sageladder.bench.fleet;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.core.event.Event;
+import org.sageladder.core.event.EventKind;
+import org.sageladder.core.platform.ListedVm;
+import org.sageladder.core.platform.VmRole;
+import org.sageladder.core.store.Store;
+import org.sageladder.core.store.StoreException;
+import org.sageladder.core.store.StoredValue;
+import org.sageladder.core.store.WriteResult;
+import org.sageladder.platform.contract.StoredContract;
+import org.sageladder.platform.store.HttpStore;
+import org.sageladder.standin.store.StoreServer;
+import org.sageladder.tools.http.HttpCaller;
+
+/**
+ * Entry VMs as processes of their own, with a store stand-in in this one.
+ *
+ * <pre>{@code
+ * try (Fleet fleet = Fleet.start(new FleetOptions(Contracts.of(6, 24, 100), 7, 32))) {
+ *   fleet.awaitRevision(fleet.accept(changed).revision(), Duration.ofSeconds(10), vm -> true);
+ * }
+ * }</pre>
+ */
+public final class Fleet implements AutoCloseable {
+  private static final String HOST = "127.0.0.1";
+  private static final Duration CALL_TIMEOUT = Duration.ofSeconds(3);
+  private static final int STARTS_AT_ONCE = 4;
+  private static final int PORTS_PER_VM = 1;
+
+  private final FleetOptions options;
+  private final Path folder;
+  private final StoreServer store;
+  private final HttpStore client;
+  private final HttpCaller caller;
+  private final Map<String, FleetVm> vms = new LinkedHashMap<>();
+  private final Map<String, ListedVm> listed = new LinkedHashMap<>();
+  private final Map<String, TreeMap<Long, Long>> inForce = new LinkedHashMap<>();
+  private final List<String> reverts = new ArrayList<>();
+  private final Map<String, Long> lastRevision = new LinkedHashMap<>();
+
+  private Fleet(FleetOptions options) throws IOException {
+    this.options = options;
+    this.folder = Files.createTempDirectory("sageladder-fleet");
+    this.store = StoreServer.start(HOST, 0);
+    this.client = HttpStore.connect(store.address(), CALL_TIMEOUT);
+    this.caller = HttpCaller.withTimeout(CALL_TIMEOUT);
+  }
+
+  /** Stores the contract, starts all entry VMs and waits until it is in force at each. */
+  public static Fleet start(FleetOptions options)
+      throws IOException, InterruptedException, StoreException {
+    Fleet fleet = new Fleet(options);
+    try {
+      fleet.begin();
+      return fleet;
+    } catch (IOException | InterruptedException | StoreException | RuntimeException e) {
+      fleet.close();
+      throw e;
+    }
+  }
+
+  private void begin() throws IOException, InterruptedException, StoreException {
+    Acceptance first = accept(options.contract());
+    listTargets();
+    ExecutorService starters = Executors.newFixedThreadPool(STARTS_AT_ONCE);
+    List<Future<?>> starts = new ArrayList<>();
+    for (String zone : options.contract().zones()) {
+      for (int i = 0; i < options.vmsPerZone(); i++) {
+        String name = zone + "-vm-" + i;
+        starts.add(starters.submit(() -> startVm(name, zone)));
+      }
+    }
+    for (Future<?> start : starts) {
+      try {
+        start.get();
+      } catch (java.util.concurrent.ExecutionException e) {
+        throw new IOException("an entry VM did not start", e.getCause());
+      }
+    }
+    starters.shutdown();
+    awaitRevision(first.revision(), Duration.ofSeconds(30), vm -> true);
+    awaitViews(Duration.ofSeconds(30));
+  }
+
+  private Void startVm(String name, String zone) throws IOException {
+    int innerPort = freePort();
+    Path settings = folder.resolve(name + ".yaml");
+    Files.writeString(settings, settings(name, zone, innerPort));
+    list(
+        new ListedVm(
+            VmRole.ENTRY,
+            name,
+            options.contract().customer(),
+            "",
+            zone,
+            HOST,
+            1,
+            innerPort,
+            0,
+            false));
+    FleetVm vm =
+        FleetVm.launch(
+            name, zone, settings, folder.resolve(name + ".log"), options.heapMegabytes(), caller);
+    synchronized (vms) {
+      vms.put(name, vm);
+    }
+    vm.awaitStarted();
+    return null;
+  }
+
+  private String settings(String name, String zone, int innerPort) {
+    return String.join(
+        "\n",
+        "vm: " + name,
+        "customer: " + options.contract().customer(),
+        "zone: " + zone,
+        "host: " + HOST,
+        "ports: {callers: 0, inner: " + innerPort + ", operators: 0}",
+        "store: {uri: '" + store.address() + "', timeout: 2s}",
+        "vmList: {uri: '" + store.address() + "', every: 1s}",
+        "incarnation: {source: clock}",
+        "eventCapacity: 4096",
+        "callerLimits: {workers: 1}",
+        "logs: {level: warning}",
+        "");
+  }
+
+  private void listTargets() {
+    List<String> zones = options.contract().zones();
+    for (Contract.Service service : options.contract().services()) {
+      for (int i = 0; i < service.targets(); i++) {
+        list(
+            new ListedVm(
+                VmRole.TARGET,
+                service.name() + "-" + i,
+                options.contract().customer(),
+                service.name(),
+                zones.get(i % zones.size()),
+                HOST,
+                9,
+                0,
+                1,
+                false));
+      }
+    }
+  }
+
+  private void list(ListedVm vm) {
+    synchronized (listed) {
+      listed.put(vm.id(), vm);
+    }
+    store.putVm(vm);
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket =
+        new ServerSocket(0, PORTS_PER_VM, java.net.InetAddress.getLoopbackAddress())) {
+      return socket.getLocalPort();
+    }
+  }
+
+  /** A change of the contract that the store has accepted. */
+  public record Acceptance(long revision, long sentMicros, long answeredMicros) {}
+
+  /** Writes a contract over whatever stands; times are on the clock that the VMs share. */
+  public Acceptance accept(Contract contract) throws StoreException {
+    String key = StoredContract.keyOf(contract.customer());
+    byte[] value =
+        new StoredContract(java.util.UUID.randomUUID().toString(), "bench", contract).toBytes();
+    while (true) {
+      long before = client.read(key).map(StoredValue::revision).orElse(0L);
+      long sent = nowMicros();
+      if (client.compareAndSet(key, before, value, null) instanceof WriteResult.Written done) {
+        return new Acceptance(done.revision(), sent, nowMicros());
+      }
+    }
+  }
+
+  private static long nowMicros() {
+    java.time.Instant now = java.time.Instant.now();
+    return now.getEpochSecond() * 1_000_000 + now.getNano() / 1_000;
+  }
+
+  /** The store stand-in, to make it slow or take it down. */
+  public StoreServer store() {
+    return store;
+  }
+
+  /** The client that changes are made with. */
+  public Store client() {
+    return client;
+  }
+
+  /** All entry VMs by name, those ended among them. */
+  public List<FleetVm> vms() {
+    synchronized (vms) {
+      return vms.values().stream().sorted(Comparator.comparing(FleetVm::name)).toList();
+    }
+  }
+
+  /** The entry VM that is relay of {@code zone} now. */
+  public FleetVm relay(String zone) throws IOException {
+    for (FleetVm vm : vms()) {
+      if (vm.zone().equals(zone) && vm.isAlive() && isRelay(vm)) {
+        return vm;
+      }
+    }
+    throw new IOException("zone " + zone + " has no relay");
+  }
+
+  /** Whether that VM is its zone's relay. */
+  public static boolean isRelay(FleetVm vm) throws IOException {
+    return vm.meters().getOrDefault("sageladder_control_relaying", 0.0) > 0;
+  }
+
+  /** Takes an ended VM off the platform's list, or puts one back on it. */
+  public void listed(FleetVm vm, boolean present) {
+    ListedVm line;
+    synchronized (listed) {
+      line = listed.get(vm.name());
+    }
+    if (line == null) {
+      return;
+    }
+    if (present) {
+      store.putVm(line);
+    } else {
+      store.removeVm(line.id());
+    }
+  }
+
+  /** Reads all new events of the VMs that run and notes what came into force when. */
+  public void collect(Predicate<FleetVm> which) throws IOException {
+    for (FleetVm vm : vms()) {
+      if (vm.isAlive() && which.test(vm)) {
+        for (Event event : vm.newEvents()) {
+          note(vm, event);
+        }
+      }
+    }
+  }
+
+  private void note(FleetVm vm, Event event) {
+    if (event.kind() == EventKind.STARTED) {
+      lastRevision.remove(vm.name());
+    }
+    if (event.kind() != EventKind.CONTRACT_IN_FORCE) {
+      return;
+    }
+    long before = lastRevision.getOrDefault(vm.name(), 0L);
+    if (event.revision() < before) {
+      reverts.add(vm.name() + " went from " + before + " back to " + event.revision());
+    }
+    lastRevision.put(vm.name(), event.revision());
+    inForce
+        .computeIfAbsent(vm.name(), name -> new TreeMap<>())
+        .putIfAbsent(event.revision(), event.wallMicros());
+  }
+
+  /** Forgets what a VM had in force, because its process was started anew. */
+  public void forget(FleetVm vm) {
+    lastRevision.remove(vm.name());
+  }
+
+  /** Each revert seen so far: a process that put a lower revision in force after a higher one. */
+  public List<String> reverts() {
+    return List.copyOf(reverts);
+  }
+
+  /** The revision last seen in force at a VM. */
+  public long lastRevision(FleetVm vm) {
+    return lastRevision.getOrDefault(vm.name(), 0L);
+  }
+
+  /**
+   * Waits until {@code revision} or a later one is in force at each VM.
+   *
+   * @return when it came into force there, microseconds since the Unix epoch
+   */
+  public Map<String, Long> awaitRevision(long revision, Duration patience, Predicate<FleetVm> which)
+      throws IOException, InterruptedException {
+    long end = System.nanoTime() + patience.toNanos();
+    Map<String, Long> times = new LinkedHashMap<>();
+    while (true) {
+      collect(which);
+      List<String> missing = new ArrayList<>();
+      for (FleetVm vm : vms()) {
+        if (!vm.isAlive() || !which.test(vm)) {
+          continue;
+        }
+        Map.Entry<Long, Long> seen =
+            inForce.getOrDefault(vm.name(), new TreeMap<>()).ceilingEntry(revision);
+        if (seen == null) {
+          missing.add(vm.name());
+        } else {
+          times.put(vm.name(), seen.getValue());
+        }
+      }
+      if (missing.isEmpty()) {
+        return times;
+      }
+      if (System.nanoTime() - end > 0) {
+        throw new IOException("revision " + revision + " is not in force at " + missing);
+      }
+      Thread.sleep(100);
+    }
+  }
+
+  /** Waits until each VM's own zone view names all VMs of the zone. */
+  public void awaitViews(Duration patience) throws IOException, InterruptedException {
+    long end = System.nanoTime() + patience.toNanos();
+    while (true) {
+      String behind = "";
+      for (FleetVm vm : vms()) {
+        if (vm.isAlive() && !seesAll(vm)) {
+          behind = vm.name();
+          break;
+        }
+      }
+      if (behind.isEmpty()) {
+        return;
+      }
+      if (System.nanoTime() - end > 0) {
+        throw new IOException(behind + " does not see its whole zone");
+      }
+      Thread.sleep(200);
+    }
+  }
+
+  private boolean seesAll(FleetVm vm) throws IOException {
+    String state = vm.state();
+    for (FleetVm other : vms()) {
+      if (other.isAlive() && !state.contains("\"vm\":\"" + other.name() + "\"")) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  @Override
+  public void close() {
+    for (FleetVm vm : vms()) {
+      try {
+        vm.end();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+    caller.close();
+    client.close();
+    store.close();
+    deleteFolder();
+  }
+
+  private void deleteFolder() {
+    if (Boolean.getBoolean("keep.fleet")) {
+      System.out.println("logs are in " + folder);
+      return;
+    }
+    try (Stream<Path> files = Files.walk(folder)) {
+      for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+        Files.delete(file);
+      }
+    } catch (IOException e) {
+      System.err.println("could not delete " + folder + ": " + e.getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/spread/SpreadBench.java
@@ -0,0 +1,154 @@
+package org.sageladder.bench.spread;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+import org.sageladder.bench.fleet.Contracts;
+import org.sageladder.bench.fleet.Fleet;
+import org.sageladder.bench.fleet.FleetOptions;
+import org.sageladder.bench.fleet.FleetVm;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.core.store.StoreException;
+import org.sageladder.standin.store.StoreFaults;
+
+/**
+ * Measures the time from the acceptance of a change until it is in force on every entry VM, with 42
+ * processes in 6 zones: without faults, with a slow store, with relays ended in mid-spread, and
+ * after a zone was paused.
+ */
+public final class SpreadBench {
+  private static final int ZONES = 6;
+  private static final int VMS_PER_ZONE = 7;
+  private static final int HEAP_MEGABYTES = 40;
+  private static final double AIM_SECONDS = 2;
+  private static final double AIM_AFTER_RELAY_DEATH_SECONDS = 6;
+  private static final Duration PATIENCE = Duration.ofSeconds(20);
+
+  private final Fleet fleet;
+  private final int changes;
+  private int changeNumber;
+
+  private SpreadBench(Fleet fleet, int changes) {
+    this.fleet = fleet;
+    this.changes = changes;
+  }
+
+  /** Takes {@code --full} for five times as many changes. */
+  public static void main(String[] args) throws Exception {
+    int changes = List.of(args).contains("--full") ? 100 : 20;
+    Contract contract = Contracts.of(ZONES, 24, 200);
+    double worst;
+    double worstAfterDeath;
+    long started = System.nanoTime();
+    try (Fleet fleet = Fleet.start(new FleetOptions(contract, VMS_PER_ZONE, HEAP_MEGABYTES))) {
+      System.out.printf(
+          "%d entry VMs in %d zones started in %.1f s%n",
+          fleet.vms().size(), ZONES, (System.nanoTime() - started) / 1e9);
+      SpreadBench bench = new SpreadBench(fleet, changes);
+      worst = bench.withoutFaults();
+      bench.slowStore();
+      bench.pausedZone();
+      worstAfterDeath = bench.relayEnded();
+      System.out.println("reverts seen: " + fleet.reverts().size());
+    }
+    System.out.printf(
+        "spread after a relay's death: %.3f s (aim <= %.0f s)%n",
+        worstAfterDeath, AIM_AFTER_RELAY_DEATH_SECONDS);
+    boolean good = worst <= AIM_SECONDS && worstAfterDeath <= AIM_AFTER_RELAY_DEATH_SECONDS;
+    System.out.printf("spread: %.3f s (aim <= %.0f s)%n", worst, AIM_SECONDS);
+    System.exit(good ? 0 : 1);
+  }
+
+  private double withoutFaults() throws IOException, InterruptedException, StoreException {
+    Histogram times = histogram();
+    for (int i = 0; i < changes; i++) {
+      record(times, change(), PATIENCE);
+    }
+    return report("no faults", times);
+  }
+
+  private void slowStore() throws IOException, InterruptedException, StoreException {
+    Histogram times = histogram();
+    fleet.store().faults(StoreFaults.none().slow(500));
+    for (int i = 0; i < Math.max(3, changes / 5); i++) {
+      record(times, change(), PATIENCE);
+    }
+    fleet.store().faults(StoreFaults.none());
+    report("store takes 500 ms a call", times);
+  }
+
+  /** All VMs of a zone stand still while a change is accepted, then go on. */
+  private void pausedZone() throws IOException, InterruptedException, StoreException {
+    Histogram rest = histogram();
+    Histogram healed = histogram();
+    String zone = Contracts.zone(2);
+    List<FleetVm> paused = fleet.vms().stream().filter(vm -> vm.zone().equals(zone)).toList();
+    for (FleetVm vm : paused) {
+      vm.pause();
+    }
+    Thread.sleep(5_000);
+    Fleet.Acceptance accepted = change();
+    Map<String, Long> others =
+        fleet.awaitRevision(accepted.revision(), PATIENCE, vm -> !vm.zone().equals(zone));
+    others.values().forEach(at -> rest.recordValue(at - accepted.sentMicros()));
+    long resumed = System.currentTimeMillis() * 1_000;
+    for (FleetVm vm : paused) {
+      vm.resume();
+    }
+    Map<String, Long> late =
+        fleet.awaitRevision(accepted.revision(), PATIENCE, vm -> vm.zone().equals(zone));
+    late.values().forEach(at -> healed.recordValue(Math.max(0, at - resumed)));
+    report("one zone paused, the others", rest);
+    report("that zone after it goes on", healed);
+  }
+
+  /** The relays of two zones are ended right after a change was accepted. */
+  private double relayEnded() throws IOException, InterruptedException, StoreException {
+    Histogram times = histogram();
+    int rounds = changes >= 100 ? 4 : 2;
+    for (int i = 0; i < rounds; i++) {
+      FleetVm first = fleet.relay(Contracts.zone(i % ZONES));
+      FleetVm second = fleet.relay(Contracts.zone((i + 3) % ZONES));
+      first.kill();
+      Fleet.Acceptance accepted = change();
+      second.kill();
+      record(times, accepted, PATIENCE);
+      record(times, change(), PATIENCE);
+      first.restart();
+      second.restart();
+      fleet.awaitRevision(accepted.revision(), PATIENCE, vm -> true);
+      fleet.awaitViews(PATIENCE);
+    }
+    return report("two relays ended at once", times);
+  }
+
+  private Fleet.Acceptance change() throws StoreException {
+    changeNumber++;
+    return fleet.accept(
+        Contracts.withServiceMillis(Contracts.of(ZONES, 24, 200), 20 + changeNumber % 10));
+  }
+
+  private void record(Histogram times, Fleet.Acceptance accepted, Duration patience)
+      throws IOException, InterruptedException {
+    Thread.sleep(200);
+    Map<String, Long> at = fleet.awaitRevision(accepted.revision(), patience, vm -> true);
+    at.values().forEach(micros -> times.recordValue(Math.max(0, micros - accepted.sentMicros())));
+  }
+
+  private static Histogram histogram() {
+    return new Histogram(60_000_000L, 3);
+  }
+
+  private static double report(String what, Histogram times) {
+    System.out.printf(
+        "%-28s p50 %7.3f s, p99 %7.3f s, max %7.3f s (%d samples)%n",
+        what,
+        times.getValueAtPercentile(50) / 1e6,
+        times.getValueAtPercentile(99) / 1e6,
+        times.getMaxValue() / 1e6,
+        times.getTotalCount());
+    return times.getMaxValue() / 1e6;
+  }
+}
