--- /dev/null
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/cluster/Workload.java
@@ -0,0 +1,87 @@
+package org.sageladder.bench.cluster;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.sageladder.client.Answer;
+import org.sageladder.client.Request;
+import org.sageladder.client.SageladderClient;
+import org.sageladder.standin.target.AnswerPattern;
+import org.sageladder.standin.target.RequestChecksum;
+
+/**
+ * Sends numbered requests of one service from several threads and keeps how each ended.
+ *
+ * @param client what sends them
+ * @param contract customer
+ * @param service service
+ * @param name start of each request's key; keys are {@code name-0}, {@code name-1} and so on
+ * @param deadline deadline of each
+ * @param answerBytes size of each answer's body
+ */
+public record Workload(
+    SageladderClient client,
+    String contract,
+    String service,
+    String name,
+    Duration deadline,
+    int answerBytes) {
+  private static final long LONGEST_RUN_MINUTES = 10;
+
+  /**
+   * How one request ended.
+   *
+   * @param ownAnswer false where a whole answer was not the one to this request
+   */
+  public record Ended(Answer answer, boolean ownAnswer) {}
+
+  /** Sends {@code count} requests from {@code threads} threads and waits for all answers. */
+  public Map<String, Ended> send(int count, int threads) throws InterruptedException {
+    Map<String, Ended> ended = new ConcurrentHashMap<>();
+    AtomicInteger next = new AtomicInteger();
+    ExecutorService pool = Executors.newFixedThreadPool(threads);
+    for (int t = 0; t < threads; t++) {
+      pool.execute(
+          () -> {
+            for (int i = next.getAndIncrement(); i < count; i = next.getAndIncrement()) {
+              String key = name + "-" + i;
+              ended.put(key, one(key, i));
+            }
+          });
+    }
+    pool.shutdown();
+    if (!pool.awaitTermination(LONGEST_RUN_MINUTES, TimeUnit.MINUTES)) {
+      pool.shutdownNow();
+      throw new IllegalStateException("the workload did not end");
+    }
+    return ended;
+  }
+
+  private Ended one(String key, int number) {
+    String path = "/work?work=" + key + "&answerBytes=" + answerBytes;
+    byte[] body = ("body of " + key).getBytes(StandardCharsets.UTF_8);
+    Request request =
+        Request.post(contract, service, number % 1000, path, body, "text/plain")
+            .deadline(deadline)
+            .id(key);
+    Answer answer = client.send(request);
+    boolean own = !(answer instanceof Answer.Whole whole) || isOwn(whole, path, body);
+    return new Ended(answer, own);
+  }
+
+  private boolean isOwn(Answer.Whole whole, String path, byte[] body) {
+    long checksum = RequestChecksum.of("POST", path, body);
+    AnswerPattern.Checker checker = AnswerPattern.checker(checksum);
+    checker.add(ByteBuffer.wrap(whole.body()));
+    boolean echoed =
+        whole.header("Request-Checksum").filter(String.valueOf(checksum)::equals).isPresent();
+    return whole.status() != 200
+        || (echoed && checker.matches() && checker.length() == answerBytes);
+  }
+}
