--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -6,6 +6,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
+import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
@@ -16,18 +17,23 @@
 import org.sageladder.core.event.EventSink;
 import org.sageladder.core.limits.Scheduler;
 import org.sageladder.core.limits.ServiceGate;
+import org.sageladder.core.permit.PermitHome;
+import org.sageladder.core.permit.PermitKeys;
 import org.sageladder.core.platform.VmList;
 import org.sageladder.core.store.Store;
 import org.sageladder.core.time.TimeSource;
 import org.sageladder.entry.control.ControlPlane;
 import org.sageladder.entry.control.StoreControlPlane;
 import org.sageladder.entry.exchange.CallerExchange;
+import org.sageladder.entry.exchange.InFlight;
 import org.sageladder.entry.exchange.OutboundClient;
 import org.sageladder.entry.gates.GateTable;
 import org.sageladder.entry.http.HttpListener;
 import org.sageladder.entry.http.OperatorPort;
 import org.sageladder.entry.request.RequestPath;
 import org.sageladder.entry.settings.EntrySettings;
+import org.sageladder.entry.stop.PermitHandOver;
+import org.sageladder.entry.stop.PlannedStop;
 import org.sageladder.platform.event.EventPage;
 import org.sageladder.platform.store.HttpStore;
 import org.sageladder.platform.store.HttpVmList;
@@ -46,7 +52,8 @@
   private static final int CONNECTIONS_PER_HOST = 390;
   private static final Duration POLL = Duration.ofMillis(250);
   private static final int EVENTS_PER_PAGE = 2_000;
-  private static final Duration STOP_GRACE = Duration.ofSeconds(30);
+  private static final Duration STOP_GRACE = Duration.ofSeconds(1);
+  private static final Duration KEY_PERIOD = Duration.ofDays(1);
 
   private final EntrySettings settings;
   private final Store store;
@@ -58,6 +65,8 @@
   private final HttpListener operators;
   private final EventSink events;
   private final CountDownLatch drainAsked;
+  private final KeyRefresher keys;
+  private final PlannedStop plannedStop;
 
   private EntryDaemon(
       EntrySettings settings,
@@ -69,7 +78,11 @@
       HttpListener callers,
       HttpListener operators,
       EventSink events,
-      CountDownLatch drainAsked) {
+      CountDownLatch drainAsked,
+      KeyRefresher keys,
+      PlannedStop plannedStop) {
+    this.keys = keys;
+    this.plannedStop = plannedStop;
     this.settings = settings;
     this.store = store;
     this.control = control;
@@ -96,17 +109,15 @@
     ControlPlane control = StoreControlPlane.start(settings.customer(), store, list, POLL, events);
     OutboundClient client =
         OutboundClient.start(settings.callerLimits().workers(), CONNECTIONS_PER_HOST);
-    GateTable gates =
-        GateTable.create(
-            settings.vm(),
-            settings.zone(),
-            settings.customer(),
-            time,
-            service ->
-                ServiceGate.create(
-                    settings.customer(), service, time, Scheduler.of(timers), events));
+    GateTable gates = gates(settings, time, timers, events);
+    PermitKeys permitKeys =
+        PermitKeys.of(store, settings.customer(), KEY_PERIOD, new SecureRandom());
+    KeyRefresher keys = KeyRefresher.start(permitKeys, time);
     RequestPath path =
-        RequestPath.assemble(settings, client, timers, time, events, metrics, control, gates);
+        RequestPath.assemble(
+            settings, client, timers, time, events, metrics, control, gates, permitKeys::ring);
+    InFlight inFlight = InFlight.create();
+    PlannedStop plannedStop = plannedStop(settings, control, inFlight, path, client, time);
     control.onChange(gates::follow);
     control.onChange(path::follow);
     control.summaries(gates::summaries);
@@ -117,7 +128,7 @@
             settings.ports().callers(),
             settings.callerLimits().workers(),
             settings.callerLimits().headBytes(),
-            () -> CallerExchange.create(path.router()));
+            () -> CallerExchange.create(path.router(), inFlight));
     CountDownLatch drainAsked = new CountDownLatch(1);
     OperatorPort operatorPort =
         OperatorPort.of(
@@ -142,7 +153,54 @@
         "%s serves callers on %s:%d and operators on port %d",
         settings.vm(), settings.host(), callers.port(), operators.port());
     return new EntryDaemon(
-        settings, store, control, timers, client, gates, callers, operators, events, drainAsked);
+        settings,
+        store,
+        control,
+        timers,
+        client,
+        gates,
+        callers,
+        operators,
+        events,
+        drainAsked,
+        keys,
+        plannedStop);
+  }
+
+  private static PlannedStop plannedStop(
+      EntrySettings settings,
+      ControlPlane control,
+      InFlight inFlight,
+      RequestPath path,
+      OutboundClient client,
+      TimeSource time) {
+    return PlannedStop.of(
+        control,
+        inFlight,
+        path.home(),
+        PermitHandOver.of(
+            settings.vm(),
+            settings.zone(),
+            settings.customer(),
+            control,
+            path.home(),
+            path.codec(),
+            PermitHome.Limits.standard(),
+            client,
+            time),
+        time,
+        PlannedStop.Limits.standard());
+  }
+
+  private static GateTable gates(
+      EntrySettings settings, TimeSource time, ScheduledExecutorService timers, EventSink events) {
+    return GateTable.create(
+        settings.vm(),
+        settings.zone(),
+        settings.customer(),
+        time,
+        service ->
+            ServiceGate.create(settings.customer(), service, time, Scheduler.of(timers), events));
   }
 
   private static void gauges(
@@ -188,7 +246,8 @@
   /** A planned stop: takes no new duties, lets what is in flight end, then closes. */
   public void stop() throws InterruptedException {
     events.record(EventKind.STOPPING, "", settings.customer(), "", 0, settings.vm());
-    control.beginLeaving();
+    PlannedStop.Outcome outcome = plannedStop.run();
+    logger.atFine().log("planned stop: %s", outcome);
     callers.stop(Timeout.of(STOP_GRACE));
     close();
   }
@@ -198,6 +257,7 @@
     callers.close();
     operators.close();
     gates.close();
+    keys.close();
     control.close();
     client.close();
     timers.shutdownNow();
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestRouter.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestRouter.java
@@ -34,6 +34,7 @@
   private final GateTable gates;
   private final LookUps lookUps;
   private final Permits permits;
+  private final PeerRoutes peers;
 
   RequestRouter(
       FlowParts parts,
@@ -42,7 +43,9 @@
       ControlPlane control,
       GateTable gates,
       LookUps lookUps,
-      Permits permits) {
+      Permits permits,
+      PeerRoutes peers) {
+    this.peers = peers;
     this.parts = parts;
     this.customer = customer;
     this.zone = zone;
@@ -59,6 +62,8 @@
       lookUp(exchange, path);
     } else if (path.startsWith(RequestHead.PREFIX)) {
       request(exchange, path);
+    } else if (path.startsWith(PeerRoutes.PREFIX)) {
+      peers.begin(exchange);
     } else {
       refuse(
           exchange,
@@ -107,8 +112,11 @@
           .put("address", member.host() + ":" + member.port());
     }
     Contract.Service service = service(query.service());
-    if (service != null && !service.repeatable()) {
-      json.put("permit", permits.mint(service, ""));
+    boolean goesHere = route.entries().get(0).vm().equals(parts.vm());
+    if (service != null && !service.repeatable() && goesHere) {
+      // A permit sends its request to the VM that minted it. Minted here for a request that is to
+      // go elsewhere it would cost two more hops, so there the first try fetches it.
+      json.put("permit", permits.mint(service.name(), ""));
     }
     HttpResponse head = new BasicHttpResponse(200);
     Answers.mark(head, ResultCode.OK);
