Entry: a silent target is not a lost one, and a replayed answer arrives

The library kept the 1 s allowed for connecting as a limit on silence, so each request that ran longer was cut as TARGET_LOST; new connections now have no such limit and the deadline decides. A recorded answer was noted after sending had added Content-Length to it, so its replay failed and the caller waited for nothing; the head is now noted first. Expect: 100-continue cost a round trip between entry VM and target and left early answers waiting; it is no longer sent.

--- a/sageladder-entry/src/main/java/org/sageladder/entry/exchange/OutboundClient.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/exchange/OutboundClient.java
@@ -11,9 +11,17 @@
 import org.apache.hc.core5.http.impl.bootstrap.AsyncRequesterBootstrap;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
 import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
+import org.apache.hc.core5.http.protocol.HttpProcessor;
+import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
+import org.apache.hc.core5.http.protocol.RequestConnControl;
+import org.apache.hc.core5.http.protocol.RequestContent;
+import org.apache.hc.core5.http.protocol.RequestTargetHost;
+import org.apache.hc.core5.http.protocol.RequestUserAgent;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.pool.PoolConcurrencyPolicy;
 import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.reactor.IOSessionListener;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
 import org.jspecify.annotations.Nullable;
@@ -56,6 +64,8 @@
                     .setTcpNoDelay(true)
                     .setSelectInterval(TimeValue.ofMilliseconds(200))
                     .build())
+            .setHttpProcessor(withoutExpect())
+            .setIOSessionListener(new NoIdleLimit())
             .setPoolConcurrencyPolicy(PoolConcurrencyPolicy.LAX)
             .setDefaultMaxPerRoute(connectionsPerHost)
             .setMaxTotal(Integer.MAX_VALUE)
@@ -64,6 +74,50 @@
     return new OutboundClient(requester);
   }
 
+  /**
+   * The library's usual steps but for {@code Expect: 100-continue}, which costs a round trip for
+   * each request with a body; targets and entry VMs answer early by themselves.
+   */
+  private static HttpProcessor withoutExpect() {
+    return HttpProcessorBuilder.create()
+        .addAll(
+            RequestTargetHost.INSTANCE,
+            RequestContent.INSTANCE,
+            RequestConnControl.INSTANCE,
+            new RequestUserAgent("sageladder"))
+        .build();
+  }
+
+  /**
+   * Lifts the limit on silence from new connections. The library keeps the time allowed for
+   * connecting as a limit on each later silence, so a target that works for longer than that was
+   * cut off as lost. The deadline of the request ends a wait that is too long.
+   */
+  private static final class NoIdleLimit implements IOSessionListener {
+    @Override
+    public void connected(IOSession session) {
+      session.setSocketTimeout(Timeout.DISABLED);
+    }
+
+    @Override
+    public void startTls(IOSession session) {}
+
+    @Override
+    public void inputReady(IOSession session) {}
+
+    @Override
+    public void outputReady(IOSession session) {}
+
+    @Override
+    public void timeout(IOSession session) {}
+
+    @Override
+    public void exception(IOSession session, Exception cause) {}
+
+    @Override
+    public void disconnected(IOSession session) {}
+  }
+
   /**
    * Sends one request.
    *
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/Permits.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/Permits.java
@@ -270,6 +270,7 @@
 
   private static void discardBody(Copy copy) throws IOException {
     copy.exchange().requestBody().discard();
+    copy.exchange().acceptBody();
   }
 
   private void record(EventKind kind, Copy copy, Permit permit, String detail) {
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/Recording.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/Recording.java
@@ -14,16 +14,18 @@
 import org.sageladder.entry.exchange.CallerExchange;
 import org.sageladder.entry.exchange.CarriedEntity;
 
-/** Turns answers into what a permit's home keeps, and back. */
+/** Turns an answer into what a permit's home keeps, and back. */
 final class Recording {
-  private Recording() {}
+  private final int status;
+  private final List<RecordedAnswer.Header> headers;
 
-  /** What to keep of an answer; without {@code body} only that there was one. */
-  static RecordedAnswer of(
-      HttpResponse passed, @Nullable EntityDetails details, Optional<byte[]> body) {
-    if (body.isEmpty()) {
-      return RecordedAnswer.notKept();
-    }
+  private Recording(int status, List<RecordedAnswer.Header> headers) {
+    this.status = status;
+    this.headers = headers;
+  }
+
+  /** Notes the head now: sending it on adds headers that belong to the connection. */
+  static Recording begin(HttpResponse passed, @Nullable EntityDetails details) {
     List<RecordedAnswer.Header> headers = new ArrayList<>();
     for (Header header : passed.getHeaders()) {
       headers.add(new RecordedAnswer.Header(header.getName(), header.getValue()));
@@ -35,7 +37,13 @@
       headers.add(
           new RecordedAnswer.Header(HttpHeaders.CONTENT_ENCODING, details.getContentEncoding()));
     }
-    return RecordedAnswer.whole(passed.getCode(), headers, body.get());
+    return new Recording(passed.getCode(), headers);
+  }
+
+  /** What to keep; without {@code body} only that there was an answer. */
+  RecordedAnswer end(Optional<byte[]> body) {
+    return body.map(bytes -> RecordedAnswer.whole(status, headers, bytes))
+        .orElseGet(RecordedAnswer::notKept);
   }
 
   /** Answers a repeat with what was kept. */
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestFlow.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestFlow.java
@@ -372,8 +372,7 @@
   private abstract class Leg implements OutboundClient.Listener {
     private final AnswerRecorder recorder = AnswerRecorder.upTo(LARGEST_RECORDED);
     private volatile boolean retried;
-    private volatile @Nullable HttpResponse begun;
-    private volatile @Nullable EntityDetails begunDetails;
+    private volatile @Nullable Recording recording;
 
     void retry(Runnable again) {
       retried = true;
@@ -394,19 +393,18 @@
     /** Keeps a copy of an answer that proves a run, for repeats of its permit. */
     void recordRun(HttpResponse passed, @Nullable EntityDetails details, BodyPipe body) {
       if (run != null) {
-        begunDetails = details;
-        begun = passed;
+        recording = Recording.begin(passed, details);
         body.record(recorder);
       }
     }
 
     /** Ends the permit's run if an answer had begun: cut or whole, it proves that a target ran. */
     boolean endProvenRun(boolean whole) {
-      HttpResponse head = begun;
-      if (run == null || head == null) {
+      Recording begun = recording;
+      if (run == null || begun == null) {
         return false;
       }
-      run.ran(whole ? Recording.of(head, begunDetails, recorder.body()) : RecordedAnswer.notKept());
+      run.ran(whole ? begun.end(recorder.body()) : RecordedAnswer.notKept());
       return true;
     }
   }
