--- a/sageladder-bench/src/main/java/org/sageladder/bench/policy/EntryVm.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/policy/EntryVm.java
@@ -15,7 +15,7 @@
 
 /** One entry VM of a run: a real gate and a real table, fed by hand. */
 final class EntryVm {
-  private static final double DEMAND_SMOOTHING = 0.3;
+  private static final double DEMAND_SMOOTHING = 0.6;
 
   final int region;
   final String zone;
--- a/sageladder-core/src/main/java/org/sageladder/core/steering/ZoneReading.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/steering/ZoneReading.java
@@ -17,15 +17,29 @@
     double admittedPerSecond,
     double demandPerSecond) {
 
+  /**
+   * Part of a zone's capacity that steering fills before it spills.
+   *
+   * <p>Requests come unevenly: a zone filled to the brim refuses what a neighbour could carry. A
+   * ceiling below the capacity is filled whole, since it climbs only where it is used.
+   */
+  private static final double FILL = 0.9;
+
   /** Most that steering reckons the zone to carry, of all callers. */
   double limit() {
     return switch (age) {
-      case FRESH, OLD -> Math.min(capacityPerSecond, ceilingPerSecond);
-      case AGEING -> Math.min(capacityPerSecond, Math.min(ceilingPerSecond, admittedPerSecond));
+      case FRESH, OLD -> Math.min(FILL * capacityPerSecond, ceilingPerSecond);
+      case AGEING ->
+          Math.min(FILL * capacityPerSecond, Math.min(ceilingPerSecond, admittedPerSecond));
       case ABSENT -> capacityPerSecond;
     };
   }
 
+  /** What the zone could take besides what it admits. */
+  double room() {
+    return limit() - admittedPerSecond;
+  }
+
   /** True where callers of other regions may be sent here. */
   boolean takesOthers() {
     return age == ReadingAge.FRESH || age == ReadingAge.AGEING;
