Bench: drain; Core: quarantine of requests that crash targets

Quarantine is worked out from the set of crash reports alone, so entry VMs that heard the same crashes agree; a fingerprint is held back at the second crash where at least half of the crashes about that time name it, so a zone failure accuses nobody. It is not wired into the request path yet.

--- a/sageladder-bench/src/main/java/org/sageladder/bench/atmostonce/Bidder.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/atmostonce/Bidder.java
@@ -55,7 +55,7 @@
   /** Sends copies under one permit until an answer is final. */
   private Reply follow(String key, String permit) throws InterruptedException {
     ledger.told(key, Ledger.Told.UNKNOWN);
-    Reply reply = Reply.NONE;
+    Reply reply = Reply.TIMEOUT;
     for (int copy = 0; copy < MOST_COPIES; copy++) {
       if (random.nextDouble() < STRAY_SHARE) {
         stray(key, permit, 20 + random.nextInt(1500));
--- /dev/null
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/drain/SteadyLoad.java
@@ -0,0 +1,148 @@
+package org.sageladder.bench.drain;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.sageladder.bench.process.Caller;
+import org.sageladder.bench.process.Reply;
+import org.sageladder.bench.process.TestBed;
+import org.sageladder.standin.target.RequestChecksum;
+
+/** Callers that look up, keep the answer for its time to live, and send listings and bids. */
+final class SteadyLoad implements AutoCloseable {
+  private static final Duration DEADLINE = Duration.ofSeconds(5);
+  private static final Duration PATIENCE = Duration.ofSeconds(7);
+  private static final long LOOK_UP_LIVES_NANOS = 2_000_000_000L;
+  private static final int ANSWER_BYTES = 256;
+
+  private final TestBed bed;
+  private final List<Thread> threads = new ArrayList<>();
+  private final Map<String, AtomicLong> counts = new TreeMap<>();
+  private final AtomicLong next = new AtomicLong();
+  private volatile boolean over;
+
+  private SteadyLoad(TestBed bed) {
+    this.bed = bed;
+  }
+
+  static SteadyLoad start(TestBed bed, int callers, int pauseMillis) {
+    SteadyLoad load = new SteadyLoad(bed);
+    for (int i = 0; i < callers; i++) {
+      int seed = i;
+      Thread thread = new Thread(() -> load.call(seed, pauseMillis), "caller-" + i);
+      thread.setDaemon(true);
+      load.threads.add(thread);
+      thread.start();
+    }
+    return load;
+  }
+
+  private void call(int seed, int pauseMillis) {
+    SplittableRandom random = new SplittableRandom(seed);
+    Caller caller = Caller.create();
+    List<Integer> entries = List.of();
+    long lookedUp = 0;
+    try {
+      while (!over) {
+        boolean bid = random.nextInt(10) < 3;
+        if (entries.isEmpty() || System.nanoTime() - lookedUp > LOOK_UP_LIVES_NANOS) {
+          entries = lookUp(caller, random);
+          lookedUp = System.nanoTime();
+        }
+        String key = "d" + next.getAndIncrement();
+        count(bid ? bid(caller, entries, key) : listing(caller, entries, key));
+        Thread.sleep(random.nextInt(2 * pauseMillis + 1));
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private List<Integer> lookUp(Caller caller, SplittableRandom random) throws InterruptedException {
+    for (int i = 0; i < 20; i++) {
+      int port = bed.entries().get(random.nextInt(bed.entries().size())).callersPort();
+      List<Integer> found = caller.lookUp(port, "listings", random.nextInt(1_000));
+      if (!found.isEmpty()) {
+        return found;
+      }
+      Thread.sleep(50);
+    }
+    return List.of();
+  }
+
+  private static Reply listing(Caller caller, List<Integer> entries, String key)
+      throws InterruptedException {
+    String path = "/lots?answerBytes=" + ANSWER_BYTES + "&work=" + key;
+    return first(caller, entries, "GET", "listings", path, new byte[0], "");
+  }
+
+  private static Reply bid(Caller caller, List<Integer> entries, String key)
+      throws InterruptedException {
+    String path = "/lots/7?answerBytes=" + ANSWER_BYTES + "&work=" + key;
+    byte[] body = key.getBytes(StandardCharsets.UTF_8);
+    Reply reply = first(caller, entries, "POST", "bids", path, body, "");
+    for (int i = 0; i < 10 && !reply.permit().isEmpty(); i++) {
+      reply = first(caller, entries, "POST", "bids", path, body, reply.permit());
+    }
+    return reply;
+  }
+
+  /** The first entry VM that takes a connection answers; others are fallbacks. */
+  private static Reply first(
+      Caller caller,
+      List<Integer> entries,
+      String method,
+      String service,
+      String path,
+      byte[] body,
+      String permit)
+      throws InterruptedException {
+    Reply reply = Reply.REFUSED;
+    for (int port : entries) {
+      reply = caller.send(port, method, service, path, body, permit, DEADLINE, PATIENCE);
+      if (!reply.isRefused()) {
+        boolean whole = reply.isAnswerTo(RequestChecksum.of(method, path, body), ANSWER_BYTES);
+        return reply.ran() && !whole ? Reply.CUT : reply;
+      }
+    }
+    return reply;
+  }
+
+  private synchronized void count(Reply reply) {
+    String name = reply.isLost() ? reply.result() : reply.result() + " " + reply.outcome();
+    counts.computeIfAbsent(name, ignored -> new AtomicLong()).incrementAndGet();
+  }
+
+  /** Requests so far by how they ended. */
+  synchronized Map<String, Long> counts() {
+    Map<String, Long> copy = new TreeMap<>();
+    counts.forEach((name, count) -> copy.put(name, count.get()));
+    return copy;
+  }
+
+  /** Requests whose connection ended before the answer was whole. */
+  long cut() {
+    return counts().getOrDefault("cut", 0L);
+  }
+
+  @Override
+  public void close() {
+    over = true;
+    boolean interrupted = false;
+    for (Thread thread : threads) {
+      try {
+        thread.join();
+      } catch (InterruptedException e) {
+        interrupted = true;
+      }
+    }
+    if (interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- a/sageladder-bench/src/main/java/org/sageladder/bench/process/Caller.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/process/Caller.java
@@ -1,17 +1,26 @@
 package org.sageladder.bench.process;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.URI;
 import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.net.http.HttpTimeoutException;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * A caller that uses another HTTP library than the system does, so that a fault of the one library
  * cannot hide the same fault of the other.
  */
 public final class Caller {
+  private static final Pattern ADDRESS = Pattern.compile("\"address\":\"[0-9.]+:([0-9]+)\"");
+
   private final HttpClient client =
       HttpClient.newBuilder()
           .version(HttpClient.Version.HTTP_1_1)
@@ -26,7 +35,7 @@
   }
 
   /**
-   * Sends one request; {@link Reply#NONE} where no whole answer came in time.
+   * Sends one request; {@link Reply#isLost} where no whole answer came in time.
    *
    * @param permit sealed permit, or empty
    */
@@ -62,8 +71,40 @@
     }
     try {
       return Reply.of(client.send(request.build(), HttpResponse.BodyHandlers.ofByteArray()));
+    } catch (ConnectException | HttpConnectTimeoutException e) {
+      return Reply.REFUSED;
+    } catch (HttpTimeoutException e) {
+      return Reply.TIMEOUT;
+    } catch (IOException e) {
+      return Reply.CUT;
+    }
+  }
+
+  /** Ports of the entry VMs that a look-up names, best first; empty where it failed. */
+  public List<Integer> lookUp(int port, String service, int block) throws InterruptedException {
+    URI uri =
+        URI.create(
+            "http://127.0.0.1:"
+                + port
+                + "/v1/look-up?contract="
+                + TestBed.CUSTOMER
+                + "&service="
+                + service
+                + "&block="
+                + block);
+    List<Integer> ports = new ArrayList<>();
+    try {
+      HttpResponse<String> response =
+          client.send(
+              HttpRequest.newBuilder(uri).timeout(Duration.ofSeconds(1)).build(),
+              HttpResponse.BodyHandlers.ofString());
+      Matcher address = ADDRESS.matcher(response.body());
+      while (address.find()) {
+        ports.add(Integer.parseInt(address.group(1)));
+      }
     } catch (IOException e) {
-      return Reply.NONE;
+      return List.of();
     }
+    return ports;
   }
 }
--- a/sageladder-bench/src/main/java/org/sageladder/bench/process/Reply.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/process/Reply.java
@@ -7,8 +7,14 @@
 @SuppressWarnings("ArrayRecordComponent")
 public record Reply(
     int status, String result, String outcome, String permit, byte[] body, long checksum) {
-  /** An exchange without a whole answer. */
-  public static final Reply NONE = new Reply(0, "", "", "", new byte[0], -1);
+  /** No connection could be made, so nothing was sent. */
+  public static final Reply REFUSED = new Reply(0, "refused", "", "", new byte[0], -1);
+
+  /** The caller's patience ended first. */
+  public static final Reply TIMEOUT = new Reply(0, "timeout", "", "", new byte[0], -1);
+
+  /** The connection ended before the answer was whole. */
+  public static final Reply CUT = new Reply(0, "cut", "", "", new byte[0], -1);
 
   static Reply of(HttpResponse<byte[]> response) {
     return new Reply(
@@ -29,6 +35,11 @@
     return status == 0;
   }
 
+  /** True where no connection could be made. */
+  public boolean isRefused() {
+    return status == 0 && result.equals("refused");
+  }
+
   /** True where the answer says that the request ran. */
   public boolean ran() {
     return outcome.equals("ran");
--- /dev/null
+++ b/sageladder-core/src/main/java/org/sageladder/core/quarantine/package-info.java
@@ -0,0 +1,5 @@
+/** Requests that crash the targets that run them. */
+@NullMarked
+package org.sageladder.core.quarantine;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/sageladder-core/src/test/java/org/sageladder/core/quarantine/QuarantineTest.java
@@ -0,0 +1,115 @@
+package org.sageladder.core.quarantine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Holding back what crashes targets, and nothing else. */
+class QuarantineTest {
+  private static final long POISON = 666;
+  private static final long START = 1_000_000;
+
+  private final Quarantine quarantine = Quarantine.create(Quarantine.Limits.standard());
+
+  private static CrashReport crash(int target, long atMillis, Long... fingerprints) {
+    return new CrashReport("t-" + target, 1, START + atMillis, Set.of(fingerprints));
+  }
+
+  /**
+   * A damaged recording crashes the target that opens it, and its caller sends it again. Without a
+   * quarantine each resend takes another target down, until none is left.
+   */
+  @Test
+  void theSecondCrashHoldsTheRequestBackAndLeavesTheOthers() {
+    quarantine.add(crash(1, 0, POISON, 1L, 2L));
+    assertFalse(quarantine.holds(POISON, START + 1));
+    quarantine.add(crash(2, 900, POISON, 3L, 4L));
+    assertTrue(quarantine.holds(POISON, START + 901));
+    for (long innocent = 1; innocent <= 4; innocent++) {
+      assertFalse(quarantine.holds(innocent, START + 901));
+    }
+  }
+
+  /** The recording was repaired on the server: it must not be refused for ever. */
+  @Test
+  void aHoldExpiresAndTheNextCrashHoldsLonger() {
+    quarantine.add(crash(1, 0, POISON));
+    quarantine.add(crash(2, 0, POISON));
+    assertEquals(60_000, quarantine.remainingMillis(POISON, START));
+    assertFalse(quarantine.holds(POISON, START + 60_000));
+    quarantine.add(crash(3, 61_000, POISON));
+    assertEquals(120_000, quarantine.remainingMillis(POISON, START + 61_000));
+  }
+
+  /**
+   * A zone loses its power: ten targets go within a second, and a lyric search retried inside the
+   * zone was on two of them. Quarantine would refuse a search that harmed nobody.
+   */
+  @Test
+  void aRequestCaughtInAZoneFailureIsNotHeldBack() {
+    long search = 5;
+    for (int target = 0; target < 10; target++) {
+      quarantine.add(
+          target == 2 || target == 7
+              ? crash(target, target * 100L, search, 100L + target)
+              : crash(target, target * 100L, 100L + target, 200L + target));
+    }
+    assertFalse(quarantine.holds(search, START + 1_000));
+  }
+
+  /**
+   * Each crash was seen by another entry VM, and the news travel in different orders. VMs that know
+   * the same crashes must refuse the same requests.
+   */
+  @Test
+  void vmsThatHeardOfTheSameCrashesAgree() {
+    List<CrashReport> reports = new ArrayList<>();
+    Random random = new Random(20_261_202);
+    for (int target = 0; target < 40; target++) {
+      long at = random.nextInt(60_000);
+      reports.add(crash(target, at, (long) random.nextInt(8), 10L + random.nextInt(8)));
+    }
+    Quarantine first = Quarantine.create(Quarantine.Limits.standard());
+    reports.forEach(first::add);
+    for (int round = 0; round < 20; round++) {
+      Collections.shuffle(reports, random);
+      Quarantine other = Quarantine.create(Quarantine.Limits.standard());
+      reports.forEach(other::add);
+      for (long fingerprint = 0; fingerprint < 20; fingerprint++) {
+        assertEquals(
+            first.remainingMillis(fingerprint, START), other.remainingMillis(fingerprint, START));
+      }
+    }
+  }
+
+  /** Two entry VMs saw one crash: it must not count as the second. */
+  @Test
+  void oneCrashSeenByTwoVmsCountsOnce() {
+    quarantine.add(crash(1, 0, POISON));
+    assertTrue(quarantine.add(crash(1, 5, POISON, 7L)));
+    assertFalse(quarantine.add(crash(1, 5, POISON)));
+    assertFalse(quarantine.holds(POISON, START + 10));
+  }
+
+  /** A crash cuts three connections one by one; all three requests must be on the report. */
+  @Test
+  void requestsCutOneByOneAreReportedTogether() {
+    InFlightWork work = InFlightWork.create();
+    for (long fingerprint = 1; fingerprint <= 4; fingerprint++) {
+      work.started("t-1", fingerprint);
+    }
+    work.ended("t-1", 4, false);
+    for (long fingerprint = 1; fingerprint <= 3; fingerprint++) {
+      work.ended("t-1", fingerprint, true);
+    }
+    assertEquals(Set.of(1L, 2L, 3L), work.takeCut("t-1"));
+    assertEquals(Set.of(), work.takeCut("t-1"));
+  }
+}
--- /dev/null
+++ b/sageladder-core/src/test/java/org/sageladder/core/quarantine/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of quarantine. */
+@NullMarked
+package org.sageladder.core.quarantine;
+
+import org.jspecify.annotations.NullMarked;
