Entry: a caller that hangs up is noticed while its request waits

Cause: the HTTP library takes the end of input for a half-close and tells the handler nothing, so work for a caller that had gone held its slot to the end (WholeProcessTest.aCallerThatGoesAwayFreesItsSlot failed: 'the slot is still held'). Change: the callers' port closes such sessions, as the stand-ins do.

--- a/sageladder-core/src/main/java/org/sageladder/core/quarantine/CrashReport.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quarantine/CrashReport.java
@@ -10,8 +10,7 @@
  * @param atMillis wall clock of the reporter
  * @param fingerprints of the requests that were in flight there, at most the target's slots
  */
-public record CrashReport(
-    String target, long incarnation, long atMillis, Set<Long> fingerprints) {
+public record CrashReport(String target, long incarnation, long atMillis, Set<Long> fingerprints) {
   /** Copies the set, so that the report cannot change. */
   public CrashReport {
     fingerprints = Set.copyOf(fingerprints);
--- a/sageladder-core/src/main/java/org/sageladder/core/quarantine/InFlightWork.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quarantine/InFlightWork.java
@@ -27,7 +27,9 @@
   /** A request was sent to {@code target}. */
   public void started(String target, long fingerprint) {
     synchronized (lock) {
-      running.computeIfAbsent(target, ignored -> new HashMap<>()).merge(fingerprint, 1, Integer::sum);
+      running
+          .computeIfAbsent(target, ignored -> new HashMap<>())
+          .merge(fingerprint, 1, Integer::sum);
     }
   }
 
--- a/sageladder-entry/src/main/java/org/sageladder/entry/http/HttpListener.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/http/HttpListener.java
@@ -19,6 +19,7 @@
 import org.sageladder.core.result.ResultCode;
 import org.sageladder.entry.request.Answers;
 import org.sageladder.entry.request.Headers;
+import org.sageladder.platform.http.HangUpSession;
 
 /** One listening HTTP port of an entry VM. */
 public final class HttpListener implements AutoCloseable {
@@ -58,6 +59,7 @@
                     .setBacklogSize(1024)
                     .setSelectInterval(TimeValue.ofMilliseconds(200))
                     .build())
+            .setIOSessionDecorator(HangUpSession.decorator())
             .setHttp1Config(
                 Http1Config.custom()
                     .setMaxLineLength(headBytes / LONGEST_LINE_SHARE)
