Entry: a body without one clear end is refused with a number

A bad Content-Length closed the caller's connection without an answer, and a length beside chunks was carried to a target: the HTTP library throws where no handler sees it, and prefers chunks. The listener now checks the headers itself, answers 400 with result 12 and closes; what follows on that connection is not read as a request.

--- a/sageladder-entry/src/main/java/org/sageladder/entry/http/HttpListener.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/http/HttpListener.java
@@ -3,14 +3,22 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.ExecutionException;
 import org.apache.hc.core5.function.Supplier;
-import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpResponseInterceptor;
 import org.apache.hc.core5.http.URIScheme;
+import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
+import org.apache.hc.core5.http.impl.DefaultContentLengthStrategy;
 import org.apache.hc.core5.http.impl.HttpProcessors;
-import org.apache.hc.core5.http.impl.bootstrap.AsyncServerBootstrap;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParserFactory;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriterFactory;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandlerFactory;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
+import org.apache.hc.core5.http.nio.support.BasicAsyncServerExpectationDecorator;
+import org.apache.hc.core5.http.nio.support.DefaultAsyncResponseExchangeHandlerFactory;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
@@ -48,24 +56,7 @@
       int headBytes,
       Supplier<AsyncServerExchangeHandler> exchanges)
       throws java.io.IOException, InterruptedException {
-    HttpAsyncServer server =
-        AsyncServerBootstrap.bootstrap()
-            .setIOReactorConfig(
-                IOReactorConfig.custom()
-                    .setIoThreadCount(workers)
-                    .setTcpNoDelay(true)
-                    .setSoReuseAddress(true)
-                    .setBacklogSize(1024)
-                    .setSelectInterval(TimeValue.ofMilliseconds(200))
-                    .build())
-            .setHttp1Config(
-                Http1Config.custom()
-                    .setMaxLineLength(headBytes / LONGEST_LINE_SHARE)
-                    .setMaxHeaderCount(MOST_HEADERS)
-                    .build())
-            .setHttpProcessor(HttpProcessors.customServer("sageladder").addLast(numbered()).build())
-            .setRequestRouter((request, context) -> exchanges)
-            .create();
+    HttpAsyncServer server = server(workers, headBytes, exchanges);
     server.start();
     try {
       ListenerEndpoint endpoint =
@@ -78,17 +69,62 @@
     }
   }
 
+  private static HttpAsyncServer server(
+      int workers, int headBytes, Supplier<AsyncServerExchangeHandler> exchanges) {
+    Http1Config config =
+        Http1Config.custom()
+            .setMaxLineLength(headBytes / LONGEST_LINE_SHARE)
+            .setMaxHeaderCount(MOST_HEADERS)
+            .build();
+    ServerHttp1StreamDuplexerFactory streams =
+        new ServerHttp1StreamDuplexerFactory(
+            HttpProcessors.customServer("sageladder")
+                .addFirst(RequestFraming.check())
+                .addLast(numbered())
+                .build(),
+            new DefaultAsyncResponseExchangeHandlerFactory(
+                (request, context) -> exchanges, BasicAsyncServerExpectationDecorator::new),
+            config,
+            CharCodingConfig.DEFAULT,
+            DefaultConnectionReuseStrategy.INSTANCE,
+            new DefaultHttpRequestParserFactory(config),
+            new DefaultHttpResponseWriterFactory(config),
+            RequestFraming.lengths(),
+            DefaultContentLengthStrategy.INSTANCE,
+            null,
+            null);
+    return new HttpAsyncServer(
+        new ServerHttp1IOEventHandlerFactory(streams, null, null),
+        IOReactorConfig.custom()
+            .setIoThreadCount(workers)
+            .setTcpNoDelay(true)
+            .setSoReuseAddress(true)
+            .setBacklogSize(1024)
+            .setSelectInterval(TimeValue.ofMilliseconds(200))
+            .build(),
+        null,
+        null,
+        null,
+        null,
+        null,
+        null);
+  }
+
   /** Gives a number to the answers that the HTTP library makes for requests it cannot read. */
   private static HttpResponseInterceptor numbered() {
     return (response, entity, context) -> {
       if (response.getCode() < 400 || response.containsHeader(Headers.RESULT)) {
         return;
       }
-      mark(response);
+      mark(response, RequestFraming.refused(context));
     };
   }
 
-  private static void mark(org.apache.hc.core5.http.HttpResponse response) throws HttpException {
+  private static void mark(HttpResponse response, boolean badLength) {
+    if (badLength) {
+      Answers.mark(response, ResultCode.BODY_LENGTH_INVALID);
+      return;
+    }
     boolean tooLarge = response.getCode() == 431;
     Answers.mark(response, tooLarge ? ResultCode.HEAD_TOO_LARGE : ResultCode.MALFORMED_REQUEST);
   }
