Stand-ins: faults by a JSON script, and faults that name only what is wrong

Before, a PUT had to repeat every field and a missing one became zero, which for a target meant a slow factor of 0.

--- /dev/null
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/fault/package-info.java
@@ -0,0 +1,5 @@
+/** Faults of the stand-ins as JSON, at once or by a script. */
+@NullMarked
+package org.sageladder.standin.fault;
+
+import org.jspecify.annotations.NullMarked;
--- a/sageladder-standin/src/main/java/org/sageladder/standin/store/StoreServer.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/store/StoreServer.java
@@ -20,6 +20,7 @@
 import org.sageladder.core.store.WriteResult;
 import org.sageladder.core.time.TimeSource;
 import org.sageladder.platform.store.StoreMessages;
+import org.sageladder.standin.fault.FaultJson;
 import org.sageladder.standin.http.JsonExchange.Call;
 import org.sageladder.standin.http.JsonExchange.Reply;
 import org.sageladder.standin.http.JsonServer;
@@ -276,7 +277,7 @@
     }
     if (call.path().equals("/admin/faults")) {
       if (call.method().equals("PUT")) {
-        faults(call.body(StoreFaults.class));
+        faults(FaultJson.read(call.body(), StoreFaults.none(), StoreFaults.class));
       }
       return Reply.json(200, faults());
     }
--- a/sageladder-standin/src/main/java/org/sageladder/standin/target/TargetMain.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/target/TargetMain.java
@@ -1,11 +1,14 @@
 package org.sageladder.standin.target;
 
 import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.sageladder.standin.fault.FaultScript;
 
 /** Runs one target stand-in until it is ended or crashes; prints its address once it listens. */
 public final class TargetMain {
@@ -23,21 +26,29 @@
           .addOption(null, "cold-millis", true, "slower for so long after that")
           .addOption(null, "cold-factor", true, "service time at first over the usual one")
           .addOption(null, "crash-millis", true, "port closed after a crash; -1 ends the process")
-          .addOption(null, "incarnation", true, "number of this start");
+          .addOption(null, "incarnation", true, "number of this start")
+          .addOption(null, "script", true, "JSON file of faults and their times");
 
   private TargetMain() {}
 
   /** Takes the options that {@link TargetOptions} describes, each with its usual value. */
   public static void main(String[] args) throws IOException, InterruptedException {
     TargetOptions options;
+    FaultScript<TargetFaults> script = new FaultScript<>(List.of());
     try {
-      options = options(new DefaultParser().parse(OPTIONS, args));
-    } catch (ParseException | IllegalArgumentException e) {
+      CommandLine line = new DefaultParser().parse(OPTIONS, args);
+      options = options(line);
+      if (line.hasOption("script")) {
+        Path file = Path.of(line.getOptionValue("script"));
+        script = FaultScript.read(file, TargetFaults.none(), TargetFaults.class);
+      }
+    } catch (ParseException | IllegalArgumentException | IOException e) {
       System.err.println("target stand-in: " + e.getMessage());
       System.exit(2);
       return;
     }
     try (TargetServer server = TargetServer.start(options)) {
+      script.play(server::faults);
       System.out.println(server.address());
       new CountDownLatch(1).await();
     }
--- a/sageladder-standin/src/main/java/org/sageladder/standin/target/TargetServer.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/target/TargetServer.java
@@ -17,6 +17,7 @@
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
 import org.sageladder.core.time.TimeSource;
+import org.sageladder.standin.fault.FaultJson;
 import org.sageladder.standin.http.ConnectionTable;
 import org.sageladder.standin.http.JsonExchange;
 import org.sageladder.standin.http.JsonExchange.Call;
@@ -278,7 +279,7 @@
 
   private Reply faultsReply(Call call) throws IOException {
     if (call.method().equals("PUT")) {
-      faults(call.body(TargetFaults.class));
+      faults(FaultJson.read(call.body(), TargetFaults.none(), TargetFaults.class));
     }
     return Reply.json(200, faults());
   }
