--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestFlow.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestFlow.java
@@ -26,7 +26,7 @@
 import org.sageladder.entry.exchange.BodyPipe;
 import org.sageladder.entry.exchange.CallerExchange;
 import org.sageladder.entry.exchange.CarriedEntity;
-import org.sageladder.entry.exchange.OutboundClient;
+import org.sageladder.entry.exchange.Outbound;
 
 /**
  * One request on its way: gate, target, answer, or on to the entry VM that holds a gate.
@@ -60,6 +60,8 @@
   private int tries;
   private volatile boolean dispatched;
   private volatile boolean callerGone;
+  private volatile boolean toHome;
+  private volatile boolean lostTry;
   private volatile @Nullable BodyPipe answerBody;
   private @Nullable ScheduledFuture<?> timer;
 
@@ -117,10 +119,14 @@
   /** Passes the request on to the entry VM that decides on its permit. */
   void forwardToHome(Member member) {
     record(EventKind.FORWARDED, member.vm(), "it is the home of the permit");
+    toHome = true;
     passTo(member, new PeerLeg(member, true));
   }
 
   private void passTo(Member member, PeerLeg leg) {
+    if (!beginDispatch()) {
+      return;
+    }
     BasicHttpRequest request =
         new BasicHttpRequest(exchange.request().getMethod(), exchange.request().getPath());
     PassedHeaders.copy(exchange.request(), request, true);
@@ -140,7 +146,7 @@
         gate.request(
             new AdmissionRequest(head.id(), deadlineNanos, avoid, ""),
             admission -> decided(gate, admission));
-    step(wait::cancel);
+    waitFor(wait);
   }
 
   private void decided(Gate gate, Admission admission) {
@@ -149,12 +155,7 @@
       return;
     }
     Admission.Slot slot = ((Admission.Admitted) admission).slot();
-    synchronized (lock) {
-      if (!ended) {
-        cancelStep = () -> {};
-      }
-    }
-    if (over.get()) {
+    if (!beginDispatch()) {
       slot.release(Admission.Completion.UNUSED);
       return;
     }
@@ -167,6 +168,34 @@
     send(new HttpHost(target.host(), target.port()), request, new TargetLeg(gate, slot));
   }
 
+  /**
+   * Decides, once and for all, that the request is sent; false where the flow has ended.
+   *
+   * <p>A deadline or a broken connection in this very instant must not see a request as waiting
+   * that is being sent: the caller would be told "not run" of a request that runs. So the decision
+   * to send and the decision to end are taken under one lock, and the later one knows of the
+   * earlier.
+   */
+  private boolean beginDispatch() {
+    synchronized (lock) {
+      if (ended) {
+        return false;
+      }
+      dispatched = true;
+      cancelStep = () -> {};
+      return true;
+    }
+  }
+
+  /**
+   * The only try so far provably did not run: while the next one waits, "not run" is true again.
+   */
+  private void waitAgain() {
+    synchronized (lock) {
+      dispatched = false;
+    }
+  }
+
   private void send(HttpHost host, BasicHttpRequest request, Leg leg) {
     request.setScheme(host.getSchemeName());
     request.setAuthority(new URIAuthority(host));
@@ -180,7 +209,6 @@
                 exchange.requestBody(),
                 parts.connectTimeout(),
                 leg);
-    dispatched = true;
     step(cancel);
     try {
       exchange.acceptBody();
@@ -189,6 +217,23 @@
     }
   }
 
+  /** Names the wait as what a going caller ends, unless the gate has let the request through. */
+  private void waitFor(Gate.Cancellable wait) {
+    boolean now;
+    synchronized (lock) {
+      if (dispatched) {
+        return;
+      }
+      now = ended;
+      if (!now) {
+        cancelStep = wait::cancel;
+      }
+    }
+    if (now) {
+      boolean unused = wait.cancel();
+    }
+  }
+
   /** Names what ends the present step; runs it at once where the flow has already ended. */
   private void step(Runnable cancel) {
     boolean now;
@@ -216,19 +261,21 @@
     }
     boolean first = over.compareAndSet(false, true);
     Runnable cancel;
+    boolean sent;
     synchronized (lock) {
       if (ended) {
         return;
       }
       ended = true;
+      sent = dispatched;
       cancel = cancelStep;
     }
     cancel.run();
     stopTimer();
     if (!first || ending == Ending.CALLER_GONE) {
-      endRun(first && !dispatched);
+      endRun(first && !sent);
       record(EventKind.CANCELLED, "", ending.name());
-    } else if (dispatched) {
+    } else if (sent) {
       answer(new Result.Unknown(ResultCode.TARGET_TIMEOUT, "no answer by the deadline"));
     } else {
       answer(
@@ -300,7 +347,8 @@
     }
   }
 
-  private void answer(Result result) {
+  private void answer(Result decided) {
+    Result result = provable(decided);
     record(
         result instanceof Result.NotRun ? EventKind.REFUSED : EventKind.FAILED,
         "",
@@ -315,6 +363,18 @@
     Answers.send(exchange, answer, result);
   }
 
+  /** Says "unknown" in place of "not run" where another copy or an earlier try may have run. */
+  private Result provable(Result decided) {
+    if (toHome) {
+      return Permits.heldElsewhere(decided);
+    }
+    if (lostTry && decided instanceof Result.NotRun notRun) {
+      return new Result.Unknown(
+          ResultCode.TARGET_LOST, "an earlier try was lost, and then " + notRun.code());
+    }
+    return decided;
+  }
+
   /** A permit told "not run" is used up, so the answer brings the one for a new try. */
   private void addFreshPermit(HttpResponse answer, Outcome outcome) {
     String fresh = run != null && outcome == Outcome.NOT_RUN ? run.freshPermit() : "";
@@ -369,7 +429,7 @@
   }
 
   /** One try: what is done with the news of one exchange. */
-  private abstract class Leg implements OutboundClient.Listener {
+  private abstract class Leg implements Outbound.Listener {
     private final AnswerRecorder recorder = AnswerRecorder.upTo(LARGEST_RECORDED);
     private volatile boolean retried;
     private volatile @Nullable Recording recording;
@@ -465,7 +525,9 @@
         return;
       }
       record(EventKind.FAILED, slot.target().target(), String.valueOf(cause));
+      lostTry = true;
       if (service.repeatable() && mayTryAgain(true)) {
+        waitAgain();
         retry(() -> admit(gate, slot.target().target()));
         return;
       }
@@ -475,6 +537,7 @@
     private void refusedByTarget(String why, boolean sent) {
       record(EventKind.RETRIED, slot.target().target(), why);
       if (mayTryAgain(sent)) {
+        waitAgain();
         retry(() -> admit(gate, slot.target().target()));
       } else {
         refuse(new Result.NotRun(ResultCode.TARGET_REFUSED, Duration.ofMillis(200), why));
