--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestFlow.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestFlow.java
@@ -60,6 +60,8 @@
   private int tries;
   private volatile boolean dispatched;
   private volatile boolean callerGone;
+  private volatile boolean toHome;
+  private volatile boolean lostTry;
   private volatile @Nullable BodyPipe answerBody;
   private @Nullable ScheduledFuture<?> timer;
 
@@ -117,6 +119,7 @@
   /** Passes the request on to the entry VM that decides on its permit. */
   void forwardToHome(Member member) {
     record(EventKind.FORWARDED, member.vm(), "it is the home of the permit");
+    toHome = true;
     passTo(member, new PeerLeg(member, true));
   }
 
@@ -143,7 +146,7 @@
         gate.request(
             new AdmissionRequest(head.id(), deadlineNanos, avoid, ""),
             admission -> decided(gate, admission));
-    step(wait::cancel);
+    waitFor(wait);
   }
 
   private void decided(Gate gate, Admission admission) {
@@ -184,6 +187,15 @@
     }
   }
 
+  /**
+   * The only try so far provably did not run: while the next one waits, "not run" is true again.
+   */
+  private void waitAgain() {
+    synchronized (lock) {
+      dispatched = false;
+    }
+  }
+
   private void send(HttpHost host, BasicHttpRequest request, Leg leg) {
     request.setScheme(host.getSchemeName());
     request.setAuthority(new URIAuthority(host));
@@ -205,6 +217,23 @@
     }
   }
 
+  /** Names the wait as what a going caller ends, unless the gate has let the request through. */
+  private void waitFor(Gate.Cancellable wait) {
+    boolean now;
+    synchronized (lock) {
+      if (dispatched) {
+        return;
+      }
+      now = ended;
+      if (!now) {
+        cancelStep = wait::cancel;
+      }
+    }
+    if (now) {
+      boolean unused = wait.cancel();
+    }
+  }
+
   /** Names what ends the present step; runs it at once where the flow has already ended. */
   private void step(Runnable cancel) {
     boolean now;
@@ -318,7 +347,8 @@
     }
   }
 
-  private void answer(Result result) {
+  private void answer(Result decided) {
+    Result result = provable(decided);
     record(
         result instanceof Result.NotRun ? EventKind.REFUSED : EventKind.FAILED,
         "",
@@ -333,6 +363,18 @@
     Answers.send(exchange, answer, result);
   }
 
+  /** Says "unknown" in place of "not run" where another copy or an earlier try may have run. */
+  private Result provable(Result decided) {
+    if (toHome) {
+      return Permits.heldElsewhere(decided);
+    }
+    if (lostTry && decided instanceof Result.NotRun notRun) {
+      return new Result.Unknown(
+          ResultCode.TARGET_LOST, "an earlier try was lost, and then " + notRun.code());
+    }
+    return decided;
+  }
+
   /** A permit told "not run" is used up, so the answer brings the one for a new try. */
   private void addFreshPermit(HttpResponse answer, Outcome outcome) {
     String fresh = run != null && outcome == Outcome.NOT_RUN ? run.freshPermit() : "";
@@ -483,7 +525,9 @@
         return;
       }
       record(EventKind.FAILED, slot.target().target(), String.valueOf(cause));
+      lostTry = true;
       if (service.repeatable() && mayTryAgain(true)) {
+        waitAgain();
         retry(() -> admit(gate, slot.target().target()));
         return;
       }
@@ -493,6 +537,7 @@
     private void refusedByTarget(String why, boolean sent) {
       record(EventKind.RETRIED, slot.target().target(), why);
       if (mayTryAgain(sent)) {
+        waitAgain();
         retry(() -> admit(gate, slot.target().target()));
       } else {
         refuse(new Result.NotRun(ResultCode.TARGET_REFUSED, Duration.ofMillis(200), why));
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestRouter.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestRouter.java
@@ -259,7 +259,12 @@
     return Optional.empty();
   }
 
-  private void refuse(CallerExchange exchange, Result.NotRun result) throws IOException {
+  /** Only the home says "not run" of a request with a permit: another copy may have reached it. */
+  private void refuse(CallerExchange exchange, Result.NotRun refusal) throws IOException {
+    boolean copy =
+        exchange.request().containsHeader(Headers.PERMIT)
+            && !exchange.request().containsHeader(Headers.DISPATCH);
+    Result result = copy ? Permits.heldElsewhere(refusal) : refusal;
     parts.counters().result("", result.code());
     exchange.requestBody().discard();
     Answers.send(exchange, result);
