--- /dev/null
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/controlcost/ControlCostBench.java
@@ -0,0 +1,92 @@
+package org.sageladder.bench.controlcost;
+
+import java.io.IOException;
+import java.util.List;
+import org.sageladder.bench.fleet.Contracts;
+import org.sageladder.bench.fleet.Fleet;
+import org.sageladder.bench.fleet.FleetOptions;
+import org.sageladder.bench.fleet.Sample;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.core.store.StoreException;
+
+/**
+ * Measures processor time, memory and bytes of control for each entry VM, as zones, entry VMs,
+ * targets, client blocks and changes grow, each against the same small fleet.
+ */
+public final class ControlCostBench {
+  private static final int HEAP_MEGABYTES = 64;
+  private static final double MOST_BYTES = 7_000;
+  private static final double MOST_CPU_PERCENT = 1.6;
+
+  private final long millis;
+  private double worstBytes;
+  private double worstCpu;
+
+  private ControlCostBench(long millis) {
+    this.millis = millis;
+  }
+
+  /** Takes {@code --full} for longer measurements. */
+  public static void main(String[] args) throws Exception {
+    boolean full = List.of(args).contains("--full");
+    ControlCostBench bench = new ControlCostBench(full ? 30_000 : 6_000);
+    System.out.println(
+        "zones VMs targets ranges changes/s |  CPU %  most | bytes/s   most | resident MB");
+    bench.measure(3, 2, 12, 20, 0);
+    bench.measure(3, 8, 12, 20, 0);
+    bench.measure(12, 2, 12, 20, 0);
+    bench.measure(3, 2, 240, 20, 0);
+    if (full) {
+      bench.measure(3, 2, 12, 5_000, 0);
+      bench.measure(3, 2, 12, 20, 2);
+    }
+    bench.measure(3, 2, 12, 5_000, 2);
+    System.out.printf(
+        "control-cost: %.0f bytes/s and %.2f %% of a core at the busiest VM measured"
+            + " (aim <= %.0f and <= %.1f)%n",
+        bench.worstBytes, bench.worstCpu, MOST_BYTES, MOST_CPU_PERCENT);
+    boolean good = bench.worstBytes <= MOST_BYTES && bench.worstCpu <= MOST_CPU_PERCENT;
+    System.exit(good ? 0 : 1);
+  }
+
+  private void measure(int zones, int vmsPerZone, int targets, int ranges, int changesPerSecond)
+      throws IOException, InterruptedException, StoreException {
+    Contract contract = Contracts.of(zones, targets, ranges);
+    FleetOptions options = new FleetOptions(contract, vmsPerZone, HEAP_MEGABYTES);
+    try (Fleet fleet = Fleet.start(options)) {
+      Thread.sleep(5_000);
+      Sample sample =
+          Sample.over(fleet, millis, work -> change(fleet, contract, changesPerSecond, work));
+      System.out.printf(
+          "%5d %3d %7d %6d %9d | %6.2f %5.2f | %7.0f %6.0f | %6.1f%n",
+          zones,
+          zones * vmsPerZone,
+          targets,
+          ranges,
+          changesPerSecond,
+          sample.cpuPercent(),
+          sample.cpuPercentMost(),
+          sample.bytesPerSecond(),
+          sample.bytesPerSecondMost(),
+          sample.residentMegabytes());
+      worstBytes = Math.max(worstBytes, sample.bytesPerSecondMost());
+      worstCpu = Math.max(worstCpu, sample.cpuPercentMost());
+    }
+  }
+
+  private static void change(Fleet fleet, Contract contract, int perSecond, long millis)
+      throws InterruptedException {
+    if (perSecond == 0) {
+      return;
+    }
+    long changes = perSecond * millis / 1_000;
+    for (int i = 0; i < changes; i++) {
+      try {
+        fleet.accept(Contracts.withServiceMillis(contract, 20 + i % 9));
+      } catch (StoreException e) {
+        throw new IllegalStateException("the store stand-in failed without a fault", e);
+      }
+      Thread.sleep(1_000 / perSecond);
+    }
+  }
+}
--- /dev/null
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/controlcost/package-info.java
@@ -0,0 +1,5 @@
+/** What control costs an entry VM in processor time, memory and bytes. */
+@NullMarked
+package org.sageladder.bench.controlcost;
+
+import org.jspecify.annotations.NullMarked;
--- a/sageladder-bench/src/main/java/org/sageladder/bench/fleet/Fleet.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/fleet/Fleet.java
@@ -50,6 +50,7 @@
   private final StoreServer store;
   private final HttpStore client;
   private final HttpCaller caller;
+  private final List<String> jvmOptions = new ArrayList<>();
   private final Map<String, FleetVm> vms = new LinkedHashMap<>();
   private final Map<String, ListedVm> listed = new LinkedHashMap<>();
   private final Map<String, TreeMap<Long, Long>> inForce = new LinkedHashMap<>();
@@ -80,6 +81,10 @@
   private void begin() throws IOException, InterruptedException, StoreException {
     Acceptance first = accept(options.contract());
     listTargets();
+    Path probe = folder.resolve("probe.yaml");
+    Files.writeString(probe, settings("probe", options.contract().zones().get(0), 0));
+    jvmOptions.addAll(ClassArchive.options(ClassArchive.ensure(probe)));
+    jvmOptions.add("-Xmx" + options.heapMegabytes() + "m");
     ExecutorService starters = Executors.newFixedThreadPool(STARTS_AT_ONCE);
     List<Future<?>> starts = new ArrayList<>();
     for (String zone : options.contract().zones()) {
@@ -117,8 +122,7 @@
             0,
             false));
     FleetVm vm =
-        FleetVm.launch(
-            name, zone, settings, folder.resolve(name + ".log"), options.heapMegabytes(), caller);
+        FleetVm.launch(name, zone, settings, folder.resolve(name + ".log"), jvmOptions, caller);
     synchronized (vms) {
       vms.put(name, vm);
     }
@@ -136,6 +140,7 @@
         "ports: {callers: 0, inner: " + innerPort + ", operators: 0}",
         "store: {uri: '" + store.address() + "', timeout: 2s}",
         "vmList: {uri: '" + store.address() + "', every: 1s}",
+        "innerKeys: ['bench:c2FnZWxhZGRlci1iZW5jaC1rZXk=']",
         "incarnation: {source: clock}",
         "eventCapacity: 4096",
         "callerLimits: {workers: 1}",
@@ -259,9 +264,6 @@
   }
 
   private void note(FleetVm vm, Event event) {
-    if (event.kind() == EventKind.STARTED) {
-      lastRevision.remove(vm.name());
-    }
     if (event.kind() != EventKind.CONTRACT_IN_FORCE) {
       return;
     }
@@ -275,12 +277,9 @@
         .putIfAbsent(event.revision(), event.wallMicros());
   }
 
-  /** Forgets what a VM had in force, because its process was started anew. */
-  public void forget(FleetVm vm) {
-    lastRevision.remove(vm.name());
-  }
-
-  /** Each revert seen so far: a process that put a lower revision in force after a higher one. */
+  /**
+   * Each time an entry VM, restarted ones among them, put a lower revision in force than before.
+   */
   public List<String> reverts() {
     return List.copyOf(reverts);
   }
--- a/sageladder-bench/src/main/java/org/sageladder/bench/fleet/FleetVm.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/fleet/FleetVm.java
@@ -24,33 +24,34 @@
   private final String zone;
   private final Path settings;
   private final Path log;
-  private final int heapMegabytes;
+  private final List<String> jvmOptions;
   private final HttpCaller caller;
   private Process process;
   private URI operators = URI.create("http://127.0.0.1:1");
   private long eventCursor;
 
   private FleetVm(
-      String name, String zone, Path settings, Path log, int heapMegabytes, HttpCaller caller)
+      String name, String zone, Path settings, Path log, List<String> jvmOptions, HttpCaller caller)
       throws IOException {
     this.name = name;
     this.zone = zone;
     this.settings = settings;
     this.log = log;
-    this.heapMegabytes = heapMegabytes;
+    this.jvmOptions = jvmOptions;
     this.caller = caller;
     this.process = launch();
   }
 
   static FleetVm launch(
-      String name, String zone, Path settings, Path log, int heapMegabytes, HttpCaller caller)
+      String name, String zone, Path settings, Path log, List<String> jvmOptions, HttpCaller caller)
       throws IOException {
-    return new FleetVm(name, zone, settings, log, heapMegabytes, caller);
+    return new FleetVm(name, zone, settings, log, jvmOptions, caller);
   }
 
   private Process launch() throws IOException {
     List<String> command = new ArrayList<>();
-    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.add(ClassArchive.java());
+    command.addAll(jvmOptions);
     command.addAll(
         List.of(
             "-XX:+UseSerialGC",
@@ -59,7 +60,6 @@
             "-XX:-UsePerfData",
             "-Xss256k",
             "-Xms8m",
-            "-Xmx" + heapMegabytes + "m",
             "-cp",
             System.getProperty("java.class.path"),
             "org.sageladder.entry.EntryMain",
--- /dev/null
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/reverts/RevertsBench.java
@@ -0,0 +1,161 @@
+package org.sageladder.bench.reverts;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.sageladder.bench.fleet.Contracts;
+import org.sageladder.bench.fleet.Fleet;
+import org.sageladder.bench.fleet.FleetOptions;
+import org.sageladder.bench.fleet.FleetVm;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.core.store.StoreException;
+import org.sageladder.core.store.StoredValue;
+import org.sageladder.core.store.WriteResult;
+import org.sageladder.platform.contract.StoredContract;
+import org.sageladder.standin.store.StoreFaults;
+
+/**
+ * Makes 2,000 changes while entry VMs are ended, started anew and paused, the store is down or slow
+ * and loses answers, and counts each time an entry VM puts a lower revision in force than it had.
+ *
+ * <p>All draws come from one seed; what the processes make of them also depends on the machine.
+ */
+public final class RevertsBench {
+  private static final int ZONES = 4;
+  private static final int VMS_PER_ZONE = 3;
+  private static final int HEAP_MEGABYTES = 40;
+  private static final int CHANGES = 2_000;
+  private static final int FAULT_EVERY = 50;
+  private static final Duration PATIENCE = Duration.ofSeconds(30);
+
+  private final Fleet fleet;
+  private final SplittableRandom random;
+  private final List<FleetVm> paused = new ArrayList<>();
+  private final int[] faults = new int[5];
+  private int accepted;
+  private int lostAnswers;
+  private int refused;
+
+  private RevertsBench(Fleet fleet, long seed) {
+    this.fleet = fleet;
+    this.random = new SplittableRandom(seed);
+  }
+
+  /** Takes {@code --full} for five times as many changes and {@code --seed N}. */
+  public static void main(String[] args) throws Exception {
+    List<String> options = List.of(args);
+    int changes = options.contains("--full") ? 5 * CHANGES : CHANGES;
+    int at = options.indexOf("--seed");
+    long seed = at < 0 ? 20261202 : Long.parseLong(options.get(at + 1));
+    int reverts;
+    int accepted;
+    try (Fleet fleet = Fleet.start(new FleetOptions(contract(0), VMS_PER_ZONE, HEAP_MEGABYTES))) {
+      RevertsBench bench = new RevertsBench(fleet, seed);
+      bench.run(changes);
+      bench.settle();
+      bench.report(seed);
+      reverts = fleet.reverts().size();
+      accepted = bench.accepted;
+      fleet.reverts().forEach(System.out::println);
+    }
+    System.out.printf("reverts: %d reverts (aim = 0 over >= 2000 accepted changes)%n", reverts);
+    System.exit(reverts == 0 && accepted >= CHANGES ? 0 : 1);
+  }
+
+  private void run(int changes) throws IOException, InterruptedException {
+    int step = 0;
+    while (accepted < changes) {
+      step++;
+      change(step);
+      if (step % FAULT_EVERY == 0) {
+        fault();
+      }
+      if (step % 100 == 0) {
+        fleet.collect(vm -> !paused.contains(vm));
+      }
+      Thread.sleep(5);
+    }
+  }
+
+  private void change(int step) {
+    try {
+      write(step);
+    } catch (StoreException.OutcomeUnknown e) {
+      lostAnswers++;
+    } catch (StoreException e) {
+      refused++;
+    }
+  }
+
+  private void write(int step) throws StoreException {
+    String key = StoredContract.keyOf("bench");
+    long before = fleet.client().read(key).map(StoredValue::revision).orElse(0L);
+    byte[] value = new StoredContract("change-" + step, "bench", contract(step)).toBytes();
+    if (fleet.client().compareAndSet(key, before, value, null) instanceof WriteResult.Written) {
+      accepted++;
+    }
+  }
+
+  private void fault() throws IOException, InterruptedException {
+    int kind = random.nextInt(5);
+    faults[kind]++;
+    List<FleetVm> vms = fleet.vms();
+    FleetVm vm = vms.get(random.nextInt(vms.size()));
+    resumeAll();
+    switch (kind) {
+      case 0 -> {
+        fleet.collect(each -> true);
+        vm.kill();
+        vm.restart();
+      }
+      case 1 -> {
+        vm.pause();
+        paused.add(vm);
+      }
+      case 2 -> outage(vm);
+      case 3 -> fleet.store().faults(StoreFaults.none().loseAnswers(1 + random.nextInt(5)));
+      default -> fleet.store().faults(StoreFaults.none().slow(1 + random.nextInt(40)));
+    }
+  }
+
+  /** The store is down while a VM is started anew, which then has only its peers to ask. */
+  private void outage(FleetVm vm) throws IOException, InterruptedException {
+    fleet.collect(each -> true);
+    fleet.store().faults(StoreFaults.none().down(true));
+    vm.kill();
+    vm.restart();
+    Thread.sleep(1_500 + random.nextInt(1_500));
+    fleet.store().faults(StoreFaults.none());
+  }
+
+  private void resumeAll() throws IOException, InterruptedException {
+    for (FleetVm vm : paused) {
+      vm.resume();
+    }
+    paused.clear();
+    fleet.store().faults(StoreFaults.none());
+  }
+
+  private void settle() throws IOException, InterruptedException, StoreException {
+    resumeAll();
+    Fleet.Acceptance last = fleet.accept(contract(7));
+    fleet.awaitRevision(last.revision(), PATIENCE, vm -> true);
+  }
+
+  private void report(long seed) {
+    System.out.printf(
+        "seed %d, %d entry VMs: %d changes accepted, %d answers lost, %d refused by a store outage%n",
+        seed, fleet.vms().size(), accepted, lostAnswers, refused);
+    System.out.printf(
+        "faults: %d restarts, %d pauses, %d outages with a restart, %d times lost answers, "
+            + "%d times a slow store%n",
+        faults[0], faults[1], faults[2], faults[3], faults[4]);
+    System.out.println("the last revision came into force on every entry VM");
+  }
+
+  private static Contract contract(int step) {
+    return Contracts.withServiceMillis(Contracts.of(ZONES, 12, 50), 10 + step % 50);
+  }
+}
--- /dev/null
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/reverts/package-info.java
@@ -0,0 +1,5 @@
+/** Whether any entry VM ever puts a lower revision in force after a higher one. */
+@NullMarked
+package org.sageladder.bench.reverts;
+
+import org.jspecify.annotations.NullMarked;
--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -29,6 +29,7 @@
 import org.sageladder.entry.control.ControlPlane;
 import org.sageladder.entry.control.ControlSettings;
 import org.sageladder.entry.control.Incarnations;
+import org.sageladder.entry.control.InnerKeys;
 import org.sageladder.entry.control.RelayControlPlane;
 import org.sageladder.entry.exchange.CallerExchange;
 import org.sageladder.entry.exchange.InFlight;
@@ -243,7 +244,8 @@
             .toList();
     ControlSettings control =
         new ControlSettings(settings.customer(), self, seeds, settings.vmList().every());
-    return RelayControlPlane.start(control, store, list, keys::storedRing, time, events);
+    InnerKeys innerKeys = InnerKeys.of(settings.innerKeys(), keys::storedRing);
+    return RelayControlPlane.start(control, store, list, innerKeys, time, events);
   }
 
   private static void gauges(
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/control/InnerKeys.java
@@ -0,0 +1,54 @@
+package org.sageladder.entry.control;
+
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.sageladder.core.permit.KeyRing;
+import org.sageladder.entry.settings.EntrySettings;
+
+/**
+ * The keys of the inner protocol: those of the settings, then those of the store.
+ *
+ * <p>A VM that starts while the store is down has no key from there and could not ask its peers for
+ * the contract. Keys from the settings close that gap; all VMs of a customer then have them, so
+ * they come first and sign.
+ */
+public final class InnerKeys implements Supplier<Optional<KeyRing>> {
+  private final List<KeyRing.Key> fromSettings;
+  private final Supplier<Optional<KeyRing>> fromStore;
+
+  private InnerKeys(List<KeyRing.Key> fromSettings, Supplier<Optional<KeyRing>> fromStore) {
+    this.fromSettings = fromSettings;
+    this.fromStore = fromStore;
+  }
+
+  /**
+   * The keys of {@code settings}, and after them those that {@code fromStore} has at the moment.
+   */
+  public static InnerKeys of(
+      List<EntrySettings.InnerKey> settings, Supplier<Optional<KeyRing>> fromStore) {
+    List<KeyRing.Key> keys = new ArrayList<>();
+    for (EntrySettings.InnerKey key : settings) {
+      byte[] secret = Base64.getDecoder().decode(key.secret());
+      keys.add(new KeyRing.Key(key.id(), 0, KeyRing.Secret.of(secret)));
+    }
+    return new InnerKeys(List.copyOf(keys), fromStore);
+  }
+
+  @Override
+  public Optional<KeyRing> get() {
+    List<KeyRing.Key> keys = new ArrayList<>(fromSettings);
+    Set<String> ids = new HashSet<>();
+    keys.forEach(key -> ids.add(key.id()));
+    for (KeyRing.Key key : fromStore.get().map(KeyRing::keys).orElse(List.of())) {
+      if (ids.add(key.id())) {
+        keys.add(key);
+      }
+    }
+    return keys.isEmpty() ? Optional.empty() : Optional.of(KeyRing.of(keys));
+  }
+}
--- a/sageladder-entry/src/main/java/org/sageladder/entry/settings/EntrySettings.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/settings/EntrySettings.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.regex.Pattern;
 import org.sageladder.platform.settings.Names;
 import org.sageladder.platform.settings.SettingsDocument;
 import org.sageladder.platform.settings.SettingsException;
@@ -23,6 +24,7 @@
  * @param zone availability zone that this entry VM runs in
  * @param host IP number that all ports are opened on
  * @param seeds inner addresses of peers to ask first; may be empty
+ * @param innerKeys keys of the inner protocol, the first one in use; may be empty, then the store's
  * @param eventCapacity events kept for the time line
  */
 public record EntrySettings(
@@ -34,15 +36,21 @@
     StoreSettings store,
     VmListSettings vmList,
     List<PeerAddress> seeds,
+    List<InnerKey> innerKeys,
     Incarnation incarnation,
     Logs logs,
     CallerLimits callerLimits,
     int eventCapacity) {
   private static final int HIGHEST_PORT = 65_535;
+  private static final Pattern INNER_KEY =
+      Pattern.compile("[A-Za-z0-9]{1,16}:(?:[A-Za-z0-9+/]{4}){5,}(?:[A-Za-z0-9+/]{2,3}={1,2})?");
+  private static final String INNER_KEY_ALLOWED =
+      "an id of letters and digits, a colon and at least 16 bytes in base64";
 
   /** Copies the list, so that the settings cannot change. */
   public EntrySettings {
     seeds = List.copyOf(seeds);
+    innerKeys = List.copyOf(innerKeys);
   }
 
   /** TCP ports; 0 lets the machine choose a free one. */
@@ -71,6 +79,19 @@
     }
   }
 
+  /**
+   * A key of the inner protocol.
+   *
+   * @param id letters and digits
+   * @param secret at least 16 bytes in base64
+   */
+  public record InnerKey(String id, String secret) {
+    @Override
+    public String toString() {
+      return id + ":(secret)";
+    }
+  }
+
   /** Where the number comes from that grows with each start of this entry VM. */
   public enum IncarnationSource {
     /** The revision of one write to the store at start; safe against clocks that go back. */
@@ -136,6 +157,7 @@
             "store",
             "vmList",
             "seeds",
+            "innerKeys",
             "incarnation",
             "logs",
             "callerLimits",
@@ -149,6 +171,7 @@
         store(root),
         vmList(root),
         seeds(root),
+        innerKeys(root),
         incarnation(root),
         logs(root),
         callerLimits(root),
@@ -206,6 +229,15 @@
     return seeds;
   }
 
+  private static List<InnerKey> innerKeys(SettingsSection root) throws SettingsException {
+    List<InnerKey> keys = new ArrayList<>();
+    for (String text : root.texts("innerKeys", INNER_KEY, INNER_KEY_ALLOWED)) {
+      int colon = text.indexOf(':');
+      keys.add(new InnerKey(text.substring(0, colon), text.substring(colon + 1)));
+    }
+    return keys;
+  }
+
   private static Incarnation incarnation(SettingsSection root) throws SettingsException {
     SettingsSection section = root.sectionOrEmpty("incarnation", "source", "number");
     IncarnationSource source =
