--- a/sageladder-bench/src/main/java/org/sageladder/bench/fleet/Fleet.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/fleet/Fleet.java
@@ -28,6 +28,9 @@
 import org.sageladder.platform.contract.StoredContract;
 import org.sageladder.platform.store.HttpStore;
 import org.sageladder.standin.store.StoreServer;
+import org.sageladder.standin.target.ServiceTime;
+import org.sageladder.standin.target.TargetOptions;
+import org.sageladder.standin.target.TargetServer;
 import org.sageladder.tools.http.HttpCaller;
 
 /**
@@ -44,6 +47,7 @@
   private static final Duration CALL_TIMEOUT = Duration.ofSeconds(3);
   private static final int STARTS_AT_ONCE = 4;
   private static final int PORTS_PER_VM = 1;
+  private static final int CLOSED_PORT = 9;
 
   private final FleetOptions options;
   private final Path folder;
@@ -51,6 +55,7 @@
   private final HttpStore client;
   private final HttpCaller caller;
   private final List<String> jvmOptions = new ArrayList<>();
+  private final Map<String, TargetServer> targets = new LinkedHashMap<>();
   private final Map<String, FleetVm> vms = new LinkedHashMap<>();
   private final Map<String, ListedVm> listed = new LinkedHashMap<>();
   private final Map<String, TreeMap<Long, Long>> inForce = new LinkedHashMap<>();
@@ -148,19 +153,20 @@
         "");
   }
 
-  private void listTargets() {
+  private void listTargets() throws IOException {
     List<String> zones = options.contract().zones();
     for (Contract.Service service : options.contract().services()) {
       for (int i = 0; i < service.targets(); i++) {
+        String id = service.name() + "-" + i;
         list(
             new ListedVm(
                 VmRole.TARGET,
-                service.name() + "-" + i,
+                id,
                 options.contract().customer(),
                 service.name(),
                 zones.get(i % zones.size()),
                 HOST,
-                9,
+                options.realTargets() ? startTarget(id, service) : CLOSED_PORT,
                 0,
                 1,
                 false));
@@ -168,6 +174,35 @@
     }
   }
 
+  private int startTarget(String id, Contract.Service service) throws IOException {
+    TargetServer target =
+        TargetServer.start(
+            TargetOptions.create(id)
+                .slots(service.slotsPerTarget())
+                .serviceTime(ServiceTime.fixed(service.meanServiceMillis())));
+    targets.put(id, target);
+    return target.port();
+  }
+
+  /** Ends all entry VMs and targets of a zone at once; the platform's list shows it later. */
+  public void loseZone(String zone) throws InterruptedException {
+    for (FleetVm vm : vms()) {
+      if (vm.zone().equals(zone)) {
+        vm.kill();
+      }
+    }
+    List<ListedVm> lines;
+    synchronized (listed) {
+      lines = List.copyOf(listed.values());
+    }
+    for (ListedVm line : lines) {
+      TargetServer target = targets.get(line.id());
+      if (line.zone().equals(zone) && target != null) {
+        target.close();
+      }
+    }
+  }
+
   private void list(ListedVm vm) {
     synchronized (listed) {
       listed.put(vm.id(), vm);
@@ -363,6 +398,7 @@
         Thread.currentThread().interrupt();
       }
     }
+    targets.values().forEach(TargetServer::close);
     caller.close();
     client.close();
     store.close();
--- a/sageladder-bench/src/main/java/org/sageladder/bench/fleet/FleetVm.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/fleet/FleetVm.java
@@ -28,6 +28,7 @@
   private final HttpCaller caller;
   private Process process;
   private URI operators = URI.create("http://127.0.0.1:1");
+  private String callers = "";
   private long eventCursor;
 
   private FleetVm(
@@ -78,6 +79,8 @@
     if (line == null || !line.startsWith("ready ")) {
       throw new IOException(name + " did not start: " + line + "\n" + Files.readString(log));
     }
+    int callersAt = line.indexOf("callers=") + "callers=".length();
+    callers = "127.0.0.1:" + line.substring(callersAt).split(" ")[0];
     int at = line.indexOf("operators=") + "operators=".length();
     operators = URI.create("http://127.0.0.1:" + line.substring(at).strip());
     eventCursor = 0;
@@ -88,6 +91,11 @@
     return name;
   }
 
+  /** Address that callers use. */
+  public String callers() {
+    return callers;
+  }
+
   /** Zone of the VM. */
   public String zone() {
     return zone;
--- /dev/null
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/recovery/RecoveryBench.java
@@ -0,0 +1,169 @@
+package org.sageladder.bench.recovery;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.sageladder.bench.fleet.Contracts;
+import org.sageladder.bench.fleet.Fleet;
+import org.sageladder.bench.fleet.FleetOptions;
+import org.sageladder.bench.fleet.FleetVm;
+import org.sageladder.client.Answer;
+import org.sageladder.client.ClientOptions;
+import org.sageladder.client.Request;
+import org.sageladder.client.SageladderClient;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.standin.store.StoreFaults;
+
+/**
+ * Measures, with callers at a steady rate, what a store outage costs them and how long the callers
+ * of a zone that is lost whole go without answers.
+ */
+public final class RecoveryBench {
+  private static final int ZONES = 4;
+  private static final int VMS_PER_ZONE = 2;
+  private static final int TARGETS = 16;
+  private static final int HEAP_MEGABYTES = 64;
+  private static final int REQUESTS_PER_SECOND = 300;
+  private static final int CALLERS = 128;
+  private static final long CALM_MILLIS = 1_000;
+  private static final double AIM_SECONDS = 10;
+  private static final Duration DEADLINE = Duration.ofSeconds(2);
+
+  private final Contract contract = Contracts.of(ZONES, TARGETS, 100);
+  private final SageladderClient client;
+  private final Queue<Outcome> outcomes = new ConcurrentLinkedQueue<>();
+  private final AtomicInteger next = new AtomicInteger();
+  private final long startNanos = System.nanoTime();
+
+  private RecoveryBench(SageladderClient client) {
+    this.client = client;
+  }
+
+  private record Outcome(long dueMillis, long endMillis, boolean whole, String name) {}
+
+  /** Takes {@code --full} for a store outage of ten minutes instead of fifteen seconds. */
+  public static void main(String[] args) throws Exception {
+    long outageMillis = List.of(args).contains("--full") ? 600_000 : 15_000;
+    FleetOptions options =
+        new FleetOptions(Contracts.of(ZONES, TARGETS, 100), VMS_PER_ZONE, HEAP_MEGABYTES, true);
+    long refused;
+    double recovered;
+    try (Fleet fleet = Fleet.start(options)) {
+      List<String> seeds = fleet.vms().stream().map(FleetVm::callers).toList();
+      try (SageladderClient client = SageladderClient.start(ClientOptions.seeds(seeds))) {
+        RecoveryBench bench = new RecoveryBench(client);
+        bench.load(5_000);
+        bench.summary("before", 0, bench.now());
+        refused = bench.outage(fleet, outageMillis);
+        recovered = bench.lostZone(fleet);
+      }
+    }
+    System.out.printf("requests not answered whole in the store outage: %d (aim = 0)%n", refused);
+    System.out.printf(
+        "recovery: %.1f s until callers of a lost zone are all answered (aim <= %.0f s)%n",
+        recovered, AIM_SECONDS);
+    System.exit(refused == 0 && recovered <= AIM_SECONDS ? 0 : 1);
+  }
+
+  private long outage(Fleet fleet, long millis) throws InterruptedException {
+    long from = now();
+    fleet.store().faults(StoreFaults.none().down(true));
+    load(millis);
+    fleet.store().faults(StoreFaults.none());
+    long to = now();
+    load(4_000);
+    summary("store down " + millis / 1_000 + " s", from, to);
+    return outcomes.stream()
+        .filter(each -> each.dueMillis() >= from && each.dueMillis() < to && !each.whole())
+        .count();
+  }
+
+  private double lostZone(Fleet fleet) throws InterruptedException {
+    ScheduledExecutorService killer = Executors.newSingleThreadScheduledExecutor();
+    long at = now() + 500;
+    ScheduledFuture<?> unused = killer.schedule(() -> lose(fleet), 500, TimeUnit.MILLISECONDS);
+    load(25_000);
+    killer.shutdown();
+    summary("zone lost", at, now());
+    long lastBad =
+        outcomes.stream()
+            .filter(each -> each.dueMillis() >= at && !each.whole())
+            .mapToLong(Outcome::dueMillis)
+            .max()
+            .orElse(at);
+    if (now() - lastBad < DEADLINE.toMillis() + CALM_MILLIS) {
+      return Double.POSITIVE_INFINITY;
+    }
+    return (lastBad - at) / 1e3;
+  }
+
+  private static void lose(Fleet fleet) {
+    try {
+      fleet.loseZone(Contracts.zone(0));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Callers of all regions in turn, at a rate that does not wait for answers. */
+  private void load(long millis) throws InterruptedException {
+    ScheduledExecutorService clock = Executors.newSingleThreadScheduledExecutor();
+    ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
+    ScheduledFuture<?> stream =
+        clock.scheduleAtFixedRate(
+            () -> due(callers), 0, 1_000_000 / REQUESTS_PER_SECOND, TimeUnit.MICROSECONDS);
+    Thread.sleep(millis);
+    stream.cancel(false);
+    clock.shutdown();
+    callers.shutdown();
+    callers.awaitTermination(2 * DEADLINE.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private void due(ExecutorService callers) {
+    long dueMillis = now();
+    Contract.ClientBlocks range =
+        contract.clientBlocks().get(next.getAndIncrement() % contract.clientBlocks().size());
+    Request request =
+        Request.get(contract.customer(), "search", range.first(), "/item").deadline(DEADLINE);
+    callers.execute(
+        () -> {
+          Answer answer = client.send(request);
+          outcomes.add(new Outcome(dueMillis, now(), answer instanceof Answer.Whole, name(answer)));
+        });
+  }
+
+  private static String name(Answer answer) {
+    if (answer instanceof Answer.NotRun notRun) {
+      return "not run " + notRun.code();
+    }
+    if (answer instanceof Answer.Unknown unknown) {
+      return "unknown " + unknown.code();
+    }
+    return answer instanceof Answer.Whole ? "whole" : "other";
+  }
+
+  private void summary(String what, long from, long to) {
+    Map<String, Integer> names = new TreeMap<>();
+    long slowest = 0;
+    for (Outcome each : outcomes) {
+      if (each.dueMillis() >= from && each.dueMillis() < to) {
+        names.merge(each.name(), 1, Integer::sum);
+        slowest = Math.max(slowest, each.endMillis() - each.dueMillis());
+      }
+    }
+    System.out.printf("%-16s %s, slowest %d ms%n", what, names, slowest);
+  }
+
+  private long now() {
+    return (System.nanoTime() - startNanos) / 1_000_000;
+  }
+}
