--- a/sageladder-bench/src/main/java/org/sageladder/bench/fleet/Fleet.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/fleet/Fleet.java
@@ -28,6 +28,9 @@
 import org.sageladder.platform.contract.StoredContract;
 import org.sageladder.platform.store.HttpStore;
 import org.sageladder.standin.store.StoreServer;
+import org.sageladder.standin.target.ServiceTime;
+import org.sageladder.standin.target.TargetOptions;
+import org.sageladder.standin.target.TargetServer;
 import org.sageladder.tools.http.HttpCaller;
 
 /**
@@ -44,12 +47,15 @@
   private static final Duration CALL_TIMEOUT = Duration.ofSeconds(3);
   private static final int STARTS_AT_ONCE = 4;
   private static final int PORTS_PER_VM = 1;
+  private static final int CLOSED_PORT = 9;
 
   private final FleetOptions options;
   private final Path folder;
   private final StoreServer store;
   private final HttpStore client;
   private final HttpCaller caller;
+  private final List<String> jvmOptions = new ArrayList<>();
+  private final Map<String, TargetServer> targets = new LinkedHashMap<>();
   private final Map<String, FleetVm> vms = new LinkedHashMap<>();
   private final Map<String, ListedVm> listed = new LinkedHashMap<>();
   private final Map<String, TreeMap<Long, Long>> inForce = new LinkedHashMap<>();
@@ -80,6 +86,10 @@
   private void begin() throws IOException, InterruptedException, StoreException {
     Acceptance first = accept(options.contract());
     listTargets();
+    Path probe = folder.resolve("probe.yaml");
+    Files.writeString(probe, settings("probe", options.contract().zones().get(0), 0));
+    jvmOptions.addAll(ClassArchive.options(ClassArchive.ensure(probe)));
+    jvmOptions.add("-Xmx" + options.heapMegabytes() + "m");
     ExecutorService starters = Executors.newFixedThreadPool(STARTS_AT_ONCE);
     List<Future<?>> starts = new ArrayList<>();
     for (String zone : options.contract().zones()) {
@@ -117,8 +127,7 @@
             0,
             false));
     FleetVm vm =
-        FleetVm.launch(
-            name, zone, settings, folder.resolve(name + ".log"), options.heapMegabytes(), caller);
+        FleetVm.launch(name, zone, settings, folder.resolve(name + ".log"), jvmOptions, caller);
     synchronized (vms) {
       vms.put(name, vm);
     }
@@ -136,6 +145,7 @@
         "ports: {callers: 0, inner: " + innerPort + ", operators: 0}",
         "store: {uri: '" + store.address() + "', timeout: 2s}",
         "vmList: {uri: '" + store.address() + "', every: 1s}",
+        "innerKeys: ['bench:c2FnZWxhZGRlci1iZW5jaC1rZXk=']",
         "incarnation: {source: clock}",
         "eventCapacity: 4096",
         "callerLimits: {workers: 1}",
@@ -143,19 +153,20 @@
         "");
   }
 
-  private void listTargets() {
+  private void listTargets() throws IOException {
     List<String> zones = options.contract().zones();
     for (Contract.Service service : options.contract().services()) {
       for (int i = 0; i < service.targets(); i++) {
+        String id = service.name() + "-" + i;
         list(
             new ListedVm(
                 VmRole.TARGET,
-                service.name() + "-" + i,
+                id,
                 options.contract().customer(),
                 service.name(),
                 zones.get(i % zones.size()),
                 HOST,
-                9,
+                options.realTargets() ? startTarget(id, service) : CLOSED_PORT,
                 0,
                 1,
                 false));
@@ -163,6 +174,35 @@
     }
   }
 
+  private int startTarget(String id, Contract.Service service) throws IOException {
+    TargetServer target =
+        TargetServer.start(
+            TargetOptions.create(id)
+                .slots(service.slotsPerTarget())
+                .serviceTime(ServiceTime.fixed(service.meanServiceMillis())));
+    targets.put(id, target);
+    return target.port();
+  }
+
+  /** Ends all entry VMs and targets of a zone at once; the platform's list shows it later. */
+  public void loseZone(String zone) throws InterruptedException {
+    for (FleetVm vm : vms()) {
+      if (vm.zone().equals(zone)) {
+        vm.kill();
+      }
+    }
+    List<ListedVm> lines;
+    synchronized (listed) {
+      lines = List.copyOf(listed.values());
+    }
+    for (ListedVm line : lines) {
+      TargetServer target = targets.get(line.id());
+      if (line.zone().equals(zone) && target != null) {
+        target.close();
+      }
+    }
+  }
+
   private void list(ListedVm vm) {
     synchronized (listed) {
       listed.put(vm.id(), vm);
@@ -259,9 +299,6 @@
   }
 
   private void note(FleetVm vm, Event event) {
-    if (event.kind() == EventKind.STARTED) {
-      lastRevision.remove(vm.name());
-    }
     if (event.kind() != EventKind.CONTRACT_IN_FORCE) {
       return;
     }
@@ -275,12 +312,9 @@
         .putIfAbsent(event.revision(), event.wallMicros());
   }
 
-  /** Forgets what a VM had in force, because its process was started anew. */
-  public void forget(FleetVm vm) {
-    lastRevision.remove(vm.name());
-  }
-
-  /** Each revert seen so far: a process that put a lower revision in force after a higher one. */
+  /**
+   * Each time an entry VM, restarted ones among them, put a lower revision in force than before.
+   */
   public List<String> reverts() {
     return List.copyOf(reverts);
   }
@@ -364,6 +398,7 @@
         Thread.currentThread().interrupt();
       }
     }
+    targets.values().forEach(TargetServer::close);
     caller.close();
     client.close();
     store.close();
