Settings test: the key innerKeys stands among the allowed ones

Cause: the key came with the relays, the test's quoted list did not. Change: the expected line names it, as strict as before.

--- a/sageladder-entry/src/test/java/org/sageladder/entry/settings/EntrySettingsTest.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/settings/EntrySettingsTest.java
@@ -56,7 +56,7 @@
             "vmList:",
             "vmlist:",
             "entry.yaml: vmlist: unknown key; did you mean 'vmList'? Allowed here: callerLimits,"
-                + " customer, eventCapacity, host, incarnation, logs, ports, seeds, store, vm, vmList, zone"),
+                + " customer, eventCapacity, host, incarnation, innerKeys, logs, ports, seeds, store, vm, vmList, zone"),
         mistake(
             "missing key",
             "zone: tallinn-1\n",
