Entry: requests that crash targets are held back after the second crash

A request that kills its target was sent on to the next one each time its caller repeated it. Cut requests are now gathered for 30 ms and the target is asked for its load: refused, or answered by a later incarnation, it has crashed, and what was on it goes to the quarantine and, by announcement, to the other entry VMs. The fingerprint covers service, method, path, length and the first 16 KB, so a resend under another permit or id is known again.

Not shared between daemons until they run the control plane that carries announcements.

--- a/sageladder-bench/src/main/java/org/sageladder/bench/process/EntryProcess.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/process/EntryProcess.java
@@ -146,6 +146,11 @@
     return callersPort;
   }
 
+  /** Process id. */
+  public long pid() {
+    return process.pid();
+  }
+
   /** True while the process runs. */
   public boolean isAlive() {
     return process.isAlive();
--- /dev/null
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/whole/Recordings.java
@@ -0,0 +1,153 @@
+package org.sageladder.bench.whole;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.sageladder.bench.process.EntryProcess;
+import org.sageladder.bench.process.TestBed;
+import org.sageladder.standin.target.AnswerPattern;
+import org.sageladder.standin.target.RequestChecksum;
+
+/** Recordings larger than the entry daemon's whole heap, fetched and sent. */
+final class Recordings {
+  private static final long BYTES = 128L << 20;
+  private static final int AT_ONCE = 4;
+  private static final int PIECE = 1 << 16;
+
+  private final TestBed bed;
+  private final HttpClient client =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+  Recordings(TestBed bed) {
+    this.bed = bed;
+  }
+
+  /** Recordings that arrived whole and right, of the number tried. */
+  int run() throws Exception {
+    ExecutorService pool = Executors.newFixedThreadPool(AT_ONCE * 2);
+    List<Future<Boolean>> results = new ArrayList<>();
+    for (int i = 0; i < AT_ONCE; i++) {
+      int number = i;
+      Callable<Boolean> fetching = () -> fetch(number, number == 0);
+      Callable<Boolean> sending = () -> send(number);
+      results.add(pool.submit(fetching));
+      results.add(pool.submit(sending));
+    }
+    int right = 0;
+    for (Future<Boolean> each : results) {
+      right += each.get() ? 1 : 0;
+    }
+    pool.shutdown();
+    return right;
+  }
+
+  static int tried() {
+    return AT_ONCE * 2;
+  }
+
+  private boolean fetch(int number, boolean slowly) throws IOException, InterruptedException {
+    String path = "/recordings?answerBytes=" + BYTES + "&work=fetch" + number;
+    HttpResponse<InputStream> response =
+        client.send(request(path, number).GET().build(), HttpResponse.BodyHandlers.ofInputStream());
+    AnswerPattern.Checker checker =
+        AnswerPattern.checker(RequestChecksum.of("GET", path, new byte[0]));
+    byte[] piece = new byte[PIECE];
+    try (InputStream body = response.body()) {
+      for (int length = body.read(piece); length >= 0; length = body.read(piece)) {
+        checker.add(ByteBuffer.wrap(piece, 0, length));
+        if (slowly && checker.length() % (8 << 20) < PIECE) {
+          Thread.sleep(20);
+        }
+      }
+    }
+    return checker.matches() && checker.length() == BYTES;
+  }
+
+  /** Sends a recording; the target's checksum of what it got tells whether all of it arrived. */
+  private boolean send(int number) throws IOException, InterruptedException {
+    String path = "/recordings?answerBytes=16&work=send" + number;
+    RequestChecksum checksum = RequestChecksum.begin("POST", path);
+    ByteBuffer piece = ByteBuffer.allocate(PIECE);
+    for (long at = 0; at < BYTES; at += PIECE) {
+      piece.clear();
+      AnswerPattern.fill(number, at, piece);
+      checksum.add(piece.flip());
+    }
+    HttpResponse<byte[]> response =
+        client.send(
+            request(path, number)
+                .POST(
+                    HttpRequest.BodyPublishers.fromPublisher(
+                        HttpRequest.BodyPublishers.ofInputStream(() -> new PatternStream(number)),
+                        BYTES))
+                .build(),
+            HttpResponse.BodyHandlers.ofByteArray());
+    long seen = response.headers().firstValueAsLong("Request-Checksum").orElse(-1);
+    return response.statusCode() == 200 && seen == checksum.value();
+  }
+
+  private HttpRequest.Builder request(String path, int number) {
+    EntryProcess entry = bed.entries().get(number % bed.entries().size());
+    return HttpRequest.newBuilder(
+            URI.create(
+                "http://127.0.0.1:"
+                    + entry.callersPort()
+                    + "/v1/request/"
+                    + TestBed.CUSTOMER
+                    + "/archive"
+                    + path))
+        .timeout(Duration.ofMinutes(3))
+        .header("Sageladder-Deadline-Millis", "170000");
+  }
+
+  /** Largest resident memory of any entry daemon so far, in megabytes. */
+  long peakMegabytes() throws IOException {
+    long peak = 0;
+    for (EntryProcess entry : bed.entries()) {
+      for (String line : Files.readAllLines(Path.of("/proc/" + entry.pid() + "/status"))) {
+        if (line.startsWith("VmHWM:")) {
+          peak = Math.max(peak, Long.parseLong(line.replaceAll("\\D", "")) / 1024);
+        }
+      }
+    }
+    return peak;
+  }
+
+  private static final class PatternStream extends InputStream {
+    private final long seed;
+    private long at;
+
+    PatternStream(long seed) {
+      this.seed = seed;
+    }
+
+    @Override
+    public int read() {
+      return at < BYTES ? AnswerPattern.byteAt(seed, at++) & 0xff : -1;
+    }
+
+    @Override
+    public int read(byte[] into, int offset, int length) {
+      if (at >= BYTES) {
+        return -1;
+      }
+      int count = (int) Math.min(length, BYTES - at);
+      AnswerPattern.fill(seed, at, ByteBuffer.wrap(into, offset, count));
+      at += count;
+      return count;
+    }
+  }
+}
--- a/sageladder-entry/src/main/java/org/sageladder/entry/exchange/BodyPipe.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/exchange/BodyPipe.java
@@ -1,5 +1,7 @@
 package org.sageladder.entry.exchange;
 
+import com.dynatrace.hash4j.hashing.HashStream64;
+import com.dynatrace.hash4j.hashing.Hashing;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -18,6 +20,8 @@
  * channel of either connection is called with {@code lock} held.
  */
 public final class BodyPipe {
+  private static final int PREFIX = 1 << 14;
+
   private final Object produceLock = new Object();
   private final Object lock = new Object();
   private final ArrayDeque<ByteBuffer> buffers = new ArrayDeque<>();
@@ -29,6 +33,9 @@
   private @Nullable Exception failure;
   private long carried;
   private @Nullable AnswerRecorder recorder;
+  private final HashStream64 prefix = Hashing.komihash5_0().hashStream();
+  private int prefixBytes;
+  private @Nullable Runnable whenPrefixKnown;
 
   private BodyPipe() {}
 
@@ -79,10 +86,12 @@
     int length = bytes.remaining();
     DataStreamChannel wake = null;
     CapacityChannel credit = null;
+    Runnable known;
     synchronized (lock) {
       if (recorder != null) {
         recorder.add(bytes);
       }
+      known = addToPrefix(bytes) ? takeWhenPrefixKnown() : null;
       if (discarding) {
         bytes.position(bytes.limit());
         credit = source;
@@ -99,18 +108,62 @@
     if (wake != null) {
       wake.requestOutput();
     }
+    if (known != null) {
+      known.run();
+    }
+  }
+
+  private boolean addToPrefix(ByteBuffer bytes) {
+    if (prefixBytes == PREFIX) {
+      return false;
+    }
+    ByteBuffer view = bytes.duplicate();
+    byte[] part = new byte[Math.min(view.remaining(), PREFIX - prefixBytes)];
+    view.get(part);
+    prefix.putBytes(part);
+    prefixBytes += part.length;
+    return prefixBytes == PREFIX;
+  }
+
+  private @Nullable Runnable takeWhenPrefixKnown() {
+    Runnable action = whenPrefixKnown;
+    whenPrefixKnown = null;
+    return action;
+  }
+
+  /** Runs {@code action} once the first 16 KB, or the whole of a shorter body, have come. */
+  public void whenPrefixKnown(Runnable action) {
+    synchronized (lock) {
+      if (!ended && prefixBytes < PREFIX) {
+        whenPrefixKnown = action;
+        return;
+      }
+    }
+    action.run();
+  }
+
+  /** Hash of as much of the first 16 KB as has come. */
+  public long prefixHash() {
+    synchronized (lock) {
+      return prefix.getAsLong();
+    }
   }
 
   /** Marks the body as whole: all its bytes were accepted. */
   void end() {
     DataStreamChannel wake;
+    Runnable known;
     synchronized (lock) {
       ended = true;
       wake = sink;
+      known = takeWhenPrefixKnown();
     }
     if (wake != null) {
       wake.requestOutput();
     }
+    if (known != null) {
+      known.run();
+    }
   }
 
   /**
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/quarantine/CrashWatch.java
@@ -0,0 +1,223 @@
+package org.sageladder.entry.quarantine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.net.URIAuthority;
+import org.jspecify.annotations.Nullable;
+import org.sageladder.core.event.EventKind;
+import org.sageladder.core.event.EventSink;
+import org.sageladder.core.membership.Holding;
+import org.sageladder.core.quarantine.CrashReport;
+import org.sageladder.core.quarantine.CrashReportCodec;
+import org.sageladder.core.quarantine.Quarantine;
+import org.sageladder.core.spread.PeerMessages;
+import org.sageladder.core.time.TimeSource;
+import org.sageladder.entry.exchange.BodyCollector;
+import org.sageladder.entry.exchange.BodyPipe;
+import org.sageladder.entry.exchange.Outbound;
+
+/**
+ * Tells a target's crash from a broken connection, and which requests were on it.
+ *
+ * <p>A crash cuts all connections to a target within milliseconds, each of them seen by itself. So
+ * the cut requests are gathered for a moment, then the target is asked for its load: refused, or
+ * answered by a later incarnation, it has crashed; answered by the same one, it has not.
+ *
+ * <p>One lock guards the gathered requests; nothing is called while it is held.
+ */
+public final class CrashWatch {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final JsonMapper JSON = new JsonMapper();
+  private static final String TOPIC = "crash";
+  private static final Duration GATHER = Duration.ofMillis(30);
+  private static final Duration CONNECT = Duration.ofMillis(300);
+  private static final Duration KEEP = Duration.ofMinutes(10);
+  private static final int LARGEST_LOAD = 4_096;
+  private static final int MOST_COUNTED = 10_000;
+  private static final long CRASHES_PER_INCARNATION = 1_000;
+
+  private final String customer;
+  private final Quarantine quarantine;
+  private final Outbound client;
+  private final ScheduledExecutorService timers;
+  private final TimeSource time;
+  private final EventSink events;
+  private final PeerMessages messages;
+  private final Object lock = new Object();
+  // Guarded by lock: fingerprints cut off a moment ago, by target.
+  private final Map<String, Set<Long>> cut = new HashMap<>();
+  // Guarded by lock: crashes seen here of one listed incarnation, by target and incarnation.
+  private final Map<String, Integer> crashes = new HashMap<>();
+
+  private CrashWatch(
+      String customer,
+      Quarantine quarantine,
+      Outbound client,
+      ScheduledExecutorService timers,
+      TimeSource time,
+      EventSink events,
+      PeerMessages messages) {
+    this.customer = customer;
+    this.quarantine = quarantine;
+    this.client = client;
+    this.timers = timers;
+    this.time = time;
+    this.events = events;
+    this.messages = messages;
+  }
+
+  /** A watch that tells crashes to {@code quarantine} and, by {@code messages}, to the others. */
+  public static CrashWatch start(
+      String customer,
+      Quarantine quarantine,
+      Outbound client,
+      ScheduledExecutorService timers,
+      TimeSource time,
+      EventSink events,
+      PeerMessages messages) {
+    CrashWatch watch = new CrashWatch(customer, quarantine, client, timers, time, events, messages);
+    messages.on(TOPIC, (from, content) -> watch.heard(content));
+    return watch;
+  }
+
+  /** The quarantine that follows from the crashes. */
+  public Quarantine quarantine() {
+    return quarantine;
+  }
+
+  /** A request's connection failed before its answer was whole. */
+  public void cut(Holding target, long fingerprint) {
+    boolean first;
+    synchronized (lock) {
+      first = !cut.containsKey(target.target());
+      cut.computeIfAbsent(target.target(), ignored -> new HashSet<>()).add(fingerprint);
+    }
+    if (first) {
+      ScheduledFuture<?> unused =
+          timers.schedule(() -> ask(target), GATHER.toMillis(), TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void ask(Holding target) {
+    HttpHost host = new HttpHost(target.host(), target.port());
+    BasicHttpRequest request = new BasicHttpRequest("GET", "/load");
+    request.setScheme(host.getSchemeName());
+    request.setAuthority(new URIAuthority(host));
+    Runnable cancel =
+        client.send(host, request, null, BodyPipe.of(new byte[0]), CONNECT, new LoadAnswer(target));
+    ScheduledFuture<?> unused =
+        timers.schedule(cancel, CONNECT.toMillis() * 2, TimeUnit.MILLISECONDS);
+  }
+
+  private Set<Long> take(Holding target) {
+    synchronized (lock) {
+      Set<Long> gathered = cut.remove(target.target());
+      return gathered == null ? Set.of() : gathered;
+    }
+  }
+
+  private void crashed(Holding target) {
+    Set<Long> fingerprints = take(target);
+    if (fingerprints.isEmpty()) {
+      return;
+    }
+    CrashReport report =
+        new CrashReport(target.target(), crashNumber(target), time.wallMillis(), fingerprints);
+    events.record(
+        EventKind.TARGET_CRASHED,
+        "",
+        customer,
+        target.target(),
+        target.targetIncarnation(),
+        fingerprints.size() + " requests were on it");
+    if (quarantine.add(report)) {
+      String id = target.target() + "/" + report.incarnation();
+      messages.announce(TOPIC, id, CrashReportCodec.encode(report), KEEP);
+    }
+    for (long fingerprint : fingerprints) {
+      if (quarantine.holds(fingerprint, time.wallMillis())) {
+        events.record(
+            EventKind.QUARANTINED,
+            "",
+            customer,
+            Long.toHexString(fingerprint),
+            0,
+            "for " + quarantine.remainingMillis(fingerprint, time.wallMillis()) + " ms");
+      }
+    }
+  }
+
+  /**
+   * Tells two crashes of a target apart also while the list, which lags, still names the first
+   * incarnation: taken for one crash, they would let the request through once more.
+   */
+  private long crashNumber(Holding target) {
+    synchronized (lock) {
+      if (crashes.size() > MOST_COUNTED) {
+        crashes.clear();
+      }
+      int seen = crashes.merge(target.target() + "/" + target.targetIncarnation(), 1, Integer::sum);
+      return target.targetIncarnation() * CRASHES_PER_INCARNATION + seen;
+    }
+  }
+
+  private void heard(byte[] content) {
+    try {
+      boolean unused = quarantine.add(CrashReportCodec.decode(content));
+    } catch (IOException e) {
+      logger.atWarning().atMostEvery(1, TimeUnit.MINUTES).withCause(e).log(
+          "a crash report of a peer cannot be read");
+    }
+  }
+
+  private final class LoadAnswer implements Outbound.Listener {
+    private final Holding target;
+
+    LoadAnswer(Holding target) {
+      this.target = target;
+    }
+
+    @Override
+    public void head(HttpResponse response, @Nullable EntityDetails details, BodyPipe body) {
+      BodyCollector.collect(body, LARGEST_LOAD, this::read);
+    }
+
+    private void read(byte[] load) {
+      long incarnation = 0;
+      try {
+        JsonNode json = JSON.readTree(load);
+        incarnation = json.path("incarnation").asLong();
+      } catch (IOException e) {
+        logger.atFine().withCause(e).log("load of %s cannot be read", target.target());
+      }
+      if (target.targetIncarnation() > 0 && incarnation > target.targetIncarnation()) {
+        crashed(target);
+      } else {
+        Set<Long> harmless = take(target);
+        logger.atFine().log("%s lives on after %d cut requests", target.target(), harmless.size());
+      }
+    }
+
+    @Override
+    public void done() {}
+
+    @Override
+    public void lost(boolean sent, Exception cause) {
+      crashed(target);
+    }
+  }
+}
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/FlowParts.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/FlowParts.java
@@ -5,6 +5,7 @@
 import org.sageladder.core.event.EventSink;
 import org.sageladder.core.time.TimeSource;
 import org.sageladder.entry.exchange.Outbound;
+import org.sageladder.entry.quarantine.CrashWatch;
 
 /** What every request flow of one entry VM shares. */
 record FlowParts(
@@ -15,4 +16,5 @@
     TimeSource time,
     EventSink events,
     RequestCounters counters,
-    Duration connectTimeout) {}
+    Duration connectTimeout,
+    CrashWatch crashes) {}
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestFlow.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestFlow.java
@@ -1,5 +1,6 @@
 package org.sageladder.entry.request;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import java.time.Duration;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -19,6 +20,7 @@
 import org.sageladder.core.membership.Holding;
 import org.sageladder.core.membership.Member;
 import org.sageladder.core.permit.RecordedAnswer;
+import org.sageladder.core.quarantine.Quarantine;
 import org.sageladder.core.result.Outcome;
 import org.sageladder.core.result.Result;
 import org.sageladder.core.result.ResultCode;
@@ -141,6 +143,48 @@
   }
 
   private void admit(Gate gate, String avoid) {
+    Quarantine quarantine = parts.crashes().quarantine();
+    if (quarantine.isEmpty()) {
+      askGate(gate, avoid);
+      return;
+    }
+    try {
+      exchange.acceptBody();
+    } catch (java.io.IOException e) {
+      giveUp(Ending.CALLER_GONE);
+      return;
+    }
+    exchange
+        .requestBody()
+        .whenPrefixKnown(
+            () -> {
+              long held = quarantine.remainingMillis(fingerprint(), parts.time().wallMillis());
+              if (held > 0) {
+                refuse(
+                    new Result.NotRun(
+                        ResultCode.QUARANTINED,
+                        Duration.ofMillis(held),
+                        "this request crashed two targets; it is tried again later"));
+              } else {
+                askGate(gate, avoid);
+              }
+            });
+  }
+
+  /** Alike for copies of one request, whoever sends them; the permit and ids do not count. */
+  private long fingerprint() {
+    EntityDetails entity = exchange.entity();
+    return Hashing.komihash5_0()
+        .hashStream()
+        .putString(service.name())
+        .putString(exchange.request().getMethod())
+        .putString(head.path())
+        .putLong(entity == null ? 0 : entity.getContentLength())
+        .putLong(entity == null ? 0 : exchange.requestBody().prefixHash())
+        .getAsLong();
+  }
+
+  private void askGate(Gate gate, String avoid) {
     tries++;
     Gate.Cancellable wait =
         gate.request(
@@ -390,6 +434,12 @@
     stopTimer();
   }
 
+  private boolean isEnded() {
+    synchronized (lock) {
+      return ended;
+    }
+  }
+
   private void stopTimer() {
     ScheduledFuture<?> running = timer;
     if (running != null) {
@@ -512,6 +562,9 @@
     @Override
     public void lost(boolean sent, Exception cause) {
       slot.release(sent ? Admission.Completion.LOST : Admission.Completion.REFUSED);
+      if (sent && !isEnded()) {
+        parts.crashes().cut(slot.target(), fingerprint());
+      }
       if (!isCurrent()) {
         return;
       }
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestPath.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestPath.java
@@ -10,10 +10,12 @@
 import org.sageladder.core.permit.KeyRing;
 import org.sageladder.core.permit.PermitCodec;
 import org.sageladder.core.permit.PermitHome;
+import org.sageladder.core.quarantine.Quarantine;
 import org.sageladder.core.time.TimeSource;
 import org.sageladder.entry.control.ControlPlane;
 import org.sageladder.entry.exchange.OutboundClient;
 import org.sageladder.entry.gates.GateTable;
+import org.sageladder.entry.quarantine.CrashWatch;
 import org.sageladder.entry.settings.EntrySettings;
 
 /** Puts together the parts that a request passes. */
@@ -56,7 +58,15 @@
             time,
             events,
             RequestCounters.in(metrics),
-            CONNECT_TIMEOUT);
+            CONNECT_TIMEOUT,
+            CrashWatch.start(
+                settings.customer(),
+                Quarantine.create(Quarantine.Limits.standard()),
+                client,
+                timers,
+                time,
+                events,
+                control.messages()));
     PermitCodec codec = PermitCodec.of(keys);
     PermitHome home =
         PermitHome.of(settings.vm(), permitIncarnation(), PermitHome.Limits.standard());
--- /dev/null
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/quarantine/CrashWatchTest.java
@@ -0,0 +1,159 @@
+package org.sageladder.entry.quarantine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import org.apache.hc.core5.http.message.BasicHttpResponse;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.sageladder.core.event.EventSink;
+import org.sageladder.core.membership.Holding;
+import org.sageladder.core.quarantine.Quarantine;
+import org.sageladder.core.spread.PeerMessages;
+import org.sageladder.core.time.VirtualTime;
+import org.sageladder.entry.exchange.BodyPipe;
+import org.sageladder.entry.exchange.Outbound;
+
+/** Telling a crash from a broken connection, and telling the peers. */
+class CrashWatchTest {
+  private static final long POISON = 666;
+
+  private final VirtualTime time = VirtualTime.startingAt(1_000_000);
+  private final List<Runnable> timers = new ArrayList<>();
+  private final List<Outbound.Listener> asked = new ArrayList<>();
+  private final List<PeerMessages.Receiver> receivers = new ArrayList<>();
+  private final ScheduledExecutorService executor = new Recorder();
+  private final CrashWatch first = watch();
+  private final CrashWatch second = watch();
+
+  @AfterEach
+  void stop() {
+    executor.shutdownNow();
+  }
+
+  private CrashWatch watch() {
+    return CrashWatch.start(
+        "kannelkoda",
+        Quarantine.create(Quarantine.Limits.standard()),
+        (host, request, details, body, connectTimeout, listener) -> {
+          asked.add(listener);
+          return () -> {};
+        },
+        executor,
+        time,
+        EventSink.none(),
+        new Broadcast());
+  }
+
+  private static Holding target(String name) {
+    return new Holding(name, "kannelkoda", "export", "127.0.0.1", 1, 4, "entry-1", 3, false);
+  }
+
+  /** Lets the gathered requests be asked about; returns whoever waits for the target's load. */
+  private Outbound.Listener lastAsked() {
+    List<Runnable> due = new ArrayList<>(timers);
+    timers.clear();
+    due.forEach(Runnable::run);
+    return asked.get(asked.size() - 1);
+  }
+
+  /**
+   * A damaged recording crashes a target behind one entry VM and then one behind another. Each VM
+   * saw one crash only; without telling each other both would let it crash a second target.
+   */
+  @Test
+  void twoVmsThatSawOneCrashEachHoldTheRequestBack() {
+    first.cut(target("t-1"), POISON);
+    lastAsked().lost(false, new IOException("connection refused"));
+    second.cut(target("t-2"), POISON);
+    lastAsked().lost(false, new IOException("connection refused"));
+    assertTrue(first.quarantine().holds(POISON, time.wallMillis()));
+    assertTrue(second.quarantine().holds(POISON, time.wallMillis()));
+  }
+
+  /** Network trouble cuts a long export twice while its targets live on: nothing crashed. */
+  @Test
+  void aCutConnectionToALivingTargetIsNoCrash() {
+    for (String name : List.of("t-1", "t-2")) {
+      first.cut(target(name), POISON);
+      String load = "{\"slots\":3,\"busy\":1,\"draining\":false,\"incarnation\":4}";
+      lastAsked()
+          .head(
+              new BasicHttpResponse(200), null, BodyPipe.of(load.getBytes(StandardCharsets.UTF_8)));
+    }
+    assertFalse(first.quarantine().holds(POISON, time.wallMillis()));
+  }
+
+  /** The target crashed and was back before it was asked: only its incarnation shows it. */
+  @Test
+  void aTargetThatCameBackAtOnceHasCrashed() {
+    for (String name : List.of("t-1", "t-2")) {
+      first.cut(target(name), POISON);
+      String load = "{\"slots\":3,\"busy\":0,\"draining\":false,\"incarnation\":5}";
+      lastAsked()
+          .head(
+              new BasicHttpResponse(200), null, BodyPipe.of(load.getBytes(StandardCharsets.UTF_8)));
+    }
+    assertTrue(first.quarantine().holds(POISON, time.wallMillis()));
+  }
+
+  /** A crash cuts three connections one by one: one question, one report, all three on it. */
+  @Test
+  void requestsCutOneByOneAreReportedTogether() {
+    first.cut(target("t-1"), 1);
+    first.cut(target("t-1"), 2);
+    first.cut(target("t-1"), POISON);
+    lastAsked().lost(false, new IOException("connection refused"));
+    assertEquals(1, asked.size());
+    assertEquals(3, first.quarantine().reports().iterator().next().fingerprints().size());
+  }
+
+  /** The list lags and names one incarnation for both crashes of a target: they are two. */
+  @Test
+  void twoCrashesOfOneListedIncarnationCountTwice() {
+    for (int i = 0; i < 2; i++) {
+      first.cut(target("t-1"), POISON);
+      lastAsked().lost(false, new IOException("connection refused"));
+    }
+    assertTrue(first.quarantine().holds(POISON, time.wallMillis()));
+  }
+
+  private final class Broadcast implements PeerMessages {
+    @Override
+    public boolean send(String vm, String topic, byte[] content) {
+      return false;
+    }
+
+    @Override
+    public void announce(String topic, String id, byte[] content, Duration keep) {
+      receivers.forEach(receiver -> receiver.receive("", content));
+    }
+
+    @Override
+    public void on(String topic, Receiver receiver) {
+      receivers.add(receiver);
+    }
+  }
+
+  /** Keeps what is scheduled until the test lets it run. */
+  private final class Recorder extends ScheduledThreadPoolExecutor {
+    Recorder() {
+      super(1);
+    }
+
+    @Override
+    public java.util.concurrent.ScheduledFuture<?> schedule(
+        Runnable task, long delay, java.util.concurrent.TimeUnit unit) {
+      timers.add(task);
+      return super.schedule(() -> {}, 1, java.util.concurrent.TimeUnit.DAYS);
+    }
+  }
+}
