--- a/sageladder-bench/src/main/java/org/sageladder/bench/policy/World.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/policy/World.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.function.IntPredicate;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.limits.Admission;
 import org.sageladder.core.limits.AdmissionRequest;
@@ -25,6 +27,7 @@
  */
 final class World {
   private static final int CLIENTS = 100;
+  private static final int MOST_TRIES = 4;
   private static final long TTL_NANOS = Duration.ofSeconds(2).toNanos();
 
   /** Who picks the entry VM for a caller. */
@@ -53,9 +56,10 @@
   private final Client[][] clients;
   private final Oscillation oscillation;
   private IntPredicate cutRegion = region -> false;
+  private long tries;
 
   private static final class Client {
-    private @Nullable EntryVm route;
+    private List<EntryVm> route = List.of();
     private long expires;
   }
 
@@ -122,6 +126,11 @@
     return oscillation;
   }
 
+  /** Requests for a slot, those of callers refused elsewhere included. */
+  long tries() {
+    return tries;
+  }
+
   long nowNanos() {
     return agenda.time().nanos();
   }
@@ -210,37 +219,46 @@
   private void arrive(int region) {
     tally.offered();
     Client client = clients[region][random.nextInt(CLIENTS)];
-    if (client.route == null || agenda.time().nanos() >= client.expires) {
+    if (client.route.isEmpty() || agenda.time().nanos() >= client.expires) {
       client.route = choose(region);
       client.expires = agenda.time().nanos() + TTL_NANOS;
     }
     EntryVm asked = randomVm(region);
     asked.asked++;
-    EntryVm chosen = client.route;
-    if (chosen == null) {
+    long deadline = agenda.time().nanos() + Duration.ofSeconds(5).toNanos();
+    send(client.route, 0, region, deadline);
+  }
+
+  /** Asks the entry VM at {@code index}; a caller that is told "not run" goes on to the next. */
+  private void send(List<EntryVm> route, int index, int region, long deadline) {
+    if (index >= Math.min(route.size(), MOST_TRIES)) {
       return;
     }
-    if (chosen.region != region && (cutRegion.test(region) || cutRegion.test(chosen.region))) {
-      client.route = null;
+    EntryVm vm = route.get(index);
+    if (vm.region != region && (cutRegion.test(region) || cutRegion.test(vm.region))) {
+      send(route, index + 1, region, deadline);
       return;
     }
-    long deadline = agenda.time().nanos() + Duration.ofSeconds(5).toNanos();
-    chosen.gate.request(
+    tries++;
+    vm.gate.request(
         new AdmissionRequest("", deadline, "", ""),
-        admission -> decided(admission, chosen, region));
+        admission -> {
+          if (admission instanceof Admission.Admitted yes) {
+            admitted(yes.slot(), vm, region);
+          } else {
+            send(route, index + 1, region, deadline);
+          }
+        });
   }
 
-  private void decided(Admission admission, EntryVm vm, int home) {
-    if (!(admission instanceof Admission.Admitted yes)) {
-      return;
-    }
-    String target = yes.slot().target().target();
+  private void admitted(Admission.Slot slot, EntryVm vm, int home) {
+    String target = slot.target().target();
     tally.admitted(target, "r" + vm.region, "r" + home, agenda.time().nanos());
     agenda.runAfter(
         Arrivals.serviceTime(setup, service),
         () -> {
           tally.answered(target);
-          yes.slot().release(Admission.Completion.ANSWERED);
+          slot.release(Admission.Completion.ANSWERED);
         });
   }
 
@@ -249,19 +267,26 @@
     return vms.get(region * perRegion + random.nextInt(perRegion));
   }
 
-  private @Nullable EntryVm choose(int region) {
+  private List<EntryVm> choose(int region) {
     return switch (policy) {
-      case LOCAL -> randomVm(region);
-      case RANDOM -> vms.get(random.nextInt(vms.size()));
-      case IDLE_SLOTS -> idlest(randomVm(region));
+      case LOCAL -> several(() -> randomVm(region));
+      case RANDOM -> several(() -> vms.get(random.nextInt(vms.size())));
+      case IDLE_SLOTS -> several(() -> idlest(randomVm(region)));
       case STEERED -> steered(region);
     };
   }
 
-  private @Nullable EntryVm steered(int region) {
-    Route route =
-        randomVm(region).table.lookUp(Setup.CUSTOMER, Setup.SERVICE, region, random.nextLong());
-    return route == null ? null : byName.get(route.entries().get(0).vm());
+  /** As many entry VMs as a steered answer names, so that all policies get as many tries. */
+  private static List<EntryVm> several(Supplier<EntryVm> draw) {
+    return Stream.generate(draw).limit(MOST_TRIES).toList();
+  }
+
+  private List<EntryVm> steered(int region) {
+    LookUpTable table = randomVm(region).table;
+    Route route = table.lookUp(Setup.CUSTOMER, Setup.SERVICE, region, random.nextLong());
+    return route == null
+        ? List.of()
+        : route.entries().stream().map(member -> byName.get(member.vm())).toList();
   }
 
   private EntryVm idlest(EntryVm asked) {
--- a/sageladder-core/src/main/java/org/sageladder/core/steering/ServiceTable.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/steering/ServiceTable.java
@@ -102,35 +102,10 @@
   private static Route routeVia(Member first, int region, ServiceFacts facts, int ttlMillis) {
     Contract.Region home = facts.contract().regions().get(region);
     boolean atHome = home.zones().contains(first.zone());
-    List<Member> entries = new ArrayList<>();
-    entries.add(first);
-    addOthers(entries, facts, zone -> zone.name().equals(first.zone()));
-    addOthers(entries, facts, zone -> home.zones().contains(zone.name()));
-    addOthers(entries, facts, zone -> true);
+    List<Member> entries = FallBacks.of(first, home, facts, MOST_ENTRIES);
     String reason =
         (atHome ? "in the caller's region, zone " : "home is full, headroom in zone ")
             + first.zone();
     return new Route(entries, facts.contract().revision(), ttlMillis, reason);
   }
-
-  private static void addOthers(List<Member> entries, ServiceFacts facts, ZoneFilter filter) {
-    for (ServiceFacts.Zone zone : facts.zones()) {
-      if (!filter.test(zone)) {
-        continue;
-      }
-      for (ServiceFacts.Holder holder : zone.holders()) {
-        if (entries.size() >= MOST_ENTRIES) {
-          return;
-        }
-        if (!entries.contains(holder.member())) {
-          entries.add(holder.member());
-        }
-      }
-    }
-  }
-
-  @FunctionalInterface
-  private interface ZoneFilter {
-    boolean test(ServiceFacts.Zone zone);
-  }
 }
