--- /dev/null
+++ b/sageladder-core/src/test/java/org/sageladder/core/limits/RetryBudgetTest.java
@@ -0,0 +1,46 @@
+package org.sageladder.core.limits;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+class RetryBudgetTest {
+  @Test
+  void stormOfFailuresIsNotMultiplied() {
+    // All targets fail, and each of 1000 requests wants three retries. Without a bound the targets
+    // would see 4000 requests at the very moment they can carry least.
+    RetryBudget budget = RetryBudget.of(0.1);
+    int sent = 0;
+    for (int i = 0; i < 1000; i++) {
+      budget.firstTry();
+      sent++;
+      for (int retry = 0; retry < 3 && budget.takeRetry(); retry++) {
+        sent++;
+      }
+    }
+    assertTrue(sent <= 1101, "sent " + sent);
+    assertEquals(1000, budget.numbers().firstTries());
+    assertTrue(budget.numbers().retries() >= 99);
+  }
+
+  @Test
+  void quietTimeDoesNotPayForAStorm() {
+    RetryBudget budget = RetryBudget.of(1);
+    for (int i = 0; i < 10_000; i++) {
+      budget.firstTry();
+    }
+    int retries = 0;
+    while (budget.takeRetry()) {
+      retries++;
+    }
+    assertEquals(RetryBudget.MOST_SAVED, retries);
+  }
+
+  @Test
+  void fractionOutsideZeroToOneIsRefusedWithAnExample() {
+    assertThrows(IllegalArgumentException.class, () -> RetryBudget.of(1.5));
+    assertThrows(IllegalArgumentException.class, () -> RetryBudget.of(Double.NaN));
+  }
+}
