Platform: a waiting watch may outlast the time-out of other calls

The library now gets a longer time; our own deadlines decide as before.

The new test fails without the change (connection lost before the answer).

--- a/sageladder-platform/src/main/java/org/sageladder/platform/store/HttpCalls.java
+++ b/sageladder-platform/src/main/java/org/sageladder/platform/store/HttpCalls.java
@@ -36,6 +36,7 @@
 final class HttpCalls implements AutoCloseable {
   private static final int MAX_CONNECTIONS = 32;
   private static final int CONNECT_TRIES = 3;
+  private static final Duration LONGEST_SILENCE = Duration.ofMinutes(2);
   private static final ObjectMapper JSON =
       new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
@@ -148,8 +149,10 @@
   }
 
   private AsyncClientEndpoint connectOnce(String what) throws StoreException {
+    // The library also takes this as the longest silence on the connection, which a waiting watch
+    // must be free to exceed; how long to wait for a connection and an answer is decided here.
     Future<AsyncClientEndpoint> future =
-        requester.connect(host, Timeout.ofMilliseconds(timeout.toMillis()));
+        requester.connect(host, Timeout.of(timeout.plus(LONGEST_SILENCE)));
     try {
       return future.get(timeout.toNanos(), TimeUnit.NANOSECONDS);
     } catch (TimeoutException e) {
--- a/sageladder-standin/src/test/java/org/sageladder/standin/store/HttpStoreTest.java
+++ b/sageladder-standin/src/test/java/org/sageladder/standin/store/HttpStoreTest.java
@@ -129,6 +129,30 @@
     assertEquals(1, server.counts().get("watch"));
   }
 
+  // A relay's watch waits for tens of seconds, its other calls for two at most. If the connection
+  // were cut after the shorter time, each watch would end as an outage and a change would wait for
+  // the next one.
+  @Test
+  void aWatchMayWaitLongerThanTheTimeOutOfOtherCalls() throws Exception {
+    long first = write("w/1", 0, "x");
+    Duration shortTimeout = Duration.ofMillis(100);
+    try (HttpStore hasty = HttpStore.connect(server.address(), shortTimeout)) {
+      hasty.read("w/1");
+      CompletableFuture<WatchBatch> watch =
+          CompletableFuture.supplyAsync(
+              () -> {
+                try {
+                  return hasty.watch("w/", first, Duration.ofMinutes(1));
+                } catch (StoreException e) {
+                  throw new CompletionException(e);
+                }
+              });
+      Thread.sleep(20 * shortTimeout.toMillis());
+      write("w/2", 0, "y");
+      assertEquals(1, watch.get().changed().size());
+    }
+  }
+
   @Test
   void aWatchFromTheStartSeesLatestValuesAndDeletes() throws StoreException {
     long first = write("w/1", 0, "x");
