Entry: zones of which nothing is heard are no longer offered

A zone that sends neither view nor report for 6 s is now shown without members and holdings until it is heard again.

A test of the machine loses a zone and brings it back.

--- a/sageladder-entry/src/main/java/org/sageladder/entry/control/ControlMachine.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/control/ControlMachine.java
@@ -82,7 +82,7 @@
     this.time = time;
     this.effects = effects;
     this.events = events;
-    this.known = new KnownState(identity.customer());
+    this.known = new KnownState(identity, time, times.zoneSilence());
     this.directory = new PeerDirectory(identity, random);
     this.guard = ConfirmationGuard.of(times.membership(), time);
     this.snapshot = FirstSnapshot.of(time, times.snapshotWait());
@@ -161,6 +161,7 @@
     askForDuty();
     role.tick();
     noteRelaying();
+    noteSilentZones();
     if (time.nanos() - nextNeighboursNanos >= 0) {
       refreshNeighbours();
     }
@@ -344,6 +345,18 @@
     }
   }
 
+  private void noteSilentZones() {
+    for (String zone : known.noteSilence()) {
+      events.record(
+          EventKind.MEMBER_SILENT,
+          "",
+          identity.customer(),
+          zone,
+          0,
+          "nothing heard of the zone for " + times.zoneSilence().toMillis() + " ms");
+    }
+  }
+
   private void refreshNeighbours() {
     nextNeighboursNanos = time.nanos() + NEIGHBOUR_REFRESH.toNanos();
     spreader.neighbours(directory.neighbours(known.views(), role.active()));
--- a/sageladder-entry/src/main/java/org/sageladder/entry/control/ControlTimes.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/control/ControlTimes.java
@@ -9,6 +9,8 @@
  * Times and budgets of the control plane.
  *
  * @param report time between two reports of a zone's load
+ * @param zoneSilence how long nothing may be heard of another zone before it counts as lost; longer
+ *     than a zone goes without a relay
  * @param snapshotRetry time between two tries of a fresh VM to get a snapshot
  * @param snapshotWait how long to wait for further peers after the first one answered
  */
@@ -17,6 +19,7 @@
     RelaySettings relay,
     SpreadSettings spread,
     Duration report,
+    Duration zoneSilence,
     Duration snapshotRetry,
     Duration snapshotWait) {
   static ControlTimes standard() {
@@ -25,6 +28,7 @@
         RelaySettings.standard(),
         SpreadSettings.standard(),
         Duration.ofSeconds(1),
+        Duration.ofSeconds(6),
         Duration.ofMillis(500),
         Duration.ofSeconds(1));
   }
--- a/sageladder-entry/src/main/java/org/sageladder/entry/control/KnownState.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/control/KnownState.java
@@ -1,12 +1,15 @@
 package org.sageladder.entry.control;
 
 import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.contract.Contract;
@@ -16,6 +19,7 @@
 import org.sageladder.core.membership.ZoneView;
 import org.sageladder.core.spread.Item;
 import org.sageladder.core.store.StoredValue;
+import org.sageladder.core.time.TimeSource;
 import org.sageladder.platform.contract.StoredContract;
 import org.sageladder.platform.settings.SettingsException;
 import org.sageladder.protocol.MembershipCodec;
@@ -31,15 +35,22 @@
 final class KnownState {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  private final String customer;
+  private final ControlIdentity identity;
+  private final TimeSource time;
+  private final Duration zoneSilence;
+  private final Map<String, Long> heardNanos = new HashMap<>();
+  private final Set<String> silent = new TreeSet<>();
   private final Map<String, RelayedView> views = new TreeMap<>();
   private final Map<String, ZoneReport> reports = new TreeMap<>();
   private @Nullable Contract contract;
   private boolean changed;
   private boolean urgent;
 
-  KnownState(String customer) {
-    this.customer = customer;
+  /** Nothing is known; zones not heard for {@code zoneSilence} count as lost. */
+  KnownState(ControlIdentity identity, TimeSource time, Duration zoneSilence) {
+    this.identity = identity;
+    this.time = time;
+    this.zoneSilence = zoneSilence;
   }
 
   /** Takes an item in; true where its content could be read and concerns this customer. */
@@ -60,11 +71,13 @@
     return switch (item.key().kind()) {
       case CONTRACT -> contract(item);
       case VIEW -> {
+        heard(item.key().name());
         views.put(item.key().name(), MembershipCodec.decodeView(item.payload()));
         urgent = true;
         yield true;
       }
       case SUMMARY -> {
+        heard(item.key().name());
         reports.put(item.key().name(), MembershipCodec.decodeReport(item.payload()));
         yield true;
       }
@@ -73,12 +86,13 @@
   }
 
   private boolean contract(Item item) throws SettingsException {
-    if (!item.key().name().equals(customer)) {
+    if (!item.key().name().equals(identity.customer())) {
       return false;
     }
     Contract read =
         StoredContract.fromStored(
-                new StoredValue(StoredContract.keyOf(customer), item.version(), item.payload()))
+                new StoredValue(
+                    StoredContract.keyOf(identity.customer()), item.version(), item.payload()))
             .contract();
     Contract before = contract;
     if (before != null && before.revision() >= read.revision()) {
@@ -112,6 +126,35 @@
     return new TreeMap<>(reports);
   }
 
+  private void heard(String zone) {
+    heardNanos.put(zone, time.nanos());
+    if (silent.remove(zone)) {
+      urgent = true;
+    }
+  }
+
+  /**
+   * Notes zones that have become silent, and returns them.
+   *
+   * <p>Guards against steering to a zone that is lost: nobody is left there to change its view, so
+   * it would name dead VMs for ever. A zone that is only cut off from this one cannot be reached
+   * from here either. The own zone never counts as silent.
+   */
+  Set<String> noteSilence() {
+    Set<String> fresh = new TreeSet<>();
+    for (Map.Entry<String, Long> entry : heardNanos.entrySet()) {
+      boolean quiet = time.nanos() - entry.getValue() > zoneSilence.toNanos();
+      if (quiet && !entry.getKey().equals(identity.zone()) && silent.add(entry.getKey())) {
+        fresh.add(entry.getKey());
+      }
+    }
+    if (!fresh.isEmpty()) {
+      urgent = true;
+      changed = true;
+    }
+    return fresh;
+  }
+
   /** Whether a contract or a view changed since the last {@link #snapshot}. */
   boolean urgentlyChanged() {
     return urgent;
@@ -127,11 +170,20 @@
     changed = false;
     urgent = false;
     Map<String, ZoneView> plain = new HashMap<>();
-    views.forEach((zone, view) -> plain.put(zone, view.view()));
+    views.forEach(
+        (zone, view) -> plain.put(zone, silent.contains(zone) ? empty(view.view()) : view.view()));
     List<ZoneSummary> summaries = new ArrayList<>();
-    reports.values().forEach(report -> summaries.addAll(report.summaries()));
+    for (ZoneReport report : reports.values()) {
+      if (!silent.contains(report.zone())) {
+        summaries.addAll(report.summaries());
+      }
+    }
     Contract known = contract;
-    Map<String, Contract> contracts = known == null ? Map.of() : Map.of(customer, known);
+    Map<String, Contract> contracts = known == null ? Map.of() : Map.of(identity.customer(), known);
     return new ClusterState(contracts, plain, summaries);
   }
+
+  private static ZoneView empty(ZoneView view) {
+    return new ZoneView(view.zone(), view.number(), List.of(), List.of());
+  }
 }
--- a/sageladder-entry/src/test/java/org/sageladder/entry/control/ControlMachineTest.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/control/ControlMachineTest.java
@@ -183,6 +183,23 @@
     fakes.nodes.values().forEach(node -> assertEquals(revision, node.revision(), node.vm));
   }
 
+  // A whole zone is lost. Its last view stays as it was, since nobody is left to change it, and
+  // callers would be sent to dead VMs for ever.
+  @Test
+  void lostZoneIsNoLongerOfferedAndIsBackOnceItIsHeard() {
+    fakes.accept(20);
+    twoZones();
+    NodeFake here = inZone("tartu-1").get(0);
+    assertEquals(3, here.machine.known().snapshot().views().get("tartu-2").members().size());
+    inZone("tartu-2").forEach(node -> node.paused = true);
+    fakes.run(Duration.ofSeconds(7));
+    assertEquals(0, here.machine.known().snapshot().views().get("tartu-2").members().size());
+    assertEquals(3, here.machine.known().snapshot().views().get("tartu-1").members().size());
+    inZone("tartu-2").forEach(node -> node.paused = false);
+    fakes.run(SETTLE);
+    assertEquals(3, here.machine.known().snapshot().views().get("tartu-2").members().size());
+  }
+
   @Test
   void plannedStopOfTheRelayHandsTheDutyAndTheTargetsOver() {
     fakes.accept(20);
