--- a/sageladder-bench/src/main/java/org/sageladder/bench/capacity/CodeSlopes.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/capacity/CodeSlopes.java
@@ -83,6 +83,11 @@
             fit(new int[] {94, 188, 376, 564, 752}, CodeSlopes::contractMicros),
             TargetSize.ZONES,
             "platform.contract.ContractYaml"));
+    addRequestPath(lines);
+    return lines;
+  }
+
+  private static void addRequestPath(List<Line> lines) {
     lines.add(
         new Line(
             "time of one admission and release",
@@ -123,7 +128,6 @@
             fit(new int[] {4_096, 8_192, 16_384, 32_768}, CodeSlopes::eventKilobytes),
             16_384,
             "core.event.EventBuffer"));
-    return lines;
   }
 
   private static Slope fit(int[] sizes, IntToDoubleFunction value) {
