Callers' library: a refused connection costs no retry; sageladder-local shows reasons

Cause: after an entry VM's death each answer kept by callers names it until it expires; the refused connections were counted as retries and spent the budget, so 59 of 2,577 requests ended with NO_TARGET while five entry VMs waited. Change: a try that reached nobody is not counted; the run's summary shows the first reason of each result. Measured: new test fails before (not run) and passes after.

--- a/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalLoad.java
+++ b/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalLoad.java
@@ -41,6 +41,7 @@
   private final ExecutorService callers =
       Executors.newFixedThreadPool(CALLERS, task -> new Thread(task, "caller"));
   private final Map<String, LongAdder> results = new ConcurrentHashMap<>();
+  private final Map<String, String> examples = new ConcurrentHashMap<>();
   private final Histogram latency = new ConcurrentHistogram(LONGEST_LATENCY_MICROS, 3);
   private final AtomicLong sent = new AtomicLong();
   private final AtomicLong ended = new AtomicLong();
@@ -112,16 +113,20 @@
 
   private void count(Answer answer) {
     String name;
+    String detail = "";
     if (answer instanceof Answer.Whole whole) {
       name = "whole answer, status " + whole.status();
     } else if (answer instanceof Answer.NotRun notRun) {
       name = "not run, " + notRun.code();
+      detail = notRun.detail();
     } else if (answer instanceof Answer.Unknown unknown) {
       name = "unknown, " + unknown.code();
+      detail = unknown.detail();
     } else {
       name = "ran, answer not kept";
     }
     results.computeIfAbsent(name, unused -> new LongAdder()).increment();
+    examples.putIfAbsent(name, detail);
   }
 
   long sent() {
@@ -143,6 +148,11 @@
     return sums;
   }
 
+  /** What the first answer of that name said of its reason; empty for whole answers. */
+  String example(String name) {
+    return examples.getOrDefault(name, "");
+  }
+
   @Override
   public void close() {
     clock.shutdownNow();
--- a/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalMain.java
+++ b/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalMain.java
@@ -120,7 +120,10 @@
         duration.toSeconds());
     out.printf("  requests   %d sent, %d answered%n", callers.sent(), callers.ended());
     for (Map.Entry<String, Long> result : callers.results().entrySet()) {
-      out.printf("  result     %-32s %d%n", result.getKey(), result.getValue());
+      String example = callers.example(result.getKey());
+      out.printf(
+          "  result     %-32s %d%s%n",
+          result.getKey(), result.getValue(), example.isEmpty() ? "" : " (first: " + example + ")");
     }
     out.printf(
         "  latency    p50 %.1f ms, p90 %.1f ms, p99 %.1f ms, max %.1f ms%n",
--- a/sageladder-client/src/main/java/org/sageladder/client/RetryRules.java
+++ b/sageladder-client/src/main/java/org/sageladder/client/RetryRules.java
@@ -61,10 +61,10 @@
     /**
      * Send again after {@code pause}, under the same permit if there is one.
      *
-     * @param asksOnly true where the permit has been used, so that sending it again only asks what
-     *     became of it and is no retry of the work
+     * @param uncounted true where sending again is no retry of work: the last try reached nobody,
+     *     or the permit has been used, so that sending it again only asks what became of it
      */
-    record Again(Duration pause, boolean asksOnly, Answer ifNoTimeIsLeft) implements Step {}
+    record Again(Duration pause, boolean uncounted, Answer ifNoTimeIsLeft) implements Step {}
 
     /** Get a new permit, then send; the old one is known not to have run. */
     record Renew(Duration pause, Answer ifNoTimeIsLeft) implements Step {}
@@ -100,7 +100,7 @@
       return said(said);
     }
     if (result instanceof TryResult.NotSent notSent) {
-      return new Step.Again(Duration.ZERO, asksOnly(), unsent(notSent.detail()));
+      return new Step.Again(Duration.ZERO, true, unsent(notSent.detail()));
     }
     mayHaveRun = true;
     return new Step.Again(
--- a/sageladder-client/src/main/java/org/sageladder/client/SageladderClient.java
+++ b/sageladder-client/src/main/java/org/sageladder/client/SageladderClient.java
@@ -131,8 +131,8 @@
           return end.answer();
         }
         if (step instanceof RetryRules.Step.Again again) {
-          boolean allowed = again.asksOnly() || mayRetry(++retries);
-          questions += again.asksOnly() ? 1 : 0;
+          boolean allowed = again.uncounted() || mayRetry(++retries);
+          questions += again.uncounted() ? 1 : 0;
           if (!allowed || !pause(again.pause(), retries + questions)) {
             return again.ifNoTimeIsLeft();
           }
--- a/sageladder-client/src/test/java/org/sageladder/client/SageladderClientTest.java
+++ b/sageladder-client/src/test/java/org/sageladder/client/SageladderClientTest.java
@@ -194,6 +194,21 @@
         one.requests().stream().map(SageladderClientTest::permitOf).toList());
   }
 
+  // One of six entry VMs dies. Until the kept answers that name it have expired, every sixth
+  // listing
+  // meets a refused connection first. Counted as retries these spend the budget of all others, and
+  // collectors are told "no target" though five entry VMs wait for them.
+  @Test
+  void anEntryVmThatTakesNoConnectionCostsNoRetry() throws IOException {
+    client.close();
+    client = SageladderClient.start(ClientOptions.seeds(List.of(two.address())).retryFraction(0));
+    two.answers(head -> isLookUp(head) ? route(60_000, "") : ScriptedEntry.answer(200, OK, "song"));
+    one.close();
+    for (int i = 0; i < 3; i++) {
+      assertInstanceOf(Answer.Whole.class, client.send(search()));
+    }
+  }
+
   // A look-up names another entry VM and so brings no permit; each bid's first try is answered with
   // the permit to use. Counted as a retry it would spend the budget, and with one bid in five
   // allowed a retry, the other four dealers would be told "permit required" and give up.
