--- /dev/null
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/background/BackgroundMain.java
@@ -0,0 +1,215 @@
+package org.sageladder.bench.background;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+import org.sageladder.bench.process.Caller;
+import org.sageladder.bench.process.Reply;
+import org.sageladder.bench.process.TestBed;
+import org.sageladder.standin.target.RequestChecksum;
+import org.sageladder.standin.target.ServiceTime;
+import org.sageladder.standin.target.TargetFaults;
+import org.sageladder.standin.target.TargetServer;
+
+/**
+ * Pulls catalogue records while people list lots: do all pulls finish whole, how long does the
+ * longest wait, and what do the people notice.
+ */
+public final class BackgroundMain {
+  private static final int RECORD_BYTES = 1 << 20;
+  private static final int PULLERS = 40;
+  private static final int PEOPLE = 12;
+  private static final int LISTING_BYTES = 512;
+  private static final Duration PULL_DEADLINE = Duration.ofSeconds(60);
+  private static final long LONGEST_PULL_MILLIS = 45_000;
+
+  private final TestBed bed;
+  private final Histogram pulls = new ConcurrentHistogram(600_000, 3);
+  private final LongAdder restarts = new LongAdder();
+  private final LongAdder wrong = new LongAdder();
+  private final LongAdder whole = new LongAdder();
+  private volatile boolean over;
+
+  private BackgroundMain(TestBed bed) {
+    this.bed = bed;
+  }
+
+  /** Takes {@code --full} for 5,000 pulls instead of 1,000. */
+  public static void main(String[] args) throws Exception {
+    int count = List.of(args).contains("--full") ? 5_000 : 1_000;
+    try (TestBed bed = TestBed.start(100)) {
+      bed.addTargets("archive", 4, ServiceTime.fixed(100), 4);
+      bed.addTargets("listings", 4, ServiceTime.fixed(20), 3);
+      bed.addEntries(2);
+      for (TargetServer target : bed.targets().subList(0, 4)) {
+        target.faults(TargetFaults.none().truncate(0.05));
+      }
+      Thread.sleep(2_000);
+      boolean holds = new BackgroundMain(bed).run(count);
+      if (!holds) {
+        System.out.print(bed.logs());
+      }
+      System.exit(holds ? 0 : 1);
+    }
+  }
+
+  private boolean run(int count) throws Exception {
+    Histogram quiet = listFor(Duration.ofSeconds(6));
+    ExecutorService listing = Executors.newSingleThreadExecutor();
+    Future<Histogram> beside = listing.submit(() -> listUntilOver());
+    long start = System.nanoTime();
+    pullAll(count);
+    long seconds = Math.max(1, (System.nanoTime() - start) / 1_000_000_000);
+    over = true;
+    Histogram busy = beside.get();
+    listing.shutdown();
+    System.out.println(
+        count + " pulls of 1 MB by " + PULLERS + " pullers on 16 slots in " + seconds + " s");
+    System.out.println(
+        "whole " + whole + ", wrong " + wrong + ", restarted after a cut or refusal " + restarts);
+    System.out.println(
+        "pull from first try to whole: p50 "
+            + pulls.getValueAtPercentile(50)
+            + " ms, longest "
+            + pulls.getMaxValue()
+            + " ms");
+    System.out.println(
+        "listings without pulls p50/p99 "
+            + quiet.getValueAtPercentile(50)
+            + "/"
+            + quiet.getValueAtPercentile(99)
+            + " ms, beside pulls "
+            + busy.getValueAtPercentile(50)
+            + "/"
+            + busy.getValueAtPercentile(99)
+            + " ms");
+    boolean holds =
+        whole.sum() == count && wrong.sum() == 0 && pulls.getMaxValue() <= LONGEST_PULL_MILLIS;
+    System.out.println(
+        "background: "
+            + pulls.getMaxValue()
+            + " ms for the longest of "
+            + whole
+            + " whole pulls (aim all whole, at most "
+            + LONGEST_PULL_MILLIS
+            + ")");
+    return holds;
+  }
+
+  private void pullAll(int count) throws InterruptedException, ExecutionException {
+    AtomicInteger next = new AtomicInteger();
+    List<Callable<Void>> pullers = new ArrayList<>();
+    for (int i = 0; i < PULLERS; i++) {
+      int seed = i;
+      pullers.add(
+          () -> {
+            Caller caller = Caller.create();
+            SplittableRandom random = new SplittableRandom(seed);
+            for (int n = next.getAndIncrement(); n < count; n = next.getAndIncrement()) {
+              pull(caller, random, n);
+            }
+            return null;
+          });
+    }
+    all(pullers);
+  }
+
+  /** Repeats one pull until it is whole; a refusal says when to come back. */
+  private void pull(Caller caller, SplittableRandom random, int number)
+      throws InterruptedException {
+    String path = "/records?answerBytes=" + RECORD_BYTES + "&work=pull" + number;
+    long start = System.nanoTime();
+    while (millisSince(start) < LONGEST_PULL_MILLIS * 2) {
+      Reply reply =
+          caller.send(
+              port(random),
+              "GET",
+              "archive",
+              path,
+              new byte[0],
+              "",
+              PULL_DEADLINE,
+              PULL_DEADLINE.plusSeconds(5));
+      if (reply.ran()) {
+        boolean right =
+            reply.isAnswerTo(RequestChecksum.of("GET", path, new byte[0]), RECORD_BYTES);
+        (right ? whole : wrong).increment();
+        pulls.recordValue(millisSince(start));
+        return;
+      }
+      restarts.increment();
+      Thread.sleep(50 + random.nextInt(100));
+    }
+  }
+
+  private Histogram listUntilOver() throws InterruptedException, ExecutionException {
+    Histogram latency = new ConcurrentHistogram(60_000, 3);
+    people(latency, Long.MAX_VALUE);
+    return latency;
+  }
+
+  private Histogram listFor(Duration time) throws InterruptedException, ExecutionException {
+    Histogram latency = new ConcurrentHistogram(60_000, 3);
+    people(latency, System.nanoTime() + time.toNanos());
+    return latency;
+  }
+
+  private void people(Histogram latency, long untilNanos)
+      throws InterruptedException, ExecutionException {
+    List<Callable<Void>> people = new ArrayList<>();
+    for (int i = 0; i < PEOPLE; i++) {
+      int seed = i;
+      people.add(
+          () -> {
+            Caller caller = Caller.create();
+            SplittableRandom random = new SplittableRandom(seed);
+            while (!over && System.nanoTime() < untilNanos) {
+              long start = System.nanoTime();
+              Reply reply =
+                  caller.send(
+                      port(random),
+                      "GET",
+                      "listings",
+                      "/lots?answerBytes=" + LISTING_BYTES + "&work=l" + random.nextLong(1 << 30),
+                      new byte[0],
+                      "",
+                      Duration.ofSeconds(3),
+                      Duration.ofSeconds(4));
+              if (reply.ran()) {
+                latency.recordValue(millisSince(start));
+              }
+              Thread.sleep(random.nextInt(60));
+            }
+            return null;
+          });
+    }
+    all(people);
+  }
+
+  private static void all(List<Callable<Void>> tasks)
+      throws InterruptedException, ExecutionException {
+    ExecutorService pool = Executors.newFixedThreadPool(tasks.size());
+    for (Future<Void> each : pool.invokeAll(tasks)) {
+      each.get();
+    }
+    pool.shutdown();
+  }
+
+  private static long millisSince(long startNanos) {
+    return (System.nanoTime() - startNanos) / 1_000_000;
+  }
+
+  private int port(SplittableRandom random) {
+    return bed.entries().get(random.nextInt(bed.entries().size())).callersPort();
+  }
+}
--- /dev/null
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/path/PathMain.java
@@ -0,0 +1,156 @@
+package org.sageladder.bench.path;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import org.HdrHistogram.Histogram;
+import org.sageladder.bench.process.TestBed;
+import org.sageladder.core.permit.Decision;
+import org.sageladder.core.permit.Permit;
+import org.sageladder.core.permit.PermitHome;
+import org.sageladder.core.permit.RecordedAnswer;
+import org.sageladder.standin.target.ServiceTime;
+
+/** Alternates direct calls with calls through an entry VM, and weighs a million permits. */
+public final class PathMain {
+  private static final int WARM_UP = 1_500;
+  private static final int USUAL = 4_000;
+  private static final int FULL = 20_000;
+  private static final int PERMITS = 1_000_000;
+  private static final double LARGEST_P50_MILLIS = 2.0;
+
+  private final HttpClient client =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  private final Histogram direct = new Histogram(10_000_000, 3);
+  private final Histogram through = new Histogram(10_000_000, 3);
+  private final Histogram permitted = new Histogram(10_000_000, 3);
+
+  private PathMain() {}
+
+  /** Takes {@code --full} for 20,000 calls each way instead of 4,000. */
+  public static void main(String[] args) throws Exception {
+    int count = List.of(args).contains("--full") ? FULL : USUAL;
+    System.out.println(permitMemory());
+    try (TestBed bed = TestBed.start(1)) {
+      bed.addTargets("listings", 1, ServiceTime.fixed(0), 8);
+      bed.addTargets("bids", 1, ServiceTime.fixed(0), 8);
+      bed.addEntries(1);
+      Thread.sleep(2_000);
+      PathMain path = new PathMain();
+      path.run(bed, WARM_UP);
+      path.direct.reset();
+      path.through.reset();
+      path.permitted.reset();
+      path.run(bed, count);
+      System.exit(path.report() ? 0 : 1);
+    }
+  }
+
+  private void run(TestBed bed, int count) throws IOException, InterruptedException {
+    URI target = bed.targets().get(0).address().resolve("/lots?answerBytes=512");
+    String entry = "http://127.0.0.1:" + bed.entries().get(0).callersPort() + "/v1/request/";
+    URI listing = URI.create(entry + TestBed.CUSTOMER + "/listings/lots?answerBytes=512");
+    URI bid = URI.create(entry + TestBed.CUSTOMER + "/bids/lots/7?answerBytes=512");
+    String permit = "";
+    for (int i = 0; i < count; i++) {
+      time(direct, HttpRequest.newBuilder(target).build());
+      time(through, request(listing).build());
+      if (permit.isEmpty()) {
+        permit = permit(request(bid).POST(HttpRequest.BodyPublishers.ofString("bid")).build());
+      }
+      HttpRequest.Builder paid = request(bid).POST(HttpRequest.BodyPublishers.ofString("bid"));
+      time(permitted, paid.header("Sageladder-Permit", permit).build());
+      permit = "";
+    }
+  }
+
+  private static HttpRequest.Builder request(URI uri) {
+    return HttpRequest.newBuilder(uri).header("Sageladder-Deadline-Millis", "5000");
+  }
+
+  private String permit(HttpRequest request) throws IOException, InterruptedException {
+    return client
+        .send(request, HttpResponse.BodyHandlers.ofByteArray())
+        .headers()
+        .firstValue("Sageladder-Permit")
+        .orElse("");
+  }
+
+  private void time(Histogram histogram, HttpRequest request)
+      throws IOException, InterruptedException {
+    long start = System.nanoTime();
+    HttpResponse<byte[]> response = client.send(request, HttpResponse.BodyHandlers.ofByteArray());
+    if (response.statusCode() != 200 || response.body().length != 512) {
+      throw new IOException("answer " + response.statusCode() + " to " + request.uri());
+    }
+    histogram.recordValue((System.nanoTime() - start) / 1_000);
+  }
+
+  private boolean report() {
+    print("direct", direct);
+    print("through an entry VM", through);
+    print("through an entry VM with a permit", permitted);
+    double added = millis(through, 50) - millis(direct, 50);
+    System.out.printf(
+        "added by the way: p50 %.2f ms, p99 %.2f ms; with a permit p50 %.2f ms, p99 %.2f ms%n",
+        added,
+        millis(through, 99) - millis(direct, 99),
+        millis(permitted, 50) - millis(direct, 50),
+        millis(permitted, 99) - millis(direct, 99));
+    System.out.printf("path: %.2f ms added at p50 (aim at most %.1f)%n", added, LARGEST_P50_MILLIS);
+    return added <= LARGEST_P50_MILLIS;
+  }
+
+  private static void print(String name, Histogram histogram) {
+    System.out.printf(
+        "%s: p50 %.2f ms, p99 %.2f ms over %d calls%n",
+        name, millis(histogram, 50), millis(histogram, 99), histogram.getTotalCount());
+  }
+
+  private static double millis(Histogram histogram, double percentile) {
+    return histogram.getValueAtPercentile(percentile) / 1_000.0;
+  }
+
+  /** Heap held by a million live permits, unused and used with an answer of 200 bytes. */
+  private static String permitMemory() {
+    PermitHome home =
+        PermitHome.of(
+            "entry-0",
+            1,
+            new PermitHome.Limits(
+                java.time.Duration.ofMinutes(2),
+                java.time.Duration.ofSeconds(10),
+                java.time.Duration.ofMinutes(1),
+                1L << 30));
+    long before = used();
+    List<Permit> some = new ArrayList<>();
+    for (int i = 0; i < PERMITS; i++) {
+      Permit permit = home.mint(TestBed.CUSTOMER, "bids", i / 20L).orElseThrow();
+      if (i % 10 == 0) {
+        some.add(permit);
+      }
+    }
+    long tickets = used();
+    for (Permit permit : some) {
+      if (home.begin(permit, "bid", PERMITS / 20L) instanceof Decision.Execute execute) {
+        boolean unused =
+            execute.execution().finish(RecordedAnswer.whole(200, List.of(), new byte[200]));
+      }
+    }
+    long answered = used();
+    long held = home.held(PERMITS / 20L);
+    return String.format(
+        "permits: %d live ones take %.1f MB; answers of 200 bytes to 100,000 of them %.1f MB more",
+        held, (tickets - before) / 1e6, (answered - tickets) / 1e6);
+  }
+
+  private static long used() {
+    System.gc();
+    Runtime runtime = Runtime.getRuntime();
+    return runtime.totalMemory() - runtime.freeMemory();
+  }
+}
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/PeerRoutes.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/PeerRoutes.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.Executor;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
@@ -33,6 +34,9 @@
   /** Takes the name of the entry VM that answers for a home that stops. */
   public static final String SUCCESSOR = PREFIX + "successor";
 
+  /** Topic of announcements that carry the same sealed word as {@link #SUCCESSOR}. */
+  public static final String SUCCESSOR_TOPIC = "permit-successor";
+
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int LARGEST_HAND_OVER = 64 << 20;
 
@@ -73,8 +77,7 @@
     }
     Permit word = valid.permit();
     if (path.equals(SUCCESSOR)) {
-      successors.note(
-          word.home(), word.incarnation(), word.boundTo(), word.expiryMillis(), time.wallMillis());
+      note(word);
       exchange.requestBody().discard();
       accepted(exchange);
       return;
@@ -85,6 +88,21 @@
         bytes -> executor.execute(() -> adopt(exchange, word, bytes)));
   }
 
+  /** Takes an announced successor; a word that cannot be verified here is left out. */
+  void announced(byte[] content) {
+    OpenedPermit opened = codec.open(new String(content, StandardCharsets.US_ASCII));
+    if (opened instanceof OpenedPermit.Valid valid
+        && valid.permit().customer().equals(customer)
+        && valid.permit().service().equals(SUCCESSOR)) {
+      note(valid.permit());
+    }
+  }
+
+  private void note(Permit word) {
+    successors.note(
+        word.home(), word.incarnation(), word.boundTo(), word.expiryMillis(), time.wallMillis());
+  }
+
   private static void accepted(CallerExchange exchange) {
     exchange.answer(new BasicHttpResponse(204), null, BodyPipe.of(new byte[0]));
   }
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/Permits.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/Permits.java
@@ -257,8 +257,8 @@
   static Result heldElsewhere(Result result) {
     return result instanceof Result.NotRun notRun
         ? new Result.Unknown(
-            ResultCode.OUTCOME_UNKNOWN,
-            "this copy was not run ("
+            ResultCode.HOME_LOST,
+            "the home was not asked and this copy was not run ("
                 + notRun.code()
                 + ": "
                 + notRun.detail()
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestPath.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestPath.java
@@ -73,6 +73,7 @@
     PermitSuccessors successors = new PermitSuccessors();
     Permits permits = new Permits(parts, control, codec, home, successors);
     PeerRoutes peers = new PeerRoutes(settings.customer(), codec, home, successors, time, timers);
+    control.messages().on(PeerRoutes.SUCCESSOR_TOPIC, (from, content) -> peers.announced(content));
     LookUps lookUps = LookUps.create(time);
     return new RequestPath(
         new RequestRouter(
--- a/sageladder-entry/src/main/java/org/sageladder/entry/stop/PermitHandOver.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/stop/PermitHandOver.java
@@ -1,6 +1,7 @@
 package org.sageladder.entry.stop;
 
 import com.google.common.flogger.FluentLogger;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -39,6 +40,7 @@
   private static final Duration CONNECT = Duration.ofMillis(500);
   private static final Duration ANSWER = Duration.ofSeconds(2);
   private static final int TRIES = 5;
+  private static final int MOST_TOLD = 16;
 
   private final String vm;
   private final String zone;
@@ -105,7 +107,9 @@
     }
     Optional<HandOver> state = home.close(successor.get().vm(), time.wallMillis());
     boolean taken = state.isPresent() && send(successor.get(), state.get());
-    for (Member member : candidates()) {
+    announce(successor.get());
+    List<Member> near = candidates();
+    for (Member member : near.subList(0, Math.min(MOST_TOLD, near.size()))) {
       if (!member.vm().equals(successor.get().vm())) {
         tellSuccessor(member, successor.get());
       }
@@ -113,6 +117,23 @@
     return taken;
   }
 
+  /** Reaches the entry VMs that are too many or too far to be told one by one. */
+  private void announce(Member successor) {
+    String word = codec.seal(word(PeerRoutes.SUCCESSOR, successor.vm()));
+    control
+        .messages()
+        .announce(
+            PeerRoutes.SUCCESSOR_TOPIC,
+            vm + "/" + home.incarnation(),
+            word.getBytes(StandardCharsets.US_ASCII),
+            limits.lifetime().plus(limits.retention()));
+  }
+
+  private Permit word(String route, String successor) {
+    long expiry = time.wallMillis() + limits.lifetime().plus(limits.retention()).toMillis();
+    return new Permit(vm, home.incarnation(), 0, expiry, customer, route, successor);
+  }
+
   /** Members that stay, nearest first: own zone, own region, others. */
   private List<Member> candidates() {
     ClusterState state = control.state();
@@ -155,10 +176,8 @@
 
   private boolean post(Member to, String route, String successor, byte[] body)
       throws InterruptedException {
-    long expiry = time.wallMillis() + limits.lifetime().toMillis() + limits.retention().toMillis();
     BasicHttpRequest request = new BasicHttpRequest("PUT", route);
-    Permit word = new Permit(vm, home.incarnation(), 0, expiry, customer, route, successor);
-    request.setHeader(Headers.DISPATCH, codec.seal(word));
+    request.setHeader(Headers.DISPATCH, codec.seal(word(route, successor)));
     CompletableFuture<Boolean> answered = new CompletableFuture<>();
     Runnable cancel =
         client.send(
--- /dev/null
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/exchange/BodyPipeTest.java
@@ -0,0 +1,129 @@
+package org.sageladder.entry.exchange;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+
+/** Bodies that are cut, given up, or outlive the connection they came on. */
+class BodyPipeTest {
+  private final BodyPipe pipe = BodyPipe.open();
+  private final Writer writer = new Writer();
+
+  private static ByteBuffer bytes(String text) {
+    return ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /**
+   * A target dies in the middle of a chunked recording. If the pipe ended there, the singer would
+   * get half a song that looks whole; it must fail instead, which cuts the caller's connection.
+   */
+  @Test
+  void aCutBodyIsNeverEnded() throws IOException {
+    pipe.accept(bytes("half a song"));
+    pipe.produce(writer);
+    pipe.fail(new IOException("the target died"));
+    assertThrows(IOException.class, () -> pipe.produce(writer));
+    assertFalse(writer.ended);
+  }
+
+  /**
+   * The deadline passes while a donation is being sent on; what is left of its body is thrown away
+   * and its end comes. Written to the target, that end would make a short donation look whole.
+   */
+  @Test
+  void aBodyThatWasGivenUpIsNotWrittenOn() throws IOException {
+    pipe.accept(bytes("first part, "));
+    pipe.produce(writer);
+    pipe.discard();
+    pipe.accept(bytes("second part"));
+    pipe.end();
+    assertThrows(IOException.class, () -> pipe.produce(writer));
+    assertFalse(writer.ended);
+  }
+
+  /** A dealer's connection breaks after the whole bid came: the bid must still reach its target. */
+  @Test
+  void aWholeBodyOutlivesItsConnection() throws IOException {
+    pipe.accept(bytes("a whole bid"));
+    pipe.end();
+    pipe.fail(new IOException("the dealer's connection broke"));
+    pipe.produce(writer);
+    assertEquals("a whole bid", writer.text());
+    assertTrue(writer.ended);
+  }
+
+  /** The answer to a bid is kept for repeats while it passes, also where nobody reads it any more. */
+  @Test
+  void anAnswerIsRecordedAlsoOnceItsCallerIsGone() throws IOException {
+    AnswerRecorder recorder = AnswerRecorder.upTo(100);
+    pipe.record(recorder);
+    pipe.accept(bytes("sold "));
+    pipe.discard();
+    pipe.accept(bytes("to you"));
+    pipe.end();
+    assertArrayEquals(
+        "sold to you".getBytes(StandardCharsets.UTF_8), recorder.body().orElseThrow());
+  }
+
+  /** A 100 MB export must not be copied into the memory of an entry VM for the sake of repeats. */
+  @Test
+  void anAnswerAboveTheLimitIsNotRecorded() throws IOException {
+    AnswerRecorder recorder = AnswerRecorder.upTo(10);
+    pipe.record(recorder);
+    pipe.accept(bytes("more than ten bytes"));
+    assertTrue(recorder.body().isEmpty());
+  }
+
+  /** Two sendings of one request are cut into pieces differently and must hash alike. */
+  @Test
+  void thePrefixHashDoesNotDependOnThePieces() throws IOException {
+    BodyPipe other = BodyPipe.open();
+    pipe.accept(bytes("a damaged "));
+    pipe.accept(bytes("recording"));
+    other.accept(bytes("a damaged recording"));
+    assertEquals(other.prefixHash(), pipe.prefixHash());
+  }
+
+  private static final class Writer implements DataStreamChannel {
+    private final ByteArrayOutputStream written = new ByteArrayOutputStream();
+    private boolean ended;
+
+    String text() {
+      return written.toString(StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public void requestOutput() {}
+
+    @Override
+    public int write(ByteBuffer source) {
+      int length = source.remaining();
+      byte[] part = new byte[length];
+      source.get(part);
+      written.writeBytes(part);
+      return length;
+    }
+
+    @Override
+    public void endStream() {
+      endStream(null);
+    }
+
+    @Override
+    public void endStream(@Nullable List<? extends Header> trailers) {
+      ended = true;
+    }
+  }
+}
