Entry: a planned stop hands permits over in fact, and ends a second sooner

The messages between entry VMs about a stop carried no Host, so the HTTP library refused them and no hand-over ever arrived; bench/drain did not look. It now uses a permit of each stopped entry VM through another one afterwards, and PlannedStopTest pins the hand-over, the wait for what is in flight, and the choice of a successor.

The 3 s given to callers with older look-ups were waited out in full. A stop now goes on once 0.5 s passed without a newcomer: one that comes later finds no connection and uses the next entry VM of its answer.

--- a/sageladder-bench/src/main/java/org/sageladder/bench/drain/DrainMain.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/drain/DrainMain.java
@@ -73,8 +73,12 @@
     int late = shown.late() + announced.late();
     System.out.println(
         "drain: "
-            + (cutPlanned + late + entries.badExits())
-            + " cut requests, late work and bad exits (aim 0)");
-    return cutPlanned == 0 && late == 0 && entries.badExits() == 0 && planned >= 20;
+            + (cutPlanned + late + entries.badExits() + entries.permitsLost())
+            + " cut requests, late work, bad exits and lost permits (aim 0)");
+    return cutPlanned == 0
+        && late == 0
+        && entries.badExits() == 0
+        && entries.permitsLost() == 0
+        && planned >= 20;
   }
 }
--- a/sageladder-bench/src/main/java/org/sageladder/bench/drain/EntryStops.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/drain/EntryStops.java
@@ -1,8 +1,11 @@
 package org.sageladder.bench.drain;
 
 import java.io.IOException;
+import java.time.Duration;
 import org.HdrHistogram.Histogram;
+import org.sageladder.bench.process.Caller;
 import org.sageladder.bench.process.EntryProcess;
+import org.sageladder.bench.process.Reply;
 import org.sageladder.bench.process.TestBed;
 
 /** Stops entry VMs by SIGTERM one after another and starts them again. */
@@ -11,7 +14,9 @@
 
   private final TestBed bed;
   private final Histogram toExit = new Histogram(120_000, 3);
+  private final Caller caller = Caller.create();
   private int badExits;
+  private int permitsLost;
   private int stops;
 
   EntryStops(TestBed bed) {
@@ -20,6 +25,8 @@
 
   void stop(int number) throws IOException, InterruptedException {
     EntryProcess entry = bed.entries().get(number);
+    String work = "handed" + stops;
+    String permit = bid(entry, work, "").permit();
     long sign = System.nanoTime();
     bed.list(entry, true);
     entry.terminate();
@@ -30,11 +37,29 @@
       badExits++;
       entry.kill();
     }
+    EntryProcess other = bed.entries().get((number + 1) % bed.entries().size());
+    Reply reply = bid(other, work, permit);
+    permitsLost += reply.ran() ? 0 : 1;
+    if (!reply.ran()) {
+      System.out.println("permit of a stopped entry VM: " + reply.status() + " " + reply.result());
+    }
     entry.restart();
     bed.list(entry, false);
     Thread.sleep(1_500);
   }
 
+  private Reply bid(EntryProcess entry, String work, String permit) throws InterruptedException {
+    return caller.send(
+        entry.callersPort(),
+        "POST",
+        "bids",
+        "/lots/7?work=" + work,
+        new byte[] {1},
+        permit,
+        Duration.ofSeconds(5),
+        Duration.ofSeconds(7));
+  }
+
   /** The baseline: the process is ended at once. */
   void kill(int number) throws IOException, InterruptedException {
     EntryProcess entry = bed.entries().get(number);
@@ -55,6 +80,11 @@
     return badExits;
   }
 
+  /** Permits of stopped entry VMs that could not be used at another one afterwards. */
+  int permitsLost() {
+    return permitsLost;
+  }
+
   void print() {
     System.out.println(
         "entry VMs: "
@@ -64,6 +94,8 @@
             + " ms, p99 "
             + toExit.getValueAtPercentile(99)
             + " ms; exit codes other than 0: "
-            + badExits);
+            + badExits
+            + "; permits not taken over: "
+            + permitsLost);
   }
 }
--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -244,12 +244,12 @@
   }
 
   /** A planned stop: takes no new duties, lets what is in flight end, then closes. */
-  public void stop() throws InterruptedException {
+  public PlannedStop.Outcome stop() throws InterruptedException {
     events.record(EventKind.STOPPING, "", settings.customer(), "", 0, settings.vm());
     PlannedStop.Outcome outcome = plannedStop.run();
-    logger.atFine().log("planned stop: %s", outcome);
     callers.stop(Timeout.of(STOP_GRACE));
     close();
+    return outcome;
   }
 
   @Override
--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryMain.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryMain.java
@@ -65,7 +65,8 @@
             new Thread(
                 () -> {
                   try {
-                    daemon.stop();
+                    // The JDK closes the logs at the same time, so this goes to standard output.
+                    System.out.println("stopped " + settings.vm() + " " + daemon.stop());
                   } catch (InterruptedException e) {
                     Thread.currentThread().interrupt();
                   }
--- a/sageladder-entry/src/main/java/org/sageladder/entry/exchange/InFlight.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/exchange/InFlight.java
@@ -1,10 +1,12 @@
 package org.sageladder.entry.exchange;
 
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
 /** Counts the callers' exchanges that have begun and not ended, for a planned stop to wait on. */
 public final class InFlight {
   private final AtomicInteger count = new AtomicInteger();
+  private final AtomicLong begun = new AtomicLong();
   private volatile boolean leaving;
 
   private InFlight() {}
@@ -15,6 +17,7 @@
   }
 
   void begin() {
+    begun.incrementAndGet();
     count.incrementAndGet();
   }
 
@@ -22,6 +25,11 @@
     count.decrementAndGet();
   }
 
+  /** Exchanges that have begun since the start. */
+  public long begun() {
+    return begun.get();
+  }
+
   /** Exchanges that have not ended. */
   public int count() {
     return count.get();
--- a/sageladder-entry/src/main/java/org/sageladder/entry/stop/PermitHandOver.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/stop/PermitHandOver.java
@@ -16,6 +16,7 @@
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.net.URIAuthority;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.contract.Contract;
 import org.sageladder.core.membership.ClusterState;
@@ -30,7 +31,6 @@
 import org.sageladder.entry.control.ControlPlane;
 import org.sageladder.entry.exchange.BodyPipe;
 import org.sageladder.entry.exchange.Outbound;
-import org.sageladder.entry.exchange.OutboundClient;
 import org.sageladder.entry.request.Headers;
 import org.sageladder.entry.request.PeerRoutes;
 
@@ -49,7 +49,7 @@
   private final PermitHome home;
   private final PermitCodec codec;
   private final PermitHome.Limits limits;
-  private final OutboundClient client;
+  private final Outbound client;
   private final TimeSource time;
 
   private PermitHandOver(
@@ -60,7 +60,7 @@
       PermitHome home,
       PermitCodec codec,
       PermitHome.Limits limits,
-      OutboundClient client,
+      Outbound client,
       TimeSource time) {
     this.vm = vm;
     this.zone = zone;
@@ -82,7 +82,7 @@
       PermitHome home,
       PermitCodec codec,
       PermitHome.Limits limits,
-      OutboundClient client,
+      Outbound client,
       TimeSource time) {
     return new PermitHandOver(vm, zone, customer, control, home, codec, limits, client, time);
   }
@@ -177,11 +177,14 @@
   private boolean post(Member to, String route, String successor, byte[] body)
       throws InterruptedException {
     BasicHttpRequest request = new BasicHttpRequest("PUT", route);
+    HttpHost host = new HttpHost(to.host(), to.port());
+    request.setScheme(host.getSchemeName());
+    request.setAuthority(new URIAuthority(host));
     request.setHeader(Headers.DISPATCH, codec.seal(word(route, successor)));
     CompletableFuture<Boolean> answered = new CompletableFuture<>();
     Runnable cancel =
         client.send(
-            new HttpHost(to.host(), to.port()),
+            host,
             request,
             new BasicEntityDetails(body.length, ContentType.APPLICATION_OCTET_STREAM),
             BodyPipe.of(body),
--- a/sageladder-entry/src/main/java/org/sageladder/entry/stop/PlannedStop.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/stop/PlannedStop.java
@@ -1,6 +1,5 @@
 package org.sageladder.entry.stop;
 
-import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.function.BooleanSupplier;
 import org.sageladder.core.permit.PermitHome;
@@ -16,18 +15,35 @@
  * end and hand the used set to a successor; wait for the last exchange.
  */
 public final class PlannedStop {
-  /** Longest times of the steps. */
-  public record Limits(Duration lookUpsExpire, Duration runsEnd, Duration exchangesEnd) {
+  /**
+   * Times of the steps.
+   *
+   * @param newsSpread shortest wait for the news of the leaving to reach look-ups elsewhere
+   * @param noNewcomers silence after which no caller is thought to come by an older look-up
+   * @param lookUpsExpire longest wait for that silence
+   * @param runsEnd longest wait for runs under permits
+   * @param exchangesEnd longest wait for all other exchanges
+   */
+  public record Limits(
+      Duration newsSpread,
+      Duration noNewcomers,
+      Duration lookUpsExpire,
+      Duration runsEnd,
+      Duration exchangesEnd) {
     /** Look-ups live 2 s and news of the leaving takes up to 1 s more. */
     public static Limits standard() {
-      return new Limits(Duration.ofSeconds(3), Duration.ofSeconds(30), Duration.ofSeconds(60));
+      return new Limits(
+          Duration.ofMillis(700),
+          Duration.ofMillis(500),
+          Duration.ofSeconds(3),
+          Duration.ofSeconds(30),
+          Duration.ofSeconds(60));
     }
   }
 
   /** How a stop went. */
   public record Outcome(boolean handedOver, int exchangesCut, Duration took) {}
 
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration STEP = Duration.ofMillis(5);
   private static final Duration QUIET = Duration.ofMillis(300);
 
@@ -69,7 +85,7 @@
     long start = time.nanos();
     inFlight.beginLeaving();
     control.beginLeaving();
-    Thread.sleep(limits.lookUpsExpire().toMillis());
+    awaitNoNewcomers();
     home.beginClosing();
     await(limits.runsEnd(), () -> home.runningOwn() == 0);
     boolean handedOver = handOver.run();
@@ -77,12 +93,27 @@
     awaitQuiet();
     int cut = inFlight.count();
     Duration took = Duration.ofNanos(time.nanos() - start);
-    logger.atInfo().log(
-        "stopped after %d ms: permits handed over: %s, exchanges cut: %d",
-        took.toMillis(), handedOver, cut);
     return new Outcome(handedOver, cut, took);
   }
 
+  /**
+   * Callers keep look-ups for their time to live. One that comes after the port is closed finds no
+   * connection and uses the next entry VM of its answer, so silence is enough: nothing is cut.
+   */
+  private void awaitNoNewcomers() throws InterruptedException {
+    Thread.sleep(limits.newsSpread().toMillis());
+    long[] seen = {inFlight.begun(), time.nanos()};
+    await(
+        limits.lookUpsExpire().minus(limits.newsSpread()),
+        () -> {
+          if (inFlight.begun() != seen[0]) {
+            seen[0] = inFlight.begun();
+            seen[1] = time.nanos();
+          }
+          return time.nanos() - seen[1] > limits.noNewcomers().toNanos();
+        });
+  }
+
   /** A caller on a kept connection may send again at once, so one moment of idleness is no end. */
   private void awaitQuiet() throws InterruptedException {
     long[] busySeen = {time.nanos()};
--- a/sageladder-entry/src/test/java/org/sageladder/entry/exchange/BodyPipeTest.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/exchange/BodyPipeTest.java
@@ -64,7 +64,9 @@
     assertTrue(writer.ended);
   }
 
-  /** The answer to a bid is kept for repeats while it passes, also where nobody reads it any more. */
+  /**
+   * The answer to a bid is kept for repeats while it passes, also where nobody reads it any more.
+   */
   @Test
   void anAnswerIsRecordedAlsoOnceItsCallerIsGone() throws IOException {
     AnswerRecorder recorder = AnswerRecorder.upTo(100);
--- /dev/null
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/stop/PlannedStopTest.java
@@ -0,0 +1,171 @@
+package org.sageladder.entry.stop;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.http.message.BasicHttpResponse;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.junit.jupiter.api.Test;
+import org.sageladder.core.membership.ClusterState;
+import org.sageladder.core.membership.Member;
+import org.sageladder.core.membership.ZoneSummary;
+import org.sageladder.core.membership.ZoneView;
+import org.sageladder.core.permit.Decision;
+import org.sageladder.core.permit.HandOver;
+import org.sageladder.core.permit.HandOverCodec;
+import org.sageladder.core.permit.KeyRing;
+import org.sageladder.core.permit.Permit;
+import org.sageladder.core.permit.PermitCodec;
+import org.sageladder.core.permit.PermitHome;
+import org.sageladder.core.time.TimeSource;
+import org.sageladder.entry.control.ControlPlane;
+import org.sageladder.entry.exchange.BodyCollector;
+import org.sageladder.entry.exchange.BodyPipe;
+import org.sageladder.entry.exchange.CallerExchange;
+import org.sageladder.entry.exchange.InFlight;
+import org.sageladder.entry.exchange.Outbound;
+import org.sageladder.entry.request.PeerRoutes;
+
+/** What a planned stop leaves behind. */
+class PlannedStopTest {
+  private static final Duration SHORT = Duration.ofMillis(1);
+  private static final Duration LONG = Duration.ofSeconds(20);
+  private static final PlannedStop.Limits LIMITS =
+      new PlannedStop.Limits(SHORT, SHORT, Duration.ofMillis(2), LONG, LONG);
+
+  private final InFlight inFlight = InFlight.create();
+  private final PermitHome home = PermitHome.of("entry-1", 1, PermitHome.Limits.standard());
+  private final PermitHome successor = PermitHome.of("entry-2", 1, PermitHome.Limits.standard());
+  private final CallerExchange open = CallerExchange.create(exchange -> {}, inFlight);
+  private final List<String> told = new ArrayList<>();
+  private final TimeSource time = TimeSource.system();
+
+  private PlannedStop stop(Outbound outbound, Member... peers) {
+    byte[] secret = new byte[32];
+    KeyRing ring = KeyRing.of(List.of(new KeyRing.Key("k", 0, KeyRing.Secret.of(secret))));
+    ControlPlane control = new FixedState(List.of(peers));
+    PermitHandOver handOver =
+        PermitHandOver.of(
+            "entry-1",
+            "riga-1",
+            "kalnins-dauge",
+            control,
+            home,
+            PermitCodec.of(() -> ring),
+            PermitHome.Limits.standard(),
+            outbound,
+            time);
+    return PlannedStop.of(control, inFlight, home, handOver, time, LIMITS);
+  }
+
+  private static Member member(String vm, boolean leaving) {
+    return new Member(vm, "riga-1", 1, "127.0.0.1", 1, 2, leaving);
+  }
+
+  /** Takes what a successor would, and ends the open exchange once it has the states. */
+  private Outbound peer() {
+    return (host, request, details, body, connectTimeout, listener) -> {
+      told.add(request.getPath());
+      if (request.getPath().equals(PeerRoutes.HAND_OVER)) {
+        BodyCollector.collect(body, 1 << 20, this::adopt);
+        open.releaseResources();
+      }
+      listener.head(new BasicHttpResponse(204), null, BodyPipe.of(new byte[0]));
+      return () -> {};
+    };
+  }
+
+  private void adopt(byte[] bytes) {
+    try {
+      HandOver state = HandOverCodec.decode(bytes);
+      successor.adopt(state);
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private void beginExchange() throws IOException {
+    open.handleRequest(
+        new BasicHttpRequest("GET", "/x"), null, new NoAnswers(), HttpCoreContext.create());
+  }
+
+  /**
+   * An archivist's registration is under way when its entry VM is stopped for maintenance. The stop
+   * must wait for it, and a permit given before the stop must be decided on by the successor.
+   */
+  @Test
+  void whatIsInFlightEndsAndPermitsAreAnsweredByTheSuccessor() throws Exception {
+    beginExchange();
+    Permit permit = home.mint("kalnins-dauge", "bids", time.wallMillis()).orElseThrow();
+    PlannedStop.Outcome outcome =
+        stop(peer(), member("entry-1", true), member("entry-2", false)).run();
+    assertEquals(0, outcome.exchangesCut());
+    assertTrue(outcome.handedOver());
+    assertEquals(new Decision.Moved("entry-2"), home.begin(permit, "bid", time.wallMillis()));
+    assertInstanceOf(Decision.Execute.class, successor.begin(permit, "bid", time.wallMillis()));
+  }
+
+  /** All entry VMs leave together: a successor that stops next would lose the states again. */
+  @Test
+  void aLeavingVmIsNoSuccessor() throws Exception {
+    PlannedStop.Outcome outcome = stop(peer(), member("entry-2", true)).run();
+    assertFalse(outcome.handedOver());
+    assertEquals(List.of(), told);
+  }
+
+  /**
+   * The first candidate does not answer. Had the home been closed for it, no other VM could ever
+   * decide on its permits; so the next candidate is asked first.
+   */
+  @Test
+  void aCandidateThatDoesNotAnswerIsNotNamed() throws Exception {
+    Outbound peer = peer();
+    Outbound firstIsDead =
+        (host, request, details, body, connectTimeout, listener) -> {
+          if (host.getPort() == 99) {
+            listener.lost(false, new IOException("connection refused"));
+            return () -> {};
+          }
+          return peer.send(host, request, details, body, connectTimeout, listener);
+        };
+    Member dead = new Member("entry-0", "riga-1", 1, "127.0.0.1", 99, 2, false);
+    assertTrue(stop(firstIsDead, dead, member("entry-2", false)).run().handedOver());
+    Permit permit = new Permit("entry-1", 1, 1, Long.MAX_VALUE, "kalnins-dauge", "bids", "");
+    assertEquals(new Decision.Moved("entry-2"), home.begin(permit, "bid", time.wallMillis()));
+  }
+
+  private record FixedState(List<Member> members) implements ControlPlane {
+    @Override
+    public ClusterState state() {
+      ZoneView view = new ZoneView("riga-1", 1, members, List.of());
+      return new ClusterState(Map.of(), Map.of("riga-1", view), List.of());
+    }
+
+    @Override
+    public void onChange(Consumer<ClusterState> listener) {}
+
+    @Override
+    public void summaries(Supplier<List<ZoneSummary>> own) {}
+
+    @Override
+    public void beginLeaving() {}
+
+    @Override
+    public Readiness readiness() {
+      return Readiness.LEAVING;
+    }
+
+    @Override
+    public void close() {}
+  }
+}
