Entry: admissions are checked against the zone's confirmation before dispatch

A gate knows only the last view it was told: after a pause, or cut off, it went on sending to targets that another entry VM may hold. Each admission now passes the holding guard right before dispatch; what it turns away has not run. The daemon also reports requests in flight at its zone's targets, so that the next holder of a moved target gets only the slots these leave.

--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -129,6 +129,7 @@
     control.onChange(gates::follow);
     control.onChange(path::follow);
     control.summaries(gates::summaries);
+    control.targets(gates::targetReports);
     gauges(metrics, control, settings.customer());
     HttpListener callers =
         HttpListener.open(
--- a/sageladder-entry/src/main/java/org/sageladder/entry/gates/GateTable.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/gates/GateTable.java
@@ -12,6 +12,7 @@
 import org.sageladder.core.limits.ServiceGate;
 import org.sageladder.core.membership.ClusterState;
 import org.sageladder.core.membership.Holding;
+import org.sageladder.core.membership.TargetReport;
 import org.sageladder.core.membership.ZoneSummary;
 import org.sageladder.core.membership.ZoneView;
 import org.sageladder.core.time.TimeSource;
@@ -23,6 +24,7 @@
   private final String customer;
   private final Function<Contract.Service, ServiceGate> maker;
   private final TimeSource time;
+  private volatile List<Holding> zoneHoldings = List.of();
   private final Map<String, ServiceGate> gates = new ConcurrentHashMap<>();
 
   private GateTable(
@@ -57,6 +59,7 @@
     Map<String, List<Holding>> held = new HashMap<>();
     ZoneView view = state.views().get(zone);
     if (view != null) {
+      zoneHoldings = view.holdings();
       for (Holding holding : view.holdings()) {
         if (holding.holder().equals(vm)) {
           held.computeIfAbsent(holding.service(), name -> new ArrayList<>()).add(holding);
@@ -98,6 +101,23 @@
         numbers.admittedPerSecond());
   }
 
+  /**
+   * Targets of this zone at which requests of this entry VM are in flight.
+   *
+   * <p>The next holder of such a target gets only the slots that these leave.
+   */
+  public List<TargetReport> targetReports() {
+    List<TargetReport> reports = new ArrayList<>();
+    for (Holding holding : zoneHoldings) {
+      ServiceGate gate = gates.get(holding.service());
+      int inFlight = gate == null ? 0 : gate.busy(holding.target());
+      if (inFlight > 0) {
+        reports.add(new TargetReport(holding.target(), 0, false, inFlight, false));
+      }
+    }
+    return reports;
+  }
+
   /** The gates by service. */
   public Map<String, ServiceGate> byService() {
     return Map.copyOf(gates);
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestRouter.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestRouter.java
@@ -22,6 +22,7 @@
 import org.sageladder.entry.control.ControlPlane;
 import org.sageladder.entry.exchange.CallerExchange;
 import org.sageladder.entry.gates.GateTable;
+import org.sageladder.entry.gates.GuardedGate;
 
 /** Decides for each request of a caller: answer a look-up, pass a gate here, or pass it on. */
 public final class RequestRouter implements CallerExchange.Handler {
@@ -167,7 +168,7 @@
   private void carry(RequestFlow flow, RequestHead head) {
     ServiceGate gate = gates.holding(head.service());
     if (gate != null) {
-      flow.through(gate);
+      flow.through(GuardedGate.of(gate, gate::busy, control.guard()));
       return;
     }
     Member holder = head.forwardedBy().isEmpty() ? holderElsewhere(head.service()) : null;
