Settings: keys of the inner protocol are tested and never quoted

EntrySettingsTest pins the list of allowed keys, which innerKeys made longer without a change to the test; the expected text now names it. A wrong innerKeys value was quoted in the error, which could put most of a secret into a log; it is now withheld. Tests read two keys in order and pin the withheld message.

--- a/sageladder-entry/src/main/java/org/sageladder/entry/settings/EntrySettings.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/settings/EntrySettings.java
@@ -42,6 +42,7 @@
     CallerLimits callerLimits,
     int eventCapacity) {
   private static final int HIGHEST_PORT = 65_535;
+  private static final Pattern ANY_TEXT = Pattern.compile(".*", Pattern.DOTALL);
   private static final Pattern INNER_KEY =
       Pattern.compile("[A-Za-z0-9]{1,16}:(?:[A-Za-z0-9+/]{4}){5,}(?:[A-Za-z0-9+/]{2,3}={1,2})?");
   private static final String INNER_KEY_ALLOWED =
@@ -231,7 +232,11 @@
 
   private static List<InnerKey> innerKeys(SettingsSection root) throws SettingsException {
     List<InnerKey> keys = new ArrayList<>();
-    for (String text : root.texts("innerKeys", INNER_KEY, INNER_KEY_ALLOWED)) {
+    for (String text : root.texts("innerKeys", ANY_TEXT, INNER_KEY_ALLOWED)) {
+      if (!INNER_KEY.matcher(text).matches()) {
+        // The wrong value may be most of a secret, so it is not quoted.
+        throw root.error("innerKeys", "(not shown)", INNER_KEY_ALLOWED);
+      }
       int colon = text.indexOf(':');
       keys.add(new InnerKey(text.substring(0, colon), text.substring(colon + 1)));
     }
--- a/sageladder-entry/src/test/java/org/sageladder/entry/settings/EntrySettingsTest.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/settings/EntrySettingsTest.java
@@ -56,7 +56,7 @@
             "vmList:",
             "vmlist:",
             "entry.yaml: vmlist: unknown key; did you mean 'vmList'? Allowed here: callerLimits,"
-                + " customer, eventCapacity, host, incarnation, logs, ports, seeds, store, vm, vmList, zone"),
+                + " customer, eventCapacity, host, incarnation, innerKeys, logs, ports, seeds, store, vm, vmList, zone"),
         mistake(
             "missing key",
             "zone: tallinn-1\n",
@@ -103,6 +103,12 @@
             "127.0.0.1",
             "entry.yaml: seeds[0]: '127.0.0.1' is not allowed; give an IP number and port such as"
                 + " 10.0.0.7:7101"),
+        mistake(
+            "inner key with a short secret, which must not be shown",
+            "seeds:",
+            "innerKeys: ['k1:c2hvcnQ=']\nseeds:",
+            "entry.yaml: innerKeys: (not shown) is not allowed; give an id of letters and digits, a"
+                + " colon and at least 16 bytes in base64"),
         mistake(
             "key given twice",
             "host: 127.0.0.1",
@@ -121,6 +127,19 @@
                 + " 9223372036854775807"));
   }
 
+  @Test
+  void innerKeysAreReadInTheirOrderAndNeverPrinted() throws SettingsException {
+    EntrySettings settings =
+        EntrySettings.parse(
+            "entry.yaml",
+            GOOD
+                + "innerKeys: ['k2:c2FnZWxhZGRlci1iZW5jaC1rZXk=', 'k1:MDEyMzQ1Njc4OWFiY2RlZg==']\n");
+    assertEquals(
+        List.of("k2", "k1"),
+        settings.innerKeys().stream().map(EntrySettings.InnerKey::id).toList());
+    assertEquals("[k2:(secret), k1:(secret)]", settings.innerKeys().toString());
+  }
+
   @ParameterizedTest(name = "{0}")
   @MethodSource("mistakes")
   void eachMistakeGivesOneLineNamingFileKeyValueAndWhatIsAllowed(
