--- a/sageladder-entry/src/main/java/org/sageladder/entry/stop/PermitHandOver.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/stop/PermitHandOver.java
@@ -1,6 +1,7 @@
 package org.sageladder.entry.stop;
 
 import com.google.common.flogger.FluentLogger;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,6 +16,7 @@
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.net.URIAuthority;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.contract.Contract;
 import org.sageladder.core.membership.ClusterState;
@@ -29,7 +31,6 @@
 import org.sageladder.entry.control.ControlPlane;
 import org.sageladder.entry.exchange.BodyPipe;
 import org.sageladder.entry.exchange.Outbound;
-import org.sageladder.entry.exchange.OutboundClient;
 import org.sageladder.entry.request.Headers;
 import org.sageladder.entry.request.PeerRoutes;
 
@@ -39,6 +40,7 @@
   private static final Duration CONNECT = Duration.ofMillis(500);
   private static final Duration ANSWER = Duration.ofSeconds(2);
   private static final int TRIES = 5;
+  private static final int MOST_TOLD = 16;
 
   private final String vm;
   private final String zone;
@@ -47,7 +49,7 @@
   private final PermitHome home;
   private final PermitCodec codec;
   private final PermitHome.Limits limits;
-  private final OutboundClient client;
+  private final Outbound client;
   private final TimeSource time;
 
   private PermitHandOver(
@@ -58,7 +60,7 @@
       PermitHome home,
       PermitCodec codec,
       PermitHome.Limits limits,
-      OutboundClient client,
+      Outbound client,
       TimeSource time) {
     this.vm = vm;
     this.zone = zone;
@@ -80,7 +82,7 @@
       PermitHome home,
       PermitCodec codec,
       PermitHome.Limits limits,
-      OutboundClient client,
+      Outbound client,
       TimeSource time) {
     return new PermitHandOver(vm, zone, customer, control, home, codec, limits, client, time);
   }
@@ -105,7 +107,9 @@
     }
     Optional<HandOver> state = home.close(successor.get().vm(), time.wallMillis());
     boolean taken = state.isPresent() && send(successor.get(), state.get());
-    for (Member member : candidates()) {
+    announce(successor.get());
+    List<Member> near = candidates();
+    for (Member member : near.subList(0, Math.min(MOST_TOLD, near.size()))) {
       if (!member.vm().equals(successor.get().vm())) {
         tellSuccessor(member, successor.get());
       }
@@ -113,6 +117,23 @@
     return taken;
   }
 
+  /** Reaches the entry VMs that are too many or too far to be told one by one. */
+  private void announce(Member successor) {
+    String word = codec.seal(word(PeerRoutes.SUCCESSOR, successor.vm()));
+    control
+        .messages()
+        .announce(
+            PeerRoutes.SUCCESSOR_TOPIC,
+            vm + "/" + home.incarnation(),
+            word.getBytes(StandardCharsets.US_ASCII),
+            limits.lifetime().plus(limits.retention()));
+  }
+
+  private Permit word(String route, String successor) {
+    long expiry = time.wallMillis() + limits.lifetime().plus(limits.retention()).toMillis();
+    return new Permit(vm, home.incarnation(), 0, expiry, customer, route, successor);
+  }
+
   /** Members that stay, nearest first: own zone, own region, others. */
   private List<Member> candidates() {
     ClusterState state = control.state();
@@ -155,14 +176,15 @@
 
   private boolean post(Member to, String route, String successor, byte[] body)
       throws InterruptedException {
-    long expiry = time.wallMillis() + limits.lifetime().toMillis() + limits.retention().toMillis();
     BasicHttpRequest request = new BasicHttpRequest("PUT", route);
-    Permit word = new Permit(vm, home.incarnation(), 0, expiry, customer, route, successor);
-    request.setHeader(Headers.DISPATCH, codec.seal(word));
+    HttpHost host = new HttpHost(to.host(), to.port());
+    request.setScheme(host.getSchemeName());
+    request.setAuthority(new URIAuthority(host));
+    request.setHeader(Headers.DISPATCH, codec.seal(word(route, successor)));
     CompletableFuture<Boolean> answered = new CompletableFuture<>();
     Runnable cancel =
         client.send(
-            new HttpHost(to.host(), to.port()),
+            host,
             request,
             new BasicEntityDetails(body.length, ContentType.APPLICATION_OCTET_STREAM),
             BodyPipe.of(body),
