--- a/sageladder-bench/src/main/java/org/sageladder/bench/process/TestBed.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/process/TestBed.java
@@ -154,8 +154,8 @@
             entry.zone(),
             "127.0.0.1",
             entry.callersPort(),
+            entry.innerPort(),
             0,
-            System.currentTimeMillis(),
             leaving));
   }
 
