--- a/sageladder-bench/src/main/java/org/sageladder/bench/policy/EntryVm.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/policy/EntryVm.java
@@ -15,8 +15,6 @@
 
 /** One entry VM of a run: a real gate and a real table, fed by hand. */
 final class EntryVm {
-  private static final double DEMAND_SMOOTHING = 0.6;
-
   final int region;
   final String zone;
   final String name;
@@ -24,8 +22,6 @@
   LookUpTable table = LookUpTable.build(ClusterState.empty(), SteeringInputs.at(0));
   ServiceGate gate;
   long incarnation = 1;
-  int asked;
-  double demandPerSecond;
 
   EntryVm(Setup setup, Agenda agenda, int region, String zone, int number) {
     this.region = region;
@@ -59,19 +55,12 @@
     incarnation++;
     gate = newGate(setup, agenda);
     gate.holdings(holdings, Set.copyOf(holdings.stream().map(Holding::target).toList()));
-    asked = 0;
   }
 
   Member member() {
     return new Member(name, zone, incarnation, "127.0.0.1", 1, 2, false);
   }
 
-  /** Call once a second. */
-  void measureDemand() {
-    demandPerSecond += DEMAND_SMOOTHING * (asked - demandPerSecond);
-    asked = 0;
-  }
-
   ZoneSummary summary(long nowMillis) {
     GateNumbers numbers = gate.numbers();
     return new ZoneSummary(
@@ -84,6 +73,6 @@
         numbers.queued(),
         numbers.admittedPerSecond(),
         numbers.ceilingPerSecond(),
-        demandPerSecond);
+        numbers.offeredPerSecond());
   }
 }
--- /dev/null
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/policy/LookUpSpeed.java
@@ -0,0 +1,149 @@
+package org.sageladder.bench.policy;
+
+import com.sun.management.ThreadMXBean;
+import java.lang.management.ManagementFactory;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.core.membership.ClusterState;
+import org.sageladder.core.membership.Holding;
+import org.sageladder.core.membership.Member;
+import org.sageladder.core.membership.ZoneView;
+import org.sageladder.core.steering.LookUpTable;
+import org.sageladder.core.steering.SteeringInputs;
+
+/** Look-ups and rebuilds of one customer: 180,000 blocks, 27 regions, 94 zones, 37 services. */
+public final class LookUpSpeed {
+  private static final int BLOCKS = 180_000;
+  private static final int REGIONS = 27;
+  private static final int ZONES = 94;
+  private static final int SERVICES = 37;
+  private static final int LOOK_UPS = 20_000_000;
+
+  private LookUpSpeed() {}
+
+  /** Measures on one thread. */
+  public static void main(String[] arguments) {
+    Contract contract = contract();
+    ClusterState state = new ClusterState(Map.of("c", contract), views(contract, -1), List.of());
+    LookUpTable table = LookUpTable.build(state, SteeringInputs.at(0));
+    for (int i = 0; i < 3; i++) {
+      measure(table, LOOK_UPS / 4);
+    }
+    ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+    long before = threads.getCurrentThreadAllocatedBytes();
+    double nanos = measure(table, LOOK_UPS);
+    double bytes = (double) (threads.getCurrentThreadAllocatedBytes() - before) / LOOK_UPS;
+    Report.line("%d look-ups: %.1f ns each, %.3f bytes allocated each", LOOK_UPS, nanos, bytes);
+    Report.line("  first build %.0f ms", build(state, SteeringInputs.at(0)));
+    Report.line("  rebuild, nothing changed %.0f ms", build(state, SteeringInputs.after(table, 0)));
+    ClusterState lost = new ClusterState(Map.of("c", contract), views(contract, 5), List.of());
+    Report.line("  rebuild, one zone lost %.0f ms", build(lost, SteeringInputs.after(table, 0)));
+    ClusterState revised =
+        new ClusterState(Map.of("c", contract.atRevision(2)), views(contract, -1), List.of());
+    Report.line(
+        "  rebuild, contract revised %.0f ms", build(revised, SteeringInputs.after(table, 0)));
+    double perSecond = 1e9 / nanos;
+    Report.end(
+        perSecond >= 1e6 && bytes < 1,
+        "lookup: %.1f M look-ups/s on one core (aim >= 1 M/s, no allocation)",
+        perSecond / 1e6);
+  }
+
+  private static double build(ClusterState state, SteeringInputs inputs) {
+    long best = Long.MAX_VALUE;
+    for (int i = 0; i < 5; i++) {
+      long start = System.nanoTime();
+      LookUpTable built = LookUpTable.build(state, inputs);
+      best = Math.min(best, System.nanoTime() - start);
+      if (built.lookUp("c", "s0", 1, 1) == null) {
+        throw new IllegalStateException("the table has no route for block 1 of s0");
+      }
+    }
+    return best / 1e6;
+  }
+
+  private static double measure(LookUpTable table, int count) {
+    SplittableRandom random = new SplittableRandom(1);
+    String[] names = new String[SERVICES];
+    for (int i = 0; i < SERVICES; i++) {
+      names[i] = "s" + i;
+    }
+    long found = 0;
+    long start = System.nanoTime();
+    for (int i = 0; i < count; i++) {
+      long bits = random.nextLong();
+      int block = (int) ((bits >>> 8) % BLOCKS);
+      found += table.lookUp("c", names[i % SERVICES], block, bits) == null ? 0 : 1;
+    }
+    long nanos = System.nanoTime() - start;
+    if (found != count) {
+      throw new IllegalStateException(count - found + " look-ups found no route");
+    }
+    return (double) nanos / count;
+  }
+
+  private static Contract contract() {
+    List<Contract.Region> regions = new ArrayList<>();
+    List<Contract.ClientBlocks> blocks = new ArrayList<>();
+    int perRegion = BLOCKS / REGIONS + 1;
+    for (int region = 0; region < REGIONS; region++) {
+      List<String> zones = new ArrayList<>();
+      for (int zone = region; zone < ZONES; zone += REGIONS) {
+        zones.add("z" + zone);
+      }
+      regions.add(new Contract.Region("r" + region, zones));
+      blocks.add(
+          new Contract.ClientBlocks(
+              region * perRegion, (region + 1) * perRegion - 1, "r" + region));
+    }
+    Contract.ShiftCap cap = new Contract.ShiftCap(0.2, Duration.ofSeconds(10));
+    List<Contract.Service> services = new ArrayList<>();
+    for (int i = 0; i < SERVICES; i++) {
+      Contract.Service like = Setup.today(1).service();
+      services.add(
+          new Contract.Service(
+              "s" + i,
+              like.requestClass(),
+              true,
+              2 * ZONES,
+              3,
+              330,
+              100,
+              8,
+              like.queueWait(),
+              like.longestDeadline(),
+              like.drainLimit(),
+              0.1,
+              cap,
+              cap));
+    }
+    return new Contract(
+        "c", 1, regions, new Contract.Delays(1, 20, 1), blocks, List.of(), services);
+  }
+
+  private static Map<String, ZoneView> views(Contract contract, int lostZone) {
+    Map<String, ZoneView> views = new HashMap<>();
+    for (String zone : contract.zones()) {
+      if (zone.equals("z" + lostZone)) {
+        continue;
+      }
+      List<Member> members = new ArrayList<>();
+      List<Holding> holdings = new ArrayList<>();
+      for (int vm = 0; vm < 2; vm++) {
+        String name = zone + "v" + vm;
+        members.add(new Member(name, zone, 1, "127.0.0.1", 1, 2, false));
+        for (int s = 0; s < SERVICES; s++) {
+          String target = name + "t" + s;
+          holdings.add(new Holding(target, "c", "s" + s, "127.0.0.1", 3, 1, name, 3, false));
+        }
+      }
+      views.put(zone, new ZoneView(zone, 1, members, holdings));
+    }
+    return views;
+  }
+}
--- a/sageladder-bench/src/main/java/org/sageladder/bench/policy/World.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/policy/World.java
@@ -159,7 +159,6 @@
   }
 
   private void everySecond() {
-    vms.forEach(EntryVm::measureDemand);
     List<ZoneSummary> now = new ArrayList<>();
     vms.forEach(vm -> now.add(vm.summary(agenda.time().wallMillis())));
     history.add(now);
@@ -223,8 +222,6 @@
       client.route = choose(region);
       client.expires = agenda.time().nanos() + TTL_NANOS;
     }
-    EntryVm asked = randomVm(region);
-    asked.asked++;
     long deadline = agenda.time().nanos() + Duration.ofSeconds(5).toNanos();
     send(client.route, 0, region, deadline);
   }
--- a/sageladder-core/src/main/java/org/sageladder/core/limits/Gate.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/Gate.java
@@ -18,6 +18,14 @@
    */
   Cancellable request(AdmissionRequest request, Consumer<Admission> whenDecided);
 
+  /**
+   * Spends one retry of the service's budget; false where none is left and the request must end as
+   * it is. Work that no target ran counts too: it also costs a target something to refuse.
+   */
+  default boolean takeRetry() {
+    return true;
+  }
+
   /** A wait that can be given up; cancelling after the decision has no effect. */
   @FunctionalInterface
   interface Cancellable {
--- a/sageladder-core/src/main/java/org/sageladder/core/limits/ServiceGate.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/ServiceGate.java
@@ -28,9 +28,17 @@
  * }</pre>
  *
  * <p>One lock guards everything; nothing is called while it is held, so it comes last in any lock
- * order. All methods may be called from any thread.
+ * order but for the retry budget's, which is taken inside it. All methods may be called from any
+ * thread.
  */
 public final class ServiceGate implements Gate, AutoCloseable {
+  /**
+   * What a refused request counts as demand: its caller goes on to the other two places of its
+   * region that its answer names, and would be counted three times.
+   */
+  private static final double REFUSED_PART = 1.0 / 3;
+
+  private static final double REFUSED_FRACTION = 0.1;
   private static final long SHORTEST_WAKE_NANOS = Duration.ofMillis(1).toNanos();
 
   private final String customer;
@@ -39,11 +47,14 @@
   private final EventSink events;
   private final WaitBudget budget;
 
+  private final RetryBudget retries;
+
   private final Object lock = new Object();
   private final TargetPool pool;
   private final ArrayDeque<Waiting> queue = new ArrayDeque<>();
   private boolean closed;
   private boolean wakeScheduled;
+  private final SmoothedRate offeredRate;
   private long offered;
   private long admitted;
   private long refused;
@@ -61,6 +72,26 @@
     this.scheduler = scheduler;
     this.events = events;
     this.budget = budget;
+    this.retries = RetryBudget.of(retryFraction(service));
+    this.offeredRate = new SmoothedRate(time.nanos());
+  }
+
+  /**
+   * Work that must not repeat is sent on only where a target refused it before running; such
+   * retries are bounded by a tenth, whatever the contract says of repeats.
+   */
+  private static double retryFraction(Contract.Service service) {
+    return service.repeatable() ? service.retryFraction() : REFUSED_FRACTION;
+  }
+
+  @Override
+  public boolean takeRetry() {
+    return retries.takeRetry();
+  }
+
+  /** First tries, retries and denied retries of this service here. */
+  public RetryBudget.Numbers retryNumbers() {
+    return retries.numbers();
   }
 
   /** A gate that holds no targets yet and so refuses all work. */
@@ -131,6 +162,7 @@
   /** Puts the limits of a new revision in force; waiting requests keep their places. */
   public void contract(Contract.Service newService) {
     List<Decision> decisions = new ArrayList<>();
+    retries.fraction(retryFraction(newService));
     synchronized (lock) {
       pool.service(newService, time.nanos());
       pump(decisions);
@@ -232,12 +264,17 @@
   private void admit(Waiting waiting, TargetSlots target, List<Decision> decisions) {
     pool.take(target);
     admitted++;
+    offeredRate.add(1, time.nanos());
+    if (waiting.request.avoidTarget().isEmpty()) {
+      retries.firstTry();
+    }
     waiting.decided = true;
     decisions.add(new Decision(waiting, new Admission.Admitted(new HeldSlot(target))));
   }
 
   private void refuse(Waiting waiting, ResultCode code, String detail, List<Decision> decisions) {
     refused++;
+    offeredRate.add(REFUSED_PART, time.nanos());
     waiting.decided = true;
     Result.NotRun result = new Result.NotRun(code, retryAfter(code), detail);
     decisions.add(new Decision(waiting, new Admission.Refused(result)));
@@ -374,6 +411,13 @@
     }
   }
 
+  /** The targets held here that are not leaving. */
+  public List<Holding> heldTargets() {
+    synchronized (lock) {
+      return pool.held();
+    }
+  }
+
   /** True while this gate holds a target that is not leaving, paused or not. */
   public boolean holdsTargets() {
     synchronized (lock) {
@@ -399,6 +443,7 @@
           offered,
           admitted,
           refused,
+          offeredRate.perSecond(now),
           pool.admittedPerSecond(now),
           pool.ceilingPerSecond(now));
     }
--- a/sageladder-core/src/main/java/org/sageladder/core/limits/TargetPool.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/TargetPool.java
@@ -156,6 +156,13 @@
     return false;
   }
 
+  List<Holding> held() {
+    return targets.values().stream()
+        .filter(TargetSlots::takesWork)
+        .map(TargetSlots::holding)
+        .toList();
+  }
+
   int heldTargets() {
     int held = 0;
     for (TargetSlots target : targets.values()) {
--- a/sageladder-core/src/main/java/org/sageladder/core/membership/ZoneSummary.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/membership/ZoneSummary.java
@@ -9,8 +9,8 @@
  * @param queued requests waiting at gates
  * @param admittedPerSecond requests admitted a second of late
  * @param ceilingPerSecond most the zone will admit a second now, by cap and capacity
- * @param demandPerSecond requests a second that callers who ask this zone for routes want of the
- *     service, wherever they are served
+ * @param demandPerSecond requests a second that asked for a slot at the zone's gates, admitted or
+ *     not, wherever their callers are
  */
 public record ZoneSummary(
     String zone,
--- a/sageladder-core/src/main/java/org/sageladder/core/steering/Damping.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/steering/Damping.java
@@ -8,7 +8,7 @@
  * back and forth. Away from a zone that can carry nothing any more all go at once.
  */
 final class Damping {
-  private static final double RETURN_STEP = 0.3;
+  private static final double RETURN_STEP = 0.1;
 
   private Damping() {}
 
--- /dev/null
+++ b/sageladder-core/src/main/java/org/sageladder/core/steering/Origins.java
@@ -0,0 +1,55 @@
+package org.sageladder.core.steering;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.sageladder.core.contract.Contract;
+
+/**
+ * Works out which region's callers want how much, from what was asked of each region's gates.
+ *
+ * <p>A gate cannot tell from where its callers were sent. But the parts by which they were sent are
+ * known: what region h was asked is the sum over all regions r of r's demand times the part of r's
+ * callers that goes to h. Without this step, callers sent away would count as demand of the region
+ * that they were sent to, and no longer of their own, and steering would bring them back at once.
+ */
+final class Origins {
+  private static final int ROUNDS = 8;
+  private static final double LEAST_PART = 0.05;
+
+  private Origins() {}
+
+  /**
+   * Demand by region of the caller.
+   *
+   * @param parts parts in force, by region of the caller and zone
+   */
+  static double[] demand(Contract contract, List<ZoneReading> zones, double[][] parts) {
+    int regions = contract.regions().size();
+    double[] asked = new double[regions];
+    double[][] sent = new double[regions][regions];
+    for (int zone = 0; zone < zones.size(); zone++) {
+      int to = regionOf(contract, zones.get(zone).region());
+      asked[to] += zones.get(zone).demandPerSecond();
+      for (int from = 0; from < regions; from++) {
+        sent[from][to] += parts[from][zone];
+      }
+    }
+    double[] demand = asked.clone();
+    for (int round = 0; round < ROUNDS; round++) {
+      for (int home = 0; home < regions; home++) {
+        double foreign = 0;
+        for (int from = 0; from < regions; from++) {
+          foreign += from == home ? 0 : demand[from] * sent[from][home];
+        }
+        demand[home] = Math.max(0, asked[home] - foreign) / Math.max(LEAST_PART, sent[home][home]);
+      }
+    }
+    return demand;
+  }
+
+  private static int regionOf(Contract contract, String name) {
+    List<String> names = new ArrayList<>();
+    contract.regions().forEach(region -> names.add(region.name()));
+    return names.indexOf(name);
+  }
+}
--- a/sageladder-core/src/main/java/org/sageladder/core/steering/ServiceTable.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/steering/ServiceTable.java
@@ -31,7 +31,7 @@
   /** Makes the table, or returns {@code previous} where nothing that it rests on has changed. */
   static ServiceTable build(
       ServiceFacts facts, RegionIndex regions, int ttlMillis, @Nullable ServiceTable previous) {
-    double[][] target = Waterfall.divide(facts.contract(), facts.readings());
+    double[][] target = wanted(facts, previous);
     double[][] parts =
         previous == null ? target : Damping.step(previous.facts, previous.parts, facts, target);
     if (previous != null && previous.isStillGood(facts, parts)) {
@@ -45,6 +45,14 @@
     return new ServiceTable(facts, parts, regions, answers);
   }
 
+  private static double[][] wanted(ServiceFacts facts, @Nullable ServiceTable previous) {
+    if (previous == null || previous.facts.zones().size() != facts.zones().size()) {
+      return Waterfall.divide(facts.contract(), facts.readings());
+    }
+    double[] demand = Origins.demand(facts.contract(), facts.readings(), previous.parts);
+    return Waterfall.divide(facts.contract(), facts.readings(), demand);
+  }
+
   private boolean isStillGood(ServiceFacts newFacts, double[][] newParts) {
     if (!facts.sameRoutes(newFacts)) {
       return false;
--- a/sageladder-core/src/main/java/org/sageladder/core/steering/Waterfall.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/steering/Waterfall.java
@@ -25,13 +25,19 @@
   private final double[] left;
   private final double[][] flow;
 
-  private Waterfall(Contract contract, List<ZoneReading> zones) {
+  private Waterfall(Contract contract, List<ZoneReading> zones, double[] demand) {
     int regions = contract.regions().size();
     this.contract = contract;
     this.zones = zones;
-    this.demand = new double[regions];
+    this.demand = demand.clone();
     this.left = new double[zones.size()];
     this.flow = new double[regions][zones.size()];
+    for (int zone = 0; zone < zones.size(); zone++) {
+      left[zone] = zones.get(zone).limit();
+    }
+    for (int region = 0; region < regions; region++) {
+      this.demand[region] = Math.max(LEAST_DEMAND, demand[region]);
+    }
   }
 
   /**
@@ -39,8 +45,19 @@
    * zones}); each region's add up to 1, or are all 0 where no zone can carry anything.
    */
   public static double[][] divide(Contract contract, List<ZoneReading> zones) {
-    Waterfall waterfall = new Waterfall(contract, zones);
-    waterfall.readZones();
+    double[] demand = new double[contract.regions().size()];
+    for (ZoneReading zone : zones) {
+      for (int region = 0; region < demand.length; region++) {
+        boolean own = contract.regions().get(region).name().equals(zone.region());
+        demand[region] += own ? zone.demandPerSecond() : 0;
+      }
+    }
+    return divide(contract, zones, demand);
+  }
+
+  /** As above, with the demand of each region's callers given. */
+  static double[][] divide(Contract contract, List<ZoneReading> zones, double[] demand) {
+    Waterfall waterfall = new Waterfall(contract, zones, demand);
     int regions = contract.regions().size();
     double[] excess = new double[regions];
     for (int region = 0; region < regions; region++) {
@@ -53,28 +70,6 @@
     return waterfall.parts();
   }
 
-  private void readZones() {
-    for (int zone = 0; zone < zones.size(); zone++) {
-      left[zone] = zones.get(zone).limit();
-      int region = regionIndex(zones.get(zone).region());
-      if (region >= 0 && zones.get(zone).age() != ReadingAge.ABSENT) {
-        demand[region] += zones.get(zone).demandPerSecond();
-      }
-    }
-    for (int region = 0; region < demand.length; region++) {
-      demand[region] = Math.max(LEAST_DEMAND, demand[region]);
-    }
-  }
-
-  private int regionIndex(String name) {
-    for (int region = 0; region < contract.regions().size(); region++) {
-      if (contract.regions().get(region).name().equals(name)) {
-        return region;
-      }
-    }
-    return -1;
-  }
-
   /** Serves the region's own callers at home as far as it can; answers what is left of them. */
   private double fillHome(int region) {
     List<Integer> home = zonesOf(region);
--- a/sageladder-core/src/main/java/org/sageladder/core/steering/ZoneReading.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/steering/ZoneReading.java
@@ -6,7 +6,7 @@
  * @param capacityPerSecond what the zone's usable slots carry by the latest view
  * @param ceilingPerSecond most that the zone would admit when the reading was taken
  * @param admittedPerSecond what it admitted of late
- * @param demandPerSecond what callers who ask the zone's entry VMs want, wherever served
+ * @param demandPerSecond what was asked of its gates, admitted or not
  */
 public record ZoneReading(
     String zone,
--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -28,6 +28,7 @@
 import org.sageladder.entry.exchange.InFlight;
 import org.sageladder.entry.exchange.OutboundClient;
 import org.sageladder.entry.gates.GateTable;
+import org.sageladder.entry.gates.LoadPoller;
 import org.sageladder.entry.http.HttpListener;
 import org.sageladder.entry.http.OperatorPort;
 import org.sageladder.entry.request.RequestPath;
@@ -50,6 +51,7 @@
 public final class EntryDaemon implements AutoCloseable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int CONNECTIONS_PER_HOST = 390;
+  private static final Duration LOAD_PERIOD = Duration.ofSeconds(1);
   private static final Duration POLL = Duration.ofMillis(250);
   private static final int EVENTS_PER_PAGE = 2_000;
   private static final Duration STOP_GRACE = Duration.ofSeconds(1);
@@ -118,6 +120,8 @@
             settings, client, timers, time, events, metrics, control, gates, permitKeys::ring);
     InFlight inFlight = InFlight.create();
     PlannedStop plannedStop = plannedStop(settings, control, inFlight, path, client, time);
+    // Its task ends with the timers, so nothing else has to close it.
+    LoadPoller.start(gates, client, time, timers, LOAD_PERIOD);
     control.onChange(gates::follow);
     control.onChange(path::follow);
     control.summaries(gates::summaries);
--- a/sageladder-entry/src/main/java/org/sageladder/entry/gates/GateTable.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/gates/GateTable.java
@@ -95,7 +95,7 @@
         numbers.queued(),
         numbers.admittedPerSecond(),
         numbers.ceilingPerSecond(),
-        numbers.admittedPerSecond());
+        numbers.offeredPerSecond());
   }
 
   /** The gates by service. */
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/gates/LoadPoller.java
@@ -0,0 +1,126 @@
+package org.sageladder.entry.gates;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.net.URIAuthority;
+import org.jspecify.annotations.Nullable;
+import org.sageladder.core.limits.ServiceGate;
+import org.sageladder.core.membership.Holding;
+import org.sageladder.core.time.TimeSource;
+import org.sageladder.entry.exchange.BodyCollector;
+import org.sageladder.entry.exchange.BodyPipe;
+import org.sageladder.entry.exchange.Outbound;
+
+/**
+ * Asks each held target for its load once a period and tells the gate.
+ *
+ * <p>A report is late by at least the way here; the gate weighs it against its own experience. A
+ * target that does not answer is simply not reported: its gate then goes by what it counts itself.
+ */
+public final class LoadPoller implements AutoCloseable {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final JsonMapper JSON = new JsonMapper();
+  private static final Duration CONNECT = Duration.ofMillis(500);
+  private static final int LARGEST_REPORT = 4096;
+
+  private final GateTable gates;
+  private final Outbound client;
+  private final TimeSource time;
+  private final ScheduledFuture<?> polling;
+
+  private LoadPoller(
+      GateTable gates,
+      Outbound client,
+      TimeSource time,
+      ScheduledExecutorService timers,
+      Duration period) {
+    this.gates = gates;
+    this.client = client;
+    this.time = time;
+    this.polling =
+        timers.scheduleWithFixedDelay(
+            this::poll, period.toMillis(), period.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  /** A poller that asks every {@code period} from now on. */
+  public static LoadPoller start(
+      GateTable gates,
+      Outbound client,
+      TimeSource time,
+      ScheduledExecutorService timers,
+      Duration period) {
+    return new LoadPoller(gates, client, time, timers, period);
+  }
+
+  private void poll() {
+    try {
+      gates.byService().values().forEach(this::poll);
+    } catch (RuntimeException e) {
+      // A task that throws is never run again, and the gates would go blind without a word.
+      logger.atWarning().withCause(e).log("polling targets failed; the next round tries again");
+    }
+  }
+
+  private void poll(ServiceGate gate) {
+    for (Holding target : gate.heldTargets()) {
+      HttpHost host = new HttpHost(target.host(), target.port());
+      BasicHttpRequest request = new BasicHttpRequest("GET", "/load");
+      request.setScheme(host.getSchemeName());
+      request.setAuthority(new URIAuthority(host));
+      Report report = new Report(gate, target, time.nanos());
+      client.send(host, request, null, BodyPipe.of(new byte[0]), CONNECT, report);
+    }
+  }
+
+  @Override
+  public void close() {
+    polling.cancel(false);
+  }
+
+  /** One answer on its way; it counts as taken when it was asked for, the earliest it may be. */
+  private record Report(ServiceGate gate, Holding target, long askedNanos)
+      implements Outbound.Listener {
+    @Override
+    public void head(HttpResponse response, @Nullable EntityDetails details, BodyPipe body) {
+      if (response.getCode() == 200) {
+        BodyCollector.collect(body, LARGEST_REPORT, this::tell);
+      }
+    }
+
+    private void tell(byte[] bytes) {
+      try {
+        JsonNode load = JSON.readTree(bytes);
+        if (load.path("incarnation").asLong(target.targetIncarnation())
+            != target.targetIncarnation()) {
+          return;
+        }
+        gate.targetLoad(
+            target.target(),
+            load.path("busy").asInt(),
+            load.path("slots").asInt(target.slots()),
+            load.path("draining").asBoolean(),
+            askedNanos);
+      } catch (IOException e) {
+        logger.atFine().withCause(e).log("target %s reports no readable load", target.target());
+      }
+    }
+
+    @Override
+    public void done() {}
+
+    @Override
+    public void lost(boolean sent, Exception cause) {
+      logger.atFinest().withCause(cause).log("target %s reports no load", target.target());
+    }
+  }
+}
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestFlow.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestFlow.java
@@ -485,7 +485,7 @@
         return;
       }
       record(EventKind.FAILED, slot.target().target(), String.valueOf(cause));
-      if (service.repeatable() && mayTryAgain(true)) {
+      if (service.repeatable() && mayTryAgain(true) && gate.takeRetry()) {
         retry(() -> admit(gate, slot.target().target()));
         return;
       }
@@ -494,7 +494,7 @@
 
     private void refusedByTarget(String why, boolean sent) {
       record(EventKind.RETRIED, slot.target().target(), why);
-      if (mayTryAgain(sent)) {
+      if (mayTryAgain(sent) && gate.takeRetry()) {
         retry(() -> admit(gate, slot.target().target()));
       } else {
         refuse(new Result.NotRun(ResultCode.TARGET_REFUSED, Duration.ofMillis(200), why));
