--- a/sageladder-entry/src/main/java/org/sageladder/entry/gates/GateTable.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/gates/GateTable.java
@@ -98,7 +98,7 @@
         numbers.queued(),
         numbers.admittedPerSecond(),
         numbers.ceilingPerSecond(),
-        numbers.admittedPerSecond());
+        numbers.offeredPerSecond());
   }
 
   /**
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestFlow.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestFlow.java
@@ -579,7 +579,7 @@
       }
       record(EventKind.FAILED, slot.target().target(), String.valueOf(cause));
       lostTry = true;
-      if (service.repeatable() && mayTryAgain(true)) {
+      if (service.repeatable() && mayTryAgain(true) && gate.takeRetry()) {
         waitAgain();
         retry(() -> admit(gate, slot.target().target()));
         return;
@@ -589,7 +589,7 @@
 
     private void refusedByTarget(String why, boolean sent) {
       record(EventKind.RETRIED, slot.target().target(), why);
-      if (mayTryAgain(sent)) {
+      if (mayTryAgain(sent) && gate.takeRetry()) {
         waitAgain();
         retry(() -> admit(gate, slot.target().target()));
       } else {
