--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/Permits.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/Permits.java
@@ -250,6 +250,22 @@
             "entry VM " + vm + ", which gave the permit, does not answer for it any more"));
   }
 
+  /**
+   * What an entry VM that is not the home may say of a request with a permit: its own copy was not
+   * run, but another one may have been, by another way.
+   */
+  static Result heldElsewhere(Result result) {
+    return result instanceof Result.NotRun notRun
+        ? new Result.Unknown(
+            ResultCode.HOME_LOST,
+            "the home was not asked and this copy was not run ("
+                + notRun.code()
+                + ": "
+                + notRun.detail()
+                + "); ask again with the same permit for the others")
+        : result;
+  }
+
   private static Result unknown(ResultCode code, String detail) {
     return new Result.Unknown(code, detail);
   }
@@ -270,6 +286,7 @@
 
   private static void discardBody(Copy copy) throws IOException {
     copy.exchange().requestBody().discard();
+    copy.exchange().acceptBody();
   }
 
   private void record(EventKind kind, Copy copy, Permit permit, String detail) {
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestFlow.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestFlow.java
@@ -1,5 +1,6 @@
 package org.sageladder.entry.request;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import java.time.Duration;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -19,6 +20,7 @@
 import org.sageladder.core.membership.Holding;
 import org.sageladder.core.membership.Member;
 import org.sageladder.core.permit.RecordedAnswer;
+import org.sageladder.core.quarantine.Quarantine;
 import org.sageladder.core.result.Outcome;
 import org.sageladder.core.result.Result;
 import org.sageladder.core.result.ResultCode;
@@ -60,6 +62,8 @@
   private int tries;
   private volatile boolean dispatched;
   private volatile boolean callerGone;
+  private volatile boolean toHome;
+  private volatile boolean lostTry;
   private volatile @Nullable BodyPipe answerBody;
   private @Nullable ScheduledFuture<?> timer;
 
@@ -117,6 +121,7 @@
   /** Passes the request on to the entry VM that decides on its permit. */
   void forwardToHome(Member member) {
     record(EventKind.FORWARDED, member.vm(), "it is the home of the permit");
+    toHome = true;
     passTo(member, new PeerLeg(member, true));
   }
 
@@ -138,12 +143,54 @@
   }
 
   private void admit(Gate gate, String avoid) {
+    Quarantine quarantine = parts.crashes().quarantine();
+    if (quarantine.isEmpty()) {
+      askGate(gate, avoid);
+      return;
+    }
+    try {
+      exchange.acceptBody();
+    } catch (java.io.IOException e) {
+      giveUp(Ending.CALLER_GONE);
+      return;
+    }
+    exchange
+        .requestBody()
+        .whenPrefixKnown(
+            () -> {
+              long held = quarantine.remainingMillis(fingerprint(), parts.time().wallMillis());
+              if (held > 0) {
+                refuse(
+                    new Result.NotRun(
+                        ResultCode.QUARANTINED,
+                        Duration.ofMillis(held),
+                        "this request crashed two targets; it is tried again later"));
+              } else {
+                askGate(gate, avoid);
+              }
+            });
+  }
+
+  /** Alike for copies of one request, whoever sends them; the permit and ids do not count. */
+  private long fingerprint() {
+    EntityDetails entity = exchange.entity();
+    return Hashing.komihash5_0()
+        .hashStream()
+        .putString(service.name())
+        .putString(exchange.request().getMethod())
+        .putString(head.path())
+        .putLong(entity == null ? 0 : entity.getContentLength())
+        .putLong(entity == null ? 0 : exchange.requestBody().prefixHash())
+        .getAsLong();
+  }
+
+  private void askGate(Gate gate, String avoid) {
     tries++;
     Gate.Cancellable wait =
         gate.request(
             new AdmissionRequest(head.id(), deadlineNanos, avoid, ""),
             admission -> decided(gate, admission));
-    step(wait::cancel);
+    waitFor(wait);
   }
 
   private void decided(Gate gate, Admission admission) {
@@ -184,6 +231,15 @@
     }
   }
 
+  /**
+   * The only try so far provably did not run: while the next one waits, "not run" is true again.
+   */
+  private void waitAgain() {
+    synchronized (lock) {
+      dispatched = false;
+    }
+  }
+
   private void send(HttpHost host, BasicHttpRequest request, Leg leg) {
     request.setScheme(host.getSchemeName());
     request.setAuthority(new URIAuthority(host));
@@ -205,6 +261,23 @@
     }
   }
 
+  /** Names the wait as what a going caller ends, unless the gate has let the request through. */
+  private void waitFor(Gate.Cancellable wait) {
+    boolean now;
+    synchronized (lock) {
+      if (dispatched) {
+        return;
+      }
+      now = ended;
+      if (!now) {
+        cancelStep = wait::cancel;
+      }
+    }
+    if (now) {
+      boolean unused = wait.cancel();
+    }
+  }
+
   /** Names what ends the present step; runs it at once where the flow has already ended. */
   private void step(Runnable cancel) {
     boolean now;
@@ -318,7 +391,8 @@
     }
   }
 
-  private void answer(Result result) {
+  private void answer(Result decided) {
+    Result result = provable(decided);
     record(
         result instanceof Result.NotRun ? EventKind.REFUSED : EventKind.FAILED,
         "",
@@ -333,6 +407,18 @@
     Answers.send(exchange, answer, result);
   }
 
+  /** Says "unknown" in place of "not run" where another copy or an earlier try may have run. */
+  private Result provable(Result decided) {
+    if (toHome) {
+      return Permits.heldElsewhere(decided);
+    }
+    if (lostTry && decided instanceof Result.NotRun notRun) {
+      return new Result.Unknown(
+          ResultCode.TARGET_LOST, "an earlier try was lost, and then " + notRun.code());
+    }
+    return decided;
+  }
+
   /** A permit told "not run" is used up, so the answer brings the one for a new try. */
   private void addFreshPermit(HttpResponse answer, Outcome outcome) {
     String fresh = run != null && outcome == Outcome.NOT_RUN ? run.freshPermit() : "";
@@ -348,6 +434,12 @@
     stopTimer();
   }
 
+  private boolean isEnded() {
+    synchronized (lock) {
+      return ended;
+    }
+  }
+
   private void stopTimer() {
     ScheduledFuture<?> running = timer;
     if (running != null) {
@@ -390,8 +482,7 @@
   private abstract class Leg implements Outbound.Listener {
     private final AnswerRecorder recorder = AnswerRecorder.upTo(LARGEST_RECORDED);
     private volatile boolean retried;
-    private volatile @Nullable HttpResponse begun;
-    private volatile @Nullable EntityDetails begunDetails;
+    private volatile @Nullable Recording recording;
 
     void retry(Runnable again) {
       retried = true;
@@ -412,19 +503,18 @@
     /** Keeps a copy of an answer that proves a run, for repeats of its permit. */
     void recordRun(HttpResponse passed, @Nullable EntityDetails details, BodyPipe body) {
       if (run != null) {
-        begunDetails = details;
-        begun = passed;
+        recording = Recording.begin(passed, details);
         body.record(recorder);
       }
     }
 
     /** Ends the permit's run if an answer had begun: cut or whole, it proves that a target ran. */
     boolean endProvenRun(boolean whole) {
-      HttpResponse head = begun;
-      if (run == null || head == null) {
+      Recording begun = recording;
+      if (run == null || begun == null) {
         return false;
       }
-      run.ran(whole ? Recording.of(head, begunDetails, recorder.body()) : RecordedAnswer.notKept());
+      run.ran(whole ? begun.end(recorder.body()) : RecordedAnswer.notKept());
       return true;
     }
   }
@@ -472,6 +562,9 @@
     @Override
     public void lost(boolean sent, Exception cause) {
       slot.release(sent ? Admission.Completion.LOST : Admission.Completion.REFUSED);
+      if (sent && !isEnded()) {
+        parts.crashes().cut(slot.target(), fingerprint());
+      }
       if (!isCurrent()) {
         return;
       }
@@ -485,7 +578,9 @@
         return;
       }
       record(EventKind.FAILED, slot.target().target(), String.valueOf(cause));
+      lostTry = true;
       if (service.repeatable() && mayTryAgain(true)) {
+        waitAgain();
         retry(() -> admit(gate, slot.target().target()));
         return;
       }
@@ -495,6 +590,7 @@
     private void refusedByTarget(String why, boolean sent) {
       record(EventKind.RETRIED, slot.target().target(), why);
       if (mayTryAgain(sent)) {
+        waitAgain();
         retry(() -> admit(gate, slot.target().target()));
       } else {
         refuse(new Result.NotRun(ResultCode.TARGET_REFUSED, Duration.ofMillis(200), why));
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestPath.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestPath.java
@@ -10,10 +10,12 @@
 import org.sageladder.core.permit.KeyRing;
 import org.sageladder.core.permit.PermitCodec;
 import org.sageladder.core.permit.PermitHome;
+import org.sageladder.core.quarantine.Quarantine;
 import org.sageladder.core.time.TimeSource;
 import org.sageladder.entry.control.ControlPlane;
 import org.sageladder.entry.exchange.OutboundClient;
 import org.sageladder.entry.gates.GateTable;
+import org.sageladder.entry.quarantine.CrashWatch;
 import org.sageladder.entry.settings.EntrySettings;
 
 /** Puts together the parts that a request passes. */
@@ -56,13 +58,22 @@
             time,
             events,
             RequestCounters.in(metrics),
-            CONNECT_TIMEOUT);
+            CONNECT_TIMEOUT,
+            CrashWatch.start(
+                settings.customer(),
+                Quarantine.create(Quarantine.Limits.standard()),
+                client,
+                timers,
+                time,
+                events,
+                control.messages()));
     PermitCodec codec = PermitCodec.of(keys);
     PermitHome home =
         PermitHome.of(settings.vm(), permitIncarnation(), PermitHome.Limits.standard());
     PermitSuccessors successors = new PermitSuccessors();
     Permits permits = new Permits(parts, control, codec, home, successors);
     PeerRoutes peers = new PeerRoutes(settings.customer(), codec, home, successors, time, timers);
+    control.messages().on(PeerRoutes.SUCCESSOR_TOPIC, (from, content) -> peers.announced(content));
     LookUps lookUps = LookUps.create(time);
     return new RequestPath(
         new RequestRouter(
--- /dev/null
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/request/RequestFlowTest.java
@@ -0,0 +1,255 @@
+package org.sageladder.entry.request;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.http.message.BasicHttpResponse;
+import org.apache.hc.core5.http.nio.AsyncPushProducer;
+import org.apache.hc.core5.http.nio.ResponseChannel;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.core.contract.RequestClass;
+import org.sageladder.core.event.EventSink;
+import org.sageladder.core.limits.Admission;
+import org.sageladder.core.limits.Gate;
+import org.sageladder.core.membership.Holding;
+import org.sageladder.core.membership.Member;
+import org.sageladder.core.permit.RecordedAnswer;
+import org.sageladder.core.result.Result;
+import org.sageladder.core.result.ResultCode;
+import org.sageladder.core.time.TimeSource;
+import org.sageladder.entry.exchange.BodyPipe;
+import org.sageladder.entry.exchange.CallerExchange;
+import org.sageladder.entry.exchange.Outbound;
+
+/** What one flow tells its caller, its target and the home of its permit. */
+class RequestFlowTest {
+  private static final Duration LONG = Duration.ofSeconds(20);
+
+  private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
+  private final List<Outbound.Listener> sent = new ArrayList<>();
+  private final List<Integer> cancelled = new ArrayList<>();
+  private final List<HttpResponse> answers = new ArrayList<>();
+  private final List<String> runs = new ArrayList<>();
+
+  @AfterEach
+  void stopTimers() {
+    timers.shutdownNow();
+  }
+
+  private FlowParts parts() {
+    Outbound outbound =
+        (host, request, details, body, connectTimeout, listener) -> {
+          int number = sent.size();
+          sent.add(listener);
+          return () -> cancelled.add(number);
+        };
+    return new FlowParts(
+        "entry-1",
+        "kalnins-dauge",
+        outbound,
+        timers,
+        TimeSource.system(),
+        EventSink.none(),
+        RequestCounters.in(new SimpleMeterRegistry()),
+        Duration.ofSeconds(1),
+        NoCrashes.watch(timers));
+  }
+
+  private CallerExchange arrive(CallerExchange.Handler handler) throws IOException {
+    CallerExchange caller = CallerExchange.create(handler);
+    caller.handleRequest(
+        new BasicHttpRequest("GET", "/v1/request/kalnins-dauge/lots/x"),
+        null,
+        new AnswerList(),
+        HttpCoreContext.create());
+    return caller;
+  }
+
+  private static RequestHead head() {
+    return new RequestHead("r-1", "kalnins-dauge", "lots", "/x", LONG, "", "", "", "");
+  }
+
+  private static Contract.Service service(boolean repeatable) {
+    Contract.ShiftCap cap = new Contract.ShiftCap(1, Duration.ofSeconds(1));
+    return new Contract.Service(
+        "lots",
+        RequestClass.INTERACTIVE,
+        repeatable,
+        1,
+        3,
+        10,
+        20,
+        5,
+        LONG,
+        LONG,
+        LONG,
+        0.1,
+        cap,
+        cap);
+  }
+
+  private static Gate openGate() {
+    return (request, whenDecided) -> {
+      whenDecided.accept(new Admission.Admitted(new FreeSlot()));
+      return () -> false;
+    };
+  }
+
+  private String outcome() {
+    return answers.get(0).getFirstHeader(Headers.OUTCOME).getValue();
+  }
+
+  /**
+   * A collector closes the page while a lot list is being made. The target goes on working for
+   * nobody, since the gate had let the request through at once and its wait, not the exchange, was
+   * noted as what to end.
+   */
+  @Test
+  void aCallerThatGoesCancelsTheTargetsWorkAlsoWhereTheGateWasOpen() throws IOException {
+    CallerExchange caller =
+        arrive(
+            begun -> RequestFlow.begin(parts(), begun, head(), service(true)).through(openGate()));
+    caller.failed(new IOException("the collector closed the page"));
+    assertEquals(List.of(0), cancelled);
+  }
+
+  /**
+   * A search is lost with a target's connection, tried again, and refused there. "Not run" would be
+   * false: the first target may have run it.
+   */
+  @Test
+  void aRefusalAfterALostTryIsNotToldAsNotRun() throws IOException {
+    arrive(begun -> RequestFlow.begin(parts(), begun, head(), service(true)).through(openGate()));
+    sent.get(0).lost(true, new IOException("reset"));
+    for (int i = 1; i < sent.size(); i++) {
+      BasicHttpResponse refusal = new BasicHttpResponse(503);
+      refusal.setHeader(Headers.TARGET_REFUSED, "shedding");
+      sent.get(i).head(refusal, null, BodyPipe.of(new byte[0]));
+    }
+    assertTrue(sent.size() > 1, "no second try");
+    assertEquals("unknown", outcome());
+  }
+
+  /**
+   * A dealer's bid timed out and is sent again through another entry VM, which cannot reach the
+   * permit's home. The first copy may be running there, so "not run" could be false.
+   */
+  @Test
+  void aHomeThatCannotBeReachedIsToldAsUnknown() throws IOException {
+    Member home = new Member("entry-2", "riga-1", 1, "127.0.0.1", 1, 2, false);
+    arrive(begun -> RequestFlow.begin(parts(), begun, head(), service(false)).forwardToHome(home));
+    sent.get(0).lost(false, new IOException("connection refused"));
+    assertEquals("unknown", outcome());
+  }
+
+  /**
+   * The same where the entry VM itself refuses: it is not the home, and its word covers one copy.
+   */
+  @Test
+  void onlyTheHomeSaysNotRunOfARequestWithAPermit() {
+    Result refusal = Result.notRun(ResultCode.NO_CONTRACT_IN_FORCE, "just started");
+    assertEquals(ResultCode.HOME_LOST, Permits.heldElsewhere(refusal).code());
+  }
+
+  /**
+   * A dealer's line drops while the bid runs. Cancelling it would leave the outcome unknown for
+   * good; it goes on, and the repeat of the permit gets the answer that came.
+   */
+  @Test
+  void aPermittedRunGoesOnWithoutItsCallerAndItsAnswerIsRecorded() throws IOException {
+    CallerExchange caller =
+        arrive(
+            begun ->
+                RequestFlow.beginPermitted(parts(), begun, head(), service(false), new RunList())
+                    .through(openGate()));
+    caller.failed(new IOException("the dealer's line dropped"));
+    BodyPipe body = BodyPipe.of(new byte[0]);
+    sent.get(0).head(new BasicHttpResponse(201), null, body);
+    sent.get(0).done();
+    assertEquals(List.of(), cancelled);
+    assertEquals(List.of("ran 201"), runs);
+  }
+
+  /**
+   * A target dies in the middle of its answer to a bid. It had run the bid: the permit must say so,
+   * without pretending to have the answer.
+   */
+  @Test
+  void anAnswerCutShortProvesTheRunButIsNotKept() throws IOException {
+    arrive(
+        begun ->
+            RequestFlow.beginPermitted(parts(), begun, head(), service(false), new RunList())
+                .through(openGate()));
+    BodyPipe body = BodyPipe.open();
+    sent.get(0).head(new BasicHttpResponse(200), null, body);
+    sent.get(0).lost(true, new IOException("reset"));
+    assertEquals(List.of("ran, answer not kept"), runs);
+  }
+
+  private final class RunList implements PermitRun {
+    @Override
+    public void ran(RecordedAnswer answer) {
+      runs.add(answer.bodyKept() ? "ran " + answer.status() : "ran, answer not kept");
+    }
+
+    @Override
+    public void notRun() {
+      runs.add("not run");
+    }
+
+    @Override
+    public void unknown() {
+      runs.add("unknown");
+    }
+
+    @Override
+    public String freshPermit() {
+      return "";
+    }
+
+    @Override
+    public String dispatch() {
+      return "";
+    }
+  }
+
+  private static final class FreeSlot implements Admission.Slot {
+    @Override
+    public Holding target() {
+      return new Holding("t-1", "kalnins-dauge", "lots", "127.0.0.1", 1, 1, "entry-1", 3, false);
+    }
+
+    @Override
+    public void release(Admission.Completion completion) {}
+  }
+
+  private final class AnswerList implements ResponseChannel {
+    @Override
+    public void sendInformation(HttpResponse response, HttpContext context) {}
+
+    @Override
+    public void sendResponse(
+        HttpResponse response, @Nullable EntityDetails details, HttpContext context) {
+      answers.add(response);
+    }
+
+    @Override
+    public void pushPromise(HttpRequest promise, AsyncPushProducer producer, HttpContext context) {}
+  }
+}
--- a/sageladder-tools/src/main/java/org/sageladder/tools/load/Checks.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/Checks.java
@@ -105,6 +105,7 @@
 
   private void slots() {
     int most = 0;
+    int looks = 0;
     String where = "";
     Samples samples = result.samples();
     for (int step = 0; step < samples.steps(); step++) {
@@ -112,16 +113,17 @@
         TargetView.Reading reading = samples.readings().get(step).get(target);
         TargetView view = samples.targets().get(target);
         int beyond = reading.busy() + reading.queued() - view.slots();
+        looks += beyond > 0 ? 1 : 0;
         if (beyond > most) {
           most = beyond;
-          where = " at " + view.id();
+          where = ", first at " + view.id() + " after " + millis(samples.atNanos().get(step));
         }
       }
     }
     add(
         "no target holds more than its slots",
         most == 0,
-        "at most " + most + " beyond its slots" + where,
+        "at most " + most + " beyond its slots, in " + looks + " looks" + where,
         "0");
   }
 
@@ -149,6 +151,7 @@
     long[] started = samples.started(chosen);
     long signed = fault.atNanos();
     long lastStart = signed;
+    long before = 0;
     long idle = -1;
     for (int step = 1; step < samples.steps(); step++) {
       long at = samples.atNanos().get(step);
@@ -157,16 +160,18 @@
         lastStart = at;
       }
       boolean isIdle = reading.busy() + reading.queued() == 0;
-      if (at > signed) {
+      if (at <= signed) {
+        before = started[step];
+      } else {
         idle = isIdle ? (idle < 0 ? at : idle) : -1;
       }
     }
     long late = lastStart - signed;
     add(
         "leaving target " + fault.hit() + " gets no new work",
-        late <= limits.noNewWorkAfter().toNanos(),
-        "last start " + millis(late) + " after the sign",
-        "at most " + millis(limits.noNewWorkAfter().toNanos()));
+        before > 0 && late <= limits.noNewWorkAfter().toNanos(),
+        before + " starts before the sign, the last " + millis(late) + " after it",
+        "some before, at most " + millis(limits.noNewWorkAfter().toNanos()) + " after");
     add(
         "drain time of " + fault.hit(),
         idle >= 0 && idle - signed <= limits.drainWithin().toNanos(),
