Whole-process tests: a repeat gets the answer of the one run

The cluster listed entry VMs without their inner port and with incarnations of its own, so the relays knew no peers and each permit's home counted as lost: 'HOME_LOST' where the recorded answer was due. The daemon now prints its inner port in its ready line, and list and settings name the same incarnation.

--- a/sageladder-bench/src/main/java/org/sageladder/bench/cluster/ProcessCluster.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/cluster/ProcessCluster.java
@@ -41,6 +41,7 @@
   private final List<TargetServer> targets = new ArrayList<>();
   private final Map<String, String> serviceOfTarget = new TreeMap<>();
   private final List<EntryProcess> entries = new ArrayList<>();
+  private final Map<String, Long> incarnations = new TreeMap<>();
   private final HttpClient http = HttpClient.newHttpClient();
 
   private ProcessCluster(ClusterPlan plan, Path directory) throws IOException {
@@ -111,12 +112,13 @@
       }
     }
     for (EntryProcess.Starting one : starting) {
-      list(one.ready(), entries.size() + 1);
+      list(one.ready());
     }
   }
 
   private EntryProcess.Starting launch(String vm, String zone) throws IOException {
     Path settings = directory.resolve(vm + ".yaml");
+    incarnations.put(vm, (long) incarnations.size() + 1);
     Files.writeString(settings, settings(vm, zone));
     return EntryProcess.start(
         vm, zone, settings, plan.heapMegabytes(), directory.resolve(vm + ".log"));
@@ -137,18 +139,20 @@
         + store.address()
         + "\", timeout: 1s}\nvmList: {uri: \""
         + store.address()
-        + "\", every: 250ms}\n"
+        + "\", every: 250ms}\nincarnation: {source: fixed, number: "
+        + incarnations.get(vm)
+        + "}\n"
         + seeds
         + plan.entrySettings();
   }
 
-  private EntryProcess list(EntryProcess entry, long incarnation) {
+  private EntryProcess list(EntryProcess entry) {
     entries.add(entry);
-    store.putVm(listed(entry, incarnation, false));
+    store.putVm(listed(entry));
     return entry;
   }
 
-  private ListedVm listed(EntryProcess entry, long incarnation, boolean leaving) {
+  private ListedVm listed(EntryProcess entry) {
     return new ListedVm(
         VmRole.ENTRY,
         entry.vm(),
@@ -158,13 +162,13 @@
         "127.0.0.1",
         entry.callersPort(),
         entry.innerPort(),
-        incarnation,
-        leaving);
+        incarnations.getOrDefault(entry.vm(), 0L),
+        false);
   }
 
   /** Starts one more entry VM in {@code zone} and adds it to the platform's list. */
   public EntryProcess addEntry(String vm, String zone) throws IOException {
-    return list(launch(vm, zone).ready(), entries.size() + 1);
+    return list(launch(vm, zone).ready());
   }
 
   /** Takes an entry VM off the platform's list, as the platform does some time after its end. */
--- a/sageladder-bench/src/test/java/org/sageladder/bench/cluster/WholeProcessTest.java
+++ b/sageladder-bench/src/test/java/org/sageladder/bench/cluster/WholeProcessTest.java
@@ -6,6 +6,10 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -22,6 +26,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sageladder.client.ClientOptions;
 import org.sageladder.client.SageladderClient;
 import org.sageladder.platform.contract.ContractYaml;
@@ -190,6 +196,45 @@
     assertTrue(account.whole() > count * 9 / 10, account::toString);
   }
 
+  // A dealer's program did not get the answer to its bid and sends it again with the same permit,
+  // to another entry VM. It gets the answer of the one run, also where that answer has no body.
+  @ParameterizedTest
+  @ValueSource(ints = {0, 100})
+  void aRepeatGetsTheAnswerOfTheOneRun(int answerBytes) throws Exception {
+    HttpClient http = HttpClient.newHttpClient();
+    String key = "repeat-" + answerBytes;
+    String path = "/v1/request/kalnins-dauge/bid/bids?work=" + key + "&answerBytes=" + answerBytes;
+    List<EntryProcess> entries = cluster.running();
+    String permit = permit(http, entries.get(0));
+    for (EntryProcess entry : entries) {
+      HttpRequest request =
+          HttpRequest.newBuilder(URI.create("http://" + entry.callersAddress() + path))
+              .header("Sageladder-Deadline-Millis", "5000")
+              .header("Sageladder-Permit", permit)
+              .POST(HttpRequest.BodyPublishers.ofString("bid"))
+              .timeout(Duration.ofSeconds(20))
+              .build();
+      HttpResponse<byte[]> answer = http.send(request, HttpResponse.BodyHandlers.ofByteArray());
+      String result = answer.headers().firstValue("Sageladder-Result").orElse("none");
+      assertEquals("0 OK", result, entry.vm());
+      assertEquals(answerBytes, answer.body().length);
+    }
+    assertEquals(1, cluster.executions().get(key));
+  }
+
+  /** A bid without a permit is refused with one, bound to the entry VM that was asked. */
+  private static String permit(HttpClient http, EntryProcess entry) throws Exception {
+    URI uri = URI.create("http://" + entry.callersAddress() + "/v1/request/kalnins-dauge/bid/bids");
+    HttpRequest request =
+        HttpRequest.newBuilder(uri)
+            .header("Sageladder-Deadline-Millis", "5000")
+            .POST(HttpRequest.BodyPublishers.ofString("bid"))
+            .timeout(Duration.ofSeconds(20))
+            .build();
+    HttpResponse<String> refusal = http.send(request, HttpResponse.BodyHandlers.ofString());
+    return refusal.headers().firstValue("Sageladder-Permit").orElseThrow();
+  }
+
   // A caller gives up and closes its connection while the target works. The slot must be free for
   // others at once, not only when the work nobody waits for is done. A plain close reaches the
   // entry
--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryMain.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryMain.java
@@ -58,6 +58,8 @@
             + settings.vm()
             + " callers="
             + daemon.callersPort()
+            + " inner="
+            + daemon.innerPort()
             + " operators="
             + daemon.operatorsPort());
     Runtime.getRuntime()
