--- a/sageladder-bench/src/test/java/org/sageladder/bench/cluster/WholeProcessTest.java
+++ b/sageladder-bench/src/test/java/org/sageladder/bench/cluster/WholeProcessTest.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ExecutionException;
@@ -204,8 +205,10 @@
     HttpClient http = HttpClient.newHttpClient();
     String key = "repeat-" + answerBytes;
     String path = "/v1/request/kalnins-dauge/bid/bids?work=" + key + "&answerBytes=" + answerBytes;
-    List<EntryProcess> entries = cluster.running();
-    String permit = permit(http, entries.get(0));
+    List<EntryProcess> entries = new ArrayList<>(cluster.running());
+    EntryProcess home = entries.get(0);
+    entries.add(home);
+    String permit = permit(http, home);
     for (EntryProcess entry : entries) {
       HttpRequest request =
           HttpRequest.newBuilder(URI.create("http://" + entry.callersAddress() + path))
