Entry: an answer without length or chunks counts as lost

Cause: the HTTP library reports a body that ends with its connection as chunked, so a target's answer cut by its death was passed on with a proper last chunk, as a whole one (found by reading in the callers' library's work). Change: the exchange asks the headers and fails it. Measured: EndlessAnswerTest fails before ('head'), passes after ('lost, sent').

--- a/sageladder-entry/src/main/java/org/sageladder/entry/exchange/OutboundExchange.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/exchange/OutboundExchange.java
@@ -7,6 +7,7 @@
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
@@ -94,6 +95,10 @@
   @Override
   public void consumeResponse(
       HttpResponse response, @Nullable EntityDetails entityDetails, HttpContext context) {
+    if (entityDetails != null && isEndless(response)) {
+      failed(new IOException("the answer states neither its length nor chunks"));
+      return;
+    }
     if (entityDetails != null) {
       listener.head(response, entityDetails, answer);
       return;
@@ -106,6 +111,15 @@
     listener.done();
   }
 
+  /**
+   * True where only the connection's end marks the end of the body. The HTTP library reports such a
+   * body as chunked, and a cut one would reach the caller as a whole one, so it counts as lost.
+   */
+  private static boolean isEndless(HttpResponse response) {
+    return !response.containsHeader(HttpHeaders.CONTENT_LENGTH)
+        && !response.containsHeader(HttpHeaders.TRANSFER_ENCODING);
+  }
+
   @Override
   public void updateCapacity(CapacityChannel channel) throws IOException {
     answer.source(channel);
