Entry: look-ups do not keep a stopping entry VM waiting

A stop goes on once no newcomer came for 0.5 s, and look-ups counted as newcomers though any entry VM answers them: with callers that look up at random VMs the full 3 s were waited out.

--- a/sageladder-entry/src/main/java/org/sageladder/entry/exchange/CallerExchange.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/exchange/CallerExchange.java
@@ -81,6 +81,13 @@
     return requestBody;
   }
 
+  /**
+   * Counts this exchange as a request for a target, which a planned stop waits to see no more of.
+   */
+  public void countRequest() {
+    inFlight.request();
+  }
+
   /** True once an answer was begun. */
   public boolean isAnswered() {
     return answered.get();
--- a/sageladder-entry/src/main/java/org/sageladder/entry/exchange/InFlight.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/exchange/InFlight.java
@@ -6,7 +6,7 @@
 /** Counts the callers' exchanges that have begun and not ended, for a planned stop to wait on. */
 public final class InFlight {
   private final AtomicInteger count = new AtomicInteger();
-  private final AtomicLong begun = new AtomicLong();
+  private final AtomicLong requests = new AtomicLong();
   private volatile boolean leaving;
 
   private InFlight() {}
@@ -17,7 +17,6 @@
   }
 
   void begin() {
-    begun.incrementAndGet();
     count.incrementAndGet();
   }
 
@@ -25,9 +24,13 @@
     count.decrementAndGet();
   }
 
-  /** Exchanges that have begun since the start. */
-  public long begun() {
-    return begun.get();
+  void request() {
+    requests.incrementAndGet();
+  }
+
+  /** Requests for targets since the start; look-ups and messages of peers do not count. */
+  public long requests() {
+    return requests.get();
   }
 
   /** Exchanges that have not ended. */
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestRouter.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestRouter.java
@@ -125,6 +125,7 @@
   }
 
   private void request(CallerExchange exchange, String path) throws IOException {
+    exchange.countRequest();
     RequestHead.Parsed parsed = RequestHead.parse(exchange.request(), path);
     if (parsed instanceof RequestHead.Parsed.Rejected rejected) {
       refuse(exchange, rejected.result());
--- a/sageladder-entry/src/main/java/org/sageladder/entry/stop/PlannedStop.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/stop/PlannedStop.java
@@ -99,15 +99,16 @@
   /**
    * Callers keep look-ups for their time to live. One that comes after the port is closed finds no
    * connection and uses the next entry VM of its answer, so silence is enough: nothing is cut.
+   * Look-ups are no sign of newcomers: they are answered everywhere, and name others by now.
    */
   private void awaitNoNewcomers() throws InterruptedException {
     Thread.sleep(limits.newsSpread().toMillis());
-    long[] seen = {inFlight.begun(), time.nanos()};
+    long[] seen = {inFlight.requests(), time.nanos()};
     await(
         limits.lookUpsExpire().minus(limits.newsSpread()),
         () -> {
-          if (inFlight.begun() != seen[0]) {
-            seen[0] = inFlight.begun();
+          if (inFlight.requests() != seen[0]) {
+            seen[0] = inFlight.requests();
             seen[1] = time.nanos();
           }
           return time.nanos() - seen[1] > limits.noNewcomers().toNanos();
