--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestRouter.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestRouter.java
@@ -22,6 +22,7 @@
 import org.sageladder.entry.control.ControlPlane;
 import org.sageladder.entry.exchange.CallerExchange;
 import org.sageladder.entry.gates.GateTable;
+import org.sageladder.entry.gates.GuardedGate;
 
 /** Decides for each request of a caller: answer a look-up, pass a gate here, or pass it on. */
 public final class RequestRouter implements CallerExchange.Handler {
@@ -167,7 +168,7 @@
   private void carry(RequestFlow flow, RequestHead head) {
     ServiceGate gate = gates.holding(head.service());
     if (gate != null) {
-      flow.through(gate);
+      flow.through(GuardedGate.of(gate, gate::busy, control.guard()));
       return;
     }
     Member holder = head.forwardedBy().isEmpty() ? holderElsewhere(head.service()) : null;
@@ -259,7 +260,12 @@
     return Optional.empty();
   }
 
-  private void refuse(CallerExchange exchange, Result.NotRun result) throws IOException {
+  /** Only the home says "not run" of a request with a permit: another copy may have reached it. */
+  private void refuse(CallerExchange exchange, Result.NotRun refusal) throws IOException {
+    boolean copy =
+        exchange.request().containsHeader(Headers.PERMIT)
+            && !exchange.request().containsHeader(Headers.DISPATCH);
+    Result result = copy ? Permits.heldElsewhere(refusal) : refusal;
     parts.counters().result("", result.code());
     exchange.requestBody().discard();
     Answers.send(exchange, result);
