--- a/sageladder-bench/src/main/java/org/sageladder/bench/process/TestBed.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/process/TestBed.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.sageladder.core.contract.Contract;
 import org.sageladder.core.platform.ListedVm;
 import org.sageladder.core.platform.VmRole;
@@ -36,7 +37,7 @@
 
   private final StoreServer store;
   private final Path folder;
-  private final List<EntryProcess> entries = new ArrayList<>();
+  private final List<EntryProcess> entries = new CopyOnWriteArrayList<>();
   private final List<TargetServer> targets = new ArrayList<>();
   private final List<ListedVm> targetLines = new ArrayList<>();
 
@@ -50,6 +51,8 @@
       throws IOException, StoreException, SettingsException {
     TestBed bed =
         new TestBed(StoreServer.start("127.0.0.1", 0), Files.createTempDirectory("bench"));
+    // A bench that exits or is ended must not leave its daemons behind.
+    Runtime.getRuntime().addShutdownHook(new Thread(bed::killEntries, "kill-entries"));
     Contract contract = ContractYaml.parse("bench", contractText(serviceMillis));
     try (Store client = HttpStore.connect(bed.store.address(), Duration.ofSeconds(5))) {
       client.compareAndSet(
@@ -211,8 +214,7 @@
     return text.toString();
   }
 
-  @Override
-  public void close() {
+  private void killEntries() {
     for (EntryProcess entry : entries) {
       try {
         entry.kill();
@@ -220,6 +222,11 @@
         Thread.currentThread().interrupt();
       }
     }
+  }
+
+  @Override
+  public void close() {
+    killEntries();
     targets.forEach(TargetServer::close);
     store.close();
   }
