Known red: single runs below 95 % of naive; a guarded gate passes the budget on

GuardedGate let every retry through, because it inherited takeRetry's default; it now asks the gate.

--- a/sageladder-bench/src/test/java/org/sageladder/bench/policy/DifferentialProperties.java
+++ b/sageladder-bench/src/test/java/org/sageladder/bench/policy/DifferentialProperties.java
@@ -22,16 +22,6 @@
     assertTrue(world.tally().servedTotal() > 0);
   }
 
-  /** Without faults a caller must hardly notice that nobody sees everything. */
-  @Property(tries = 4, seed = "32")
-  void withoutFaultsNearlyAsMuchIsServedAsByOnePlaceThatSeesAll(
-      @ForAll @IntRange(min = 1000, max = 9000) int seed) {
-    RandomRun run = RandomRun.of(seed, 60, false);
-    double served = run.distributed().tally().servedTotal();
-    double central = run.central().servedTotal();
-    assertTrue(served >= 0.95 * central, served + " of " + central);
-  }
-
   /** The tally itself must see a cap that is broken, or the runs above would prove nothing. */
   @Property(tries = 1)
   void tallySeesABrokenCap() {
--- /dev/null
+++ b/sageladder-bench/src/test/java/org/sageladder/bench/policy/ServedShareProperties.java
@@ -0,0 +1,20 @@
+package org.sageladder.bench.policy;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+/** The load that the distributed decisions serve against the naive central reference. */
+class ServedShareProperties {
+  /** Without faults a caller must hardly notice that nobody sees everything. */
+  @Property(tries = 4, seed = "32")
+  void withoutFaultsNearlyAsMuchIsServedAsByOnePlaceThatSeesAll(
+      @ForAll @IntRange(min = 1000, max = 9000) int seed) {
+    RandomRun run = RandomRun.of(seed, 60, false);
+    double served = run.distributed().tally().servedTotal();
+    double central = run.central().servedTotal();
+    assertTrue(served >= 0.95 * central, served + " of " + central);
+  }
+}
--- a/sageladder-entry/src/main/java/org/sageladder/entry/gates/GuardedGate.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/gates/GuardedGate.java
@@ -45,6 +45,11 @@
     return gate.request(request, admission -> whenDecided.accept(checked(admission)));
   }
 
+  @Override
+  public boolean takeRetry() {
+    return gate.takeRetry();
+  }
+
   private Admission checked(Admission admission) {
     if (!(admission instanceof Admission.Admitted admitted)) {
       return admission;
