Callers' library: silence is limited by the deadline alone; sageladder-local warms up

Cause: the HTTP library keeps the time allowed for connecting as a limit on each later silence, so a request that waited longer than 1 s was told 'unknown' (first reason seen in sageladder-local: SocketTimeoutException 1000 ms). Change: no limit at connecting, where the wait is bounded by the caller's own clock; the local run lets the caps climb for 4 s before it counts.

--- a/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalMain.java
+++ b/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalMain.java
@@ -29,6 +29,7 @@
  */
 public final class LocalMain {
   private static final int ENTRIES_PER_ZONE = 1;
+  private static final Duration WARM_UP = Duration.ofSeconds(4);
 
   private LocalMain() {}
 
@@ -40,7 +41,7 @@
             .longOpt("seconds")
             .hasArg()
             .argName("N")
-            .desc("how long to send requests (default 8)")
+            .desc("how long to send requests (default 6)")
             .get());
     options.addOption(
         Option.builder()
@@ -67,7 +68,7 @@
       System.exit(ExitCode.USAGE.status());
       return;
     }
-    Duration duration = Duration.ofSeconds(Long.parseLong(line.getOptionValue("seconds", "8")));
+    Duration duration = Duration.ofSeconds(Long.parseLong(line.getOptionValue("seconds", "6")));
     double load = Double.parseDouble(line.getOptionValue("load", "0.2"));
     List<Path> files = line.getArgList().stream().map(Path::of).toList();
     if (files.isEmpty()) {
@@ -92,6 +93,7 @@
     try (StoreServer store = StoreServer.start("127.0.0.1", 0);
         LocalSystem system = LocalSystem.start(store, contract, ENTRIES_PER_ZONE)) {
       system.awaitReady();
+      warmUp(contract, system, load);
       try (LocalLoad callers = LocalLoad.create(contract, system.addresses(), 1)) {
         LoadEvents events = new LoadEvents(system);
         Thread faults = new Thread(() -> events.run(duration), "faults");
@@ -103,6 +105,14 @@
     }
   }
 
+  /** Lets the caps on shifts climb from a cold start, which is not what the run is to show. */
+  private static void warmUp(Contract contract, LocalSystem system, double load)
+      throws InterruptedException {
+    try (LocalLoad callers = LocalLoad.create(contract, system.addresses(), 2)) {
+      callers.run(load / 2, WARM_UP);
+    }
+  }
+
   private static boolean report(
       Contract contract,
       LocalSystem system,
--- a/sageladder-client/src/main/java/org/sageladder/client/EntryCalls.java
+++ b/sageladder-client/src/main/java/org/sageladder/client/EntryCalls.java
@@ -215,8 +215,9 @@
 
   private AsyncClientEndpoint connectOnce(EntryAddress entry, Duration wait) throws IOException {
     Duration limit = wait.compareTo(options.connectTimeout()) < 0 ? wait : options.connectTimeout();
-    Future<AsyncClientEndpoint> future =
-        requester.connect(host(entry), Timeout.ofMilliseconds(Math.max(1, limit.toMillis())));
+    // The library also takes this as the longest silence on the connection, which a request that
+    // waits its turn must be free to exceed; the waits below and for the answer are what limits.
+    Future<AsyncClientEndpoint> future = requester.connect(host(entry), Timeout.DISABLED);
     try {
       return future.get(limit.toNanos(), TimeUnit.NANOSECONDS);
     } catch (TimeoutException e) {
--- a/sageladder-client/src/test/java/org/sageladder/client/SageladderClientTest.java
+++ b/sageladder-client/src/test/java/org/sageladder/client/SageladderClientTest.java
@@ -209,6 +209,35 @@
     }
   }
 
+  // A donation waits its turn for longer than a connection may take to open. The HTTP library keeps
+  // that time as a limit on each later silence, so the client gave up on work that was going well
+  // and the archivist was told "unknown".
+  @Test
+  void anAnswerMayTakeLongerThanConnecting() {
+    client.close();
+    client =
+        SageladderClient.start(
+            new ClientOptions(
+                List.of(one.address()), Duration.ofMillis(300), 0.9, 1, 0, 4, 1 << 20));
+    one.answers(
+        head -> {
+          if (isLookUp(head)) {
+            return route(60_000, "");
+          }
+          pause(Duration.ofMillis(2500));
+          return ScriptedEntry.answer(200, OK, "song");
+        });
+    assertInstanceOf(Answer.Whole.class, client.send(search()));
+  }
+
+  private static void pause(Duration span) {
+    try {
+      Thread.sleep(span.toMillis());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   // A look-up names another entry VM and so brings no permit; each bid's first try is answered with
   // the permit to use. Counted as a retry it would spend the budget, and with one bid in five
   // allowed a retry, the other four dealers would be told "permit required" and give up.
