--- a/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalLoad.java
+++ b/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalLoad.java
@@ -83,7 +83,7 @@
     Request request = request(service);
     callers.execute(
         () -> {
-          count(client.send(request));
+          count(service.name(), client.send(request));
           long micros = (System.nanoTime() - dueNanos) / 1000;
           latency.recordValue(Math.min(LONGEST_LATENCY_MICROS - 1, micros));
           ended.incrementAndGet();
@@ -111,7 +111,7 @@
     return request.deadline(deadline);
   }
 
-  private void count(Answer answer) {
+  private void count(String service, Answer answer) {
     String name;
     String detail = "";
     if (answer instanceof Answer.Whole whole) {
@@ -125,8 +125,9 @@
     } else {
       name = "ran, answer not kept";
     }
-    results.computeIfAbsent(name, unused -> new LongAdder()).increment();
-    examples.putIfAbsent(name, detail);
+    String key = service + ": " + name;
+    results.computeIfAbsent(key, unused -> new LongAdder()).increment();
+    examples.putIfAbsent(key, detail);
   }
 
   long sent() {
--- a/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalMain.java
+++ b/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalMain.java
@@ -132,7 +132,7 @@
     for (Map.Entry<String, Long> result : callers.results().entrySet()) {
       String example = callers.example(result.getKey());
       out.printf(
-          "  result     %-32s %d%s%n",
+          "  result     %-52s %d%s%n",
           result.getKey(), result.getValue(), example.isEmpty() ? "" : " (first: " + example + ")");
     }
     out.printf(
