sageladder-local ends within 30 s

Cause: the warm-up took it to 35.5 s, above the 30 s that the defaults promise. Change: 2 s of warm-up, 4 s counted.

--- a/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalMain.java
+++ b/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalMain.java
@@ -29,7 +29,7 @@
  */
 public final class LocalMain {
   private static final int ENTRIES_PER_ZONE = 1;
-  private static final Duration WARM_UP = Duration.ofSeconds(4);
+  private static final Duration WARM_UP = Duration.ofSeconds(2);
 
   private LocalMain() {}
 
@@ -41,7 +41,7 @@
             .longOpt("seconds")
             .hasArg()
             .argName("N")
-            .desc("how long to send requests (default 6)")
+            .desc("how long to send requests (default 4)")
             .get());
     options.addOption(
         Option.builder()
@@ -68,7 +68,7 @@
       System.exit(ExitCode.USAGE.status());
       return;
     }
-    Duration duration = Duration.ofSeconds(Long.parseLong(line.getOptionValue("seconds", "6")));
+    Duration duration = Duration.ofSeconds(Long.parseLong(line.getOptionValue("seconds", "4")));
     double load = Double.parseDouble(line.getOptionValue("load", "0.2"));
     List<Path> files = line.getArgList().stream().map(Path::of).toList();
     if (files.isEmpty()) {
