--- a/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalExperiment.java
+++ b/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalExperiment.java
@@ -187,18 +187,7 @@
   }
 
   private void leaving(ListedVm vm) {
-    ListedVm marked =
-        new ListedVm(
-            vm.role(),
-            vm.id(),
-            vm.customer(),
-            vm.service(),
-            vm.zone(),
-            vm.host(),
-            vm.port(),
-            vm.innerPort(),
-            vm.incarnation(),
-            true);
+    ListedVm marked = vm.asLeaving();
     listed.put(vm.id(), marked);
     store.putVm(marked);
   }
--- a/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalSystem.java
+++ b/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalSystem.java
@@ -199,18 +199,7 @@
       throw new IllegalArgumentException("no target '" + id + "'; there are " + targets.keySet());
     }
     target.drain();
-    list(
-        new ListedVm(
-            vm.role(),
-            vm.id(),
-            vm.customer(),
-            vm.service(),
-            vm.zone(),
-            vm.host(),
-            vm.port(),
-            vm.innerPort(),
-            vm.incarnation(),
-            true));
+    list(vm.asLeaving());
   }
 
   @Override
--- a/sageladder-core/src/main/java/org/sageladder/core/platform/ListedVm.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/platform/ListedVm.java
@@ -23,4 +23,11 @@
     int port,
     int innerPort,
     long incarnation,
-    boolean leaving) {}
+    boolean leaving) {
+
+  /** The same line once the platform has announced the VM's end. */
+  public ListedVm asLeaving() {
+    return new ListedVm(
+        role, id, customer, service, zone, host, port, innerPort, incarnation, true);
+  }
+}
