Permits tell where their home is; a lagging view no longer loses it

Cause: an entry VM passed a repeat on to the permit's home by looking its name up in the zone views. A home that has just started (it mints before the others' views name it), or whose zone counts as silent for a moment on a busy machine, was not found, and the caller was told HOME_LOST of a bid that the home had run and could answer. Ruled out: the key of the home not being read (such permits also go by name only), and a dead home (it had minted the permit just before).

Change: the permit carries the home's callers' address under its MAC, and a verified permit is passed on there. The address of a permit that cannot be verified is never followed: strangers could name any machine. The whole-process test now quotes the refusal.

--- a/sageladder-bench/src/test/java/org/sageladder/bench/cluster/WholeProcessTest.java
+++ b/sageladder-bench/src/test/java/org/sageladder/bench/cluster/WholeProcessTest.java
@@ -219,7 +219,8 @@
               .build();
       HttpResponse<byte[]> answer = http.send(request, HttpResponse.BodyHandlers.ofByteArray());
       String result = answer.headers().firstValue("Sageladder-Result").orElse("none");
-      assertEquals("0 OK", result, entry.vm());
+      String body = new String(answer.body(), StandardCharsets.UTF_8);
+      assertEquals("0 OK", result, () -> entry.vm() + " for home " + home.vm() + ": " + body);
       assertEquals(answerBytes, answer.body().length);
     }
     assertEquals(1, cluster.executions().get(key));
--- a/sageladder-core/src/main/java/org/sageladder/core/permit/Decision.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/permit/Decision.java
@@ -24,7 +24,7 @@
   record Mismatch(String reason) implements Decision {}
 
   /** Another incarnation minted the permit; only that one may run it. */
-  record Foreign(String home, long incarnation) implements Decision {}
+  record Foreign() implements Decision {}
 
   /** This home has stopped; {@code successor} decides in its place. */
   record Moved(String successor) implements Decision {}
--- a/sageladder-core/src/main/java/org/sageladder/core/permit/PermitCodec.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/permit/PermitCodec.java
@@ -95,6 +95,7 @@
       out.writeUTF(permit.customer());
       out.writeUTF(permit.service());
       out.writeUTF(permit.boundTo());
+      out.writeUTF(permit.homeAddress());
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
@@ -113,7 +114,14 @@
       long expiryMillis = in.readLong();
       Permit permit =
           new Permit(
-              home, incarnation, sequence, expiryMillis, in.readUTF(), in.readUTF(), in.readUTF());
+              home,
+              incarnation,
+              sequence,
+              expiryMillis,
+              in.readUTF(),
+              in.readUTF(),
+              in.readUTF(),
+              in.readUTF());
       if (in.read() >= 0) {
         throw new IOException("bytes follow its end");
       }
--- a/sageladder-core/src/main/java/org/sageladder/core/permit/PermitHome.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/permit/PermitHome.java
@@ -79,7 +79,14 @@
     }
     return Optional.of(
         new Permit(
-            vm, incarnation, minted.sequence(), minted.expiryMillis(), customer, service, boundTo));
+            vm,
+            incarnation,
+            minted.sequence(),
+            minted.expiryMillis(),
+            customer,
+            service,
+            boundTo,
+            ""));
   }
 
   /** The incarnation in its own permits. */
@@ -102,7 +109,7 @@
   public Decision begin(Permit permit, String requestDigest, long nowMillis) {
     PermitTable table = tableOf(permit);
     if (table == null) {
-      return new Decision.Foreign(permit.home(), permit.incarnation());
+      return new Decision.Foreign();
     }
     return table.begin(permit, fold(requestDigest), nowMillis);
   }
--- a/sageladder-core/src/test/java/org/sageladder/core/permit/PermitCodecTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/permit/PermitCodecTest.java
@@ -10,7 +10,7 @@
 /** Sealing, altering and rotating. */
 class PermitCodecTest {
   private static final Permit PERMIT =
-      new Permit("tallinn-a-1", 7, 4211, 99_000, "kannelkoda", "donations", "k1");
+      new Permit("tallinn-a-1", 7, 4211, 99_000, "kannelkoda", "donations", "k1", "10.1.0.18:8080");
 
   private static KeyRing.Key key(String id, int fill) {
     byte[] secret = new byte[32];
--- a/sageladder-core/src/test/java/org/sageladder/core/permit/PermitKeysTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/permit/PermitKeysTest.java
@@ -19,7 +19,8 @@
 /** Creating, sharing and rotating the MAC keys through the platform's store. */
 class PermitKeysTest {
   private static final Duration PERIOD = Duration.ofHours(1);
-  private static final Permit PERMIT = new Permit("a", 1, 1, 99_000, "kannelkoda", "donations", "");
+  private static final Permit PERMIT =
+      new Permit("a", 1, 1, 99_000, "kannelkoda", "donations", "", "");
 
   private final OneKeyStore store = new OneKeyStore();
   private final PermitKeys first = keys();
--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -142,6 +142,7 @@
             settings.callerLimits().workers(),
             settings.callerLimits().headBytes(),
             () -> CallerExchange.create(path.router(), inFlight));
+    path.reachedAt(settings.host(), callers.port());
     control.serving(callers.port());
     CountDownLatch drainAsked = new CountDownLatch(1);
     OperatorPort operatorPort =
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/Permits.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/Permits.java
@@ -37,6 +37,7 @@
   private final PermitCodec codec;
   private final PermitHome home;
   private final PermitSuccessors successors;
+  private volatile String address = "";
 
   Permits(
       FlowParts parts,
@@ -51,6 +52,11 @@
     this.successors = successors;
   }
 
+  /** Notes where callers and other entry VMs reach this home; permits minted later tell it. */
+  void reachedAt(String hostAndPort) {
+    address = hostAndPort;
+  }
+
   /** A fresh sealed permit, bound to the idempotency key if one is given; empty when stopping. */
   String mint(String service, String idempotencyKey) {
     Optional<Permit> minted =
@@ -62,7 +68,7 @@
     parts
         .events()
         .record(EventKind.PERMIT_MINTED, "", parts.customer(), service, sequence, idempotencyKey);
-    return codec.seal(minted.get());
+    return codec.seal(minted.get().at(address));
   }
 
   private static String keyDigest(String idempotencyKey) {
@@ -124,8 +130,8 @@
       return;
     }
     if (opened instanceof OpenedPermit.UnknownKey unknown) {
-      Permit claimed = unknown.claimed();
-      toHome(copy, claimed.home(), claimed.incarnation());
+      // Nobody vouches for the address in it, so it is passed on to a known entry VM or not at all.
+      toHome(copy, unknown.claimed().at(""));
       return;
     }
     Permit permit = ((OpenedPermit.Valid) opened).permit();
@@ -180,8 +186,8 @@
                   new Run(execute.execution(), copy.head().id(), copy.head().idempotencyKey())));
       return;
     }
-    if (decision instanceof Decision.Foreign foreign) {
-      toHome(copy, foreign.home(), foreign.incarnation());
+    if (decision instanceof Decision.Foreign) {
+      toHome(copy, permit);
       return;
     }
     if (decision instanceof Decision.Moved moved) {
@@ -218,13 +224,39 @@
     }
   }
 
-  private void toHome(Copy copy, String vm, long incarnation) throws IOException {
-    Optional<String> successor = successors.of(vm, incarnation);
+  private void toHome(Copy copy, Permit permit) throws IOException {
+    Optional<String> successor = successors.of(permit.home(), permit.incarnation());
     if (!copy.head().forwardedBy().isEmpty()) {
-      homeLost(copy, vm);
+      homeLost(copy, permit.home());
+      return;
+    }
+    if (successor.isPresent()) {
+      forward(copy, successor.get(), permit.home());
+      return;
+    }
+    Optional<Member> told = homeTold(permit);
+    if (told.isPresent()) {
+      begin(copy, told.get());
       return;
     }
-    forward(copy, successor.orElse(vm), vm);
+    forward(copy, permit.home(), permit.home());
+  }
+
+  /**
+   * The home at the address that its permit tells.
+   *
+   * <p>Guards against "home lost" of a home that is well: an entry VM that has just started mints
+   * permits before the others' views name it, and a view that lags or is cut off may not name it
+   * for long. The address is covered by the MAC and belongs to the very incarnation that decides.
+   */
+  private static Optional<Member> homeTold(Permit permit) {
+    int colon = permit.homeAddress().lastIndexOf(':');
+    if (colon < 0) {
+      return Optional.empty();
+    }
+    String host = permit.homeAddress().substring(0, colon);
+    int port = Integer.parseInt(permit.homeAddress().substring(colon + 1));
+    return Optional.of(new Member(permit.home(), "", permit.incarnation(), host, port, 0, false));
   }
 
   /** A home that has stopped passes on also what was passed to it: its successor ends the chain. */
@@ -238,8 +270,11 @@
       homeLost(copy, vm);
       return;
     }
-    RequestFlow.begin(parts, copy.exchange(), copy.head(), copy.service())
-        .forwardToHome(member.get());
+    begin(copy, member.get());
+  }
+
+  private void begin(Copy copy, Member home) {
+    RequestFlow.begin(parts, copy.exchange(), copy.head(), copy.service()).forwardToHome(home);
   }
 
   private void homeLost(Copy copy, String vm) throws IOException {
@@ -359,7 +394,8 @@
               permit.expiryMillis(),
               permit.customer(),
               permit.service(),
-              DISPATCH_PREFIX + requestId));
+              DISPATCH_PREFIX + requestId,
+              ""));
     }
   }
 }
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestPath.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestPath.java
@@ -28,14 +28,21 @@
 
   private final PermitHome home;
   private final PermitCodec codec;
+  private final Permits permits;
 
   private RequestPath(
-      RequestRouter router, LookUps lookUps, TimeSource time, PermitHome home, PermitCodec codec) {
+      RequestRouter router,
+      LookUps lookUps,
+      TimeSource time,
+      PermitHome home,
+      PermitCodec codec,
+      Permits permits) {
     this.router = router;
     this.lookUps = lookUps;
     this.explanation = Explanation.of(lookUps, time);
     this.home = home;
     this.codec = codec;
+    this.permits = permits;
   }
 
   /** The request path of one entry VM. */
@@ -81,7 +88,8 @@
         lookUps,
         time,
         home,
-        codec);
+        codec,
+        permits);
   }
 
   /**
@@ -112,6 +120,11 @@
     return explanation;
   }
 
+  /** Notes where callers and other entry VMs reach this one, for the permits minted from now on. */
+  public void reachedAt(String host, int port) {
+    permits.reachedAt(host + ":" + port);
+  }
+
   /** Follows a new state. */
   public void follow(ClusterState state) {
     lookUps.follow(state);
--- a/sageladder-entry/src/main/java/org/sageladder/entry/stop/PermitHandOver.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/stop/PermitHandOver.java
@@ -131,7 +131,7 @@
 
   private Permit word(String route, String successor) {
     long expiry = time.wallMillis() + limits.lifetime().plus(limits.retention()).toMillis();
-    return new Permit(vm, home.incarnation(), 0, expiry, customer, route, successor);
+    return new Permit(vm, home.incarnation(), 0, expiry, customer, route, successor, "");
   }
 
   /** Members that stay, nearest first: own zone, own region, others. */
--- /dev/null
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/control/FixedState.java
@@ -0,0 +1,36 @@
+package org.sageladder.entry.control;
+
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.sageladder.core.membership.ClusterState;
+import org.sageladder.core.membership.Member;
+import org.sageladder.core.membership.ZoneSummary;
+import org.sageladder.core.membership.ZoneView;
+
+/** A control plane that knows the given members of one zone, and no more ever. */
+public record FixedState(List<Member> members) implements ControlPlane {
+  @Override
+  public ClusterState state() {
+    ZoneView view = new ZoneView("riga-1", 1, members, List.of());
+    return new ClusterState(Map.of(), Map.of("riga-1", view), List.of());
+  }
+
+  @Override
+  public void onChange(Consumer<ClusterState> listener) {}
+
+  @Override
+  public void summaries(Supplier<List<ZoneSummary>> own) {}
+
+  @Override
+  public void beginLeaving() {}
+
+  @Override
+  public Readiness readiness() {
+    return Readiness.LEAVING;
+  }
+
+  @Override
+  public void close() {}
+}
--- /dev/null
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/request/PermitsTest.java
@@ -0,0 +1,134 @@
+package org.sageladder.entry.request;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.http.nio.AsyncPushProducer;
+import org.apache.hc.core5.http.nio.ResponseChannel;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.core.contract.RequestClass;
+import org.sageladder.core.event.EventSink;
+import org.sageladder.core.permit.KeyRing;
+import org.sageladder.core.permit.Permit;
+import org.sageladder.core.permit.PermitCodec;
+import org.sageladder.core.permit.PermitHome;
+import org.sageladder.core.time.TimeSource;
+import org.sageladder.entry.control.FixedState;
+import org.sageladder.entry.exchange.CallerExchange;
+import org.sageladder.entry.exchange.Outbound;
+
+/** Where a copy of a request goes whose permit was minted by another entry VM. */
+class PermitsTest {
+  private static final Duration LONG = Duration.ofSeconds(20);
+
+  private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
+  private final List<String> sentTo = new ArrayList<>();
+  private final List<String> results = new ArrayList<>();
+  private final PermitHome other = PermitHome.of("entry-2", 4, PermitHome.Limits.standard());
+
+  @AfterEach
+  void stopTimers() {
+    timers.shutdownNow();
+  }
+
+  // A dealer's answer was lost and the bid is sent again to another entry VM. The permit's home has
+  // just been replaced by the platform, or has been silent for a moment, so no view names it yet
+  // or any more; the dealer was told "home lost" of a bid that the home had run and could answer.
+  @Test
+  void aRepeatReachesAHomeThatNoViewNames() throws IOException {
+    PermitCodec codec = PermitCodec.of(() -> KeyRing.of(List.of(key("k1"))));
+    repeat(codec, codec.seal(minted().at("127.0.0.1:8442")));
+    assertEquals(List.of("127.0.0.1:8442"), sentTo);
+    assertEquals(List.of(), results);
+  }
+
+  // A stranger makes up a permit with a key nobody has, whose home is a machine of its choice. An
+  // entry VM that followed the address would send requests wherever strangers like.
+  @Test
+  void anAddressThatNobodyVouchesForIsNotFollowed() throws IOException {
+    PermitCodec strangers = PermitCodec.of(() -> KeyRing.of(List.of(key("k2"))));
+    PermitCodec codec = PermitCodec.of(() -> KeyRing.of(List.of(key("k1"))));
+    repeat(codec, strangers.seal(minted().at("127.0.0.1:8442")));
+    assertEquals(List.of(), sentTo);
+    assertEquals(List.of("52 HOME_LOST"), results);
+  }
+
+  private Permit minted() {
+    return other.mint("kalnins-dauge", "bid", System.currentTimeMillis()).orElseThrow();
+  }
+
+  private static KeyRing.Key key(String id) {
+    return new KeyRing.Key(id, 0, KeyRing.Secret.of(new byte[32]));
+  }
+
+  private void repeat(PermitCodec codec, String permit) throws IOException {
+    Permits permits =
+        new Permits(
+            parts(),
+            new FixedState(List.of()),
+            codec,
+            PermitHome.of("entry-1", 1, PermitHome.Limits.standard()),
+            new PermitSuccessors());
+    RequestHead head =
+        new RequestHead("r-1", "kalnins-dauge", "bid", "/x", LONG, permit, "", "", "");
+    CallerExchange.create(begun -> permits.guard(begun, head, bids(), flow -> {}))
+        .handleRequest(
+            new BasicHttpRequest("POST", "/v1/request/kalnins-dauge/bid/x"),
+            null,
+            new ResultList(),
+            HttpCoreContext.create());
+  }
+
+  private FlowParts parts() {
+    Outbound outbound =
+        (host, request, details, body, connectTimeout, listener) -> {
+          sentTo.add(host.toHostString());
+          return () -> {};
+        };
+    return new FlowParts(
+        "entry-1",
+        "kalnins-dauge",
+        outbound,
+        timers,
+        TimeSource.system(),
+        EventSink.none(),
+        RequestCounters.in(new SimpleMeterRegistry()),
+        Duration.ofSeconds(1),
+        NoCrashes.watch(timers));
+  }
+
+  private static Contract.Service bids() {
+    Contract.ShiftCap cap = new Contract.ShiftCap(1, Duration.ofSeconds(1));
+    return new Contract.Service(
+        "bid", RequestClass.CRITICAL, false, 1, 3, 10, 20, 5, LONG, LONG, LONG, 0, cap, cap);
+  }
+
+  private final class ResultList implements ResponseChannel {
+    @Override
+    public void sendInformation(HttpResponse response, HttpContext context) {}
+
+    @Override
+    public void sendResponse(
+        HttpResponse response, @Nullable EntityDetails details, HttpContext context) {
+      results.add(response.getFirstHeader(Headers.RESULT).getValue());
+    }
+
+    @Override
+    public void pushPromise(HttpRequest promise, AsyncPushProducer producer, HttpContext context) {}
+  }
+}
--- a/sageladder-entry/src/test/java/org/sageladder/entry/stop/PlannedStopTest.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/stop/PlannedStopTest.java
@@ -9,17 +9,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.function.Consumer;
-import java.util.function.Supplier;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.junit.jupiter.api.Test;
-import org.sageladder.core.membership.ClusterState;
 import org.sageladder.core.membership.Member;
-import org.sageladder.core.membership.ZoneSummary;
-import org.sageladder.core.membership.ZoneView;
 import org.sageladder.core.permit.Decision;
 import org.sageladder.core.permit.HandOver;
 import org.sageladder.core.permit.HandOverCodec;
@@ -29,6 +23,7 @@
 import org.sageladder.core.permit.PermitHome;
 import org.sageladder.core.time.TimeSource;
 import org.sageladder.entry.control.ControlPlane;
+import org.sageladder.entry.control.FixedState;
 import org.sageladder.entry.exchange.BodyCollector;
 import org.sageladder.entry.exchange.BodyPipe;
 import org.sageladder.entry.exchange.CallerExchange;
@@ -140,32 +135,7 @@
         };
     Member dead = new Member("entry-0", "riga-1", 1, "127.0.0.1", 99, 2, false);
     assertTrue(stop(firstIsDead, dead, member("entry-2", false)).run().handedOver());
-    Permit permit = new Permit("entry-1", 1, 1, Long.MAX_VALUE, "kalnins-dauge", "bids", "");
+    Permit permit = new Permit("entry-1", 1, 1, Long.MAX_VALUE, "kalnins-dauge", "bids", "", "");
     assertEquals(new Decision.Moved("entry-2"), home.begin(permit, "bid", time.wallMillis()));
   }
-
-  private record FixedState(List<Member> members) implements ControlPlane {
-    @Override
-    public ClusterState state() {
-      ZoneView view = new ZoneView("riga-1", 1, members, List.of());
-      return new ClusterState(Map.of(), Map.of("riga-1", view), List.of());
-    }
-
-    @Override
-    public void onChange(Consumer<ClusterState> listener) {}
-
-    @Override
-    public void summaries(Supplier<List<ZoneSummary>> own) {}
-
-    @Override
-    public void beginLeaving() {}
-
-    @Override
-    public Readiness readiness() {
-      return Readiness.LEAVING;
-    }
-
-    @Override
-    public void close() {}
-  }
 }
