--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -12,6 +12,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import org.apache.hc.core5.function.Supplier;
+import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
 import org.apache.hc.core5.util.Timeout;
 import org.sageladder.core.event.EventBuffer;
 import org.sageladder.core.event.EventKind;
@@ -65,85 +67,81 @@
   private static final Duration KEY_PERIOD = Duration.ofDays(1);
 
   private final EntrySettings settings;
-  private final Store store;
   private final RelayControlPlane control;
-  private final ScheduledExecutorService timers;
-  private final OutboundClient client;
-  private final GateTable gates;
   private final HttpListener callers;
   private final HttpListener operators;
   private final EventSink events;
   private final CountDownLatch drainAsked;
-  private final KeyRefresher keys;
   private final PlannedStop plannedStop;
+  private final OpenParts parts;
 
   private EntryDaemon(
       EntrySettings settings,
-      Store store,
       RelayControlPlane control,
-      ScheduledExecutorService timers,
-      OutboundClient client,
-      GateTable gates,
       HttpListener callers,
       HttpListener operators,
       EventSink events,
       CountDownLatch drainAsked,
-      KeyRefresher keys,
-      PlannedStop plannedStop) {
-    this.keys = keys;
-    this.plannedStop = plannedStop;
+      PlannedStop plannedStop,
+      OpenParts parts) {
     this.settings = settings;
-    this.store = store;
     this.control = control;
-    this.timers = timers;
-    this.client = client;
-    this.gates = gates;
     this.callers = callers;
     this.operators = operators;
     this.events = events;
     this.drainAsked = drainAsked;
+    this.plannedStop = plannedStop;
+    this.parts = parts;
   }
 
-  /** Starts all parts; the ports are open when it returns. */
+  /**
+   * Starts all parts; the ports are open when it returns.
+   *
+   * @throws IOException where a port cannot be opened or a needed answer is missing; what was
+   *     opened before is closed again
+   */
   public static EntryDaemon start(EntrySettings settings) throws IOException, InterruptedException {
+    OpenParts parts = OpenParts.none();
+    try {
+      return start(settings, parts);
+    } catch (IOException | RuntimeException e) {
+      parts.close();
+      throw e;
+    }
+  }
+
+  private static EntryDaemon start(EntrySettings settings, OpenParts parts)
+      throws IOException, InterruptedException {
     TimeSource time = TimeSource.system();
     EventBuffer events = EventBuffer.holding(settings.eventCapacity(), time);
     long startedMillis = time.wallMillis();
     PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     new JvmMemoryMetrics().bindTo(metrics);
-    Store store = HttpStore.connect(settings.store().uri(), settings.store().timeout());
+    Store store = parts.add(HttpStore.connect(settings.store().uri(), settings.store().timeout()));
     VmList list = HttpVmList.connect(settings.vmList().uri(), settings.store().timeout());
     ScheduledExecutorService timers =
         Executors.newScheduledThreadPool(2, task -> new Thread(task, "timers"));
+    parts.add(timers::shutdownNow);
+    OutboundClient client =
+        parts.add(OutboundClient.start(settings.callerLimits().workers(), CONNECTIONS_PER_HOST));
     PermitKeys permitKeys =
         PermitKeys.of(store, settings.customer(), KEY_PERIOD, new SecureRandom());
-    KeyRefresher keys = KeyRefresher.start(permitKeys, time);
-    RelayControlPlane control = controlPlane(settings, store, list, permitKeys, time, events);
+    RelayControlPlane control =
+        parts.add(controlPlane(settings, store, list, permitKeys, time, events));
+    parts.add(KeyRefresher.start(permitKeys, time));
     ControlMetrics.bind(metrics, control);
-    OutboundClient client =
-        OutboundClient.start(settings.callerLimits().workers(), CONNECTIONS_PER_HOST);
-    GateTable gates = gates(settings, time, timers, events);
+    GateTable gates = parts.add(gates(settings, time, timers, events));
     RequestPath path =
         RequestPath.assemble(
             settings, client, timers, time, events, metrics, control, gates, permitKeys::ring);
     InFlight inFlight = InFlight.create();
     PlannedStop plannedStop = plannedStop(settings, control, inFlight, path, client, time);
-    // Its task ends with the timers, so nothing else has to close it.
-    LoadPoller.start(gates, client, time, timers, LOAD_PERIOD);
+    parts.add(LoadPoller.start(gates, client, time, timers, LOAD_PERIOD));
     control.onChange(gates::follow);
     control.onChange(path::follow);
     control.summaries(gates::summaries);
     control.targets(gates::targetReports);
     gauges(metrics, control, settings.customer());
-    HttpListener callers =
-        HttpListener.open(
-            settings.host(),
-            settings.ports().callers(),
-            settings.callerLimits().workers(),
-            settings.callerLimits().headBytes(),
-            () -> CallerExchange.create(path.router(), inFlight));
-    path.reachedAt(settings.host(), callers.port());
-    control.serving(callers.port());
     CountDownLatch drainAsked = new CountDownLatch(1);
     OperatorPort operatorPort =
         OperatorPort.of(
@@ -157,29 +155,34 @@
             path.explanation(),
             drainAsked::countDown);
     HttpListener operators =
-        HttpListener.open(
-            settings.host(),
-            settings.ports().operators(),
-            1,
-            settings.callerLimits().headBytes(),
-            () -> CallerExchange.create(operatorPort));
+        parts.add(
+            listener(
+                settings,
+                settings.ports().operators(),
+                1,
+                () -> CallerExchange.create(operatorPort)));
+    HttpListener callers =
+        parts.add(
+            listener(
+                settings,
+                settings.ports().callers(),
+                settings.callerLimits().workers(),
+                () -> CallerExchange.create(path.router(), inFlight)));
+    path.reachedAt(settings.host(), callers.port());
+    control.serving(callers.port());
     events.record(EventKind.STARTED, "", settings.customer(), settings.zone(), 0, settings.vm());
     logger.atInfo().log(
         "%s serves callers on %s:%d and operators on port %d",
         settings.vm(), settings.host(), callers.port(), operators.port());
     return new EntryDaemon(
-        settings,
-        store,
-        control,
-        timers,
-        client,
-        gates,
-        callers,
-        operators,
-        events,
-        drainAsked,
-        keys,
-        plannedStop);
+        settings, control, callers, operators, events, drainAsked, plannedStop, parts);
+  }
+
+  private static HttpListener listener(
+      EntrySettings settings, int port, int workers, Supplier<AsyncServerExchangeHandler> exchanges)
+      throws IOException, InterruptedException {
+    int headBytes = settings.callerLimits().headBytes();
+    return HttpListener.open(settings.host(), port, workers, headBytes, exchanges);
   }
 
   private static PlannedStop plannedStop(
@@ -310,14 +313,7 @@
 
   @Override
   public void close() {
-    callers.close();
-    operators.close();
-    gates.close();
-    keys.close();
-    control.close();
-    client.close();
-    timers.shutdownNow();
-    store.close();
+    parts.close();
     events.record(EventKind.STOPPED, "", settings.customer(), "", 0, settings.vm());
   }
 }
--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryMain.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryMain.java
@@ -4,7 +4,6 @@
 import java.nio.file.Path;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
-import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import org.sageladder.entry.log.Logs;
@@ -12,38 +11,77 @@
 import org.sageladder.platform.settings.ExitCode;
 import org.sageladder.platform.settings.SettingsException;
 
-/** The command {@code sageladder-entry --settings FILE}. */
+/**
+ * The command {@code sageladder-entry --settings FILE}.
+ *
+ * <pre>{@code
+ * sageladder-entry --settings entry.yaml          # serves until it is told to stop
+ * sageladder-entry --settings entry.yaml --check  # reads the settings and opens nothing
+ * }</pre>
+ */
 public final class EntryMain {
+  private static final String SYNTAX = "sageladder-entry --settings FILE [--check]";
+  private static final String HELP =
+      """
+      Usage: sageladder-entry --settings FILE [--check]
+
+      Serves the callers of one customer from this entry VM until it is told to stop.
+
+        -s, --settings FILE  YAML settings of this entry VM (docs/CONFIGURATION.md)
+        -c, --check          say what is wrong in the settings, and start nothing
+        -h, --help           print this help
+
+      SIGTERM begins a planned stop, which cuts off no request. Exit codes: docs/CONFIGURATION.md
+      """;
+
   private EntryMain() {}
 
   /** Runs the daemon until it is told to stop; exits by the table in docs/CONFIGURATION.md. */
   public static void main(String[] args) throws InterruptedException {
-    Options options = new Options();
-    options.addOption(
-        Option.builder("s")
-            .longOpt("settings")
-            .hasArg()
-            .argName("FILE")
-            .desc("YAML settings of this entry VM (see docs/CONFIGURATION.md)")
-            .required()
-            .get());
-    EntrySettings settings;
+    Options options = options();
+    CommandLine line;
     try {
-      CommandLine line = new DefaultParser().parse(options, args);
-      settings = EntrySettings.read(Path.of(line.getOptionValue("settings")));
+      line = new DefaultParser().parse(options, args);
     } catch (ParseException e) {
-      System.err.println("sageladder-entry: " + e.getMessage() + "; use --settings FILE");
-      System.exit(ExitCode.USAGE.status());
+      misused(e.getMessage());
+      return;
+    }
+    if (line.hasOption("help")) {
+      System.out.print(HELP);
+      return;
+    }
+    if (!line.hasOption("settings")) {
+      misused("no settings file is named");
       return;
+    }
+    EntrySettings settings;
+    try {
+      settings = EntrySettings.read(Path.of(line.getOptionValue("settings")));
     } catch (SettingsException e) {
       System.err.println("sageladder-entry: " + e.getMessage());
       System.exit(ExitCode.BAD_SETTINGS.status());
       return;
     }
+    if (line.hasOption("check")) {
+      System.out.println("settings of " + settings.vm() + " are well formed");
+      return;
+    }
     Logs.configure(settings.logs(), settings.vm());
     run(settings);
   }
 
+  private static Options options() {
+    return new Options()
+        .addOption("s", "settings", true, "")
+        .addOption("c", "check", false, "")
+        .addOption("h", "help", false, "");
+  }
+
+  private static void misused(String what) {
+    System.err.println("sageladder-entry: " + what + "; use " + SYNTAX);
+    System.exit(ExitCode.USAGE.status());
+  }
+
   private static void run(EntrySettings settings) throws InterruptedException {
     EntryDaemon daemon;
     try {
--- a/sageladder-entry/src/main/java/org/sageladder/entry/gates/LoadPoller.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/gates/LoadPoller.java
@@ -37,6 +37,7 @@
   private final Outbound client;
   private final TimeSource time;
   private final ScheduledFuture<?> polling;
+  private volatile boolean closed;
 
   private LoadPoller(
       GateTable gates,
@@ -66,6 +67,9 @@
     try {
       gates.byService().values().forEach(this::poll);
     } catch (RuntimeException e) {
+      if (closed) {
+        return;
+      }
       // A task that throws is never run again, and the gates would go blind without a word.
       logger.atWarning().withCause(e).log("polling targets failed; the next round tries again");
     }
@@ -84,6 +88,7 @@
 
   @Override
   public void close() {
+    closed = true;
     polling.cancel(false);
   }
 
