Entry: the callers' limits of the settings are enforced; idle connections end on the side that uses them

Cause: callerLimits.connections and callerLimits.bodyBytes were read, checked, documented, and used by nobody. Callers that open connections without end took every descriptor, and a body without end held its target's slot until the deadline. Nothing ever closed an idle connection, neither callers' nor the pooled ones to targets and peers. Ruled out: HttpCore's own timeout for callers, which also cuts off a caller whose export waits long for its slot, and resets instead of closing.

Change: OpenConnections closes connections beyond the limit before anything is read; a body longer than allowed is refused (BODY_LENGTH_INVALID, not run) or, where chunks did not tell, fails like any cut body; IdleHandler closes connections on which nothing moves unless a request waits for its answer (callerLimits.idle, 2 min). Pooled connections are closed after 25 s idle by the entry VM, and after 50 s of life by the callers' library, so that no request is sent on a connection that the other side is closing.

Before: HttpListenerTest would find 3 of 2 connections open and silent ones held for ever; Content-Length 2,000,000,000 was taken. After: HttpListenerTest, BodyPipeTest, CallersPortTest (25 cases) pass. Conclusion: a setting now does what its line in CONFIGURATION says. Not bounded yet: a head that trickles in byte by byte.

--- a/sageladder-bench/src/test/java/org/sageladder/bench/cluster/CallersPortTest.java
+++ b/sageladder-bench/src/test/java/org/sageladder/bench/cluster/CallersPortTest.java
@@ -161,7 +161,12 @@
   }
 
   @ParameterizedTest
-  @CsvSource({"minus, -5", "words, many", "too long, 99999999999999999999"})
+  @CsvSource({
+    "minus, -5",
+    "words, many",
+    "too long, 99999999999999999999",
+    "above the settings, 2000000000"
+  })
   void aBadLengthIsRefused(String what, String length) throws Exception {
     String answer =
         answerBeside(
--- a/sageladder-client/src/main/java/org/sageladder/client/EntryCalls.java
+++ b/sageladder-client/src/main/java/org/sageladder/client/EntryCalls.java
@@ -34,6 +34,12 @@
 
 /** Single tries at single entry VMs. */
 final class EntryCalls implements AutoCloseable {
+  /**
+   * Shorter than the idle time after which an entry VM closes a connection, 1 min at least: a
+   * connection closed there just as a request is sent would leave its outcome unknown.
+   */
+  private static final Timeout CONNECTION_LIFE = Timeout.ofSeconds(50);
+
   private static final String RESULT = "Sageladder-Result";
   private static final String OUTCOME = "Sageladder-Outcome";
   private static final int IO_THREADS = 2;
@@ -55,6 +61,7 @@
                 IOReactorConfig.custom().setIoThreadCount(IO_THREADS).setTcpNoDelay(true).build())
             .setDefaultMaxPerRoute(options.connectionsPerEntry())
             .setMaxTotal(Integer.MAX_VALUE)
+            .setTimeToLive(CONNECTION_LIFE)
             .create();
     requester.start();
     return new EntryCalls(requester, options);
--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -1,6 +1,7 @@
 package org.sageladder.entry;
 
 import com.google.common.flogger.FluentLogger;
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -12,8 +13,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import org.apache.hc.core5.function.Supplier;
-import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.util.Timeout;
 import org.sageladder.core.event.EventBuffer;
 import org.sageladder.core.event.EventKind;
@@ -38,6 +39,7 @@
 import org.sageladder.entry.exchange.OutboundClient;
 import org.sageladder.entry.gates.GateTable;
 import org.sageladder.entry.gates.LoadPoller;
+import org.sageladder.entry.http.ConnectionLimits;
 import org.sageladder.entry.http.HttpListener;
 import org.sageladder.entry.http.OperatorPort;
 import org.sageladder.entry.request.RequestPath;
@@ -62,6 +64,10 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int CONNECTIONS_PER_HOST = 390;
   private static final Duration LOAD_PERIOD = Duration.ofSeconds(1);
+
+  /** Well under the shortest time after which an entry VM closes an idle connection itself. */
+  private static final Duration IDLE_CONNECTION = Duration.ofSeconds(25);
+
   private static final int EVENTS_PER_PAGE = 2_000;
   private static final Duration STOP_GRACE = Duration.ofSeconds(1);
   private static final Duration KEY_PERIOD = Duration.ofDays(1);
@@ -124,6 +130,12 @@
     parts.add(timers::shutdownNow);
     OutboundClient client =
         parts.add(OutboundClient.start(settings.callerLimits().workers(), CONNECTIONS_PER_HOST));
+    ScheduledFuture<?> unused =
+        timers.scheduleWithFixedDelay(
+            () -> client.closeIdle(IDLE_CONNECTION),
+            IDLE_CONNECTION.toMillis(),
+            IDLE_CONNECTION.toMillis(),
+            TimeUnit.MILLISECONDS);
     PermitKeys permitKeys =
         PermitKeys.of(store, settings.customer(), KEY_PERIOD, new SecureRandom());
     RelayControlPlane control =
@@ -156,18 +168,19 @@
             drainAsked::countDown);
     HttpListener operators =
         parts.add(
-            listener(
-                settings,
+            HttpListener.open(
+                settings.host(),
                 settings.ports().operators(),
-                1,
+                limits(settings, 1),
                 () -> CallerExchange.create(operatorPort)));
     HttpListener callers =
         parts.add(
-            listener(
-                settings,
+            HttpListener.open(
+                settings.host(),
                 settings.ports().callers(),
-                settings.callerLimits().workers(),
+                limits(settings, settings.callerLimits().workers()),
                 () -> CallerExchange.create(path.router(), inFlight)));
+    connectionMetrics(metrics, callers);
     path.reachedAt(settings.host(), callers.port());
     control.serving(callers.port());
     events.record(EventKind.STARTED, "", settings.customer(), settings.zone(), 0, settings.vm());
@@ -178,11 +191,9 @@
         settings, control, callers, operators, events, drainAsked, plannedStop, parts);
   }
 
-  private static HttpListener listener(
-      EntrySettings settings, int port, int workers, Supplier<AsyncServerExchangeHandler> exchanges)
-      throws IOException, InterruptedException {
-    int headBytes = settings.callerLimits().headBytes();
-    return HttpListener.open(settings.host(), port, workers, headBytes, exchanges);
+  private static ConnectionLimits limits(EntrySettings settings, int workers) {
+    EntrySettings.CallerLimits limits = settings.callerLimits();
+    return new ConnectionLimits(workers, limits.headBytes(), limits.connections(), limits.idle());
   }
 
   private static PlannedStop plannedStop(
@@ -270,6 +281,16 @@
         .register(metrics);
   }
 
+  private static void connectionMetrics(PrometheusMeterRegistry metrics, HttpListener callers) {
+    Gauge.builder("sageladder.callers.connections", callers, HttpListener::openConnections)
+        .description("Open connections at the callers' port")
+        .register(metrics);
+    FunctionCounter.builder(
+            "sageladder.callers.connections.refused", callers, HttpListener::refusedConnections)
+        .description("Connections closed at once, since callerLimits.connections were open")
+        .register(metrics);
+  }
+
   /** The port that callers use. */
   public int callersPort() {
     return callers.port();
--- a/sageladder-entry/src/main/java/org/sageladder/entry/exchange/BodyPipe.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/exchange/BodyPipe.java
@@ -32,6 +32,8 @@
   private boolean ended;
   private @Nullable Exception failure;
   private long carried;
+  private long accepted;
+  private long most = Long.MAX_VALUE;
   private @Nullable AnswerRecorder recorder;
   private final HashStream64 prefix = Hashing.komihash5_0().hashStream();
   private int prefixBytes;
@@ -68,6 +70,18 @@
     }
   }
 
+  /**
+   * Fails the body once more than {@code bytes} of it have come.
+   *
+   * <p>Guards against a chunked body without end, of which nothing tells the length beforehand: it
+   * would hold its target's slot until the deadline.
+   */
+  public void limit(long bytes) {
+    synchronized (lock) {
+      most = bytes;
+    }
+  }
+
   /** Names the channel by which the receiving connection is told to read on. */
   void source(CapacityChannel channel) throws IOException {
     int credit;
@@ -88,6 +102,10 @@
     CapacityChannel credit = null;
     Runnable known;
     synchronized (lock) {
+      accepted += length;
+      if (accepted > most) {
+        throw new IOException("the body is longer than the " + most + " bytes allowed");
+      }
       if (recorder != null) {
         recorder.add(bytes);
       }
--- a/sageladder-entry/src/main/java/org/sageladder/entry/exchange/OutboundClient.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/exchange/OutboundClient.java
@@ -137,7 +137,13 @@
     };
   }
 
-  /** Closes connections that have been idle for longer than {@code idle}. */
+  /**
+   * Closes connections that have been idle for longer than {@code idle}.
+   *
+   * <p>Failure guarded against: the other side closes an idle connection in the moment in which a
+   * request is sent on it; nobody knows then whether the request was read, and a bid's outcome is
+   * "unknown". A connection that this side closes first is in nobody's use.
+   */
   public void closeIdle(Duration idle) {
     requester.closeIdle(TimeValue.of(idle));
   }
--- a/sageladder-entry/src/main/java/org/sageladder/entry/http/HttpListener.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/http/HttpListener.java
@@ -36,8 +36,10 @@
 
   private final HttpAsyncServer server;
   private final int port;
+  private final OpenConnections connections;
 
-  private HttpListener(HttpAsyncServer server, int port) {
+  private HttpListener(HttpAsyncServer server, int port, OpenConnections connections) {
+    this.connections = connections;
     this.server = server;
     this.port = port;
   }
@@ -46,23 +48,22 @@
    * Opens a port.
    *
    * @param port 0 lets the machine choose
-   * @param workers threads that read, decide and write for all connections
-   * @param headBytes a request line or header longer than half of this is refused
    * @throws java.net.BindException where the port is taken
    */
   public static HttpListener open(
       String host,
       int port,
-      int workers,
-      int headBytes,
+      ConnectionLimits limits,
       Supplier<AsyncServerExchangeHandler> exchanges)
       throws java.io.IOException, InterruptedException {
-    HttpAsyncServer server = server(workers, headBytes, exchanges);
+    OpenConnections connections = new OpenConnections(limits.connections());
+    HttpAsyncServer server = server(limits, connections, exchanges);
     server.start();
     try {
       ListenerEndpoint endpoint =
           server.listen(new InetSocketAddress(host, port), URIScheme.HTTP).get();
-      return new HttpListener(server, ((InetSocketAddress) endpoint.getAddress()).getPort());
+      int opened = ((InetSocketAddress) endpoint.getAddress()).getPort();
+      return new HttpListener(server, opened, connections);
     } catch (ExecutionException e) {
       server.close(CloseMode.IMMEDIATE);
       throw new java.io.IOException(
@@ -71,10 +72,12 @@
   }
 
   private static HttpAsyncServer server(
-      int workers, int headBytes, Supplier<AsyncServerExchangeHandler> exchanges) {
+      ConnectionLimits limits,
+      OpenConnections connections,
+      Supplier<AsyncServerExchangeHandler> exchanges) {
     Http1Config config =
         Http1Config.custom()
-            .setMaxLineLength(headBytes / LONGEST_LINE_SHARE)
+            .setMaxLineLength(limits.headBytes() / LONGEST_LINE_SHARE)
             .setMaxHeaderCount(MOST_HEADERS)
             .build();
     ServerHttp1StreamDuplexerFactory streams =
@@ -95,9 +98,10 @@
             null,
             null);
     return new HttpAsyncServer(
-        new ServerHttp1IOEventHandlerFactory(streams, null, null),
+        IdleHandler.decorate(new ServerHttp1IOEventHandlerFactory(streams, null, null)),
         IOReactorConfig.custom()
-            .setIoThreadCount(workers)
+            .setIoThreadCount(limits.workers())
+            .setSoTimeout(Timeout.of(limits.idle()))
             .setTcpNoDelay(true)
             .setSoReuseAddress(true)
             .setBacklogSize(1024)
@@ -105,7 +109,7 @@
             .build(),
         HangUpSession.decorator(),
         null,
-        null,
+        connections,
         null,
         null,
         null);
@@ -135,6 +139,16 @@
     return port;
   }
 
+  /** Connections that are open now. */
+  public int openConnections() {
+    return connections.open();
+  }
+
+  /** Connections that were closed at once because as many as allowed were open. */
+  public long refusedConnections() {
+    return connections.refused();
+  }
+
   /** Closes all connections that have no exchange, then the rest after {@code grace}. */
   public void stop(Timeout grace) throws InterruptedException {
     server.initiateShutdown();
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/http/IdleHandler.java
@@ -0,0 +1,69 @@
+package org.sageladder.entry.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.apache.hc.core5.http.EndpointDetails;
+import org.apache.hc.core5.http.HttpConnection;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.IOEventHandler;
+import org.apache.hc.core5.reactor.IOEventHandlerFactory;
+import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.util.Timeout;
+
+/**
+ * Closes connections on which nothing moves, but none whose caller waits for an answer.
+ *
+ * <p>Failure guarded against: callers that vanish without closing hold a descriptor each for ever,
+ * and one day the port refuses everybody. The HTTP library's own timeout would also cut off a
+ * caller whose export waits long for a slot; such a connection has more requests than answers.
+ */
+final class IdleHandler implements IOEventHandler {
+  private final IOEventHandler handler;
+
+  private IdleHandler(IOEventHandler handler) {
+    this.handler = handler;
+  }
+
+  /** Decorates each connection that {@code factory} makes. */
+  static IOEventHandlerFactory decorate(IOEventHandlerFactory factory) {
+    return (session, attachment) -> new IdleHandler(factory.createHandler(session, attachment));
+  }
+
+  @Override
+  public void timeout(IOSession session, Timeout timeout) {
+    if (!awaitsAnswer()) {
+      // The library would reset it, and a caller that sends at this moment could not tell why.
+      session.close(CloseMode.GRACEFUL);
+    }
+  }
+
+  private boolean awaitsAnswer() {
+    EndpointDetails details = ((HttpConnection) handler).getEndpointDetails();
+    return details.getRequestCount() > details.getResponseCount();
+  }
+
+  @Override
+  public void connected(IOSession session) throws IOException {
+    handler.connected(session);
+  }
+
+  @Override
+  public void inputReady(IOSession session, ByteBuffer bytes) throws IOException {
+    handler.inputReady(session, bytes);
+  }
+
+  @Override
+  public void outputReady(IOSession session) throws IOException {
+    handler.outputReady(session);
+  }
+
+  @Override
+  public void exception(IOSession session, Exception cause) {
+    handler.exception(session, cause);
+  }
+
+  @Override
+  public void disconnected(IOSession session) {
+    handler.disconnected(session);
+  }
+}
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/http/OpenConnections.java
@@ -0,0 +1,60 @@
+package org.sageladder.entry.http;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.reactor.IOSessionListener;
+
+/**
+ * Counts the connections of one port and closes those beyond the limit.
+ *
+ * <p>Failure guarded against: callers that open connections without end take all descriptors of the
+ * process, and then neither targets nor peers can be reached. A connection beyond the limit is
+ * closed before anything was read from it, so its caller may go to another entry VM at once.
+ */
+final class OpenConnections implements IOSessionListener {
+  private final int most;
+  private final AtomicInteger open = new AtomicInteger();
+  private final AtomicLong refused = new AtomicLong();
+
+  OpenConnections(int most) {
+    this.most = most;
+  }
+
+  int open() {
+    return open.get();
+  }
+
+  long refused() {
+    return refused.get();
+  }
+
+  @Override
+  public void connected(IOSession session) {
+    if (open.incrementAndGet() > most) {
+      refused.incrementAndGet();
+      session.close(CloseMode.IMMEDIATE);
+    }
+  }
+
+  @Override
+  public void disconnected(IOSession session) {
+    open.decrementAndGet();
+  }
+
+  @Override
+  public void startTls(IOSession session) {}
+
+  @Override
+  public void inputReady(IOSession session) {}
+
+  @Override
+  public void outputReady(IOSession session) {}
+
+  @Override
+  public void timeout(IOSession session) {}
+
+  @Override
+  public void exception(IOSession session, Exception cause) {}
+}
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestPath.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestPath.java
@@ -84,7 +84,15 @@
     LookUps lookUps = LookUps.create(time);
     return new RequestPath(
         new RequestRouter(
-            parts, settings.customer(), settings.zone(), control, gates, lookUps, permits, peers),
+            parts,
+            settings.customer(),
+            settings.zone(),
+            control,
+            gates,
+            lookUps,
+            permits,
+            peers,
+            settings.callerLimits().bodyBytes()),
         lookUps,
         time,
         home,
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestRouter.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestRouter.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
+import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
 import org.jspecify.annotations.Nullable;
@@ -36,6 +37,7 @@
   private final LookUps lookUps;
   private final Permits permits;
   private final PeerRoutes peers;
+  private final long mostBodyBytes;
 
   RequestRouter(
       FlowParts parts,
@@ -45,7 +47,9 @@
       GateTable gates,
       LookUps lookUps,
       Permits permits,
-      PeerRoutes peers) {
+      PeerRoutes peers,
+      long mostBodyBytes) {
+    this.mostBodyBytes = mostBodyBytes;
     this.peers = peers;
     this.parts = parts;
     this.customer = customer;
@@ -131,6 +135,12 @@
       refuse(exchange, rejected.result());
       return;
     }
+    EntityDetails body = exchange.entity();
+    if (body != null && body.getContentLength() > mostBodyBytes) {
+      refuse(exchange, bodyTooLong(body.getContentLength()));
+      return;
+    }
+    exchange.requestBody().limit(mostBodyBytes);
     RequestHead head = ((RequestHead.Parsed.Accepted) parsed).head();
     Optional<Result.NotRun> fault = check(head.customer(), head.service());
     if (fault.isPresent()) {
@@ -166,6 +176,12 @@
     permits.guard(exchange, head, service, flow -> carry(flow, head));
   }
 
+  private Result.NotRun bodyTooLong(long length) {
+    return Result.notRun(
+        ResultCode.BODY_LENGTH_INVALID,
+        "a body of " + length + " bytes is above the " + mostBodyBytes + " allowed here");
+  }
+
   private void carry(RequestFlow flow, RequestHead head) {
     ServiceGate gate = gates.holding(head.service());
     if (gate != null) {
--- a/sageladder-entry/src/main/java/org/sageladder/entry/settings/EntrySettings.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/settings/EntrySettings.java
@@ -42,6 +42,9 @@
     CallerLimits callerLimits,
     int eventCapacity) {
   private static final int HIGHEST_PORT = 65_535;
+  private static final Duration SHORTEST_IDLE = Duration.ofMinutes(1);
+  private static final Duration LONGEST_IDLE = Duration.ofHours(1);
+  private static final Duration USUAL_IDLE = Duration.ofMinutes(2);
   private static final Pattern ANY_TEXT = Pattern.compile(".*", Pattern.DOTALL);
   private static final Pattern INNER_KEY =
       Pattern.compile("[A-Za-z0-9]{1,16}:(?:[A-Za-z0-9+/]{4}){5,}(?:[A-Za-z0-9+/]{2,3}={1,2})?");
@@ -130,8 +133,10 @@
    * @param bodyBytes largest request body
    * @param connections most open connections
    * @param workers threads of the pool that serves them
+   * @param idle time after which a connection is closed on which nothing moves
    */
-  public record CallerLimits(int headBytes, long bodyBytes, int connections, int workers) {}
+  public record CallerLimits(
+      int headBytes, long bodyBytes, int connections, int workers, Duration idle) {}
 
   /**
    * Reads and checks a settings file.
@@ -268,11 +273,13 @@
 
   private static CallerLimits callerLimits(SettingsSection root) throws SettingsException {
     SettingsSection section =
-        root.sectionOrEmpty("callerLimits", "headBytes", "bodyBytes", "connections", "workers");
+        root.sectionOrEmpty(
+            "callerLimits", "headBytes", "bodyBytes", "connections", "workers", "idle");
     return new CallerLimits(
         section.wholeNumber("headBytes", 512, 1_048_576, 16_384),
         section.has("bodyBytes") ? section.longNumber("bodyBytes", 0, 1L << 40) : 1L << 30,
         section.wholeNumber("connections", 1, 100_000, 4_000),
-        section.wholeNumber("workers", 1, 256, 4));
+        section.wholeNumber("workers", 1, 256, 4),
+        section.duration("idle", SHORTEST_IDLE, LONGEST_IDLE, USUAL_IDLE));
   }
 }
--- a/sageladder-entry/src/test/java/org/sageladder/entry/exchange/BodyPipeTest.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/exchange/BodyPipeTest.java
@@ -38,6 +38,20 @@
     assertFalse(writer.ended);
   }
 
+  /**
+   * A broken uploader sends chunks without end; nothing told the length beforehand. The body fails
+   * at the limit of the settings, and its target sees a cut body, never a whole one.
+   */
+  @Test
+  void aChunkedBodyFailsAtTheLimit() throws IOException {
+    pipe.limit(10);
+    pipe.accept(bytes("ten bytes."));
+    assertThrows(IOException.class, () -> pipe.accept(bytes("!")));
+    pipe.fail(new IOException("its connection was closed"));
+    assertThrows(IOException.class, () -> pipe.produce(writer));
+    assertFalse(writer.ended);
+  }
+
   /**
    * The deadline passes while a donation is being sent on; what is left of its body is thrown away
    * and its end comes. Written to the target, that end would make a short donation look whole.
--- /dev/null
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/http/HttpListenerTest.java
@@ -0,0 +1,112 @@
+package org.sageladder.entry.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.sageladder.core.result.Result;
+import org.sageladder.core.result.ResultCode;
+import org.sageladder.entry.exchange.CallerExchange;
+import org.sageladder.entry.request.Answers;
+
+/** What a port grants to its connections. */
+@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class HttpListenerTest {
+  private static final Duration LONG = Duration.ofMinutes(10);
+
+  private static HttpListener open(int connections, Duration idle, CallerExchange.Handler handler)
+      throws IOException, InterruptedException {
+    return HttpListener.open(
+        "127.0.0.1",
+        0,
+        new ConnectionLimits(1, 4096, connections, idle),
+        () -> CallerExchange.create(handler));
+  }
+
+  private static void refuse(CallerExchange exchange) {
+    Answers.send(exchange, Result.notRun(ResultCode.UNKNOWN_ROUTE, "nothing is served here"));
+  }
+
+  private static Socket connect(HttpListener listener) throws IOException {
+    return new Socket(InetAddress.getLoopbackAddress(), listener.port());
+  }
+
+  private static void ask(Socket socket) throws IOException {
+    byte[] request = "GET / HTTP/1.1\r\nHost: e\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+    socket.getOutputStream().write(request);
+  }
+
+  private static String statusLine(Socket socket) throws IOException {
+    InputStream in = socket.getInputStream();
+    StringBuilder line = new StringBuilder();
+    for (int b = in.read(); b != '\r'; b = in.read()) {
+      if (b < 0) {
+        throw new IOException("closed after '" + line + "'");
+      }
+      line.append((char) b);
+    }
+    return line.toString();
+  }
+
+  // A crawler opens connections without end. Before, the entry VM took them all until it had no
+  // descriptor left for targets, and every caller got "no target". Now those beyond the limit are
+  // closed at once, the others go on, and room that is given back is used again.
+  @Test
+  void connectionsBeyondTheLimitAreClosedAndTheOthersServed() throws Exception {
+    try (HttpListener listener = open(2, LONG, HttpListenerTest::refuse);
+        Socket first = connect(listener)) {
+      ask(first);
+      assertEquals("HTTP/1.1 404 Not Found", statusLine(first));
+      try (Socket second = connect(listener)) {
+        ask(second);
+        assertEquals("HTTP/1.1 404 Not Found", statusLine(second));
+        try (Socket third = connect(listener)) {
+          assertThrows(
+              IOException.class,
+              () -> {
+                ask(third);
+                statusLine(third);
+              });
+        }
+        assertEquals(1, listener.refusedConnections());
+      }
+      while (listener.openConnections() > 1) {
+        Thread.sleep(1);
+      }
+      try (Socket fourth = connect(listener)) {
+        ask(fourth);
+        assertEquals("HTTP/1.1 404 Not Found", statusLine(fourth));
+      }
+    }
+  }
+
+  // Callers vanish without closing, and each holds a descriptor for ever. A silent connection is
+  // closed after the idle time; a scholar whose export waits for a slot much longer than that, on a
+  // connection on which nothing moves either, gets the answer all the same.
+  @Test
+  void silentConnectionsAreClosedButNoneThatWaitsForItsAnswer() throws Exception {
+    BlockingQueue<CallerExchange> waiting = new LinkedBlockingQueue<>();
+    try (HttpListener listener = open(10, Duration.ofMillis(100), waiting::add);
+        Socket scholar = connect(listener)) {
+      ask(scholar);
+      CallerExchange export = waiting.take();
+      for (int i = 0; i < 3; i++) {
+        try (Socket silent = connect(listener)) {
+          assertTrue(silent.getInputStream().read() < 0, "closed by the entry VM");
+        }
+      }
+      refuse(export);
+      assertEquals("HTTP/1.1 404 Not Found", statusLine(scholar));
+    }
+  }
+}
