Bench: one harness starts entry daemons as processes

Cause: three packages started entry daemons each in its own way (bench.process, bench.cluster, bench.fleet): two classes named EntryProcess, three settings files, three listings of VMs, and only one of them ended its daemons with the bench.

Change: bench.process holds EntryProcess (settings, start, ready, ports, pause, stop, kill, restart, log; all daemons end with the JVM that started them), EntryOptions for the differences, StandIns (store, list, targets), ClassArchive and RunFolder (deletes settings and logs, kept with -Dkeep.logs=true). TestBed, ProcessCluster and Fleet put these together and keep their public names. Ports are now chosen by the daemon and kept for restarts; before, TestBed and Fleet took ports that "were free a moment ago", which another process could take meanwhile. Fleet lists a VM once it is ready, with its true callers' port (it listed port 1 before the start). Ruled out: one class for the three put-togethers, their ends differ (fixed contract, any contract, watching what is in force).

--- a/sageladder-bench/src/main/java/org/sageladder/bench/fleet/Fleet.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/fleet/Fleet.java
@@ -1,9 +1,6 @@
 package org.sageladder.bench.fleet;
 
 import java.io.IOException;
-import java.net.ServerSocket;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -15,12 +12,14 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.function.Predicate;
-import java.util.stream.Stream;
+import org.sageladder.bench.process.ClassArchive;
+import org.sageladder.bench.process.EntryOptions;
+import org.sageladder.bench.process.EntryProcess;
+import org.sageladder.bench.process.RunFolder;
+import org.sageladder.bench.process.StandIns;
 import org.sageladder.core.contract.Contract;
 import org.sageladder.core.event.Event;
 import org.sageladder.core.event.EventKind;
-import org.sageladder.core.platform.ListedVm;
-import org.sageladder.core.platform.VmRole;
 import org.sageladder.core.store.Store;
 import org.sageladder.core.store.StoreException;
 import org.sageladder.core.store.StoredValue;
@@ -43,30 +42,35 @@
  * }</pre>
  */
 public final class Fleet implements AutoCloseable {
-  private static final String HOST = "127.0.0.1";
   private static final Duration CALL_TIMEOUT = Duration.ofSeconds(3);
   private static final int STARTS_AT_ONCE = 4;
-  private static final int PORTS_PER_VM = 1;
   private static final int CLOSED_PORT = 9;
+  private static final List<String> SMALL_JVM =
+      List.of("-XX:ReservedCodeCacheSize=24m", "-XX:-UsePerfData", "-Xss256k", "-Xms8m");
+  private static final String SETTINGS =
+      """
+      innerKeys: ['bench:c2FnZWxhZGRlci1iZW5jaC1rZXk=']
+      incarnation: {source: clock}
+      eventCapacity: 4096
+      callerLimits: {workers: 1}
+      logs: {level: warning}
+      """;
 
   private final FleetOptions options;
-  private final Path folder;
-  private final StoreServer store;
+  private final RunFolder folder;
+  private final StandIns standIns;
   private final HttpStore client;
   private final HttpCaller caller;
-  private final List<String> jvmOptions = new ArrayList<>();
-  private final Map<String, TargetServer> targets = new LinkedHashMap<>();
   private final Map<String, FleetVm> vms = new LinkedHashMap<>();
-  private final Map<String, ListedVm> listed = new LinkedHashMap<>();
   private final Map<String, TreeMap<Long, Long>> inForce = new LinkedHashMap<>();
   private final List<String> reverts = new ArrayList<>();
   private final Map<String, Long> lastRevision = new LinkedHashMap<>();
 
   private Fleet(FleetOptions options) throws IOException {
     this.options = options;
-    this.folder = Files.createTempDirectory("sageladder-fleet");
-    this.store = StoreServer.start(HOST, 0);
-    this.client = HttpStore.connect(store.address(), CALL_TIMEOUT);
+    this.folder = RunFolder.create("sageladder-fleet");
+    this.standIns = StandIns.start(options.contract().customer());
+    this.client = HttpStore.connect(store().address(), CALL_TIMEOUT);
     this.caller = HttpCaller.withTimeout(CALL_TIMEOUT);
   }
 
@@ -86,16 +90,13 @@
   private void begin() throws IOException, InterruptedException, StoreException {
     Acceptance first = accept(options.contract());
     listTargets();
-    Path probe = folder.resolve("probe.yaml");
-    Files.writeString(probe, settings("probe", options.contract().zones().get(0), 0));
-    jvmOptions.addAll(ClassArchive.options(ClassArchive.ensure(probe)));
-    jvmOptions.add("-Xmx" + options.heapMegabytes() + "m");
+    EntryOptions usual = ClassArchive.use(entryOptions());
     ExecutorService starters = Executors.newFixedThreadPool(STARTS_AT_ONCE);
     List<Future<?>> starts = new ArrayList<>();
     for (String zone : options.contract().zones()) {
       for (int i = 0; i < options.vmsPerZone(); i++) {
         String name = zone + "-vm-" + i;
-        starts.add(starters.submit(() -> startVm(name, zone)));
+        starts.add(starters.submit(() -> startVm(usual.vm(name, zone))));
       }
     }
     for (Future<?> start : starts) {
@@ -110,47 +111,24 @@
     awaitViews(Duration.ofSeconds(30));
   }
 
-  private Void startVm(String name, String zone) throws IOException {
-    int innerPort = freePort();
-    Path settings = folder.resolve(name + ".yaml");
-    Files.writeString(settings, settings(name, zone, innerPort));
-    list(
-        new ListedVm(
-            VmRole.ENTRY,
-            name,
-            options.contract().customer(),
-            "",
-            zone,
-            HOST,
-            1,
-            innerPort,
-            0,
-            false));
-    FleetVm vm =
-        FleetVm.launch(name, zone, settings, folder.resolve(name + ".log"), jvmOptions, caller);
+  private Void startVm(EntryOptions entry) throws IOException {
+    EntryProcess process = EntryProcess.launch(entry, folder.path());
     synchronized (vms) {
-      vms.put(name, vm);
+      vms.put(entry.vm(), FleetVm.of(process, caller));
     }
-    vm.awaitStarted();
+    process.awaitReady();
+    standIns.listEntry(process, 0, false);
     return null;
   }
 
-  private String settings(String name, String zone, int innerPort) {
-    return String.join(
-        "\n",
-        "vm: " + name,
-        "customer: " + options.contract().customer(),
-        "zone: " + zone,
-        "host: " + HOST,
-        "ports: {callers: 0, inner: " + innerPort + ", operators: 0}",
-        "store: {uri: '" + store.address() + "', timeout: 2s}",
-        "vmList: {uri: '" + store.address() + "', every: 1s}",
-        "innerKeys: ['bench:c2FnZWxhZGRlci1iZW5jaC1rZXk=']",
-        "incarnation: {source: clock}",
-        "eventCapacity: 4096",
-        "callerLimits: {workers: 1}",
-        "logs: {level: warning}",
-        "");
+  private EntryOptions entryOptions() {
+    Contract contract = options.contract();
+    return EntryOptions.of("probe", contract.customer(), contract.zones().get(0), store().address())
+        .storeTimeout("2s")
+        .listEvery("1s")
+        .heapMegabytes(options.heapMegabytes())
+        .jvmOptions(SMALL_JVM)
+        .settings(SETTINGS);
   }
 
   private void listTargets() throws IOException {
@@ -158,30 +136,23 @@
     for (Contract.Service service : options.contract().services()) {
       for (int i = 0; i < service.targets(); i++) {
         String id = service.name() + "-" + i;
-        list(
-            new ListedVm(
-                VmRole.TARGET,
-                id,
-                options.contract().customer(),
-                service.name(),
-                zones.get(i % zones.size()),
-                HOST,
-                options.realTargets() ? startTarget(id, service) : CLOSED_PORT,
-                0,
-                1,
-                false));
+        String zone = zones.get(i % zones.size());
+        if (options.realTargets()) {
+          startTarget(id, service, zone);
+        } else {
+          standIns.listTarget(id, service.name(), zone, CLOSED_PORT, 1);
+        }
       }
     }
   }
 
-  private int startTarget(String id, Contract.Service service) throws IOException {
-    TargetServer target =
-        TargetServer.start(
-            TargetOptions.create(id)
-                .slots(service.slotsPerTarget())
-                .serviceTime(ServiceTime.fixed(service.meanServiceMillis())));
-    targets.put(id, target);
-    return target.port();
+  private void startTarget(String id, Contract.Service service, String zone) throws IOException {
+    standIns.startTarget(
+        TargetOptions.create(id)
+            .slots(service.slotsPerTarget())
+            .serviceTime(ServiceTime.fixed(service.meanServiceMillis())),
+        service.name(),
+        zone);
   }
 
   /** Ends all entry VMs and targets of a zone at once; the platform's list shows it later. */
@@ -191,30 +162,7 @@
         vm.kill();
       }
     }
-    List<ListedVm> lines;
-    synchronized (listed) {
-      lines = List.copyOf(listed.values());
-    }
-    for (ListedVm line : lines) {
-      TargetServer target = targets.get(line.id());
-      if (line.zone().equals(zone) && target != null) {
-        target.close();
-      }
-    }
-  }
-
-  private void list(ListedVm vm) {
-    synchronized (listed) {
-      listed.put(vm.id(), vm);
-    }
-    store.putVm(vm);
-  }
-
-  private static int freePort() throws IOException {
-    try (ServerSocket socket =
-        new ServerSocket(0, PORTS_PER_VM, java.net.InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    }
+    standIns.targetsIn(zone).forEach(TargetServer::close);
   }
 
   /** A change of the contract that the store has accepted. */
@@ -241,7 +189,7 @@
 
   /** The store stand-in, to make it slow or take it down. */
   public StoreServer store() {
-    return store;
+    return standIns.store();
   }
 
   /** The client that changes are made with. */
@@ -273,17 +221,10 @@
 
   /** Takes an ended VM off the platform's list, or puts one back on it. */
   public void listed(FleetVm vm, boolean present) {
-    ListedVm line;
-    synchronized (listed) {
-      line = listed.get(vm.name());
-    }
-    if (line == null) {
-      return;
-    }
     if (present) {
-      store.putVm(line);
+      standIns.relist(vm.name());
     } else {
-      store.removeVm(line.id());
+      standIns.unlist(vm.name());
     }
   }
 
@@ -391,31 +332,10 @@
 
   @Override
   public void close() {
-    for (FleetVm vm : vms()) {
-      try {
-        vm.end();
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-      }
-    }
-    targets.values().forEach(TargetServer::close);
+    vms().forEach(vm -> vm.process().close());
     caller.close();
     client.close();
-    store.close();
-    deleteFolder();
-  }
-
-  private void deleteFolder() {
-    if (Boolean.getBoolean("keep.fleet")) {
-      System.out.println("logs are in " + folder);
-      return;
-    }
-    try (Stream<Path> files = Files.walk(folder)) {
-      for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-        Files.delete(file);
-      }
-    } catch (IOException e) {
-      System.err.println("could not delete " + folder + ": " + e.getMessage());
-    }
+    standIns.close();
+    folder.close();
   }
 }
--- a/sageladder-bench/src/main/java/org/sageladder/bench/fleet/FleetVm.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/fleet/FleetVm.java
@@ -1,104 +1,49 @@
 package org.sageladder.bench.fleet;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.net.URI;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.concurrent.TimeUnit;
+import org.sageladder.bench.process.EntryProcess;
+import org.sageladder.bench.process.StandIns;
 import org.sageladder.core.event.Event;
 import org.sageladder.platform.event.EventPage;
 import org.sageladder.tools.http.HttpCaller;
 
-/** One entry VM's process. */
+/** One entry VM's process with what it tells its operators. */
 public final class FleetVm {
   private static final int MOST_PAGES = 50;
 
-  private final String name;
-  private final String zone;
-  private final Path settings;
-  private final Path log;
-  private final List<String> jvmOptions;
+  private final EntryProcess process;
   private final HttpCaller caller;
-  private Process process;
-  private URI operators = URI.create("http://127.0.0.1:1");
-  private String callers = "";
   private long eventCursor;
 
-  private FleetVm(
-      String name, String zone, Path settings, Path log, List<String> jvmOptions, HttpCaller caller)
-      throws IOException {
-    this.name = name;
-    this.zone = zone;
-    this.settings = settings;
-    this.log = log;
-    this.jvmOptions = jvmOptions;
+  private FleetVm(EntryProcess process, HttpCaller caller) {
+    this.process = process;
     this.caller = caller;
-    this.process = launch();
-  }
-
-  static FleetVm launch(
-      String name, String zone, Path settings, Path log, List<String> jvmOptions, HttpCaller caller)
-      throws IOException {
-    return new FleetVm(name, zone, settings, log, jvmOptions, caller);
-  }
-
-  private Process launch() throws IOException {
-    List<String> command = new ArrayList<>();
-    command.add(ClassArchive.java());
-    command.addAll(jvmOptions);
-    command.addAll(
-        List.of(
-            "-XX:+UseSerialGC",
-            "-XX:TieredStopAtLevel=1",
-            "-XX:ReservedCodeCacheSize=24m",
-            "-XX:-UsePerfData",
-            "-Xss256k",
-            "-Xms8m",
-            "-cp",
-            System.getProperty("java.class.path"),
-            "org.sageladder.entry.EntryMain",
-            "--settings",
-            settings.toString()));
-    return new ProcessBuilder(command)
-        .redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()))
-        .start();
-  }
-
-  /** Waits for the line that names the ports. */
-  void awaitStarted() throws IOException {
-    BufferedReader out =
-        new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
-    String line = out.readLine();
-    if (line == null || !line.startsWith("ready ")) {
-      throw new IOException(name + " did not start: " + line + "\n" + Files.readString(log));
-    }
-    int callersAt = line.indexOf("callers=") + "callers=".length();
-    callers = "127.0.0.1:" + line.substring(callersAt).split(" ")[0];
-    int at = line.indexOf("operators=") + "operators=".length();
-    operators = URI.create("http://127.0.0.1:" + line.substring(at).strip());
-    eventCursor = 0;
+  }
+
+  static FleetVm of(EntryProcess process, HttpCaller caller) {
+    return new FleetVm(process, caller);
   }
 
   /** Name of the VM. */
   public String name() {
-    return name;
+    return process.vm();
   }
 
   /** Address that callers use. */
   public String callers() {
-    return callers;
+    return process.callersAddress();
   }
 
   /** Zone of the VM. */
   public String zone() {
-    return zone;
+    return process.zone();
   }
 
   /** Whether the process runs. */
@@ -108,27 +53,31 @@
 
   /** Ends the process at once. */
   public void kill() throws InterruptedException {
-    process.destroyForcibly().waitFor();
+    process.kill();
   }
 
   /** Stops the process from running, as a paused machine does. */
   public void pause() throws IOException, InterruptedException {
-    signal("-STOP");
+    process.pause();
   }
 
   /** Lets a paused process go on. */
   public void resume() throws IOException, InterruptedException {
-    signal("-CONT");
+    process.resume();
   }
 
   /** Starts the process anew with the same settings. */
   public void restart() throws IOException {
-    process = launch();
-    awaitStarted();
+    process.restart();
+    eventCursor = 0;
   }
 
-  private void signal(String signal) throws IOException, InterruptedException {
-    new ProcessBuilder("kill", signal, Long.toString(process.pid())).start().waitFor();
+  EntryProcess process() {
+    return process;
+  }
+
+  private URI operators(String path) {
+    return URI.create("http://" + StandIns.HOST + ":" + process.operatorsPort() + path);
   }
 
   /** Events since the last call, in order. */
@@ -136,10 +85,9 @@
     List<Event> events = new ArrayList<>();
     for (int i = 0; i < MOST_PAGES; i++) {
       EventPage page =
-          EventPage.fromJson(
-              caller.get(operators.resolve("/v1/events?after=" + eventCursor)).body());
+          EventPage.fromJson(caller.get(operators("/v1/events?after=" + eventCursor)).body());
       if (page.lost() > 0) {
-        throw new IOException(name + " lost " + page.lost() + " events; read them more often");
+        throw new IOException(name() + " lost " + page.lost() + " events; read them more often");
       }
       events.addAll(page.events());
       eventCursor = page.next();
@@ -152,13 +100,13 @@
 
   /** The state that operators see, as JSON. */
   public String state() throws IOException {
-    return caller.get(operators.resolve("/v1/state")).text();
+    return caller.get(operators("/v1/state")).text();
   }
 
   /** All meters by name and tags, as Prometheus writes them. */
   public Map<String, Double> meters() throws IOException {
     Map<String, Double> meters = new TreeMap<>();
-    for (String line : caller.get(operators.resolve("/v1/metrics")).text().split("\n")) {
+    for (String line : caller.get(operators("/v1/metrics")).text().split("\n")) {
       int space = line.lastIndexOf(' ');
       if (!line.startsWith("#") && space > 0) {
         meters.put(line.substring(0, space), Double.parseDouble(line.substring(space + 1)));
@@ -169,7 +117,7 @@
 
   /** Processor time used by the process so far. */
   public long cpuMillis() {
-    return process.info().totalCpuDuration().map(java.time.Duration::toMillis).orElse(0L);
+    return process.handle().info().totalCpuDuration().map(java.time.Duration::toMillis).orElse(0L);
   }
 
   /** Resident memory of the process in kilobytes. */
@@ -182,9 +130,4 @@
     }
     return 0;
   }
-
-  void end() throws InterruptedException {
-    process.destroyForcibly();
-    process.waitFor(5, TimeUnit.SECONDS);
-  }
 }
--- /dev/null
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/process/ClassArchive.java
@@ -0,0 +1,60 @@
+package org.sageladder.bench.process;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/**
+ * An archive of the entry daemon's loaded classes, which about halves the start of each process and
+ * shares the memory of the classes between them.
+ */
+public final class ClassArchive {
+  private static final long STOP_SECONDS = 30;
+  private static final List<String> QUIET = List.of("-Xlog:cds=off", "-Xlog:cds+dynamic=off");
+
+  private ClassArchive() {}
+
+  /**
+   * The options {@code probe} for processes that use this build's archive, which is made by running
+   * {@code probe} once; unchanged where none can be made, as for classes that are not in jars.
+   */
+  public static EntryOptions use(EntryOptions probe) throws IOException, InterruptedException {
+    Path jar = Path.of(EntryProcess.classPath().split(File.pathSeparator)[0]);
+    Path jars = jar.toAbsolutePath().getParent();
+    if (jars == null || jars.getParent() == null || !jar.toString().endsWith(".jar")) {
+      return probe;
+    }
+    Path archive = jars.resolveSibling("entry-classes.jsa");
+    if (!Files.exists(archive) || !isNewer(archive, jars)) {
+      Files.deleteIfExists(archive);
+      make(archive, probe);
+    }
+    return Files.exists(archive)
+        ? probe.jvmOptions(QUIET).jvmOptions(List.of("-XX:SharedArchiveFile=" + archive))
+        : probe;
+  }
+
+  private static void make(Path archive, EntryOptions probe)
+      throws IOException, InterruptedException {
+    EntryOptions options =
+        probe.jvmOptions(QUIET).jvmOptions(List.of("-XX:ArchiveClassesAtExit=" + archive));
+    try (RunFolder folder = RunFolder.create("sageladder-archive");
+        EntryProcess process = EntryProcess.start(options, folder.path())) {
+      process.terminate();
+      process.awaitEnd(STOP_SECONDS);
+    }
+  }
+
+  private static boolean isNewer(Path archive, Path jars) throws IOException {
+    try (var files = Files.list(jars)) {
+      for (Path jar : (Iterable<Path>) files::iterator) {
+        if (Files.getLastModifiedTime(jar).compareTo(Files.getLastModifiedTime(archive)) > 0) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+}
--- a/sageladder-bench/src/main/java/org/sageladder/bench/process/EntryProcess.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/process/EntryProcess.java
@@ -1,108 +1,124 @@
 package org.sageladder.bench.process;
 
 import java.io.BufferedReader;
-import java.io.File;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
-/** One entry daemon in a process of its own, which can be killed, paused, stopped and restarted. */
-public final class EntryProcess {
-  private static final String HOST = "127.0.0.1";
-
-  private final String vm;
-  private final String zone;
-  private final int callersPort;
-  private final int innerPort;
+/**
+ * One entry daemon in a process of its own, which can be killed, paused, stopped and restarted; all
+ * signals go to this one process by its id.
+ *
+ * <pre>{@code
+ * try (EntryProcess entry = EntryProcess.start(options, folder)) {
+ *   entry.pause();
+ *   entry.resume();
+ * }
+ * }</pre>
+ */
+public final class EntryProcess implements AutoCloseable {
+  private static final long KILL_SECONDS = 10;
+  private static final Set<Process> RUNNING = ConcurrentHashMap.newKeySet();
+
+  static {
+    // A bench that exits or is ended must not leave its daemons behind.
+    Runtime.getRuntime().addShutdownHook(new Thread(EntryProcess::killAll, "kill-entries"));
+  }
+
+  private final EntryOptions options;
   private final Path settings;
   private final Path log;
-  private final int heapMegabytes;
   private Process process;
-
-  private EntryProcess(
-      String vm,
-      String zone,
-      int callersPort,
-      int innerPort,
-      Path settings,
-      Path log,
-      int heapMegabytes,
-      Process process) {
-    this.vm = vm;
-    this.zone = zone;
-    this.callersPort = callersPort;
-    this.innerPort = innerPort;
-    this.settings = settings;
-    this.log = log;
-    this.heapMegabytes = heapMegabytes;
-    this.process = process;
-  }
-
-  /** Starts a daemon and returns once its ports are open. */
-  public static EntryProcess start(
-      Path folder, String vm, String zone, String customer, String storeUri, int heapMegabytes)
-      throws IOException {
-    int[] ports = freePorts();
-    Path settings = folder.resolve(vm + ".yaml");
-    Files.writeString(
-        settings,
-        String.join(
-            "\n",
-            "vm: " + vm,
-            "customer: " + customer,
-            "zone: " + zone,
-            "host: " + HOST,
-            "ports: {callers: " + ports[0] + ", inner: " + ports[1] + ", operators: 0}",
-            "store: {uri: '" + storeUri + "', timeout: 1s}",
-            "vmList: {uri: '" + storeUri + "', every: 200ms}",
-            "callerLimits: {workers: 2}",
-            ""));
-    Path log = folder.resolve(vm + ".log");
-    Process process = launch(settings, log, heapMegabytes);
-    return new EntryProcess(vm, zone, ports[0], ports[1], settings, log, heapMegabytes, process);
-  }
-
-  /** Ports that were free a moment ago; a restarted daemon has to come back on the same ones. */
-  private static int[] freePorts() throws IOException {
-    try (ServerSocket first = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-        ServerSocket second = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return new int[] {first.getLocalPort(), second.getLocalPort()};
+  private Map<String, Integer> ports = Map.of();
+
+  private EntryProcess(EntryOptions options, Path folder) throws IOException {
+    this.options = options;
+    this.settings = folder.resolve(options.vm() + ".yaml");
+    this.log = folder.resolve(options.vm() + ".log");
+    this.process = run();
+  }
+
+  private static void killAll() {
+    RUNNING.forEach(Process::destroyForcibly);
+  }
+
+  /**
+   * Starts a daemon and returns once its ports are open; settings and log are in {@code folder}.
+   */
+  public static EntryProcess start(EntryOptions options, Path folder) throws IOException {
+    EntryProcess entry = launch(options, folder);
+    entry.awaitReady();
+    return entry;
+  }
+
+  /** Starts a daemon and returns at once; it has no ports before {@link #awaitReady}. */
+  public static EntryProcess launch(EntryOptions options, Path folder) throws IOException {
+    return new EntryProcess(options, folder);
+  }
+
+  private Process run() throws IOException {
+    Files.writeString(settings, options.yaml(callersPort(), innerPort()));
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.add("-XX:+UseSerialGC");
+    command.add("-XX:TieredStopAtLevel=1");
+    command.add("-Xmx" + options.heapMegabytes() + "m");
+    command.addAll(options.jvmOptions());
+    command.add("-cp");
+    command.add(classPath());
+    command.add("org.sageladder.entry.EntryMain");
+    command.add("--settings");
+    command.add(settings.toString());
+    Process started =
+        new ProcessBuilder(command)
+            .redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()))
+            .start();
+    RUNNING.removeIf(other -> !other.isAlive());
+    RUNNING.add(started);
+    return started;
+  }
+
+  /** The test runner keeps its own class path apart from the one of the code under test. */
+  static String classPath() {
+    return System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+  }
+
+  /** Waits for the line that names the ports. */
+  public void awaitReady() throws IOException {
+    BufferedReader out = process.inputReader(StandardCharsets.UTF_8);
+    for (String line = out.readLine(); line != null; line = out.readLine()) {
+      if (line.startsWith("ready ")) {
+        ports = ports(line);
+        return;
+      }
     }
+    throw new IOException(
+        "entry VM " + vm() + " ended before it was ready; its log is\n" + Files.readString(log));
   }
 
-  private static Process launch(Path settings, Path log, int heapMegabytes) throws IOException {
-    String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-    ProcessBuilder builder =
-        new ProcessBuilder(
-            List.of(
-                java,
-                "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1",
-                "-Xmx" + heapMegabytes + "m",
-                "-cp",
-                System.getProperty("java.class.path"),
-                "org.sageladder.entry.EntryMain",
-                "--settings",
-                settings.toString()));
-    builder.redirectError(ProcessBuilder.Redirect.appendTo(new File(log.toString())));
-    Process process = builder.start();
-    BufferedReader output = process.inputReader(StandardCharsets.UTF_8);
-    String ready = output.readLine();
-    if (ready == null || !ready.startsWith("ready ")) {
-      throw new IOException(
-          "the entry daemon of " + settings + " did not start; its log is " + log);
+  private static Map<String, Integer> ports(String readyLine) {
+    Map<String, Integer> ports = new HashMap<>();
+    for (String word : readyLine.split(" ", -1)) {
+      int equals = word.indexOf('=');
+      if (equals > 0) {
+        ports.put(word.substring(0, equals), Integer.valueOf(word.substring(equals + 1)));
+      }
     }
-    return process;
+    return ports;
   }
 
-  /** Starts the daemon anew after its end. */
+  /** Starts the daemon anew after its end, on the same ports for callers and the inner protocol. */
   public void restart() throws IOException {
-    process = launch(settings, log, heapMegabytes);
+    process = run();
+    awaitReady();
   }
 
   /** Ends the process at once, as a crash would. */
@@ -120,38 +136,56 @@
     return process.waitFor(seconds, TimeUnit.SECONDS) ? process.exitValue() : -1;
   }
 
-  /** SIGSTOP: the process stands still and does not know it. */
+  /** SIGSTOP: the process stands still, as by a hypervisor's doing, and does not know it. */
   public void pause() throws IOException, InterruptedException {
-    signal("-STOP");
+    signal("STOP");
   }
 
-  /** SIGCONT. */
+  /** SIGCONT: a paused process goes on. */
   public void resume() throws IOException, InterruptedException {
-    signal("-CONT");
+    signal("CONT");
   }
 
-  private void signal(String signal) throws IOException, InterruptedException {
-    new ProcessBuilder("kill", signal, Long.toString(process.pid())).start().waitFor();
+  private void signal(String name) throws IOException, InterruptedException {
+    int exit = new ProcessBuilder("kill", "-" + name, String.valueOf(pid())).start().waitFor();
+    if (exit != 0) {
+      throw new IOException("cannot send " + name + " to process " + pid());
+    }
   }
 
   /** Name of the entry VM. */
   public String vm() {
-    return vm;
+    return options.vm();
   }
 
   /** Its availability zone. */
   public String zone() {
-    return zone;
+    return options.zone();
+  }
+
+  /** Where the process writes its log. */
+  public Path log() {
+    return log;
+  }
+
+  /** {@code IP:PORT} for callers. */
+  public String callersAddress() {
+    return StandIns.HOST + ":" + callersPort();
   }
 
-  /** The port that callers use. */
+  /** TCP port for callers. */
   public int callersPort() {
-    return callersPort;
+    return ports.getOrDefault("callers", 0);
   }
 
-  /** The port of the inner protocol. */
+  /** TCP port for operators. */
+  public int operatorsPort() {
+    return ports.getOrDefault("operators", 0);
+  }
+
+  /** TCP port of the inner protocol. */
   public int innerPort() {
-    return innerPort;
+    return ports.getOrDefault("inner", 0);
   }
 
   /** Process id. */
@@ -159,8 +193,23 @@
     return process.pid();
   }
 
-  /** True while the process runs. */
+  /** The process itself, for what the system tells of it. */
+  public ProcessHandle handle() {
+    return process.toHandle();
+  }
+
+  /** True while the process runs, also while it is paused. */
   public boolean isAlive() {
     return process.isAlive();
   }
+
+  @Override
+  public void close() {
+    process.destroyForcibly();
+    try {
+      process.waitFor(KILL_SECONDS, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
 }
--- a/sageladder-bench/src/main/java/org/sageladder/bench/cluster/ProcessCluster.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/process/ProcessCluster.java
@@ -1,11 +1,10 @@
-package org.sageladder.bench.cluster;
+package org.sageladder.bench.process;
 
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -13,9 +12,6 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.sageladder.core.contract.Contract;
-import org.sageladder.core.platform.ListedVm;
-import org.sageladder.core.platform.VmRole;
-import org.sageladder.platform.contract.StoredContract;
 import org.sageladder.standin.store.StoreServer;
 import org.sageladder.standin.target.ServiceTime;
 import org.sageladder.standin.target.TargetOptions;
@@ -37,24 +33,22 @@
 
   private final ClusterPlan plan;
   private final Path directory;
-  private final StoreServer store;
-  private final List<TargetServer> targets = new ArrayList<>();
-  private final Map<String, String> serviceOfTarget = new TreeMap<>();
+  private final StandIns standIns;
   private final List<EntryProcess> entries = new ArrayList<>();
-  private final Map<String, Long> incarnations = new TreeMap<>();
   private final HttpClient http = HttpClient.newHttpClient();
+  private long lastIncarnation;
 
   private ProcessCluster(ClusterPlan plan, Path directory) throws IOException {
     this.plan = plan;
     this.directory = directory;
-    this.store = StoreServer.start("127.0.0.1", 0);
+    this.standIns = StandIns.start(plan.contract().customer());
   }
 
   /** Starts everything and returns once each entry VM has opened its ports. */
   public static ProcessCluster start(ClusterPlan plan, Path directory) throws IOException {
     ProcessCluster cluster = new ProcessCluster(plan, directory);
     try {
-      cluster.putContract();
+      cluster.standIns.putContract(plan.contract());
       cluster.startTargets();
       cluster.startEntries();
       return cluster;
@@ -64,12 +58,6 @@
     }
   }
 
-  private void putContract() {
-    Contract contract = plan.contract();
-    byte[] value = new StoredContract("initial", "cluster", contract).toBytes();
-    store.state().compareAndSet(StoredContract.keyOf(contract.customer()), 0, value, null);
-  }
-
   private void startTargets() throws IOException {
     for (String zone : plan.zones()) {
       for (Contract.Service service : plan.contract().services()) {
@@ -87,110 +75,78 @@
             .queue(service.slotsPerTarget())
             .serviceTime(ServiceTime.exponential(service.meanServiceMillis()))
             .seed(id.hashCode());
-    TargetServer target = TargetServer.start(plan.targets().apply(usual));
-    targets.add(target);
-    serviceOfTarget.put(id, service.name());
-    store.putVm(
-        new ListedVm(
-            VmRole.TARGET,
-            id,
-            plan.contract().customer(),
-            service.name(),
-            zone,
-            "127.0.0.1",
-            target.port(),
-            0,
-            target.incarnation(),
-            false));
+    standIns.startTarget(plan.targets().apply(usual), service.name(), zone);
   }
 
   private void startEntries() throws IOException {
-    List<EntryProcess.Starting> starting = new ArrayList<>();
-    for (String zone : plan.zones()) {
-      for (int i = 1; i <= plan.entriesPerZone(); i++) {
-        starting.add(launch("entry-" + zone + "-" + i, zone));
+    List<Starting> starting = new ArrayList<>();
+    try {
+      for (String zone : plan.zones()) {
+        for (int i = 1; i <= plan.entriesPerZone(); i++) {
+          starting.add(launch("entry-" + zone + "-" + i, zone));
+        }
       }
+    } finally {
+      starting.forEach(one -> entries.add(one.entry()));
     }
-    for (EntryProcess.Starting one : starting) {
-      list(one.ready());
+    for (Starting one : starting) {
+      ready(one);
     }
   }
 
-  private EntryProcess.Starting launch(String vm, String zone) throws IOException {
-    Path settings = directory.resolve(vm + ".yaml");
-    incarnations.put(vm, (long) incarnations.size() + 1);
-    Files.writeString(settings, settings(vm, zone));
-    return EntryProcess.start(
-        vm, zone, settings, plan.heapMegabytes(), directory.resolve(vm + ".log"));
-  }
+  /** A process that has been started and may not listen yet. */
+  private record Starting(EntryProcess entry, long incarnation) {}
 
-  private String settings(String vm, String zone) {
-    String seeds =
-        entries.isEmpty() || entries.get(0).innerPort() == 0
-            ? ""
-            : "seeds: [\"127.0.0.1:" + entries.get(0).innerPort() + "\"]\n";
-    return "vm: "
-        + vm
-        + "\ncustomer: "
-        + plan.contract().customer()
-        + "\nzone: "
-        + zone
-        + "\nhost: 127.0.0.1\nports: {callers: 0, inner: 0, operators: 0}\nstore: {uri: \""
-        + store.address()
-        + "\", timeout: 1s}\nvmList: {uri: \""
-        + store.address()
-        + "\", every: 250ms}\nincarnation: {source: fixed, number: "
-        + incarnations.get(vm)
-        + "}\n"
-        + seeds
-        + plan.entrySettings();
+  private Starting launch(String vm, String zone) throws IOException {
+    lastIncarnation++;
+    EntryOptions options =
+        EntryOptions.of(vm, plan.contract().customer(), zone, standIns.store().address())
+            .listEvery("250ms")
+            .heapMegabytes(plan.heapMegabytes())
+            .settings("incarnation: {source: fixed, number: " + lastIncarnation + "}\n")
+            .settings(seeds())
+            .settings(plan.entrySettings());
+    return new Starting(EntryProcess.launch(options, directory), lastIncarnation);
   }
 
-  private EntryProcess list(EntryProcess entry) {
-    entries.add(entry);
-    store.putVm(listed(entry));
-    return entry;
+  private String seeds() {
+    if (entries.isEmpty()) {
+      return "";
+    }
+    return "seeds: ['" + StandIns.HOST + ":" + entries.get(0).innerPort() + "']\n";
   }
 
-  private ListedVm listed(EntryProcess entry) {
-    return new ListedVm(
-        VmRole.ENTRY,
-        entry.vm(),
-        plan.contract().customer(),
-        "",
-        entry.zone(),
-        "127.0.0.1",
-        entry.callersPort(),
-        entry.innerPort(),
-        incarnations.getOrDefault(entry.vm(), 0L),
-        false);
+  private void ready(Starting one) throws IOException {
+    one.entry().awaitReady();
+    standIns.listEntry(one.entry(), one.incarnation(), false);
   }
 
   /** Starts one more entry VM in {@code zone} and adds it to the platform's list. */
   public EntryProcess addEntry(String vm, String zone) throws IOException {
-    return list(launch(vm, zone).ready());
+    Starting one = launch(vm, zone);
+    entries.add(one.entry());
+    ready(one);
+    return one.entry();
   }
 
   /** Takes an entry VM off the platform's list, as the platform does some time after its end. */
   public void unlist(EntryProcess entry) {
-    store.removeVm(entry.vm());
+    standIns.unlist(entry.vm());
   }
 
   /** The store and the list of VMs. */
   public StoreServer store() {
-    return store;
+    return standIns.store();
   }
 
   /** All targets. */
   public List<TargetServer> targets() {
-    return List.copyOf(targets);
+    return standIns.targets();
   }
 
   /** Targets that run {@code service}. */
   public List<TargetServer> targetsOf(String service) {
-    return targets.stream()
-        .filter(target -> service.equals(serviceOfTarget.get(target.options().id())))
-        .toList();
+    return standIns.targetsOf(service);
   }
 
   /** All entry VMs ever started, ended ones among them. */
@@ -211,7 +167,7 @@
   /** How often each request was started, over all targets. */
   public Map<String, Integer> executions() {
     Map<String, Integer> sum = new TreeMap<>();
-    for (TargetServer target : targets) {
+    for (TargetServer target : targets()) {
       for (String key : target.executions().keys()) {
         sum.merge(key, target.executions().count(key), Integer::sum);
       }
@@ -259,7 +215,6 @@
   @Override
   public void close() {
     entries.forEach(EntryProcess::close);
-    targets.forEach(TargetServer::close);
-    store.close();
+    standIns.close();
   }
 }
--- /dev/null
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/process/StandIns.java
@@ -0,0 +1,172 @@
+package org.sageladder.bench.process;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.core.platform.ListedVm;
+import org.sageladder.core.platform.VmRole;
+import org.sageladder.platform.contract.StoredContract;
+import org.sageladder.standin.store.StoreServer;
+import org.sageladder.standin.target.TargetOptions;
+import org.sageladder.standin.target.TargetServer;
+
+/**
+ * What surrounds one customer's entry VMs: the platform's store and list, and the targets. All are
+ * in this process, where their faults can be set and their counts read.
+ *
+ * <pre>{@code
+ * try (StandIns standIns = StandIns.start("kalnins-dauge")) {
+ *   standIns.putContract(contract);
+ *   standIns.startTarget(TargetOptions.create("bids-1"), "bids", "riga-1");
+ * }
+ * }</pre>
+ */
+public final class StandIns implements AutoCloseable {
+  /** All processes listen on this IP number. */
+  public static final String HOST = "127.0.0.1";
+
+  private final String customer;
+  private final StoreServer store;
+  private final Map<String, TargetServer> targets = new LinkedHashMap<>();
+  private final Map<String, ListedVm> lines = new LinkedHashMap<>();
+
+  private StandIns(String customer) throws IOException {
+    this.customer = customer;
+    this.store = StoreServer.start(HOST, 0);
+  }
+
+  /** An empty store and an empty list. */
+  public static StandIns start(String customer) throws IOException {
+    return new StandIns(customer);
+  }
+
+  /** Stores the customer's first contract. */
+  public void putContract(Contract contract) {
+    byte[] value = new StoredContract("initial", "bench", contract).toBytes();
+    store.state().compareAndSet(StoredContract.keyOf(customer), 0, value, null);
+  }
+
+  /** Starts a target of {@code service} and puts it on the list. */
+  public TargetServer startTarget(TargetOptions options, String service, String zone)
+      throws IOException {
+    TargetServer target = TargetServer.start(options);
+    synchronized (lines) {
+      targets.put(options.id(), target);
+    }
+    listTarget(options.id(), service, zone, target.port(), target.incarnation());
+    return target;
+  }
+
+  /** Puts a target on the list, one that need not exist. */
+  public void listTarget(String id, String service, String zone, int port, long incarnation) {
+    list(
+        new ListedVm(
+            VmRole.TARGET, id, customer, service, zone, HOST, port, 0, incarnation, false));
+  }
+
+  /** Marks a target on the list as leaving, or as returned with a new incarnation. */
+  public void listTarget(String id, long incarnation, boolean leaving) {
+    ListedVm line = line(id);
+    list(
+        new ListedVm(
+            line.role(),
+            id,
+            customer,
+            line.service(),
+            line.zone(),
+            line.host(),
+            line.port(),
+            line.innerPort(),
+            incarnation,
+            leaving));
+  }
+
+  /**
+   * Puts an entry VM on the list, as live or leaving.
+   *
+   * @param incarnation 0 where the platform does not know
+   */
+  public void listEntry(EntryProcess entry, long incarnation, boolean leaving) {
+    list(
+        new ListedVm(
+            VmRole.ENTRY,
+            entry.vm(),
+            customer,
+            "",
+            entry.zone(),
+            HOST,
+            entry.callersPort(),
+            entry.innerPort(),
+            incarnation,
+            leaving));
+  }
+
+  private void list(ListedVm line) {
+    synchronized (lines) {
+      lines.put(line.id(), line);
+    }
+    store.putVm(line);
+  }
+
+  /** Takes a VM off the list, as the platform does some time after its end. */
+  public void unlist(String id) {
+    store.removeVm(id);
+  }
+
+  /** Puts a VM back on the list as it was. */
+  public void relist(String id) {
+    store.putVm(line(id));
+  }
+
+  private ListedVm line(String id) {
+    synchronized (lines) {
+      ListedVm line = lines.get(id);
+      if (line == null) {
+        throw new IllegalArgumentException("no VM " + id + " was listed, only " + lines.keySet());
+      }
+      return line;
+    }
+  }
+
+  /** The store and the list. */
+  public StoreServer store() {
+    return store;
+  }
+
+  /** All targets in the order they were started. */
+  public List<TargetServer> targets() {
+    synchronized (lines) {
+      return List.copyOf(targets.values());
+    }
+  }
+
+  /** Targets that run {@code service}. */
+  public List<TargetServer> targetsOf(String service) {
+    return targetsWhere(line -> line.service().equals(service));
+  }
+
+  /** Targets in {@code zone}. */
+  public List<TargetServer> targetsIn(String zone) {
+    return targetsWhere(line -> line.zone().equals(zone));
+  }
+
+  private List<TargetServer> targetsWhere(Predicate<ListedVm> wanted) {
+    List<TargetServer> some = new ArrayList<>();
+    for (TargetServer target : targets()) {
+      if (wanted.test(line(target.options().id()))) {
+        some.add(target);
+      }
+    }
+    return some;
+  }
+
+  @Override
+  public void close() {
+    targets().forEach(TargetServer::close);
+    store.close();
+  }
+}
--- a/sageladder-bench/src/main/java/org/sageladder/bench/process/TestBed.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/process/TestBed.java
@@ -4,19 +4,11 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.sageladder.core.contract.Contract;
-import org.sageladder.core.platform.ListedVm;
-import org.sageladder.core.platform.VmRole;
-import org.sageladder.core.store.Store;
-import org.sageladder.core.store.StoreException;
 import org.sageladder.platform.contract.ContractYaml;
-import org.sageladder.platform.contract.StoredContract;
 import org.sageladder.platform.settings.SettingsException;
-import org.sageladder.platform.store.HttpStore;
 import org.sageladder.standin.store.StoreServer;
 import org.sageladder.standin.target.ServiceTime;
 import org.sageladder.standin.target.TargetOptions;
@@ -35,32 +27,20 @@
 
   private static final int HEAP_MEGABYTES = 96;
 
-  private final StoreServer store;
-  private final Path folder;
+  private final StandIns standIns;
+  private final RunFolder folder;
   private final List<EntryProcess> entries = new CopyOnWriteArrayList<>();
-  private final List<TargetServer> targets = new ArrayList<>();
-  private final List<ListedVm> targetLines = new ArrayList<>();
 
-  private TestBed(StoreServer store, Path folder) {
-    this.store = store;
+  private TestBed(StandIns standIns, RunFolder folder) {
+    this.standIns = standIns;
     this.folder = folder;
   }
 
   /** A contract, a store and no VMs yet. */
-  public static TestBed start(double serviceMillis)
-      throws IOException, StoreException, SettingsException {
-    TestBed bed =
-        new TestBed(StoreServer.start("127.0.0.1", 0), Files.createTempDirectory("bench"));
-    // A bench that exits or is ended must not leave its daemons behind.
-    Runtime.getRuntime().addShutdownHook(new Thread(bed::killEntries, "kill-entries"));
+  public static TestBed start(double serviceMillis) throws IOException, SettingsException {
     Contract contract = ContractYaml.parse("bench", contractText(serviceMillis));
-    try (Store client = HttpStore.connect(bed.store.address(), Duration.ofSeconds(5))) {
-      client.compareAndSet(
-          StoredContract.keyOf(CUSTOMER),
-          0,
-          new StoredContract("bench-1", "bench", contract).toBytes(),
-          null);
-    }
+    TestBed bed = new TestBed(StandIns.start(CUSTOMER), RunFolder.create("bench"));
+    bed.standIns.putContract(contract);
     return bed;
   }
 
@@ -105,38 +85,26 @@
       throws IOException {
     for (int i = 0; i < count; i++) {
       String id = service + "-" + i;
-      TargetServer target =
-          TargetServer.start(
-              TargetOptions.create(id)
-                  .slots(slots)
-                  .queue(slots)
-                  .serviceTime(time)
-                  .seed(i)
-                  .answerBytes(256));
-      targets.add(target);
-      ListedVm line =
-          new ListedVm(
-              VmRole.TARGET,
-              id,
-              CUSTOMER,
-              service,
-              zone(i),
-              "127.0.0.1",
-              target.port(),
-              0,
-              1,
-              false);
-      targetLines.add(line);
-      store.putVm(line);
+      standIns.startTarget(
+          TargetOptions.create(id)
+              .slots(slots)
+              .queue(slots)
+              .serviceTime(time)
+              .seed(i)
+              .answerBytes(256),
+          service,
+          zone(i));
     }
   }
 
   /** Starts entry daemons spread over the zones, and lists them. */
   public void addEntries(int count) throws IOException {
     for (int i = 0; i < count; i++) {
-      EntryProcess entry =
-          EntryProcess.start(
-              folder, "entry-" + i, zone(i), CUSTOMER, store.address().toString(), HEAP_MEGABYTES);
+      EntryOptions options =
+          EntryOptions.of("entry-" + i, CUSTOMER, zone(i), store().address())
+              .heapMegabytes(HEAP_MEGABYTES)
+              .settings("callerLimits: {workers: 2}\n");
+      EntryProcess entry = EntryProcess.start(options, folder.path());
       entries.add(entry);
       list(entry, false);
     }
@@ -148,40 +116,17 @@
 
   /** Puts an entry VM on the platform's list, as live or leaving. */
   public void list(EntryProcess entry, boolean leaving) {
-    store.putVm(
-        new ListedVm(
-            VmRole.ENTRY,
-            entry.vm(),
-            CUSTOMER,
-            "",
-            entry.zone(),
-            "127.0.0.1",
-            entry.callersPort(),
-            entry.innerPort(),
-            0,
-            leaving));
+    standIns.listEntry(entry, 0, leaving);
   }
 
   /** Marks a target on the list as leaving, or as returned with a new incarnation. */
   public void listTarget(int number, long incarnation, boolean leaving) {
-    ListedVm line = targetLines.get(number);
-    store.putVm(
-        new ListedVm(
-            VmRole.TARGET,
-            line.id(),
-            CUSTOMER,
-            line.service(),
-            line.zone(),
-            line.host(),
-            line.port(),
-            0,
-            incarnation,
-            leaving));
+    standIns.listTarget(targets().get(number).options().id(), incarnation, leaving);
   }
 
   /** The store stand-in. */
   public StoreServer store() {
-    return store;
+    return standIns.store();
   }
 
   /** The entry daemons. */
@@ -191,21 +136,20 @@
 
   /** The target stand-ins, in the order they were added. */
   public List<TargetServer> targets() {
-    return targets;
+    return standIns.targets();
   }
 
   /** Where settings and logs are. */
   public Path folder() {
-    return folder;
+    return folder.path();
   }
 
   /** The last lines of all logs, for a run that failed. */
   public String logs() throws IOException {
     StringBuilder text = new StringBuilder();
     for (EntryProcess entry : entries) {
-      Path log = folder.resolve(entry.vm() + ".log");
-      if (Files.exists(log)) {
-        List<String> lines = Files.readAllLines(log, StandardCharsets.UTF_8);
+      if (Files.exists(entry.log())) {
+        List<String> lines = Files.readAllLines(entry.log(), StandardCharsets.UTF_8);
         lines
             .subList(Math.max(0, lines.size() - 5), lines.size())
             .forEach(line -> text.append(line).append('\n'));
@@ -214,20 +158,10 @@
     return text.toString();
   }
 
-  private void killEntries() {
-    for (EntryProcess entry : entries) {
-      try {
-        entry.kill();
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-      }
-    }
-  }
-
   @Override
   public void close() {
-    killEntries();
-    targets.forEach(TargetServer::close);
-    store.close();
+    entries.forEach(EntryProcess::close);
+    standIns.close();
+    folder.close();
   }
 }
--- a/sageladder-bench/src/test/java/org/sageladder/bench/cluster/CallersPortTest.java
+++ b/sageladder-bench/src/test/java/org/sageladder/bench/process/CallersPortTest.java
@@ -1,4 +1,4 @@
-package org.sageladder.bench.cluster;
+package org.sageladder.bench.process;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/sageladder-bench/src/test/java/org/sageladder/bench/cluster/WholeProcessTest.java
+++ b/sageladder-bench/src/test/java/org/sageladder/bench/process/WholeProcessTest.java
@@ -1,4 +1,4 @@
-package org.sageladder.bench.cluster;
+package org.sageladder.bench.process;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -174,9 +174,9 @@
     Future<Map<String, Workload.Ended>> run = inBackground(bids("stop"), count);
     awaitExecutions(40);
     EntryProcess stopping = cluster.running().get(0);
-    stopping.beginStop();
+    stopping.terminate();
     Account account = settled(run);
-    assertEquals(0, stopping.awaitExit(60));
+    assertEquals(0, stopping.awaitEnd(60));
     replace(stopping);
     assertAccounted(count, account);
     assertEquals(0, account.unknown(), account::toString);
--- a/sageladder-bench/src/main/java/org/sageladder/bench/cluster/Workload.java
+++ b/sageladder-bench/src/test/java/org/sageladder/bench/process/Workload.java
@@ -1,4 +1,4 @@
-package org.sageladder.bench.cluster;
+package org.sageladder.bench.process;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
