Load: reports tell why the slowest requests were slow

Change: the tool fetches the events of all processes while an experiment runs; the report shows the three slowest whole answers of each service with their time line; requests.csv has every request with its end. Looking each request up by hand with sageladderctl explain was ruled out: the processes are gone when the run ends.

--- a/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalExperiment.java
+++ b/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalExperiment.java
@@ -120,6 +120,13 @@
     return system.addresses();
   }
 
+  @Override
+  public List<URI> operators() {
+    return entries.values().stream()
+        .map(daemon -> URI.create("http://127.0.0.1:" + daemon.operatorsPort()))
+        .toList();
+  }
+
   @Override
   public List<TargetView> targets() {
     return List.copyOf(targets);
--- a/sageladder-tools/src/main/java/org/sageladder/tools/load/ExperimentRun.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/ExperimentRun.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.sageladder.core.contract.Contract;
+import org.sageladder.tools.timeline.ProcessEvents;
 
 /** Runs the variants of one experiment, one after the other. */
 final class ExperimentRun {
@@ -68,7 +69,9 @@
       List<Ending> endings;
       List<FaultSchedule.Injected> injected;
       Samples samples;
-      try (Sampler sampler = Sampler.start(system.targets(), start);
+      List<ProcessEvents> events;
+      try (EventWatch watch = EventWatch.start(system.operators());
+          Sampler sampler = Sampler.start(system.targets(), start);
           FaultSchedule faults =
               FaultSchedule.start(experiment.faults(), system, start, progress)) {
         Thread ticker = new Thread(() -> tick(name, loop, arrivals.size()), "progress");
@@ -80,6 +83,7 @@
         Thread.sleep(2 * Sampler.STEP.toMillis());
         injected = faults.injected();
         samples = sampler.samples();
+        events = watch.events();
       }
       return new VariantResult(
           name,
@@ -88,6 +92,7 @@
           samples,
           injected,
           executions(system.targets()),
+          events,
           loop.latestStartNanos());
     }
   }
--- a/sageladder-tools/src/main/java/org/sageladder/tools/load/LoadMain.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/LoadMain.java
@@ -17,6 +17,7 @@
 import org.sageladder.core.contract.Contract.ShiftCap;
 import org.sageladder.platform.settings.ExitCode;
 import org.sageladder.platform.settings.SettingsException;
+import org.sageladder.tools.timeline.TimeLineMain;
 
 /** Entry point of {@code sageladder-load}. */
 public final class LoadMain {
@@ -123,7 +124,11 @@
   private static SystemUnderTest.Provider provider(CommandLine line) throws ParseException {
     String entries = line.getOptionValue("entries");
     if (entries != null) {
-      return RemoteSystem.provider(List.of(entries.split(",")), line.getOptionValue("targets", ""));
+      String operators = line.getOptionValue("operators");
+      return RemoteSystem.provider(
+          List.of(entries.split(",")),
+          operators == null ? List.of() : TimeLineMain.addresses(operators),
+          line.getOptionValue("targets", ""));
     }
     for (SystemUnderTest.Provider provider : ServiceLoader.load(SystemUnderTest.Provider.class)) {
       return provider;
@@ -135,6 +140,7 @@
     return new Options()
         .addOption(option("output", "DIRECTORY", "where the report goes; target/load/NAME"))
         .addOption(option("entries", "IP:PORT,...", "callers' ports of entry VMs that run already"))
+        .addOption(option("operators", "IP:PORT,...", "their operators' ports, for the time line"))
         .addOption(
             option("targets", "FILE", "YAML list of the target stand-ins behind them, for checks"))
         .addOption(
--- a/sageladder-tools/src/main/java/org/sageladder/tools/load/RemoteSystem.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/RemoteSystem.java
@@ -25,23 +25,26 @@
   private static final ObjectMapper JSON = new ObjectMapper();
 
   private final List<String> entries;
+  private final List<URI> operators;
   private final List<TargetView> targets;
   private final HttpCaller caller;
 
-  private RemoteSystem(List<String> entries, List<TargetView> targets, HttpCaller caller) {
+  private RemoteSystem(
+      List<String> entries, List<URI> operators, List<TargetView> targets, HttpCaller caller) {
     this.entries = entries;
+    this.operators = operators;
     this.targets = targets;
     this.caller = caller;
   }
 
-  /** Joins running entry VMs; {@code targetsFile} may be empty. */
-  static Provider provider(List<String> entries, String targetsFile) {
+  /** Joins running entry VMs; {@code operators} and {@code targetsFile} may be empty. */
+  static Provider provider(List<String> entries, List<URI> operators, String targetsFile) {
     return (contract, entriesPerZone, readyWithin) -> {
       HttpCaller caller = HttpCaller.withTimeout(TIMEOUT);
       try {
         List<TargetView> targets =
             targetsFile.isEmpty() ? List.of() : targets(Path.of(targetsFile), caller);
-        return new RemoteSystem(entries, targets, caller);
+        return new RemoteSystem(entries, operators, targets, caller);
       } catch (SettingsException e) {
         caller.close();
         throw new IOException(e.getMessage(), e);
@@ -101,6 +104,11 @@
     return entries;
   }
 
+  @Override
+  public List<URI> operators() {
+    return operators;
+  }
+
   @Override
   public List<TargetView> targets() {
     return targets;
--- a/sageladder-tools/src/main/java/org/sageladder/tools/load/Report.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/Report.java
@@ -13,6 +13,7 @@
 import org.HdrHistogram.Histogram;
 import org.sageladder.core.contract.Contract;
 import org.sageladder.tools.load.Ending.What;
+import org.sageladder.tools.timeline.TimeLine;
 
 /** Report of an experiment in Markdown and as one HTML page. */
 final class Report {
@@ -38,6 +39,7 @@
     Files.writeString(
         directory.resolve("report.md"), report.markdown(plots), StandardCharsets.UTF_8);
     Files.writeString(directory.resolve("report.html"), report.html(plots), StandardCharsets.UTF_8);
+    RequestsCsv.write(directory.resolve("requests.csv"), variants);
   }
 
   /** True where every check holds. */
@@ -86,6 +88,7 @@
     faults(first);
     comparison();
     results(first);
+    slowest(SlowRequests.of(first));
   }
 
   private void checks() {
@@ -190,6 +193,45 @@
     markdown.append("\nUnknown: ").append(unknown).append(".\n");
   }
 
+  /** Why the slowest requests were slow: their events over all processes, in order. */
+  private void slowest(SlowRequests slow) {
+    heading("Slowest requests");
+    markdown
+        .append("The slowest whole answers of each service after the warm-up, with their events. ")
+        .append("Times are after its first event.\n");
+    slow.stories().forEach(this::story);
+  }
+
+  private void story(Ending ending, List<TimeLine.Entry> entries) {
+    markdown
+        .append("\n### ")
+        .append(ending.arrival().key())
+        .append(": ")
+        .append(Checks.millis(ending.latencyNanos()))
+        .append(", due at ")
+        .append(Checks.millis(ending.arrival().dueNanos()))
+        .append(", from ")
+        .append(ending.arrival().region())
+        .append(", tries ")
+        .append(ending.tries())
+        .append("\n\n");
+    if (entries.isEmpty()) {
+      markdown.append("No events: the processes were not asked.\n");
+      return;
+    }
+    row("after the first event", "entry VM", "event", "subject", "detail");
+    row("--:", "---", "---", "---", "---");
+    long first = entries.get(0).micros();
+    for (TimeLine.Entry entry : entries) {
+      row(
+          String.format(Locale.ROOT, "%.1f ms", (entry.micros() - first) / 1e3),
+          entry.vm(),
+          entry.event().kind().name(),
+          entry.event().subject(),
+          entry.event().detail());
+    }
+  }
+
   private void heading(String text) {
     markdown.append("\n## ").append(text).append("\n\n");
   }
@@ -221,7 +263,9 @@
         continue;
       }
       flush(table, html);
-      if (line.startsWith("## ")) {
+      if (line.startsWith("### ")) {
+        html.append("<h3>").append(escape(line.substring(4))).append("</h3>");
+      } else if (line.startsWith("## ")) {
         html.append("<h2>").append(escape(line.substring(3))).append("</h2>");
       } else if (line.startsWith("# ")) {
         html.append("<h1>").append(escape(line.substring(2))).append("</h1>");
--- /dev/null
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/RequestsCsv.java
@@ -0,0 +1,53 @@
+package org.sageladder.tools.load;
+
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+
+/** Every request of a run with its end, one line each, for a spreadsheet. */
+final class RequestsCsv {
+  private static final String HEAD =
+      "variant,request,service,region,block,due_ms,latency_ms,told,result,target,tries";
+
+  private RequestsCsv() {}
+
+  static void write(Path file, List<VariantResult> variants) throws IOException {
+    try (BufferedWriter out = Files.newBufferedWriter(file, StandardCharsets.UTF_8)) {
+      out.write(HEAD);
+      out.newLine();
+      for (VariantResult variant : variants) {
+        List<Ending> endings =
+            variant.endings().stream()
+                .sorted(Comparator.comparingLong(ending -> ending.arrival().dueNanos()))
+                .toList();
+        for (Ending ending : endings) {
+          out.write(line(variant.name(), ending));
+          out.newLine();
+        }
+      }
+    }
+  }
+
+  private static String line(String variant, Ending ending) {
+    Arrival arrival = ending.arrival();
+    return String.format(
+        Locale.ROOT,
+        "%s,%s,%s,%s,%d,%.1f,%.1f,%s,%s,%s,%d",
+        variant,
+        arrival.key(),
+        arrival.service(),
+        arrival.region(),
+        arrival.block(),
+        arrival.dueNanos() / 1e6,
+        ending.latencyNanos() / 1e6,
+        ending.what(),
+        ending.code().replace(',', ';'),
+        ending.target(),
+        ending.tries());
+  }
+}
--- a/sageladder-tools/src/main/java/org/sageladder/tools/load/SystemUnderTest.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/SystemUnderTest.java
@@ -1,6 +1,7 @@
 package org.sageladder.tools.load;
 
 import java.io.IOException;
+import java.net.URI;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +13,9 @@
   /** Callers' addresses of entry VMs, {@code IP:PORT}. */
   List<String> callerAddresses();
 
+  /** Operators' ports of the entry VMs; empty where their events cannot be fetched. */
+  List<URI> operators();
+
   /** The targets; empty where only callers' results can be checked. */
   List<TargetView> targets();
 
--- a/sageladder-tools/src/main/java/org/sageladder/tools/load/VariantResult.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/VariantResult.java
@@ -5,12 +5,14 @@
 import java.util.Map;
 import org.HdrHistogram.Histogram;
 import org.sageladder.tools.load.Ending.What;
+import org.sageladder.tools.timeline.ProcessEvents;
 
 /**
  * What one variant of an experiment gave.
  *
  * @param name {@code sageladder} or the name of a baseline
  * @param executions how often each request was started, over all targets, by key
+ * @param events what the system's processes recorded; empty where none was asked
  * @param senderLagNanos how far the tool itself lagged behind the arrivals, at most
  */
 public record VariantResult(
@@ -20,6 +22,7 @@
     Samples samples,
     List<FaultSchedule.Injected> injected,
     Map<String, Integer> executions,
+    List<ProcessEvents> events,
     long senderLagNanos) {
   private static final long LONGEST_MICROS = 3_600_000_000L;
 
@@ -28,6 +31,7 @@
     endings = List.copyOf(endings);
     injected = List.copyOf(injected);
     executions = Map.copyOf(executions);
+    events = List.copyOf(events);
   }
 
   /** Endings of one service. */
@@ -35,6 +39,11 @@
     return endings.stream().filter(ending -> ending.arrival().service().equals(service)).toList();
   }
 
+  /** True where the request was due after the warm-up. */
+  boolean isWarm(Ending ending) {
+    return isWarm(ending.arrival().dueNanos());
+  }
+
   private boolean isWarm(long nanos) {
     return nanos >= experiment.warmUp().toNanos();
   }
@@ -43,7 +52,7 @@
   Histogram latency(String service) {
     Histogram histogram = new Histogram(LONGEST_MICROS, 3);
     for (Ending ending : endings(service)) {
-      if (ending.what() == What.WHOLE && isWarm(ending.arrival().dueNanos())) {
+      if (ending.what() == What.WHOLE && isWarm(ending)) {
         histogram.recordValue(Math.min(LONGEST_MICROS, Math.max(1, ending.latencyNanos() / 1_000)));
       }
     }
--- a/sageladder-tools/src/main/java/org/sageladder/tools/timeline/TimeLineMain.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/timeline/TimeLineMain.java
@@ -100,7 +100,12 @@
     return fetched;
   }
 
-  static List<URI> addresses(@Nullable String text) throws ParseException {
+  /**
+   * Operators' ports out of a list such as {@code 10.0.0.7:8082,10.0.1.7:8082}.
+   *
+   * @throws ParseException where one is no address
+   */
+  public static List<URI> addresses(@Nullable String text) throws ParseException {
     if (text == null) {
       throw new ParseException("no process to ask; give --operators IP:PORT[,IP:PORT...]");
     }
--- a/sageladder-tools/src/test/java/org/sageladder/tools/load/ChecksTest.java
+++ b/sageladder-tools/src/test/java/org/sageladder/tools/load/ChecksTest.java
@@ -150,7 +150,8 @@
       readings.add(List.of(new Reading(started.applyAsLong(step), busy, 0)));
     }
     Samples samples = new Samples(List.of(new FixedTarget()), at, readings);
-    return new VariantResult("sageladder", experiment, endings, samples, injected, executions, 0);
+    return new VariantResult(
+        "sageladder", experiment, endings, samples, injected, executions, List.of(), 0);
   }
 
   private static Ending ending(String service, boolean repeatable, What what, long millis) {
