Contracts and target options have withers; two copies of a 14-field service are gone

Cause: LocalExperiment.longerDrain and LoadMain.withoutCaps each listed all 14 fields of a service, and nine methods of TargetOptions all 13 of theirs, so each new field had to be added in eleven places. Change: Contract.withServices with Service.withDrainLimit and withShiftCaps; TargetOptions changes one private copy. A builder for contracts was ruled out: only these two are wanted outside tests.

--- a/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalExperiment.java
+++ b/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalExperiment.java
@@ -253,33 +253,9 @@
   }
 
   private static Contract longerDrain(Contract contract) {
-    List<Contract.Service> services = new ArrayList<>();
-    for (Contract.Service service : contract.services()) {
-      services.add(
-          new Contract.Service(
-              service.name(),
-              service.requestClass(),
-              service.repeatable(),
-              service.targets(),
-              service.slotsPerTarget(),
-              service.connectionsPerTarget(),
-              service.meanServiceMillis(),
-              service.queuePerTarget(),
-              service.queueWait(),
-              service.longestDeadline(),
-              service.drainLimit().plusSeconds(1),
-              service.retryFraction(),
-              service.regionShiftCap(),
-              service.targetShiftCap()));
-    }
-    return new Contract(
-        contract.customer(),
-        0,
-        contract.regions(),
-        contract.delays(),
-        contract.clientBlocks(),
-        contract.linkLimits(),
-        services);
+    return contract
+        .atRevision(0)
+        .withServices(service -> service.withDrainLimit(service.drainLimit().plusSeconds(1)));
   }
 
   @Override
--- a/sageladder-core/src/main/java/org/sageladder/core/contract/Contract.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/contract/Contract.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.UnaryOperator;
 
 /**
  * What one customer was promised; every limit that sageladder enforces follows from it.
@@ -92,6 +93,44 @@
     public double targetCapacity() {
       return slotsPerTarget * 1000.0 / meanServiceMillis;
     }
+
+    /** The same service whose leaving targets may finish work for {@code newLimit}. */
+    public Service withDrainLimit(Duration newLimit) {
+      return new Service(
+          name,
+          requestClass,
+          repeatable,
+          targets,
+          slotsPerTarget,
+          connectionsPerTarget,
+          meanServiceMillis,
+          queuePerTarget,
+          queueWait,
+          longestDeadline,
+          newLimit,
+          retryFraction,
+          regionShiftCap,
+          targetShiftCap);
+    }
+
+    /** The same service with other caps on shifts toward a region and toward a target. */
+    public Service withShiftCaps(ShiftCap newRegionCap, ShiftCap newTargetCap) {
+      return new Service(
+          name,
+          requestClass,
+          repeatable,
+          targets,
+          slotsPerTarget,
+          connectionsPerTarget,
+          meanServiceMillis,
+          queuePerTarget,
+          queueWait,
+          longestDeadline,
+          drainLimit,
+          retryFraction,
+          newRegionCap,
+          newTargetCap);
+    }
   }
 
   /** The same contract, accepted at {@code acceptedRevision}. */
@@ -100,6 +139,12 @@
         customer, acceptedRevision, regions, delays, clientBlocks, linkLimits, services);
   }
 
+  /** The same contract with each of its services changed. */
+  public Contract withServices(UnaryOperator<Service> change) {
+    List<Service> changed = services.stream().map(change).toList();
+    return new Contract(customer, revision, regions, delays, clientBlocks, linkLimits, changed);
+  }
+
   /** The service with that name. */
   public Optional<Service> service(String name) {
     return services.stream().filter(service -> service.name().equals(name)).findFirst();
--- a/sageladder-standin/src/main/java/org/sageladder/standin/target/TargetOptions.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/target/TargetOptions.java
@@ -1,5 +1,7 @@
 package org.sageladder.standin.target;
 
+import java.util.function.Consumer;
+
 /**
  * How a target stand-in is built; what goes wrong later is said with {@link TargetFaults}.
  *
@@ -56,163 +58,111 @@
 
   /** The same options listening elsewhere. */
   public TargetOptions address(String newHost, int newPort) {
-    return new TargetOptions(
-        id,
-        newHost,
-        newPort,
-        slots,
-        queue,
-        serviceTime,
-        seed,
-        answerBytes,
-        startMillis,
-        coldMillis,
-        coldFactor,
-        crashMillis,
-        incarnation);
+    return changed(
+        copy -> {
+          copy.host = newHost;
+          copy.port = newPort;
+        });
   }
 
   /** The same options with so many slots. */
   public TargetOptions slots(int newSlots) {
-    return new TargetOptions(
-        id,
-        host,
-        port,
-        newSlots,
-        queue,
-        serviceTime,
-        seed,
-        answerBytes,
-        startMillis,
-        coldMillis,
-        coldFactor,
-        crashMillis,
-        incarnation);
+    return changed(copy -> copy.slots = newSlots);
   }
 
   /** The same options with a queue of that length. */
   public TargetOptions queue(int newQueue) {
-    return new TargetOptions(
-        id,
-        host,
-        port,
-        slots,
-        newQueue,
-        serviceTime,
-        seed,
-        answerBytes,
-        startMillis,
-        coldMillis,
-        coldFactor,
-        crashMillis,
-        incarnation);
+    return changed(copy -> copy.queue = newQueue);
   }
 
   /** The same options with another service time. */
   public TargetOptions serviceTime(ServiceTime newServiceTime) {
-    return new TargetOptions(
-        id,
-        host,
-        port,
-        slots,
-        queue,
-        newServiceTime,
-        seed,
-        answerBytes,
-        startMillis,
-        coldMillis,
-        coldFactor,
-        crashMillis,
-        incarnation);
+    return changed(copy -> copy.serviceTime = newServiceTime);
   }
 
   /** The same options with another seed. */
   public TargetOptions seed(long newSeed) {
-    return new TargetOptions(
-        id,
-        host,
-        port,
-        slots,
-        queue,
-        serviceTime,
-        newSeed,
-        answerBytes,
-        startMillis,
-        coldMillis,
-        coldFactor,
-        crashMillis,
-        incarnation);
+    return changed(copy -> copy.seed = newSeed);
   }
 
   /** The same options with answers of that size. */
   public TargetOptions answerBytes(long newAnswerBytes) {
-    return new TargetOptions(
-        id,
-        host,
-        port,
-        slots,
-        queue,
-        serviceTime,
-        seed,
-        newAnswerBytes,
-        startMillis,
-        coldMillis,
-        coldFactor,
-        crashMillis,
-        incarnation);
+    return changed(copy -> copy.answerBytes = newAnswerBytes);
   }
 
   /** The same options with a start that refuses first and is slow next. */
   public TargetOptions coldStart(long newStartMillis, long newColdMillis, double newColdFactor) {
-    return new TargetOptions(
-        id,
-        host,
-        port,
-        slots,
-        queue,
-        serviceTime,
-        seed,
-        answerBytes,
-        newStartMillis,
-        newColdMillis,
-        newColdFactor,
-        crashMillis,
-        incarnation);
+    return changed(
+        copy -> {
+          copy.startMillis = newStartMillis;
+          copy.coldMillis = newColdMillis;
+          copy.coldFactor = newColdFactor;
+        });
   }
 
   /** The same options with that pause after a crash; negative: a crash ends the process. */
   public TargetOptions crashMillis(long newCrashMillis) {
-    return new TargetOptions(
-        id,
-        host,
-        port,
-        slots,
-        queue,
-        serviceTime,
-        seed,
-        answerBytes,
-        startMillis,
-        coldMillis,
-        coldFactor,
-        newCrashMillis,
-        incarnation);
+    return changed(copy -> copy.crashMillis = newCrashMillis);
   }
 
   /** The same options with that first incarnation. */
   public TargetOptions incarnation(long newIncarnation) {
-    return new TargetOptions(
-        id,
-        host,
-        port,
-        slots,
-        queue,
-        serviceTime,
-        seed,
-        answerBytes,
-        startMillis,
-        coldMillis,
-        coldFactor,
-        crashMillis,
-        newIncarnation);
+    return changed(copy -> copy.incarnation = newIncarnation);
+  }
+
+  private TargetOptions changed(Consumer<Copy> change) {
+    Copy copy = new Copy(this);
+    change.accept(copy);
+    return copy.options();
+  }
+
+  /** The fields while some of them change, so that no method above has to list them all. */
+  private static final class Copy {
+    private final String id;
+    private String host;
+    private int port;
+    private int slots;
+    private int queue;
+    private ServiceTime serviceTime;
+    private long seed;
+    private long answerBytes;
+    private long startMillis;
+    private long coldMillis;
+    private double coldFactor;
+    private long crashMillis;
+    private long incarnation;
+
+    Copy(TargetOptions from) {
+      id = from.id;
+      host = from.host;
+      port = from.port;
+      slots = from.slots;
+      queue = from.queue;
+      serviceTime = from.serviceTime;
+      seed = from.seed;
+      answerBytes = from.answerBytes;
+      startMillis = from.startMillis;
+      coldMillis = from.coldMillis;
+      coldFactor = from.coldFactor;
+      crashMillis = from.crashMillis;
+      incarnation = from.incarnation;
+    }
+
+    TargetOptions options() {
+      return new TargetOptions(
+          id,
+          host,
+          port,
+          slots,
+          queue,
+          serviceTime,
+          seed,
+          answerBytes,
+          startMillis,
+          coldMillis,
+          coldFactor,
+          crashMillis,
+          incarnation);
+    }
   }
 }
--- a/sageladder-tools/src/main/java/org/sageladder/tools/load/LoadMain.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/LoadMain.java
@@ -92,33 +92,7 @@
   }
 
   private static Contract withoutCaps(Contract contract) {
-    List<Contract.Service> services = new ArrayList<>();
-    for (Contract.Service service : contract.services()) {
-      services.add(
-          new Contract.Service(
-              service.name(),
-              service.requestClass(),
-              service.repeatable(),
-              service.targets(),
-              service.slotsPerTarget(),
-              service.connectionsPerTarget(),
-              service.meanServiceMillis(),
-              service.queuePerTarget(),
-              service.queueWait(),
-              service.longestDeadline(),
-              service.drainLimit(),
-              service.retryFraction(),
-              NO_CAP,
-              NO_CAP));
-    }
-    return new Contract(
-        contract.customer(),
-        contract.revision(),
-        contract.regions(),
-        contract.delays(),
-        contract.clientBlocks(),
-        contract.linkLimits(),
-        services);
+    return contract.withServices(service -> service.withShiftCaps(NO_CAP, NO_CAP));
   }
 
   private static SystemUnderTest.Provider provider(CommandLine line) throws ParseException {
