Load: a test shows that a disabled cap makes the verdict fail

Starting the whole system in a test was ruled out: its verdict would depend on the machine's speed. Conclusion: caps within the contract hold both cap checks, disabled caps fail both.

--- a/sageladder-tools/src/main/java/org/sageladder/tools/load/LoadMain.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/LoadMain.java
@@ -82,7 +82,7 @@
    * Breaks the system on purpose while the checks go on by the experiment's contract, to show that
    * they can fail.
    */
-  private static UnaryOperator<Contract> disabled(String what) throws ParseException {
+  static UnaryOperator<Contract> disabled(String what) throws ParseException {
     return switch (what) {
       case "nothing" -> UnaryOperator.identity();
       case "caps" -> LoadMain::withoutCaps;
--- a/sageladder-tools/src/test/java/org/sageladder/tools/load/ChecksTest.java
+++ b/sageladder-tools/src/test/java/org/sageladder/tools/load/ChecksTest.java
@@ -87,10 +87,9 @@
   }
 
   // Story: a surge of searches lands on a cold region at once; its caches are empty and every
-  // search
-  // is slow. Cause: admission without the cap. The target may gain 0.34 of 50 requests a second in
-  // a
-  // window of 5 s, which is 85 requests; here it gains 550, and 50 where it stays within.
+  // search is slow. Cause: admission without the cap. The target may gain 0.34 of 50 requests a
+  // second in a window of 5 s, which is 85 requests; here it gains 550, and 50 where it stays
+  // within.
   @Test
   void surgeBeyondTheCapFailsTheVerdictAndOneWithinItDoesNot() {
     VariantResult surge = result(List.of(), step -> step < 100 ? step : 100 + 12 * (step - 100));
@@ -160,7 +159,7 @@
     return new Ending(arrival, millis * 1_000_000, what, "OK", "t", 1);
   }
 
-  private record FixedTarget() implements TargetView {
+  record FixedTarget() implements TargetView {
     @Override
     public String id() {
       return "t";
--- /dev/null
+++ b/sageladder-tools/src/test/java/org/sageladder/tools/load/DisabledCapTest.java
@@ -0,0 +1,137 @@
+package org.sageladder.tools.load;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import org.junit.jupiter.api.Test;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.core.event.EventSink;
+import org.sageladder.core.limits.Admission;
+import org.sageladder.core.limits.AdmissionRequest;
+import org.sageladder.core.limits.ServiceGate;
+import org.sageladder.core.membership.Holding;
+import org.sageladder.core.time.VirtualTime;
+import org.sageladder.tools.load.TargetView.Reading;
+
+// Story: a release admits without caps. Callers see good latency in the test that should have
+// caught
+// it, and cold caches break on the first real surge. Cause: a verdict that no fault can make fail.
+// Here the real gate meets the same surge on a virtual clock with the contract in force and with
+// the one that --disable caps puts there; the checks go by the contract in both.
+class DisabledCapTest {
+  private static final String SEARCH = "lyric-search";
+  private static final long STEP_MILLIS = 100;
+
+  private final VirtualTime time = VirtualTime.startingAt(1_000_000);
+  private final PriorityQueue<Task> tasks =
+      new PriorityQueue<>(Comparator.comparingLong(Task::dueNanos));
+  private long started;
+  private int busy;
+
+  private record Task(long dueNanos, Runnable action) {}
+
+  @Test
+  void verdictHoldsWithTheCapsAndFailsWithoutThem() throws Exception {
+    Experiment experiment = withoutFaults();
+
+    List<CheckResult> inForce = surge(experiment, experiment.contract());
+    List<CheckResult> disabled =
+        new DisabledCapTest()
+            .surge(experiment, LoadMain.disabled("caps").apply(experiment.contract()));
+
+    assertTrue(holds(inForce, "target"), inForce::toString);
+    assertTrue(holds(inForce, "region"), inForce::toString);
+    assertFalse(holds(disabled, "target"), disabled::toString);
+    assertFalse(holds(disabled, "region"), disabled::toString);
+    assertFalse(Report.holds(disabled));
+  }
+
+  @Test
+  void disablingNothingChangesNothing() throws Exception {
+    Contract contract = withoutFaults().contract();
+
+    assertEquals(contract, LoadMain.disabled("nothing").apply(contract));
+  }
+
+  private static Experiment withoutFaults() throws Exception {
+    Experiment whole = Experiment.read(Path.of("..", "experiments", "kannelkoda.yaml"));
+    return new Experiment(
+        whole.name(),
+        whole.contract(),
+        1,
+        1,
+        whole.warmUp(),
+        whole.loads(),
+        List.of(),
+        whole.limits());
+  }
+
+  private static boolean holds(List<CheckResult> checks, String place) {
+    String name = "shift toward a " + place + " stays under its cap";
+    return checks.stream().filter(check -> check.name().equals(name)).allMatch(CheckResult::holds);
+  }
+
+  /** One target gets 2 searches a second for 10 s and 40 a second for 10 s more. */
+  private List<CheckResult> surge(Experiment experiment, Contract inForce) {
+    Contract.Service service = inForce.service(SEARCH).orElseThrow();
+    ServiceGate gate =
+        ServiceGate.create(inForce.customer(), service, time, this::runAfter, EventSink.none());
+    gate.holdings(List.of(new Holding("t", "c", SEARCH, "127.0.0.1", 1, 1, "vm", 3, false)));
+    List<Long> at = new ArrayList<>();
+    List<List<Reading>> readings = new ArrayList<>();
+    for (int step = 0; step < 200; step++) {
+      int arrivals = step >= 100 ? 4 : step % 5 == 0 ? 1 : 0;
+      for (int i = 0; i < arrivals; i++) {
+        send(gate, "r-" + step + "-" + i, (long) service.meanServiceMillis());
+      }
+      advance(Duration.ofMillis(STEP_MILLIS));
+      at.add(step * STEP_MILLIS * 1_000_000);
+      readings.add(List.of(new Reading(started, busy, 0)));
+    }
+    Samples samples = new Samples(List.of(new ChecksTest.FixedTarget()), at, readings);
+    return Checks.of(
+        new VariantResult(
+            "sageladder", experiment, List.of(), samples, List.of(), Map.of(), List.of(), 0));
+  }
+
+  private void send(ServiceGate gate, String id, long serviceMillis) {
+    long deadline = time.nanos() + Duration.ofSeconds(2).toNanos();
+    var unused =
+        gate.request(
+            new AdmissionRequest(id, deadline, "", ""),
+            admission -> {
+              if (admission instanceof Admission.Admitted admitted) {
+                started++;
+                busy++;
+                runAfter(Duration.ofMillis(serviceMillis), () -> answer(admitted));
+              }
+            });
+  }
+
+  private void answer(Admission.Admitted admitted) {
+    busy--;
+    admitted.slot().release(Admission.Completion.ANSWERED);
+  }
+
+  private void runAfter(Duration delay, Runnable task) {
+    tasks.add(new Task(time.nanos() + delay.toNanos(), task));
+  }
+
+  private void advance(Duration step) {
+    long end = time.nanos() + step.toNanos();
+    while (!tasks.isEmpty() && tasks.peek().dueNanos() <= end) {
+      Task task = tasks.remove();
+      time.advance(Duration.ofNanos(Math.max(0, task.dueNanos() - time.nanos())));
+      task.action().run();
+    }
+    time.advance(Duration.ofNanos(end - time.nanos()));
+  }
+}
