Steering: refused callers find the room that is left; a window's pace keeps up with the cap

Traced second by second: (1) all callers that a full region refused had the same last place, the one zone abroad with the most room; it refused them too while another region stood half idle and refused nobody. (2) a gate's pace within a window was taken from the window before, so a place that must use its gain early in each window lost a part of it (84 of 132 used in the third window). Change: places abroad are drawn in proportion to room, two regions abroad while the home region sends callers away; a step may hold its part of the gain more than the same step one window ago. Ruled out: queues (full only as a result), late weights (they add little once places differ).

--- a/sageladder-bench/src/test/java/org/sageladder/bench/policy/ServedShareProperties.java
+++ b/sageladder-bench/src/test/java/org/sageladder/bench/policy/ServedShareProperties.java
@@ -8,8 +8,12 @@
 
 /** The load that the distributed decisions serve against the naive central reference. */
 class ServedShareProperties {
-  /** Without faults a caller must hardly notice that nobody sees everything. */
-  @Property(tries = 4, seed = "32")
+  /**
+   * Without faults a caller must hardly notice that nobody sees everything. After a sudden surge
+   * single runs once served 92 to 95 %: all callers that a full region refused asked the same one
+   * zone abroad, while another region had room and nobody to ask for it.
+   */
+  @Property(tries = 16, seed = "32")
   void withoutFaultsNearlyAsMuchIsServedAsByOnePlaceThatSeesAll(
       @ForAll @IntRange(min = 1000, max = 9000) int seed) {
     RandomRun run = RandomRun.of(seed, 60, false);
--- a/sageladder-core/src/main/java/org/sageladder/core/limits/RateHistory.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/RateHistory.java
@@ -53,9 +53,22 @@
     return true;
   }
 
-  /** Most requests in one step of a window that may hold {@code windowLimit}. */
-  static int stepLimit(int windowLimit) {
-    return Math.max(1, (int) Math.ceil(PACE * windowLimit / STEPS));
+  /**
+   * Most requests in one step, so that a cold place is not hit by a whole window's gain at once.
+   *
+   * <p>A step may always hold its even part of the gain more than the same step one window ago.
+   * Without that a place that uses its gain early in each window, as it must under full demand,
+   * would have to start each window at the slow pace of the one before, and lose a part of its
+   * gain.
+   *
+   * @param before requests of the window before the one that ends now
+   * @param windowAgo requests of the same step one window ago
+   * @param units requests by which a window may outgrow the one before
+   */
+  static int stepLimit(int before, int windowAgo, int units) {
+    double evenPart = PACE * (before + units) / STEPS;
+    double grown = windowAgo + PACE * units / STEPS;
+    return Math.max(1, (int) Math.ceil(Math.max(evenPart, grown)));
   }
 
   long stepNanos() {
@@ -86,6 +99,11 @@
     return counts[slot(step)];
   }
 
+  /** Requests of the step that lies one window before this one. */
+  int windowAgo() {
+    return counts[slot(step - STEPS)];
+  }
+
   /** Requests of the window that ends with this step. */
   int recent() {
     return sum(0, STEPS - 1);
--- a/sageladder-core/src/main/java/org/sageladder/core/limits/TargetPool.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/TargetPool.java
@@ -312,14 +312,16 @@
     lost.forEach(target -> target.rollTo(nowNanos));
     forgetLost();
     int before = 0;
+    int windowAgo = 0;
     gateInStep = 0;
     for (TargetSlots target : targets.values()) {
       before += target.regionHistory().before();
+      windowAgo += target.regionHistory().windowAgo();
       gateInStep += target.regionHistory().inStep();
       target.recap(targetUnits(target));
     }
     gateAllowance = gainUnits(nowNanos) - worstGrowth(false);
-    gateStepLimit = RateHistory.stepLimit(before + gainUnits(nowNanos));
+    gateStepLimit = RateHistory.stepLimit(before, windowAgo, gainUnits(nowNanos));
   }
 
   /**
--- a/sageladder-core/src/main/java/org/sageladder/core/limits/TargetSlots.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/TargetSlots.java
@@ -98,7 +98,7 @@
   /** Works out what this step still allows where the target's window may grow by {@code units}. */
   void recap(int units) {
     allowance = units - history.worstGrowth();
-    stepLimit = RateHistory.stepLimit(history.before() + units);
+    stepLimit = RateHistory.stepLimit(history.before(), history.windowAgo(), units);
   }
 
   boolean isCapped() {
--- a/sageladder-core/src/main/java/org/sageladder/core/steering/ServiceTable.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/steering/ServiceTable.java
@@ -95,25 +95,36 @@
     }
     int[] counts = Apportion.of(weights, ANSWERS);
     Route[] routes = new Route[holders.isEmpty() ? 0 : ANSWERS];
-    Map<Member, Route> made = new HashMap<>();
+    Contract.Region home = facts.contract().regions().get(region);
+    FallBacks fallBacks =
+        FallBacks.forCallersOf(home, facts, isSpilling(home, facts, parts), MOST_ENTRIES);
+    Map<List<Member>, Route> made = new HashMap<>();
     int filled = 0;
     for (int i = 0; i < counts.length; i++) {
-      Member first = holders.get(i);
       for (int n = 0; n < counts[i]; n++) {
+        List<Member> entries = fallBacks.after(holders.get(i), (n + 0.5) / counts[i]);
         routes[filled++] =
-            made.computeIfAbsent(first, member -> routeVia(member, region, facts, ttlMillis));
+            made.computeIfAbsent(entries, list -> route(list, home, facts, ttlMillis));
       }
     }
     return routes;
   }
 
-  private static Route routeVia(Member first, int region, ServiceFacts facts, int ttlMillis) {
-    Contract.Region home = facts.contract().regions().get(region);
-    boolean atHome = home.zones().contains(first.zone());
-    List<Member> entries = FallBacks.of(first, home, facts, MOST_ENTRIES);
+  /** True where so many callers of {@code home} are sent abroad that an answer shows it. */
+  private static boolean isSpilling(Contract.Region home, ServiceFacts facts, double[] parts) {
+    double abroad = 0;
+    for (int zone = 0; zone < parts.length; zone++) {
+      abroad += home.zones().contains(facts.zones().get(zone).name()) ? 0 : parts[zone];
+    }
+    return abroad > 1.0 / ANSWERS;
+  }
+
+  private static Route route(
+      List<Member> entries, Contract.Region home, ServiceFacts facts, int ttlMillis) {
+    String zone = entries.get(0).zone();
+    boolean atHome = home.zones().contains(zone);
     String reason =
-        (atHome ? "in the caller's region, zone " : "home is full, headroom in zone ")
-            + first.zone();
+        (atHome ? "in the caller's region, zone " : "home is full, headroom in zone ") + zone;
     return new Route(entries, facts.contract().revision(), ttlMillis, reason);
   }
 }
--- /dev/null
+++ b/sageladder-core/src/test/java/org/sageladder/core/steering/FallBacksTest.java
@@ -0,0 +1,77 @@
+package org.sageladder.core.steering;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.core.membership.ClusterState;
+import org.sageladder.core.membership.Member;
+import org.sageladder.core.membership.ZoneSummary;
+
+class FallBacksTest {
+  private static final long NOW = 1_000_000;
+  private static final int SOUTHERN_BLOCK = 50;
+
+  @Test
+  void callersOfAFullRegionAreToldOfAllRegionsWithRoom() {
+    // South is asked for five times what it carries; north has twice the room of west. Were all
+    // answers to end with the one zone that has the most room, the refused callers would fill that
+    // zone, be refused there as well, and west would stand half idle.
+    Map<String, Integer> firstAbroad = new HashMap<>();
+    for (Route route : answers(500, 20, 70)) {
+      List<String> regions = regionsOf(route);
+      assertEquals(Set.of("south", "north", "west"), Set.copyOf(regions), regions.toString());
+      String abroad = regions.stream().filter(name -> !name.equals("south")).findFirst().get();
+      firstAbroad.merge(abroad, 1, Integer::sum);
+    }
+    double ratio = firstAbroad.get("north") / (double) firstAbroad.get("west");
+    assertTrue(ratio > 1.5 && ratio < 2.7, firstAbroad.toString());
+  }
+
+  @Test
+  void callersOfARegionWithRoomGetThreePlacesAtHome() {
+    // A VM dies: its callers should find the next place at home, where answers are near and warm.
+    for (Route route : answers(60, 20, 20)) {
+      List<String> regions = regionsOf(route);
+      assertEquals(List.of("south", "south", "south"), regions.subList(0, 3));
+      assertEquals(4, Set.copyOf(route.entries()).size());
+      assertTrue(!regions.get(3).equals("south"), "a region's loss must not strand its callers");
+    }
+  }
+
+  private static List<String> regionsOf(Route route) {
+    return route.entries().stream()
+        .map(Member::zone)
+        .map(zone -> zone.substring(0, zone.length() - 1))
+        .collect(Collectors.toList());
+  }
+
+  /** All answers for a caller of south, by the demand on each region; each carries 108. */
+  private static List<Route> answers(double south, double north, double west) {
+    Contract contract = LookUpTableTest.contract();
+    ClusterState views = LookUpTableTest.state(contract, "");
+    List<ZoneSummary> summaries = new ArrayList<>();
+    for (String zone : contract.zones()) {
+      double demand = zone.startsWith("s") ? south : zone.startsWith("n") ? north : west;
+      double admitted = Math.min(54, demand / 2);
+      summaries.add(new ZoneSummary(zone, "c", "s", NOW, 6, 0, 0, admitted, 60, demand / 2));
+    }
+    ClusterState state = new ClusterState(views.contracts(), views.views(), summaries);
+    LookUpTable table = LookUpTable.build(state, SteeringInputs.at(NOW));
+    List<Route> routes = new ArrayList<>();
+    for (int random = 0; random < ServiceTable.ANSWERS; random++) {
+      Route route = table.lookUp("c", "s", SOUTHERN_BLOCK, random);
+      assertNotNull(route);
+      routes.add(route);
+    }
+    return routes;
+  }
+}
