--- a/sageladder-entry/src/main/java/org/sageladder/entry/http/OperatorPort.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/http/OperatorPort.java
@@ -20,6 +20,7 @@
 import org.sageladder.entry.request.Answers;
 import org.sageladder.entry.request.Explanation;
 import org.sageladder.platform.event.EventPage;
+import org.sageladder.protocol.ZoneReport;
 
 /** What operators and their tools read of one entry VM: metrics, state and events. */
 public final class OperatorPort implements CallerExchange.Handler {
@@ -144,6 +145,8 @@
     state.contracts().forEach((name, contract) -> revisions.put(name, contract.revision()));
     ObjectNode views = json.putObject("views");
     state.views().values().forEach(view -> describe(view, views.putObject(view.zone())));
+    ObjectNode zones = json.putObject("zones");
+    control.reports().forEach(report -> describe(report, zones.putObject(report.zone())));
     ObjectNode held = json.putObject("gates");
     gates
         .byService()
@@ -156,6 +159,17 @@
     return json;
   }
 
+  /** What a zone's relay reported last of the contract in force there. */
+  private static void describe(ZoneReport report, ObjectNode json) {
+    json.put("customer", report.customer());
+    json.put("takenAtMillis", report.takenAtMillis());
+    json.put("ageMillis", Math.max(0, System.currentTimeMillis() - report.takenAtMillis()));
+    json.put("members", report.members());
+    json.put("lowestRevision", report.lowestRevision());
+    var lagging = json.putArray("lagging");
+    report.lagging().forEach(lagging::add);
+  }
+
   private static void describe(ZoneView view, ObjectNode json) {
     json.put("number", view.number());
     var members = json.putArray("members");
--- a/sageladder-tools/src/main/java/org/sageladder/tools/ctl/ContractCommands.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/ctl/ContractCommands.java
@@ -22,6 +22,7 @@
 /** The commands that read, check and change contracts. */
 final class ContractCommands {
   static final String BASE = "base";
+  static final String CHANGE = "change";
 
   private static final String LATEST = "latest";
 
@@ -60,6 +61,10 @@
 
   static ExitCode history(Invocation invocation) throws CtlException {
     StoredContract stored = required(invocation, invocation.operand(0));
+    String changeId = invocation.option(CHANGE);
+    if (changeId != null) {
+      return resolve(stored, changeId, invocation);
+    }
     if (stored.history().isEmpty()) {
       invocation.out().println("no changes are recorded");
     }
@@ -68,12 +73,44 @@
       invocation
           .out()
           .printf(
-              "%d  %s  %s  %s%n",
-              change.revision(), Instant.ofEpochMilli(change.atMillis()), change.author(), fields);
+              "%d  %s  %s  %s  (change %s)%n",
+              change.revision(),
+              Instant.ofEpochMilli(change.atMillis()),
+              change.author(),
+              fields,
+              change.changeId());
     }
     return ExitCode.OK;
   }
 
+  /**
+   * Tells whether a change whose answer was lost took effect.
+   *
+   * <p>Guards against trying again on a guess. A change that is not found can still take effect
+   * while its base revision stands, since the store may carry a write out late; once another
+   * revision stands, compare-and-swap refuses it for good, and the answer given here is final.
+   */
+  private static ExitCode resolve(StoredContract stored, String changeId, Invocation invocation) {
+    for (StoredContract.Change change : stored.history()) {
+      if (change.changeId().equals(changeId)) {
+        invocation.out().println("accepted at revision " + change.revision());
+        return ExitCode.OK;
+      }
+    }
+    invocation
+        .err()
+        .println(
+            "change "
+                + changeId
+                + " is not among the last "
+                + stored.history().size()
+                + " changes; revision "
+                + stored.contract().revision()
+                + " stands. Applying the file again with the same --base is safe: at most one copy"
+                + " takes effect");
+    return ExitCode.NOT_FOUND;
+  }
+
   static ExitCode apply(Invocation invocation) throws CtlException {
     String file = invocation.operand(0);
     Contract wanted = contract(file);
@@ -148,8 +185,10 @@
               + unknown.reason()
               + "); change "
               + unknown.changeId()
-              + " may or may not stand: look at 'sageladderctl history "
+              + " may or may not stand: ask 'sageladderctl history "
               + customer
+              + " --change "
+              + unknown.changeId()
               + "' before trying again");
       return ExitCode.OUTCOME_UNKNOWN;
     }
--- a/sageladder-tools/src/main/java/org/sageladder/tools/ctl/Ctl.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/ctl/Ctl.java
@@ -132,7 +132,12 @@
               1,
               1,
               "who changed what, newest first",
-              storeOptions(),
+              storeOptions()
+                  .addOption(
+                      option(
+                          ContractCommands.CHANGE,
+                          "ID",
+                          "tell whether this change, whose answer was lost, was accepted")),
               ContractCommands::history),
           new Command(
               "status",
@@ -140,9 +145,16 @@
               "",
               0,
               0,
-              "revisions, views and gates; exit 1 where an entry VM is behind or silent",
-              storeOptions().addOption(operators()),
-              SystemCommands::status),
+              "revisions by entry VM and zone, views and gates; exit 1 where one is behind or silent",
+              storeOptions()
+                  .addOption(operators())
+                  .addOption(
+                      option(
+                          StatusCommand.WAIT,
+                          "REVISION",
+                          "wait until this revision, or 'latest', is in force in every zone"))
+                  .addOption(option(StatusCommand.WITHIN, "DURATION", "longest such wait; 10s")),
+              StatusCommand::run),
           new Command(
               "drain",
               Command.Group.SYSTEM,
--- /dev/null
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/ctl/StatusCommand.java
@@ -0,0 +1,294 @@
+package org.sageladder.tools.ctl;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+import org.sageladder.core.store.Store;
+import org.sageladder.core.store.StoreException;
+import org.sageladder.core.store.StoredValue;
+import org.sageladder.platform.contract.StoredContract;
+import org.sageladder.platform.settings.ExitCode;
+import org.sageladder.tools.http.HttpAnswer;
+import org.sageladder.tools.http.HttpCaller;
+
+/**
+ * {@code status}: which revision is in force at the entry VMs asked and, as their relays report it,
+ * in every zone; with {@code --wait} until it is the wanted one everywhere.
+ */
+final class StatusCommand {
+  static final String WAIT = "wait";
+  static final String WITHIN = "within";
+
+  private static final String LATEST = "latest";
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final Duration DEFAULT_WITHIN = Duration.ofSeconds(10);
+  private static final Duration POLL = Duration.ofMillis(200);
+
+  private final Invocation invocation;
+  private final HttpCaller caller;
+  private final Map<String, Long> accepted;
+  private final @Nullable Long wanted;
+
+  private StatusCommand(
+      Invocation invocation, HttpCaller caller, Map<String, Long> accepted, @Nullable Long wanted) {
+    this.invocation = invocation;
+    this.caller = caller;
+    this.accepted = accepted;
+    this.wanted = wanted;
+  }
+
+  /** What one entry VM answered; {@code state} is null where it did not. */
+  private record Answer(URI uri, @Nullable JsonNode state, String fault) {}
+
+  static ExitCode run(Invocation invocation) throws CtlException {
+    Long wanted = wantedRevision(invocation);
+    Map<String, Long> accepted = acceptedRevisions(invocation);
+    if (LATEST.equals(invocation.option(WAIT)) && accepted.isEmpty()) {
+      throw Invocation.usage("--wait latest needs a store that holds a contract; give --store URI");
+    }
+    Duration within = invocation.duration(WITHIN, DEFAULT_WITHIN);
+    accepted.forEach(
+        (customer, revision) ->
+            invocation.out().println("store: " + customer + " at revision " + revision));
+    try (HttpCaller caller = HttpCaller.withTimeout(invocation.timeout())) {
+      StatusCommand status = new StatusCommand(invocation, caller, accepted, wanted);
+      return invocation.option(WAIT) == null ? status.once() : status.await(within);
+    }
+  }
+
+  /** The revision to wait for, or null where it is the store's, or none is waited for. */
+  private static @Nullable Long wantedRevision(Invocation invocation) throws CtlException {
+    String text = invocation.option(WAIT);
+    if (text == null || text.equals(LATEST)) {
+      return null;
+    }
+    try {
+      return Long.parseLong(text);
+    } catch (NumberFormatException e) {
+      throw Invocation.usage(
+          "--wait '" + text + "' is not allowed; give a revision or '" + LATEST + "'");
+    }
+  }
+
+  private ExitCode once() throws CtlException {
+    List<Answer> answers = ask(invocation.operators());
+    List<String> lagging = lagging(answers);
+    answers.forEach(this::print);
+    printZones(answers, invocation.out());
+    return lagging.isEmpty() ? ExitCode.OK : ExitCode.VERDICT_FAILED;
+  }
+
+  private ExitCode await(Duration within) throws CtlException {
+    List<URI> operators = invocation.requiredOperators();
+    long start = System.nanoTime();
+    while (true) {
+      List<Answer> answers = ask(operators);
+      List<String> lagging = lagging(answers);
+      if (lagging.isEmpty()) {
+        printZones(answers, invocation.out());
+        long millis = (System.nanoTime() - start) / 1_000_000;
+        invocation.out().println("in force everywhere after " + millis + " ms");
+        return ExitCode.OK;
+      }
+      if (System.nanoTime() - start >= within.toNanos()) {
+        printZones(answers, invocation.out());
+        lagging.forEach(line -> invocation.err().println("lags: " + line));
+        boolean nobody = answers.stream().allMatch(answer -> answer.state() == null);
+        return nobody ? ExitCode.UNAVAILABLE : ExitCode.VERDICT_FAILED;
+      }
+      pause();
+    }
+  }
+
+  private List<Answer> ask(List<URI> operators) {
+    List<Answer> answers = new ArrayList<>();
+    for (URI uri : operators) {
+      try {
+        answers.add(new Answer(uri, json(caller.get(uri.resolve("/v1/state"))), ""));
+      } catch (IOException e) {
+        answers.add(new Answer(uri, null, String.valueOf(e.getMessage())));
+      }
+    }
+    return answers;
+  }
+
+  /** A line for each entry VM asked and each zone that is behind, silent or of no known state. */
+  private List<String> lagging(List<Answer> answers) {
+    List<String> lagging = new ArrayList<>();
+    for (Answer answer : answers) {
+      JsonNode state = answer.state();
+      if (state == null) {
+        lagging.add(answer.uri().getAuthority() + ": no answer (" + answer.fault() + ")");
+        continue;
+      }
+      if (state.path("revisions").isEmpty()) {
+        lagging.add(name(answer, state) + ": no contract in force");
+      }
+      for (Map.Entry<String, JsonNode> revision : state.path("revisions").properties()) {
+        long inForce = revision.getValue().asLong();
+        long needed = needed(revision.getKey(), inForce);
+        if (inForce < needed) {
+          lagging.add(name(answer, state) + ": at " + inForce + ", not " + needed);
+        }
+      }
+    }
+    zones(answers).forEach((zone, report) -> addIfLagging(zone, report, lagging));
+    return lagging;
+  }
+
+  private void addIfLagging(String zone, JsonNode report, List<String> lagging) {
+    if (!report.has("lowestRevision")) {
+      lagging.add("zone " + zone + ": no report of its revision yet");
+      return;
+    }
+    long lowest = report.path("lowestRevision").asLong();
+    long needed = needed(report.path("customer").asText(), lowest);
+    if (lowest < needed) {
+      lagging.add(zoneLine(zone, report) + ", not " + needed);
+    }
+  }
+
+  /** The revision that must be in force; {@code inForce} where nothing says so. */
+  private long needed(String customer, long inForce) {
+    return wanted != null ? wanted : accepted.getOrDefault(customer, inForce);
+  }
+
+  /** The latest report of each zone that any of the entry VMs asked knows of. */
+  private static Map<String, JsonNode> zones(List<Answer> answers) {
+    Map<String, JsonNode> zones = new TreeMap<>();
+    for (Answer answer : answers) {
+      JsonNode state = answer.state();
+      if (state == null) {
+        continue;
+      }
+      state
+          .path("views")
+          .properties()
+          .forEach(view -> zones.putIfAbsent(view.getKey(), JSON.createObjectNode()));
+      for (Map.Entry<String, JsonNode> zone : state.path("zones").properties()) {
+        zones.merge(zone.getKey(), zone.getValue(), StatusCommand::later);
+      }
+    }
+    return zones;
+  }
+
+  private static JsonNode later(JsonNode left, JsonNode right) {
+    boolean rightLater = right.path("takenAtMillis").asLong() > left.path("takenAtMillis").asLong();
+    return rightLater ? right : left;
+  }
+
+  private static void printZones(List<Answer> answers, PrintStream out) {
+    Map<String, JsonNode> zones = zones(answers);
+    zones.values().removeIf(report -> !report.has("lowestRevision"));
+    zones.forEach((zone, report) -> out.println(zoneLine(zone, report)));
+    zones.entrySet().stream()
+        .min((a, b) -> Long.compare(lowest(a.getValue()), lowest(b.getValue())))
+        .ifPresent(
+            entry ->
+                out.println(
+                    "lowest revision in force: "
+                        + lowest(entry.getValue())
+                        + ", in "
+                        + entry.getKey()));
+  }
+
+  private static long lowest(JsonNode report) {
+    return report.path("lowestRevision").asLong();
+  }
+
+  private static String zoneLine(String zone, JsonNode report) {
+    StringBuilder line = new StringBuilder("zone ").append(zone);
+    line.append(": lowest revision ").append(lowest(report));
+    line.append(" at ").append(report.path("members").asInt()).append(" entry VMs");
+    line.append(", reported ").append(report.path("ageMillis").asLong()).append(" ms ago");
+    List<String> lagging = new ArrayList<>();
+    report.path("lagging").forEach(vm -> lagging.add(vm.asText()));
+    if (!lagging.isEmpty()) {
+      line.append(", behind its relay: ").append(String.join(", ", lagging));
+    }
+    return line.toString();
+  }
+
+  private void print(Answer answer) {
+    PrintStream out = invocation.out();
+    JsonNode state = answer.state();
+    if (state == null) {
+      out.println(answer.uri().getAuthority() + ": no answer (" + answer.fault() + ")");
+      return;
+    }
+    StringBuilder line = new StringBuilder(name(answer, state));
+    line.append(": ").append(state.path("readiness").asText("?"));
+    for (Map.Entry<String, JsonNode> revision : state.path("revisions").properties()) {
+      long inForce = revision.getValue().asLong();
+      line.append(", ").append(revision.getKey()).append(" at ").append(inForce);
+      long needed = needed(revision.getKey(), inForce);
+      if (needed != inForce) {
+        line.append(" (store has ").append(needed).append(")");
+      }
+    }
+    for (Map.Entry<String, JsonNode> view : state.path("views").properties()) {
+      JsonNode zone = view.getValue();
+      line.append(", ").append(view.getKey()).append(" view ").append(zone.path("number").asText());
+      line.append(" of ").append(zone.path("members").size());
+    }
+    out.println(line);
+    state.path("gates").properties().forEach(gate -> out.println(gateLine(gate)));
+  }
+
+  private static String gateLine(Map.Entry<String, JsonNode> gate) {
+    JsonNode numbers = gate.getValue();
+    return "  "
+        + gate.getKey()
+        + ": "
+        + numbers.path("busy").asInt()
+        + " of "
+        + numbers.path("slots").asInt()
+        + " slots busy, "
+        + numbers.path("queued").asInt()
+        + " waiting";
+  }
+
+  private static String name(Answer answer, JsonNode state) {
+    return state.path("vm").asText(answer.uri().getAuthority());
+  }
+
+  private static Map<String, Long> acceptedRevisions(Invocation invocation) throws CtlException {
+    Map<String, Long> revisions = new TreeMap<>();
+    if (invocation.option(Invocation.STORE) == null
+        && System.getenv(Invocation.STORE_VARIABLE) == null) {
+      return revisions;
+    }
+    try (Store store = invocation.store()) {
+      for (StoredValue value : store.list(StoredContract.KEY_PREFIX)) {
+        revisions.put(value.key().substring(StoredContract.KEY_PREFIX.length()), value.revision());
+      }
+      return revisions;
+    } catch (StoreException e) {
+      throw new CtlException(ExitCode.UNAVAILABLE, "the store cannot be read: " + e.getMessage());
+    }
+  }
+
+  private static void pause() throws CtlException {
+    try {
+      Thread.sleep(POLL.toMillis());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new CtlException(ExitCode.INTERNAL, "interrupted while waiting");
+    }
+  }
+
+  private static JsonNode json(HttpAnswer answer) throws IOException {
+    if (answer.status() != 200) {
+      throw new IOException("status " + answer.status());
+    }
+    return JSON.readTree(answer.body());
+  }
+}
--- a/sageladder-tools/src/main/java/org/sageladder/tools/ctl/SystemCommands.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/ctl/SystemCommands.java
@@ -1,7 +1,5 @@
 package org.sageladder.tools.ctl;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.URI;
@@ -9,13 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
 import org.apache.hc.core5.http.ContentType;
-import org.sageladder.core.store.Store;
-import org.sageladder.core.store.StoreException;
-import org.sageladder.core.store.StoredValue;
-import org.sageladder.platform.contract.StoredContract;
 import org.sageladder.platform.settings.ExitCode;
 import org.sageladder.tools.http.HttpAnswer;
 import org.sageladder.tools.http.HttpCaller;
@@ -32,87 +24,11 @@
   static final String SERVICE = "service";
   static final String BLOCK = "block";
 
-  private static final ObjectMapper JSON = new ObjectMapper();
   private static final Duration DEFAULT_DRAIN_WAIT = Duration.ofMinutes(2);
   private static final Duration DRAIN_POLL = Duration.ofMillis(200);
 
   private SystemCommands() {}
 
-  /** Revisions in the store beside those in force at each entry VM; differing is a verdict. */
-  static ExitCode status(Invocation invocation) throws CtlException {
-    Map<String, Long> accepted = acceptedRevisions(invocation);
-    accepted.forEach(
-        (customer, revision) ->
-            invocation.out().println("store: " + customer + " at revision " + revision));
-    boolean alike = true;
-    try (HttpCaller caller = HttpCaller.withTimeout(invocation.timeout())) {
-      for (URI uri : invocation.operators()) {
-        alike &= status(uri, caller, accepted, invocation.out());
-      }
-    }
-    return alike ? ExitCode.OK : ExitCode.VERDICT_FAILED;
-  }
-
-  private static boolean status(
-      URI uri, HttpCaller caller, Map<String, Long> accepted, PrintStream out) {
-    JsonNode state;
-    try {
-      state = json(caller.get(uri.resolve("/v1/state")));
-    } catch (IOException e) {
-      out.println(uri.getAuthority() + ": no answer (" + e.getMessage() + ")");
-      return false;
-    }
-    boolean alike = true;
-    StringBuilder line = new StringBuilder(state.path("vm").asText(uri.getAuthority()));
-    line.append(": ").append(state.path("readiness").asText("?"));
-    for (Map.Entry<String, JsonNode> revision : state.path("revisions").properties()) {
-      String customer = revision.getKey();
-      long inForce = revision.getValue().asLong();
-      line.append(", ").append(customer).append(" at ").append(inForce);
-      long wanted = accepted.getOrDefault(customer, inForce);
-      if (wanted != inForce) {
-        line.append(" (store has ").append(wanted).append(")");
-        alike = false;
-      }
-    }
-    for (Map.Entry<String, JsonNode> view : state.path("views").properties()) {
-      JsonNode zone = view.getValue();
-      line.append(", ").append(view.getKey()).append(" view ").append(zone.path("number").asText());
-      line.append(" of ").append(zone.path("members").size());
-    }
-    out.println(line);
-    for (Map.Entry<String, JsonNode> gate : state.path("gates").properties()) {
-      JsonNode numbers = gate.getValue();
-      out.println(
-          "  "
-              + gate.getKey()
-              + ": "
-              + numbers.path("busy").asInt()
-              + " of "
-              + numbers.path("slots").asInt()
-              + " slots busy, "
-              + numbers.path("queued").asInt()
-              + " waiting");
-    }
-    return alike;
-  }
-
-  private static Map<String, Long> acceptedRevisions(Invocation invocation) throws CtlException {
-    Map<String, Long> revisions = new TreeMap<>();
-    if (invocation.option(Invocation.STORE) == null
-        && System.getenv(Invocation.STORE_VARIABLE) == null) {
-      return revisions;
-    }
-    try (Store store = invocation.store()) {
-      for (StoredValue value : store.list(StoredContract.KEY_PREFIX)) {
-        revisions.put(value.key().substring(StoredContract.KEY_PREFIX.length()), value.revision());
-      }
-      return revisions;
-    } catch (StoreException e) {
-      throw new CtlException(ExitCode.UNAVAILABLE, "the store cannot be read: " + e.getMessage());
-    }
-  }
-
   /** Begins a planned stop of each named entry VM, one after the other, and waits for its end. */
   static ExitCode drain(Invocation invocation) throws CtlException {
     Duration wait = invocation.duration(WAIT, DEFAULT_DRAIN_WAIT);
@@ -222,11 +138,4 @@
     String value = invocation.option(name);
     return URLEncoder.encode(value == null ? "" : value, StandardCharsets.UTF_8);
   }
-
-  private static JsonNode json(HttpAnswer answer) throws IOException {
-    if (answer.status() != 200) {
-      throw new IOException("status " + answer.status());
-    }
-    return JSON.readTree(answer.body());
-  }
 }
--- a/sageladder-tools/src/test/java/org/sageladder/tools/ctl/CtlTest.java
+++ b/sageladder-tools/src/test/java/org/sageladder/tools/ctl/CtlTest.java
@@ -8,6 +8,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -96,6 +98,39 @@
     assertTrue(out().contains("accepted at revision"), out());
   }
 
+  // Story: the store is down while an operator applies a change. Were the change queued or dropped
+  // without a word, she would take it for accepted. Cause: an outage before anything was sent.
+  @Test
+  void changeDuringAnOutageIsRefusedAloud() {
+    store.faults(StoreFaults.none().down(true));
+
+    ExitCode code = run("apply", GOOD, "--store", uri(), "--base", "0", "--timeout", "300ms");
+
+    assertEquals(ExitCode.UNAVAILABLE, code, err());
+    assertTrue(err().startsWith("kannelkoda: nothing was written: "), err());
+    store.faults(StoreFaults.none());
+    assertEquals(ExitCode.NOT_FOUND, run("show", "kannelkoda", "--store", uri()));
+  }
+
+  // Story: every answer of the store is lost for a while. The change took effect at the first try,
+  // but the operator cannot know; she must be told so, and be able to find out once answers come.
+  @Test
+  void changeWithoutAnyAnswerIsResolvedLaterByItsId() {
+    store.faults(StoreFaults.none().loseAnswers(20));
+
+    ExitCode code = run("apply", GOOD, "--store", uri(), "--base", "0", "--timeout", "500ms");
+
+    assertEquals(ExitCode.OUTCOME_UNKNOWN, code, err());
+    Matcher command = Pattern.compile("history kannelkoda --change ([-0-9a-f]+)").matcher(err());
+    assertTrue(command.find(), err());
+    store.faults(StoreFaults.none());
+    String id = command.group(1);
+    assertEquals(ExitCode.OK, run("history", "kannelkoda", "--change", id, "--store", uri()));
+    assertTrue(out().startsWith("accepted at revision "), out());
+    assertEquals(
+        ExitCode.NOT_FOUND, run("history", "kannelkoda", "--change", "0-0", "--store", uri()));
+  }
+
   @Test
   void storeThatIsDownIsNamedAndNothingIsWritten() {
     String gone = uri();
--- /dev/null
+++ b/sageladder-tools/src/test/java/org/sageladder/tools/ctl/StatusCommandTest.java
@@ -0,0 +1,157 @@
+package org.sageladder.tools.ctl;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.sageladder.platform.settings.ExitCode;
+import org.sageladder.standin.http.JsonExchange.Reply;
+import org.sageladder.standin.http.JsonServer;
+
+class StatusCommandTest {
+  private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+  private final Map<String, Object> zones = new TreeMap<>();
+  private final AtomicInteger asked = new AtomicInteger();
+  private Runnable beforeAnswer = () -> {};
+  private JsonServer entryVm;
+
+  @BeforeEach
+  void startEntryVm() throws Exception {
+    entryVm =
+        JsonServer.start(
+            "127.0.0.1",
+            0,
+            call -> {
+              asked.incrementAndGet();
+              beforeAnswer.run();
+              return CompletableFuture.completedFuture(Reply.json(200, state()));
+            });
+    report("tartu-a", 7, 7, List.of());
+    report("tartu-b", 7, 5, List.of("vm-4"));
+  }
+
+  @AfterEach
+  void stopEntryVm() {
+    entryVm.close();
+  }
+
+  @Test
+  void lowestRevisionIsToldByZoneWithWhoLags() {
+    run("status", "--operators", address());
+    assertTrue(out().contains("zone tartu-a: lowest revision 7 at 3 entry VMs"), out());
+    assertTrue(out().contains("behind its relay: vm-4"), out());
+    assertTrue(out().contains("lowest revision in force: 5, in tartu-b"), out());
+  }
+
+  // Story: an operator's script waits for a change and goes on as soon as the VM it asked has it;
+  // another zone still serves the old limits. Cause: asking one VM for its own revision only.
+  @Test
+  void waitIsNotOverWhileAnyZoneLags() {
+    ExitCode code = run("status", "--operators", address(), "--wait", "7", "--within", "500ms");
+    assertEquals(ExitCode.VERDICT_FAILED, code);
+    assertTrue(err().contains("lags: zone tartu-b: lowest revision 5"), err());
+  }
+
+  @Test
+  void waitEndsAsSoonAsAllZonesHaveTheRevision() {
+    beforeAnswer =
+        () -> {
+          if (asked.get() == 3) {
+            report("tartu-b", 8, 7, List.of());
+          }
+        };
+    ExitCode code = run("status", "--operators", address(), "--wait", "7", "--within", "1m");
+    assertEquals(ExitCode.OK, code, err());
+    assertEquals(3, asked.get());
+    assertTrue(out().contains("in force everywhere after"), out());
+  }
+
+  // Story: a zone has just come up and its relay has not reported yet. Counting only zones that
+  // have reported, the wait would end although nothing is known of that one.
+  @Test
+  void zoneWithoutAReportLags() {
+    zones.remove("tartu-b");
+    ExitCode code = run("status", "--operators", address(), "--wait", "7", "--within", "300ms");
+    assertEquals(ExitCode.VERDICT_FAILED, code);
+    assertTrue(err().contains("zone tartu-b: no report of its revision yet"), err());
+  }
+
+  @Test
+  void waitForNobodyIsUnavailableAndBadRevisionIsUsage() {
+    String gone = address();
+    entryVm.close();
+    assertEquals(
+        ExitCode.UNAVAILABLE,
+        run("status", "--operators", gone, "--wait", "7", "--within", "300ms"));
+    assertEquals(ExitCode.USAGE, run("status", "--operators", gone, "--wait", "newest"));
+    assertTrue(err().contains("give a revision or 'latest'"), err());
+    assertEquals(ExitCode.USAGE, run("status", "--operators", gone, "--wait", "latest"));
+  }
+
+  private void report(String zone, long takenAt, long lowest, List<String> lagging) {
+    zones.put(
+        zone,
+        Map.of(
+            "customer",
+            "kannelkoda",
+            "takenAtMillis",
+            takenAt,
+            "ageMillis",
+            40,
+            "members",
+            3,
+            "lowestRevision",
+            lowest,
+            "lagging",
+            lagging));
+  }
+
+  private Map<String, Object> state() {
+    Map<String, Object> view = Map.of("number", 9, "members", List.of());
+    return Map.of(
+        "vm",
+        "vm-1",
+        "readiness",
+        "READY",
+        "revisions",
+        Map.of("kannelkoda", 7),
+        "views",
+        Map.of("tartu-a", view, "tartu-b", view),
+        "zones",
+        zones,
+        "gates",
+        Map.of());
+  }
+
+  private String address() {
+    return "127.0.0.1:" + entryVm.port();
+  }
+
+  private ExitCode run(String... args) {
+    out.reset();
+    err.reset();
+    return Ctl.run(
+        args,
+        new PrintStream(out, true, StandardCharsets.UTF_8),
+        new PrintStream(err, true, StandardCharsets.UTF_8));
+  }
+
+  private String out() {
+    return out.toString(StandardCharsets.UTF_8);
+  }
+
+  private String err() {
+    return err.toString(StandardCharsets.UTF_8);
+  }
+}
