Tests of the entry VM: one fake of a caller's connection instead of four

Cause: RequestFlowTest, PermitsTest, NotRunIsTrueTest and PlannedStopTest each had their own ResponseChannel with the same three methods. Ruled out: one FlowParts for the three tests that build it, each passes another outbound and event sink.

Change: Responses keeps the heads of the answers and gives a header's values; the checks are the same.

--- a/sageladder-entry/src/test/java/org/sageladder/entry/request/NotRunIsTrueTest.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/request/NotRunIsTrueTest.java
@@ -10,13 +10,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
-import org.apache.hc.core5.http.EntityDetails;
-import org.apache.hc.core5.http.HttpRequest;
-import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
-import org.apache.hc.core5.http.nio.AsyncPushProducer;
-import org.apache.hc.core5.http.nio.ResponseChannel;
-import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
@@ -78,7 +72,7 @@
     caller.handleRequest(
         new BasicHttpRequest("POST", "/v1/request/kalnins-dauge/bid/x"),
         new CarriedEntity(100, "text/plain", null),
-        new SilentChannel(),
+        new Responses(),
         HttpCoreContext.create());
     timers.shutdownNow();
     assertFalse(run.notRun.get() && sent.get(), "told not run, yet sent to the target");
@@ -141,17 +135,4 @@
       return "";
     }
   }
-
-  /** Takes answers that nobody reads. */
-  private static final class SilentChannel implements ResponseChannel {
-    @Override
-    public void sendInformation(HttpResponse response, HttpContext context) {}
-
-    @Override
-    public void sendResponse(
-        HttpResponse response, @Nullable EntityDetails details, HttpContext context) {}
-
-    @Override
-    public void pushPromise(HttpRequest promise, AsyncPushProducer producer, HttpContext context) {}
-  }
 }
--- a/sageladder-entry/src/test/java/org/sageladder/entry/request/PermitsTest.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/request/PermitsTest.java
@@ -9,15 +9,8 @@
 import java.util.List;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import org.apache.hc.core5.http.EntityDetails;
-import org.apache.hc.core5.http.HttpRequest;
-import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
-import org.apache.hc.core5.http.nio.AsyncPushProducer;
-import org.apache.hc.core5.http.nio.ResponseChannel;
-import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
-import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.sageladder.core.contract.Contract;
@@ -38,7 +31,7 @@
 
   private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
   private final List<String> sentTo = new ArrayList<>();
-  private final List<String> results = new ArrayList<>();
+  private final Responses answers = new Responses();
   private final PermitHome other = PermitHome.of("entry-2", 4, PermitHome.Limits.standard());
 
   @AfterEach
@@ -54,7 +47,7 @@
     PermitCodec codec = PermitCodec.of(() -> KeyRing.of(List.of(key("k1"))));
     repeat(codec, codec.seal(minted().at("127.0.0.1:8442")));
     assertEquals(List.of("127.0.0.1:8442"), sentTo);
-    assertEquals(List.of(), results);
+    assertEquals(List.of(), answers.headers(Headers.RESULT));
   }
 
   // A stranger makes up a permit with a key nobody has, whose home is a machine of its choice. An
@@ -65,7 +58,7 @@
     PermitCodec codec = PermitCodec.of(() -> KeyRing.of(List.of(key("k1"))));
     repeat(codec, strangers.seal(minted().at("127.0.0.1:8442")));
     assertEquals(List.of(), sentTo);
-    assertEquals(List.of("52 HOME_LOST"), results);
+    assertEquals(List.of("52 HOME_LOST"), answers.headers(Headers.RESULT));
   }
 
   private Permit minted() {
@@ -90,7 +83,7 @@
         .handleRequest(
             new BasicHttpRequest("POST", "/v1/request/kalnins-dauge/bid/x"),
             null,
-            new ResultList(),
+            answers,
             HttpCoreContext.create());
   }
 
@@ -117,18 +110,4 @@
     return new Contract.Service(
         "bid", RequestClass.CRITICAL, false, 1, 3, 10, 20, 5, LONG, LONG, LONG, 0, cap, cap);
   }
-
-  private final class ResultList implements ResponseChannel {
-    @Override
-    public void sendInformation(HttpResponse response, HttpContext context) {}
-
-    @Override
-    public void sendResponse(
-        HttpResponse response, @Nullable EntityDetails details, HttpContext context) {
-      results.add(response.getFirstHeader(Headers.RESULT).getValue());
-    }
-
-    @Override
-    public void pushPromise(HttpRequest promise, AsyncPushProducer producer, HttpContext context) {}
-  }
 }
--- a/sageladder-entry/src/test/java/org/sageladder/entry/request/RequestFlowTest.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/request/RequestFlowTest.java
@@ -10,16 +10,9 @@
 import java.util.List;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import org.apache.hc.core5.http.EntityDetails;
-import org.apache.hc.core5.http.HttpRequest;
-import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
-import org.apache.hc.core5.http.nio.AsyncPushProducer;
-import org.apache.hc.core5.http.nio.ResponseChannel;
-import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
-import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.sageladder.core.contract.Contract;
@@ -44,7 +37,7 @@
   private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
   private final List<Outbound.Listener> sent = new ArrayList<>();
   private final List<Integer> cancelled = new ArrayList<>();
-  private final List<HttpResponse> answers = new ArrayList<>();
+  private final Responses answers = new Responses();
   private final List<String> runs = new ArrayList<>();
 
   @AfterEach
@@ -76,7 +69,7 @@
     caller.handleRequest(
         new BasicHttpRequest("GET", "/v1/request/kalnins-dauge/lots/x"),
         null,
-        new AnswerList(),
+        answers,
         HttpCoreContext.create());
     return caller;
   }
@@ -112,7 +105,7 @@
   }
 
   private String outcome() {
-    return answers.get(0).getFirstHeader(Headers.OUTCOME).getValue();
+    return answers.headers(Headers.OUTCOME).get(0);
   }
 
   /**
@@ -238,18 +231,4 @@
     @Override
     public void release(Admission.Completion completion) {}
   }
-
-  private final class AnswerList implements ResponseChannel {
-    @Override
-    public void sendInformation(HttpResponse response, HttpContext context) {}
-
-    @Override
-    public void sendResponse(
-        HttpResponse response, @Nullable EntityDetails details, HttpContext context) {
-      answers.add(response);
-    }
-
-    @Override
-    public void pushPromise(HttpRequest promise, AsyncPushProducer producer, HttpContext context) {}
-  }
 }
--- a/sageladder-entry/src/test/java/org/sageladder/entry/stop/NoAnswers.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/request/Responses.java
@@ -1,5 +1,7 @@
-package org.sageladder.entry.stop;
+package org.sageladder.entry.request;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
@@ -8,14 +10,23 @@
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.jspecify.annotations.Nullable;
 
-/** Takes answers that nobody reads. */
-final class NoAnswers implements ResponseChannel {
+/** A caller's connection that keeps the heads of the answers written to it. */
+public final class Responses implements ResponseChannel {
+  private final List<HttpResponse> heads = new ArrayList<>();
+
+  /** The value of header {@code name} of each answer, in order. */
+  public List<String> headers(String name) {
+    return heads.stream().map(head -> head.getFirstHeader(name).getValue()).toList();
+  }
+
   @Override
   public void sendInformation(HttpResponse response, HttpContext context) {}
 
   @Override
   public void sendResponse(
-      HttpResponse response, @Nullable EntityDetails details, HttpContext context) {}
+      HttpResponse response, @Nullable EntityDetails details, HttpContext context) {
+    heads.add(response);
+  }
 
   @Override
   public void pushPromise(HttpRequest promise, AsyncPushProducer producer, HttpContext context) {}
--- a/sageladder-entry/src/test/java/org/sageladder/entry/stop/PlannedStopTest.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/stop/PlannedStopTest.java
@@ -30,6 +30,7 @@
 import org.sageladder.entry.exchange.InFlight;
 import org.sageladder.entry.exchange.Outbound;
 import org.sageladder.entry.request.PeerRoutes;
+import org.sageladder.entry.request.Responses;
 
 /** What a planned stop leaves behind. */
 class PlannedStopTest {
@@ -91,7 +92,7 @@
 
   private void beginExchange() throws IOException {
     open.handleRequest(
-        new BasicHttpRequest("GET", "/x"), null, new NoAnswers(), HttpCoreContext.create());
+        new BasicHttpRequest("GET", "/x"), null, new Responses(), HttpCoreContext.create());
   }
 
   /**
