Tests: hostile bytes on inner links; each decoder gets each damaged message

Cause: InnerLinksTest had single examples of bad frames. MessageCodecProperties gave random bytes to four decoders in one try block, so the first refusal, which nearly all random bytes meet, kept the other three from being called at all. Ruled out: a fault of the product was suspected where a length has its first bit set (closed but uncounted); the length is unsigned, it is counted TOO_LARGE.

Each decoder is now called for each input, also for encoded messages with one byte changed. RawLink replaces the hand-made sockets of InnerLinksTest.

--- a/sageladder-protocol/src/test/java/org/sageladder/protocol/InnerLinksTest.java
+++ b/sageladder-protocol/src/test/java/org/sageladder/protocol/InnerLinksTest.java
@@ -4,11 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.DataInputStream;
-import java.io.DataOutputStream;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -22,7 +19,6 @@
 import org.sageladder.core.permit.KeyRing;
 import org.sageladder.core.spread.SpreadMessage;
 import org.sageladder.protocol.ProtocolException.Reason;
-import org.sageladder.protocol.generated.Inner;
 
 class InnerLinksTest {
   private static final String LOOPBACK = "127.0.0.1";
@@ -96,8 +92,8 @@
   @Test
   void peersWhoseKeyRingsOverlapTalkDuringARotation() throws Exception {
     Inbox second = new Inbox();
-    KeyRing.Key old = key("k1", 1);
-    KeyRing.Key fresh = key("k2", 2);
+    KeyRing.Key old = RawLink.key("k1", 1);
+    KeyRing.Key fresh = RawLink.key("k2", 2);
     InnerLinks one = open("vm-1", "k", KeyRing.of(List.of(old)), new Inbox());
     InnerLinks two = open("vm-2", "k", KeyRing.of(List.of(fresh, old)), second);
     one.address(new PeerAddress("vm-2", LOOPBACK, two.port()));
@@ -108,9 +104,9 @@
   @Test
   void oversizeFirstFrameIsDroppedAndCounted() throws Exception {
     InnerLinks two = open("vm-2", "k", "k1", 1, new Inbox());
-    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), two.port())) {
-      new DataOutputStream(socket.getOutputStream()).writeInt(LinkHandler.LARGEST_FIRST_FRAME + 1);
-      assertEquals(-1, socket.getInputStream().read());
+    try (RawLink link = RawLink.dial(two.port())) {
+      link.frame(LinkHandler.LARGEST_FIRST_FRAME + 1, new byte[0]);
+      link.awaitEnd();
     }
     await(() -> two.counters().dropCount(Reason.TOO_LARGE) == 1);
   }
@@ -118,11 +114,9 @@
   @Test
   void bytesThatAreNoHelloAreDroppedAndCounted() throws Exception {
     InnerLinks two = open("vm-2", "k", "k1", 1, new Inbox());
-    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), two.port())) {
-      socket
-          .getOutputStream()
-          .write("GET / HTTP/1.1\r\n\r\n".getBytes(java.nio.charset.StandardCharsets.US_ASCII));
-      assertEquals(-1, socket.getInputStream().read());
+    try (RawLink link = RawLink.dial(two.port())) {
+      link.raw("GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+      link.awaitEnd();
     }
     await(() -> two.counters().dropCount(Reason.TOO_LARGE) == 1);
   }
@@ -130,11 +124,14 @@
   @Test
   void peerOfAnUnknownVersionIsDroppedAndCounted() throws Exception {
     InnerLinks two = open("vm-2", "k", "k1", 1, new Inbox());
-    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), two.port())) {
-      writeFrame(
-          socket,
-          hello("k1").toBuilder().setLowestVersion(8).setHighestVersion(9).build().toByteArray());
-      assertEquals(-1, socket.getInputStream().read());
+    try (RawLink link = RawLink.dial(two.port())) {
+      link.frame(
+          RawLink.hello("vm-1").toBuilder()
+              .setLowestVersion(8)
+              .setHighestVersion(9)
+              .build()
+              .toByteArray());
+      link.awaitEnd();
     }
     await(() -> two.counters().dropCount(Reason.VERSION) == 1);
   }
@@ -145,27 +142,19 @@
   void framesOfAnEarlierConnectionAreRefusedOnANewOne() throws Exception {
     Inbox second = new Inbox();
     InnerLinks two = open("vm-2", "k", "k1", 1, second);
-    byte[] helloBytes = hello("k1").toByteArray();
+    byte[] helloBytes = RawLink.hello("vm-1").toByteArray();
     byte[] recorded;
-    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), two.port())) {
-      writeFrame(socket, helloBytes);
-      Handshake.Session session = handshake().complete(helloBytes, readFrame(socket));
-      recorded =
-          sealed(
-              session,
-              Inner.Envelope.newBuilder()
-                  .setProof(Inner.Proof.getDefaultInstance())
-                  .build()
-                  .toByteArray());
-      writeFrame(socket, recorded);
+    try (RawLink link = RawLink.dial(two.port())) {
+      recorded = RawLink.sealed(link.authenticate("vm-1"), RawLink.proof());
+      link.frame(recorded);
       await(() -> two.openLinks() == 1);
     }
     await(() -> two.openLinks() == 0);
-    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), two.port())) {
-      writeFrame(socket, helloBytes);
-      readFrame(socket);
-      writeFrame(socket, recorded);
-      assertEquals(-1, socket.getInputStream().read());
+    try (RawLink link = RawLink.dial(two.port())) {
+      link.frame(helloBytes);
+      link.readFrame();
+      link.frame(recorded);
+      link.awaitEnd();
     }
     await(() -> two.counters().dropCount(Reason.NOT_AUTHENTIC) == 1);
   }
@@ -174,59 +163,20 @@
   void unknownMessageKindEndsTheConnectionAndIsCounted() throws Exception {
     Inbox second = new Inbox();
     InnerLinks two = open("vm-2", "k", "k1", 1, second);
-    byte[] helloBytes = hello("k1").toByteArray();
-    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), two.port())) {
-      writeFrame(socket, helloBytes);
-      Handshake.Session session = handshake().complete(helloBytes, readFrame(socket));
-      writeFrame(socket, sealed(session, new byte[0]));
+    try (RawLink link = RawLink.dial(two.port())) {
+      Handshake.Session session = link.authenticate("vm-1");
+      link.frame(RawLink.sealed(session, new byte[0]));
       byte[] fieldOfALaterVersion = {(byte) 0xba, 0x1f, 0};
-      writeFrame(socket, sealed(session, fieldOfALaterVersion));
-      assertEquals(-1, socket.getInputStream().read());
+      link.frame(RawLink.sealed(session, fieldOfALaterVersion));
+      link.awaitEnd();
     }
     await(() -> two.counters().dropCount(Reason.UNKNOWN_KIND) == 1);
     assertTrue(second.isEmpty());
   }
 
-  private static Handshake handshake() {
-    KeyRing ring = KeyRing.of(List.of(key("k1", 1)));
-    return new Handshake(new LinkIdentity("vm-1", "k", 1), () -> Optional.of(ring));
-  }
-
-  private static Inner.Hello hello(String keyId) {
-    return Inner.Hello.newBuilder()
-        .setLowestVersion(1)
-        .setHighestVersion(1)
-        .setVm("vm-1")
-        .setCustomer("k")
-        .setKeyId(keyId)
-        .setNonce(com.google.protobuf.ByteString.copyFrom(new byte[16]))
-        .build();
-  }
-
-  private static byte[] sealed(Handshake.Session session, byte[] body) {
-    byte[] tag = session.writing().next(body);
-    byte[] sealed = java.util.Arrays.copyOf(tag, tag.length + body.length);
-    System.arraycopy(body, 0, sealed, tag.length, body.length);
-    return sealed;
-  }
-
-  private static void writeFrame(Socket socket, byte[] bytes) throws IOException {
-    DataOutputStream out = new DataOutputStream(socket.getOutputStream());
-    out.writeInt(bytes.length);
-    out.write(bytes);
-    out.flush();
-  }
-
-  private static byte[] readFrame(Socket socket) throws IOException {
-    DataInputStream in = new DataInputStream(socket.getInputStream());
-    byte[] bytes = new byte[in.readInt()];
-    in.readFully(bytes);
-    return bytes;
-  }
-
   private InnerLinks open(String vm, String customer, String keyId, int secret, Inbox inbox)
       throws IOException {
-    return open(vm, customer, KeyRing.of(List.of(key(keyId, secret))), inbox);
+    return open(vm, customer, KeyRing.of(List.of(RawLink.key(keyId, secret))), inbox);
   }
 
   private InnerLinks open(String vm, String customer, KeyRing ring, Inbox inbox)
@@ -237,12 +187,6 @@
     return links;
   }
 
-  private static KeyRing.Key key(String id, int secret) {
-    byte[] bytes = new byte[32];
-    java.util.Arrays.fill(bytes, (byte) secret);
-    return new KeyRing.Key(id, 0, KeyRing.Secret.of(bytes));
-  }
-
   private static void await(BooleanSupplier condition) throws InterruptedException {
     long end = System.nanoTime() + Duration.ofSeconds(10).toNanos();
     while (!condition.getAsBoolean()) {
--- a/sageladder-protocol/src/test/java/org/sageladder/protocol/MessageCodecProperties.java
+++ b/sageladder-protocol/src/test/java/org/sageladder/protocol/MessageCodecProperties.java
@@ -8,6 +8,7 @@
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
 import org.sageladder.core.membership.Heartbeat;
 import org.sageladder.core.membership.HeartbeatAnswer;
 import org.sageladder.core.membership.Holding;
@@ -24,20 +25,71 @@
   private static final Member MEMBER =
       new Member("vm-1", "tartu-a", 77, "127.0.0.1", 7001, 7002, true);
 
+  private static final Holding HOLDING =
+      new Holding("t-1", "kannelkoda", "search", "127.0.0.1", 9000, 3, "vm-1", 2, true);
+  private static final RelayedView VIEW =
+      new RelayedView(
+          new ZoneView("tartu-a", 1L << 40, List.of(MEMBER), List.of(HOLDING)),
+          "vm-1",
+          List.of(new RelayedView.Withheld("t-1", "vm-2", 5, 6, true)));
+  private static final ZoneReport REPORT =
+      new ZoneReport(
+          "tartu-a",
+          "kannelkoda",
+          1_234,
+          List.of(
+              new ZoneSummary(
+                  "tartu-a", "kannelkoda", "search", 1_234, 36, 12, 3, 40.5, 50.25, 41)),
+          4,
+          17,
+          List.of("vm-3"));
+  private static final List<Decoder> DECODERS =
+      List.of(
+          MessageCodec::decode,
+          MessageCodec::decodePayload,
+          MembershipCodec::decodeView,
+          MembershipCodec::decodeReport);
+  private static final List<byte[]> ENCODED =
+      List.of(
+          MessageCodec.encode(new InnerMessage.Beat(heartbeat())),
+          MessageCodec.encode(new TopicPayload("share-transfer", new byte[] {1, 2, 3})),
+          MembershipCodec.encode(VIEW),
+          MembershipCodec.encode(REPORT));
+
   // A peer of another version, a port scanner or a broken process sends bytes that are no message.
   // An exception of another kind would end the connection's thread, not the connection.
   @Property(tries = 500, seed = "20261202")
   void anyBytesGiveAMessageOrAProtocolException(@ForAll byte[] bytes) {
+    for (Decoder decoder : DECODERS) {
+      decodes(decoder, bytes);
+    }
+  }
+
+  // The same for bytes that were a message once: damage that leaves most of it in shape gets
+  // further into a decoder than random bytes do.
+  @Property(tries = 500, seed = "20261202")
+  void damagedMessagesGiveAMessageOrAProtocolException(
+      @ForAll @IntRange(max = 3) int which, @ForAll int at, @ForAll byte with) {
+    byte[] damaged = ENCODED.get(which).clone();
+    damaged[Math.floorMod(at, damaged.length)] = with;
+    for (Decoder decoder : DECODERS) {
+      decodes(decoder, damaged);
+    }
+  }
+
+  private static void decodes(Decoder decoder, byte[] bytes) {
     try {
-      MessageCodec.decode(bytes);
-      MembershipCodec.decodeView(bytes);
-      MembershipCodec.decodeReport(bytes);
-      MessageCodec.decodePayload(bytes);
+      decoder.decode(bytes);
     } catch (ProtocolException expected) {
       // That is the answer to bytes that are no message.
     }
   }
 
+  @FunctionalInterface
+  private interface Decoder {
+    Object decode(byte[] bytes) throws ProtocolException;
+  }
+
   @Property(tries = 500, seed = "20261202")
   void cutMessageGivesAMessageOrAProtocolException(@ForAll int cut) {
     byte[] whole = MessageCodec.encode(new InnerMessage.Beat(heartbeat()));
@@ -69,30 +121,12 @@
 
   @Example
   void viewKeepsEverything() throws ProtocolException {
-    Holding holding =
-        new Holding("t-1", "kannelkoda", "search", "127.0.0.1", 9000, 3, "vm-1", 2, true);
-    RelayedView view =
-        new RelayedView(
-            new ZoneView("tartu-a", 1L << 40, List.of(MEMBER), List.of(holding)),
-            "vm-1",
-            List.of(new RelayedView.Withheld("t-1", "vm-2", 5, 6, true)));
-    assertEquals(view, MembershipCodec.decodeView(MembershipCodec.encode(view)));
+    assertEquals(VIEW, MembershipCodec.decodeView(MembershipCodec.encode(VIEW)));
   }
 
   @Example
   void reportKeepsEverything() throws ProtocolException {
-    ZoneReport report =
-        new ZoneReport(
-            "tartu-a",
-            "kannelkoda",
-            1_234,
-            List.of(
-                new ZoneSummary(
-                    "tartu-a", "kannelkoda", "search", 1_234, 36, 12, 3, 40.5, 50.25, 41)),
-            4,
-            17,
-            List.of("vm-3"));
-    assertEquals(report, MembershipCodec.decodeReport(MembershipCodec.encode(report)));
+    assertEquals(REPORT, MembershipCodec.decodeReport(MembershipCodec.encode(REPORT)));
   }
 
   @Property(tries = 100, seed = "20261202")
