Gates: a target's history moves with it; without one the new gate waits a window

Change: FormerHolders tells from the views which targets another VM, or an earlier incarnation of this one, may have held; the old gate posts its TargetHistory to the new holder's peer route, sealed like other words between entry VMs and with the view's number, so that a history of an earlier move is left out. Lost, repeated, late and overtaking messages and restarts are tested. The wait is the longer of both caps' windows (it was the region's alone). Ruled out: a reserve of the gain for moves (slows every climb for rare moves); the target's own report (says busy, not how many were started). Not told apart: a VM whose very first view names it with its present incarnation; then the target counts as new. EntryDaemon, PeerRoutes and RequestPath are touched by a few lines each.

--- a/sageladder-core/src/main/java/org/sageladder/core/limits/ServiceGate.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/ServiceGate.java
@@ -149,14 +149,20 @@
     }
   }
 
-  /** Takes what the entry VM that held a target before counted of it; repeats have no effect. */
-  public void learn(TargetHistory history) {
+  /**
+   * Takes what the entry VM that held a target before counted of it; repeats have no effect.
+   *
+   * @return true where the target is held here and waited for it
+   */
+  public boolean learn(TargetHistory history) {
     List<Decision> decisions = new ArrayList<>();
+    boolean taken;
     synchronized (lock) {
-      pool.learn(history, time.nanos(), time.wallMillis());
+      taken = pool.learn(history, time.nanos(), time.wallMillis());
       pump(decisions);
     }
     deliver(decisions);
+    return taken;
   }
 
   /** Puts the limits of a new revision in force; waiting requests keep their places. */
--- a/sageladder-core/src/main/java/org/sageladder/core/limits/TargetPool.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/TargetPool.java
@@ -87,8 +87,11 @@
       known.loseHold();
       lost.add(known);
     }
-    Duration window = service.regionShiftCap().window();
-    long waitNanos = window.toNanos() + window.toNanos() / RateHistory.STEPS;
+    long windowNanos =
+        Math.max(
+            service.regionShiftCap().window().toNanos(),
+            service.targetShiftCap().window().toNanos());
+    long waitNanos = windowNanos + windowNanos / RateHistory.STEPS;
     long workFrom = takenOver ? nowNanos + waitNanos : nowNanos;
     targets.put(
         holding.target(),
@@ -128,17 +131,18 @@
   }
 
   /** Takes what the gate before counted of a target held here now. */
-  void learn(TargetHistory told, long nowNanos, long nowMillis) {
+  boolean learn(TargetHistory told, long nowNanos, long nowMillis) {
     TargetSlots target = targets.get(told.target());
     if (target == null || target.holding().targetIncarnation() != told.targetIncarnation()) {
-      return;
+      return false;
     }
     recount(nowNanos);
     long agoNanos = Math.max(0, nowMillis - told.takenAtMillis()) * 1_000_000;
     int stepsAgo = (int) Math.min(10_000, agoNanos / target.history().stepNanos());
     int regionStepsAgo = (int) Math.min(10_000, agoNanos / target.regionHistory().stepNanos());
-    target.learn(told, stepsAgo, regionStepsAgo, nowNanos);
+    boolean taken = target.learn(told, stepsAgo, regionStepsAgo, nowNanos);
     recount(nowNanos);
+    return taken;
   }
 
   /** Gain units lent by other gates, less those lent to them. */
--- a/sageladder-core/src/main/java/org/sageladder/core/limits/TargetSlots.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/TargetSlots.java
@@ -133,9 +133,9 @@
   }
 
   /** Takes what the gate before counted; only a target that still waits for it accepts it. */
-  void learn(TargetHistory told, int stepsAgo, int regionStepsAgo, long nowNanos) {
+  boolean learn(TargetHistory told, int stepsAgo, int regionStepsAgo, long nowNanos) {
     if (coldStartHere || !awaitsWindow(nowNanos)) {
-      return;
+      return false;
     }
     history.addPast(told.targetSteps(), stepsAgo);
     workFromNanos = nowNanos;
@@ -146,6 +146,7 @@
       regionHistory.addPast(told.regionSteps(), regionStepsAgo);
       gainFromNanos = nowNanos;
     }
+    return true;
   }
 
   /** Takes a newer holding of the same incarnation; leaving is never undone. */
--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -38,6 +38,7 @@
 import org.sageladder.entry.gates.LoadPoller;
 import org.sageladder.entry.http.HttpListener;
 import org.sageladder.entry.http.OperatorPort;
+import org.sageladder.entry.request.HistoryPost;
 import org.sageladder.entry.request.RequestPath;
 import org.sageladder.entry.settings.EntrySettings;
 import org.sageladder.entry.stop.PermitHandOver;
@@ -118,11 +119,12 @@
     PermitKeys permitKeys =
         PermitKeys.of(store, settings.customer(), KEY_PERIOD, new SecureRandom());
     KeyRefresher keys = KeyRefresher.start(permitKeys, time);
-    RelayControlPlane control = controlPlane(settings, store, list, permitKeys, time, events);
+    Member self = self(settings, store, time);
+    RelayControlPlane control = controlPlane(settings, self, store, list, permitKeys, time, events);
     ControlMetrics.bind(metrics, control);
     OutboundClient client =
         OutboundClient.start(settings.callerLimits().workers(), CONNECTIONS_PER_HOST);
-    GateTable gates = gates(settings, time, timers, events);
+    GateTable gates = gates(settings, self.incarnation(), time, timers, events);
     RequestPath path =
         RequestPath.assemble(
             settings, client, timers, time, events, metrics, control, gates, permitKeys::ring);
@@ -130,6 +132,7 @@
     PlannedStop plannedStop = plannedStop(settings, control, inFlight, path, client, time);
     // Its task ends with the timers, so nothing else has to close it.
     LoadPoller.start(gates, client, time, timers, LOAD_PERIOD);
+    gates.tellNewHolders(HistoryPost.of(self, settings.customer(), path.codec(), client, time));
     control.onChange(gates::follow);
     control.onChange(path::follow);
     control.summaries(gates::summaries);
@@ -207,23 +210,22 @@
   }
 
   private static GateTable gates(
-      EntrySettings settings, TimeSource time, ScheduledExecutorService timers, EventSink events) {
+      EntrySettings settings,
+      long incarnation,
+      TimeSource time,
+      ScheduledExecutorService timers,
+      EventSink events) {
     return GateTable.create(
         settings.vm(),
         settings.zone(),
         settings.customer(),
         time,
+        incarnation,
         service ->
             ServiceGate.create(settings.customer(), service, time, Scheduler.of(timers), events));
   }
 
-  private static RelayControlPlane controlPlane(
-      EntrySettings settings,
-      Store store,
-      VmList list,
-      PermitKeys keys,
-      TimeSource time,
-      EventSink events)
+  private static Member self(EntrySettings settings, Store store, TimeSource time)
       throws IOException {
     long incarnation;
     try {
@@ -234,15 +236,25 @@
       throw new IOException(
           "incarnation.source is store, and the store gives no answer: " + e.getMessage(), e);
     }
-    Member self =
-        new Member(
-            settings.vm(),
-            settings.zone(),
-            incarnation,
-            settings.host(),
-            0,
-            settings.ports().inner(),
-            false);
+    return new Member(
+        settings.vm(),
+        settings.zone(),
+        incarnation,
+        settings.host(),
+        0,
+        settings.ports().inner(),
+        false);
+  }
+
+  private static RelayControlPlane controlPlane(
+      EntrySettings settings,
+      Member self,
+      Store store,
+      VmList list,
+      PermitKeys keys,
+      TimeSource time,
+      EventSink events)
+      throws IOException {
     List<PeerAddress> seeds =
         settings.seeds().stream()
             .map(seed -> new PeerAddress("", seed.host(), seed.port()))
--- a/sageladder-entry/src/main/java/org/sageladder/entry/gates/GateTable.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/gates/GateTable.java
@@ -1,15 +1,18 @@
 package org.sageladder.entry.gates;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.contract.Contract;
 import org.sageladder.core.limits.GateNumbers;
 import org.sageladder.core.limits.ServiceGate;
+import org.sageladder.core.limits.TargetHistory;
 import org.sageladder.core.membership.ClusterState;
 import org.sageladder.core.membership.Holding;
 import org.sageladder.core.membership.TargetReport;
@@ -17,8 +20,18 @@
 import org.sageladder.core.membership.ZoneView;
 import org.sageladder.core.time.TimeSource;
 
-/** The gates of this entry VM, one for each service, kept in step with the zone's view. */
+/**
+ * The gates of this entry VM, one for each service, kept in step with the zone's view.
+ *
+ * <p>Where a view moves a target, the gate that loses it sends what it counted to the gate that
+ * gets it, which gives the target no work until then, or for one window of the shift cap.
+ *
+ * <p>Lock order: this table's lock comes before those of the gates.
+ */
 public final class GateTable implements AutoCloseable {
+  /** How long a history waits here for the view that names this entry VM as the holder. */
+  private static final long HISTORY_WAIT_NANOS = Duration.ofSeconds(2).toNanos();
+
   private final String vm;
   private final String zone;
   private final String customer;
@@ -26,13 +39,20 @@
   private final TimeSource time;
   private volatile List<Holding> zoneHoldings = List.of();
   private final Map<String, ServiceGate> gates = new ConcurrentHashMap<>();
+  private final FormerHolders formerHolders;
+  private volatile HistorySender sender = HistorySender.none();
+  private final Map<String, Told> told = new HashMap<>();
+
+  private record Told(long view, TargetHistory history, long receivedNanos) {}
 
   private GateTable(
       String vm,
       String zone,
       String customer,
       TimeSource time,
+      long incarnation,
       Function<Contract.Service, ServiceGate> maker) {
+    this.formerHolders = new FormerHolders(vm, incarnation);
     this.vm = vm;
     this.zone = zone;
     this.customer = customer;
@@ -40,25 +60,38 @@
     this.maker = maker;
   }
 
-  /** A table without gates; {@code maker} makes the gate of a service when it is first named. */
+  /**
+   * A table without gates.
+   *
+   * @param incarnation of this entry VM, as its zone's views name it
+   * @param maker makes the gate of a service when it is first named
+   */
   public static GateTable create(
       String vm,
       String zone,
       String customer,
       TimeSource time,
+      long incarnation,
       Function<Contract.Service, ServiceGate> maker) {
-    return new GateTable(vm, zone, customer, time, maker);
+    return new GateTable(vm, zone, customer, time, incarnation, maker);
+  }
+
+  /** Names how the new holders of targets that move away are told; until then they are not. */
+  public void tellNewHolders(HistorySender newSender) {
+    sender = newSender;
   }
 
   /** Follows a new contract or view. */
-  public void follow(ClusterState state) {
+  public synchronized void follow(ClusterState state) {
     Contract contract = state.contracts().get(customer);
     if (contract == null) {
       return;
     }
     Map<String, List<Holding>> held = new HashMap<>();
     ZoneView view = state.views().get(zone);
+    Set<String> takenOver = Set.of();
     if (view != null) {
+      takenOver = formerHolders.follow(view);
       zoneHoldings = view.holdings();
       for (Holding holding : view.holdings()) {
         if (holding.holder().equals(vm)) {
@@ -69,7 +102,53 @@
     for (Contract.Service service : contract.services()) {
       ServiceGate gate = gates.computeIfAbsent(service.name(), name -> maker.apply(service));
       gate.contract(service);
-      gate.holdings(held.getOrDefault(service.name(), List.of()));
+      gate.holdings(held.getOrDefault(service.name(), List.of()), takenOver);
+    }
+    learnTold();
+    if (view != null) {
+      handOver(view);
+    }
+  }
+
+  /**
+   * Takes what another entry VM's gate counted of a target that is held here now or soon.
+   *
+   * @param view number of the view by which the target moved
+   */
+  public synchronized void learn(long view, TargetHistory history) {
+    told.put(history.target(), new Told(view, history, time.nanos()));
+    learnTold();
+  }
+
+  /**
+   * A history may overtake the view that names this entry VM, so it is kept for a while. One of an
+   * earlier move says nothing of what the last holder did, and is left out.
+   */
+  private void learnTold() {
+    long now = time.nanos();
+    told.values().removeIf(each -> now - each.receivedNanos() > HISTORY_WAIT_NANOS);
+    told.values().removeIf(this::isTaken);
+  }
+
+  private boolean isTaken(Told each) {
+    return each.view() > formerHolders.lastElsewhere(each.history().target())
+        && gates.values().stream().anyMatch(gate -> gate.learn(each.history()));
+  }
+
+  /** Tells the holders of targets that this entry VM held before what its gates counted. */
+  private void handOver(ZoneView view) {
+    for (Holding holding : view.holdings()) {
+      ServiceGate gate = gates.get(holding.service());
+      if (gate == null || holding.holder().isEmpty() || holding.holder().equals(vm)) {
+        continue;
+      }
+      view.members().stream()
+          .filter(member -> member.vm().equals(holding.holder()))
+          .findFirst()
+          .ifPresent(
+              member ->
+                  gate.handOver(holding.target())
+                      .ifPresent(history -> sender.send(member, view.number(), history)));
     }
   }
 
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/HistoryPost.java
@@ -0,0 +1,109 @@
+package org.sageladder.entry.request;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.impl.BasicEntityDetails;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.net.URIAuthority;
+import org.jspecify.annotations.Nullable;
+import org.sageladder.core.limits.TargetHistory;
+import org.sageladder.core.membership.Member;
+import org.sageladder.core.permit.Permit;
+import org.sageladder.core.permit.PermitCodec;
+import org.sageladder.core.time.TimeSource;
+import org.sageladder.entry.exchange.BodyCollector;
+import org.sageladder.entry.exchange.BodyPipe;
+import org.sageladder.entry.exchange.Outbound;
+import org.sageladder.entry.gates.HistorySender;
+
+/**
+ * Sends target histories to the callers' port of their new holders, with a sealed word whose
+ * sequence is the number of the view that moved the target.
+ */
+public final class HistoryPost implements HistorySender {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final JsonMapper JSON = new JsonMapper();
+  private static final int LARGEST_ANSWER = 4096;
+  private static final Duration CONNECT = Duration.ofMillis(500);
+  private static final Duration WORD_LIFE = Duration.ofSeconds(10);
+
+  private final Member self;
+  private final String customer;
+  private final PermitCodec codec;
+  private final Outbound client;
+  private final TimeSource time;
+
+  private HistoryPost(
+      Member self, String customer, PermitCodec codec, Outbound client, TimeSource time) {
+    this.self = self;
+    this.customer = customer;
+    this.codec = codec;
+    this.client = client;
+    this.time = time;
+  }
+
+  /** A sender for the entry VM {@code self}. */
+  public static HistoryPost of(
+      Member self, String customer, PermitCodec codec, Outbound client, TimeSource time) {
+    return new HistoryPost(self, customer, codec, client, time);
+  }
+
+  @Override
+  public void send(Member holder, long view, TargetHistory history) {
+    byte[] body;
+    try {
+      body = JSON.writeValueAsBytes(history);
+    } catch (JsonProcessingException e) {
+      logger.atWarning().withCause(e).log("cannot write the history of %s", history.target());
+      return;
+    }
+    BasicHttpRequest request = new BasicHttpRequest("PUT", PeerRoutes.TARGET_HISTORY);
+    HttpHost host = new HttpHost(holder.host(), holder.port());
+    request.setScheme(host.getSchemeName());
+    request.setAuthority(new URIAuthority(host));
+    request.setHeader(Headers.DISPATCH, codec.seal(word(view, history)));
+    client.send(
+        host,
+        request,
+        new BasicEntityDetails(body.length, ContentType.APPLICATION_JSON),
+        BodyPipe.of(body),
+        CONNECT,
+        new Answer(holder.vm(), history.target()));
+  }
+
+  private Permit word(long view, TargetHistory history) {
+    long expiry = time.wallMillis() + WORD_LIFE.toMillis();
+    return new Permit(
+        self.vm(),
+        self.incarnation(),
+        view,
+        expiry,
+        customer,
+        PeerRoutes.TARGET_HISTORY,
+        history.target());
+  }
+
+  private record Answer(String vm, String target) implements Outbound.Listener {
+    @Override
+    public void head(HttpResponse response, @Nullable EntityDetails details, BodyPipe body) {
+      if (details != null) {
+        BodyCollector.collect(body, LARGEST_ANSWER, bytes -> {});
+      }
+    }
+
+    @Override
+    public void done() {}
+
+    @Override
+    public void lost(boolean sent, Exception cause) {
+      logger.atInfo().withCause(cause).log(
+          "%s was not told what %s carried; it waits one window of the shift cap", vm, target);
+    }
+  }
+}
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/PeerRoutes.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/PeerRoutes.java
@@ -1,11 +1,13 @@
 package org.sageladder.entry.request;
 
+import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.Executor;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
+import org.sageladder.core.limits.TargetHistory;
 import org.sageladder.core.permit.HandOver;
 import org.sageladder.core.permit.HandOverCodec;
 import org.sageladder.core.permit.OpenedPermit;
@@ -18,6 +20,7 @@
 import org.sageladder.entry.exchange.BodyCollector;
 import org.sageladder.entry.exchange.BodyPipe;
 import org.sageladder.entry.exchange.CallerExchange;
+import org.sageladder.entry.gates.GateTable;
 
 /**
  * What entry VMs of one customer send each other on the callers' port about permits.
@@ -34,16 +37,22 @@
   /** Takes the name of the entry VM that answers for a home that stops. */
   public static final String SUCCESSOR = PREFIX + "successor";
 
+  /** Takes what the gate that held a target before counted of it. */
+  public static final String TARGET_HISTORY = PREFIX + "target-history";
+
   /** Topic of announcements that carry the same sealed word as {@link #SUCCESSOR}. */
   public static final String SUCCESSOR_TOPIC = "permit-successor";
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int LARGEST_HAND_OVER = 64 << 20;
+  private static final int LARGEST_HISTORY = 4096;
+  private static final JsonMapper JSON = new JsonMapper();
 
   private final String customer;
   private final PermitCodec codec;
   private final PermitHome home;
   private final PermitSuccessors successors;
+  private final GateTable gates;
   private final TimeSource time;
   private final Executor executor;
 
@@ -52,8 +61,10 @@
       PermitCodec codec,
       PermitHome home,
       PermitSuccessors successors,
+      GateTable gates,
       TimeSource time,
       Executor executor) {
+    this.gates = gates;
     this.customer = customer;
     this.codec = codec;
     this.home = home;
@@ -82,6 +93,11 @@
       accepted(exchange);
       return;
     }
+    if (path.equals(TARGET_HISTORY)) {
+      BodyCollector.collect(
+          exchange.requestBody(), LARGEST_HISTORY, bytes -> learn(exchange, word, bytes));
+      return;
+    }
     BodyCollector.collect(
         exchange.requestBody(),
         LARGEST_HAND_OVER,
@@ -107,6 +123,21 @@
     exchange.answer(new BasicHttpResponse(204), null, BodyPipe.of(new byte[0]));
   }
 
+  private void learn(CallerExchange exchange, Permit word, byte[] bytes) {
+    try {
+      TargetHistory history = JSON.readValue(bytes, TargetHistory.class);
+      if (!history.target().equals(word.boundTo())) {
+        throw new IOException(
+            "the history is of " + history.target() + ", its word of " + word.boundTo());
+      }
+      gates.learn(word.sequence(), history);
+      accepted(exchange);
+    } catch (IOException e) {
+      Answers.send(
+          exchange, Result.notRun(ResultCode.MALFORMED_REQUEST, String.valueOf(e.getMessage())));
+    }
+  }
+
   private void adopt(CallerExchange exchange, Permit word, byte[] bytes) {
     try {
       HandOver handOver = HandOverCodec.decode(bytes);
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestPath.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestPath.java
@@ -72,7 +72,8 @@
         PermitHome.of(settings.vm(), permitIncarnation(), PermitHome.Limits.standard());
     PermitSuccessors successors = new PermitSuccessors();
     Permits permits = new Permits(parts, control, codec, home, successors);
-    PeerRoutes peers = new PeerRoutes(settings.customer(), codec, home, successors, time, timers);
+    PeerRoutes peers =
+        new PeerRoutes(settings.customer(), codec, home, successors, gates, time, timers);
     control.messages().on(PeerRoutes.SUCCESSOR_TOPIC, (from, content) -> peers.announced(content));
     LookUps lookUps = LookUps.create(time);
     return new RequestPath(
--- /dev/null
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/gates/GateTableTest.java
@@ -0,0 +1,247 @@
+package org.sageladder.entry.gates;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.core.contract.RequestClass;
+import org.sageladder.core.event.EventSink;
+import org.sageladder.core.limits.Admission;
+import org.sageladder.core.limits.AdmissionRequest;
+import org.sageladder.core.limits.ServiceGate;
+import org.sageladder.core.limits.TargetHistory;
+import org.sageladder.core.membership.ClusterState;
+import org.sageladder.core.membership.Holding;
+import org.sageladder.core.membership.Member;
+import org.sageladder.core.membership.ZoneView;
+import org.sageladder.core.time.VirtualTime;
+
+/** One target moves between the gates of entry VMs; the requests it is given are counted here. */
+class GateTableTest {
+  private static final Duration WINDOW = Duration.ofSeconds(10);
+  private static final Duration HALF_WAY = Duration.ofSeconds(5);
+  private static final int STEPS = 10;
+
+  /** 4 slots of 100 ms carry 40 a second; a gain of a tenth of that over 10 s is 40 requests. */
+  private static final int GAIN = 40;
+
+  private final VirtualTime time = VirtualTime.startingAt(1_000_000_000_000L);
+  private final GateTable first = table("vm-1", 1);
+  private final GateTable second = table("vm-2", 1);
+  private final List<TargetHistory> sent = new ArrayList<>();
+  private final List<Integer> perStep = new ArrayList<>();
+  private int inStep;
+
+  GateTableTest() {
+    first.tellNewHolders((holder, view, history) -> sent.add(history));
+    second.tellNewHolders((holder, view, history) -> sent.add(history));
+  }
+
+  // An entry VM joins a zone in a surge and gets a target that has just grown by all that its cap
+  // allows. The new gate counts from nothing and would let it grow by the same once more within
+  // the same window: a cold cache behind it gets twice the shift that the contract promises.
+  @Test
+  void targetWhoseHistoryIsLostGrowsByNoSecondGain() {
+    all(view(1, "vm-1"));
+    flood(HALF_WAY, first);
+    all(view(2, ""));
+    all(view(3, "vm-2"));
+    flood(WINDOW.multipliedBy(4), first, second);
+    assertCapKept();
+    assertTrue(total() > 3 * GAIN, "the new gate must begin after one window, in all " + total());
+  }
+
+  // The same move, and the history arrives: nobody waits, and the cap holds over both gates.
+  @Test
+  void targetWhoseHistoryArrivesGoesOnAtOnce() {
+    all(view(1, "vm-1"));
+    flood(WINDOW.multipliedBy(2), first);
+    all(view(2, ""));
+    all(view(3, "vm-2"));
+    assertEquals(1, sent.size());
+    second.learn(3, sent.get(0));
+    second.learn(3, sent.get(0));
+    flood(Duration.ofSeconds(1), first, second);
+    assertTrue(perStep.get(perStep.size() - 1) > 0, "no wait is needed: " + perStep);
+    flood(WINDOW.multipliedBy(3), first, second);
+    assertCapKept();
+  }
+
+  // The message overtakes the view that names the new holder. Thrown away it would cost a window.
+  @Test
+  void historyThatOvertakesTheViewIsKept() {
+    all(view(1, "vm-1"));
+    flood(WINDOW, first);
+    first.follow(view(2, ""));
+    first.follow(view(3, "vm-2"));
+    second.learn(3, sent.get(0));
+    second.follow(view(1, "vm-1"));
+    second.follow(view(3, "vm-2"));
+    flood(WINDOW.multipliedBy(2), first, second);
+    assertCapKept();
+    assertTrue(total() >= 3 * GAIN, "waited all the same: " + perStep);
+  }
+
+  // The target goes to another VM and comes back, and a history of the first move arrives late. It
+  // says nothing of what the other VM did since, so it must not end the wait.
+  @Test
+  void historyOfAnEarlierMoveDoesNotEndTheWait() {
+    all(view(1, "vm-1"));
+    flood(WINDOW, first);
+    all(view(2, ""));
+    all(view(3, "vm-2"));
+    second.learn(3, sent.get(0));
+    flood(WINDOW, second);
+    TargetHistory early = sent.get(0);
+    all(view(4, ""));
+    all(view(5, "vm-1"));
+    second.learn(3, early);
+    first.learn(3, early);
+    flood(Duration.ofSeconds(1), first, second);
+    assertEquals(0, perStep.get(perStep.size() - 1), "must wait: " + perStep);
+    flood(WINDOW.multipliedBy(2), first, second);
+    assertCapKept();
+  }
+
+  // An entry VM's process dies and its successor of the same name gets the targets back before the
+  // zone missed it. It has forgotten what it let through a second ago.
+  @Test
+  void restartedEntryVmDoesNotGrowItsTargetsAgain() {
+    all(view(1, "vm-1"));
+    flood(HALF_WAY, first);
+    GateTable restarted = table("vm-1", 2);
+    restarted.follow(view(1, "vm-1"));
+    flood(Duration.ofSeconds(1), restarted);
+    restarted.follow(view(2, "vm-1", 2));
+    flood(WINDOW.multipliedBy(3), restarted);
+    assertCapKept();
+    assertTrue(total() > 2 * GAIN, "the new process must begin after one window");
+  }
+
+  @Test
+  void targetThatNobodyHeldBeforeIsServedAtOnce() {
+    all(view(1, ""));
+    all(view(2, "vm-1"));
+    flood(Duration.ofSeconds(1), first);
+    assertTrue(total() > 0);
+  }
+
+  /** Gives the gates more requests than they may take, and ends each with a whole answer. */
+  private void flood(Duration length, GateTable... tables) {
+    long steps = length.toMillis() / 1000;
+    for (long step = 0; step < steps; step++) {
+      for (int tenth = 0; tenth < 10; tenth++) {
+        for (GateTable table : tables) {
+          offer(table);
+        }
+        time.advance(Duration.ofMillis(100));
+      }
+      perStep.add(inStep);
+      inStep = 0;
+    }
+  }
+
+  private void offer(GateTable table) {
+    ServiceGate gate = table.holding("s");
+    if (gate == null) {
+      return;
+    }
+    List<Admission.Slot> slots = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      AdmissionRequest request = new AdmissionRequest("r", time.nanos() + 1, "", "");
+      gate.request(request, admission -> take(admission, slots)).cancel();
+    }
+    slots.forEach(slot -> slot.release(Admission.Completion.ANSWERED));
+  }
+
+  private void take(Admission admission, List<Admission.Slot> slots) {
+    if (admission instanceof Admission.Admitted admitted) {
+      slots.add(admitted.slot());
+      inStep++;
+    }
+  }
+
+  private int total() {
+    return perStep.stream().mapToInt(Integer::intValue).sum();
+  }
+
+  private void assertCapKept() {
+    for (int end = 0; end < perStep.size(); end++) {
+      int recent = window(end);
+      int before = window(end - STEPS);
+      assertTrue(
+          recent <= before + GAIN, recent + " after " + before + " at " + end + " of " + perStep);
+    }
+  }
+
+  private int window(int end) {
+    int sum = 0;
+    for (int step = Math.max(0, end - STEPS + 1); step <= end; step++) {
+      sum += perStep.get(step);
+    }
+    return sum;
+  }
+
+  private void all(ClusterState state) {
+    first.follow(state);
+    second.follow(state);
+  }
+
+  private GateTable table(String vm, long incarnation) {
+    return GateTable.create(
+        vm,
+        "z",
+        "c",
+        time,
+        incarnation,
+        service -> ServiceGate.create("c", service, time, (delay, task) -> {}, EventSink.none()));
+  }
+
+  private static ClusterState view(long number, String holder) {
+    return view(number, holder, 1);
+  }
+
+  private static ClusterState view(long number, String holder, long firstIncarnation) {
+    List<Member> members =
+        List.of(
+            new Member("vm-1", "z", firstIncarnation, "127.0.0.1", 1, 2, false),
+            new Member("vm-2", "z", 1, "127.0.0.1", 3, 4, false));
+    Holding holding =
+        new Holding("t", "c", "s", "127.0.0.1", 5, 1, holder, holder.isEmpty() ? 0 : 4, false);
+    ZoneView view = new ZoneView("z", number, members, List.of(holding));
+    return new ClusterState(Map.of("c", contract()), Map.of("z", view), List.of());
+  }
+
+  private static Contract contract() {
+    Contract.ShiftCap cap = new Contract.ShiftCap(0.1, WINDOW);
+    Contract.Service service =
+        new Contract.Service(
+            "s",
+            RequestClass.INTERACTIVE,
+            true,
+            1,
+            4,
+            100,
+            100,
+            4,
+            Duration.ofSeconds(1),
+            Duration.ofSeconds(10),
+            Duration.ofSeconds(30),
+            0.1,
+            cap,
+            cap);
+    return new Contract(
+        "c",
+        1,
+        List.of(new Contract.Region("r", List.of("z"))),
+        new Contract.Delays(1, 20, 1),
+        List.of(new Contract.ClientBlocks(0, 0, "r")),
+        List.of(),
+        List.of(service));
+  }
+}
