Limits: fixed shares stay, lending is taken out; every gate of a large service is named

Cause: ShareLedger lent parts of the region's gain between gates and was wired to nothing. Change: the ledger and its hooks are gone. The measurement found two other faults, mended: 64 answers cannot name 96 gates, so a third got no first callers (now four answers a gate, 64 to 1,024); and a gate looked at all targets for each waiting request whenever a slot came free (now once it has found none free it stops looking). Ruled out: uneven callers (25 a gate in the simulation now; 100 in all made 288 gates a matter of chance).

--- a/sageladder-bench/src/main/java/org/sageladder/bench/policy/Setup.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/policy/Setup.java
@@ -9,6 +9,8 @@
 /**
  * Sizes and delays of one run: by default those of one service of the customers of today.
  *
+ * @param gain of a region, as a fraction of its capacity in a window
+ * @param targetGainFraction the same of a target
  * @param readingDelayMillis age of what one region hears of another
  * @param readingLoss part of the readings that never arrive, 0 to 1
  */
@@ -20,6 +22,7 @@
     int slots,
     double meanMillis,
     double gain,
+    double targetGainFraction,
     int windowSeconds,
     long readingDelayMillis,
     double readingLoss,
@@ -28,7 +31,7 @@
   static final String SERVICE = "s";
 
   static Setup today(long seed) {
-    return new Setup(3, 2, 2, 1, 3, 100, 0.2, 10, 500, 0, seed);
+    return new Setup(3, 2, 2, 1, 3, 100, 0.2, 0.2, 10, 500, 0, seed);
   }
 
   Setup withDelay(long millis) {
@@ -40,6 +43,7 @@
         slots,
         meanMillis,
         gain,
+        targetGainFraction,
         windowSeconds,
         millis,
         readingLoss,
@@ -55,6 +59,7 @@
         slots,
         meanMillis,
         gain,
+        targetGainFraction,
         windowSeconds,
         readingDelayMillis,
         loss,
@@ -70,12 +75,47 @@
         slots,
         meanMillis,
         newGain,
+        newGain,
         newWindowSeconds,
         readingDelayMillis,
         readingLoss,
         seed);
   }
 
+  /** Targets that may grow faster than their region's share, so that only the shares bind. */
+  Setup withTargetGain(double newGain) {
+    return new Setup(
+        regions,
+        zonesPerRegion,
+        vmsPerZone,
+        targetsPerVm,
+        slots,
+        meanMillis,
+        gain,
+        newGain,
+        windowSeconds,
+        readingDelayMillis,
+        readingLoss,
+        seed);
+  }
+
+  /** The same targets in each region, held by another number of gates. */
+  Setup withGates(int newZones, int newVmsPerZone, int newTargetsPerVm) {
+    return new Setup(
+        regions,
+        newZones,
+        newVmsPerZone,
+        newTargetsPerVm,
+        slots,
+        meanMillis,
+        gain,
+        targetGainFraction,
+        windowSeconds,
+        readingDelayMillis,
+        readingLoss,
+        seed);
+  }
+
   int targets() {
     return regions * zonesPerRegion * vmsPerZone * targetsPerVm;
   }
@@ -90,7 +130,7 @@
 
   /** Requests by which a window of one target may outgrow the window before. */
   int targetGain() {
-    return Math.max(1, (int) (gain * targetCapacity() * windowSeconds));
+    return Math.max(1, (int) (targetGainFraction * targetCapacity() * windowSeconds));
   }
 
   /** Requests by which a window of one region may outgrow the window before. */
@@ -114,7 +154,9 @@
   }
 
   Contract.Service service() {
-    Contract.ShiftCap cap = new Contract.ShiftCap(gain, Duration.ofSeconds(windowSeconds));
+    Duration window = Duration.ofSeconds(windowSeconds);
+    Contract.ShiftCap cap = new Contract.ShiftCap(gain, window);
+    Contract.ShiftCap targetCap = new Contract.ShiftCap(targetGainFraction, window);
     return new Contract.Service(
         SERVICE,
         RequestClass.INTERACTIVE,
@@ -129,6 +171,6 @@
         Duration.ofSeconds(30),
         0.1,
         cap,
-        cap);
+        targetCap);
   }
 }
--- a/sageladder-bench/src/main/java/org/sageladder/bench/policy/World.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/policy/World.java
@@ -26,7 +26,11 @@
  * between them only delays, losses and cut links.
  */
 final class World {
-  private static final int CLIENTS = 100;
+  private static final int LEAST_CLIENTS = 100;
+
+  /** Callers for each gate of a region, so that no gate's load hangs on one or two of them. */
+  private static final int CLIENTS_PER_GATE = 25;
+
   private static final int MOST_TRIES = 4;
   private static final long TTL_NANOS = Duration.ofSeconds(2).toNanos();
 
@@ -70,7 +74,9 @@
     this.arrivals = new Arrivals(setup, demand);
     this.random = new Random(setup.seed() + 1);
     this.service = new Random(setup.seed());
-    this.clients = new Client[setup.regions()][CLIENTS];
+    int gates = setup.zonesPerRegion() * setup.vmsPerZone();
+    int callers = Math.max(LEAST_CLIENTS, CLIENTS_PER_GATE * gates);
+    this.clients = new Client[setup.regions()][callers];
     for (int region = 0; region < setup.regions(); region++) {
       makeRegion(region);
     }
@@ -86,7 +92,7 @@
         byName.put(vm.name, vm);
       }
     }
-    for (int i = 0; i < CLIENTS; i++) {
+    for (int i = 0; i < clients[region].length; i++) {
       clients[region][i] = new Client();
     }
   }
@@ -164,14 +170,19 @@
     history.add(now);
     for (int i = 0; i < vms.size(); i++) {
       EntryVm vm = vms.get(i);
-      ClusterState state =
-          new ClusterState(Map.of(Setup.CUSTOMER, setup.contract()), views, heardBy(vm));
-      SteeringInputs inputs = SteeringInputs.after(vm.table, agenda.time().wallMillis());
-      vm.table = LookUpTable.build(state, inputs);
+      boolean hearsTheSame =
+          i > 0 && vms.get(i - 1).region == vm.region && setup.readingLoss() == 0;
+      vm.table = hearsTheSame ? vms.get(i - 1).table : nextTable(vm);
       oscillation.sample(i, remoteParts(vm));
     }
   }
 
+  private LookUpTable nextTable(EntryVm vm) {
+    ClusterState state =
+        new ClusterState(Map.of(Setup.CUSTOMER, setup.contract()), views, heardBy(vm));
+    return LookUpTable.build(state, SteeringInputs.after(vm.table, agenda.time().wallMillis()));
+  }
+
   private double[] remoteParts(EntryVm vm) {
     double[] remote = new double[setup.regions()];
     int zones = setup.regions() * setup.zonesPerRegion();
@@ -217,7 +228,7 @@
 
   private void arrive(int region) {
     tally.offered();
-    Client client = clients[region][random.nextInt(CLIENTS)];
+    Client client = clients[region][random.nextInt(clients[region].length)];
     if (client.route.isEmpty() || agenda.time().nanos() >= client.expires) {
       client.route = choose(region);
       client.expires = agenda.time().nanos() + TTL_NANOS;
--- a/sageladder-core/src/main/java/org/sageladder/core/limits/ServiceGate.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/ServiceGate.java
@@ -176,20 +176,6 @@
     deliver(decisions);
   }
 
-  /** Sets the gain that other gates lent this one, less what it lent; requests a window. */
-  public void borrowedUnits(int units) {
-    synchronized (lock) {
-      pool.borrowedUnits(units, time.nanos());
-    }
-  }
-
-  /** This gate's own share of the region's gain, before any transfer; requests a window. */
-  public int ownUnits() {
-    synchronized (lock) {
-      return pool.ownUnits(time.nanos());
-    }
-  }
-
   /**
    * Takes a target's own, possibly late or wrong, report.
    *
@@ -294,9 +280,15 @@
     return Duration.ofMillis(Math.max(10, (long) (1000 * (queue.size() + 1) / perSecond)));
   }
 
-  /** Ends waits that are over and hands free slots to the others, oldest first. */
+  /**
+   * Ends waits that are over and hands free slots to the others, oldest first.
+   *
+   * <p>Once no target takes a request that may go to any, none takes those behind it: each slot
+   * that comes free would otherwise cost a look at all targets for each request that waits.
+   */
   private void pump(List<Decision> decisions) {
     long now = time.nanos();
+    TargetPool.Choice none = null;
     Iterator<Waiting> oldestFirst = queue.iterator();
     while (oldestFirst.hasNext()) {
       Waiting waiting = oldestFirst.next();
@@ -311,11 +303,14 @@
         refuse(waiting, ResultCode.NO_TARGET, "no target held here may take it", decisions);
         continue;
       }
-      TargetPool.Choice choice = pool.choose(waiting.request.avoidTarget(), now);
+      String avoid = waiting.request.avoidTarget();
+      TargetPool.Choice choice = none == null ? pool.choose(avoid, now) : none;
       waiting.capped = choice.capped();
       if (choice.target() != null) {
         leaveQueue(oldestFirst);
         admit(waiting, choice.target(), decisions);
+      } else if (avoid.isEmpty()) {
+        none = choice;
       }
     }
     scheduleWake();
--- a/sageladder-core/src/main/java/org/sageladder/core/limits/TargetPool.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/TargetPool.java
@@ -24,7 +24,6 @@
   private final List<TargetSlots> lost = new ArrayList<>();
 
   private Contract.Service service;
-  private int borrowedUnits;
   private int gateAllowance;
   private int gateStepLimit;
   private int gateInStep;
@@ -145,12 +144,6 @@
     return taken;
   }
 
-  /** Gain units lent by other gates, less those lent to them. */
-  void borrowedUnits(int units, long nowNanos) {
-    borrowedUnits = units;
-    recount(nowNanos);
-  }
-
   boolean hasTargetBesides(String avoid) {
     for (TargetSlots target : targets.values()) {
       if (target.takesWork() && !target.holding().target().equals(avoid)) {
@@ -246,13 +239,11 @@
     }
   }
 
-  /** Requests by which this gate may grow its window: its own share and what it borrowed. */
+  /**
+   * Requests by which this gate may grow its window: its share of the region's gain, that of the
+   * targets it holds; at least one, or a slow service never starts.
+   */
   int gainUnits(long nowNanos) {
-    return Math.max(0, ownUnits(nowNanos) + borrowedUnits);
-  }
-
-  /** This gate's own share of the region's gain; at least one, or a slow service never starts. */
-  int ownUnits(long nowNanos) {
     Contract.ShiftCap cap = service.regionShiftCap();
     double sharedCapacity = 0;
     for (TargetSlots target : targets.values()) {
--- a/sageladder-core/src/main/java/org/sageladder/core/steering/ServiceTable.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/steering/ServiceTable.java
@@ -10,9 +10,14 @@
 
 /** The routes of one service: for the callers of each region, an array that a look-up indexes. */
 final class ServiceTable {
-  /** Answers in an array, so a zone's part is a whole number of 64ths. */
+  /** Fewest answers in an array, so a zone's part is a whole number of 64ths or less. */
   static final int ANSWERS = 64;
 
+  private static final int MOST_ANSWERS = 1024;
+
+  /** Answers for each gate, so that gates of equal slots get equal parts to about a quarter. */
+  private static final int ANSWERS_PER_HOLDER = 4;
+
   private static final int MOST_ENTRIES = 4;
 
   private final ServiceFacts facts;
@@ -73,7 +78,7 @@
       return null;
     }
     Route[] choices = answers[region];
-    return choices.length == 0 ? null : choices[(int) random & (ANSWERS - 1)];
+    return choices.length == 0 ? null : choices[(int) random & (choices.length - 1)];
   }
 
   /** Part of the callers of {@code region} that is sent to {@code zone}, both by index. */
@@ -93,8 +98,9 @@
         }
       }
     }
-    int[] counts = Apportion.of(weights, ANSWERS);
-    Route[] routes = new Route[holders.isEmpty() ? 0 : ANSWERS];
+    int length = answersFor(holders.size());
+    int[] counts = Apportion.of(weights, length);
+    Route[] routes = new Route[length];
     Contract.Region home = facts.contract().regions().get(region);
     FallBacks fallBacks =
         FallBacks.forCallersOf(home, facts, isSpilling(home, facts, parts), MOST_ENTRIES);
@@ -110,6 +116,21 @@
     return routes;
   }
 
+  /**
+   * A power of two, larger where many gates hold the service: with fewer answers than gates some
+   * would never be named, whatever their part.
+   */
+  private static int answersFor(int holders) {
+    if (holders == 0) {
+      return 0;
+    }
+    int length = ANSWERS;
+    while (length < ANSWERS_PER_HOLDER * holders && length < MOST_ANSWERS) {
+      length *= 2;
+    }
+    return length;
+  }
+
   /** True where so many callers of {@code home} are sent abroad that an answer shows it. */
   private static boolean isSpilling(Contract.Region home, ServiceFacts facts, double[] parts) {
     double abroad = 0;
--- a/sageladder-core/src/test/java/org/sageladder/core/steering/LookUpTableTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/steering/LookUpTableTest.java
@@ -53,6 +53,23 @@
     assertNull(table.lookUp("c", "s", -1, 1));
   }
 
+  @Test
+  void everyGateOfALargeServiceIsNamedFirst() {
+    // A service has more gates in a region than an answer array once had places: a third of them
+    // was never named, stood idle, and the callers of the others were refused.
+    LookUpTable table = LookUpTable.build(state(contract(), "", 60), SteeringInputs.at(NOW));
+    Map<String, Integer> named = new HashMap<>();
+    for (int i = 0; i < 1024; i++) {
+      Route route = table.lookUp("c", "s", 150, i);
+      assertNotNull(route);
+      named.merge(route.entries().get(0).vm(), 1, Integer::sum);
+    }
+    assertEquals(120, named.size());
+    int most = named.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+    int fewest = named.values().stream().mapToInt(Integer::intValue).min().orElse(0);
+    assertTrue(4 * most <= 5 * fewest, "named " + fewest + " to " + most + " times");
+  }
+
   private static String regionOf(Member member) {
     return member.zone().substring(0, member.zone().length() - 1);
   }
@@ -92,11 +109,15 @@
   }
 
   static ClusterState state(Contract contract, String leavingVm) {
+    return state(contract, leavingVm, 2);
+  }
+
+  private static ClusterState state(Contract contract, String leavingVm, int vmsPerZone) {
     Map<String, ZoneView> views = new HashMap<>();
     for (String zone : contract.zones()) {
       List<Member> members = new ArrayList<>();
       List<Holding> holdings = new ArrayList<>();
-      for (int i = 0; i < 2; i++) {
+      for (int i = 0; i < vmsPerZone; i++) {
         String vm = zone + "-vm" + i;
         members.add(new Member(vm, zone, 1, "127.0.0.1", 1, 2, vm.equals(leavingVm)));
         holdings.add(new Holding(zone + "-t" + i, "c", "s", "127.0.0.1", 3, 1, vm, 3, false));
