--- a/sageladder-core/src/main/java/org/sageladder/core/limits/TargetPool.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/TargetPool.java
@@ -24,7 +24,6 @@
   private final List<TargetSlots> lost = new ArrayList<>();
 
   private Contract.Service service;
-  private int borrowedUnits;
   private int gateAllowance;
   private int gateStepLimit;
   private int gateInStep;
@@ -87,8 +86,11 @@
       known.loseHold();
       lost.add(known);
     }
-    Duration window = service.regionShiftCap().window();
-    long waitNanos = window.toNanos() + window.toNanos() / RateHistory.STEPS;
+    long windowNanos =
+        Math.max(
+            service.regionShiftCap().window().toNanos(),
+            service.targetShiftCap().window().toNanos());
+    long waitNanos = windowNanos + windowNanos / RateHistory.STEPS;
     long workFrom = takenOver ? nowNanos + waitNanos : nowNanos;
     targets.put(
         holding.target(),
@@ -128,23 +130,18 @@
   }
 
   /** Takes what the gate before counted of a target held here now. */
-  void learn(TargetHistory told, long nowNanos, long nowMillis) {
+  boolean learn(TargetHistory told, long nowNanos, long nowMillis) {
     TargetSlots target = targets.get(told.target());
     if (target == null || target.holding().targetIncarnation() != told.targetIncarnation()) {
-      return;
+      return false;
     }
     recount(nowNanos);
     long agoNanos = Math.max(0, nowMillis - told.takenAtMillis()) * 1_000_000;
     int stepsAgo = (int) Math.min(10_000, agoNanos / target.history().stepNanos());
     int regionStepsAgo = (int) Math.min(10_000, agoNanos / target.regionHistory().stepNanos());
-    target.learn(told, stepsAgo, regionStepsAgo, nowNanos);
-    recount(nowNanos);
-  }
-
-  /** Gain units lent by other gates, less those lent to them. */
-  void borrowedUnits(int units, long nowNanos) {
-    borrowedUnits = units;
+    boolean taken = target.learn(told, stepsAgo, regionStepsAgo, nowNanos);
     recount(nowNanos);
+    return taken;
   }
 
   boolean hasTargetBesides(String avoid) {
@@ -242,13 +239,11 @@
     }
   }
 
-  /** Requests by which this gate may grow its window: its own share and what it borrowed. */
+  /**
+   * Requests by which this gate may grow its window: its share of the region's gain, that of the
+   * targets it holds; at least one, or a slow service never starts.
+   */
   int gainUnits(long nowNanos) {
-    return Math.max(0, ownUnits(nowNanos) + borrowedUnits);
-  }
-
-  /** This gate's own share of the region's gain; at least one, or a slow service never starts. */
-  int ownUnits(long nowNanos) {
     Contract.ShiftCap cap = service.regionShiftCap();
     double sharedCapacity = 0;
     for (TargetSlots target : targets.values()) {
--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -42,6 +42,7 @@
 import org.sageladder.entry.http.ConnectionLimits;
 import org.sageladder.entry.http.HttpListener;
 import org.sageladder.entry.http.OperatorPort;
+import org.sageladder.entry.request.HistoryPost;
 import org.sageladder.entry.request.RequestPath;
 import org.sageladder.entry.settings.EntrySettings;
 import org.sageladder.entry.stop.PermitHandOver;
@@ -138,17 +139,19 @@
             TimeUnit.MILLISECONDS);
     PermitKeys permitKeys =
         PermitKeys.of(store, settings.customer(), KEY_PERIOD, new SecureRandom());
+    Member self = self(settings, store, time);
     RelayControlPlane control =
-        parts.add(controlPlane(settings, store, list, permitKeys, time, events));
+        parts.add(controlPlane(settings, self, store, list, permitKeys, time, events));
     parts.add(KeyRefresher.start(permitKeys, time));
     ControlMetrics.bind(metrics, control);
-    GateTable gates = parts.add(gates(settings, time, timers, events));
+    GateTable gates = parts.add(gates(settings, self.incarnation(), time, timers, events));
     RequestPath path =
         RequestPath.assemble(
             settings, client, timers, time, events, metrics, control, gates, permitKeys::ring);
     InFlight inFlight = InFlight.create();
     PlannedStop plannedStop = plannedStop(settings, control, inFlight, path, client, time);
     parts.add(LoadPoller.start(gates, client, time, timers, LOAD_PERIOD));
+    gates.tellNewHolders(HistoryPost.of(self, settings.customer(), path.codec(), client, time));
     control.onChange(gates::follow);
     control.onChange(path::follow);
     control.summaries(gates::summaries);
@@ -222,23 +225,22 @@
   }
 
   private static GateTable gates(
-      EntrySettings settings, TimeSource time, ScheduledExecutorService timers, EventSink events) {
+      EntrySettings settings,
+      long incarnation,
+      TimeSource time,
+      ScheduledExecutorService timers,
+      EventSink events) {
     return GateTable.create(
         settings.vm(),
         settings.zone(),
         settings.customer(),
         time,
+        incarnation,
         service ->
             ServiceGate.create(settings.customer(), service, time, Scheduler.of(timers), events));
   }
 
-  private static RelayControlPlane controlPlane(
-      EntrySettings settings,
-      Store store,
-      VmList list,
-      PermitKeys keys,
-      TimeSource time,
-      EventSink events)
+  private static Member self(EntrySettings settings, Store store, TimeSource time)
       throws IOException {
     long incarnation;
     try {
@@ -249,15 +251,25 @@
       throw new IOException(
           "incarnation.source is store, and the store gives no answer: " + e.getMessage(), e);
     }
-    Member self =
-        new Member(
-            settings.vm(),
-            settings.zone(),
-            incarnation,
-            settings.host(),
-            0,
-            settings.ports().inner(),
-            false);
+    return new Member(
+        settings.vm(),
+        settings.zone(),
+        incarnation,
+        settings.host(),
+        0,
+        settings.ports().inner(),
+        false);
+  }
+
+  private static RelayControlPlane controlPlane(
+      EntrySettings settings,
+      Member self,
+      Store store,
+      VmList list,
+      PermitKeys keys,
+      TimeSource time,
+      EventSink events)
+      throws IOException {
     List<PeerAddress> seeds =
         settings.seeds().stream()
             .map(seed -> new PeerAddress("", seed.host(), seed.port()))
