Waits for a slot end while there is time for the work; tries tell how long they wait

Slots were not what they waited for: the shift cap (10 % of 84/s in 10 s, from cold) lets a gate take 1.4/s of the 2.8/s offered. Under a cap the queue's oldest gets the next slot, and the callers' library leaves after half of its time, so work was begun just before its caller went and was cut in the middle: what the cap let through was thrown away, and the caller was told "unknown" of work that mostly had not run. Ruled out: class priority (each service has its own targets and gate), the bound on waiting requests (never near), the look-up naming full zones (refusals come from all zones alike).

Change: a try tells how long it waits (Sageladder-Try-Millis); an entry VM ends a wait for a slot two mean service times before that, with "not run" and when to come back. The library's last try has all the time left. A first way, sending the try's time as the deadline, was given up: a target then answers 504 at the end of a try, which counts as its whole answer though the caller has time left.

--- a/sageladder-client/src/main/java/org/sageladder/client/EntryCalls.java
+++ b/sageladder-client/src/main/java/org/sageladder/client/EntryCalls.java
@@ -68,8 +68,10 @@
   /**
    * Sends a request to {@code entry}.
    *
-   * @param remaining time until the caller's deadline, which the entry VM is told
-   * @param wait how long to wait for this try's whole answer, at most {@code remaining}
+   * @param remaining time until the caller's deadline, all tries together
+   * @param wait how long to wait for this try's whole answer, at most {@code remaining}; the entry
+   *     VM is told, since one that only knows of the whole time gives a request its slot just
+   *     before this library leaves for the next entry VM, and the work is cut in the middle
    */
   TryResult send(
       EntryAddress entry,
@@ -82,7 +84,8 @@
         AsyncRequestBuilder.create(request.method())
             .setHttpHost(host(entry))
             .setPath("/v1/request/" + request.contract() + "/" + request.service() + request.path())
-            .setHeader("Sageladder-Deadline-Millis", String.valueOf(remaining.toMillis()))
+            .setHeader("Sageladder-Deadline-Millis", millis(remaining))
+            .setHeader("Sageladder-Try-Millis", millis(wait))
             .setHeader("Sageladder-Request-Id", request.id());
     request.headers().forEach(builder::setHeader);
     if (!permit.isEmpty()) {
@@ -97,6 +100,10 @@
     return exchange(entry, builder.build(), wait, sink);
   }
 
+  private static String millis(Duration span) {
+    return String.valueOf(Math.max(1, span.toMillis()));
+  }
+
   /** What a look-up gave. */
   sealed interface Found {
     /** Where to send requests. */
--- a/sageladder-client/src/main/java/org/sageladder/client/SageladderClient.java
+++ b/sageladder-client/src/main/java/org/sageladder/client/SageladderClient.java
@@ -126,7 +126,8 @@
       int retries = 0;
       for (int questions = 0; questions < MOST_QUESTIONS; ) {
         EntryAddress entry = route.entries().get(next++ % route.entries().size());
-        RetryRules.Step step = rules.after(attempt(entry, rules.permit()));
+        boolean last = retries + 1 >= options.mostTries();
+        RetryRules.Step step = rules.after(attempt(entry, rules.permit(), last));
         if (step instanceof RetryRules.Step.End end) {
           return end.answer();
         }
@@ -166,12 +167,13 @@
       return retries < options.mostTries() && budget.take();
     }
 
-    private TryResult attempt(EntryAddress entry, String permit) {
+    /** One try; the last one has all the time that is left, since no other could use it. */
+    private TryResult attempt(EntryAddress entry, String permit, boolean last) {
       Duration left = remaining();
       if (left.isZero()) {
         return new TryResult.NotSent("the deadline is over");
       }
-      long share = (long) (left.toNanos() * options.tryShare());
+      long share = last ? left.toNanos() : (long) (left.toNanos() * options.tryShare());
       Duration wait = Duration.ofNanos(Math.max(share, SHORTEST_TRY.toNanos()));
       return calls.send(entry, request, permit, left, wait, sink);
     }
--- a/sageladder-client/src/test/java/org/sageladder/client/SageladderClientTest.java
+++ b/sageladder-client/src/test/java/org/sageladder/client/SageladderClientTest.java
@@ -261,6 +261,26 @@
     assertEquals(0, two.requests().size());
   }
 
+  // A researcher's export waits for a slot. After half of its time the library leaves for the next
+  // entry VM; the first one, told of the whole time, gave the slot just then and saw the work cut.
+  // Each export was begun and thrown away several times, and its caller was told "unknown".
+  @Test
+  void anEntryVmIsToldHowLongThisTryWaits() {
+    one.answers(head -> isLookUp(head) ? route(60_000, "") : ScriptedEntry.answer(200, OK, "song"));
+    client.send(search());
+    String head = one.requests().get(0);
+    assertTrue(number(head, "Sageladder-Try-Millis: ") <= 10_000, head);
+    assertTrue(number(head, "Sageladder-Deadline-Millis: ") > 10_000, head);
+  }
+
+  private static long number(String head, String header) {
+    return head.lines()
+        .filter(line -> line.startsWith(header))
+        .mapToLong(line -> Long.parseLong(line.substring(header.length())))
+        .findFirst()
+        .orElseThrow();
+  }
+
   @Test
   void aServiceThatTheContractLacksIsRefusedWithoutASecondTry() {
     one.answers(head -> said(ResultCode.UNKNOWN_SERVICE, ""));
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/Headers.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/Headers.java
@@ -7,6 +7,9 @@
   /** Milliseconds, from the moment of sending, by which the caller wants the whole answer. */
   public static final String DEADLINE = "Sageladder-Deadline-Millis";
 
+  /** Milliseconds after which the caller leaves this entry VM and tries another; optional. */
+  public static final String TRY = "Sageladder-Try-Millis";
+
   /** A sealed permit; on an answer, a fresh one to send the request with. */
   public static final String PERMIT = "Sageladder-Permit";
 
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestFlow.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestFlow.java
@@ -39,6 +39,10 @@
 final class RequestFlow {
   private static final int MOST_TRIES = 3;
   private static final int LARGEST_RECORDED = 1 << 16;
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  /** Mean service times that are kept free for the work when a wait for a slot ends. */
+  private static final double WORK_MARGIN = 2;
 
   /** How long a run is still listened to after its caller was told "unknown". */
   private static final Duration LATE_ANSWERS = Duration.ofSeconds(5);
@@ -55,6 +59,7 @@
   private final Contract.Service service;
   private final @Nullable PermitRun run;
   private final long deadlineNanos;
+  private final long tryEndNanos;
   private final AtomicBoolean over = new AtomicBoolean();
   private final Object lock = new Object();
   private Runnable cancelStep = () -> {};
@@ -78,7 +83,9 @@
     this.exchange = exchange;
     this.head = head;
     this.service = service;
-    this.deadlineNanos = parts.time().nanos() + head.deadline().toNanos();
+    long now = parts.time().nanos();
+    this.deadlineNanos = now + head.deadline().toNanos();
+    this.tryEndNanos = now + head.tryTime().toNanos();
   }
 
   /** Starts a flow with its deadline running. */
@@ -134,6 +141,7 @@
     PassedHeaders.copy(exchange.request(), request, true);
     request.setHeader(Headers.REQUEST_ID, head.id());
     request.setHeader(Headers.DEADLINE, remainingMillis());
+    request.setHeader(Headers.TRY, millisUntil(tryEndNanos));
     request.setHeader(Headers.FORWARDED_BY, parts.vm());
     request.removeHeaders(Headers.DISPATCH);
     if (run != null) {
@@ -188,11 +196,25 @@
     tries++;
     Gate.Cancellable wait =
         gate.request(
-            new AdmissionRequest(head.id(), deadlineNanos, avoid, ""),
+            new AdmissionRequest(head.id(), lastUsefulSlotNanos(), avoid, ""),
             admission -> decided(gate, admission));
     waitFor(wait);
   }
 
+  /**
+   * The moment after which a slot comes too late for the whole answer to come in time.
+   *
+   * <p>Failure guarded against: under a cap the oldest request gets the next slot, and the oldest
+   * is the one whose caller is about to go. It would be cut in the middle of its work, again and
+   * again, and nearly all work that the cap lets through would be thrown away. So a wait ends while
+   * there is time for the work, and its caller is told "not run" while it still listens.
+   */
+  private long lastUsefulSlotNanos() {
+    double workNanos = WORK_MARGIN * service.meanServiceMillis() * NANOS_PER_MILLI;
+    long end = tryEndNanos - deadlineNanos < 0 ? tryEndNanos : deadlineNanos;
+    return end - (long) Math.min(workNanos, head.tryTime().toNanos() / 2.0);
+  }
+
   private void decided(Gate gate, Admission admission) {
     if (admission instanceof Admission.Refused refused) {
       refuse(refused.result());
@@ -448,7 +470,11 @@
   }
 
   private long remainingMillis() {
-    return Math.max(1, (deadlineNanos - parts.time().nanos()) / 1_000_000);
+    return millisUntil(deadlineNanos);
+  }
+
+  private long millisUntil(long endNanos) {
+    return Math.max(1, (endNanos - parts.time().nanos()) / NANOS_PER_MILLI);
   }
 
   private void record(EventKind kind, String subject, String detail) {
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestHead.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestHead.java
@@ -13,6 +13,8 @@
  * @param id the caller's request id, or a fresh one
  * @param path path and query for the target, starting with a slash
  * @param deadline time from now by which the caller wants the whole answer
+ * @param tryTime time from now after which the caller leaves for another entry VM, at most {@code
+ *     deadline}
  * @param permit the sealed permit, or empty
  * @param idempotencyKey the caller's own key, or empty
  * @param forwardedBy entry VM that passed the request on, or empty
@@ -24,6 +26,7 @@
     String service,
     String path,
     Duration deadline,
+    Duration tryTime,
     String permit,
     String idempotencyKey,
     String forwardedBy,
@@ -72,6 +75,13 @@
           ResultCode.DEADLINE_INVALID,
           Headers.DEADLINE + " '" + deadlineText + "' must be a whole number of at least 1");
     }
+    String tryText = value(request, Headers.TRY);
+    long tryMillis = tryText.isEmpty() ? deadlineMillis : wholeNumber(tryText);
+    if (tryMillis < 1) {
+      return rejected(
+          ResultCode.DEADLINE_INVALID,
+          Headers.TRY + " '" + tryText + "' must be a whole number of at least 1, or left out");
+    }
     for (String name : Headers.CHECKED) {
       if (value(request, name).length() > LONGEST_VALUE) {
         return rejected(
@@ -87,6 +97,7 @@
             service,
             targetPath,
             Duration.ofMillis(deadlineMillis),
+            Duration.ofMillis(Math.min(tryMillis, deadlineMillis)),
             value(request, Headers.PERMIT),
             value(request, Headers.IDEMPOTENCY_KEY),
             value(request, Headers.FORWARDED_BY),
--- a/sageladder-entry/src/test/java/org/sageladder/entry/request/NotRunIsTrueTest.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/request/NotRunIsTrueTest.java
@@ -86,7 +86,7 @@
   }
 
   private static RequestHead head() {
-    return new RequestHead("r-1", "kalnins-dauge", "bid", "/x", LONG, "", "", "", "");
+    return new RequestHead("r-1", "kalnins-dauge", "bid", "/x", LONG, LONG, "", "", "", "");
   }
 
   private static Contract.Service bids() {
--- a/sageladder-entry/src/test/java/org/sageladder/entry/request/PermitsTest.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/request/PermitsTest.java
@@ -85,7 +85,7 @@
             PermitHome.of("entry-1", 1, PermitHome.Limits.standard()),
             new PermitSuccessors());
     RequestHead head =
-        new RequestHead("r-1", "kalnins-dauge", "bid", "/x", LONG, permit, "", "", "");
+        new RequestHead("r-1", "kalnins-dauge", "bid", "/x", LONG, LONG, permit, "", "", "");
     CallerExchange.create(begun -> permits.guard(begun, head, bids(), flow -> {}))
         .handleRequest(
             new BasicHttpRequest("POST", "/v1/request/kalnins-dauge/bid/x"),
--- a/sageladder-entry/src/test/java/org/sageladder/entry/request/RequestFlowTest.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/request/RequestFlowTest.java
@@ -40,6 +40,7 @@
 /** What one flow tells its caller, its target and the home of its permit. */
 class RequestFlowTest {
   private static final Duration LONG = Duration.ofSeconds(20);
+  private static final int MEAN_SERVICE_MILLIS = 20;
 
   private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
   private final List<Outbound.Listener> sent = new ArrayList<>();
@@ -82,7 +83,7 @@
   }
 
   private static RequestHead head() {
-    return new RequestHead("r-1", "kalnins-dauge", "lots", "/x", LONG, "", "", "", "");
+    return new RequestHead("r-1", "kalnins-dauge", "lots", "/x", LONG, LONG, "", "", "", "");
   }
 
   private static Contract.Service service(boolean repeatable) {
@@ -94,7 +95,7 @@
         1,
         3,
         10,
-        20,
+        MEAN_SERVICE_MILLIS,
         5,
         LONG,
         LONG,
@@ -202,6 +203,28 @@
     assertEquals(List.of("ran, answer not kept"), runs);
   }
 
+  /**
+   * Under a cap the oldest export gets the next slot, and its caller leaves a moment later: the
+   * export is cut half done, its share of the cap is spent, and hardly any export comes through
+   * although most slots are free. A slot is worth waiting for only while there is time for the
+   * work.
+   */
+  @Test
+  void aSlotIsNotAwaitedUntilItComesTooLateForTheWork() throws IOException {
+    List<Long> until = new ArrayList<>();
+    Gate noting =
+        (request, whenDecided) -> {
+          until.add(request.deadlineNanos());
+          return () -> false;
+        };
+    long before = System.nanoTime();
+    arrive(begun -> RequestFlow.begin(parts(), begun, head(), service(true)).through(noting));
+    long after = System.nanoTime();
+    long wait = LONG.minusMillis(2 * MEAN_SERVICE_MILLIS).toNanos();
+    assertTrue(until.get(0) - before >= wait, "gives up earlier than it must");
+    assertTrue(until.get(0) - after <= wait, "waits until there is no time for the work");
+  }
+
   private final class RunList implements PermitRun {
     @Override
     public void ran(RecordedAnswer answer) {
