Spread: zone reports travel a tree of speakers; comparisons wait for changes on their way

Cause: each zone's report went over every link of the mesh and passed each relay about eight times, on top of the heartbeats of its zone; a digest that differed while a change was under way fetched the whole contract; the rank for the relay's duty was hashed 20 times a second for nothing. Change: a report goes along a tree from its zone (Overlay.reportChildren: exactly once, over links of the ring), through two members a zone in turn that are not the relay, round those that cannot be reached; to all zones every 85 ms x zones, at least 1 s, to the own region each second. Comparisons wait 300 ms after a change. Heartbeats every 0.5 to 1 s by the zone's size. Ticks every 100 ms.

--- a/sageladder-core/src/main/java/org/sageladder/core/membership/MembershipSettings.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/membership/MembershipSettings.java
@@ -10,7 +10,7 @@
  * The difference of the two must exceed {@code pauseAllowance}, the longest pause that a gate may
  * overlook between its check and its dispatch.
  *
- * @param heartbeat time between two heartbeats
+ * @param heartbeat time between two heartbeats in a small zone
  * @param fullAfter how long a taken-over target's own load must have been watched before its new
  *     holder gets all slots
  * @param movesPerSecond holdings that may move between live members in a second, per zone
@@ -22,6 +22,7 @@
     Duration pauseAllowance,
     Duration fullAfter,
     double movesPerSecond) {
+  private static final Duration HEARTBEAT_PER_MEMBER = Duration.ofMillis(40);
 
   /** Checks that no pause a gate may overlook reaches into a take-over. */
   public MembershipSettings {
@@ -47,4 +48,18 @@
         Duration.ofSeconds(10),
         4);
   }
+
+  /**
+   * Time between two heartbeats in a zone of {@code members}: longer in a large one, since all of
+   * them pass its relay, but twice in a confirm window at least, so that one late answer costs no
+   * slots.
+   */
+  public Duration heartbeat(int members) {
+    Duration bySize = HEARTBEAT_PER_MEMBER.multipliedBy(members);
+    Duration longest = confirmWindow.multipliedBy(2).dividedBy(5);
+    if (bySize.compareTo(heartbeat) <= 0) {
+      return heartbeat;
+    }
+    return bySize.compareTo(longest) < 0 ? bySize : longest;
+  }
 }
--- a/sageladder-core/src/main/java/org/sageladder/core/spread/Overlay.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/spread/Overlay.java
@@ -42,6 +42,31 @@
     return neighbours;
   }
 
+  /**
+   * As {@link #zoneTree}, but {@code leaf} hands nothing on to others: it hangs on the last member.
+   *
+   * @param root a member other than {@code leaf}, unless there is no other
+   */
+  public static List<String> zoneTreeWithLeaf(
+      List<String> members, String root, String leaf, String self, int fanOut) {
+    List<String> others = new ArrayList<>(new TreeSet<>(members));
+    others.remove(leaf);
+    others.remove(root);
+    if (root.equals(leaf)) {
+      return zoneTree(members, root, self, fanOut);
+    }
+    String holder = others.isEmpty() ? root : others.get(others.size() - 1);
+    if (self.equals(leaf)) {
+      return List.of(holder);
+    }
+    others.add(root);
+    List<String> neighbours = new ArrayList<>(zoneTree(others, root, self, fanOut));
+    if (self.equals(holder)) {
+      neighbours.add(leaf);
+    }
+    return neighbours;
+  }
+
   /** Zones that the relay of {@code self} exchanges items with. */
   public static Set<String> zoneNeighbours(List<String> zones, String self) {
     List<String> order = new ArrayList<>(new TreeSet<>(zones));
@@ -51,7 +76,7 @@
       return neighbours;
     }
     int count = order.size();
-    int stride = (int) Math.ceil(Math.sqrt(count));
+    int stride = stride(count);
     for (int step : new int[] {1, stride}) {
       neighbours.add(order.get((index + step) % count));
       neighbours.add(order.get(Math.floorMod(index - step, count)));
@@ -59,4 +84,60 @@
     neighbours.remove(self);
     return neighbours;
   }
+
+  /**
+   * Zones that zone {@code self} hands a report of zone {@code origin} on to, so that each zone
+   * gets it exactly once: along the long steps of the ring, and from there along the short ones,
+   * both ways.
+   *
+   * <p>A zone that cannot be reached is to be replaced by its own children, which this function
+   * gives too. All must use the same zones for that; the short and long steps are those of {@link
+   * #zoneNeighbours}, so that no further connections are needed.
+   *
+   * @param zones all zones, reachable or not, in any order
+   */
+  public static List<String> reportChildren(List<String> zones, String origin, String self) {
+    List<String> order = new ArrayList<>(new TreeSet<>(zones));
+    int count = order.size();
+    int start = order.indexOf(origin);
+    int index = order.indexOf(self);
+    if (start < 0 || index < 0) {
+      return List.of();
+    }
+    int stride = stride(count);
+    int ahead = Math.floorMod(index - start, count);
+    int half = count / 2;
+    List<String> children = new ArrayList<>();
+    if (ahead <= half) {
+      for (int distance : stepsOutward(ahead, stride, half)) {
+        children.add(order.get((start + distance) % count));
+      }
+    }
+    int behind = Math.floorMod(-ahead, count);
+    int otherHalf = count - 1 - half;
+    if (behind <= otherHalf) {
+      for (int distance : stepsOutward(behind, stride, otherHalf)) {
+        children.add(order.get(Math.floorMod(start - distance, count)));
+      }
+    }
+    return children;
+  }
+
+  /** Distances from the origin that the zone at {@code distance} serves, at most {@code last}. */
+  private static List<Integer> stepsOutward(int distance, int stride, int last) {
+    List<Integer> steps = new ArrayList<>();
+    boolean onLongStep = distance % stride == 0;
+    if (onLongStep && distance + stride <= last) {
+      steps.add(distance + stride);
+    }
+    boolean nextIsLongStep = (distance + 1) % stride == 0;
+    if (!nextIsLongStep && distance + 1 <= last) {
+      steps.add(distance + 1);
+    }
+    return steps;
+  }
+
+  private static int stride(int count) {
+    return (int) Math.ceil(Math.sqrt(count));
+  }
 }
--- a/sageladder-core/src/main/java/org/sageladder/core/spread/SpreadSettings.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/spread/SpreadSettings.java
@@ -10,6 +10,7 @@
  * @param repairInterval mean time between two comparisons with a random peer
  * @param gather how long items that are not urgent are gathered before they are sent together, so
  *     that one that a neighbour sends meanwhile is not sent back to it
+ * @param settle how long after a change nothing is compared, since the change is still on its way
  * @param largestPush most bytes of items put in one message, unless one item alone is larger
  * @param mostItems most keys kept
  */
@@ -18,12 +19,19 @@
     double burstBytes,
     Duration repairInterval,
     Duration gather,
+    Duration settle,
     int largestPush,
     int mostItems) {
 
   /** 5 of the 7 KB a second a node may use for control; heartbeats take the rest. */
   public static SpreadSettings standard() {
     return new SpreadSettings(
-        5_000, 64 * 1024, Duration.ofSeconds(1), Duration.ofMillis(200), 256 * 1024, 8_192);
+        5_000,
+        64 * 1024,
+        Duration.ofSeconds(1),
+        Duration.ofMillis(200),
+        Duration.ofMillis(300),
+        256 * 1024,
+        8_192);
   }
 }
--- a/sageladder-core/src/main/java/org/sageladder/core/spread/Spreader.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/spread/Spreader.java
@@ -12,6 +12,7 @@
 import java.util.SortedSet;
 import java.util.TreeSet;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.time.TimeSource;
@@ -42,9 +43,11 @@
   private final Map<String, PeerState> peers = new HashMap<>();
   private final Map<ItemKey, Item> previous = new HashMap<>();
   private Set<String> neighbours = Set.of();
+  private Function<Item, Set<String>> reportRoute = report -> neighbours;
   private List<String> repairPeers = List.of();
   private long nextRepairNanos;
   private long nextFlushNanos;
+  private long settledNanos;
   private boolean ready;
 
   /** Sends one message to one entry VM; may drop it. */
@@ -75,6 +78,7 @@
     this.budget = TokenBucket.of(time, settings.bytesPerSecond(), settings.burstBytes());
     this.nextRepairNanos = time.nanos();
     this.nextFlushNanos = time.nanos();
+    this.settledNanos = time.nanos();
   }
 
   /** A spreader with an empty table; {@code accepted} is told each item that replaced another. */
@@ -100,6 +104,16 @@
     peers.keySet().removeIf(vm -> !neighbours.contains(vm) && peers.get(vm).waiting.isEmpty());
   }
 
+  /**
+   * Sets who is handed a summary on; all other items go to all neighbours.
+   *
+   * <p>Summaries are most of the bytes where there are many zones. Sent over each link of a mesh,
+   * each passes a relay about eight times; along a tree from its origin, three times.
+   */
+  public void reportRoute(Function<Item, Set<String>> route) {
+    reportRoute = route;
+  }
+
   /** Sets whom to compare with at random. */
   public void repairPeers(List<String> vms) {
     repairPeers = List.copyOf(vms);
@@ -145,7 +159,7 @@
     if (message instanceof SpreadMessage.Push push) {
       receivePush(from, push);
     } else if (message instanceof SpreadMessage.DigestOffer offer) {
-      if (offer.digest() != table.digest()) {
+      if (offer.digest() != table.digest() && settled()) {
         sendVersions(from);
       }
     } else if (message instanceof SpreadMessage.Versions versions) {
@@ -167,7 +181,7 @@
     if (time.nanos() - nextRepairNanos >= 0) {
       nextRepairNanos =
           time.nanos() + (long) (settings.repairInterval().toNanos() * (0.5 + random.nextDouble()));
-      if (!repairPeers.isEmpty()) {
+      if (!repairPeers.isEmpty() && settled()) {
         String vm = repairPeers.get(random.nextInt(repairPeers.size()));
         network.send(vm, new SpreadMessage.DigestOffer(table.digest()));
       }
@@ -188,8 +202,12 @@
       return false;
     }
     held.ifPresent(older -> previous.put(item.key(), older));
+    if (item.key().kind().repaired()) {
+      settledNanos = time.nanos() + settings.settle().toNanos();
+    }
     accepted.accept(item);
-    for (String vm : neighbours) {
+    boolean summary = item.key().kind() == ItemKind.SUMMARY;
+    for (String vm : summary ? reportRoute.apply(item) : neighbours) {
       if (!vm.equals(from)) {
         handOn(vm, item);
       }
@@ -285,6 +303,17 @@
     flush(from, peer);
   }
 
+  /**
+   * Whether nothing that is compared came in of late.
+   *
+   * <p>Guards against fetching a contract twice: while a change is on its way, nearly every
+   * comparison differs, and what the peer lacks would be pulled whole although it is about to
+   * arrive as a small difference. A real loss is still there at the next comparison.
+   */
+  private boolean settled() {
+    return time.nanos() - settledNanos >= 0;
+  }
+
   private void sendVersions(String vm) {
     network.send(vm, new SpreadMessage.Versions(table.repairedStamps(), false));
   }
--- a/sageladder-core/src/main/java/org/sageladder/core/spread/VersionedTable.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/spread/VersionedTable.java
@@ -27,6 +27,7 @@
   private final int mostItems;
   private final SortedMap<ItemKey, Item> items = new TreeMap<>();
   private long digest;
+  private long earliestExpiryMillis = Long.MAX_VALUE;
 
   private VersionedTable(int mostItems) {
     this.mostItems = mostItems;
@@ -50,6 +51,7 @@
       toggle(held);
     }
     items.put(item.key(), item);
+    noteExpiry(item);
     toggle(item);
     return true;
   }
@@ -93,16 +95,28 @@
   /** Forgets what has expired and returns its keys. */
   public List<ItemKey> dropExpired(long wallMillis) {
     List<ItemKey> dropped = new ArrayList<>();
+    if (wallMillis < earliestExpiryMillis) {
+      return dropped;
+    }
+    earliestExpiryMillis = Long.MAX_VALUE;
     for (Item item : items()) {
       if (item.expiresAtMillis() > 0 && item.expiresAtMillis() <= wallMillis) {
         items.remove(item.key());
         toggle(item);
         dropped.add(item.key());
+      } else {
+        noteExpiry(item);
       }
     }
     return dropped;
   }
 
+  private void noteExpiry(Item item) {
+    if (item.expiresAtMillis() > 0) {
+      earliestExpiryMillis = Math.min(earliestExpiryMillis, item.expiresAtMillis());
+    }
+  }
+
   private void toggle(Item item) {
     if (item.key().kind().repaired()) {
       digest ^=
--- a/sageladder-core/src/test/java/org/sageladder/core/spread/OverlayProperties.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/spread/OverlayProperties.java
@@ -60,6 +60,40 @@
     }
   }
 
+  @Property(tries = 100, seed = "20261202")
+  void treeWithALeafReachesEveryMemberAndTheLeafHandsNothingOn(
+      @ForAll @IntRange(min = 1, max = 60) int size) {
+    List<String> members = names("vm-", size);
+    String leaf = members.get(size / 3);
+    String root = members.stream().filter(vm -> !vm.equals(leaf)).findFirst().orElse(leaf);
+    Function<String, Collection<String>> tree =
+        vm -> Overlay.zoneTreeWithLeaf(members, root, leaf, vm, 2);
+    assertEquals(size, walk(root, tree).size());
+    assertEquals(size, walk(leaf, tree).size());
+    assertTrue(tree.apply(leaf).size() <= 1 || size == 1);
+    members.forEach(vm -> assertTrue(tree.apply(vm).size() <= 4, vm));
+  }
+
+  // Sent over every link of the mesh, each report passes a relay about eight times, and at 94 zones
+  // the reports alone are several times the byte budget.
+  @Property(tries = 100, seed = "20261202")
+  void reportReachesEachZoneExactlyOnceOverExistingLinks(
+      @ForAll @IntRange(min = 1, max = 94) int size, @ForAll @IntRange(max = 93) int originIndex) {
+    List<String> zones = names("zone-", size);
+    String origin = zones.get(originIndex % size);
+    Map<String, Integer> got = new HashMap<>(Map.of(origin, 1));
+    Deque<String> open = new ArrayDeque<>(List.of(origin));
+    while (!open.isEmpty()) {
+      String here = open.remove();
+      for (String child : Overlay.reportChildren(zones, origin, here)) {
+        assertTrue(Overlay.zoneNeighbours(zones, here).contains(child), here + " to " + child);
+        assertEquals(1, got.merge(child, 1, Integer::sum), child);
+        open.add(child);
+      }
+    }
+    assertEquals(size, got.size());
+  }
+
   private static List<String> names(String prefix, int size) {
     return IntStream.range(0, size).mapToObj(i -> String.format("%s%02d", prefix, i)).toList();
   }
--- a/sageladder-entry/src/main/java/org/sageladder/entry/control/ControlMachine.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/control/ControlMachine.java
@@ -3,8 +3,10 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -44,6 +46,7 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int SNAPSHOT_PEERS = 4;
   private static final Duration NEIGHBOUR_REFRESH = Duration.ofSeconds(5);
+  private static final Duration LOST_LINK_AVOIDED = Duration.ofSeconds(10);
 
   private final ControlIdentity identity;
   private final ControlTimes times;
@@ -58,6 +61,7 @@
   private final ConfirmationGuard guard;
   private final FirstSnapshot snapshot;
   private final Set<String> seeds = new HashSet<>();
+  private final Map<String, Long> lostNanos = new HashMap<>();
   private Supplier<List<ZoneSummary>> summaries = List::of;
   private Supplier<List<TargetReport>> targets = List::of;
   private boolean ready;
@@ -86,13 +90,7 @@
     this.directory = new PeerDirectory(identity, random);
     this.guard = ConfirmationGuard.of(times.membership(), time);
     this.snapshot = FirstSnapshot.of(time, times.snapshotWait());
-    this.spreader =
-        Spreader.of(
-            times.spread(),
-            time,
-            random,
-            (vm, message) -> effects.send(vm, new InnerMessage.Spread(message)),
-            this::accepted);
+    this.spreader = Spreader.of(times.spread(), time, random, this::sendSpread, this::accepted);
     this.duty =
         RelayDuty.of(
             times.relay(),
@@ -104,6 +102,9 @@
     this.role =
         new RelayRole(
             identity, times, time, known, spreader.table(), duty, spreader::publish, events);
+    spreader.reportRoute(
+        report ->
+            directory.reportRoute(report, known.views(), known.contract(), this::isReachable));
     long now = time.nanos();
     this.callersPort = identity.self().port();
     this.relayHeardNanos = now - times.relay().silence().toNanos();
@@ -200,10 +201,25 @@
       // A fresh VM may know no other peer than the one that a seed turned out to be.
       seeds.add(vm);
     }
+    lostNanos.remove(vm);
     spreader.linkOpened(vm);
   }
 
+  private boolean sendSpread(String vm, SpreadMessage message) {
+    boolean sent = effects.send(vm, new InnerMessage.Spread(message));
+    if (!sent) {
+      lostNanos.put(vm, time.nanos());
+    }
+    return sent;
+  }
+
+  private boolean isReachable(String vm) {
+    Long lost = lostNanos.get(vm);
+    return lost == null || time.nanos() - lost >= LOST_LINK_AVOIDED.toNanos();
+  }
+
   void lost(String vm) {
+    lostNanos.put(vm, time.nanos());
     spreader.linkLost(vm);
   }
 
@@ -324,7 +340,10 @@
 
   private void askForDuty() {
     long silence = time.nanos() - relayHeardNanos;
-    int rank = directory.rank(known.views());
+    // The rank counts only among those that find the relay silent, and costs a hash for each
+    // member.
+    boolean quiet = silence >= times.relay().silence().toNanos();
+    int rank = quiet ? directory.rank(known.views()) : 0;
     boolean mayServe = ready && !leaving && callersPort > 0;
     duty.next(silence, rank, mayServe).ifPresent(effects::call);
     if (mayServe) {
@@ -361,12 +380,14 @@
 
   private void refreshNeighbours() {
     nextNeighboursNanos = time.nanos() + NEIGHBOUR_REFRESH.toNanos();
+    lostNanos.values().removeIf(lost -> time.nanos() - lost >= LOST_LINK_AVOIDED.toNanos());
     spreader.neighbours(directory.neighbours(known.views(), role.active()));
     spreader.repairPeers(directory.comparisonPeers(known.views()));
   }
 
   private void beat() {
-    nextBeatNanos = time.nanos() + times.membership().heartbeat().toNanos();
+    int members = known.view(identity.zone()).map(view -> view.view().members().size()).orElse(0);
+    nextBeatNanos = time.nanos() + times.membership().heartbeat(members).toNanos();
     if (!ready || callersPort == 0) {
       return;
     }
--- a/sageladder-entry/src/main/java/org/sageladder/entry/control/ControlTimes.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/control/ControlTimes.java
@@ -8,9 +8,11 @@
 /**
  * Times and budgets of the control plane.
  *
- * @param report least time between two reports of a zone's load
- * @param reportPerZone added time for each zone, so that the reports of many zones, each of which
- *     passes every relay, keep to the byte budget
+ * @param report time between two reports of a zone's load to its own region, and the least between
+ *     two to all zones
+ * @param reportPerZone time for each zone between two reports to all zones, so that the reports of
+ *     many zones, each of which passes every relay, keep to the byte budget; 8 s at 94 zones, for
+ *     as long as steering takes a reading for fresh
  * @param zoneSilence how long nothing may be heard of another zone before it counts as lost; longer
  *     than a zone goes without a relay
  * @param snapshotRetry time between two tries of a fresh VM to get a snapshot
@@ -31,7 +33,7 @@
         RelaySettings.standard(),
         SpreadSettings.standard(),
         Duration.ofSeconds(1),
-        Duration.ofMillis(70),
+        Duration.ofMillis(85),
         Duration.ofSeconds(6),
         Duration.ofMillis(500),
         Duration.ofSeconds(1));
--- a/sageladder-entry/src/main/java/org/sageladder/entry/control/KnownState.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/control/KnownState.java
@@ -76,9 +76,14 @@
         yield true;
       }
       case SUMMARY -> {
-        heard(item.key().name());
-        reports.put(item.key().name(), MembershipCodec.decodeReport(item.payload()));
-        yield true;
+        ZoneReport report = MembershipCodec.decodeReport(item.payload());
+        heard(report.zone());
+        ZoneReport held = reports.get(report.zone());
+        boolean newer = held == null || report.takenAtMillis() >= held.takenAtMillis();
+        if (newer) {
+          reports.put(report.zone(), report);
+        }
+        yield newer;
       }
       case NOTICE -> false;
     };
--- a/sageladder-entry/src/main/java/org/sageladder/entry/control/PeerDirectory.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/control/PeerDirectory.java
@@ -8,18 +8,23 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+import org.sageladder.core.contract.Contract;
 import org.sageladder.core.membership.Member;
 import org.sageladder.core.membership.RelayedView;
 import org.sageladder.core.membership.Rendezvous;
 import org.sageladder.core.platform.ListedVm;
 import org.sageladder.core.platform.VmRole;
+import org.sageladder.core.spread.Item;
 import org.sageladder.core.spread.Overlay;
 import org.sageladder.protocol.PeerAddress;
 
 /** Which peers there are, from the views and, where there is no view yet, the platform's list. */
 final class PeerDirectory {
   private static final int TREE_FAN_OUT = 2;
+  private static final int SPEAKERS = 2;
   private static final int OTHER_ZONES_TO_COMPARE_WITH = 2;
 
   private final ControlIdentity identity;
@@ -82,12 +87,7 @@
 
   /** Who gets new items from this VM at once. */
   Set<String> neighbours(Map<String, RelayedView> views, boolean relaying) {
-    Set<String> neighbours = new HashSet<>();
-    RelayedView own = views.get(identity.zone());
-    if (own != null) {
-      List<String> names = own.view().members().stream().map(Member::vm).toList();
-      neighbours.addAll(Overlay.zoneTree(names, own.relay(), identity.vm(), TREE_FAN_OUT));
-    }
+    Set<String> neighbours = zoneNeighbours(views);
     if (relaying) {
       for (String zone : Overlay.zoneNeighbours(zones(views), identity.zone())) {
         RelayedView view = views.get(zone);
@@ -102,6 +102,129 @@
     return neighbours;
   }
 
+  /**
+   * Whom a zone's report is handed on to: inside the zone along a tree; between zones, by
+   * {@linkplain #speaker speakers} alone, along the tree of the zone that reports, or to all zones
+   * of its region.
+   *
+   * <p>A zone whose speaker cannot be reached is replaced by the zones that it would have served;
+   * else one lost zone would cut those behind it off from reports.
+   */
+  Set<String> reportRoute(
+      Item report,
+      Map<String, RelayedView> views,
+      @Nullable Contract contract,
+      Predicate<String> reachable) {
+    RelayedView own = views.get(identity.zone());
+    if (own == null) {
+      return Set.of();
+    }
+    Set<String> route = reportTree(report, own);
+    if (speaker(own, report.version()).equals(identity.vm())) {
+      addOtherZones(report, views, contract, reachable, route);
+    }
+    route.remove(identity.vm());
+    return route;
+  }
+
+  private Set<String> reportTree(Item report, RelayedView own) {
+    String speaker = speaker(own, report.version());
+    boolean ownReport = ReportKeys.zone(report.key()).equals(identity.zone());
+    if (ownReport && own.relay().equals(identity.vm())) {
+      return new HashSet<>(Set.of(speaker));
+    }
+    List<String> names = own.view().members().stream().map(Member::vm).toList();
+    Set<String> tree =
+        new HashSet<>(
+            Overlay.zoneTreeWithLeaf(names, speaker, own.relay(), identity.vm(), TREE_FAN_OUT));
+    if (ownReport) {
+      tree.remove(own.relay());
+    }
+    return tree;
+  }
+
+  private void addOtherZones(
+      Item report,
+      Map<String, RelayedView> views,
+      @Nullable Contract contract,
+      Predicate<String> reachable,
+      Set<String> route) {
+    String origin = ReportKeys.zone(report.key());
+    if (!ReportKeys.isNear(report.key())) {
+      addReachable(report, identity.zone(), views, reachable, route);
+      return;
+    }
+    if (origin.equals(identity.zone())) {
+      for (String zone : regionOf(origin, contract)) {
+        RelayedView view = views.get(zone);
+        if (view != null) {
+          route.add(speaker(view, report.version()));
+        }
+      }
+    }
+  }
+
+  /**
+   * The member that exchanges the report of that version with other zones: two members in turn, and
+   * not the relay where there is another.
+   *
+   * <p>In a large zone the heartbeats of all members take most of the relay's byte budget, so the
+   * reports of all zones must not pass it as well. Were it always the same member, its pause would
+   * silence the zone until the next view; so only every other report is lost. All VMs find the same
+   * member in the zone's view.
+   */
+  static String speaker(RelayedView view, long version) {
+    List<String> speakers =
+        view.view().members().stream()
+            .filter(member -> !member.leaving())
+            .map(Member::vm)
+            .filter(vm -> !vm.equals(view.relay()))
+            .limit(SPEAKERS)
+            .toList();
+    if (speakers.isEmpty()) {
+      return view.relay();
+    }
+    return speakers.get((int) (version % speakers.size()));
+  }
+
+  private static List<String> regionOf(String zone, @Nullable Contract contract) {
+    if (contract == null) {
+      return List.of();
+    }
+    return contract.regions().stream()
+        .map(Contract.Region::zones)
+        .filter(zones -> zones.contains(zone))
+        .findFirst()
+        .orElse(List.of());
+  }
+
+  private static void addReachable(
+      Item report,
+      String from,
+      Map<String, RelayedView> views,
+      Predicate<String> reachable,
+      Set<String> route) {
+    List<String> zones = List.copyOf(views.keySet());
+    for (String child : Overlay.reportChildren(zones, report.key().name(), from)) {
+      String speaker = speaker(views.get(child), report.version());
+      if (reachable.test(speaker)) {
+        route.add(speaker);
+      } else {
+        addReachable(report, child, views, reachable, route);
+      }
+    }
+  }
+
+  private Set<String> zoneNeighbours(Map<String, RelayedView> views) {
+    Set<String> neighbours = new HashSet<>();
+    RelayedView own = views.get(identity.zone());
+    if (own != null) {
+      List<String> names = own.view().members().stream().map(Member::vm).toList();
+      neighbours.addAll(Overlay.zoneTree(names, own.relay(), identity.vm(), TREE_FAN_OUT));
+    }
+    return neighbours;
+  }
+
   /** Whom to compare with at random: all of the own zone, and a few of others. */
   List<String> comparisonPeers(Map<String, RelayedView> views) {
     Set<String> peers = new TreeSet<>(listedIn(identity.zone()));
--- a/sageladder-entry/src/main/java/org/sageladder/entry/control/RelayControlPlane.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/control/RelayControlPlane.java
@@ -52,7 +52,7 @@
  */
 public final class RelayControlPlane implements ControlPlane {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final long TICK_MILLIS = 50;
+  private static final long TICK_MILLIS = 100;
   private static final long QUIET_PUBLISH_NANOS = Duration.ofMillis(250).toNanos();
   private static final long ALONE_NANOS = Duration.ofSeconds(5).toNanos();
   private static final double STORE_CALLS_PER_SECOND = 4;
--- a/sageladder-entry/src/main/java/org/sageladder/entry/control/RelayRole.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/control/RelayRole.java
@@ -40,6 +40,7 @@
   private long makerFencing;
   private List<ListedVm> lastList = List.of();
   private long nextReportNanos;
+  private long nextNearReportNanos;
   private long lastTickNanos;
   private long distrustUntilNanos;
 
@@ -93,10 +94,7 @@
     }
     Optional<RelayedView> view = making.tick();
     view.ifPresent(this::publishView);
-    if (time.nanos() - nextReportNanos >= 0) {
-      nextReportNanos = time.nanos() + times.reportEvery(known.views().size()).toNanos();
-      publishReport(making);
-    }
+    publishReports(making);
   }
 
   /** The answer to a heartbeat, as long as this VM is relay. */
@@ -152,6 +150,7 @@
             this::slotsPerTarget);
     maker.listed(lastList);
     nextReportNanos = time.nanos() + Duration.ofMillis(200).toNanos();
+    nextNearReportNanos = nextReportNanos;
     events.record(
         EventKind.LEASE_GAINED,
         "",
@@ -184,7 +183,23 @@
             ItemKind.VIEW, identity.zone(), view.view().number(), MembershipCodec.encode(view)));
   }
 
-  private void publishReport(ViewMaker making) {
+  /**
+   * Reports to all zones as often as the byte budget lets so many zones report, and to those of the
+   * own region, on which steering leans first, each {@link ControlTimes#report}.
+   */
+  private void publishReports(ViewMaker making) {
+    long now = time.nanos();
+    if (now - nextReportNanos >= 0) {
+      nextReportNanos = now + times.reportEvery(known.views().size()).toNanos();
+      nextNearReportNanos = now + times.report().toNanos();
+      publishReport(making, ReportKeys.far(identity.zone()));
+    } else if (now - nextNearReportNanos >= 0) {
+      nextNearReportNanos = now + times.report().toNanos();
+      publishReport(making, ReportKeys.near(identity.zone()));
+    }
+  }
+
+  private void publishReport(ViewMaker making, ItemKey key) {
     Map<String, Long> revisions = making.revisionsInForce();
     long lowest = revisions.values().stream().mapToLong(Long::longValue).min().orElse(0);
     List<String> lagging =
@@ -202,7 +217,6 @@
             revisions.size(),
             lowest,
             lagging);
-    ItemKey key = new ItemKey(ItemKind.SUMMARY, identity.zone());
     long version = Math.max(makerFencing << 20, table.version(key) + 1);
     publish.accept(new Item(key, version, 0, MembershipCodec.encode(report)));
   }
--- a/sageladder-entry/src/test/java/org/sageladder/entry/control/ControlMachineTest.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/control/ControlMachineTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.sageladder.core.membership.Holding;
+import org.sageladder.core.membership.RelayedView;
 import org.sageladder.core.membership.ViewMaker;
 import org.sageladder.core.membership.ZoneView;
 import org.sageladder.core.spread.RelayDuty;
@@ -250,6 +251,44 @@
     assertEquals(revision, report.lowestRevision());
   }
 
+  // A zone is lost whole. Reports of the others that would have passed it must go round it, or the
+  // zones behind it would take living zones for silent and stop offering them to callers.
+  @Test
+  void reportsGoRoundALostZone() {
+    fakes.accept(20);
+    for (int zone = 10; zone < 26; zone++) {
+      fakes.add("vm-" + zone + "-a", "zone-" + zone);
+      fakes.add("vm-" + zone + "-b", "zone-" + zone);
+    }
+    fakes.run(SETTLE);
+    inZone("zone-14").forEach(node -> node.dead = true);
+    fakes.run(Duration.ofSeconds(20));
+    for (NodeFake node : fakes.nodes.values()) {
+      if (node.dead) {
+        continue;
+      }
+      for (int zone = 10; zone < 26; zone++) {
+        String name = "zone-" + zone;
+        int members = node.machine.known().snapshot().views().get(name).members().size();
+        assertEquals(zone == 14 ? 0 : 2, members, name + " at " + node.vm);
+      }
+    }
+  }
+
+  // One of the two members that pass reports on is paused. Its zone must still be heard, or it
+  // would count as lost although its other entry VMs serve.
+  @Test
+  void pausedSpeakerDoesNotSilenceItsZone() {
+    fakes.accept(20);
+    twoZones();
+    NodeFake here = inZone("tartu-2").get(0);
+    RelayedView seen = here.machine.known().view("tartu-1").orElseThrow();
+    fakes.nodes.get(PeerDirectory.speaker(seen, 1)).paused = true;
+    long before = here.machine.known().reports().get("tartu-1").takenAtMillis();
+    fakes.run(Duration.ofMillis(2_500));
+    assertTrue(here.machine.known().reports().get("tartu-1").takenAtMillis() > before);
+  }
+
   private void twoZones() {
     for (int i = 1; i <= 6; i++) {
       fakes.add("vm-" + i, i <= 3 ? "tartu-1" : "tartu-2");
