--- /dev/null
+++ b/sageladder-assembly/src/main/java/org/sageladder/assembly/EntryBuild.java
@@ -0,0 +1,57 @@
+package org.sageladder.assembly;
+
+import java.io.IOException;
+import org.sageladder.entry.EntryDaemon;
+import org.sageladder.entry.settings.EntrySettings;
+import org.sageladder.platform.settings.SettingsException;
+
+/** Starts entry daemons of one build. */
+@FunctionalInterface
+public interface EntryBuild {
+  /**
+   * Starts a daemon.
+   *
+   * @param name names the settings in errors
+   * @param yaml its settings
+   */
+  EntryVm start(String name, String yaml)
+      throws IOException, InterruptedException, SettingsException;
+
+  /** The build that runs here. */
+  static EntryBuild present() {
+    return (name, yaml) -> new Present(EntryDaemon.start(EntrySettings.parse(name, yaml)));
+  }
+
+  /** A daemon of the build that runs here. */
+  record Present(EntryDaemon daemon) implements EntryVm {
+    @Override
+    public int callersPort() {
+      return daemon.callersPort();
+    }
+
+    @Override
+    public int innerPort() {
+      return daemon.innerPort();
+    }
+
+    @Override
+    public int operatorsPort() {
+      return daemon.operatorsPort();
+    }
+
+    @Override
+    public boolean isServing(int members) {
+      return daemon.isServing(members);
+    }
+
+    @Override
+    public void stop() throws InterruptedException {
+      var unused = daemon.stop();
+    }
+
+    @Override
+    public void close() {
+      daemon.close();
+    }
+  }
+}
--- a/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalExperiment.java
+++ b/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalExperiment.java
@@ -15,23 +15,16 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
-import org.sageladder.core.contract.Contract;
 import org.sageladder.core.platform.ListedVm;
 import org.sageladder.core.platform.VmRole;
-import org.sageladder.core.store.Store;
 import org.sageladder.core.store.StoreException;
-import org.sageladder.core.time.TimeSource;
-import org.sageladder.entry.EntryDaemon;
-import org.sageladder.platform.contract.ApplyResult;
-import org.sageladder.platform.contract.ContractWriter;
-import org.sageladder.platform.contract.StoredContract;
-import org.sageladder.platform.store.HttpStore;
 import org.sageladder.platform.store.HttpVmList;
 import org.sageladder.standin.store.StoreFaults;
 import org.sageladder.standin.store.StoreServer;
 import org.sageladder.standin.target.TargetFaults;
 import org.sageladder.standin.target.TargetServer;
 import org.sageladder.tools.http.HttpCaller;
+import org.sageladder.tools.load.ContractChange;
 import org.sageladder.tools.load.Experiment.Fault;
 import org.sageladder.tools.load.SystemUnderTest;
 import org.sageladder.tools.load.TargetView;
@@ -44,7 +37,7 @@
   private final StoreServer store;
   private final LocalSystem system;
   private final Map<String, ListedVm> listed = new TreeMap<>();
-  private final Map<String, EntryDaemon> entries;
+  private final Map<String, EntryVm> entries;
   private final List<TargetView> targets = new ArrayList<>();
   private final HttpCaller caller = HttpCaller.withTimeout(TIMEOUT);
   private final ScheduledExecutorService timers =
@@ -143,7 +136,8 @@
       case SHED_TARGET -> breakTarget(fault, faults -> faults.shed(true));
       case MISLEADING_LOAD -> breakTarget(fault, faults -> faults.reportBusy(0));
       case STORE_DOWN -> storeDown(fault);
-      case CHANGE_CONTRACT -> changeContract();
+      case CHANGE_CONTRACT ->
+          ContractChange.longerDrain(store.address(), system.contract().customer());
     };
   }
 
@@ -168,7 +162,7 @@
   }
 
   private String stopEntry(ListedVm vm) {
-    EntryDaemon daemon = entries.remove(vm.id());
+    EntryVm daemon = entries.remove(vm.id());
     leaving(vm);
     if (daemon != null) {
       timers.execute(
@@ -232,36 +226,10 @@
     return server;
   }
 
-  /** Lets every leaving target have a second more, which changes nothing under load. */
-  private String changeContract() throws IOException {
-    String customer = system.contract().customer();
-    try (Store client = HttpStore.connect(store.address(), TIMEOUT)) {
-      ContractWriter writer = ContractWriter.of(client, TimeSource.system(), "sageladder-load");
-      StoredContract standing = writer.read(customer);
-      if (standing == null) {
-        throw new IOException("the store has no contract of " + customer);
-      }
-      ApplyResult result =
-          writer.apply(longerDrain(standing.contract()), standing.contract().revision());
-      if (result instanceof ApplyResult.Accepted accepted) {
-        return "revision " + accepted.revision();
-      }
-      throw new IOException("the change was not accepted: " + result);
-    } catch (StoreException e) {
-      throw new IOException("the store cannot be read: " + e.getMessage(), e);
-    }
-  }
-
-  private static Contract longerDrain(Contract contract) {
-    return contract
-        .atRevision(0)
-        .withServices(service -> service.withDrainLimit(service.drainLimit().plusSeconds(1)));
-  }
-
   @Override
   public Map<String, Long> revisionsInForce() throws IOException {
     Map<String, Long> revisions = new TreeMap<>();
-    for (Map.Entry<String, EntryDaemon> entry : entries.entrySet()) {
+    for (Map.Entry<String, EntryVm> entry : entries.entrySet()) {
       URI state = URI.create("http://127.0.0.1:" + entry.getValue().operatorsPort() + "/v1/state");
       JsonNode json = JSON.readTree(caller.get(state).body());
       String customer = system.contract().customer();
--- a/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalExperimentProvider.java
+++ b/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalExperimentProvider.java
@@ -1,6 +1,7 @@
 package org.sageladder.assembly;
 
 import java.io.IOException;
+import java.nio.file.Path;
 import java.time.Duration;
 import org.sageladder.core.contract.Contract;
 import org.sageladder.core.store.StoreException;
@@ -10,12 +11,28 @@
 
 /** Starts the whole system in this process for {@code sageladder-load}; found as a service. */
 public final class LocalExperimentProvider implements SystemUnderTest.Provider {
+  private final EntryBuild build;
+
+  /** Starts entry VMs of this build. */
+  public LocalExperimentProvider() {
+    this(EntryBuild.present());
+  }
+
+  private LocalExperimentProvider(EntryBuild build) {
+    this.build = build;
+  }
+
+  @Override
+  public SystemUnderTest.Provider ofBuild(Path directory) throws IOException {
+    return new LocalExperimentProvider(OtherBuild.of(directory));
+  }
+
   @Override
   public SystemUnderTest start(Contract contract, int entriesPerZone, Duration readyWithin)
       throws IOException, InterruptedException {
     StoreServer store = StoreServer.start("127.0.0.1", 0);
     try {
-      LocalSystem system = LocalSystem.start(store, contract, entriesPerZone);
+      LocalSystem system = LocalSystem.start(store, contract, entriesPerZone, build);
       system.awaitReady();
       return LocalExperiment.of(store, system);
     } catch (StoreException | SettingsException e) {
--- a/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalSystem.java
+++ b/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalSystem.java
@@ -13,8 +13,6 @@
 import org.sageladder.core.store.Store;
 import org.sageladder.core.store.StoreException;
 import org.sageladder.core.store.WriteResult;
-import org.sageladder.entry.EntryDaemon;
-import org.sageladder.entry.settings.EntrySettings;
 import org.sageladder.platform.contract.StoredContract;
 import org.sageladder.platform.settings.SettingsException;
 import org.sageladder.platform.store.HttpStore;
@@ -28,7 +26,7 @@
  *
  * <pre>{@code
  * try (StoreServer store = StoreServer.start("127.0.0.1", 0);
- *     LocalSystem system = LocalSystem.start(store, contract, LocalOptions.standard())) {
+ *     LocalSystem system = LocalSystem.start(store, contract, 1)) {
  *   system.awaitReady();
  * }
  * }</pre>
@@ -40,13 +38,15 @@
 
   private final StoreServer store;
   private final Contract contract;
-  private final Map<String, EntryDaemon> entries = new LinkedHashMap<>();
+  private final EntryBuild build;
+  private final Map<String, EntryVm> entries = new LinkedHashMap<>();
   private final Map<String, TargetServer> targets = new LinkedHashMap<>();
   private final Map<String, ListedVm> listed = new LinkedHashMap<>();
 
-  private LocalSystem(StoreServer store, Contract contract) {
+  private LocalSystem(StoreServer store, Contract contract, EntryBuild build) {
     this.store = store;
     this.contract = contract;
+    this.build = build;
   }
 
   /**
@@ -54,7 +54,14 @@
    */
   public static LocalSystem start(StoreServer store, Contract contract, int entriesPerZone)
       throws IOException, InterruptedException, StoreException, SettingsException {
-    LocalSystem system = new LocalSystem(store, contract);
+    return start(store, contract, entriesPerZone, EntryBuild.present());
+  }
+
+  /** As above, with the entry daemons of {@code build}. */
+  public static LocalSystem start(
+      StoreServer store, Contract contract, int entriesPerZone, EntryBuild build)
+      throws IOException, InterruptedException, StoreException, SettingsException {
+    LocalSystem system = new LocalSystem(store, contract, build);
     system.apply();
     system.startTargets();
     for (String zone : contract.zones()) {
@@ -110,7 +117,7 @@
   private void startEntry(String zone, int number)
       throws IOException, InterruptedException, SettingsException {
     String vm = contract.customer() + "-entry-" + zone + "-" + number;
-    EntryDaemon daemon = EntryDaemon.start(settings(vm, zone));
+    EntryVm daemon = build.start(vm + ".yaml", settings(vm, zone));
     entries.put(vm, daemon);
     list(
         new ListedVm(
@@ -126,22 +133,20 @@
             false));
   }
 
-  private EntrySettings settings(String vm, String zone) throws SettingsException {
+  private String settings(String vm, String zone) {
     URI uri = store.address();
-    String yaml =
-        String.join(
-            "\n",
-            "vm: " + vm,
-            "customer: " + contract.customer(),
-            "zone: " + zone,
-            "host: " + HOST,
-            "ports: {callers: 0, inner: 0, operators: 0}",
-            "store: {uri: '" + uri + "', timeout: 2s}",
-            "vmList: {uri: '" + uri + "', every: 1s}",
-            "incarnation: {source: fixed, number: 1}",
-            "callerLimits: {workers: 2}",
-            "");
-    return EntrySettings.parse(vm + ".yaml", yaml);
+    return String.join(
+        "\n",
+        "vm: " + vm,
+        "customer: " + contract.customer(),
+        "zone: " + zone,
+        "host: " + HOST,
+        "ports: {callers: 0, inner: 0, operators: 0}",
+        "store: {uri: '" + uri + "', timeout: 2s}",
+        "vmList: {uri: '" + uri + "', every: 1s}",
+        "incarnation: {source: fixed, number: 1}",
+        "callerLimits: {workers: 2}",
+        "");
   }
 
   private void list(ListedVm vm) {
@@ -168,7 +173,7 @@
   }
 
   /** The entry VMs that run, by name. */
-  public Map<String, EntryDaemon> entries() {
+  public Map<String, EntryVm> entries() {
     return Map.copyOf(entries);
   }
 
@@ -184,7 +189,7 @@
 
   /** Ends an entry VM at once, with whatever it carries; the list goes on naming it for a while. */
   public void killEntry(String vm) {
-    EntryDaemon daemon = entries.remove(vm);
+    EntryVm daemon = entries.remove(vm);
     if (daemon != null) {
       daemon.close();
       store.removeVm(vm);
@@ -204,7 +209,7 @@
 
   @Override
   public void close() {
-    entries.values().forEach(EntryDaemon::close);
+    entries.values().forEach(EntryVm::close);
     targets.values().forEach(TargetServer::close);
   }
 }
--- /dev/null
+++ b/sageladder-assembly/src/main/java/org/sageladder/assembly/OtherBuild.java
@@ -0,0 +1,141 @@
+package org.sageladder.assembly;
+
+import java.io.IOException;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Method;
+import java.net.URL;
+import java.net.URLClassLoader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Entry daemons of another build, such as that of the commit before, in this process.
+ *
+ * <p>Their classes come from that build's jars through a class loader of their own that knows
+ * nothing of this build's, so both run side by side under the same conditions and no process has to
+ * start another. Only the few methods below are called, by name.
+ */
+final class OtherBuild implements EntryBuild {
+  private static final String DAEMON = "org.sageladder.entry.EntryDaemon";
+  private static final String SETTINGS = "org.sageladder.entry.settings.EntrySettings";
+
+  private final Path directory;
+  private final Class<?> daemon;
+  private final Class<?> settings;
+
+  private OtherBuild(Path directory, Class<?> daemon, Class<?> settings) {
+    this.directory = directory;
+    this.daemon = daemon;
+    this.settings = settings;
+  }
+
+  /**
+   * The build whose jars are in {@code directory}, as {@code bin/build} leaves them in {@code
+   * sageladder-dist/target/lib}.
+   *
+   * @throws IOException where there are none or they hold no entry daemon
+   */
+  static OtherBuild of(Path directory) throws IOException {
+    List<URL> jars = new ArrayList<>();
+    try (Stream<Path> files = Files.list(directory)) {
+      for (Path jar : files.filter(file -> file.toString().endsWith(".jar")).sorted().toList()) {
+        jars.add(jar.toUri().toURL());
+      }
+    }
+    // Never closed: its daemons' threads load classes until the process ends.
+    URLClassLoader loader =
+        new URLClassLoader(
+            "other-build", jars.toArray(new URL[0]), ClassLoader.getPlatformClassLoader());
+    try {
+      return new OtherBuild(directory, loader.loadClass(DAEMON), loader.loadClass(SETTINGS));
+    } catch (ClassNotFoundException e) {
+      throw new IOException(
+          "'"
+              + directory
+              + "' holds no build of sageladder ("
+              + jars.size()
+              + " jars); give the directory of its jars, such as sageladder-dist/target/lib",
+          e);
+    }
+  }
+
+  @Override
+  public EntryVm start(String name, String yaml) throws IOException {
+    Object parsed = call(null, method(settings, "parse", String.class, String.class), name, yaml);
+    return new Daemon(call(null, method(daemon, "start", settings), parsed));
+  }
+
+  private Method method(Class<?> type, String name, Class<?>... parameters) throws IOException {
+    try {
+      return type.getMethod(name, parameters);
+    } catch (NoSuchMethodException e) {
+      throw new IOException("the build in '" + directory + "' is too different: " + e, e);
+    }
+  }
+
+  private static Object call(@Nullable Object receiver, Method method, Object... arguments)
+      throws IOException {
+    try {
+      return method.invoke(receiver, arguments);
+    } catch (InvocationTargetException e) {
+      throw new IOException(method.getName() + " in the other build: " + e.getCause(), e);
+    } catch (IllegalAccessException e) {
+      throw new IOException(method + " cannot be called", e);
+    }
+  }
+
+  /** A daemon whose class this build does not know. */
+  private final class Daemon implements EntryVm {
+    private final Object vm;
+
+    Daemon(Object vm) {
+      this.vm = vm;
+    }
+
+    @Override
+    public int callersPort() {
+      return (int) ask("callersPort");
+    }
+
+    @Override
+    public int innerPort() {
+      return (int) ask("innerPort");
+    }
+
+    @Override
+    public int operatorsPort() {
+      return (int) ask("operatorsPort");
+    }
+
+    @Override
+    public boolean isServing(int members) {
+      try {
+        return (boolean) call(vm, method(daemon, "isServing", int.class), members);
+      } catch (IOException e) {
+        throw new IllegalStateException(e);
+      }
+    }
+
+    @Override
+    public void stop() {
+      ask("stop");
+    }
+
+    @Override
+    public void close() {
+      ask("close");
+    }
+
+    private Object ask(String name) {
+      try {
+        return call(vm, method(daemon, name));
+      } catch (IOException e) {
+        throw new IllegalStateException(e);
+      }
+    }
+  }
+}
--- a/sageladder-bench/src/main/java/org/sageladder/bench/capacity/ControlSlopes.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/capacity/ControlSlopes.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.ToDoubleFunction;
+import org.sageladder.assembly.EntryVm;
 import org.sageladder.assembly.LocalSystem;
 import org.sageladder.core.contract.Contract;
 import org.sageladder.core.contract.Contract.ClientBlocks;
@@ -15,7 +16,6 @@
 import org.sageladder.core.contract.Contract.Region;
 import org.sageladder.core.store.Store;
 import org.sageladder.core.time.TimeSource;
-import org.sageladder.entry.EntryDaemon;
 import org.sageladder.platform.contract.ContractWriter;
 import org.sageladder.platform.contract.StoredContract;
 import org.sageladder.platform.store.HttpStore;
@@ -178,7 +178,7 @@
 
   private static double controlBytes(LocalSystem system, HttpCaller caller) throws IOException {
     double sum = 0;
-    for (EntryDaemon daemon : system.entries().values()) {
+    for (EntryVm daemon : system.entries().values()) {
       URI metrics = URI.create("http://127.0.0.1:" + daemon.operatorsPort() + "/v1/metrics");
       for (String line : caller.get(metrics).text().split("\n")) {
         if (line.startsWith("sageladder_control_bytes_")) {
--- a/sageladder-tools/src/main/java/org/sageladder/tools/http/HttpCaller.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/http/HttpCaller.java
@@ -4,6 +4,7 @@
 import java.io.InterruptedIOException;
 import java.net.URI;
 import java.time.Duration;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -87,6 +88,9 @@
     } catch (TimeoutException e) {
       future.cancel(true);
       throw new IOException(uri + ": no answer within " + timeout.toMillis() + " ms", e);
+    } catch (CancellationException e) {
+      // The library cancels an exchange whose thread is interrupted while it gets a connection.
+      throw new IOException(uri + ": cancelled", e);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       throw new InterruptedIOException(uri + ": interrupted");
--- /dev/null
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/ContractChange.java
@@ -0,0 +1,48 @@
+package org.sageladder.tools.load;
+
+import java.io.IOException;
+import java.net.URI;
+import java.time.Duration;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.core.store.Store;
+import org.sageladder.core.store.StoreException;
+import org.sageladder.core.time.TimeSource;
+import org.sageladder.platform.contract.ApplyResult;
+import org.sageladder.platform.contract.ContractWriter;
+import org.sageladder.platform.contract.StoredContract;
+import org.sageladder.platform.store.HttpStore;
+
+/** Changes a contract while an experiment runs, as an operator would. */
+public final class ContractChange {
+  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+  private ContractChange() {}
+
+  /**
+   * Lets every leaving target have a second more, which changes nothing under load.
+   *
+   * @return the revision that was accepted, for people
+   * @throws IOException where it was not accepted
+   */
+  public static String longerDrain(URI store, String customer) throws IOException {
+    try (Store client = HttpStore.connect(store, TIMEOUT)) {
+      ContractWriter writer = ContractWriter.of(client, TimeSource.system(), "sageladder-load");
+      StoredContract standing = writer.read(customer);
+      if (standing == null) {
+        throw new IOException("the store has no contract of " + customer);
+      }
+      Contract changed =
+          standing
+              .contract()
+              .atRevision(0)
+              .withServices(service -> service.withDrainLimit(service.drainLimit().plusSeconds(1)));
+      ApplyResult result = writer.apply(changed, standing.contract().revision());
+      if (result instanceof ApplyResult.Accepted accepted) {
+        return "revision " + accepted.revision();
+      }
+      throw new IOException("the change was not accepted: " + result);
+    } catch (StoreException e) {
+      throw new IOException("the store cannot be read: " + e.getMessage(), e);
+    }
+  }
+}
--- a/sageladder-tools/src/main/java/org/sageladder/tools/load/ExperimentRun.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/ExperimentRun.java
@@ -1,6 +1,7 @@
 package org.sageladder.tools.load;
 
 import java.io.IOException;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -19,18 +20,31 @@
 
   private final Experiment experiment;
   private final SystemUnderTest.Provider provider;
+  private final String tag;
   private final Consumer<String> progress;
 
   private ExperimentRun(
-      Experiment experiment, SystemUnderTest.Provider provider, Consumer<String> progress) {
+      Experiment experiment,
+      SystemUnderTest.Provider provider,
+      String tag,
+      Consumer<String> progress) {
     this.experiment = experiment;
     this.provider = provider;
+    this.tag = tag;
     this.progress = progress;
   }
 
+  /**
+   * A run of {@code experiment}.
+   *
+   * @param tag part of each request's id, which tells it from those of earlier runs
+   */
   static ExperimentRun of(
-      Experiment experiment, SystemUnderTest.Provider provider, Consumer<String> progress) {
-    return new ExperimentRun(experiment, provider, progress);
+      Experiment experiment,
+      SystemUnderTest.Provider provider,
+      String tag,
+      Consumer<String> progress) {
+    return new ExperimentRun(experiment, provider, tag, progress);
   }
 
   /** The system itself, running {@code inForce}; the checks go by the experiment's contract. */
@@ -41,6 +55,15 @@
         system -> SystemSender.of(inForce.customer(), system.callerAddresses()));
   }
 
+  /** The system with the entry VMs of another build, whose jars are in {@code directory}. */
+  VariantResult otherBuild(Path directory) throws IOException, InterruptedException {
+    return run(
+        "other build",
+        experiment.contract(),
+        provider.ofBuild(directory),
+        system -> SystemSender.of(experiment.contract().customer(), system.callerAddresses()));
+  }
+
   /** Callers who pick a target evenly at random. */
   VariantResult random() throws IOException, InterruptedException {
     return run(
@@ -60,9 +83,18 @@
   private VariantResult run(
       String name, Contract inForce, Function<SystemUnderTest, Sender> senders)
       throws IOException, InterruptedException {
-    List<Arrival> arrivals = Arrivals.of(experiment, name.replace(' ', '-'));
+    return run(name, inForce, provider, senders);
+  }
+
+  private VariantResult run(
+      String name,
+      Contract inForce,
+      SystemUnderTest.Provider chosen,
+      Function<SystemUnderTest, Sender> senders)
+      throws IOException, InterruptedException {
+    List<Arrival> arrivals = Arrivals.of(experiment, name.replace(' ', '-') + tag);
     progress.accept(name + ": starting the system for " + arrivals.size() + " requests");
-    try (SystemUnderTest system = provider.start(inForce, experiment.entriesPerZone(), READY);
+    try (SystemUnderTest system = chosen.start(inForce, experiment.entriesPerZone(), READY);
         Sender sender = senders.apply(system)) {
       long start = System.nanoTime() + LEAD.toNanos();
       OpenLoop loop = new OpenLoop();
--- a/sageladder-tools/src/main/java/org/sageladder/tools/load/LoadMain.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/LoadMain.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.URI;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -13,9 +14,11 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.jspecify.annotations.Nullable;
 import org.sageladder.core.contract.Contract;
 import org.sageladder.core.contract.Contract.ShiftCap;
 import org.sageladder.platform.settings.ExitCode;
+import org.sageladder.platform.settings.Names;
 import org.sageladder.platform.settings.SettingsException;
 import org.sageladder.tools.timeline.TimeLineMain;
 
@@ -61,13 +64,21 @@
       throws ParseException, SettingsException, IOException, InterruptedException {
     Experiment experiment = Experiment.read(Path.of(line.getArgList().get(0)));
     UnaryOperator<Contract> change = disabled(line.getOptionValue("disable", "nothing"));
-    ExperimentRun run = ExperimentRun.of(experiment, provider(line), out::println);
+    if (line.hasOption("entries") && line.hasOption("disable")) {
+      throw new ParseException(
+          "--disable changes only a system that is started here; not --entries");
+    }
+    String tag = line.hasOption("entries") ? runTag() : "";
+    ExperimentRun run = ExperimentRun.of(experiment, provider(line), tag, out::println);
     List<VariantResult> variants = new ArrayList<>();
     variants.add(run.system(change.apply(experiment.contract())));
     if (!line.hasOption("no-baselines")) {
       variants.add(run.random());
       variants.add(run.localOnly());
     }
+    if (line.hasOption("baseline-build")) {
+      variants.add(run.otherBuild(Path.of(line.getOptionValue("baseline-build"))));
+    }
     List<CheckResult> checks = Checks.of(variants.get(0));
     Path directory = Path.of(line.getOptionValue("output", "target/load/" + experiment.name()));
     Report.write(directory, variants, checks);
@@ -95,14 +106,25 @@
     return contract.withServices(service -> service.withShiftCaps(NO_CAP, NO_CAP));
   }
 
+  /**
+   * Processes that run on have seen the requests of earlier runs; without a part of its own in each
+   * request's id a second run would look as if its requests ran twice.
+   */
+  private static String runTag() {
+    return "-" + Long.toString(System.currentTimeMillis() / 1_000, Character.MAX_RADIX);
+  }
+
   private static SystemUnderTest.Provider provider(CommandLine line) throws ParseException {
     String entries = line.getOptionValue("entries");
     if (entries != null) {
       String operators = line.getOptionValue("operators");
+      String targets = line.getOptionValue("targets");
       return RemoteSystem.provider(
-          List.of(entries.split(",")),
-          operators == null ? List.of() : TimeLineMain.addresses(operators),
-          line.getOptionValue("targets", ""));
+          new RemoteSystem.Place(
+              List.of(entries.split(",")),
+              operators == null ? List.of() : TimeLineMain.addresses(operators),
+              targets == null ? null : Path.of(targets),
+              store(line.getOptionValue("store"))));
     }
     for (SystemUnderTest.Provider provider : ServiceLoader.load(SystemUnderTest.Provider.class)) {
       return provider;
@@ -110,16 +132,35 @@
     throw new ParseException("no system to start here; give --entries IP:PORT[,IP:PORT...]");
   }
 
+  private static @Nullable URI store(@Nullable String uri) throws ParseException {
+    if (uri == null) {
+      return null;
+    }
+    if (!Names.HTTP_URI.matcher(uri).matches()) {
+      throw new ParseException(
+          "--store '" + uri + "' is not allowed; give " + Names.HTTP_URI_ALLOWED);
+    }
+    return URI.create(uri);
+  }
+
   private static Options options() {
     return new Options()
         .addOption(option("output", "DIRECTORY", "where the report goes; target/load/NAME"))
         .addOption(option("entries", "IP:PORT,...", "callers' ports of entry VMs that run already"))
         .addOption(option("operators", "IP:PORT,...", "their operators' ports, for the time line"))
+        .addOption(
+            option("store", "http://IP:PORT", "store stand-in, for faults of store and list"))
         .addOption(
             option("targets", "FILE", "YAML list of the target stand-ins behind them, for checks"))
         .addOption(
             option("disable", "WHAT", "caps: run without shift caps, which must fail the verdict"))
-        .addOption(Option.builder().longOpt("no-baselines").desc("run the system only").get())
+        .addOption(
+            option("baseline-build", "DIRECTORY", "compare with the build whose jars are there"))
+        .addOption(
+            Option.builder()
+                .longOpt("no-baselines")
+                .desc("leave out random choice and local only")
+                .get())
         .addOption(Option.builder().longOpt("help").desc("show this").get());
   }
 
--- a/sageladder-tools/src/main/java/org/sageladder/tools/load/RemoteSystem.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/RemoteSystem.java
@@ -10,7 +10,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.apache.hc.core5.http.ContentType;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
 import org.sageladder.platform.settings.Names;
 import org.sageladder.platform.settings.SettingsDocument;
 import org.sageladder.platform.settings.SettingsException;
@@ -28,54 +29,86 @@
   private final List<URI> operators;
   private final List<TargetView> targets;
   private final HttpCaller caller;
+  private final RemoteFaults faults;
+  private final String customer;
 
-  private RemoteSystem(
-      List<String> entries, List<URI> operators, List<TargetView> targets, HttpCaller caller) {
-    this.entries = entries;
-    this.operators = operators;
+  private RemoteSystem(Place place, List<TargetView> targets, HttpCaller caller, String customer) {
+    this.entries = place.entries();
+    this.operators = place.operators();
     this.targets = targets;
     this.caller = caller;
+    this.customer = customer;
+    this.faults = new RemoteFaults(customer, targets, place.store(), caller);
   }
 
-  /** Joins running entry VMs; {@code operators} and {@code targetsFile} may be empty. */
-  static Provider provider(List<String> entries, List<URI> operators, String targetsFile) {
+  /**
+   * Where the processes are.
+   *
+   * @param entries callers' ports of the entry VMs, {@code IP:PORT}
+   * @param operators operators' ports of the entry VMs; may be empty
+   * @param targets YAML list of the target stand-ins, or null
+   * @param store store stand-in, or null
+   */
+  record Place(
+      List<String> entries, List<URI> operators, @Nullable Path targets, @Nullable URI store) {}
+
+  /** Joins running processes; each variant of an experiment meets the same ones. */
+  static Provider provider(Place place) {
     return (contract, entriesPerZone, readyWithin) -> {
       HttpCaller caller = HttpCaller.withTimeout(TIMEOUT);
       try {
         List<TargetView> targets =
-            targetsFile.isEmpty() ? List.of() : targets(Path.of(targetsFile), caller);
-        return new RemoteSystem(entries, operators, targets, caller);
-      } catch (SettingsException e) {
+            place.targets() == null ? List.of() : targets(place.targets(), caller);
+        return new RemoteSystem(place, targets, caller, contract.customer());
+      } catch (SettingsException | IOException e) {
         caller.close();
         throw new IOException(e.getMessage(), e);
       }
     };
   }
 
-  private static List<TargetView> targets(Path file, HttpCaller caller) throws SettingsException {
+  private static List<TargetView> targets(Path file, HttpCaller caller)
+      throws SettingsException, IOException {
     List<TargetView> targets = new ArrayList<>();
     SettingsSection root = SettingsDocument.read(file).root("targets");
     for (SettingsSection section :
         root.sections("targets", "id", "service", "zone", "slots", "uri")) {
-      targets.add(
+      RemoteTarget target =
           new RemoteTarget(
               section.text("id", Names.NAME, Names.NAME_ALLOWED),
               section.text("service", Names.NAME, Names.NAME_ALLOWED),
               section.text("zone", Names.NAME, Names.NAME_ALLOWED),
               section.wholeNumber("slots", 1, 10_000),
               URI.create(section.text("uri", Names.HTTP_URI, Names.HTTP_URI_ALLOWED)),
-              caller));
+              caller,
+              0);
+      targets.add(target.since(target.read().started()));
     }
     return targets;
   }
 
+  /**
+   * A target stand-in of another process.
+   *
+   * @param before requests that it had started before this variant, which do not count
+   */
   private record RemoteTarget(
-      String id, String service, String zone, int slots, URI address, HttpCaller caller)
+      String id,
+      String service,
+      String zone,
+      int slots,
+      URI address,
+      HttpCaller caller,
+      long before)
       implements TargetView {
+    RemoteTarget since(long started) {
+      return new RemoteTarget(id, service, zone, slots, address, caller, started);
+    }
+
     @Override
     public Reading read() throws IOException {
       JsonNode load = json("/admin/state").path("load");
-      long started = json("/admin/executions").path("total").asLong();
+      long started = json("/admin/executions").path("total").asLong() - before;
       return new Reading(started, load.path("busy").asInt(), load.path("queued").asInt());
     }
 
@@ -116,35 +149,22 @@
 
   @Override
   public String inject(Fault fault) throws IOException {
-    String path =
-        switch (fault.kind()) {
-          case DRAIN_TARGET -> "/admin/drain";
-          case CRASH_TARGET -> "/admin/crash";
-          default ->
-              throw new IOException(
-                  fault.kind()
-                      + " cannot be done to processes that run already; only drain-target"
-                      + " and crash-target can");
-        };
-    for (TargetView target : targets) {
-      boolean chosen =
-          (fault.zone().isEmpty() || fault.zone().equals(target.zone()))
-              && (fault.service().isEmpty() || fault.service().equals(target.service()));
-      if (chosen) {
-        caller.post(target.address().resolve(path), new byte[0], ContentType.APPLICATION_JSON);
-        return target.id();
-      }
-    }
-    throw new IOException("no target is in the chosen zone and service");
+    return faults.inject(fault);
   }
 
   @Override
-  public Map<String, Long> revisionsInForce() {
-    return Map.of();
+  public Map<String, Long> revisionsInForce() throws IOException {
+    Map<String, Long> revisions = new TreeMap<>();
+    for (URI uri : operators) {
+      JsonNode state = JSON.readTree(caller.get(uri.resolve("/v1/state")).body());
+      revisions.put(state.path("vm").asText(), state.path("revisions").path(customer).asLong());
+    }
+    return revisions;
   }
 
   @Override
   public void close() {
+    faults.close();
     caller.close();
   }
 }
--- a/sageladder-tools/src/main/java/org/sageladder/tools/load/SystemUnderTest.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/SystemUnderTest.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.URI;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -43,5 +44,17 @@
      */
     SystemUnderTest start(Contract contract, int entriesPerZone, Duration readyWithin)
         throws IOException, InterruptedException;
+
+    /**
+     * The same system with the entry daemons of another build.
+     *
+     * @param directory the other build's jars
+     * @throws IOException where this provider cannot start another build's
+     */
+    default Provider ofBuild(Path directory) throws IOException {
+      throw new IOException(
+          "another build cannot be started beside processes that run already; start its entry VMs"
+              + " and name them with --entries in a run of its own");
+    }
   }
 }
