--- a/sageladder-tools/src/main/java/org/sageladder/tools/load/Plots.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/Plots.java
@@ -1,7 +1,14 @@
 package org.sageladder.tools.load;
 
+import java.awt.BasicStroke;
+import java.awt.Color;
 import java.awt.image.BufferedImage;
 import java.io.IOException;
+import java.math.BigDecimal;
+import java.math.RoundingMode;
+import java.text.FieldPosition;
+import java.text.NumberFormat;
+import java.text.ParsePosition;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -11,8 +18,14 @@
 import org.jfree.chart.ChartFactory;
 import org.jfree.chart.JFreeChart;
 import org.jfree.chart.axis.LogAxis;
+import org.jfree.chart.axis.NumberAxis;
+import org.jfree.chart.axis.NumberTickUnit;
 import org.jfree.chart.encoders.EncoderUtil;
 import org.jfree.chart.encoders.ImageFormat;
+import org.jfree.chart.plot.ValueMarker;
+import org.jfree.chart.plot.XYPlot;
+import org.jfree.chart.ui.RectangleAnchor;
+import org.jfree.chart.ui.TextAnchor;
 import org.jfree.data.xy.XYSeries;
 import org.jfree.data.xy.XYSeriesCollection;
 import org.sageladder.core.contract.Contract;
@@ -22,9 +35,15 @@
 final class Plots {
   private static final int WIDTH = 900;
   private static final int HEIGHT = 380;
-  private static final long RATE_STEP_NANOS = 500_000_000L;
+  private static final long STEP_NANOS = 500_000_000L;
+  private static final BasicStroke FULL = new BasicStroke(1.5f);
+  private static final BasicStroke DASHED =
+      new BasicStroke(1, BasicStroke.CAP_BUTT, BasicStroke.JOIN_MITER, 10, new float[] {4, 3}, 0);
+  private static final Color[] COLOURS = {
+    new Color(0xc0392b), new Color(0x2471a3), new Color(0x1e8449), new Color(0xb9770e)
+  };
   private static final double[] PERCENTILES = {
-    1, 5, 10, 20, 30, 40, 50, 60, 70, 80, 90, 95, 98, 99, 99.5, 99.9, 100
+    0, 10, 20, 30, 40, 50, 60, 70, 80, 85, 90, 93, 95, 97, 98, 98.5, 99, 99.5, 99.8, 99.9
   };
 
   private Plots() {}
@@ -41,7 +60,7 @@
     }
   }
 
-  /** All pictures: latency by service over all variants, then rates and headroom of the first. */
+  /** All pictures: latency by service over all variants, then what the first did over time. */
   static List<Plot> of(List<VariantResult> variants) throws IOException {
     List<Plot> plots = new ArrayList<>();
     VariantResult first = variants.get(0);
@@ -51,6 +70,7 @@
       }
     }
     plots.add(rates(first));
+    plots.add(slowest(first));
     plots.add(headroom(first));
     return plots;
   }
@@ -62,48 +82,123 @@
       XYSeries series = new XYSeries(variant.name());
       for (double percentile : PERCENTILES) {
         double millis = histogram.getValueAtPercentile(percentile) / 1e3;
-        series.add(percentile, Math.max(0.01, millis));
+        series.add(nines(percentile), Math.max(0.01, millis));
       }
       data.addSeries(series);
     }
     JFreeChart chart =
         ChartFactory.createXYLineChart(
             "Latency of whole answers: " + service, "percentile", "ms", data);
-    LogAxis axis = new LogAxis("ms");
-    axis.setNumberFormatOverride(java.text.NumberFormat.getInstance(Locale.ROOT));
-    chart.getXYPlot().setRangeAxis(axis);
+    XYPlot plot = chart.getXYPlot();
+    plot.setRangeAxis(millisAxis());
+    NumberAxis percentiles = new NumberAxis("percentile");
+    percentiles.setTickUnit(new NumberTickUnit(1, new PercentileFormat()));
+    plot.setDomainAxis(percentiles);
     return plot("Latency of " + service, chart);
   }
 
+  /** Number of nines: 0 for 0 %, 1 for 90 %, 2 for 99 %, so that the slow end has room. */
+  private static double nines(double percentile) {
+    return -Math.log10(1 - percentile / 100);
+  }
+
+  /** Writes a number of nines as its percentile. */
+  private static final class PercentileFormat extends NumberFormat {
+    private static final long serialVersionUID = 1;
+
+    @Override
+    public StringBuffer format(double nines, StringBuffer text, FieldPosition position) {
+      BigDecimal percentile = BigDecimal.valueOf(100 * (1 - Math.pow(10, -nines)));
+      return text.append(
+          percentile.setScale(3, RoundingMode.HALF_UP).stripTrailingZeros().toPlainString());
+    }
+
+    @Override
+    public StringBuffer format(long nines, StringBuffer text, FieldPosition position) {
+      return format((double) nines, text, position);
+    }
+
+    @Override
+    public Number parse(String text, ParsePosition position) {
+      throw new UnsupportedOperationException("percentiles are only written");
+    }
+  }
+
+  private static LogAxis millisAxis() {
+    LogAxis axis = new LogAxis("ms");
+    NumberFormat format = NumberFormat.getInstance(Locale.ROOT);
+    format.setMaximumFractionDigits(2);
+    axis.setTickUnit(new NumberTickUnit(1, format));
+    axis.setMinorTickMarksVisible(true);
+    return axis;
+  }
+
+  /** Each service's requests due as a dashed line and those answered whole as a full one. */
   private static Plot rates(VariantResult variant) throws IOException {
-    XYSeriesCollection data = new XYSeriesCollection();
-    Map<String, Map<Long, Integer>> counts = new TreeMap<>();
+    Map<String, Map<Long, Integer>> due = new TreeMap<>();
+    Map<String, Map<Long, Integer>> whole = new TreeMap<>();
     for (Ending ending : variant.endings()) {
-      long step = ending.arrival().dueNanos() / RATE_STEP_NANOS;
+      long step = ending.arrival().dueNanos() / STEP_NANOS;
       String service = ending.arrival().service();
-      count(counts, service + " due", step);
+      count(due, service, step);
       if (ending.what() == What.WHOLE) {
-        count(counts, service + " whole", step);
+        count(whole, service, step);
       }
     }
-    counts.forEach(
-        (name, steps) -> {
-          XYSeries series = new XYSeries(name);
-          steps.forEach(
-              (step, count) ->
-                  series.add(step * RATE_STEP_NANOS / 1e9, count * 1e9 / RATE_STEP_NANOS));
-          data.addSeries(series);
-        });
-    return plot(
-        "Requests due and answered whole",
+    XYSeriesCollection data = new XYSeriesCollection();
+    due.keySet()
+        .forEach(
+            service -> {
+              data.addSeries(perSecond(service + " due", due.get(service)));
+              data.addSeries(perSecond(service + " whole", whole.getOrDefault(service, Map.of())));
+            });
+    JFreeChart chart =
         ChartFactory.createXYLineChart(
-            "Requests a second by the time they were due", "s", "requests/s", data));
+            "Requests a second by the time they were due", "s", "requests/s", data);
+    for (int series = 0; series < data.getSeriesCount(); series++) {
+      boolean isDue = series % 2 == 0;
+      chart.getXYPlot().getRenderer().setSeriesPaint(series, colour(series / 2));
+      chart.getXYPlot().getRenderer().setSeriesStroke(series, isDue ? DASHED : FULL);
+    }
+    return overTime("Requests due and answered whole", chart, variant);
+  }
+
+  private static XYSeries perSecond(String name, Map<Long, Integer> steps) {
+    XYSeries series = new XYSeries(name);
+    steps.forEach((step, count) -> series.add(step * STEP_NANOS / 1e9, count * 1e9 / STEP_NANOS));
+    return series;
   }
 
   private static void count(Map<String, Map<Long, Integer>> counts, String name, long step) {
     counts.computeIfAbsent(name, key -> new TreeMap<>()).merge(step, 1, Integer::sum);
   }
 
+  /** When requests were slow: the slowest whole answer of each step. */
+  private static Plot slowest(VariantResult variant) throws IOException {
+    Map<String, Map<Long, Double>> most = new TreeMap<>();
+    for (Ending ending : variant.endings()) {
+      if (ending.what() == What.WHOLE) {
+        most.computeIfAbsent(ending.arrival().service(), key -> new TreeMap<>())
+            .merge(
+                ending.arrival().dueNanos() / STEP_NANOS,
+                Math.max(0.01, ending.latencyNanos() / 1e6),
+                Math::max);
+      }
+    }
+    XYSeriesCollection data = new XYSeriesCollection();
+    most.forEach(
+        (service, steps) -> {
+          XYSeries series = new XYSeries(service);
+          steps.forEach((step, millis) -> series.add(step * STEP_NANOS / 1e9, (double) millis));
+          data.addSeries(series);
+        });
+    JFreeChart chart =
+        ChartFactory.createXYLineChart(
+            "Slowest whole answer of each half second by the time it was due", "s", "ms", data);
+    chart.getXYPlot().setRangeAxis(millisAxis());
+    return overTime("Slowest answers over time", chart, variant);
+  }
+
   private static Plot headroom(VariantResult variant) throws IOException {
     XYSeriesCollection data = new XYSeriesCollection();
     Samples samples = variant.samples();
@@ -116,10 +211,40 @@
       }
       data.addSeries(series);
     }
-    return plot("Headroom", ChartFactory.createXYLineChart("Free slots", "s", "% of slots", data));
+    JFreeChart chart = ChartFactory.createXYLineChart("Free slots", "s", "% of slots", data);
+    return overTime("Headroom", chart, variant);
+  }
+
+  /** Adds the faults as marks, so that a dip can be read beside its cause. */
+  private static Plot overTime(String title, JFreeChart chart, VariantResult variant)
+      throws IOException {
+    XYPlot plot = chart.getXYPlot();
+    plot.getDomainAxis().setRange(0, Math.max(1, variant.experiment().length().toMillis() / 1e3));
+    for (FaultSchedule.Injected fault : variant.injected()) {
+      ValueMarker mark = new ValueMarker(fault.atNanos() / 1e9, Color.GRAY, DASHED);
+      mark.setLabel(fault.fault().kind().name().toLowerCase(Locale.ROOT).replace('_', '-'));
+      mark.setLabelAnchor(RectangleAnchor.TOP_RIGHT);
+      mark.setLabelTextAnchor(TextAnchor.TOP_LEFT);
+      plot.addDomainMarker(mark);
+    }
+    return plot(title, chart);
+  }
+
+  private static Color colour(int number) {
+    return COLOURS[number % COLOURS.length];
   }
 
   private static Plot plot(String title, JFreeChart chart) throws IOException {
+    XYPlot plot = chart.getXYPlot();
+    plot.setBackgroundPaint(Color.WHITE);
+    plot.setDomainGridlinePaint(Color.LIGHT_GRAY);
+    plot.setRangeGridlinePaint(Color.LIGHT_GRAY);
+    for (int series = 0; series < plot.getSeriesCount(); series++) {
+      if (plot.getRenderer().getSeriesPaint(series) == null) {
+        plot.getRenderer().setSeriesPaint(series, colour(series));
+        plot.getRenderer().setSeriesStroke(series, FULL);
+      }
+    }
     BufferedImage image = chart.createBufferedImage(WIDTH, HEIGHT);
     return new Plot(title, EncoderUtil.encode(image, ImageFormat.PNG));
   }
--- a/sageladder-tools/src/main/java/org/sageladder/tools/load/Report.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/Report.java
@@ -134,8 +134,9 @@
       }
     }
     markdown.append(
-        "\nThe baselines send the same arrivals straight to the same number of fresh targets, with"
-            + " no entry VM in between; links add no delay in either. Latency is that of whole"
+        "\n'random choice' and 'local only' send the same arrivals straight to the targets, with no entry"
+            + " VM in between; 'other build' runs the entry VMs of --baseline-build. Each variant has"
+            + " fresh targets (with --entries the same ones); links add no delay. Latency is that of whole"
             + " answers only, so it is to be read beside their share. 'outside region' is the share"
             + " of whole answers from a target outside the caller's region, each of which would"
             + " pay the contract's delay between regions twice.\n");
@@ -253,7 +254,8 @@
     StringBuilder html = new StringBuilder();
     html.append("<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>Experiment ")
         .append(escape(variants.get(0).experiment().name()))
-        .append("</title><style>body{font:14px sans-serif;margin:1.5em;max-width:72em}")
+        .append(
+            "</title><style>body{font:14px sans-serif;margin:1.5em;max-width:72em}img{max-width:100%}.holds{color:#1e8449}.fails{color:#c0392b}")
         .append("table{border-collapse:collapse}td{padding:2px 10px;border-bottom:1px solid #ddd}")
         .append("</style></head><body>");
     List<String> table = new ArrayList<>();
@@ -307,7 +309,9 @@
   }
 
   private static String bold(String text) {
-    return text.replaceAll("\\*\\*([^*]+)\\*\\*", "<strong>$1</strong>");
+    return text.replaceAll("\\*\\*FAILS\\*\\*", "<strong class=\"fails\">FAILS</strong>")
+        .replaceAll("\\*\\*holds\\*\\*", "<strong class=\"holds\">holds</strong>")
+        .replaceAll("\\*\\*([^*]+)\\*\\*", "<strong>$1</strong>");
   }
 
   private static String escape(String text) {
