--- a/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalSystem.java
+++ b/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalSystem.java
@@ -114,7 +114,8 @@
         .serviceTime(ServiceTime.fixed(service.meanServiceMillis()));
   }
 
-  private void startEntry(String zone, int number)
+  /** Starts entry VM {@code number} of a zone and puts it on the list; returns its name. */
+  public String startEntry(String zone, int number)
       throws IOException, InterruptedException, SettingsException {
     String vm = contract.customer() + "-entry-" + zone + "-" + number;
     EntryVm daemon = build.start(vm + ".yaml", settings(vm, zone));
@@ -131,6 +132,7 @@
             daemon.innerPort(),
             1,
             false));
+    return vm;
   }
 
   private String settings(String vm, String zone) {
--- a/sageladder-bench/src/main/java/org/sageladder/bench/capacity/Capacity.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/capacity/Capacity.java
@@ -13,10 +13,14 @@
 
   private Capacity() {}
 
-  /** Code slopes always; with {@code --full} also those of control, which take two minutes. */
+  /**
+   * Code slopes always; with {@code --full} also those of control and of failures, which take four
+   * minutes.
+   */
   public static void main(String[] args) throws Exception {
     List<Line> lines = new ArrayList<>(CodeSlopes.measure());
-    if (args.length > 0 && args[0].equals("--full")) {
+    boolean full = args.length > 0 && args[0].equals("--full");
+    if (full) {
       lines.addAll(ControlSlopes.measure());
     }
     double worst = 0;
@@ -28,6 +32,11 @@
         where = line.name();
       }
     }
+    if (full) {
+      // Differences of traffic that flows anyway, so their errors are large; the aim leaves them
+      // out.
+      FailureCosts.measure().forEach(line -> System.out.println(line.describe()));
+    }
     System.out.printf(
         Locale.ROOT,
         "capacity: %.1f %% largest error of a fit, of '%s' (aim at most %.0f %%)%n",
--- a/sageladder-bench/src/main/java/org/sageladder/bench/capacity/ControlSlopes.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/capacity/ControlSlopes.java
@@ -108,9 +108,14 @@
     return Slope.fit(points);
   }
 
-  private static Cost cost(int zones, int perZone) throws Exception {
+  /** A contract with as many targets for each entry VM as at the target size. */
+  static Contract fleetContract(int zones, int perZone) {
     int targets = (int) Math.ceil(zones * perZone * (double) TargetSize.SITES / TargetSize.NODES);
-    Contract contract = contract(zones, targets);
+    return contract(zones, targets);
+  }
+
+  private static Cost cost(int zones, int perZone) throws Exception {
+    Contract contract = fleetContract(zones, perZone);
     try (StoreServer store = StoreServer.start("127.0.0.1", 0);
         LocalSystem system = LocalSystem.start(store, contract, perZone);
         HttpCaller caller = HttpCaller.withTimeout(TIMEOUT);
@@ -172,18 +177,25 @@
     Measure.sink = writer.apply(changed, standing.contract().revision());
   }
 
-  private static long storeCalls(StoreServer store) {
+  static long storeCalls(StoreServer store) {
     return store.counts().values().stream().mapToLong(Long::longValue).sum();
   }
 
   private static double controlBytes(LocalSystem system, HttpCaller caller) throws IOException {
     double sum = 0;
-    for (EntryVm daemon : system.entries().values()) {
-      URI metrics = URI.create("http://127.0.0.1:" + daemon.operatorsPort() + "/v1/metrics");
-      for (String line : caller.get(metrics).text().split("\n")) {
-        if (line.startsWith("sageladder_control_bytes_")) {
-          sum += Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1));
-        }
+    for (EntryVm vm : system.entries().values()) {
+      sum += controlBytes(vm, caller);
+    }
+    return sum;
+  }
+
+  /** Bytes of the inner protocol's control part that one entry VM sent and received. */
+  static double controlBytes(EntryVm vm, HttpCaller caller) throws IOException {
+    double sum = 0;
+    URI metrics = URI.create("http://127.0.0.1:" + vm.operatorsPort() + "/v1/metrics");
+    for (String line : caller.get(metrics).text().split("\n")) {
+      if (line.startsWith("sageladder_control_bytes_")) {
+        sum += Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1));
       }
     }
     return sum;
--- a/sageladder-tools/src/main/java/org/sageladder/tools/load/Report.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/Report.java
@@ -196,9 +196,11 @@
 
   /** Why the slowest requests were slow: their events over all processes, in order. */
   private void slowest(SlowRequests slow) {
-    heading("Slowest requests");
+    heading("Slowest and lost requests");
     markdown
-        .append("The slowest whole answers of each service after the warm-up, with their events. ")
+        .append(
+            "Of each service the three slowest whole answers after the warm-up and at most three"
+                + " requests whose run is not known, with their events over all processes. ")
         .append("Times are after its first event.\n");
     slow.stories().forEach(this::story);
   }
@@ -215,6 +217,10 @@
         .append(ending.arrival().region())
         .append(", tries ")
         .append(ending.tries())
+        .append(", told ")
+        .append(ending.what())
+        .append(' ')
+        .append(ending.code())
         .append("\n\n");
     if (entries.isEmpty()) {
       markdown.append("No events: the processes were not asked.\n");
--- a/sageladder-tools/src/main/java/org/sageladder/tools/timeline/TimeLineHtml.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/timeline/TimeLineHtml.java
@@ -9,20 +9,31 @@
 /** Page with a picture of a time line: a lane for each process, arrows for messages. */
 final class TimeLineHtml {
   private static final int MOST_DRAWN = 2_000;
-  private static final int LANE_HEIGHT = 44;
+  private static final int LANE_HEIGHT = 64;
   private static final int LABEL_WIDTH = 190;
   private static final int WIDTH = 1_400;
   private static final int TOP = 30;
 
+  /** More names than this would cover one another. */
+  private static final int MOST_NAMED = 60;
+
+  private static final int LONGEST_LANE_NAME = 30;
+  private static final int[] NAME_OFFSETS = {-8, 16, -18, 26};
+
   private final TimeLine line;
   private final List<TimeLine.Entry> entries;
   private final List<TimeLine.Entry> drawn;
+
+  /** Processes that have a drawn event, in the order of their lanes. */
+  private final List<Integer> lanes;
+
   private final StringBuilder html = new StringBuilder();
 
   private TimeLineHtml(TimeLine line, Predicate<Event> filter) {
     this.line = line;
     this.entries = line.entries(filter);
     this.drawn = entries.subList(0, Math.min(MOST_DRAWN, entries.size()));
+    this.lanes = drawn.stream().map(TimeLine.Entry::process).distinct().sorted().toList();
   }
 
   static String write(TimeLine line, Predicate<Event> filter) {
@@ -31,7 +42,7 @@
     if (!page.drawn.isEmpty()) {
       page.picture(filter);
     }
-    page.table();
+    page.table(!page.drawn.isEmpty());
     return page.html.append("</body></html>\n").toString();
   }
 
@@ -61,7 +72,8 @@
   }
 
   private void picture(Predicate<Event> filter) {
-    int height = TOP + LANE_HEIGHT * line.processes().size() + 20;
+    int height = TOP + LANE_HEIGHT * lanes.size() + 20;
+    legend();
     html.append(
         String.format(
             Locale.ROOT,
@@ -72,14 +84,14 @@
         "<defs><marker id=\"a\" markerWidth=\"8\" markerHeight=\"8\" refX=\"7\" refY=\"4\""
             + " orient=\"auto\"><path d=\"M0,1 L7,4 L0,7\" fill=\"none\" stroke=\"#888\"/>"
             + "</marker></defs>");
-    for (int p = 0; p < line.processes().size(); p++) {
+    for (int p : lanes) {
       html.append(
           String.format(
               Locale.ROOT,
               "<text x=\"6\" y=\"%d\" font-size=\"12\">%s</text>"
                   + "<line x1=\"%d\" y1=\"%d\" x2=\"%d\" y2=\"%d\" stroke=\"#ddd\"/>",
               laneY(p) + 4,
-              escape(line.processes().get(p).process()),
+              escape(shortened(line.processes().get(p).process())),
               LABEL_WIDTH,
               laneY(p),
               WIDTH - 10,
@@ -87,14 +99,44 @@
     }
     axis(height);
     arrows(filter);
-    for (TimeLine.Entry entry : drawn) {
-      mark(entry);
+    for (int i = 0; i < drawn.size(); i++) {
+      mark(drawn.get(i));
+      if (drawn.size() <= MOST_NAMED) {
+        name(drawn.get(i), i);
+      }
     }
     html.append("</svg>");
   }
 
+  /** What the reader has to know of the picture. */
+  private void legend() {
+    html.append("<p>The picture starts at ")
+        .append(TimeLineText.clock(drawn.get(0).micros()))
+        .append(" UTC. Each lane is a process (those without an event here are left out), each dot")
+        .append(" an event; the pale bar around it is how far its true time may be, an arrow a")
+        .append(" message. Point at a dot for its text. Colours: ");
+    dot(EventKind.REFUSED, "refused, failed or lost");
+    dot(EventKind.RETRIED, "retried, cancelled, leaving or silent");
+    dot(EventKind.CONTRACT_IN_FORCE, "contract, view or duty changed");
+    dot(EventKind.ANSWERED, "answered");
+    dot(EventKind.RECEIVED, "all else");
+    html.append("</p>");
+  }
+
+  private void dot(EventKind kind, String meaning) {
+    html.append("<span style=\"color:")
+        .append(colour(kind))
+        .append("\">&#9679;</span> ")
+        .append(meaning)
+        .append("&ensp;");
+  }
+
+  private static String shortened(String name) {
+    int excess = name.length() - LONGEST_LANE_NAME;
+    return excess <= 0 ? name : "..." + name.substring(excess + 3);
+  }
+
   private void axis(int height) {
-    long first = drawn.get(0).micros();
     long span = span();
     for (int tick = 0; tick <= 5; tick++) {
       double x = LABEL_WIDTH + tick * (WIDTH - LABEL_WIDTH - 20) / 5.0;
@@ -109,7 +151,6 @@
               x,
               height));
     }
-    html.append("<!-- starts at ").append(TimeLineText.clock(first)).append(" -->");
   }
 
   private void arrows(Predicate<Event> filter) {
@@ -149,7 +190,24 @@
             colour(entry.event().kind())));
   }
 
-  private void table() {
+  /** Writes the kind beside the dot, in turn above and below it. */
+  private void name(TimeLine.Entry entry, int number) {
+    boolean atEnd = x(entry) > WIDTH - LABEL_WIDTH;
+    html.append(
+        String.format(
+            Locale.ROOT,
+            "<text x=\"%.1f\" y=\"%d\" font-size=\"9\" fill=\"#444\" text-anchor=\"%s\">%s</text>",
+            x(entry),
+            laneY(entry.process()) + NAME_OFFSETS[number % NAME_OFFSETS.length],
+            atEnd ? "end" : "start",
+            entry.event().kind()));
+  }
+
+  private void table(boolean any) {
+    if (!any) {
+      html.append("<p>No event passes the filter.</p>");
+      return;
+    }
     html.append("<table><tr><th>time (UTC)</th><th>&plusmn; ms</th><th>process</th><th>event</th>")
         .append("<th>request</th><th>subject</th><th>revision</th><th>detail</th></tr>");
     for (TimeLine.Entry entry : entries) {
@@ -185,8 +243,8 @@
     return Math.max(1, drawn.get(drawn.size() - 1).micros() - drawn.get(0).micros());
   }
 
-  private static int laneY(int process) {
-    return TOP + LANE_HEIGHT * process + LANE_HEIGHT / 2;
+  private int laneY(int process) {
+    return TOP + LANE_HEIGHT * lanes.indexOf(process) + LANE_HEIGHT / 2;
   }
 
   private static String colour(EventKind kind) {
