Gates: hints say when to come back; a wait that cannot end well is refused at once

Cause: every refusal was hinted with the queue's length over the ceiling, also under a cap that gives way seconds later, so callers came back in vain many times; two refusals had constants; requests for targets that wait out a take-over stood in the queue for their whole wait. Change: the hint is the latest of queue, cap (looked ahead over the steps to come), pause and take-over; an unconfirmed VM adds a heartbeat; a request that must give up before the take-over ends is refused at once.

--- a/sageladder-core/src/main/java/org/sageladder/core/limits/Gate.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/Gate.java
@@ -1,5 +1,6 @@
 package org.sageladder.core.limits;
 
+import java.time.Duration;
 import java.util.function.Consumer;
 
 /**
@@ -26,6 +27,11 @@
     return true;
   }
 
+  /** When a request that is refused now is worth sending again. */
+  default Duration comeBack() {
+    return Duration.ofSeconds(1);
+  }
+
   /** A wait that can be given up; cancelling after the decision has no effect. */
   @FunctionalInterface
   interface Cancellable {
--- a/sageladder-core/src/main/java/org/sageladder/core/limits/RateHistory.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/RateHistory.java
@@ -114,20 +114,35 @@
     return sum(STEPS, KEPT - 1);
   }
 
-  /** Growth {@code ahead} steps from now if nothing more is admitted, {@code ahead} 0 to 9. */
+  /** Growth {@code ahead} steps from now if nothing more is admitted, {@code ahead} 0 to 19. */
   int growth(int ahead) {
-    return sum(0, STEPS - 1 - ahead) - sum(STEPS - ahead, KEPT - 1 - ahead);
+    int recent = ahead < STEPS ? sum(0, STEPS - 1 - ahead) : 0;
+    return recent - sum(Math.max(0, STEPS - ahead), KEPT - 1 - ahead);
   }
 
   /** Largest growth of this and the steps to come if nothing more is admitted. */
   int worstGrowth() {
+    return worstGrowth(0);
+  }
+
+  /** The same as it will be {@code from} steps from now, 0 to 10. */
+  int worstGrowth(int from) {
     int worst = Integer.MIN_VALUE;
-    for (int ahead = 0; ahead < STEPS; ahead++) {
+    for (int ahead = from; ahead < from + STEPS; ahead++) {
       worst = Math.max(worst, growth(ahead));
     }
     return worst;
   }
 
+  /** Monotonic time at which a place that may grow by {@code units} may admit one more. */
+  long givesWayNanos(int units) {
+    int steps = 1;
+    while (steps < STEPS && worstGrowth(steps) >= units) {
+      steps++;
+    }
+    return nextStepNanos() + (steps - 1) * stepNanos;
+  }
+
   /** Monotonic time at which the next step begins. */
   long nextStepNanos() {
     return (step + 1) * stepNanos;
--- a/sageladder-core/src/main/java/org/sageladder/core/limits/ServiceGate.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/ServiceGate.java
@@ -38,7 +38,12 @@
    */
   private static final double REFUSED_PART = 1.0 / 3;
 
+  private static final String TAKEN_OVER =
+      "another entry VM held the targets a moment ago, and may have used their gain";
+
   private static final double REFUSED_FRACTION = 0.1;
+  private static final double SECOND = Duration.ofSeconds(1).toNanos();
+  private static final long SHORTEST_HINT_NANOS = Duration.ofMillis(10).toNanos();
   private static final long SHORTEST_WAKE_NANOS = Duration.ofMillis(1).toNanos();
 
   private final String customer;
@@ -221,6 +226,10 @@
       refuse(waiting, ResultCode.NO_TARGET, "no target held here may take it", decisions);
       return;
     }
+    if (pool.workFromNanos(time.nanos()) - waiting.giveUpAt >= 0) {
+      refuse(waiting, ResultCode.SHIFT_CAP, TAKEN_OVER, decisions);
+      return;
+    }
     TargetPool.Choice choice = pool.choose(waiting.request.avoidTarget(), time.nanos());
     if (queue.isEmpty() && choice.target() != null) {
       admit(waiting, choice.target(), decisions);
@@ -276,8 +285,30 @@
     if (code == ResultCode.STOPPING) {
       return Duration.ofMillis(1);
     }
-    double perSecond = Math.max(1, pool.ceilingPerSecond(time.nanos()));
-    return Duration.ofMillis(Math.max(10, (long) (1000 * (queue.size() + 1) / perSecond)));
+    return comeBack(code == ResultCode.SHIFT_CAP);
+  }
+
+  @Override
+  public Duration comeBack() {
+    synchronized (lock) {
+      return comeBack(false);
+    }
+  }
+
+  /**
+   * When one more request would find a slot: after those that wait, and not before a cap, a pause
+   * or the wait for a taken-over target ends.
+   */
+  private Duration comeBack(boolean capped) {
+    long now = time.nanos();
+    double perSecond = pool.ceilingPerSecond(now);
+    long wait = perSecond > 0 ? (long) (SECOND * (queue.size() + 1) / perSecond) : 0;
+    if (capped) {
+      wait = Math.max(wait, pool.capGivesWayNanos(now) - now);
+    } else if (pool.usableSlots(now) == 0) {
+      wait = Math.max(wait, pool.nextChangeNanos(now) - now);
+    }
+    return Duration.ofNanos(Math.max(SHORTEST_HINT_NANOS, wait));
   }
 
   /**
--- a/sageladder-core/src/main/java/org/sageladder/core/limits/TargetPool.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/TargetPool.java
@@ -118,7 +118,7 @@
     }
     recount(nowNanos);
     target.markHandedOver();
-    boolean released = target.hasGainPart(nowNanos) && worstGrowth(true) <= gainUnits(nowNanos);
+    boolean released = target.hasGainPart(nowNanos) && worstGrowth(0, true) <= gainUnits(nowNanos);
     return new TargetHistory(
         name,
         target.holding().targetIncarnation(),
@@ -291,6 +291,37 @@
     return next;
   }
 
+  /** Monotonic time at which the caps let one more request in, if no other takes its place. */
+  long capGivesWayNanos(long nowNanos) {
+    rollTo(nowNanos);
+    int units = gainUnits(nowNanos);
+    int steps = 1;
+    while (steps < RateHistory.STEPS && worstGrowth(steps, false) >= units) {
+      steps++;
+    }
+    long gate = stepClock.nextStepNanos() + (steps - 1) * stepClock.stepNanos();
+    long earliestTarget = Long.MAX_VALUE;
+    for (TargetSlots target : targets.values()) {
+      if (target.takesWork()) {
+        long freeAt =
+            target.isCapped() ? target.history().givesWayNanos(targetUnits(target)) : nowNanos;
+        earliestTarget = Math.min(earliestTarget, Math.max(freeAt, target.workFromNanos()));
+      }
+    }
+    return earliestTarget == Long.MAX_VALUE ? gate : Math.max(gate, earliestTarget);
+  }
+
+  /** Monotonic time before which no target held here may get work, in the past where one may. */
+  long workFromNanos(long nowNanos) {
+    long earliest = Long.MAX_VALUE;
+    for (TargetSlots target : targets.values()) {
+      if (target.takesWork()) {
+        earliest = Math.min(earliest, target.workFromNanos());
+      }
+    }
+    return earliest == Long.MAX_VALUE ? nowNanos : earliest;
+  }
+
   private void rollTo(long nowNanos) {
     boolean newStep = stepClock.rollTo(nowNanos);
     for (TargetSlots target : targets.values()) {
@@ -315,19 +346,19 @@
       gateInStep += target.regionHistory().inStep();
       target.recap(targetUnits(target));
     }
-    gateAllowance = gainUnits(nowNanos) - worstGrowth(false);
+    gateAllowance = gainUnits(nowNanos) - worstGrowth(0, false);
     gateStepLimit = RateHistory.stepLimit(before, windowAgo, gainUnits(nowNanos));
   }
 
   /**
-   * Growth of all targets together, now or in a step to come.
+   * Growth of all targets together, {@code from} steps from now or later.
    *
    * <p>A target no longer held counts only where it has grown: whoever holds it now may not know of
    * that growth, and the base that it would bring if it had shrunk went with it.
    */
-  private int worstGrowth(boolean heldOnly) {
+  private int worstGrowth(int from, boolean heldOnly) {
     int worst = Integer.MIN_VALUE;
-    for (int ahead = 0; ahead < RateHistory.STEPS; ahead++) {
+    for (int ahead = from; ahead < from + RateHistory.STEPS; ahead++) {
       int growth = 0;
       for (TargetSlots target : targets.values()) {
         int own = target.regionHistory().growth(ahead);
--- a/sageladder-core/src/test/java/org/sageladder/core/limits/ServiceGateTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/limits/ServiceGateTest.java
@@ -8,7 +8,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.sageladder.core.contract.Contract;
 import org.sageladder.core.contract.RequestClass;
 import org.sageladder.core.event.EventSink;
 import org.sageladder.core.result.ResultCode;
@@ -74,6 +76,71 @@
     assertEquals(0, gate.busy());
   }
 
+  @Test
+  void callerThatComesBackWhenToldFindsTheCapOpen() {
+    // A cold service has used its gain for this window. Callers were told to come back after what
+    // the queue takes, a few milliseconds, and so asked hundreds of times in vain until the cap
+    // gave way seconds later.
+    ServiceGate capped =
+        ServiceGate.create(
+            "c",
+            Gates.service(
+                RequestClass.INTERACTIVE, new Contract.ShiftCap(0.1, Duration.ofSeconds(10))),
+            gates.time,
+            gates,
+            EventSink.none());
+    capped.holdings(Gates.holdings(1, 3));
+    Duration hint = fillUntilCapped(capped);
+    assertTrue(hint.compareTo(Duration.ofSeconds(1)) > 0, "the cap opens seconds later: " + hint);
+    gates.advance(hint.minusMillis(1_001));
+    assertEquals(ResultCode.SHIFT_CAP, askOnce(capped), "a step sooner it is still shut");
+    gates.advance(Duration.ofMillis(1_002));
+    assertEquals(ResultCode.OK, askOnce(capped));
+  }
+
+  @Test
+  void requestThatCannotOutlastATakeOverIsToldSoAtOnce() {
+    // A target has moved here and may get no work for a window. Requests were let wait for their
+    // whole queue time, though it was certain from the start that none would be served.
+    gate.holdings(Gates.holdings(1, 3), Set.of("t0"));
+    gate.request(gates.within(Duration.ofSeconds(5)), decisions::add);
+    assertEquals(1, refusals(ResultCode.SHIFT_CAP));
+    Admission.Refused refused = (Admission.Refused) decisions.get(0);
+    gates.advance(refused.result().retryAfter());
+    gate.request(gates.within(Duration.ofSeconds(5)), decisions::add);
+    assertEquals(1, gate.busy());
+  }
+
+  /** Uses up what the caps let in, with an answer after each; the hint of the refusal at last. */
+  private Duration fillUntilCapped(ServiceGate capped) {
+    for (int second = 0; second < 10; second++) {
+      while (askOnce(capped) == ResultCode.OK) {
+        assertEquals(0, capped.busy());
+      }
+      Admission.Refused refused = (Admission.Refused) decisions.get(decisions.size() - 1);
+      if (refused.result().retryAfter().compareTo(Duration.ofSeconds(1)) > 0) {
+        return refused.result().retryAfter();
+      }
+      gates.advance(Duration.ofSeconds(1));
+    }
+    return Duration.ZERO;
+  }
+
+  /** Asks with a deadline so near that the gate has to decide; what it said. */
+  private ResultCode askOnce(ServiceGate asked) {
+    int before = decisions.size();
+    AdmissionRequest request = new AdmissionRequest("r", gates.time.nanos(), "", "");
+    asked.request(request, decisions::add);
+    if (decisions.size() == before) {
+      gates.advance(Duration.ofMillis(1));
+    }
+    if (decisions.get(before) instanceof Admission.Admitted admitted) {
+      admitted.slot().release(Admission.Completion.ANSWERED);
+      return ResultCode.OK;
+    }
+    return ((Admission.Refused) decisions.get(before)).result().code();
+  }
+
   @Test
   void retryDoesNotGoToTheTargetThatFailed() {
     gate.holdings(Gates.holdings(1, 3));
--- a/sageladder-entry/src/main/java/org/sageladder/entry/gates/GuardedGate.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/gates/GuardedGate.java
@@ -8,6 +8,7 @@
 import org.sageladder.core.limits.Gate;
 import org.sageladder.core.membership.Holding;
 import org.sageladder.core.membership.HoldingGuard;
+import org.sageladder.core.membership.MembershipSettings;
 import org.sageladder.core.result.Result;
 import org.sageladder.core.result.ResultCode;
 
@@ -19,8 +20,6 @@
  * turned away here has not run, and its caller may send it elsewhere.
  */
 public final class GuardedGate implements Gate {
-  private static final Duration RETRY_AFTER = Duration.ofMillis(500);
-
   private final Gate gate;
   private final ToIntFunction<String> inFlight;
   private final HoldingGuard guard;
@@ -50,6 +49,14 @@
     return gate.takeRetry();
   }
 
+  /** Not before the zone may confirm this VM again, whatever the gate has free. */
+  @Override
+  public Duration comeBack() {
+    Duration confirmed = MembershipSettings.standard().heartbeat();
+    Duration free = gate.comeBack();
+    return free.compareTo(confirmed) < 0 ? confirmed : free;
+  }
+
   private Admission checked(Admission admission) {
     if (!(admission instanceof Admission.Admitted admitted)) {
       return admission;
@@ -63,7 +70,7 @@
     return new Admission.Refused(
         new Result.NotRun(
             ResultCode.GATE_MOVED,
-            RETRY_AFTER,
+            comeBack(),
             "this entry VM may use "
                 + allowed
                 + " of the "
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestRouter.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestRouter.java
@@ -15,6 +15,7 @@
 import org.sageladder.core.membership.ClusterState;
 import org.sageladder.core.membership.Holding;
 import org.sageladder.core.membership.Member;
+import org.sageladder.core.membership.MembershipSettings;
 import org.sageladder.core.membership.ZoneView;
 import org.sageladder.core.result.Result;
 import org.sageladder.core.result.ResultCode;
@@ -28,6 +29,9 @@
 public final class RequestRouter implements CallerExchange.Handler {
   private static final JsonMapper JSON = new JsonMapper();
 
+  /** Who holds which target cannot change before the next heartbeat. */
+  private static final Duration NEXT_VIEW = MembershipSettings.standard().heartbeat();
+
   private final FlowParts parts;
   private final String customer;
   private final String zone;
@@ -180,7 +184,7 @@
     flow.refuse(
         new Result.NotRun(
             head.forwardedBy().isEmpty() ? ResultCode.NO_TARGET : ResultCode.GATE_MOVED,
-            Duration.ofMillis(500),
+            NEXT_VIEW,
             "no target of " + head.service() + " is held at this entry VM"));
   }
 
