--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/HistoryPost.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/HistoryPost.java
@@ -86,7 +86,8 @@
         expiry,
         customer,
         PeerRoutes.TARGET_HISTORY,
-        history.target());
+        history.target(),
+        "");
   }
 
   private record Answer(String vm, String target) implements Outbound.Listener {
--- a/sageladder-tools/src/main/java/org/sageladder/tools/load/LoadMain.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/LoadMain.java
@@ -17,6 +17,7 @@
 import org.sageladder.core.contract.Contract.ShiftCap;
 import org.sageladder.platform.settings.ExitCode;
 import org.sageladder.platform.settings.SettingsException;
+import org.sageladder.tools.timeline.TimeLineMain;
 
 /** Entry point of {@code sageladder-load}. */
 public final class LoadMain {
@@ -81,7 +82,7 @@
    * Breaks the system on purpose while the checks go on by the experiment's contract, to show that
    * they can fail.
    */
-  private static UnaryOperator<Contract> disabled(String what) throws ParseException {
+  static UnaryOperator<Contract> disabled(String what) throws ParseException {
     return switch (what) {
       case "nothing" -> UnaryOperator.identity();
       case "caps" -> LoadMain::withoutCaps;
@@ -91,39 +92,17 @@
   }
 
   private static Contract withoutCaps(Contract contract) {
-    List<Contract.Service> services = new ArrayList<>();
-    for (Contract.Service service : contract.services()) {
-      services.add(
-          new Contract.Service(
-              service.name(),
-              service.requestClass(),
-              service.repeatable(),
-              service.targets(),
-              service.slotsPerTarget(),
-              service.connectionsPerTarget(),
-              service.meanServiceMillis(),
-              service.queuePerTarget(),
-              service.queueWait(),
-              service.longestDeadline(),
-              service.drainLimit(),
-              service.retryFraction(),
-              NO_CAP,
-              NO_CAP));
-    }
-    return new Contract(
-        contract.customer(),
-        contract.revision(),
-        contract.regions(),
-        contract.delays(),
-        contract.clientBlocks(),
-        contract.linkLimits(),
-        services);
+    return contract.withServices(service -> service.withShiftCaps(NO_CAP, NO_CAP));
   }
 
   private static SystemUnderTest.Provider provider(CommandLine line) throws ParseException {
     String entries = line.getOptionValue("entries");
     if (entries != null) {
-      return RemoteSystem.provider(List.of(entries.split(",")), line.getOptionValue("targets", ""));
+      String operators = line.getOptionValue("operators");
+      return RemoteSystem.provider(
+          List.of(entries.split(",")),
+          operators == null ? List.of() : TimeLineMain.addresses(operators),
+          line.getOptionValue("targets", ""));
     }
     for (SystemUnderTest.Provider provider : ServiceLoader.load(SystemUnderTest.Provider.class)) {
       return provider;
@@ -135,6 +114,7 @@
     return new Options()
         .addOption(option("output", "DIRECTORY", "where the report goes; target/load/NAME"))
         .addOption(option("entries", "IP:PORT,...", "callers' ports of entry VMs that run already"))
+        .addOption(option("operators", "IP:PORT,...", "their operators' ports, for the time line"))
         .addOption(
             option("targets", "FILE", "YAML list of the target stand-ins behind them, for checks"))
         .addOption(
