Links: limits are kept at the link's end, critical before interactive before background; waits are bounded for all gates

Cause: linkLimits bound only what steering meant to send, for each service by itself; old answers and next places were not counted, and classes met nowhere: WaitBudget was wired to nothing. Change: LinkTable and LinkShare (a share of each link by zone and slots, a bucket whose lower parts are kept for the more urgent), result 37 LINK_LIMIT with the time until the next one passes; callers send Sageladder-Block; WaitBudget by the callers' connections. Ruled out: enforcing at the origin (callers pass no VM of ours there) and credits (one more call a request).

--- a/sageladder-client/src/main/java/org/sageladder/client/EntryCalls.java
+++ b/sageladder-client/src/main/java/org/sageladder/client/EntryCalls.java
@@ -90,7 +90,8 @@
             .setHttpHost(host(entry))
             .setPath("/v1/request/" + request.contract() + "/" + request.service() + request.path())
             .setHeader("Sageladder-Deadline-Millis", String.valueOf(remaining.toMillis()))
-            .setHeader("Sageladder-Request-Id", request.id());
+            .setHeader("Sageladder-Request-Id", request.id())
+            .setHeader("Sageladder-Block", String.valueOf(request.block()));
     request.headers().forEach(builder::setHeader);
     if (!permit.isEmpty()) {
       builder.setHeader("Sageladder-Permit", permit);
--- a/sageladder-client/src/main/java/org/sageladder/client/RetryRules.java
+++ b/sageladder-client/src/main/java/org/sageladder/client/RetryRules.java
@@ -26,6 +26,7 @@
           ResultCode.NO_TARGET,
           ResultCode.TARGET_REFUSED,
           ResultCode.BACKGROUND_SHED,
+          ResultCode.LINK_LIMIT,
           ResultCode.NO_CONTRACT_IN_FORCE,
           ResultCode.STOPPING,
           ResultCode.GATE_MOVED);
--- a/sageladder-core/src/main/java/org/sageladder/core/result/ResultCode.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/result/ResultCode.java
@@ -32,6 +32,7 @@
   TARGET_REFUSED(34, 503, Outcome.NOT_RUN),
   BACKGROUND_SHED(35, 503, Outcome.NOT_RUN),
   CANCELLED(36, 499, Outcome.NOT_RUN),
+  LINK_LIMIT(37, 503, Outcome.NOT_RUN),
 
   NO_CONTRACT_IN_FORCE(40, 503, Outcome.NOT_RUN),
   STOPPING(41, 503, Outcome.NOT_RUN),
--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -21,6 +21,7 @@
 import org.sageladder.core.event.EventSink;
 import org.sageladder.core.limits.Scheduler;
 import org.sageladder.core.limits.ServiceGate;
+import org.sageladder.core.limits.WaitBudget;
 import org.sageladder.core.membership.Member;
 import org.sageladder.core.permit.PermitHome;
 import org.sageladder.core.permit.PermitKeys;
@@ -230,6 +231,9 @@
       TimeSource time,
       ScheduledExecutorService timers,
       EventSink events) {
+    // Each request that waits holds a caller's connection. Without a common bound background work
+    // could hold them all, and a bid would find no connection to come in by.
+    WaitBudget waits = WaitBudget.of(settings.callerLimits().connections());
     return GateTable.create(
         settings.vm(),
         settings.zone(),
@@ -237,7 +241,8 @@
         time,
         incarnation,
         service ->
-            ServiceGate.create(settings.customer(), service, time, Scheduler.of(timers), events));
+            ServiceGate.create(
+                settings.customer(), service, time, Scheduler.of(timers), events, waits));
   }
 
   private static Member self(EntrySettings settings, Store store, TimeSource time)
--- a/sageladder-entry/src/main/java/org/sageladder/entry/gates/GateTable.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/gates/GateTable.java
@@ -40,6 +40,7 @@
   private volatile List<Holding> zoneHoldings = List.of();
   private final Map<String, ServiceGate> gates = new ConcurrentHashMap<>();
   private final FormerHolders formerHolders;
+  private final LinkTable links;
   private volatile HistorySender sender = HistorySender.none();
   private final Map<String, Told> told = new HashMap<>();
 
@@ -53,6 +54,7 @@
       long incarnation,
       Function<Contract.Service, ServiceGate> maker) {
     this.formerHolders = new FormerHolders(vm, incarnation);
+    this.links = new LinkTable(vm, zone, time);
     this.vm = vm;
     this.zone = zone;
     this.customer = customer;
@@ -92,6 +94,7 @@
     Set<String> takenOver = Set.of();
     if (view != null) {
       takenOver = formerHolders.follow(view);
+      links.follow(contract, view);
       zoneHoldings = view.holdings();
       for (Holding holding : view.holdings()) {
         if (holding.holder().equals(vm)) {
@@ -158,6 +161,11 @@
     return gate != null && gate.holdsTargets() ? gate : null;
   }
 
+  /** Shares of the links from other regions. */
+  public LinkTable links() {
+    return links;
+  }
+
   /** What this entry VM reports of its gates. */
   public List<ZoneSummary> summaries() {
     long now = time.wallMillis();
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/gates/LinkTable.java
@@ -0,0 +1,91 @@
+package org.sageladder.entry.gates;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.sageladder.core.contract.Contract;
+import org.sageladder.core.contract.RequestClass;
+import org.sageladder.core.limits.LinkShare;
+import org.sageladder.core.membership.Holding;
+import org.sageladder.core.membership.ZoneView;
+import org.sageladder.core.result.Result;
+import org.sageladder.core.result.ResultCode;
+import org.sageladder.core.time.TimeSource;
+
+/**
+ * This entry VM's shares of the links that end in its region.
+ *
+ * <p>A zone has an equal part of each limit, an entry VM the part of its slots in its zone's, over
+ * all services. Zones of a region need not hear each other for that, and a slot has one holder, so
+ * the shares add up to the limit at most.
+ */
+public final class LinkTable {
+  private static final Duration LONGEST_HINT = Duration.ofSeconds(60);
+
+  private final String vm;
+  private final String zone;
+  private final TimeSource time;
+  private final Map<String, LinkShare> shares = new ConcurrentHashMap<>();
+  private volatile String region = "";
+
+  LinkTable(String vm, String zone, TimeSource time) {
+    this.vm = vm;
+    this.zone = zone;
+    this.time = time;
+  }
+
+  void follow(Contract contract, ZoneView view) {
+    Contract.Region own = contract.regionOfZone(zone).orElse(null);
+    if (own == null) {
+      return;
+    }
+    region = own.name();
+    double part = slotPart(view) / own.zones().size();
+    long now = time.nanos();
+    for (Contract.LinkLimit limit : contract.linkLimits()) {
+      if (limit.to().equals(region)) {
+        double share = part * limit.requestsPerSecond();
+        shares
+            .computeIfAbsent(limit.from(), from -> LinkShare.of(share, now))
+            .perSecond(share, now);
+      }
+    }
+    shares.keySet().removeIf(from -> !isLimited(contract, from));
+  }
+
+  private boolean isLimited(Contract contract, String from) {
+    return contract.linkLimits().stream()
+        .anyMatch(limit -> limit.from().equals(from) && limit.to().equals(region));
+  }
+
+  private double slotPart(ZoneView view) {
+    double own = 0;
+    double all = 0;
+    for (Holding holding : view.holdings()) {
+      all += holding.slots();
+      own += holding.holder().equals(vm) ? holding.slots() : 0;
+    }
+    return all == 0 ? 0 : own / all;
+  }
+
+  /**
+   * Counts a request that came over a link, or says why it must not pass.
+   *
+   * @param from region of the caller, or of the entry VM that passed the request on; empty where
+   *     not known, and then no limit applies
+   */
+  public Optional<Result.NotRun> refusal(String from, RequestClass requestClass) {
+    LinkShare share = from.equals(region) ? null : shares.get(from);
+    long now = time.nanos();
+    if (share == null || share.take(requestClass, now)) {
+      return Optional.empty();
+    }
+    Duration hint = share.comeBack(requestClass, now);
+    return Optional.of(
+        new Result.NotRun(
+            ResultCode.LINK_LIMIT,
+            hint.compareTo(LONGEST_HINT) > 0 ? LONGEST_HINT : hint,
+            "the link from " + from + " to " + region + " carries no more " + requestClass));
+  }
+}
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/Headers.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/Headers.java
@@ -16,6 +16,9 @@
   /** The caller's id of the request, repeated in logs and on the time line. */
   public static final String REQUEST_ID = "Sageladder-Request-Id";
 
+  /** Block of clients that the caller belongs to; tells which link the request came over. */
+  public static final String BLOCK = "Sageladder-Block";
+
   /** The entry VM that passed the request on; such a request is not passed on again. */
   public static final String FORWARDED_BY = "Sageladder-Forwarded-By";
 
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/LookUps.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/LookUps.java
@@ -87,7 +87,8 @@
       }
     }
 
-    private static int number(String text) {
+    /** The number of a block, or -1 where {@code text} is none. */
+    static int number(String text) {
       boolean digits = !text.isEmpty() && text.chars().allMatch(c -> c >= '0' && c <= '9');
       return digits && text.length() <= 9 ? Integer.parseInt(text) : -1;
     }
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestRouter.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestRouter.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
 import org.jspecify.annotations.Nullable;
@@ -173,11 +174,12 @@
     parts
         .events()
         .record(EventKind.RECEIVED, head.id(), customer, service.name(), 0, head.forwardedBy());
+    String from = regionOfSender(exchange, head);
     if (service.repeatable()) {
-      carry(RequestFlow.begin(parts, exchange, head, service), head);
+      carry(RequestFlow.begin(parts, exchange, head, service), head, service, from);
       return;
     }
-    permits.guard(exchange, head, service, flow -> carry(flow, head));
+    permits.guard(exchange, head, service, flow -> carry(flow, head, service, from));
   }
 
   private Result.NotRun bodyTooLong(long length) {
@@ -186,9 +188,34 @@
         "a body of " + length + " bytes is above the " + mostBodyBytes + " allowed here");
   }
 
-  private void carry(RequestFlow flow, RequestHead head) {
+  /** Region that the request was sent from: the caller's, or that of the entry VM before. */
+  private String regionOfSender(CallerExchange exchange, RequestHead head) {
+    ClusterState state = control.state();
+    Contract contract = state.contracts().get(customer);
+    if (contract == null) {
+      return "";
+    }
+    if (head.forwardedBy().isEmpty()) {
+      Header block = exchange.request().getFirstHeader(Headers.BLOCK);
+      int number = block == null ? -1 : LookUps.Query.number(block.getValue());
+      return number < 0 ? "" : contract.regionOfBlock(number).orElse("");
+    }
+    for (ZoneView view : state.views().values()) {
+      if (view.members().stream().anyMatch(member -> member.vm().equals(head.forwardedBy()))) {
+        return contract.regionOfZone(view.zone()).map(Contract.Region::name).orElse("");
+      }
+    }
+    return "";
+  }
+
+  private void carry(RequestFlow flow, RequestHead head, Contract.Service service, String from) {
     ServiceGate gate = gates.holding(head.service());
     if (gate != null) {
+      Optional<Result.NotRun> full = gates.links().refusal(from, service.requestClass());
+      if (full.isPresent()) {
+        flow.refuse(full.get());
+        return;
+      }
       flow.through(GuardedGate.of(gate, gate::busy, control.guard()));
       return;
     }
--- a/sageladder-entry/src/test/java/org/sageladder/entry/gates/GateTableTest.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/gates/GateTableTest.java
@@ -25,6 +25,7 @@
 class GateTableTest {
   private static final Duration WINDOW = Duration.ofSeconds(10);
   private static final Duration HALF_WAY = Duration.ofSeconds(5);
+  private static final int LINK_LIMIT = 20;
   private static final int STEPS = 10;
 
   /** 4 slots of 100 ms carry 40 a second; a gain of a tenth of that over 10 s is 40 requests. */
@@ -131,6 +132,24 @@
     assertTrue(total() > 0);
   }
 
+  // Tables of many callers are seconds old and still send them over a link that others fill. What
+  // steering reckons with does not hold the link's limit then; the gates at its end must.
+  @Test
+  void gatesAtTheEndOfALinkTogetherLetNoMoreThroughThanItsLimit() {
+    ClusterState shared = state(1, holding("t-1", "vm-1"), holding("t-2", "vm-2"));
+    all(shared);
+    int passed = 0;
+    for (int milli = 0; milli < 10_000; milli++) {
+      passed += first.links().refusal("far", RequestClass.INTERACTIVE).isEmpty() ? 1 : 0;
+      passed += second.links().refusal("far", RequestClass.INTERACTIVE).isEmpty() ? 1 : 0;
+      time.advance(Duration.ofMillis(1));
+    }
+    assertTrue(passed <= 11 * LINK_LIMIT, "a second's worth and 10 s: " + passed);
+    assertTrue(passed >= 10 * LINK_LIMIT, "the link must be used: " + passed);
+    assertTrue(first.links().refusal("r", RequestClass.BACKGROUND).isEmpty(), "own region");
+    assertTrue(first.links().refusal("", RequestClass.BACKGROUND).isEmpty(), "not known");
+  }
+
   /** Gives the gates more requests than they may take, and ends each with a whole answer. */
   private void flood(Duration length, GateTable... tables) {
     long steps = length.toMillis() / 1000;
@@ -211,9 +230,20 @@
         List.of(
             new Member("vm-1", "z", firstIncarnation, "127.0.0.1", 1, 2, false),
             new Member("vm-2", "z", 1, "127.0.0.1", 3, 4, false));
-    Holding holding =
-        new Holding("t", "c", "s", "127.0.0.1", 5, 1, holder, holder.isEmpty() ? 0 : 4, false);
-    ZoneView view = new ZoneView("z", number, members, List.of(holding));
+    return state(number, members, holding("t", holder));
+  }
+
+  private static Holding holding(String target, String holder) {
+    return new Holding(
+        target, "c", "s", "127.0.0.1", 5, 1, holder, holder.isEmpty() ? 0 : 4, false);
+  }
+
+  private static ClusterState state(long number, Holding... holdings) {
+    return state(number, List.of(), holdings);
+  }
+
+  private static ClusterState state(long number, List<Member> members, Holding... holdings) {
+    ZoneView view = new ZoneView("z", number, members, List.of(holdings));
     return new ClusterState(Map.of("c", contract()), Map.of("z", view), List.of());
   }
 
@@ -238,10 +268,10 @@
     return new Contract(
         "c",
         1,
-        List.of(new Contract.Region("r", List.of("z"))),
+        List.of(new Contract.Region("r", List.of("z")), new Contract.Region("far", List.of("y"))),
         new Contract.Delays(1, 20, 1),
         List.of(new Contract.ClientBlocks(0, 0, "r")),
-        List.of(),
+        List.of(new Contract.LinkLimit("far", "r", LINK_LIMIT)),
         List.of(service));
   }
 }
