--- a/sageladder-client/src/main/java/org/sageladder/client/EntryCalls.java
+++ b/sageladder-client/src/main/java/org/sageladder/client/EntryCalls.java
@@ -93,7 +93,8 @@
             .setPath("/v1/request/" + request.contract() + "/" + request.service() + request.path())
             .setHeader("Sageladder-Deadline-Millis", millis(remaining))
             .setHeader("Sageladder-Try-Millis", millis(wait))
-            .setHeader("Sageladder-Request-Id", request.id());
+            .setHeader("Sageladder-Request-Id", request.id())
+            .setHeader("Sageladder-Block", String.valueOf(request.block()));
     request.headers().forEach(builder::setHeader);
     if (!permit.isEmpty()) {
       builder.setHeader("Sageladder-Permit", permit);
