--- /dev/null
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/controlcost/ProcessorTimes.java
@@ -0,0 +1,80 @@
+package org.sageladder.bench.controlcost;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+
+/**
+ * Processor time of every thread of this process's children, as the kernel counts it in
+ * nanoseconds.
+ *
+ * @param takenNanos when it was read
+ * @param threads nanoseconds used by process and thread
+ */
+record ProcessorTimes(long takenNanos, Map<ThreadKey, Long> threads) {
+  private static final String COMPILER = "CompilerThre";
+
+  /** One thread; the kernel cuts its name at 15 characters. */
+  record ThreadKey(long process, String id, String name) {}
+
+  /**
+   * Shares of one core.
+   *
+   * @param meanPercent a process's threads but the compiler's, mean
+   * @param mostPercent the same of the busiest process
+   * @param compilingPercent a process's compiler threads, mean
+   */
+  record Shares(double meanPercent, double mostPercent, double compilingPercent) {}
+
+  static ProcessorTimes ofChildren() throws IOException {
+    Map<ThreadKey, Long> threads = new HashMap<>();
+    for (long process : ProcessHandle.current().children().map(ProcessHandle::pid).toList()) {
+      Path tasks = Path.of("/proc", Long.toString(process), "task");
+      List<Path> each;
+      try (Stream<Path> listed = Files.list(tasks)) {
+        each = listed.toList();
+      }
+      for (Path task : each) {
+        add(process, task, threads);
+      }
+    }
+    return new ProcessorTimes(System.nanoTime(), threads);
+  }
+
+  private static void add(long process, Path task, Map<ThreadKey, Long> threads)
+      throws IOException {
+    try {
+      String name = Files.readString(task.resolve("comm")).strip();
+      String times = Files.readString(task.resolve("schedstat"));
+      ThreadKey thread = new ThreadKey(process, task.getFileName().toString(), name);
+      threads.put(thread, Long.parseLong(times.substring(0, times.indexOf(' '))));
+    } catch (NoSuchFileException e) {
+      // The thread ended between the listing and the reading.
+    }
+  }
+
+  /** What was used since {@code before}; time of threads that ended meanwhile is not seen. */
+  Shares since(ProcessorTimes before) {
+    double percentPerNano = 100.0 / (takenNanos - before.takenNanos);
+    Map<Long, Double> working = new HashMap<>();
+    double compiling = 0;
+    for (Map.Entry<ThreadKey, Long> entry : threads.entrySet()) {
+      ThreadKey thread = entry.getKey();
+      long used = entry.getValue() - before.threads.getOrDefault(thread, 0L);
+      if (thread.name().contains(COMPILER)) {
+        compiling += used * percentPerNano;
+      } else {
+        working.merge(thread.process(), used * percentPerNano, Double::sum);
+      }
+    }
+    double sum = working.values().stream().mapToDouble(Double::doubleValue).sum();
+    double most = working.values().stream().mapToDouble(Double::doubleValue).max().orElse(0);
+    int processes = Math.max(1, working.size());
+    return new Shares(sum / processes, most, compiling / processes);
+  }
+}
--- a/sageladder-core/src/main/java/org/sageladder/core/spread/Overlay.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/spread/Overlay.java
@@ -1,6 +1,7 @@
 package org.sageladder.core.spread;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
@@ -94,13 +95,12 @@
    * gives too. All must use the same zones for that; the short and long steps are those of {@link
    * #zoneNeighbours}, so that no further connections are needed.
    *
-   * @param zones all zones, reachable or not, in any order
+   * @param zones all zones, reachable or not, in their natural order
    */
   public static List<String> reportChildren(List<String> zones, String origin, String self) {
-    List<String> order = new ArrayList<>(new TreeSet<>(zones));
-    int count = order.size();
-    int start = order.indexOf(origin);
-    int index = order.indexOf(self);
+    int count = zones.size();
+    int start = Collections.binarySearch(zones, origin);
+    int index = Collections.binarySearch(zones, self);
     if (start < 0 || index < 0) {
       return List.of();
     }
@@ -110,14 +110,14 @@
     List<String> children = new ArrayList<>();
     if (ahead <= half) {
       for (int distance : stepsOutward(ahead, stride, half)) {
-        children.add(order.get((start + distance) % count));
+        children.add(zones.get((start + distance) % count));
       }
     }
     int behind = Math.floorMod(-ahead, count);
     int otherHalf = count - 1 - half;
     if (behind <= otherHalf) {
       for (int distance : stepsOutward(behind, stride, otherHalf)) {
-        children.add(order.get(Math.floorMod(start - distance, count)));
+        children.add(zones.get(Math.floorMod(start - distance, count)));
       }
     }
     return children;
--- a/sageladder-core/src/main/java/org/sageladder/core/spread/SpreadSettings.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/spread/SpreadSettings.java
@@ -29,7 +29,7 @@
         5_000,
         64 * 1024,
         Duration.ofSeconds(1),
-        Duration.ofMillis(200),
+        Duration.ofMillis(300),
         Duration.ofMillis(300),
         256 * 1024,
         8_192);
--- a/sageladder-core/src/main/java/org/sageladder/core/spread/Spreader.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/spread/Spreader.java
@@ -159,9 +159,7 @@
     if (message instanceof SpreadMessage.Push push) {
       receivePush(from, push);
     } else if (message instanceof SpreadMessage.DigestOffer offer) {
-      if (offer.digest() != table.digest() && settled()) {
-        sendVersions(from);
-      }
+      receiveDigest(from, offer);
     } else if (message instanceof SpreadMessage.Versions versions) {
       receiveVersions(from, versions);
     } else if (message instanceof SpreadMessage.Pull pull) {
@@ -262,6 +260,32 @@
     return Optional.of(new Item(delta.key(), delta.version(), 0, payload.get()));
   }
 
+  private void receiveDigest(String from, SpreadMessage.DigestOffer offer) {
+    if (offer.digest() == table.digest()) {
+      noteAlike(from);
+    } else if (settled()) {
+      sendVersions(from);
+    }
+  }
+
+  /**
+   * Remembers that a neighbour has all that is held here.
+   *
+   * <p>Guards against sending the first change after a start whole: neighbours that each read the
+   * contract from the platform's service have never told each other which version they have.
+   */
+  private void noteAlike(String vm) {
+    if (!neighbours.contains(vm)) {
+      return;
+    }
+    PeerState peer = peer(vm);
+    for (Item item : table.items()) {
+      if (item.key().kind().repaired()) {
+        noteKnown(peer, item.key(), item.version());
+      }
+    }
+  }
+
   private void receiveVersions(String from, SpreadMessage.Versions theirs) {
     PeerState peer = peer(from);
     List<ItemKey> missing = new ArrayList<>();
--- a/sageladder-core/src/test/java/org/sageladder/core/spread/SpreaderTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/spread/SpreaderTest.java
@@ -79,6 +79,29 @@
     assertTrue(push.deltas().get(0).delta().program().length < 20);
   }
 
+  // All VMs of a fleet have just started, and each relay read the contract from the store itself.
+  // None knows what its neighbours have, so the next change, one line of a contract of 300 KB,
+  // would be sent whole over every link.
+  @Test
+  void changeAfterBothReadTheContractFromTheStoreTravelsAsADifference() {
+    zone(2);
+    String text = "limits: ".repeat(500);
+    spreaders.get("vm-00").publish(contract(5, text + "100" + text));
+    spreaders.get("vm-01").publish(contract(5, text + "100" + text));
+    wire.clear();
+    tickUntilAllAt(5, List.of("vm-00", "vm-01"), 1);
+    for (int i = 0; i < 100; i++) {
+      time.advance(Duration.ofMillis(50));
+      spreaders.values().forEach(Spreader::tick);
+      deliver();
+    }
+    sent.clear();
+    spreaders.get("vm-00").publish(contract(6, text + "120" + text));
+    deliver();
+    assertEquals(6, version("vm-01"));
+    assertEquals(0, ((SpreadMessage.Push) sent.get(0)).items().size());
+  }
+
   // The sender believes that the receiver has revision 5, but that message was lost with its link.
   // A difference put onto the wrong base would make a contract that nobody wrote.
   @Test
