Membership: a dead zone's targets are used by a neighbour until its VMs are back

Cause: a zone whose entry VMs are all gone left its answering targets idle. Change: a zone of the region, chosen by rendezvous among those heard, probes the targets of a zone silent for 6 s (three reports) each second, and takes those that answer with no slot busy, with half their slots; it says so in an item that spreads to all and outlives its relay. The zone itself, for 4 s after a start, a pause of over 4 s or a cut, and as long as the item stands, uses only the other half. It is given back once nobody has requests in flight there. Ruled out: silence alone (a cut zone serves on); giving back by time (requests in flight). A link just lost is gone round for 2 s and then tried beside the way round it (10 s was longer than the silence that counts a zone as lost). EntryDaemon: one line gives the control plane its probe. Conclusion: shown with fakes on a virtual clock; not yet with real processes.

--- a/sageladder-core/src/main/java/org/sageladder/core/membership/HoldingPlan.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/membership/HoldingPlan.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.platform.ListedVm;
@@ -30,6 +31,7 @@
   private final MemberTable members;
   private final TokenBucket moves;
   private final Map<String, Target> targets = new TreeMap<>();
+  private Predicate<String> lent = target -> false;
 
   /** A former holder and the view that told it to stop. */
   private record Former(String vm, long incarnation, long viewNumber) {}
@@ -45,6 +47,10 @@
     private @Nullable Former releasing;
     private @Nullable Former takenFrom;
     private long takenNanos;
+    // The zone without entry VMs that the target belongs to; empty for the own zone's.
+    private String homeZone = "";
+    private boolean givingBack;
+    private final List<Former> givingBackBy = new ArrayList<>();
 
     private Target(ListedVm line) {
       this.line = line;
@@ -64,19 +70,7 @@
   void seed(RelayedView previous) {
     ZoneView last = previous.view();
     for (Holding holding : last.holdings()) {
-      Target target =
-          new Target(
-              new ListedVm(
-                  VmRole.TARGET,
-                  holding.target(),
-                  holding.customer(),
-                  holding.service(),
-                  last.zone(),
-                  holding.host(),
-                  holding.port(),
-                  0,
-                  holding.targetIncarnation(),
-                  holding.leaving()));
+      Target target = new Target(line(holding, last.zone()));
       target.leaving = holding.leaving();
       target.holder = holding.holder();
       target.slots = holding.slots();
@@ -123,13 +117,56 @@
         target.line.id(), former.vm(), former.incarnation(), former.viewNumber(), silent);
   }
 
+  /** Sets which of the own zone's targets another zone may be using half of. */
+  void lent(Predicate<String> usedElsewhere) {
+    lent = usedElsewhere;
+  }
+
+  /** Uses half the slots of targets whose zone has no entry VMs left; to be given back later. */
+  void takeOver(String homeZone, List<Holding> holdings) {
+    for (Holding holding : holdings) {
+      Target target =
+          targets.computeIfAbsent(holding.target(), id -> new Target(line(holding, homeZone)));
+      target.homeZone = homeZone;
+      target.givingBack = false;
+      noteIncarnation(target, holding.targetIncarnation());
+      target.leaving |= holding.leaving() && holding.targetIncarnation() == target.incarnation;
+    }
+  }
+
+  /** Stops using the targets of {@code homeZone}, whose entry VMs are back. */
+  void giveBack(String homeZone) {
+    for (Target target : targets.values()) {
+      target.givingBack |= target.homeZone.equals(homeZone);
+    }
+  }
+
+  /** Whether members hold targets of {@code homeZone}, or still have requests in flight there. */
+  boolean holdsFor(String homeZone) {
+    return targets.values().stream().anyMatch(target -> target.homeZone.equals(homeZone));
+  }
+
+  private static ListedVm line(Holding holding, String zone) {
+    return new ListedVm(
+        VmRole.TARGET,
+        holding.target(),
+        holding.customer(),
+        holding.service(),
+        zone,
+        holding.host(),
+        holding.port(),
+        0,
+        holding.targetIncarnation(),
+        holding.leaving());
+  }
+
   /**
    * Takes in the platform's list, which lags: it adds targets, and removes them on second sight.
    */
   void listed(String zone, List<ListedVm> lines) {
     Set<String> present = new HashSet<>();
     for (ListedVm line : lines) {
-      if (line.role() != VmRole.TARGET || !line.zone().equals(zone)) {
+      if (line.role() != VmRole.TARGET || !concerns(zone, line)) {
         continue;
       }
       present.add(line.id());
@@ -147,6 +184,12 @@
     targets.values().removeIf(target -> target.absentFetches >= 2);
   }
 
+  private boolean concerns(String zone, ListedVm line) {
+    Target target = targets.get(line.id());
+    boolean takenOver = target != null && line.zone().equals(target.homeZone);
+    return takenOver || line.zone().equals(zone);
+  }
+
   /** Takes in what a member saw of targets. */
   void reported(List<TargetReport> reports) {
     for (TargetReport report : reports) {
@@ -167,9 +210,12 @@
   List<Holding> holdings(long number, ToIntFunction<String> totalSlots) {
     List<String> eligible = members.eligible();
     List<Holding> holdings = new ArrayList<>();
+    targets.values().removeIf(target -> target.givingBack && givenBack(target, number));
     for (Target target : targets.values()) {
-      int total = totalSlots.applyAsInt(target.line.service());
-      if (total > 0) {
+      int total = usable(target, totalSlots.applyAsInt(target.line.service()));
+      if (target.givingBack) {
+        holdings.add(holding(target));
+      } else if (total > 0) {
         advance(target, total, number, eligible);
         holdings.add(holding(target));
       }
@@ -177,6 +223,32 @@
     return holdings;
   }
 
+  /** Both zones together never use more than all slots, whatever each knows of the other. */
+  private int usable(Target target, int total) {
+    if (!target.homeZone.isEmpty()) {
+      return ConfirmationGuard.takenHalf(total);
+    }
+    return lent.test(target.line.id()) ? ConfirmationGuard.keptHalf(total) : total;
+  }
+
+  /** Whether all who held the target have stopped and have nothing in flight there. */
+  private boolean givenBack(Target target, long number) {
+    if (!target.holder.isEmpty()) {
+      target.givingBackBy.add(new Former(target.holder, target.holderIncarnation, number));
+    }
+    if (target.releasing != null) {
+      target.givingBackBy.add(target.releasing);
+    }
+    if (target.takenFrom != null) {
+      target.givingBackBy.add(target.takenFrom);
+    }
+    clearHolder(target);
+    target.releasing = null;
+    target.takenFrom = null;
+    target.givingBackBy.removeIf(former -> !silent(former) && stillUsed(target, former) == 0);
+    return target.givingBackBy.isEmpty();
+  }
+
   private void advance(Target target, int total, long number, List<String> eligible) {
     Optional<String> desired = Rendezvous.choose(target.line.id(), eligible);
     if (!target.holder.isEmpty()) {
--- a/sageladder-core/src/main/java/org/sageladder/core/membership/ViewMaker.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/membership/ViewMaker.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
 import org.sageladder.core.platform.ListedVm;
 import org.sageladder.core.time.TimeSource;
@@ -101,6 +102,30 @@
     plan.listed(zone, lines);
   }
 
+  /** Sets which of the zone's targets another zone may be using half the slots of. */
+  public void lent(Predicate<String> usedElsewhere) {
+    plan.lent(usedElsewhere);
+  }
+
+  /**
+   * Lets members use half the slots of targets whose own zone has no entry VMs left.
+   *
+   * <p>May be told again and again, and is told to each next relay.
+   */
+  public void takeOver(String homeZone, List<Holding> holdings) {
+    plan.takeOver(homeZone, holdings);
+  }
+
+  /** Makes members stop using the targets of {@code homeZone}, whose entry VMs are back. */
+  public void giveBack(String homeZone) {
+    plan.giveBack(homeZone);
+  }
+
+  /** Whether members hold targets of {@code homeZone}, or still have requests in flight there. */
+  public boolean holdsFor(String homeZone) {
+    return plan.holdsFor(homeZone);
+  }
+
   /** A new view where something changed since the last one. */
   public Optional<RelayedView> tick() {
     members.tick();
--- a/sageladder-core/src/test/java/org/sageladder/core/membership/ViewMakerTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/membership/ViewMakerTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
@@ -211,4 +212,27 @@
   private static long count(ZoneFake zone, String vm) {
     return zone.view().holdings().stream().filter(h -> h.holder().equals(vm)).count();
   }
+
+  // A zone without entry VMs is back. If its targets were given back while requests of the members
+  // here are still under way there, the two zones together would use more than all slots.
+  @Test
+  void targetsOfAnotherZoneAreGivenBackOnlyOnceNothingIsInFlightThere() {
+    ZoneFake zone = new ZoneFake(3);
+    zone.run(Duration.ofSeconds(2));
+    Holding theirs = new Holding("t-b", "k", "search", "127.0.0.1", 1, 1, "vm-b", 3, false);
+    zone.targetsOfOtherZones.put("t-b", "tartu-b");
+    zone.maker().takeOver("tartu-b", List.of(theirs));
+    zone.run(Duration.ofSeconds(1));
+    Holding taken = zone.holding("t-b");
+    assertEquals(1, taken.slots());
+    ZoneFake.MemberFake holder = zone.members.get(taken.holder());
+    holder.inFlight.put("t-b", 1);
+    zone.maker().giveBack("tartu-b");
+    zone.run(Duration.ofSeconds(5));
+    assertEquals("", zone.holding("t-b").holder());
+    assertTrue(zone.maker().holdsFor("tartu-b"));
+    holder.inFlight.remove("t-b");
+    zone.run(Duration.ofSeconds(1));
+    assertFalse(zone.maker().holdsFor("tartu-b"));
+  }
 }
--- a/sageladder-core/src/test/java/org/sageladder/core/membership/ZoneFake.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/membership/ZoneFake.java
@@ -23,6 +23,7 @@
   final Map<String, MemberFake> members = new TreeMap<>();
   final Set<String> leavingTargets = new TreeSet<>();
   final Map<String, Long> targetIncarnations = new TreeMap<>();
+  final Map<String, String> targetsOfOtherZones = new TreeMap<>();
   private final MembershipSettings settings = MembershipSettings.standard();
   private ViewMaker maker;
   private ZoneView view = new ZoneView("tartu-a", 0, List.of(), List.of());
@@ -87,6 +88,12 @@
               reports.add(
                   new TargetReport(
                       target, now, false, inFlight.getOrDefault(target, 0), loadAgrees)));
+      inFlight.forEach(
+          (target, count) -> {
+            if (!targetIncarnations.containsKey(target)) {
+              reports.add(new TargetReport(target, 0, false, count, false));
+            }
+          });
       Member self = new Member(vm, "tartu-a", incarnation, "127.0.0.1", 1, 2, leaving);
       return new Heartbeat(self, time.nanos(), seen.number(), 5, reports, List.of());
     }
@@ -228,6 +235,11 @@
                     "search",
                     incarnation,
                     leavingTargets.contains(target))));
+    targetsOfOtherZones.forEach(
+        (target, zone) ->
+            lines.add(
+                new ListedVm(
+                    VmRole.TARGET, target, "k", "search", zone, "127.0.0.1", 1, 2, 1, false)));
     return lines;
   }
 
--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -28,6 +28,7 @@
 import org.sageladder.entry.control.ControlMetrics;
 import org.sageladder.entry.control.ControlPlane;
 import org.sageladder.entry.control.ControlSettings;
+import org.sageladder.entry.control.HttpTargetProbe;
 import org.sageladder.entry.control.Incarnations;
 import org.sageladder.entry.control.InnerKeys;
 import org.sageladder.entry.control.RelayControlPlane;
@@ -134,6 +135,7 @@
     control.onChange(path::follow);
     control.summaries(gates::summaries);
     control.targets(gates::targetReports);
+    control.targetProbe(HttpTargetProbe.of(client));
     gauges(metrics, control, settings.customer());
     HttpListener callers =
         HttpListener.open(
--- a/sageladder-entry/src/main/java/org/sageladder/entry/control/ControlEffects.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/control/ControlEffects.java
@@ -1,5 +1,7 @@
 package org.sageladder.entry.control;
 
+import java.util.function.Consumer;
+import org.sageladder.core.membership.Holding;
 import org.sageladder.core.spread.DutyCall;
 import org.sageladder.protocol.InnerMessage;
 import org.sageladder.protocol.PeerAddress;
@@ -15,6 +17,9 @@
   /** Makes a store call of the relay's duty; its end is reported to the machine. */
   void call(DutyCall call);
 
+  /** Asks a target of a silent zone whether it works for anybody; answers come to the machine. */
+  void probe(Holding target, Consumer<Boolean> answer);
+
   /** Starts or stops watching the contract and fetching the list, which only a relay does. */
   void relaying(boolean now);
 
--- a/sageladder-entry/src/main/java/org/sageladder/entry/control/ControlMachine.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/control/ControlMachine.java
@@ -46,7 +46,8 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int SNAPSHOT_PEERS = 4;
   private static final Duration NEIGHBOUR_REFRESH = Duration.ofSeconds(5);
-  private static final Duration LOST_LINK_AVOIDED = Duration.ofSeconds(10);
+  private static final Duration LOST_LINK_AVOIDED = Duration.ofSeconds(2);
+  private static final Duration LOST_LINK_FORGOTTEN = Duration.ofMinutes(10);
 
   private final ControlIdentity identity;
   private final ControlTimes times;
@@ -101,10 +102,17 @@
             random);
     this.role =
         new RelayRole(
-            identity, times, time, known, spreader.table(), duty, spreader::publish, events);
+            identity,
+            times,
+            time,
+            known,
+            spreader.table(),
+            duty,
+            spreader::publish,
+            effects::probe,
+            events);
     spreader.reportRoute(
-        report ->
-            directory.reportRoute(report, known.views(), known.contract(), this::isReachable));
+        report -> directory.reportRoute(report, known.views(), known.contract(), this::reach));
     long now = time.nanos();
     this.callersPort = identity.self().port();
     this.relayHeardNanos = now - times.relay().silence().toNanos();
@@ -185,6 +193,7 @@
   }
 
   void received(String from, InnerMessage message) {
+    lostNanos.remove(from);
     if (message instanceof InnerMessage.Spread spread) {
       receivedSpread(from, spread.message());
     } else if (message instanceof InnerMessage.Beat beat) {
@@ -213,9 +222,13 @@
     return sent;
   }
 
-  private boolean isReachable(String vm) {
+  private PeerDirectory.Reach reach(String vm) {
     Long lost = lostNanos.get(vm);
-    return lost == null || time.nanos() - lost >= LOST_LINK_AVOIDED.toNanos();
+    if (lost == null) {
+      return PeerDirectory.Reach.OPEN;
+    }
+    boolean lately = time.nanos() - lost < LOST_LINK_AVOIDED.toNanos();
+    return lately ? PeerDirectory.Reach.LOST : PeerDirectory.Reach.TRIED_AGAIN;
   }
 
   void lost(String vm) {
@@ -329,6 +342,7 @@
       return;
     }
     ready = true;
+    role.started();
     spreader.ready(true);
     if (known.view(identity.zone()).isPresent()) {
       relayHeardNanos = time.nanos();
@@ -380,7 +394,7 @@
 
   private void refreshNeighbours() {
     nextNeighboursNanos = time.nanos() + NEIGHBOUR_REFRESH.toNanos();
-    lostNanos.values().removeIf(lost -> time.nanos() - lost >= LOST_LINK_AVOIDED.toNanos());
+    lostNanos.values().removeIf(lost -> time.nanos() - lost >= LOST_LINK_FORGOTTEN.toNanos());
     spreader.neighbours(directory.neighbours(known.views(), role.active()));
     spreader.repairPeers(directory.comparisonPeers(known.views()));
   }
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/control/HttpTargetProbe.java
@@ -0,0 +1,73 @@
+package org.sageladder.entry.control;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.net.URIAuthority;
+import org.jspecify.annotations.Nullable;
+import org.sageladder.core.membership.Holding;
+import org.sageladder.entry.exchange.BodyCollector;
+import org.sageladder.entry.exchange.BodyPipe;
+import org.sageladder.entry.exchange.Outbound;
+
+/** Asks targets for their load over HTTP. */
+public final class HttpTargetProbe implements TargetProbe {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final JsonMapper JSON = new JsonMapper();
+  private static final Duration CONNECT = Duration.ofMillis(500);
+  private static final int LARGEST_REPORT = 4096;
+
+  private final Outbound client;
+
+  private HttpTargetProbe(Outbound client) {
+    this.client = client;
+  }
+
+  /** A probe that sends with {@code client}. */
+  public static HttpTargetProbe of(Outbound client) {
+    return new HttpTargetProbe(client);
+  }
+
+  @Override
+  public void ask(Holding target, Consumer<Boolean> answer) {
+    HttpHost host = new HttpHost(target.host(), target.port());
+    BasicHttpRequest request = new BasicHttpRequest("GET", "/load");
+    request.setScheme(host.getSchemeName());
+    request.setAuthority(new URIAuthority(host));
+    client.send(host, request, null, BodyPipe.of(new byte[0]), CONNECT, new Load(target, answer));
+  }
+
+  private record Load(Holding target, Consumer<Boolean> answer) implements Outbound.Listener {
+    @Override
+    public void head(HttpResponse response, @Nullable EntityDetails details, BodyPipe body) {
+      if (response.getCode() == 200) {
+        BodyCollector.collect(body, LARGEST_REPORT, this::tell);
+      }
+    }
+
+    private void tell(byte[] bytes) {
+      try {
+        JsonNode load = JSON.readTree(bytes);
+        boolean idle = load.path("busy").asInt(1) == 0 && !load.path("draining").asBoolean();
+        answer.accept(idle);
+      } catch (IOException e) {
+        logger.atFine().withCause(e).log("target %s reports no readable load", target.target());
+      }
+    }
+
+    @Override
+    public void done() {}
+
+    @Override
+    public void lost(boolean sent, Exception cause) {
+      logger.atFine().withCause(cause).log("target %s is out of reach", target.target());
+    }
+  }
+}
--- a/sageladder-entry/src/main/java/org/sageladder/entry/control/KnownState.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/control/KnownState.java
@@ -41,6 +41,7 @@
   private final Set<String> silent = new TreeSet<>();
   private final Map<String, RelayedView> views = new TreeMap<>();
   private final Map<String, ZoneReport> reports = new TreeMap<>();
+  private final Map<String, RelayedView> takeOvers = new TreeMap<>();
   private @Nullable Contract contract;
   private boolean changed;
   private boolean urgent;
@@ -70,6 +71,11 @@
     return switch (item.key().kind()) {
       case CONTRACT -> contract(item);
       case VIEW -> {
+        if (ZoneTakeOver.isTakeOver(item.key())) {
+          RelayedView taken = MembershipCodec.decodeView(item.payload());
+          takeOvers.put(taken.view().zone(), taken);
+          yield false;
+        }
         heard(item.key().name());
         views.put(item.key().name(), MembershipCodec.decodeView(item.payload()));
         urgent = true;
@@ -125,6 +131,37 @@
     return views;
   }
 
+  /**
+   * What another zone took over of {@code zone}: its targets as holdings, none once given back, and
+   * the zone that took them as relay.
+   */
+  Optional<RelayedView> takeOver(String zone) {
+    return Optional.ofNullable(takeOvers.get(zone));
+  }
+
+  boolean isSilent(String zone) {
+    return silent.contains(zone);
+  }
+
+  /** Whether anything was heard lately of any of {@code zones}. */
+  boolean hearsAny(List<String> zones) {
+    return zones.stream().anyMatch(zone -> heardNanos.containsKey(zone) && !silent.contains(zone));
+  }
+
+  /** Zones of the own zone's region but itself, by the contract in force. */
+  List<String> regionMates() {
+    Contract known = contract;
+    if (known == null) {
+      return List.of();
+    }
+    return known.regions().stream()
+        .map(Contract.Region::zones)
+        .filter(zones -> zones.contains(identity.zone()))
+        .flatMap(List::stream)
+        .filter(zone -> !zone.equals(identity.zone()))
+        .toList();
+  }
+
   /** Latest reports by zone. */
   Map<String, ZoneReport> reports() {
     return new TreeMap<>(reports);
--- a/sageladder-entry/src/main/java/org/sageladder/entry/control/PeerDirectory.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/control/PeerDirectory.java
@@ -8,7 +8,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import java.util.function.Predicate;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.contract.Contract;
@@ -31,6 +31,15 @@
   private final RandomGenerator random;
   private final Map<String, ListedVm> listed = new TreeMap<>();
 
+  /** What is known of the way to a peer. */
+  enum Reach {
+    OPEN,
+    /** The last message surely did not arrive, a moment ago. */
+    LOST,
+    /** The same, longer ago: a message may arrive again, but nothing may depend on it. */
+    TRIED_AGAIN
+  }
+
   PeerDirectory(ControlIdentity identity, RandomGenerator random) {
     this.identity = identity;
     this.random = random;
@@ -114,14 +123,14 @@
       Item report,
       Map<String, RelayedView> views,
       @Nullable Contract contract,
-      Predicate<String> reachable) {
+      Function<String, Reach> reach) {
     RelayedView own = views.get(identity.zone());
     if (own == null) {
       return Set.of();
     }
     Set<String> route = reportTree(report, own);
     if (speaker(own, report.version()).equals(identity.vm())) {
-      addOtherZones(report, views, contract, reachable, route);
+      addOtherZones(report, views, contract, reach, route);
     }
     route.remove(identity.vm());
     return route;
@@ -147,11 +156,11 @@
       Item report,
       Map<String, RelayedView> views,
       @Nullable Contract contract,
-      Predicate<String> reachable,
+      Function<String, Reach> reach,
       Set<String> route) {
     String origin = ReportKeys.zone(report.key());
     if (!ReportKeys.isNear(report.key())) {
-      addReachable(report, identity.zone(), views, reachable, route);
+      addReachable(report, identity.zone(), views, reach, route);
       return;
     }
     if (origin.equals(identity.zone())) {
@@ -202,15 +211,16 @@
       Item report,
       String from,
       Map<String, RelayedView> views,
-      Predicate<String> reachable,
+      Function<String, Reach> reach,
       Set<String> route) {
     List<String> zones = List.copyOf(views.keySet());
     for (String child : Overlay.reportChildren(zones, report.key().name(), from)) {
       String speaker = speaker(views.get(child), report.version());
-      if (reachable.test(speaker)) {
+      if (reach.apply(speaker) != Reach.LOST) {
         route.add(speaker);
-      } else {
-        addReachable(report, child, views, reachable, route);
+      }
+      if (reach.apply(speaker) != Reach.OPEN) {
+        addReachable(report, child, views, reach, route);
       }
     }
   }
--- a/sageladder-entry/src/main/java/org/sageladder/entry/control/RelayControlPlane.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/control/RelayControlPlane.java
@@ -22,6 +22,7 @@
 import org.sageladder.core.event.EventKind;
 import org.sageladder.core.event.EventSink;
 import org.sageladder.core.membership.ClusterState;
+import org.sageladder.core.membership.Holding;
 import org.sageladder.core.membership.HoldingGuard;
 import org.sageladder.core.membership.Member;
 import org.sageladder.core.membership.TargetReport;
@@ -53,7 +54,7 @@
 public final class RelayControlPlane implements ControlPlane {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long TICK_MILLIS = 100;
-  private static final long QUIET_PUBLISH_NANOS = Duration.ofMillis(250).toNanos();
+  private static final long QUIET_PUBLISH_NANOS = Duration.ofMillis(500).toNanos();
   private static final long ALONE_NANOS = Duration.ofSeconds(5).toNanos();
   private static final double STORE_CALLS_PER_SECOND = 4;
   private static final double STORE_CALLS_BURST = 20;
@@ -76,6 +77,8 @@
   private volatile List<ZoneReport> reports = List.of();
   private volatile Readiness readiness = Readiness.WAITING;
   private volatile boolean relaying;
+  // Without one no target of a silent zone ever answers, and none is taken over.
+  private volatile TargetProbe targetProbe = (target, answer) -> {};
   // Peers may connect before the constructor is done; what they say until then is dropped.
   private volatile boolean begun;
   private long lastPublishNanos;
@@ -172,6 +175,11 @@
     onControl(() -> machine.targets(own));
   }
 
+  /** Sets how targets of a silent zone are asked whether they can be reached. */
+  public void targetProbe(TargetProbe probe) {
+    targetProbe = probe;
+  }
+
   @Override
   public HoldingGuard guard() {
     return machine.guard();
@@ -325,6 +333,11 @@
       worker.call(call, machine.duty(), new StoreResults());
     }
 
+    @Override
+    public void probe(Holding target, Consumer<Boolean> answer) {
+      targetProbe.ask(target, idle -> onControl(() -> answer.accept(idle)));
+    }
+
     @Override
     public void relaying(boolean now) {
       relaying = now;
--- a/sageladder-entry/src/main/java/org/sageladder/entry/control/RelayRole.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/control/RelayRole.java
@@ -36,6 +36,7 @@
   private final RelayDuty duty;
   private final Consumer<Item> publish;
   private final EventSink events;
+  private final ZoneTakeOver takeOver;
   private @Nullable ViewMaker maker;
   private long makerFencing;
   private List<ListedVm> lastList = List.of();
@@ -52,6 +53,7 @@
       VersionedTable table,
       RelayDuty duty,
       Consumer<Item> publish,
+      TargetProbe probe,
       EventSink events) {
     this.identity = identity;
     this.times = times;
@@ -61,6 +63,7 @@
     this.duty = duty;
     this.publish = publish;
     this.events = events;
+    this.takeOver = new ZoneTakeOver(identity, time, known, table, probe, publish, events);
     this.lastTickNanos = time.nanos();
     this.distrustUntilNanos = time.nanos();
   }
@@ -70,6 +73,11 @@
     return maker != null;
   }
 
+  /** This VM has loaded its first snapshot. */
+  void started() {
+    takeOver.away();
+  }
+
   void listed(List<ListedVm> lines) {
     lastList = lines.stream().filter(line -> line.customer().equals(identity.customer())).toList();
     ViewMaker making = maker;
@@ -92,6 +100,7 @@
     if (making == null) {
       return;
     }
+    takeOver.tick(making);
     Optional<RelayedView> view = making.tick();
     view.ifPresent(this::publishView);
     publishReports(making);
@@ -131,6 +140,9 @@
 
   private void notePause() {
     long now = time.nanos();
+    if (now - lastTickNanos > times.membership().takeOverSilence().toNanos()) {
+      takeOver.away();
+    }
     if (now - lastTickNanos > times.membership().pauseAllowance().toNanos()) {
       distrustUntilNanos = now + times.membership().takeOverSilence().toNanos();
     }
@@ -148,6 +160,7 @@
             makerFencing,
             known.view(identity.zone()),
             this::slotsPerTarget);
+    takeOverAgain(maker);
     maker.listed(lastList);
     nextReportNanos = time.nanos() + Duration.ofMillis(200).toNanos();
     nextNearReportNanos = nextReportNanos;
@@ -160,6 +173,17 @@
         "relay, " + duty.state());
   }
 
+  /** Targets of another zone that the relay before took over look like the own zone's. */
+  private void takeOverAgain(ViewMaker making) {
+    making.lent(takeOver::lent);
+    for (String zone : known.regionMates()) {
+      known
+          .takeOver(zone)
+          .filter(view -> view.relay().equals(identity.zone()))
+          .ifPresent(view -> making.takeOver(zone, view.view().holdings()));
+    }
+  }
+
   private void stop() {
     if (maker == null) {
       return;
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/control/TargetProbe.java
@@ -0,0 +1,16 @@
+package org.sageladder.entry.control;
+
+import java.util.function.Consumer;
+import org.sageladder.core.membership.Holding;
+
+/** Finds out whether a target of a silent zone can be reached and works for nobody. */
+@FunctionalInterface
+public interface TargetProbe {
+  /**
+   * Asks {@code target}; returns at once.
+   *
+   * @param answer told true where the target answered that none of its slots is busy; never told
+   *     where it gives no answer
+   */
+  void ask(Holding target, Consumer<Boolean> answer);
+}
--- a/sageladder-entry/src/test/java/org/sageladder/entry/control/MachineFakes.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/control/MachineFakes.java
@@ -12,9 +12,11 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.contract.Contract;
 import org.sageladder.core.event.EventSink;
+import org.sageladder.core.membership.Holding;
 import org.sageladder.core.membership.Member;
 import org.sageladder.core.platform.ListedVm;
 import org.sageladder.core.platform.VmRole;
@@ -34,6 +36,8 @@
   final VirtualTime time = VirtualTime.startingAt(1_700_000_000_000L);
   final Map<String, NodeFake> nodes = new TreeMap<>();
   final Set<String> cutZones = new HashSet<>();
+  final Set<String> targetsOutOfReach = new HashSet<>();
+  final Set<String> busyTargets = new HashSet<>();
   boolean storeDown;
   private final Queue<Runnable> wire = new ArrayDeque<>();
   private final Map<String, StoredValue> values = new HashMap<>();
@@ -101,6 +105,15 @@
       wire.add(() -> answer(this, call));
     }
 
+    @Override
+    public void probe(Holding target, Consumer<Boolean> answer) {
+      NodeFake home = nodes.get(target.target().substring("target-".length()));
+      boolean reached = home != null && !targetsOutOfReach.contains(home.zone);
+      if (reached && !separated(this, home)) {
+        wire.add(() -> answer.accept(!busyTargets.contains(target.target())));
+      }
+    }
+
     @Override
     public void relaying(boolean now) {}
 
