--- a/sageladder-tools/src/test/java/org/sageladder/tools/load/ChecksTest.java
+++ b/sageladder-tools/src/test/java/org/sageladder/tools/load/ChecksTest.java
@@ -87,10 +87,9 @@
   }
 
   // Story: a surge of searches lands on a cold region at once; its caches are empty and every
-  // search
-  // is slow. Cause: admission without the cap. The target may gain 0.34 of 50 requests a second in
-  // a
-  // window of 5 s, which is 85 requests; here it gains 550, and 50 where it stays within.
+  // search is slow. Cause: admission without the cap. The target may gain 0.34 of 50 requests a
+  // second in a window of 5 s, which is 85 requests; here it gains 550, and 50 where it stays
+  // within.
   @Test
   void surgeBeyondTheCapFailsTheVerdictAndOneWithinItDoesNot() {
     VariantResult surge = result(List.of(), step -> step < 100 ? step : 100 + 12 * (step - 100));
@@ -150,7 +149,8 @@
       readings.add(List.of(new Reading(started.applyAsLong(step), busy, 0)));
     }
     Samples samples = new Samples(List.of(new FixedTarget()), at, readings);
-    return new VariantResult("sageladder", experiment, endings, samples, injected, executions, 0);
+    return new VariantResult(
+        "sageladder", experiment, endings, samples, injected, executions, List.of(), 0);
   }
 
   private static Ending ending(String service, boolean repeatable, What what, long millis) {
@@ -159,7 +159,7 @@
     return new Ending(arrival, millis * 1_000_000, what, "OK", "t", 1);
   }
 
-  private record FixedTarget() implements TargetView {
+  record FixedTarget() implements TargetView {
     @Override
     public String id() {
       return "t";
