--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -34,6 +34,7 @@
 import org.sageladder.entry.control.Incarnations;
 import org.sageladder.entry.control.InnerKeys;
 import org.sageladder.entry.control.RelayControlPlane;
+import org.sageladder.entry.control.ViewEvents;
 import org.sageladder.entry.exchange.CallerExchange;
 import org.sageladder.entry.exchange.InFlight;
 import org.sageladder.entry.exchange.OutboundClient;
@@ -150,6 +151,7 @@
     PlannedStop plannedStop = plannedStop(settings, control, inFlight, path, client, time);
     parts.add(LoadPoller.start(gates, client, time, timers, LOAD_PERIOD));
     control.onChange(gates::follow);
+    control.onChange(ViewEvents.of(settings.vm(), settings.zone(), settings.customer(), events));
     control.onChange(path::follow);
     control.summaries(gates::summaries);
     control.targets(gates::targetReports);
--- /dev/null
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/control/ViewEvents.java
@@ -0,0 +1,80 @@
+package org.sageladder.entry.control;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import org.sageladder.core.event.EventKind;
+import org.sageladder.core.event.EventSink;
+import org.sageladder.core.membership.ClusterState;
+import org.sageladder.core.membership.Holding;
+import org.sageladder.core.membership.Member;
+import org.sageladder.core.membership.ZoneView;
+
+/**
+ * Puts on the time line what each new view of this entry VM's zone changes: members that came and
+ * went, and targets of this VM that it got, lost or that are leaving.
+ *
+ * <pre>{@code
+ * control.onChange(ViewEvents.of("tallinn-1-a", "tallinn-1", "kannelkoda", events));
+ * }</pre>
+ *
+ * <p>Called by one thread.
+ */
+public final class ViewEvents implements Consumer<ClusterState> {
+  private final String vm;
+  private final String zone;
+  private final String customer;
+  private final EventSink events;
+  private Set<String> members = Set.of();
+  private Set<String> targets = Set.of();
+  private Set<String> leaving = Set.of();
+
+  private ViewEvents(String vm, String zone, String customer, EventSink events) {
+    this.vm = vm;
+    this.zone = zone;
+    this.customer = customer;
+    this.events = events;
+  }
+
+  /** Events of the entry VM {@code vm}, which has seen no view yet. */
+  public static ViewEvents of(String vm, String zone, String customer, EventSink events) {
+    return new ViewEvents(vm, zone, customer, events);
+  }
+
+  @Override
+  public void accept(ClusterState state) {
+    ZoneView view = state.views().get(zone);
+    if (view == null) {
+      return;
+    }
+    Set<String> nowMembers = view.members().stream().map(Member::vm).collect(Collectors.toSet());
+    record(EventKind.MEMBER_JOINED, nowMembers, members, view.number());
+    record(EventKind.MEMBER_LEFT, members, nowMembers, view.number());
+    members = nowMembers;
+    Set<String> nowTargets = new HashSet<>();
+    Set<String> nowLeaving = new HashSet<>();
+    for (Holding holding : view.holdings()) {
+      if (holding.holder().equals(vm)) {
+        (holding.leaving() ? nowLeaving : nowTargets).add(holding.target());
+      }
+    }
+    record(EventKind.TARGET_HELD, nowTargets, targets, view.number());
+    record(EventKind.TARGET_LEAVING, nowLeaving, leaving, view.number());
+    nowTargets.addAll(nowLeaving);
+    Set<String> before = new HashSet<>(targets);
+    before.addAll(leaving);
+    record(EventKind.TARGET_GIVEN_UP, before, nowTargets, view.number());
+    nowTargets.removeAll(nowLeaving);
+    targets = nowTargets;
+    leaving = nowLeaving;
+  }
+
+  /** One event for each name that is in {@code these} and not in {@code others}. */
+  private void record(EventKind kind, Set<String> these, Set<String> others, long number) {
+    these.stream()
+        .filter(name -> !others.contains(name))
+        .sorted()
+        .forEach(name -> events.record(kind, "", customer, name, number, "by the zone's view"));
+  }
+}
--- a/sageladder-tools/src/main/java/org/sageladder/tools/timeline/TimeLineHtml.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/timeline/TimeLineHtml.java
@@ -251,9 +251,15 @@
     return switch (kind) {
       case REFUSED, FAILED, TARGET_CRASHED, QUARANTINED, STORE_DOWN, LINK_DROPPED, LEASE_LOST ->
           "#c0392b";
-      case RETRIED, CANCELLED, MEMBER_SILENT, TARGET_LEAVING, STOPPING, PERMIT_REPEATED ->
+      case RETRIED,
+          CANCELLED,
+          MEMBER_SILENT,
+          MEMBER_LEFT,
+          TARGET_LEAVING,
+          STOPPING,
+          PERMIT_REPEATED ->
           "#d68910";
-      case CONTRACT_IN_FORCE, VIEW_CHANGED, LEASE_GAINED, SHARE_MOVED -> "#6c3483";
+      case CONTRACT_IN_FORCE, VIEW_CHANGED, LEASE_GAINED, TARGET_HELD, TARGET_GIVEN_UP -> "#6c3483";
       case ANSWERED -> "#1e8449";
       default -> "#2471a3";
     };
