bench/capacity: processor time of a look-up with its HTTP exchange

Change: two entry VMs answer 5,000 to 20,000 look-ups over kept connections; counted are the processor times of the threads that were there before the callers'. Counting the whole process was ruled out, since it holds the callers too.

--- a/sageladder-bench/src/main/java/org/sageladder/bench/capacity/Capacity.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/capacity/Capacity.java
@@ -19,6 +19,7 @@
    */
   public static void main(String[] args) throws Exception {
     List<Line> lines = new ArrayList<>(CodeSlopes.measure());
+    lines.addAll(ExchangeSlopes.measure());
     boolean full = args.length > 0 && args[0].equals("--full");
     if (full) {
       lines.addAll(ControlSlopes.measure());
