--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -36,6 +36,7 @@
 import org.sageladder.entry.control.Incarnations;
 import org.sageladder.entry.control.InnerKeys;
 import org.sageladder.entry.control.RelayControlPlane;
+import org.sageladder.entry.control.ViewEvents;
 import org.sageladder.entry.exchange.CallerExchange;
 import org.sageladder.entry.exchange.InFlight;
 import org.sageladder.entry.exchange.OutboundClient;
@@ -155,6 +156,7 @@
     parts.add(LoadPoller.start(gates, client, time, timers, LOAD_PERIOD));
     gates.tellNewHolders(HistoryPost.of(self, settings.customer(), path.codec(), client, time));
     control.onChange(gates::follow);
+    control.onChange(ViewEvents.of(settings.vm(), settings.zone(), settings.customer(), events));
     control.onChange(path::follow);
     control.summaries(gates::summaries);
     control.targets(gates::targetReports);
