Tests: any bytes at the callers' port of a real process

Cause: CallersPortTest has 25 chosen bad inputs; what nobody thought of was not tried. Ruled out: a property on the parsers alone, it would not show that the process and its other callers go on.

Change: HostileCallersProperties (fixed seeds) sends random bytes, good requests with one byte changed or cut, and any text in each header the entry VM reads, to a real process: one answer whose number fits its status, or the connection ends; a good caller on a connection of its own is answered after each; no bid runs by a guessed permit.

--- /dev/null
+++ b/sageladder-bench/src/test/java/org/sageladder/bench/process/HostileCallersProperties.java
@@ -0,0 +1,178 @@
+package org.sageladder.bench.process;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.CharRange;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import net.jqwik.api.constraints.StringLength;
+import net.jqwik.api.lifecycle.AfterContainer;
+import net.jqwik.api.lifecycle.BeforeContainer;
+import org.sageladder.core.result.ResultCode;
+import org.sageladder.standin.target.ServiceTime;
+
+/**
+ * Any bytes at the callers' port of a real process: each connection gets one answer with a number
+ * that fits its status, or ends; a good caller on a connection of its own is answered after each.
+ */
+class HostileCallersProperties {
+  private static final Pattern ANSWER =
+      Pattern.compile(
+          "HTTP/1\\.1 (\\d{3}) .*?\r\nSageladder-Result: (\\d+) (\\w+)\r\n", Pattern.DOTALL);
+  private static final int VERSION_NOT_SUPPORTED = 505;
+  private static final String CONTINUE = "HTTP/1.1 100 ";
+  private static final String END = "\r\n\r\n";
+  // An empty line ends an open head; what follows is no request, for a port that skipped empty
+  // lines.
+  private static final String COMPLETION = END + "x" + END;
+  private static final List<String> HEADERS =
+      List.of(
+          "Sageladder-Deadline-Millis",
+          "Sageladder-Permit",
+          "Sageladder-Idempotency-Key",
+          "Sageladder-Request-Id",
+          "Sageladder-Forwarded-By",
+          "Sageladder-Dispatch",
+          "Content-Length",
+          "Expect",
+          "Host");
+  private static final List<String> PATHS =
+      List.of(
+          "/v1/request/kalnins-dauge/lot-listing/lots?work=damaged",
+          "/v1/look-up?contract=kalnins-dauge&service=bid&block=12");
+
+  private static RunFolder folder;
+  private static ProcessCluster cluster;
+  private static Socket good;
+
+  @BeforeContainer
+  static void start() throws Exception {
+    folder = RunFolder.create("hostile-callers");
+    ClusterPlan plan =
+        ClusterPlan.of(PatientContract.kalninsDauge())
+            .zones(List.of("riga-1"))
+            .targets(target -> target.serviceTime(ServiceTime.fixed(0)));
+    cluster = ProcessCluster.start(plan, folder.path());
+    cluster.awaitServing(Duration.ofMinutes(2));
+    good = connect();
+  }
+
+  @AfterContainer
+  static void stop() throws IOException {
+    good.close();
+    cluster.close();
+    folder.close();
+  }
+
+  private static Socket connect() throws IOException {
+    Socket socket =
+        new Socket(InetAddress.getLoopbackAddress(), cluster.entries().get(0).callersPort());
+    socket.setTcpNoDelay(true);
+    return socket;
+  }
+
+  // A scanner or a program of another protocol connects and sends what it likes.
+  @Property(tries = 200, seed = "20261202")
+  void anyBytesGetANumberedAnswerOrTheEnd(@ForAll @Size(max = 400) byte[] bytes) throws Exception {
+    assertAnsweredOrEnded(bytes);
+  }
+
+  // One byte of a good request is damaged, or its tail is missing.
+  @Property(tries = 300, seed = "20261202")
+  void aDamagedRequestGetsANumberedAnswerOrTheEnd(
+      @ForAll @IntRange(max = 1) int which, @ForAll int at, @ForAll byte with, @ForAll boolean cut)
+      throws Exception {
+    byte[] request =
+        ("GET "
+                + PATHS.get(which)
+                + " HTTP/1.1\r\nHost: e\r\nSageladder-Deadline-Millis: 300000"
+                + END)
+            .getBytes(StandardCharsets.ISO_8859_1);
+    int place = Math.floorMod(at, request.length);
+    request[place] = with;
+    assertAnsweredOrEnded(cut ? Arrays.copyOf(request, place) : request);
+  }
+
+  // A caller, or somebody who plays one, puts any text into a header that the entry VM reads. A bid
+  // must not run by it, as no permit can be guessed.
+  @Property(tries = 200, seed = "20261202")
+  void anyHeaderValueGetsANumberedAnswerAndRunsNoBid(
+      @ForAll @IntRange(max = 8) int which,
+      @ForAll @CharRange(from = ' ', to = 'ÿ') @StringLength(max = 600) String value)
+      throws Exception {
+    String request =
+        "POST /v1/request/kalnins-dauge/bid/bids?work=hostile HTTP/1.1\r\n"
+            + HEADERS.get(which)
+            + ": "
+            + value
+            + "\r\nHost: e\r\nSageladder-Deadline-Millis: 300000"
+            + END;
+    assertAnsweredOrEnded(request.getBytes(StandardCharsets.ISO_8859_1));
+    assertEquals(0, cluster.executions().getOrDefault("hostile", 0));
+  }
+
+  /** Sends the bytes and what makes the entry VM answer if they left it waiting for more. */
+  private static void assertAnsweredOrEnded(byte[] bytes) throws IOException {
+    try (Socket bad = connect()) {
+      String answer;
+      try {
+        bad.getOutputStream().write(bytes);
+        bad.getOutputStream().write(COMPLETION.getBytes(StandardCharsets.US_ASCII));
+        answer = head(bad);
+        if (answer.startsWith(CONTINUE)) {
+          answer = head(bad);
+        }
+      } catch (IOException e) {
+        answer = "";
+      }
+      if (!answer.isEmpty()) {
+        assertNumbered(answer);
+      }
+    }
+    good.getOutputStream()
+        .write(
+            ("GET " + PATHS.get(1) + " HTTP/1.1\r\nHost: e" + END)
+                .getBytes(StandardCharsets.US_ASCII));
+    String answer = head(good);
+    assertTrue(answer.startsWith("HTTP/1.1 200 "), answer);
+    int length = Integer.parseInt(answer.replaceAll("(?s).*Content-Length: (\\d+).*", "$1"));
+    assertEquals(length, good.getInputStream().readNBytes(length).length);
+  }
+
+  private static void assertNumbered(String answer) {
+    Matcher parts = ANSWER.matcher(answer);
+    assertTrue(parts.find(), answer);
+    ResultCode code = ResultCode.valueOf(parts.group(3));
+    assertEquals(code.number(), Integer.parseInt(parts.group(2)), answer);
+    int status = Integer.parseInt(parts.group(1));
+    boolean otherVersion = code == ResultCode.MALFORMED_REQUEST && status == VERSION_NOT_SUPPORTED;
+    assertTrue(status == code.httpStatus() || otherVersion, answer);
+  }
+
+  private static String head(Socket socket) throws IOException {
+    InputStream in = socket.getInputStream();
+    ByteArrayOutputStream head = new ByteArrayOutputStream();
+    for (int b = in.read(); b >= 0; b = in.read()) {
+      head.write(b);
+      String text = head.toString(StandardCharsets.ISO_8859_1);
+      if (text.endsWith(END)) {
+        return text;
+      }
+    }
+    return head.toString(StandardCharsets.ISO_8859_1);
+  }
+}
