Gates: a holder that its zone does not confirm uses half of the gain, as of the slots

Cause: while a holder is cut off, its relay gives half of a target's slots, and with them half of its gain, to another entry VM; the cut-off one went on with the whole gain, so the target could grow by 1.5 gains. Change: the pool asks the holding guard, as dispatch does, for what it may use of a target. A step later at most (a tenth of a window); the relay's take-over comes 1.5 s after the guard gives up its half. Ruled out: telling the gate by a message, since the cut is what stops those.

--- a/sageladder-core/src/main/java/org/sageladder/core/limits/ServiceGate.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/ServiceGate.java
@@ -13,6 +13,7 @@
 import org.sageladder.core.event.EventKind;
 import org.sageladder.core.event.EventSink;
 import org.sageladder.core.membership.Holding;
+import org.sageladder.core.membership.HoldingGuard;
 import org.sageladder.core.result.Result;
 import org.sageladder.core.result.ResultCode;
 import org.sageladder.core.time.TimeSource;
@@ -70,9 +71,10 @@
       TimeSource time,
       Scheduler scheduler,
       EventSink events,
-      WaitBudget budget) {
+      WaitBudget budget,
+      HoldingGuard guard) {
     this.customer = customer;
-    this.pool = new TargetPool(service, time.nanos());
+    this.pool = new TargetPool(service, guard, time.nanos());
     this.time = time;
     this.scheduler = scheduler;
     this.events = events;
@@ -106,18 +108,31 @@
       TimeSource time,
       Scheduler scheduler,
       EventSink events) {
-    return create(customer, service, time, scheduler, events, WaitBudget.of(Integer.MAX_VALUE));
+    return create(
+        customer,
+        service,
+        time,
+        scheduler,
+        events,
+        WaitBudget.of(Integer.MAX_VALUE),
+        HoldingGuard.trusting());
   }
 
-  /** As above, with a bound on the requests that wait at all gates of this entry VM together. */
+  /**
+   * As above, for a gate in an entry VM.
+   *
+   * @param budget bounds the requests that wait at all gates of the entry VM together
+   * @param guard says which part of its holdings this entry VM may use now
+   */
   public static ServiceGate create(
       String customer,
       Contract.Service service,
       TimeSource time,
       Scheduler scheduler,
       EventSink events,
-      WaitBudget budget) {
-    return new ServiceGate(customer, service, time, scheduler, events, budget);
+      WaitBudget budget,
+      HoldingGuard guard) {
+    return new ServiceGate(customer, service, time, scheduler, events, budget, guard);
   }
 
   /**
--- a/sageladder-core/src/main/java/org/sageladder/core/limits/TargetPool.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/TargetPool.java
@@ -10,6 +10,7 @@
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.contract.Contract;
 import org.sageladder.core.membership.Holding;
+import org.sageladder.core.membership.HoldingGuard;
 
 /**
  * The targets that one gate holds, and how much their shift caps and this gate's share of the
@@ -23,14 +24,16 @@
   /** Lost targets whose growth still counts here, because nobody else may know of it. */
   private final List<TargetSlots> lost = new ArrayList<>();
 
+  private final HoldingGuard guard;
   private Contract.Service service;
   private int gateAllowance;
   private int gateStepLimit;
   private int gateInStep;
   private RateHistory stepClock;
 
-  TargetPool(Contract.Service service, long nowNanos) {
+  TargetPool(Contract.Service service, HoldingGuard guard, long nowNanos) {
     this.service = service;
+    this.guard = guard;
     this.stepClock = RateHistory.create(service.regionShiftCap().window(), nowNanos);
   }
 
@@ -217,8 +220,12 @@
     return Math.max(1, (int) (cap.gainFraction() * capacity(target) * seconds(cap.window())));
   }
 
+  /**
+   * What this gate may use of the target. Where the zone no longer confirms this entry VM another
+   * may have taken over the other half, and with it the other half of the gain.
+   */
   private double capacity(TargetSlots target) {
-    return target.holding().slots() * 1000.0 / service.meanServiceMillis();
+    return guard.slots(target.holding()) * 1000.0 / service.meanServiceMillis();
   }
 
   private static double seconds(Duration window) {
--- a/sageladder-core/src/test/java/org/sageladder/core/limits/ServiceGateTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/limits/ServiceGateTest.java
@@ -13,6 +13,7 @@
 import org.sageladder.core.contract.Contract;
 import org.sageladder.core.contract.RequestClass;
 import org.sageladder.core.event.EventSink;
+import org.sageladder.core.membership.HoldingGuard;
 import org.sageladder.core.result.ResultCode;
 
 class ServiceGateTest {
@@ -98,6 +99,31 @@
     assertEquals(ResultCode.OK, askOnce(capped));
   }
 
+  @Test
+  void unconfirmedHolderUsesHalfOfTheGain() {
+    // A zone is cut in two: the relay gives half of a target's slots to another entry VM, and this
+    // one goes on with the other half. Both used the whole gain, and the target grew by 1.5 gains.
+    Contract.ShiftCap cap = new Contract.ShiftCap(0.1, Duration.ofSeconds(10));
+    ServiceGate cutOff =
+        ServiceGate.create(
+            "c",
+            Gates.service(RequestClass.INTERACTIVE, cap),
+            gates.time,
+            gates,
+            EventSink.none(),
+            WaitBudget.of(10),
+            holding -> holding.slots() / 2);
+    cutOff.holdings(Gates.holdings(1, 4));
+    int admitted = 0;
+    for (int second = 0; second < 10; second++) {
+      while (askOnce(cutOff) == ResultCode.OK) {
+        admitted++;
+      }
+      gates.advance(Duration.ofSeconds(1));
+    }
+    assertEquals(20, admitted, "half of a gain of 40");
+  }
+
   @Test
   void requestThatCannotOutlastATakeOverIsToldSoAtOnce() {
     // A target has moved here and may get no work for a window. Requests were let wait for their
@@ -263,7 +289,13 @@
 
   private ServiceGate gateOf(RequestClass requestClass, WaitBudget budget) {
     return ServiceGate.create(
-        "c", Gates.service(requestClass), gates.time, gates, EventSink.none(), budget);
+        "c",
+        Gates.service(requestClass),
+        gates.time,
+        gates,
+        EventSink.none(),
+        budget,
+        HoldingGuard.trusting());
   }
 
   /** Holds targets that have answered often enough to be given all their slots. */
--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -22,6 +22,7 @@
 import org.sageladder.core.limits.Scheduler;
 import org.sageladder.core.limits.ServiceGate;
 import org.sageladder.core.limits.WaitBudget;
+import org.sageladder.core.membership.HoldingGuard;
 import org.sageladder.core.membership.Member;
 import org.sageladder.core.permit.PermitHome;
 import org.sageladder.core.permit.PermitKeys;
@@ -145,7 +146,8 @@
         parts.add(controlPlane(settings, self, store, list, permitKeys, time, events));
     parts.add(KeyRefresher.start(permitKeys, time));
     ControlMetrics.bind(metrics, control);
-    GateTable gates = parts.add(gates(settings, self.incarnation(), time, timers, events));
+    GateTable gates =
+        parts.add(gates(settings, self.incarnation(), control.guard(), time, timers, events));
     RequestPath path =
         RequestPath.assemble(
             settings, client, timers, time, events, metrics, control, gates, permitKeys::ring);
@@ -228,6 +230,7 @@
   private static GateTable gates(
       EntrySettings settings,
       long incarnation,
+      HoldingGuard guard,
       TimeSource time,
       ScheduledExecutorService timers,
       EventSink events) {
@@ -242,7 +245,7 @@
         incarnation,
         service ->
             ServiceGate.create(
-                settings.customer(), service, time, Scheduler.of(timers), events, waits));
+                settings.customer(), service, time, Scheduler.of(timers), events, waits, guard));
   }
 
   private static Member self(EntrySettings settings, Store store, TimeSource time)
