Caps: steps of a fiftieth of a window; idle targets move without a wait; a leaving target's gain goes to its neighbours

(3) while a target leaves, its gate's other targets get its work but had only their own part of the gain: bids waited a second and were refused with two thirds of the allowed gain in use. Change: (1) steps of W/50, growth ahead worked out in one pass, the pace still bounded over a tenth; (2) such a target is kept until it was handed over, a window at most; (3) a held target that leaves keeps its part. The finer observer of ShiftCapProperties then found an older hole: a target's part was released to its new gate although targets lost before had grown and their new gates were not told (101 after 76, gain 24); they count now. Ruled out: counting for all alignments (costs a fifth of a window), slack in the check. Its observer now steps with the gates' own steps, so it is stricter than before.

--- a/sageladder-core/src/main/java/org/sageladder/core/limits/RateHistory.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/RateHistory.java
@@ -5,8 +5,8 @@
 import java.util.List;
 
 /**
- * Counts admissions in steps of a tenth of a window, far enough back to compare one window with the
- * window before it.
+ * Counts admissions in steps of a fiftieth of a window, far enough back to compare one window with
+ * the window before it.
  *
  * <p>The growth at a moment is the requests of the window that ends then, less those of the window
  * before. Growth may rise later without any admission, because the older window loses a busy step;
@@ -16,12 +16,20 @@
  * <p>Not safe for use by several threads; its owner's lock guards it.
  */
 final class RateHistory {
-  /** Steps in one window. */
-  static final int STEPS = 10;
+  /**
+   * Steps in one window. An observer whose windows begin within a step may see the requests of one
+   * step more than the cap: with a tenth of a window these were up to an eighth of the window.
+   */
+  static final int STEPS = 50;
 
   private static final int KEPT = 2 * STEPS;
 
-  /** Part of a step's even share that may be used in one step, so that noise does not bind. */
+  /** Parts of a window whose pace is bounded; long enough that chance arrivals do not bind. */
+  private static final int PACED_PARTS = 10;
+
+  private static final int PACED_STEPS = STEPS / PACED_PARTS;
+
+  /** Multiple of a part's even share that may be used in one part. */
   private static final double PACE = 1.25;
 
   private final long stepNanos;
@@ -54,20 +62,21 @@
   }
 
   /**
-   * Most requests in one step, so that a cold place is not hit by a whole window's gain at once.
+   * Most requests in a tenth of a window, so that a cold place is not hit by a whole window's gain
+   * at once.
    *
-   * <p>A step may always hold its even part of the gain more than the same step one window ago.
+   * <p>A tenth may always hold its even part of the gain more than the same tenth one window ago.
    * Without that a place that uses its gain early in each window, as it must under full demand,
    * would have to start each window at the slow pace of the one before, and lose a part of its
    * gain.
    *
    * @param before requests of the window before the one that ends now
-   * @param windowAgo requests of the same step one window ago
+   * @param windowAgo requests of the same tenth one window ago
    * @param units requests by which a window may outgrow the one before
    */
-  static int stepLimit(int before, int windowAgo, int units) {
-    double evenPart = PACE * (before + units) / STEPS;
-    double grown = windowAgo + PACE * units / STEPS;
+  static int paceLimit(int before, int windowAgo, int units) {
+    double evenPart = PACE * (before + units) / PACED_PARTS;
+    double grown = windowAgo + PACE * units / PACED_PARTS;
     return Math.max(1, (int) Math.ceil(Math.max(evenPart, grown)));
   }
 
@@ -95,13 +104,14 @@
     counts[slot(step)]++;
   }
 
-  int inStep() {
-    return counts[slot(step)];
+  /** Requests of the tenth of a window that ends with this step. */
+  int inPart() {
+    return sum(0, PACED_STEPS - 1);
   }
 
-  /** Requests of the step that lies one window before this one. */
+  /** Requests of the tenth that lies one window before {@link #inPart()}. */
   int windowAgo() {
-    return counts[slot(step - STEPS)];
+    return sum(STEPS, STEPS + PACED_STEPS - 1);
   }
 
   /** Requests of the window that ends with this step. */
@@ -114,33 +124,51 @@
     return sum(STEPS, KEPT - 1);
   }
 
-  /** Growth {@code ahead} steps from now if nothing more is admitted, {@code ahead} 0 to 19. */
-  int growth(int ahead) {
-    int recent = ahead < STEPS ? sum(0, STEPS - 1 - ahead) : 0;
-    return recent - sum(Math.max(0, STEPS - ahead), KEPT - 1 - ahead);
+  /** Growth {@code ahead} steps from now, 0 to twice {@link #STEPS}, if nothing more comes. */
+  int[] growths() {
+    int[] newest = new int[KEPT + 1];
+    for (int back = 0; back < KEPT; back++) {
+      newest[back + 1] = newest[back] + counts[slot(step - back)];
+    }
+    int[] growths = new int[KEPT];
+    for (int ahead = 0; ahead < KEPT; ahead++) {
+      int recent = newest[Math.max(0, STEPS - ahead)];
+      growths[ahead] = recent - (newest[KEPT - ahead] - recent);
+    }
+    return growths;
+  }
+
+  /** Growth of this window over the one before. */
+  int growth() {
+    return recent() - before();
   }
 
   /** Largest growth of this and the steps to come if nothing more is admitted. */
   int worstGrowth() {
-    return worstGrowth(0);
+    return worst(growths(), 0);
   }
 
-  /** The same as it will be {@code from} steps from now, 0 to 10. */
-  int worstGrowth(int from) {
+  /** Largest of a window of {@code growths} that begins {@code from} steps from now, 0 to 50. */
+  static int worst(int[] growths, int from) {
     int worst = Integer.MIN_VALUE;
     for (int ahead = from; ahead < from + STEPS; ahead++) {
-      worst = Math.max(worst, growth(ahead));
+      worst = Math.max(worst, growths[ahead]);
     }
     return worst;
   }
 
-  /** Monotonic time at which a place that may grow by {@code units} may admit one more. */
-  long givesWayNanos(int units) {
+  /** Steps from now after which a place that may grow by {@code units} may admit one more. */
+  static int stepsUntilRoom(int[] growths, int units) {
     int steps = 1;
-    while (steps < STEPS && worstGrowth(steps) >= units) {
+    while (steps < STEPS && worst(growths, steps) >= units) {
       steps++;
     }
-    return nextStepNanos() + (steps - 1) * stepNanos;
+    return steps;
+  }
+
+  /** Monotonic time at which a place that may grow by {@code units} may admit one more. */
+  long givesWayNanos(int units) {
+    return nextStepNanos() + (stepsUntilRoom(growths(), units) - 1) * stepNanos;
   }
 
   /** Monotonic time at which the next step begins. */
@@ -148,7 +176,7 @@
     return (step + 1) * stepNanos;
   }
 
-  /** The same rates counted in steps of a tenth of another window. */
+  /** The same rates counted in steps of another window. */
   RateHistory resampled(Duration window, long nowNanos) {
     RateHistory other = create(window, nowNanos);
     for (int back = 0; back < KEPT; back++) {
--- a/sageladder-core/src/main/java/org/sageladder/core/limits/TargetPool.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/TargetPool.java
@@ -27,8 +27,8 @@
   private final HoldingGuard guard;
   private Contract.Service service;
   private int gateAllowance;
-  private int gateStepLimit;
-  private int gateInStep;
+  private int gatePaceLimit;
+  private int gateInPart;
   private RateHistory stepClock;
 
   TargetPool(Contract.Service service, HoldingGuard guard, long nowNanos) {
@@ -71,7 +71,7 @@
     }
     for (TargetSlots target : List.copyOf(targets.values())) {
       if (!named.contains(target.holding().target())) {
-        target.loseHold();
+        target.loseHold(nowNanos);
       }
     }
     recount(nowNanos);
@@ -86,18 +86,22 @@
       return;
     }
     if (known != null) {
-      known.loseHold();
+      known.loseHold(nowNanos);
       lost.add(known);
     }
+    long workFrom = takenOver ? nowNanos + takeOverWaitNanos() : nowNanos;
+    targets.put(
+        holding.target(),
+        new TargetSlots(holding, service, nowNanos, workFrom, sameIncarnation ? known : null));
+  }
+
+  /** How long what another gate let through may still count in either cap's window. */
+  private long takeOverWaitNanos() {
     long windowNanos =
         Math.max(
             service.regionShiftCap().window().toNanos(),
             service.targetShiftCap().window().toNanos());
-    long waitNanos = windowNanos + windowNanos / RateHistory.STEPS;
-    long workFrom = takenOver ? nowNanos + waitNanos : nowNanos;
-    targets.put(
-        holding.target(),
-        new TargetSlots(holding, service, nowNanos, workFrom, sameIncarnation ? known : null));
+    return windowNanos + windowNanos / RateHistory.STEPS;
   }
 
   @Nullable TargetSlots target(String name) {
@@ -109,7 +113,8 @@
    * of the whole window, because it still waited for the gate before it.
    *
    * <p>The target's part of the region's gain is released only where the targets left here keep to
-   * what is left of it, whatever the new gate does.
+   * what is left of it, whatever the new gate does. Targets lost before count with what they have
+   * grown: their new gates may not have been told of it.
    */
   @Nullable TargetHistory handOver(String name, long nowNanos, long nowMillis) {
     TargetSlots target = targets.get(name);
@@ -121,7 +126,8 @@
     }
     recount(nowNanos);
     target.markHandedOver();
-    boolean released = target.hasGainPart(nowNanos) && worstGrowth(0, true) <= gainUnits(nowNanos);
+    int othersGrowth = RateHistory.worst(growthsBesides(target), 0);
+    boolean released = target.hasGainPart(nowNanos) && othersGrowth <= gainUnits(nowNanos);
     return new TargetHistory(
         name,
         target.holding().targetIncarnation(),
@@ -193,7 +199,7 @@
   /** The target with the largest free part of its slots that its cap lets grow. */
   Choice choose(String avoid, long nowNanos) {
     rollTo(nowNanos);
-    boolean gateCapped = gateAllowance <= 0 || gateInStep >= gateStepLimit;
+    boolean gateCapped = gateAllowance <= 0 || gateInPart >= gatePaceLimit;
     boolean capped = false;
     TargetSlots best = null;
     for (TargetSlots target : targets.values()) {
@@ -235,7 +241,7 @@
   void take(TargetSlots target) {
     target.take();
     gateAllowance--;
-    gateInStep++;
+    gateInPart++;
   }
 
   void giveBack(TargetSlots target, Admission.Completion completion, long nowNanos) {
@@ -302,10 +308,7 @@
   long capGivesWayNanos(long nowNanos) {
     rollTo(nowNanos);
     int units = gainUnits(nowNanos);
-    int steps = 1;
-    while (steps < RateHistory.STEPS && worstGrowth(steps, false) >= units) {
-      steps++;
-    }
+    int steps = RateHistory.stepsUntilRoom(growths(), units);
     long gate = stepClock.nextStepNanos() + (steps - 1) * stepClock.stepNanos();
     long earliestTarget = Long.MAX_VALUE;
     for (TargetSlots target : targets.values()) {
@@ -343,44 +346,63 @@
     stepClock.rollTo(nowNanos);
     targets.values().forEach(target -> target.rollTo(nowNanos));
     lost.forEach(target -> target.rollTo(nowNanos));
-    forgetLost();
+    forgetLost(nowNanos);
     int before = 0;
     int windowAgo = 0;
-    gateInStep = 0;
+    gateInPart = 0;
     for (TargetSlots target : targets.values()) {
       before += target.regionHistory().before();
       windowAgo += target.regionHistory().windowAgo();
-      gateInStep += target.regionHistory().inStep();
+      gateInPart += target.regionHistory().inPart();
       target.recap(targetUnits(target));
     }
-    gateAllowance = gainUnits(nowNanos) - worstGrowth(0, false);
-    gateStepLimit = RateHistory.stepLimit(before, windowAgo, gainUnits(nowNanos));
+    gateAllowance = gainUnits(nowNanos) - RateHistory.worst(growths(), 0);
+    gatePaceLimit = RateHistory.paceLimit(before, windowAgo, gainUnits(nowNanos));
   }
 
   /**
-   * Growth of all targets together, {@code from} steps from now or later.
+   * Growth of all targets together, step by step from now on.
    *
    * <p>A target no longer held counts only where it has grown: whoever holds it now may not know of
    * that growth, and the base that it would bring if it had shrunk went with it.
    */
-  private int worstGrowth(int from, boolean heldOnly) {
-    int worst = Integer.MIN_VALUE;
-    for (int ahead = from; ahead < from + RateHistory.STEPS; ahead++) {
-      int growth = 0;
-      for (TargetSlots target : targets.values()) {
-        int own = target.regionHistory().growth(ahead);
-        growth += target.isHeld() ? own : heldOnly ? 0 : Math.max(0, own);
-      }
-      for (TargetSlots target : lost) {
-        growth += heldOnly ? 0 : Math.max(0, target.regionHistory().growth(ahead));
+  private int[] growths() {
+    return growthsBesides(null);
+  }
+
+  private int[] growthsBesides(@Nullable TargetSlots leftOut) {
+    int[] sums = new int[2 * RateHistory.STEPS];
+    for (TargetSlots target : targets.values()) {
+      if (target != leftOut) {
+        addGrowths(target, target.isHeld() ? Integer.MIN_VALUE : 0, sums);
       }
-      worst = Math.max(worst, growth);
     }
-    return worst;
+    lost.forEach(target -> addGrowths(target, 0, sums));
+    return sums;
   }
 
-  private void forgetLost() {
-    targets.values().removeIf(target -> !target.isHeld() && isSpent(target));
+  private static void addGrowths(TargetSlots target, int least, int[] sums) {
+    int[] own = target.regionHistory().growths();
+    for (int ahead = 0; ahead < sums.length; ahead++) {
+      sums[ahead] += Math.max(least, own[ahead]);
+    }
+  }
+
+  /**
+   * Forgets what no longer counts.
+   *
+   * <p>A target that moves without having had work is kept until its new gate can be told so, for a
+   * window at most; otherwise that gate would wait a window for a history that never comes.
+   */
+  private void forgetLost(long nowNanos) {
+    long toldUntil = nowNanos - takeOverWaitNanos();
+    targets
+        .values()
+        .removeIf(
+            target ->
+                !target.isHeld()
+                    && isSpent(target)
+                    && (target.wasHandedOver() || target.lostNanos() - toldUntil < 0));
     lost.removeIf(TargetPool::isSpent);
   }
 
--- a/sageladder-core/src/main/java/org/sageladder/core/limits/TargetSlots.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/TargetSlots.java
@@ -24,9 +24,10 @@
   private boolean held = true;
   private boolean leaving;
   private boolean handedOver;
+  private long lostNanos;
   private int inFlight;
   private int allowance;
-  private int stepLimit;
+  private int paceLimit;
   private int toldBusy;
   private long toldAtNanos;
   private int foreignBusy;
@@ -98,11 +99,11 @@
   /** Works out what this step still allows where the target's window may grow by {@code units}. */
   void recap(int units) {
     allowance = units - history.worstGrowth();
-    stepLimit = RateHistory.stepLimit(history.before(), history.windowAgo(), units);
+    paceLimit = RateHistory.paceLimit(history.before(), history.windowAgo(), units);
   }
 
   boolean isCapped() {
-    return allowance <= 0 || history.inStep() >= stepLimit;
+    return allowance <= 0 || history.inPart() >= paceLimit;
   }
 
   TargetExperience experience() {
@@ -113,9 +114,13 @@
     return held;
   }
 
-  /** True once the gain of the window before the take-over can no longer be in use elsewhere. */
+  /**
+   * True where its part of the region's gain may be used here: once the gain of the window before
+   * the take-over can no longer be in use elsewhere, and as long as the target is held. While it
+   * leaves, its work goes to the gate's other targets, and its part of the gain has to go with it.
+   */
   boolean sharesGain(long nowNanos) {
-    return takesWork() && hasGainPart(nowNanos);
+    return held && hasGainPart(nowNanos);
   }
 
   boolean hasGainPart(long nowNanos) {
@@ -164,8 +169,16 @@
     return handedOver;
   }
 
-  void loseHold() {
-    held = false;
+  void loseHold(long nowNanos) {
+    if (held) {
+      held = false;
+      lostNanos = nowNanos;
+    }
+  }
+
+  /** When another gate, or none, got the target; only where it is no longer held. */
+  long lostNanos() {
+    return lostNanos;
   }
 
   void markLeaving() {
--- a/sageladder-core/src/test/java/org/sageladder/core/limits/RateHistoryTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/limits/RateHistoryTest.java
@@ -21,7 +21,7 @@
       for (int step = 0; step < RateHistory.STEPS; step++) {
         history.rollTo(((long) (window - 1) * RateHistory.STEPS + step) * STEP);
         fillStep(history);
-        assertTrue(history.growth(0) <= UNITS, "window " + window + " step " + step);
+        assertTrue(history.growth() <= UNITS, "window " + window + " step " + step);
       }
       assertEquals(window * UNITS, history.recent(), "requests of window " + window);
     }
@@ -31,12 +31,12 @@
   void noStepTakesAWholeWindowsGain() {
     RateHistory history = RateHistory.create(Duration.ofNanos(STEP * RateHistory.STEPS), 0);
     fillStep(history);
-    assertEquals(UNITS / 8, history.inStep());
+    assertEquals(UNITS / 8, history.inPart());
   }
 
   private static void fillStep(RateHistory history) {
-    int limit = RateHistory.stepLimit(history.before(), history.windowAgo(), UNITS);
-    while (history.worstGrowth() < UNITS && history.inStep() < limit) {
+    int limit = RateHistory.paceLimit(history.before(), history.windowAgo(), UNITS);
+    while (history.worstGrowth() < UNITS && history.inPart() < limit) {
       history.add();
     }
   }
--- a/sageladder-core/src/test/java/org/sageladder/core/limits/ServiceGateTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/limits/ServiceGateTest.java
@@ -99,6 +99,33 @@
     assertEquals(ResultCode.OK, askOnce(capped));
   }
 
+  @Test
+  void leavingTargetsPartOfTheGainGoesToItsNeighbours() {
+    // An operator drains a target while bids surge. All bids of the gate go to its other target,
+    // which had only its own part of the region's gain: dealers waited a second each and were
+    // refused, though the region used two thirds of what its contract allows.
+    ServiceGate surging =
+        ServiceGate.create(
+            "c",
+            Gates.service(
+                RequestClass.INTERACTIVE,
+                new Contract.ShiftCap(0.1, Duration.ofSeconds(10)),
+                new Contract.ShiftCap(0.5, Duration.ofSeconds(10))),
+            gates.time,
+            gates,
+            EventSink.none());
+    surging.holdings(List.of(Gates.holding("t0", 4), Gates.holding("t1", 4)));
+    surging.targetLoad("t0", 0, 4, true, gates.time.nanos());
+    int admitted = 0;
+    for (int tenth = 0; tenth < 100; tenth++) {
+      while (askOnce(surging) == ResultCode.OK) {
+        admitted++;
+      }
+      gates.advance(Duration.ofMillis(100));
+    }
+    assertEquals(80, admitted, "the gain of both targets");
+  }
+
   @Test
   void unconfirmedHolderUsesHalfOfTheGain() {
     // A zone is cut in two: the relay gives half of a target's slots to another entry VM, and this
--- a/sageladder-core/src/test/java/org/sageladder/core/limits/ShiftCapProperties.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/limits/ShiftCapProperties.java
@@ -21,6 +21,9 @@
 
 /** The caps on shifts, checked by a counter that is slow and plainly right. */
 class ShiftCapProperties {
+  /** Parts of a window in which demand is steady, and parts of such a part. */
+  private static final int PARTS = 10;
+
   private static final int TARGETS = 4;
   private static final int SLOTS = 3;
   private static final double TARGET_CAPACITY = SLOTS * 10.0;
@@ -56,7 +59,7 @@
     ServiceGate[] region = {gate(service), gate(service)};
     String[] holderOf = new String[TARGETS];
     moveTargets(region, holderOf, random);
-    int steps = 60 * RateHistory.STEPS;
+    int steps = 60 * PARTS;
     double perStep = 1;
     for (int step = 0; step < steps; step++) {
       if (random.nextInt(40) == 0) {
@@ -137,8 +140,8 @@
 
   private void demand(ServiceGate[] region, double perStep, Random random, int windowSeconds) {
     Duration tick = Duration.ofMillis(10L * windowSeconds);
-    for (int i = 0; i < RateHistory.STEPS; i++) {
-      int arrivals = (int) (perStep / RateHistory.STEPS + random.nextDouble());
+    for (int i = 0; i < PARTS; i++) {
+      int arrivals = (int) (perStep / PARTS + random.nextDouble());
       for (int n = 0; n < arrivals; n++) {
         region[random.nextInt(2)].request(gates.within(Duration.ofMillis(500)), this::count);
       }
@@ -165,7 +168,7 @@
 
   /** Counts every window that ends with a step, and the one before it. */
   private static void assertCap(List<Long> times, int gain, int windowSeconds, String place) {
-    long stepNanos = windowSeconds * 100_000_000L;
+    long stepNanos = windowSeconds * 1_000_000_000L / RateHistory.STEPS;
     Map<Long, Integer> perStep = new HashMap<>();
     long lastStep = 0;
     for (long time : times) {
--- a/sageladder-entry/src/test/java/org/sageladder/entry/gates/GateTableTest.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/gates/GateTableTest.java
@@ -73,6 +73,22 @@
     assertCapKept();
   }
 
+  // Operators restart entry VMs one by one. Each that joins gets targets of its neighbour that had
+  // nothing to do just then; of these the neighbour told nothing, since it had forgotten them the
+  // moment they were taken from it, and their callers were refused for a whole window.
+  @Test
+  void targetThatHadNoWorkMovesWithoutAWait() {
+    all(view(1, "vm-1"));
+    all(view(2, ""));
+    all(view(3, "vm-2"));
+    assertEquals(1, sent.size());
+    second.learn(3, sent.get(0));
+    flood(Duration.ofSeconds(1), first, second);
+    assertTrue(total() > 0, "no wait is needed: " + perStep);
+    flood(WINDOW.multipliedBy(2), first, second);
+    assertCapKept();
+  }
+
   // The message overtakes the view that names the new holder. Thrown away it would cost a window.
   @Test
   void historyThatOvertakesTheViewIsKept() {
