--- a/sageladder-core/src/main/java/org/sageladder/core/limits/GateNumbers.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/GateNumbers.java
@@ -9,8 +9,8 @@
  * @param offered requests that asked for a slot since the gate was made
  * @param admitted requests that got a slot since the gate was made
  * @param refused requests refused since the gate was made
- * @param offeredPerSecond requests a second wanted here of late; a refused one counts as a third,
- *     since its caller asks three places of its region
+ * @param offeredPerSecond requests a second wanted here of late; a refused one counts as a quarter,
+ *     since its caller asks four places
  * @param admittedPerSecond requests admitted a second of late
  * @param ceilingPerSecond most the gate will admit a second now, by cap and capacity
  */
--- a/sageladder-core/src/main/java/org/sageladder/core/limits/ServiceGate.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/ServiceGate.java
@@ -34,10 +34,10 @@
  */
 public final class ServiceGate implements Gate, AutoCloseable {
   /**
-   * What a refused request counts as demand: its caller goes on to the other two places of its
-   * region that its answer names, and would be counted three times.
+   * What a refused request counts as demand: an answer names four places, so its caller is refused
+   * four times before it is lost, and is then counted once over all.
    */
-  private static final double REFUSED_PART = 1.0 / 3;
+  private static final double REFUSED_PART = 1.0 / 4;
 
   private static final String TAKEN_OVER =
       "another entry VM held the targets a moment ago, and may have used their gain";
