--- a/sageladder-entry/src/test/java/org/sageladder/entry/request/RequestFlowTest.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/request/RequestFlowTest.java
@@ -10,16 +10,9 @@
 import java.util.List;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import org.apache.hc.core5.http.EntityDetails;
-import org.apache.hc.core5.http.HttpRequest;
-import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
-import org.apache.hc.core5.http.nio.AsyncPushProducer;
-import org.apache.hc.core5.http.nio.ResponseChannel;
-import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
-import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.sageladder.core.contract.Contract;
@@ -40,11 +33,12 @@
 /** What one flow tells its caller, its target and the home of its permit. */
 class RequestFlowTest {
   private static final Duration LONG = Duration.ofSeconds(20);
+  private static final int MEAN_SERVICE_MILLIS = 20;
 
   private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
   private final List<Outbound.Listener> sent = new ArrayList<>();
   private final List<Integer> cancelled = new ArrayList<>();
-  private final List<HttpResponse> answers = new ArrayList<>();
+  private final Responses answers = new Responses();
   private final List<String> runs = new ArrayList<>();
 
   @AfterEach
@@ -76,13 +70,13 @@
     caller.handleRequest(
         new BasicHttpRequest("GET", "/v1/request/kalnins-dauge/lots/x"),
         null,
-        new AnswerList(),
+        answers,
         HttpCoreContext.create());
     return caller;
   }
 
   private static RequestHead head() {
-    return new RequestHead("r-1", "kalnins-dauge", "lots", "/x", LONG, "", "", "", "");
+    return new RequestHead("r-1", "kalnins-dauge", "lots", "/x", LONG, LONG, "", "", "", "");
   }
 
   private static Contract.Service service(boolean repeatable) {
@@ -94,7 +88,7 @@
         1,
         3,
         10,
-        20,
+        MEAN_SERVICE_MILLIS,
         5,
         LONG,
         LONG,
@@ -112,7 +106,7 @@
   }
 
   private String outcome() {
-    return answers.get(0).getFirstHeader(Headers.OUTCOME).getValue();
+    return answers.headers(Headers.OUTCOME).get(0);
   }
 
   /**
@@ -202,6 +196,28 @@
     assertEquals(List.of("ran, answer not kept"), runs);
   }
 
+  /**
+   * Under a cap the oldest export gets the next slot, and its caller leaves a moment later: the
+   * export is cut half done, its share of the cap is spent, and hardly any export comes through
+   * although most slots are free. A slot is worth waiting for only while there is time for the
+   * work.
+   */
+  @Test
+  void aSlotIsNotAwaitedUntilItComesTooLateForTheWork() throws IOException {
+    List<Long> until = new ArrayList<>();
+    Gate noting =
+        (request, whenDecided) -> {
+          until.add(request.deadlineNanos());
+          return () -> false;
+        };
+    long before = System.nanoTime();
+    arrive(begun -> RequestFlow.begin(parts(), begun, head(), service(true)).through(noting));
+    long after = System.nanoTime();
+    long wait = LONG.minusMillis(2 * MEAN_SERVICE_MILLIS).toNanos();
+    assertTrue(until.get(0) - before >= wait, "gives up earlier than it must");
+    assertTrue(until.get(0) - after <= wait, "waits until there is no time for the work");
+  }
+
   private final class RunList implements PermitRun {
     @Override
     public void ran(RecordedAnswer answer) {
@@ -238,18 +254,4 @@
     @Override
     public void release(Admission.Completion completion) {}
   }
-
-  private final class AnswerList implements ResponseChannel {
-    @Override
-    public void sendInformation(HttpResponse response, HttpContext context) {}
-
-    @Override
-    public void sendResponse(
-        HttpResponse response, @Nullable EntityDetails details, HttpContext context) {
-      answers.add(response);
-    }
-
-    @Override
-    public void pushPromise(HttpRequest promise, AsyncPushProducer producer, HttpContext context) {}
-  }
 }
