--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -21,6 +21,7 @@
 import org.sageladder.core.event.EventSink;
 import org.sageladder.core.limits.Scheduler;
 import org.sageladder.core.limits.ServiceGate;
+import org.sageladder.core.limits.WaitBudget;
 import org.sageladder.core.membership.Member;
 import org.sageladder.core.permit.PermitHome;
 import org.sageladder.core.permit.PermitKeys;
@@ -31,9 +32,11 @@
 import org.sageladder.entry.control.ControlMetrics;
 import org.sageladder.entry.control.ControlPlane;
 import org.sageladder.entry.control.ControlSettings;
+import org.sageladder.entry.control.HttpTargetProbe;
 import org.sageladder.entry.control.Incarnations;
 import org.sageladder.entry.control.InnerKeys;
 import org.sageladder.entry.control.RelayControlPlane;
+import org.sageladder.entry.control.ViewEvents;
 import org.sageladder.entry.exchange.CallerExchange;
 import org.sageladder.entry.exchange.InFlight;
 import org.sageladder.entry.exchange.OutboundClient;
@@ -153,9 +156,11 @@
     parts.add(LoadPoller.start(gates, client, time, timers, LOAD_PERIOD));
     gates.tellNewHolders(HistoryPost.of(self, settings.customer(), path.codec(), client, time));
     control.onChange(gates::follow);
+    control.onChange(ViewEvents.of(settings.vm(), settings.zone(), settings.customer(), events));
     control.onChange(path::follow);
     control.summaries(gates::summaries);
     control.targets(gates::targetReports);
+    control.targetProbe(HttpTargetProbe.of(client));
     gauges(metrics, control, settings.customer());
     CountDownLatch drainAsked = new CountDownLatch(1);
     OperatorPort operatorPort =
@@ -230,6 +235,9 @@
       TimeSource time,
       ScheduledExecutorService timers,
       EventSink events) {
+    // Each request that waits holds a caller's connection. Without a common bound background work
+    // could hold them all, and a bid would find no connection to come in by.
+    WaitBudget waits = WaitBudget.of(settings.callerLimits().connections());
     return GateTable.create(
         settings.vm(),
         settings.zone(),
@@ -237,7 +245,8 @@
         time,
         incarnation,
         service ->
-            ServiceGate.create(settings.customer(), service, time, Scheduler.of(timers), events));
+            ServiceGate.create(
+                settings.customer(), service, time, Scheduler.of(timers), events, waits));
   }
 
   private static Member self(EntrySettings settings, Store store, TimeSource time)
