Protocol: a link is open before its first message is passed on

Once the handshake is done LinkHandler replaces the frame decoder by one for larger frames; that passes on at once what was read behind the handshake. Where a peer's proof and its first message arrive in one piece, the message reached its receiver before the link was put on the table and before `opened`, so the answer to it went to nobody and was counted as unsent: the first heartbeat or digest of a new link stays unanswered. Ruled out: a link that was closed again, a full write buffer.

Change: `opened` comes first, then the decoder. The test sends both frames in one piece.

Conclusion: a fault of the product on busy machines, not of the test.

--- a/sageladder-protocol/src/main/java/org/sageladder/protocol/LinkHandler.java
+++ b/sageladder-protocol/src/main/java/org/sageladder/protocol/LinkHandler.java
@@ -140,13 +140,16 @@
     if (waiting != null) {
       waiting.cancel(false);
     }
+    // First, as the new decoder passes on at once what was read behind the handshake: a message
+    // that
+    // came before its link was known could not be answered.
+    events.opened(with.peer(), context);
     context
         .pipeline()
         .replace(
             FRAME_DECODER,
             FRAME_DECODER,
             new LengthFieldBasedFrameDecoder(LARGEST_FRAME, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
-    events.opened(with.peer(), context);
   }
 
   private static byte[] seal(Session with, byte[] body) {
--- a/sageladder-protocol/src/test/java/org/sageladder/protocol/HostileLinksProperties.java
+++ b/sageladder-protocol/src/test/java/org/sageladder/protocol/HostileLinksProperties.java
@@ -7,8 +7,6 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -28,14 +26,14 @@
       new InnerMessage.Spread(new SpreadMessage.DigestOffer(42));
   private static final byte[] BEAT = MessageCodec.encode(OFFER);
 
-  private final Heard heard = new Heard();
+  private final Inbox heard = new Inbox();
   private InnerLinks good;
   private InnerLinks links;
 
   @BeforeProperty
   void open() throws Exception {
     links = open("vm-2", heard);
-    good = open("vm-1", new Heard());
+    good = open("vm-1", new Inbox());
     good.address(new PeerAddress("vm-2", "127.0.0.1", links.port()));
     assertGoodPeerIsHeard();
   }
@@ -207,23 +205,4 @@
       Thread.sleep(1);
     }
   }
-
-  private static final class Heard implements InnerLinks.Receiver {
-    private final BlockingQueue<String> senders = new LinkedBlockingQueue<>();
-
-    @Override
-    public void received(String vm, InnerMessage message) {
-      senders.add(vm);
-    }
-
-    @Override
-    public void opened(String vm) {}
-
-    @Override
-    public void lost(String vm) {}
-
-    String next() throws InterruptedException {
-      return senders.take();
-    }
-  }
 }
--- a/sageladder-protocol/src/test/java/org/sageladder/protocol/InnerLinksTest.java
+++ b/sageladder-protocol/src/test/java/org/sageladder/protocol/InnerLinksTest.java
@@ -10,8 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
@@ -21,6 +20,7 @@
 import org.sageladder.protocol.ProtocolException.Reason;
 
 class InnerLinksTest {
+  private static final Duration HANG = Duration.ofMinutes(1);
   private static final String LOOPBACK = "127.0.0.1";
   private static final InnerMessage OFFER =
       new InnerMessage.Spread(new SpreadMessage.DigestOffer(42));
@@ -51,6 +51,46 @@
     assertFalse(one.send("vm-2", OFFER));
   }
 
+  // On a busy machine a peer's proof and its first message arrive in one piece. The message was
+  // passed on before the link was known, so that what its receiver answered went to nobody: the
+  // larger frames' decoder was put in first, and at once decoded what had been read already.
+  @Test
+  void aLinkIsOpenBeforeItsFirstMessageIsPassedOn() throws Exception {
+    Answering answering = new Answering();
+    InnerLinks two = open("vm-2", "k", "k1", 1, answering);
+    answering.links.complete(two);
+    try (RawLink link = RawLink.dial(two.port())) {
+      Handshake.Session session = link.authenticate("vm-1");
+      byte[] proof = RawLink.framed(RawLink.sealed(session, RawLink.proof()));
+      byte[] first = RawLink.framed(RawLink.sealed(session, MessageCodec.encode(OFFER)));
+      link.raw(RawLink.joined(proof, first));
+      assertEquals(
+          List.of("opened", "received, answered"),
+          answering.seen.get(HANG.toSeconds(), TimeUnit.SECONDS));
+    }
+  }
+
+  /** Answers the first message on the links' thread, as the control plane does. */
+  private static final class Answering implements InnerLinks.Receiver {
+    final CompletableFuture<InnerLinks> links = new CompletableFuture<>();
+    final CompletableFuture<List<String>> seen = new CompletableFuture<>();
+    private final List<String> events = new ArrayList<>();
+
+    @Override
+    public void opened(String vm) {
+      events.add("opened");
+    }
+
+    @Override
+    public void received(String vm, InnerMessage message) {
+      events.add("received, " + (links.join().send(vm, OFFER) ? "answered" : "not answered"));
+      seen.complete(List.copyOf(events));
+    }
+
+    @Override
+    public void lost(String vm) {}
+  }
+
   // A process of another customer, or anybody on the network, connects and sends contracts. Without
   // the key it must neither be heard nor told anything.
   @Test
@@ -174,12 +214,13 @@
     assertTrue(second.isEmpty());
   }
 
-  private InnerLinks open(String vm, String customer, String keyId, int secret, Inbox inbox)
+  private InnerLinks open(
+      String vm, String customer, String keyId, int secret, InnerLinks.Receiver inbox)
       throws IOException {
     return open(vm, customer, KeyRing.of(List.of(RawLink.key(keyId, secret))), inbox);
   }
 
-  private InnerLinks open(String vm, String customer, KeyRing ring, Inbox inbox)
+  private InnerLinks open(String vm, String customer, KeyRing ring, InnerLinks.Receiver inbox)
       throws IOException {
     LinkIdentity identity = new LinkIdentity(vm, customer, 1);
     InnerLinks links = InnerLinks.open(LOOPBACK, 0, identity, () -> Optional.of(ring), inbox);
@@ -188,34 +229,10 @@
   }
 
   private static void await(BooleanSupplier condition) throws InterruptedException {
-    long end = System.nanoTime() + Duration.ofSeconds(10).toNanos();
+    long end = System.nanoTime() + HANG.toNanos();
     while (!condition.getAsBoolean()) {
-      assertTrue(System.nanoTime() < end, "waited 10 s in vain");
+      assertTrue(System.nanoTime() < end, () -> "waited " + HANG + " in vain");
       Thread.sleep(5);
     }
   }
-
-  private static final class Inbox implements InnerLinks.Receiver {
-    private final BlockingQueue<String> senders = new LinkedBlockingQueue<>();
-
-    @Override
-    public void received(String vm, InnerMessage message) {
-      senders.add(vm);
-    }
-
-    @Override
-    public void opened(String vm) {}
-
-    @Override
-    public void lost(String vm) {}
-
-    boolean isEmpty() {
-      return senders.isEmpty();
-    }
-
-    String next() throws InterruptedException {
-      String sender = senders.poll(10, TimeUnit.SECONDS);
-      return sender == null ? "nobody" : sender;
-    }
-  }
 }
--- a/sageladder-protocol/src/test/java/org/sageladder/protocol/RawLink.java
+++ b/sageladder-protocol/src/test/java/org/sageladder/protocol/RawLink.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.nio.ByteBuffer;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
@@ -71,6 +72,15 @@
     return sealed;
   }
 
+  /** A frame's length and bytes. */
+  static byte[] framed(byte[] bytes) {
+    return ByteBuffer.allocate(4 + bytes.length).putInt(bytes.length).put(bytes).array();
+  }
+
+  static byte[] joined(byte[] first, byte[] second) {
+    return ByteBuffer.allocate(first.length + second.length).put(first).put(second).array();
+  }
+
   void frame(byte[] bytes) throws IOException {
     frame(bytes.length, bytes);
   }
