--- a/sageladder-bench/src/main/java/org/sageladder/bench/fleet/Fleet.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/fleet/Fleet.java
@@ -155,13 +155,27 @@
         zone);
   }
 
-  /** Ends all entry VMs and targets of a zone at once; the platform's list shows it later. */
-  public void loseZone(String zone) throws InterruptedException {
+  /** Requests that each target has started since its own start, by target. */
+  public Map<String, Long> started() {
+    Map<String, Long> started = new TreeMap<>();
+    standIns
+        .targets()
+        .forEach(target -> started.put(target.options().id(), target.executions().total()));
+    return started;
+  }
+
+  /** Ends all entry VMs of a zone at once and leaves its targets up. */
+  public void loseEntryVms(String zone) throws InterruptedException {
     for (FleetVm vm : vms()) {
       if (vm.zone().equals(zone)) {
         vm.kill();
       }
     }
+  }
+
+  /** Ends all entry VMs and targets of a zone at once; the platform's list shows it later. */
+  public void loseZone(String zone) throws InterruptedException {
+    loseEntryVms(zone);
     standIns.targetsIn(zone).forEach(TargetServer::close);
   }
 
--- /dev/null
+++ b/sageladder-core/src/test/java/org/sageladder/core/spread/BackoffTest.java
@@ -0,0 +1,44 @@
+package org.sageladder.core.spread;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class BackoffTest {
+  private static final Duration FIRST = Duration.ofMillis(100);
+  private static final Duration LONGEST = Duration.ofSeconds(3);
+
+  // The service comes back after an outage. Waiting without jitter, all relays of 94 zones would
+  // call in the same instant, and again after each longest wait, and take it down again.
+  @Test
+  void callsAfterAnOutageSpreadOverTheLongestWait() {
+    int[] callsInTenth = new int[30];
+    SplittableRandom seeds = new SplittableRandom(20261202);
+    for (int relay = 0; relay < 94; relay++) {
+      Backoff backoff = Backoff.of(FIRST, LONGEST, seeds.split());
+      Duration at = Duration.ZERO;
+      while (at.compareTo(Duration.ofMinutes(10)) < 0) {
+        at = at.plus(backoff.failed());
+      }
+      long after = at.minus(Duration.ofMinutes(10)).toMillis();
+      callsInTenth[(int) (after / 100)]++;
+    }
+    for (int calls : callsInTenth) {
+      assertTrue(calls <= 94 / 4, "too many calls in a tenth of a second: " + calls);
+    }
+  }
+
+  @Test
+  void waitIsBoundedByTheLongestAndStartsSmallAgainAfterASuccess() {
+    Backoff backoff = Backoff.of(FIRST, LONGEST, new SplittableRandom(7));
+    for (int i = 0; i < 100; i++) {
+      assertTrue(backoff.failed().compareTo(LONGEST) <= 0);
+    }
+    backoff.succeeded();
+    assertEquals(0, backoff.failures());
+    assertTrue(backoff.failed().compareTo(FIRST) <= 0);
+  }
+}
--- /dev/null
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/control/BudgetedStoreTest.java
@@ -0,0 +1,92 @@
+package org.sageladder.entry.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.lang.reflect.Proxy;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.sageladder.core.store.Store;
+import org.sageladder.core.store.StoreException;
+import org.sageladder.core.store.WatchBatch;
+import org.sageladder.core.time.VirtualTime;
+
+class BudgetedStoreTest {
+  private static final double PER_SECOND = 4;
+  private static final int BURST = 20;
+
+  private final VirtualTime time = VirtualTime.startingAt(1_000_000);
+  private final AtomicInteger reached = new AtomicInteger();
+  private final BudgetedStore store =
+      BudgetedStore.of(countingStore(), List::of, time, PER_SECOND, BURST);
+
+  // A watch that the service answers at once without a change makes its caller ask again at once.
+  // From 94 relays that is the whole of the service's read rate; the caller must be held back here,
+  // and a call held back must look like an outage, so that the caller backs off.
+  @Test
+  void loopOfCallsIsHeldToTheBudgetAndWatchesCountAsCalls() {
+    int tries = 0;
+    for (int tenth = 0; tenth < 600; tenth++) {
+      for (int i = 0; i < 5; i++) {
+        tries++;
+        tryTo(i % 2 == 0 ? this::watch : this::read);
+      }
+      time.advance(Duration.ofMillis(100));
+    }
+    double allowed = BURST + PER_SECOND * 60;
+    assertTrue(reached.get() <= allowed + 1, reached + " of " + allowed);
+    assertTrue(reached.get() >= allowed - 2, reached + " of " + allowed);
+    assertEquals(tries - reached.get(), store.refusedCalls());
+    assertEquals(reached.get(), store.counts().values().stream().mapToLong(Long::longValue).sum());
+    assertTrue(store.counts().get("watch") > 0);
+  }
+
+  @Test
+  void callBeyondTheBudgetFailsAsUnavailableAndIsNotSent() {
+    for (int i = 0; i < BURST; i++) {
+      tryTo(this::read);
+    }
+    assertThrows(StoreException.Unavailable.class, this::read);
+    assertEquals(BURST, reached.get());
+    time.advance(Duration.ofMillis(300));
+    tryTo(this::read);
+    assertEquals(BURST + 1, reached.get());
+  }
+
+  private interface Call {
+    void run() throws StoreException;
+  }
+
+  private static void tryTo(Call call) {
+    try {
+      call.run();
+    } catch (StoreException e) {
+      assertTrue(e instanceof StoreException.Unavailable, e.toString());
+    }
+  }
+
+  private void read() throws StoreException {
+    store.read("contracts/k");
+  }
+
+  private void watch() throws StoreException {
+    store.watch("contracts/k", 1, Duration.ofSeconds(20));
+  }
+
+  private Store countingStore() {
+    return (Store)
+        Proxy.newProxyInstance(
+            Store.class.getClassLoader(),
+            new Class<?>[] {Store.class},
+            (proxy, method, arguments) -> {
+              reached.incrementAndGet();
+              return method.getName().equals("watch")
+                  ? new WatchBatch(List.of(), List.of(), 1)
+                  : Optional.empty();
+            });
+  }
+}
