--- a/sageladder-bench/src/main/java/org/sageladder/bench/recovery/RecoveryBench.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/recovery/RecoveryBench.java
@@ -1,6 +1,8 @@
 package org.sageladder.bench.recovery;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
@@ -106,19 +108,24 @@
   /** Largest share of the gain allowed toward any target or region over the whole run. */
   private double capUsed() {
     Contract.Service service = contract.services().get(0);
-    double most = 0;
+    List<ShiftCapCheck.Used> all = new ArrayList<>();
     for (int target = 0; target < TARGETS; target++) {
-      List<String> one = List.of("search-" + target);
-      double used = caps.used(one, service.targetShiftCap(), service.targetCapacity());
-      most = Math.max(most, used);
+      String id = "search-" + target;
+      all.add(caps.used(id, List.of(id), service.targetShiftCap(), service.targetCapacity()));
     }
     for (Contract.Region region : contract.regions()) {
       List<String> targets =
           region.zones().stream().flatMap(zone -> targets(zone).stream()).toList();
       double capacity = targets.size() * service.targetCapacity();
-      most = Math.max(most, caps.used(targets, service.regionShiftCap(), capacity));
+      all.add(caps.used(region.name(), targets, service.regionShiftCap(), capacity));
     }
-    return most;
+    all.sort(Comparator.comparingDouble(ShiftCapCheck.Used::share).reversed());
+    for (ShiftCapCheck.Used used : all.subList(0, 3)) {
+      System.out.printf(
+          "  %.0f %% of the gain allowed toward %s, %.1f s into the run%n",
+          100 * used.share(), used.place(), (used.nanos() - startNanos) / 1e9);
+    }
+    return all.get(0).share();
   }
 
   private static List<String> targets(String zone) {
@@ -227,7 +234,8 @@
         slowest = Math.max(slowest, each.endMillis() - each.dueMillis());
       }
     }
-    System.out.printf("%-16s %s, slowest %d ms%n", what, names, slowest);
+    System.out.printf(
+        "%5.1f to %5.1f s, %-16s %s, slowest %d ms%n", from / 1e3, to / 1e3, what, names, slowest);
   }
 
   private long now() {
--- a/sageladder-bench/src/main/java/org/sageladder/bench/recovery/ShiftCapCheck.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/recovery/ShiftCapCheck.java
@@ -26,13 +26,22 @@
     samples.add(new Sample(System.nanoTime(), started));
   }
 
+  /**
+   * The largest share of the allowed gain that was used.
+   *
+   * @param place what was grown toward
+   * @param nanos end of the window that grew, on this process's clock
+   */
+  record Used(double share, String place, long nanos) {}
+
   /** Largest share of the allowed gain that was used toward {@code targets} together. */
-  synchronized double used(List<String> targets, Contract.ShiftCap cap, double capacityPerSecond) {
+  synchronized Used used(
+      String place, List<String> targets, Contract.ShiftCap cap, double capacityPerSecond) {
     ToLongFunction<Sample> count =
         sample -> targets.stream().mapToLong(id -> sample.started().getOrDefault(id, 0L)).sum();
     long window = cap.window().toNanos();
     double allowed = cap.gainFraction() * capacityPerSecond * window / 1e9;
-    double worst = 0;
+    Used worst = new Used(0, place, System.nanoTime());
     for (Sample end : samples) {
       Sample middle = atOrAfter(end.nanos() - window);
       Sample start = atOrBefore(end.nanos() - 2 * window);
@@ -42,7 +51,9 @@
       long recent = count.applyAsLong(end) - count.applyAsLong(middle);
       long before = count.applyAsLong(middle) - count.applyAsLong(start);
       double grown = recent - before - SLACK * allowed - SLACK_REQUESTS;
-      worst = Math.max(worst, grown / allowed);
+      if (grown / allowed > worst.share()) {
+        worst = new Used(grown / allowed, place, end.nanos());
+      }
     }
     return worst;
   }
