--- a/sageladder-bench/src/main/java/org/sageladder/bench/controlcost/ControlCostBench.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/controlcost/ControlCostBench.java
@@ -41,6 +41,8 @@
     bench.measure(12, 2, 12, 20, 0);
     if (full) {
       bench.measure(3, 2, 12, 20, 0);
+      bench.measure(12, 1, 12, 20, 0);
+      bench.measure(30, 1, 30, 20, 0);
       bench.measure(3, 2, 240, 20, 0);
       bench.measure(3, 2, 12, 5_000, 0);
       bench.measure(3, 2, 12, 20, 2);
