Planned stops: an entry VM that leaves tells its callers to look up again; a stop says what its time was made of

Cause: a stop waits until nobody comes by an older look-up. Callers keep look-ups for 2 s, and the library had no way to hear that the entry VM it used was leaving, so silence came only when they expired: SIGTERM to exit was the 3 s bound and the rest.

Change: answers of a leaving entry VM carry Sageladder-Look-Up-Again; the library ends the time of all its look-ups that name that VM first (they stay as a last resort), the drain bench's callers do the same. The stop's last line names the time of each step. The bench reads that line; Process.destroy closed the daemon's output, ProcessHandle.destroy does not. Ruled out as causes: runs under permits (1 to 2 ms), the hand-over (46 to 168 ms), the HTTP server's shutdown (about 0.2 s).

A zone's last entry VM still takes the whole 3 s (trial): others go on passing its targets' requests to it.

--- a/sageladder-bench/src/main/java/org/sageladder/bench/drain/EntryStops.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/drain/EntryStops.java
@@ -33,6 +33,7 @@
     int code = entry.awaitEnd(LONGEST_SECONDS);
     toExit.recordValue((System.nanoTime() - sign) / 1_000_000);
     stops++;
+    System.out.println(entry.lastWords());
     if (code != 0) {
       badExits++;
       entry.kill();
--- a/sageladder-bench/src/main/java/org/sageladder/bench/drain/SteadyLoad.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/drain/SteadyLoad.java
@@ -55,7 +55,11 @@
           lookedUp = System.nanoTime();
         }
         String key = "d" + next.getAndIncrement();
-        count(bid ? bid(caller, entries, key) : listing(caller, entries, key));
+        Reply reply = bid ? bid(caller, entries, key) : listing(caller, entries, key);
+        count(reply);
+        if (reply.lookUpAgain()) {
+          entries = List.of();
+        }
         Thread.sleep(random.nextInt(2 * pauseMillis + 1));
       }
     } catch (InterruptedException e) {
--- a/sageladder-bench/src/main/java/org/sageladder/bench/process/EntryProcess.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/process/EntryProcess.java
@@ -112,7 +112,7 @@
 
   /** SIGTERM: asks for a planned stop; returns at once. */
   public void terminate() {
-    process.destroy();
+    process.toHandle().destroy(); // unlike Process.destroy, it leaves the output open
   }
 
   /** Exit code, or -1 where the process has not ended within {@code seconds}. */
@@ -120,6 +120,11 @@
     return process.waitFor(seconds, TimeUnit.SECONDS) ? process.exitValue() : -1;
   }
 
+  /** What an ended daemon printed last of itself: how its planned stop went. */
+  public String lastWords() throws IOException {
+    return process.inputReader(StandardCharsets.UTF_8).lines().reduce("", (first, last) -> last);
+  }
+
   /** SIGSTOP: the process stands still and does not know it. */
   public void pause() throws IOException, InterruptedException {
     signal("-STOP");
--- a/sageladder-bench/src/main/java/org/sageladder/bench/process/Reply.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/process/Reply.java
@@ -6,15 +6,21 @@
 /** What a caller saw of one exchange. */
 @SuppressWarnings("ArrayRecordComponent")
 public record Reply(
-    int status, String result, String outcome, String permit, byte[] body, long checksum) {
+    int status,
+    String result,
+    String outcome,
+    String permit,
+    byte[] body,
+    long checksum,
+    boolean lookUpAgain) {
   /** No connection could be made, so nothing was sent. */
-  public static final Reply REFUSED = new Reply(0, "refused", "", "", new byte[0], -1);
+  public static final Reply REFUSED = new Reply(0, "refused", "", "", new byte[0], -1, false);
 
   /** The caller's patience ended first. */
-  public static final Reply TIMEOUT = new Reply(0, "timeout", "", "", new byte[0], -1);
+  public static final Reply TIMEOUT = new Reply(0, "timeout", "", "", new byte[0], -1, false);
 
   /** The connection ended before the answer was whole. */
-  public static final Reply CUT = new Reply(0, "cut", "", "", new byte[0], -1);
+  public static final Reply CUT = new Reply(0, "cut", "", "", new byte[0], -1, false);
 
   static Reply of(HttpResponse<byte[]> response) {
     return new Reply(
@@ -23,7 +29,8 @@
         header(response, "Sageladder-Outcome"),
         header(response, "Sageladder-Permit"),
         response.body(),
-        response.headers().firstValueAsLong("Request-Checksum").orElse(-1));
+        response.headers().firstValueAsLong("Request-Checksum").orElse(-1),
+        !header(response, "Sageladder-Look-Up-Again").isEmpty());
   }
 
   private static String header(HttpResponse<byte[]> response, String name) {
--- a/sageladder-client/src/main/java/org/sageladder/client/EntryCalls.java
+++ b/sageladder-client/src/main/java/org/sageladder/client/EntryCalls.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHost;
@@ -36,19 +37,24 @@
 final class EntryCalls implements AutoCloseable {
   private static final String RESULT = "Sageladder-Result";
   private static final String OUTCOME = "Sageladder-Outcome";
+  private static final String LOOK_UP_AGAIN = "Sageladder-Look-Up-Again";
   private static final int IO_THREADS = 2;
   private static final int FRESH_CONNECTION_TRIES = 3;
   private static final ObjectMapper JSON = new ObjectMapper();
 
   private final HttpAsyncRequester requester;
   private final ClientOptions options;
+  private final Consumer<EntryAddress> whenLeaving;
 
-  private EntryCalls(HttpAsyncRequester requester, ClientOptions options) {
+  private EntryCalls(
+      HttpAsyncRequester requester, ClientOptions options, Consumer<EntryAddress> whenLeaving) {
     this.requester = requester;
     this.options = options;
+    this.whenLeaving = whenLeaving;
   }
 
-  static EntryCalls start(ClientOptions options) {
+  /** Calls that report to {@code whenLeaving} each entry VM that says it is about to stop. */
+  static EntryCalls start(ClientOptions options, Consumer<EntryAddress> whenLeaving) {
     HttpAsyncRequester requester =
         AsyncRequesterBootstrap.bootstrap()
             .setIOReactorConfig(
@@ -57,7 +63,7 @@
             .setMaxTotal(Integer.MAX_VALUE)
             .create();
     requester.start();
-    return new EntryCalls(requester, options);
+    return new EntryCalls(requester, options, whenLeaving);
   }
 
   /** True where the answer is the target's own, which the entry VM only passed on. */
@@ -183,6 +189,9 @@
       BodyConsumer.Received received =
           future.get(Math.max(0, deadline - System.nanoTime()), TimeUnit.NANOSECONDS);
       whole = true;
+      if (received.head().containsHeader(LOOK_UP_AGAIN)) {
+        whenLeaving.accept(entry);
+      }
       return result(entry, received);
     } catch (TimeoutException e) {
       return new TryResult.Lost(entry + ": no whole answer within " + wait.toMillis() + " ms");
--- a/sageladder-client/src/main/java/org/sageladder/client/RouteCache.java
+++ b/sageladder-client/src/main/java/org/sageladder/client/RouteCache.java
@@ -49,7 +49,16 @@
     return Optional.ofNullable(routes.get(key)).map(Kept::route);
   }
 
-  synchronized void forget(Key key) {
-    routes.remove(key);
+  /**
+   * Ends the time of all routes that send to {@code leaving} first; they stay as a last resort.
+   *
+   * <p>Without this an entry VM that stops has to wait until all look-ups that name it have expired
+   * in all callers.
+   */
+  synchronized void expire(EntryAddress leaving) {
+    long now = time.nanos();
+    routes.replaceAll(
+        (key, kept) ->
+            kept.route().entries().get(0).equals(leaving) ? new Kept(kept.route(), now) : kept);
   }
 }
--- a/sageladder-client/src/main/java/org/sageladder/client/SageladderClient.java
+++ b/sageladder-client/src/main/java/org/sageladder/client/SageladderClient.java
@@ -51,8 +51,8 @@
 
   private SageladderClient(ClientOptions options) {
     this.options = options;
-    this.calls = EntryCalls.start(options);
     this.routes = RouteCache.create(TimeSource.system());
+    this.calls = EntryCalls.start(options, routes::expire);
     this.budget = RetryBudget.create(options.retryFraction());
     this.seeds = options.seeds().stream().map(EntryAddress::parse).toList();
   }
--- a/sageladder-client/src/test/java/org/sageladder/client/SageladderClientTest.java
+++ b/sageladder-client/src/test/java/org/sageladder/client/SageladderClientTest.java
@@ -102,6 +102,18 @@
     assertEquals(2, one.lookUps());
   }
 
+  // An entry VM is stopped for maintenance. It had to serve for three seconds more, since callers
+  // came by look-ups they had kept; the archivist's maintenance window went into waiting.
+  @Test
+  void aLookUpThatNamesALeavingEntryVmIsAskedAnew() {
+    String leaving = OK + "Sageladder-Look-Up-Again: true\r\n";
+    one.answers(
+        head -> isLookUp(head) ? route(60_000, "") : ScriptedEntry.answer(200, leaving, "song"));
+    client.send(search());
+    client.send(search());
+    assertEquals(2, one.lookUps());
+  }
+
   // A recording is cut short on its way: the connection ends after nine of a hundred bytes. Passed
   // on as an answer, a researcher would keep half a song; it must be fetched again instead.
   @Test
--- a/sageladder-entry/src/main/java/org/sageladder/entry/exchange/CallerExchange.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/exchange/CallerExchange.java
@@ -26,6 +26,12 @@
  * late answer of an abandoned try never reaches the caller as well.
  */
 public final class CallerExchange implements AsyncServerExchangeHandler {
+  /**
+   * Header of answers of an entry VM that is leaving: kept look-ups that name it are to be dropped,
+   * so that its stop need not wait until they have expired.
+   */
+  public static final String LOOK_UP_AGAIN = "Sageladder-Look-Up-Again";
+
   /** Decides what becomes of a request; runs on an I/O thread and must not block. */
   @FunctionalInterface
   public interface Handler {
@@ -134,6 +140,7 @@
       if (inFlight.isLeaving()) {
         // The caller must not send its next request on a connection that is about to be closed.
         response.setHeader(HttpHeaders.CONNECTION, "close");
+        response.setHeader(LOOK_UP_AGAIN, "true");
       }
       to.sendResponse(response, details, in);
       return true;
--- a/sageladder-entry/src/main/java/org/sageladder/entry/stop/PlannedStop.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/stop/PlannedStop.java
@@ -41,8 +41,21 @@
     }
   }
 
-  /** How a stop went. */
-  public record Outcome(boolean handedOver, int exchangesCut, Duration took) {}
+  /**
+   * How a stop went, and what its time was made of.
+   *
+   * @param newcomers until nobody came by an older look-up any more
+   * @param runs until the runs under permits had ended
+   * @param handOver until the successor had the states
+   * @param exchanges until the last exchange had ended
+   */
+  public record Outcome(
+      boolean handedOver,
+      int exchangesCut,
+      Duration newcomers,
+      Duration runs,
+      Duration handOver,
+      Duration exchanges) {}
 
   private static final Duration STEP = Duration.ofMillis(5);
   private static final Duration QUIET = Duration.ofMillis(300);
@@ -86,14 +99,22 @@
     inFlight.beginLeaving();
     control.beginLeaving();
     awaitNoNewcomers();
+    long noNewcomers = time.nanos();
     home.beginClosing();
     await(limits.runsEnd(), () -> home.runningOwn() == 0);
+    long runsEnded = time.nanos();
     boolean handedOver = handOver.run();
+    long handedOverAt = time.nanos();
     await(limits.runsEnd(), () -> home.running() == 0);
     awaitQuiet();
     int cut = inFlight.count();
-    Duration took = Duration.ofNanos(time.nanos() - start);
-    return new Outcome(handedOver, cut, took);
+    return new Outcome(
+        handedOver,
+        cut,
+        Duration.ofNanos(noNewcomers - start),
+        Duration.ofNanos(runsEnded - noNewcomers),
+        Duration.ofNanos(handedOverAt - runsEnded),
+        Duration.ofNanos(time.nanos() - handedOverAt));
   }
 
   /**
