Callers' library: large answers are fetched in parts; a piece of an answer that was given up reaches no sink

Cause: a pull that was cut began anew as a whole; a night's export of a large recording may then never end, and SageladderClient.send gives up after four tries. Found on the way: a try that timed out could still hand the piece it held to the sink after the next try had begun.

Change: SageladderClient.fetch goes on where a cut answer ended (Range, If-Range, strong entity tag, through the entry VMs as it is), begins anew where the target gives no strong tag, and tries until the request's deadline, each time at another entry VM, with pauses to 30 s. Parts with another tag, length or beginning are dropped. Stand-in targets answer open ranges. Ruled out: weak tags and Last-Modified (same second, other bytes); resuming in the entry VM (it holds no body, and its own death is one of the cuts); counting these tries against the retry budget (one try at a time a pull, with growing pauses).

Conclusion: whole or not whole is decided by length and tag; what stays cut ends as Unknown, never as Whole.

--- a/sageladder-client/src/main/java/org/sageladder/client/BodyConsumer.java
+++ b/sageladder-client/src/main/java/org/sageladder/client/BodyConsumer.java
@@ -22,6 +22,7 @@
   private @Nullable HttpResponse head;
   private @Nullable FutureCallback<Received> callback;
   private boolean toSink;
+  private boolean abandoned;
 
   private BodyConsumer(@Nullable BodySink sink, long mostBytes) {
     this.sink = sink;
@@ -37,13 +38,31 @@
   @SuppressWarnings("ArrayRecordComponent")
   record Received(HttpResponse head, byte[] body) {}
 
+  /**
+   * Ends the flow of pieces for good, after the one that is being taken.
+   *
+   * <p>Failure guarded against: a try is given up while the I/O thread has a piece of its answer in
+   * hand. Handed to the sink after the next try has begun, it would stand twice or in the middle of
+   * another answer.
+   */
+  synchronized void abandon() {
+    abandoned = true;
+  }
+
+  private void refuseAbandoned() throws IOException {
+    if (abandoned) {
+      throw new IOException("the answer was given up");
+    }
+  }
+
   @Override
-  public void consumeResponse(
+  public synchronized void consumeResponse(
       HttpResponse response,
       @Nullable EntityDetails entity,
       HttpContext context,
       FutureCallback<Received> resultCallback)
       throws IOException {
+    refuseAbandoned();
     head = response;
     callback = resultCallback;
     if (entity == null) {
@@ -52,12 +71,16 @@
     }
     refuseEndless(response);
     BodySink to = sink;
-    toSink = to != null && EntryCalls.isTargetsAnswer(response);
+    toSink = to != null && EntryCalls.isTargetsAnswer(response) && wanted(to, response);
     if (to != null && toSink) {
       to.begin();
     }
   }
 
+  private static boolean wanted(BodySink to, HttpResponse response) throws IOException {
+    return !(to instanceof PartSink parts) || parts.takes(response);
+  }
+
   /**
    * Failure guarded against: a body that ends with its connection looks the same whole and cut, and
    * the HTTP library reports it as chunked. Entry VMs send none; one from anything in between must
@@ -79,7 +102,8 @@
   }
 
   @Override
-  public void consume(ByteBuffer piece) throws IOException {
+  public synchronized void consume(ByteBuffer piece) throws IOException {
+    refuseAbandoned();
     BodySink to = sink;
     if (to != null && toSink) {
       to.accept(piece);
--- a/sageladder-client/src/main/java/org/sageladder/client/EntryCalls.java
+++ b/sageladder-client/src/main/java/org/sageladder/client/EntryCalls.java
@@ -179,13 +179,10 @@
       return new TryResult.NotSent(entry + ": " + e.getMessage());
     }
     boolean whole = false;
+    BodyConsumer consumer = BodyConsumer.create(sink, options.mostBodyBytes());
     try {
       Future<BodyConsumer.Received> future =
-          endpoint.execute(
-              request,
-              BodyConsumer.create(sink, options.mostBodyBytes()),
-              HttpCoreContext.create(),
-              null);
+          endpoint.execute(request, consumer, HttpCoreContext.create(), null);
       BodyConsumer.Received received =
           future.get(Math.max(0, deadline - System.nanoTime()), TimeUnit.NANOSECONDS);
       whole = true;
@@ -201,6 +198,7 @@
       Thread.currentThread().interrupt();
       return new TryResult.Lost(entry + ": interrupted");
     } finally {
+      consumer.abandon();
       release(endpoint, whole);
     }
   }
--- a/sageladder-client/src/main/java/org/sageladder/client/RetryRules.java
+++ b/sageladder-client/src/main/java/org/sageladder/client/RetryRules.java
@@ -53,6 +53,11 @@
     return new RetryRules(true, permit, true);
   }
 
+  /** True where a later try, or one elsewhere, may get past that refusal. */
+  static boolean passes(ResultCode refusal) {
+    return PASSING.contains(refusal);
+  }
+
   /** What to do next. */
   sealed interface Step {
     /** Nothing more to send. */
--- a/sageladder-client/src/main/java/org/sageladder/client/SageladderClient.java
+++ b/sageladder-client/src/main/java/org/sageladder/client/SageladderClient.java
@@ -72,6 +72,28 @@
     return run(request, sink, "");
   }
 
+  /**
+   * Fetches a large answer to a repeatable {@code GET}: where it is cut, the rest is asked for by
+   * range if the target gives a strong entity tag, else the fetch begins anew. Waits and tries go
+   * on until the answer is whole or the request's deadline, which may be a whole night, has passed.
+   *
+   * <pre>{@code
+   * Request export = Request.get("kannelkoda", "export-audio", 5, "/exports/77");
+   * Answer answer = client.fetch(export.deadline(Duration.ofHours(8)), sink);
+   * boolean complete = answer instanceof Answer.Whole whole && whole.status() < 300;
+   * }</pre>
+   *
+   * @param sink gets one answer from its first byte to its last; {@link BodySink#begin} drops what
+   *     came before
+   * @return {@link Answer.Whole} with status 200 or 206 only where the sink holds the whole answer
+   * @throws IllegalArgumentException where the method is not {@code GET}
+   */
+  public Answer fetch(Request request, BodySink sink) {
+    return Download.of(
+            (part, parts, number) -> new Run(part, parts, "", 1, number).go(), request, sink)
+        .run();
+  }
+
   /**
    * Sends a request whose outcome was {@link Answer.Unknown} again under the same permit, so that
    * it cannot run a second time.
@@ -91,7 +113,7 @@
   }
 
   private Answer run(Request request, @Nullable BodySink sink, String resumedPermit) {
-    return new Run(request, sink, resumedPermit).go();
+    return new Run(request, sink, resumedPermit, options.mostTries(), 0).go();
   }
 
   /** One request from its look-up to its end. */
@@ -102,9 +124,12 @@
     private final long deadline;
     private final String resumedPermit;
     private final List<TryResult> lookUpFailures = new ArrayList<>();
+    private final int mostTries;
     private int next;
 
-    Run(Request request, @Nullable BodySink sink, String resumedPermit) {
+    Run(Request request, @Nullable BodySink sink, String resumedPermit, int mostTries, int first) {
+      this.mostTries = mostTries;
+      this.next = first;
       this.request = request;
       this.sink = sink;
       this.resumedPermit = resumedPermit;
@@ -126,7 +151,7 @@
       int retries = 0;
       for (int questions = 0; questions < MOST_QUESTIONS; ) {
         EntryAddress entry = route.entries().get(next++ % route.entries().size());
-        boolean last = retries + 1 >= options.mostTries();
+        boolean last = retries + 1 >= mostTries;
         RetryRules.Step step = rules.after(attempt(entry, rules.permit(), last));
         if (step instanceof RetryRules.Step.End end) {
           return end.answer();
@@ -164,7 +189,7 @@
     }
 
     private boolean mayRetry(int retries) {
-      return retries < options.mostTries() && budget.take();
+      return retries < mostTries && budget.take();
     }
 
     /** One try; the last one has all the time that is left, since no other could use it. */
--- a/sageladder-standin/src/main/java/org/sageladder/standin/target/WorkExchange.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/target/WorkExchange.java
@@ -165,14 +165,27 @@
 
   private void answer() {
     WorkRequest work = received();
-    HttpResponse response = head(200);
+    long from = work.answerFrom();
+    long size = work.answerBytes();
+    if (from > 0 && from >= size) {
+      HttpResponse beyond = head(416);
+      beyond.addHeader("Content-Range", "bytes */" + size);
+      send(beyond, null);
+      return;
+    }
+    HttpResponse response = head(from > 0 ? 206 : 200);
     response.addHeader("Request-Checksum", work.checksum().value());
+    response.addHeader("ETag", work.entityTag());
+    if (from > 0) {
+      response.addHeader("Content-Range", "bytes " + from + "-" + (size - 1) + "/" + size);
+    }
     synchronized (this) {
+      produced = from;
       if (server.slots().cutsAnswer()) {
-        cutAt = work.answerBytes() / 2;
+        cutAt = from + (size - from) / 2;
       }
     }
-    long length = work.chunked() ? -1 : work.answerBytes();
+    long length = work.chunked() ? -1 : size - from;
     send(response, new BasicEntityDetails(length, ContentType.APPLICATION_OCTET_STREAM));
   }
 
--- a/sageladder-standin/src/main/java/org/sageladder/standin/target/WorkRequest.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/target/WorkRequest.java
@@ -18,6 +18,8 @@
  * @param answerBytes size of the answer's body
  * @param chunked true: the answer states no length
  * @param crashes true: running it crashes the target
+ * @param rangeFrom first byte that is asked for, 0 where the whole answer is
+ * @param ifRange entity tag under which the range holds, or empty
  * @param checksum grows as the body comes in
  */
 record WorkRequest(
@@ -26,6 +28,8 @@
     long answerBytes,
     boolean chunked,
     boolean crashes,
+    long rangeFrom,
+    String ifRange,
     RequestChecksum checksum) {
 
   private static final long LONGEST_DEADLINE_MILLIS = TimeUnit.DAYS.toMillis(1);
@@ -40,9 +44,27 @@
         number(query.getOrDefault("answerBytes", ""), usualAnswerBytes),
         query.containsKey("chunked"),
         query.containsKey("crash"),
+        rangeFrom(header(head, "Range")),
+        header(head, "If-Range"),
         RequestChecksum.begin(head.getMethod(), head.getPath()));
   }
 
+  /** Only {@code bytes=N-} is understood; anything else asks for the whole answer. */
+  private static long rangeFrom(String range) {
+    boolean open = range.startsWith("bytes=") && range.endsWith("-");
+    return open ? Math.max(0, number(range.substring(6, range.length() - 1), 0)) : 0;
+  }
+
+  /** Strong entity tag: the answer's bytes follow from the request alone. */
+  String entityTag() {
+    return "\"" + checksum.value() + "\"";
+  }
+
+  /** First byte to answer with. */
+  long answerFrom() {
+    return ifRange.isEmpty() || ifRange.equals(entityTag()) ? rangeFrom : 0;
+  }
+
   long remainingNanos() {
     return Math.max(0, deadlineNanos - System.nanoTime());
   }
--- a/sageladder-standin/src/test/java/org/sageladder/standin/target/TargetServerTest.java
+++ b/sageladder-standin/src/test/java/org/sageladder/standin/target/TargetServerTest.java
@@ -77,6 +77,24 @@
     }
   }
 
+  @Test
+  void aRangeUnderTheSameEntityTagIsTheRestOfTheSameBytes() throws Exception {
+    try (TargetServer target = TargetServer.start(options())) {
+      HttpResponse<byte[]> whole = send(to(target, "/audio?answerBytes=1000"));
+      String tag = whole.headers().firstValue("ETag").orElseThrow();
+      HttpRequest.Builder rest =
+          to(target, "/audio?answerBytes=1000").header("Range", "bytes=400-");
+      HttpResponse<byte[]> part = send(rest.copy().header("If-Range", tag));
+      assertEquals(206, part.statusCode());
+      assertEquals("bytes 400-999/1000", part.headers().firstValue("Content-Range").orElseThrow());
+      assertEquals(ByteBuffer.wrap(whole.body(), 400, 600).slice(), ByteBuffer.wrap(part.body()));
+      assertEquals(200, send(rest.copy().header("If-Range", "\"other\"")).statusCode());
+      assertEquals(
+          416,
+          send(to(target, "/audio?answerBytes=100").header("Range", "bytes=400-")).statusCode());
+    }
+  }
+
   @Test
   void aRecordingOfAHundredMegabytesIsStreamed() throws Exception {
     long size = 100_000_000;
