bench/background: a short night with failures, pulled by the callers' library

Change: 40 pullers use SageladderClient.fetch; a fifth of the archive's answers is cut; targets crash, entry VMs are killed, paused and stopped and the store goes down in turn. Every byte is checked as it comes.

Conclusion: the aim (all whole, the longest within 45 s) is unchanged.

--- a/sageladder-bench/src/main/java/org/sageladder/bench/background/BackgroundMain.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/background/BackgroundMain.java
@@ -16,25 +16,31 @@
 import org.sageladder.bench.process.Caller;
 import org.sageladder.bench.process.Reply;
 import org.sageladder.bench.process.TestBed;
+import org.sageladder.client.Answer;
+import org.sageladder.client.ClientOptions;
+import org.sageladder.client.Request;
+import org.sageladder.client.SageladderClient;
 import org.sageladder.standin.target.RequestChecksum;
 import org.sageladder.standin.target.ServiceTime;
 import org.sageladder.standin.target.TargetFaults;
 import org.sageladder.standin.target.TargetServer;
 
 /**
- * Pulls catalogue records while people list lots: do all pulls finish whole, how long does the
- * longest wait, and what do the people notice.
+ * A short night: pulls catalogue records while people list lots, answers are cut, and entry VMs,
+ * targets and the store fail. Do all pulls finish whole, how long does the longest wait, and what
+ * do the people notice.
  */
 public final class BackgroundMain {
-  private static final int RECORD_BYTES = 1 << 20;
+  private static final int RECORD_BYTES = 4 << 20;
   private static final int PULLERS = 40;
   private static final int PEOPLE = 12;
   private static final int LISTING_BYTES = 512;
-  private static final Duration PULL_DEADLINE = Duration.ofSeconds(60);
+  private static final Duration NIGHT = Duration.ofMinutes(5);
   private static final long LONGEST_PULL_MILLIS = 45_000;
 
   private final TestBed bed;
   private final Histogram pulls = new ConcurrentHistogram(600_000, 3);
+  private final LongAdder tries = new LongAdder();
   private final LongAdder restarts = new LongAdder();
   private final LongAdder wrong = new LongAdder();
   private final LongAdder whole = new LongAdder();
@@ -44,15 +50,15 @@
     this.bed = bed;
   }
 
-  /** Takes {@code --full} for 5,000 pulls instead of 1,000. */
+  /** Takes {@code --full} for 5,000 pulls instead of 500. */
   public static void main(String[] args) throws Exception {
-    int count = List.of(args).contains("--full") ? 5_000 : 1_000;
+    int count = List.of(args).contains("--full") ? 5_000 : 500;
     try (TestBed bed = TestBed.start(100)) {
       bed.addTargets("archive", 4, ServiceTime.fixed(100), 4);
       bed.addTargets("listings", 4, ServiceTime.fixed(20), 3);
-      bed.addEntries(2);
+      bed.addEntries(4);
       for (TargetServer target : bed.targets().subList(0, 4)) {
-        target.faults(TargetFaults.none().truncate(0.05));
+        target.faults(TargetFaults.none().truncate(0.2));
       }
       Thread.sleep(2_000);
       boolean holds = new BackgroundMain(bed).run(count);
@@ -68,15 +74,30 @@
     ExecutorService listing = Executors.newSingleThreadExecutor();
     Future<Histogram> beside = listing.submit(() -> listUntilOver());
     long start = System.nanoTime();
-    pullAll(count);
+    NightFaults faults = NightFaults.start(bed);
+    List<String> seeds =
+        bed.entries().stream().map(entry -> "127.0.0.1:" + entry.callersPort()).toList();
+    try (SageladderClient client = SageladderClient.start(ClientOptions.seeds(seeds))) {
+      pullAll(client, count);
+    }
+    faults.end();
     long seconds = Math.max(1, (System.nanoTime() - start) / 1_000_000_000);
     over = true;
     Histogram busy = beside.get();
     listing.shutdown();
     System.out.println(
-        count + " pulls of 1 MB by " + PULLERS + " pullers on 16 slots in " + seconds + " s");
+        count + " pulls of 4 MB by " + PULLERS + " pullers on 16 slots in " + seconds + " s");
     System.out.println(
-        "whole " + whole + ", wrong " + wrong + ", restarted after a cut or refusal " + restarts);
+        "whole "
+            + whole
+            + ", wrong "
+            + wrong
+            + ", tries "
+            + tries
+            + ", begun anew as a whole "
+            + restarts
+            + "; faults "
+            + faults.done());
     System.out.println(
         "pull from first try to whole: p50 "
             + pulls.getValueAtPercentile(50)
@@ -106,17 +127,15 @@
     return holds;
   }
 
-  private void pullAll(int count) throws InterruptedException, ExecutionException {
+  private void pullAll(SageladderClient client, int count)
+      throws InterruptedException, ExecutionException {
     AtomicInteger next = new AtomicInteger();
     List<Callable<Void>> pullers = new ArrayList<>();
     for (int i = 0; i < PULLERS; i++) {
-      int seed = i;
       pullers.add(
           () -> {
-            Caller caller = Caller.create();
-            SplittableRandom random = new SplittableRandom(seed);
             for (int n = next.getAndIncrement(); n < count; n = next.getAndIncrement()) {
-              pull(caller, random, n);
+              pull(client, n);
             }
             return null;
           });
@@ -124,31 +143,21 @@
     all(pullers);
   }
 
-  /** Repeats one pull until it is whole; a refusal says when to come back. */
-  private void pull(Caller caller, SplittableRandom random, int number)
-      throws InterruptedException {
+  /** One record: fetched in parts by the callers' library until it is whole or morning has come. */
+  private void pull(SageladderClient client, int number) {
     String path = "/records?answerBytes=" + RECORD_BYTES + "&work=pull" + number;
+    CheckedSink sink = CheckedSink.of(RequestChecksum.of("GET", path, new byte[0]));
     long start = System.nanoTime();
-    while (millisSince(start) < LONGEST_PULL_MILLIS * 2) {
-      Reply reply =
-          caller.send(
-              port(random),
-              "GET",
-              "archive",
-              path,
-              new byte[0],
-              "",
-              PULL_DEADLINE,
-              PULL_DEADLINE.plusSeconds(5));
-      if (reply.ran()) {
-        boolean right =
-            reply.isAnswerTo(RequestChecksum.of("GET", path, new byte[0]), RECORD_BYTES);
-        (right ? whole : wrong).increment();
-        pulls.recordValue(millisSince(start));
-        return;
-      }
-      restarts.increment();
-      Thread.sleep(50 + random.nextInt(100));
+    Answer answer =
+        client.fetch(
+            Request.get(TestBed.CUSTOMER, "archive", number % 1_000, path).deadline(NIGHT), sink);
+    pulls.recordValue(millisSince(start));
+    tries.add(answer.tries());
+    restarts.add(sink.restarts());
+    if (answer instanceof Answer.Whole) {
+      (sink.isWhole(RECORD_BYTES) ? whole : wrong).increment();
+    } else {
+      System.out.println("pull " + number + " ended as " + answer);
     }
   }
 
--- /dev/null
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/background/CheckedSink.java
@@ -0,0 +1,42 @@
+package org.sageladder.bench.background;
+
+import java.nio.ByteBuffer;
+import org.sageladder.client.BodySink;
+import org.sageladder.standin.target.AnswerPattern;
+
+/** Checks a body byte by byte as it comes, without holding it. */
+final class CheckedSink implements BodySink {
+  private final long seed;
+  private AnswerPattern.Checker checker;
+  private int begun;
+
+  private CheckedSink(long seed) {
+    this.seed = seed;
+    this.checker = AnswerPattern.checker(seed);
+  }
+
+  /** A sink for the answer to the request with that checksum. */
+  static CheckedSink of(long checksum) {
+    return new CheckedSink(checksum);
+  }
+
+  @Override
+  public synchronized void begin() {
+    begun++;
+    checker = AnswerPattern.checker(seed);
+  }
+
+  @Override
+  public synchronized void accept(ByteBuffer piece) {
+    checker.add(piece);
+  }
+
+  synchronized int restarts() {
+    return Math.max(0, begun - 1);
+  }
+
+  /** True where exactly the {@code length} bytes of the answer have come. */
+  synchronized boolean isWhole(long length) {
+    return checker.length() == length && checker.matches();
+  }
+}
