RequestFlow is split: its state, a try at a target and a try through a peer have files of their own

Cause: RequestFlow.java had grown to 680 lines with three inner classes and a lock that its reader had to follow through all of them.

Change: FlowState holds the lock and decides between sending and ending; Leg, TargetLeg and PeerLeg each hold one kind of try; RequestFlow keeps the way and the endings. Moved only; behaviour and tests unchanged. Ruled out: an interface between the legs and the flow, which would have one implementation.

Conclusion: what may still be moved are the endings of a permit's run (goOnAlone, listenOn, stopListening).

--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestFlow.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestFlow.java
@@ -9,7 +9,6 @@
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
-import org.apache.hc.core5.http.message.BasicHttpResponse;
 import org.apache.hc.core5.net.URIAuthority;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.contract.Contract;
@@ -19,16 +18,13 @@
 import org.sageladder.core.limits.Gate;
 import org.sageladder.core.membership.Holding;
 import org.sageladder.core.membership.Member;
-import org.sageladder.core.permit.RecordedAnswer;
 import org.sageladder.core.quarantine.Quarantine;
 import org.sageladder.core.result.Outcome;
 import org.sageladder.core.result.Result;
 import org.sageladder.core.result.ResultCode;
-import org.sageladder.entry.exchange.AnswerRecorder;
 import org.sageladder.entry.exchange.BodyPipe;
 import org.sageladder.entry.exchange.CallerExchange;
 import org.sageladder.entry.exchange.CarriedEntity;
-import org.sageladder.entry.exchange.Outbound;
 
 /**
  * One request on its way: gate, target, answer, or on to the entry VM that holds a gate.
@@ -38,7 +34,6 @@
  */
 final class RequestFlow {
   private static final int MOST_TRIES = 3;
-  private static final int LARGEST_RECORDED = 1 << 16;
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   /** Mean service times that are kept free for the work when a wait for a slot ends. */
@@ -61,11 +56,8 @@
   private final long deadlineNanos;
   private final long tryEndNanos;
   private final AtomicBoolean over = new AtomicBoolean();
-  private final Object lock = new Object();
-  private Runnable cancelStep = () -> {};
-  private boolean ended;
+  private final FlowState state = new FlowState();
   private int tries;
-  private volatile boolean dispatched;
   private volatile boolean callerGone;
   private volatile boolean toHome;
   private volatile boolean lostTry;
@@ -122,18 +114,18 @@
   /** Passes the request on to the entry VM that holds a gate. */
   void forwardTo(Member member) {
     record(EventKind.FORWARDED, member.vm(), "no target of " + service.name() + " is held here");
-    passTo(member, new PeerLeg(member, false));
+    passTo(member, new PeerLeg(this, member, false));
   }
 
   /** Passes the request on to the entry VM that decides on its permit. */
   void forwardToHome(Member member) {
     record(EventKind.FORWARDED, member.vm(), "it is the home of the permit");
     toHome = true;
-    passTo(member, new PeerLeg(member, true));
+    passTo(member, new PeerLeg(this, member, true));
   }
 
   private void passTo(Member member, PeerLeg leg) {
-    if (!beginDispatch()) {
+    if (!state.beginDispatch()) {
       return;
     }
     BasicHttpRequest request =
@@ -150,7 +142,7 @@
     send(new HttpHost(member.host(), member.port()), request, leg);
   }
 
-  private void admit(Gate gate, String avoid) {
+  void admit(Gate gate, String avoid) {
     Quarantine quarantine = parts.crashes().quarantine();
     if (quarantine.isEmpty()) {
       askGate(gate, avoid);
@@ -180,7 +172,7 @@
   }
 
   /** Alike for copies of one request, whoever sends them; the permit and ids do not count. */
-  private long fingerprint() {
+  long fingerprint() {
     EntityDetails entity = exchange.entity();
     return Hashing.komihash5_0()
         .hashStream()
@@ -198,7 +190,7 @@
         gate.request(
             new AdmissionRequest(head.id(), lastUsefulSlotNanos(), avoid, ""),
             admission -> decided(gate, admission));
-    waitFor(wait);
+    state.waitFor(wait);
   }
 
   /**
@@ -221,7 +213,7 @@
       return;
     }
     Admission.Slot slot = ((Admission.Admitted) admission).slot();
-    if (!beginDispatch()) {
+    if (!state.beginDispatch()) {
       slot.release(Admission.Completion.UNUSED);
       return;
     }
@@ -231,35 +223,7 @@
     PassedHeaders.copy(exchange.request(), request, false);
     request.setHeader(Headers.TARGET_REQUEST_ID, head.id());
     request.setHeader(Headers.TARGET_DEADLINE, remainingMillis());
-    send(new HttpHost(target.host(), target.port()), request, new TargetLeg(gate, slot));
-  }
-
-  /**
-   * Decides, once and for all, that the request is sent; false where the flow has ended.
-   *
-   * <p>A deadline or a broken connection in this very instant must not see a request as waiting
-   * that is being sent: the caller would be told "not run" of a request that runs. So the decision
-   * to send and the decision to end are taken under one lock, and the later one knows of the
-   * earlier.
-   */
-  private boolean beginDispatch() {
-    synchronized (lock) {
-      if (ended) {
-        return false;
-      }
-      dispatched = true;
-      cancelStep = () -> {};
-      return true;
-    }
-  }
-
-  /**
-   * The only try so far provably did not run: while the next one waits, "not run" is true again.
-   */
-  private void waitAgain() {
-    synchronized (lock) {
-      dispatched = false;
-    }
+    send(new HttpHost(target.host(), target.port()), request, new TargetLeg(this, gate, slot));
   }
 
   private void send(HttpHost host, BasicHttpRequest request, Leg leg) {
@@ -275,7 +239,7 @@
                 exchange.requestBody(),
                 parts.connectTimeout(),
                 leg);
-    step(cancel);
+    state.step(cancel);
     try {
       exchange.acceptBody();
     } catch (java.io.IOException e) {
@@ -283,60 +247,24 @@
     }
   }
 
-  /** Names the wait as what a going caller ends, unless the gate has let the request through. */
-  private void waitFor(Gate.Cancellable wait) {
-    boolean now;
-    synchronized (lock) {
-      if (dispatched) {
-        return;
-      }
-      now = ended;
-      if (!now) {
-        cancelStep = wait::cancel;
-      }
-    }
-    if (now) {
-      boolean unused = wait.cancel();
-    }
-  }
-
-  /** Names what ends the present step; runs it at once where the flow has already ended. */
-  private void step(Runnable cancel) {
-    boolean now;
-    synchronized (lock) {
-      now = ended;
-      if (!now) {
-        cancelStep = cancel;
-      }
-    }
-    if (now) {
-      cancel.run();
-    }
-  }
-
   private void giveUp(Ending ending) {
     if (run != null && exchange.requestBody().isWhole()) {
       if (ending == Ending.CALLER_GONE) {
         goOnAlone();
         return;
       }
-      if (dispatched) {
+      if (state.isDispatched()) {
         listenOn();
         return;
       }
     }
     boolean first = over.compareAndSet(false, true);
-    Runnable cancel;
-    boolean sent;
-    synchronized (lock) {
-      if (ended) {
-        return;
-      }
-      ended = true;
-      sent = dispatched;
-      cancel = cancelStep;
+    FlowState.End end = state.end();
+    if (end == null) {
+      return;
     }
-    cancel.run();
+    boolean sent = end.dispatched();
+    end.cancelStep().run();
     stopTimer();
     if (!first || ending == Ending.CALLER_GONE) {
       endRun(first && !sent);
@@ -363,11 +291,8 @@
 
   /** The deadline passed on a run that may still be answered: say so, and record what comes. */
   private void listenOn() {
-    synchronized (lock) {
-      if (ended) {
-        return;
-      }
-      timer = later(this::stopListening, LATE_ANSWERS);
+    if (!state.whileOpen(() -> timer = later(this::stopListening, LATE_ANSWERS))) {
+      return;
     }
     if (over.compareAndSet(false, true)) {
       answer(new Result.Unknown(ResultCode.TARGET_TIMEOUT, "no answer by the deadline"));
@@ -375,19 +300,15 @@
   }
 
   private void stopListening() {
-    Runnable cancel;
-    synchronized (lock) {
-      if (ended) {
-        return;
-      }
-      ended = true;
-      cancel = cancelStep;
+    FlowState.End end = state.end();
+    if (end == null) {
+      return;
     }
     endRun(false);
-    cancel.run();
+    end.cancelStep().run();
   }
 
-  private void endRun(boolean notRun) {
+  void endRun(boolean notRun) {
     if (run == null) {
       return;
     }
@@ -406,7 +327,7 @@
     }
   }
 
-  private void unknown(ResultCode code, String detail) {
+  void unknown(ResultCode code, String detail) {
     if (over.compareAndSet(false, true)) {
       finish();
       answer(new Result.Unknown(code, detail));
@@ -421,7 +342,7 @@
         result.code().name());
     endRun(result instanceof Result.NotRun);
     parts.counters().result(service.name(), result.code());
-    if (run == null || !dispatched) {
+    if (run == null || !state.isDispatched()) {
       discard(exchange.requestBody());
     }
     HttpResponse answer = Answers.head(result);
@@ -449,17 +370,49 @@
     }
   }
 
-  private void finish() {
-    synchronized (lock) {
-      ended = true;
-    }
+  /** Ends the flow, whose last step needs no cancelling. */
+  void finish() {
+    state.finish();
     stopTimer();
   }
 
-  private boolean isEnded() {
-    synchronized (lock) {
-      return ended;
-    }
+  boolean isEnded() {
+    return state.isEnded();
+  }
+
+  /** True once the caller has its answer, or has gone. */
+  boolean isOver() {
+    return over.get();
+  }
+
+  /** A try was lost after it was sent, so "not run" can no longer be proven. */
+  void markLostTry() {
+    lostTry = true;
+  }
+
+  /** The only try so far provably did not run: while the next waits, "not run" is true again. */
+  void waitAgain() {
+    state.waitAgain();
+  }
+
+  boolean mayTryAgain(boolean sent) {
+    return tries < MOST_TRIES
+        && !over.get()
+        && (!sent || exchange.entity() == null)
+        && Duration.ofNanos(deadlineNanos - parts.time().nanos()).toMillis() > 0;
+  }
+
+  FlowParts parts() {
+    return parts;
+  }
+
+  Contract.Service service() {
+    return service;
+  }
+
+  /** The run of a permit, or null where the request needs none. */
+  @Nullable PermitRun run() {
+    return run;
   }
 
   private void stopTimer() {
@@ -477,12 +430,12 @@
     return Math.max(1, (endNanos - parts.time().nanos()) / NANOS_PER_MILLI);
   }
 
-  private void record(EventKind kind, String subject, String detail) {
+  void record(EventKind kind, String subject, String detail) {
     parts.events().record(kind, head.id(), head.customer(), subject, 0, detail);
   }
 
   /** Passes an answer on to the caller; its body follows as it comes. */
-  private boolean passOn(
+  boolean passOn(
       HttpResponse passed, @Nullable EntityDetails details, BodyPipe body, Outcome outcome) {
     if (!over.compareAndSet(false, true)) {
       if (run != null) {
@@ -504,183 +457,7 @@
     return false;
   }
 
-  /** One try: what is done with the news of one exchange. */
-  private abstract class Leg implements Outbound.Listener {
-    private final AnswerRecorder recorder = AnswerRecorder.upTo(LARGEST_RECORDED);
-    private volatile boolean retried;
-    private volatile @Nullable Recording recording;
-
-    void retry(Runnable again) {
-      retried = true;
-      again.run();
-    }
-
-    boolean isCurrent() {
-      return !retried;
-    }
-
-    boolean mayTryAgain(boolean sent) {
-      return tries < MOST_TRIES
-          && !over.get()
-          && (!sent || exchange.entity() == null)
-          && Duration.ofNanos(deadlineNanos - parts.time().nanos()).toMillis() > 0;
-    }
-
-    /** Keeps a copy of an answer that proves a run, for repeats of its permit. */
-    void recordRun(HttpResponse passed, @Nullable EntityDetails details, BodyPipe body) {
-      if (run != null) {
-        recording = Recording.begin(passed, details);
-        body.record(recorder);
-      }
-    }
-
-    /** Ends the permit's run if an answer had begun: cut or whole, it proves that a target ran. */
-    boolean endProvenRun(boolean whole) {
-      Recording begun = recording;
-      if (run == null || begun == null) {
-        return false;
-      }
-      run.ran(whole ? begun.end(recorder.body()) : RecordedAnswer.notKept());
-      return true;
-    }
-  }
-
-  /** A try at a target whose slot is held. */
-  private final class TargetLeg extends Leg {
-    private final Gate gate;
-    private final Admission.Slot slot;
-
-    TargetLeg(Gate gate, Admission.Slot slot) {
-      this.gate = gate;
-      this.slot = slot;
-    }
-
-    @Override
-    public void head(HttpResponse response, @Nullable EntityDetails details, BodyPipe body) {
-      var refusal = response.getFirstHeader(Headers.TARGET_REFUSED);
-      if (response.getCode() == 503 && refusal != null) {
-        boolean leaving = "draining".equals(refusal.getValue());
-        slot.release(leaving ? Admission.Completion.LEAVING : Admission.Completion.REFUSED);
-        refusedByTarget("target refused: " + refusal.getValue(), true);
-        discard(body);
-        return;
-      }
-      BasicHttpResponse passed = new BasicHttpResponse(response.getCode());
-      PassedHeaders.copy(response, passed, false);
-      passed.setHeader(Headers.TARGET, slot.target().target());
-      Answers.mark(passed, ResultCode.OK);
-      recordRun(passed, details, body);
-      if (passOn(passed, details, body, Outcome.RAN)) {
-        record(EventKind.ANSWERED, slot.target().target(), "status " + response.getCode());
-        parts.counters().result(service.name(), ResultCode.OK);
-      }
-    }
-
-    @Override
-    public void done() {
-      slot.release(Admission.Completion.ANSWERED);
-      if (isCurrent()) {
-        endProvenRun(true);
-        finish();
-      }
-    }
-
-    @Override
-    public void lost(boolean sent, Exception cause) {
-      slot.release(sent ? Admission.Completion.LOST : Admission.Completion.REFUSED);
-      if (sent && !isEnded()) {
-        parts.crashes().cut(slot.target(), fingerprint());
-      }
-      if (!isCurrent()) {
-        return;
-      }
-      if (over.get()) {
-        endProvenRun(false);
-        finish();
-        return;
-      }
-      if (!sent) {
-        refusedByTarget("cannot connect to the target: " + cause, false);
-        return;
-      }
-      record(EventKind.FAILED, slot.target().target(), String.valueOf(cause));
-      lostTry = true;
-      if (service.repeatable() && mayTryAgain(true) && gate.takeRetry()) {
-        waitAgain();
-        retry(() -> admit(gate, slot.target().target()));
-        return;
-      }
-      unknown(ResultCode.TARGET_LOST, "the connection to the target failed: " + cause);
-    }
-
-    private void refusedByTarget(String why, boolean sent) {
-      record(EventKind.RETRIED, slot.target().target(), why);
-      if (mayTryAgain(sent) && gate.takeRetry()) {
-        waitAgain();
-        retry(() -> admit(gate, slot.target().target()));
-      } else {
-        refuse(new Result.NotRun(ResultCode.TARGET_REFUSED, Duration.ofMillis(200), why));
-      }
-    }
-  }
-
-  /** A try through another entry VM: the holder of a gate, or the home of the permit. */
-  private final class PeerLeg extends Leg {
-    private final Member member;
-    private final boolean toHome;
-
-    PeerLeg(Member member, boolean toHome) {
-      this.member = member;
-      this.toHome = toHome;
-    }
-
-    @Override
-    public void head(HttpResponse response, @Nullable EntityDetails details, BodyPipe body) {
-      var said = response.getFirstHeader(Headers.OUTCOME);
-      Outcome outcome = said == null ? Outcome.UNKNOWN : Answers.outcome(said.getValue());
-      BasicHttpResponse passed = new BasicHttpResponse(response.getCode());
-      PassedHeaders.copy(response, passed, true);
-      if (outcome == Outcome.RAN) {
-        recordRun(passed, details, body);
-      } else {
-        endRun(outcome == Outcome.NOT_RUN);
-      }
-      if (passOn(passed, details, body, outcome)) {
-        record(EventKind.ANSWERED, member.vm(), "status " + response.getCode());
-      }
-    }
-
-    @Override
-    public void done() {
-      endProvenRun(true);
-      finish();
-    }
-
-    @Override
-    public void lost(boolean sent, Exception cause) {
-      if (over.get()) {
-        endProvenRun(false);
-        finish();
-        return;
-      }
-      if (toHome) {
-        // Another copy may have reached the home: "not run" could be said by the home alone.
-        unknown(
-            ResultCode.HOME_LOST,
-            "entry VM " + member.vm() + ", home of the permit, cannot be reached: " + cause);
-      } else if (sent) {
-        unknown(ResultCode.GATE_LOST, "entry VM " + member.vm() + " was lost: " + cause);
-      } else {
-        refuse(
-            new Result.NotRun(
-                ResultCode.GATE_MOVED,
-                Duration.ofMillis(500),
-                "cannot connect to entry VM " + member.vm()));
-      }
-    }
-  }
-
-  private static void discard(BodyPipe body) {
+  static void discard(BodyPipe body) {
     try {
       body.discard();
     } catch (java.io.IOException ignored) {
