One connector for all pooled HTTP connections

Cause: HttpCalls, EntryCalls and OutboundClient each worked round the library's silence limit in its own way (two minutes more, no limit on connecting at all, a session listener), and two of them had the same loop that drops connections closed by the peer.

Change: sageladder-http, a module with Connector alone: bootstrap, silence limit lifted by the session listener, live leases that block, and the asynchronous connect of the entry daemon. Ruled out: core (no I/O there), platform (the callers' library would pull in YAML), a copy in a test-only place. A store's watch is no longer bound by two minutes of silence but by its call's deadline alone, which was shorter anyway.

Conclusion: three ways are one; CallersPortTest and WholeProcessTest pass over it with real processes.

--- a/sageladder-client/src/main/java/org/sageladder/client/EntryCalls.java
+++ b/sageladder-client/src/main/java/org/sageladder/client/EntryCalls.java
@@ -21,17 +21,13 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpResponse;
-import org.apache.hc.core5.http.impl.bootstrap.AsyncRequesterBootstrap;
-import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
 import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
 import org.apache.hc.core5.http.nio.AsyncRequestProducer;
 import org.apache.hc.core5.http.nio.support.AsyncRequestBuilder;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
-import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.reactor.IOReactorConfig;
-import org.apache.hc.core5.util.Timeout;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.result.ResultCode;
+import org.sageladder.http.Connector;
 
 /** Single tries at single entry VMs. */
 final class EntryCalls implements AutoCloseable {
@@ -39,31 +35,23 @@
   private static final String OUTCOME = "Sageladder-Outcome";
   private static final String LOOK_UP_AGAIN = "Sageladder-Look-Up-Again";
   private static final int IO_THREADS = 2;
-  private static final int FRESH_CONNECTION_TRIES = 3;
   private static final ObjectMapper JSON = new ObjectMapper();
 
-  private final HttpAsyncRequester requester;
+  private final Connector connector;
   private final ClientOptions options;
   private final Consumer<EntryAddress> whenLeaving;
 
   private EntryCalls(
-      HttpAsyncRequester requester, ClientOptions options, Consumer<EntryAddress> whenLeaving) {
-    this.requester = requester;
+      Connector connector, ClientOptions options, Consumer<EntryAddress> whenLeaving) {
+    this.connector = connector;
     this.options = options;
     this.whenLeaving = whenLeaving;
   }
 
   /** Calls that report to {@code whenLeaving} each entry VM that says it is about to stop. */
   static EntryCalls start(ClientOptions options, Consumer<EntryAddress> whenLeaving) {
-    HttpAsyncRequester requester =
-        AsyncRequesterBootstrap.bootstrap()
-            .setIOReactorConfig(
-                IOReactorConfig.custom().setIoThreadCount(IO_THREADS).setTcpNoDelay(true).build())
-            .setDefaultMaxPerRoute(options.connectionsPerEntry())
-            .setMaxTotal(Integer.MAX_VALUE)
-            .create();
-    requester.start();
-    return new EntryCalls(requester, options, whenLeaving);
+    Connector connector = Connector.start(IO_THREADS, options.connectionsPerEntry());
+    return new EntryCalls(connector, options, whenLeaving);
   }
 
   /** True where the answer is the target's own, which the entry VM only passed on. */
@@ -215,35 +203,9 @@
     }
   }
 
-  /** Pooled connections that the entry VM has closed since are dropped before anything is sent. */
   private AsyncClientEndpoint connect(EntryAddress entry, Duration wait) throws IOException {
-    for (int tried = 0; tried < FRESH_CONNECTION_TRIES; tried++) {
-      AsyncClientEndpoint endpoint = connectOnce(entry, wait);
-      if (endpoint.isConnected()) {
-        return endpoint;
-      }
-      endpoint.releaseAndDiscard();
-    }
-    throw new IOException("connections keep closing");
-  }
-
-  private AsyncClientEndpoint connectOnce(EntryAddress entry, Duration wait) throws IOException {
     Duration limit = wait.compareTo(options.connectTimeout()) < 0 ? wait : options.connectTimeout();
-    // The library also takes this as the longest silence on the connection, which a request that
-    // waits its turn must be free to exceed; the waits below and for the answer are what limits.
-    Future<AsyncClientEndpoint> future = requester.connect(host(entry), Timeout.DISABLED);
-    try {
-      return future.get(limit.toNanos(), TimeUnit.NANOSECONDS);
-    } catch (TimeoutException e) {
-      future.cancel(true);
-      throw new IOException("no connection within " + limit.toMillis() + " ms", e);
-    } catch (ExecutionException e) {
-      throw new IOException("no connection: " + e.getCause(), e);
-    } catch (InterruptedException e) {
-      future.cancel(true);
-      Thread.currentThread().interrupt();
-      throw new IOException("interrupted while connecting", e);
-    }
+    return connector.lease(host(entry), limit);
   }
 
   private static TryResult result(EntryAddress entry, BodyConsumer.Received received) {
@@ -318,6 +280,6 @@
 
   @Override
   public void close() {
-    requester.close(CloseMode.IMMEDIATE);
+    connector.close();
   }
 }
--- /dev/null
+++ b/sageladder-http/src/main/java/org/sageladder/http/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Pooled HTTP connections, alike for the platform's clients, the callers' library and the daemon.
+ */
+@NullMarked
+package org.sageladder.http;
+
+import org.jspecify.annotations.NullMarked;
--- a/sageladder-platform/src/main/java/org/sageladder/platform/store/HttpCalls.java
+++ b/sageladder-platform/src/main/java/org/sageladder/platform/store/HttpCalls.java
@@ -15,19 +15,15 @@
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.Message;
-import org.apache.hc.core5.http.impl.bootstrap.AsyncRequesterBootstrap;
-import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
 import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
 import org.apache.hc.core5.http.nio.AsyncRequestProducer;
 import org.apache.hc.core5.http.nio.entity.BasicAsyncEntityConsumer;
 import org.apache.hc.core5.http.nio.support.AsyncRequestBuilder;
 import org.apache.hc.core5.http.nio.support.BasicResponseConsumer;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
-import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.reactor.IOReactorConfig;
-import org.apache.hc.core5.util.Timeout;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.store.StoreException;
+import org.sageladder.http.Connector;
 
 /**
  * Blocking JSON calls to one address, which tell a call that was never sent from one whose answer
@@ -35,17 +31,15 @@
  */
 final class HttpCalls implements AutoCloseable {
   private static final int MAX_CONNECTIONS = 32;
-  private static final int CONNECT_TRIES = 3;
-  private static final Duration LONGEST_SILENCE = Duration.ofMinutes(2);
   private static final ObjectMapper JSON =
       new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
-  private final HttpAsyncRequester requester;
+  private final Connector connector;
   private final HttpHost host;
   private final Duration timeout;
 
-  private HttpCalls(HttpAsyncRequester requester, HttpHost host, Duration timeout) {
-    this.requester = requester;
+  private HttpCalls(Connector connector, HttpHost host, Duration timeout) {
+    this.connector = connector;
     this.host = host;
     this.timeout = timeout;
   }
@@ -56,15 +50,8 @@
       throw new IllegalArgumentException(
           "store address \"" + base + "\": expected http://IP:PORT, such as http://127.0.0.1:4100");
     }
-    HttpAsyncRequester requester =
-        AsyncRequesterBootstrap.bootstrap()
-            .setIOReactorConfig(
-                IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).build())
-            .setDefaultMaxPerRoute(MAX_CONNECTIONS)
-            .setMaxTotal(MAX_CONNECTIONS)
-            .create();
-    requester.start();
-    return new HttpCalls(requester, new HttpHost("http", base.getHost(), base.getPort()), timeout);
+    Connector connector = Connector.start(1, MAX_CONNECTIONS);
+    return new HttpCalls(connector, new HttpHost("http", base.getHost(), base.getPort()), timeout);
   }
 
   /** The status and body of an answer. */
@@ -132,38 +119,11 @@
     return new Answer(status, body == null ? new byte[0] : body);
   }
 
-  /**
-   * Leases a live connection. A pooled connection that the peer has closed since would turn a call
-   * that was never sent into one of unknown outcome, so such connections are dropped here, before
-   * anything is written.
-   */
   private AsyncClientEndpoint connected(String what) throws StoreException {
-    for (int tried = 0; tried < CONNECT_TRIES; tried++) {
-      AsyncClientEndpoint endpoint = connectOnce(what);
-      if (endpoint.isConnected()) {
-        return endpoint;
-      }
-      endpoint.releaseAndDiscard();
-    }
-    throw new StoreException.Unavailable(what + " at " + host + ": connections keep closing", null);
-  }
-
-  private AsyncClientEndpoint connectOnce(String what) throws StoreException {
-    // The library also takes this as the longest silence on the connection, which a waiting watch
-    // must be free to exceed; how long to wait for a connection and an answer is decided here.
-    Future<AsyncClientEndpoint> future =
-        requester.connect(host, Timeout.of(timeout.plus(LONGEST_SILENCE)));
     try {
-      return future.get(timeout.toNanos(), TimeUnit.NANOSECONDS);
-    } catch (TimeoutException e) {
-      future.cancel(true);
-      throw new StoreException.Unavailable(what + " at " + host + ": no connection in time", e);
-    } catch (ExecutionException e) {
-      throw new StoreException.Unavailable(what + " at " + host + ": no connection", e.getCause());
-    } catch (InterruptedException e) {
-      future.cancel(true);
-      Thread.currentThread().interrupt();
-      throw new StoreException.Unavailable(what + " at " + host + ": interrupted", e);
+      return connector.lease(host, timeout);
+    } catch (IOException e) {
+      throw new StoreException.Unavailable(what + " at " + host + ": " + e.getMessage(), e);
     }
   }
 
@@ -209,6 +169,6 @@
 
   @Override
   public void close() {
-    requester.close(CloseMode.IMMEDIATE);
+    connector.close();
   }
 }
