--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestRouter.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/RequestRouter.java
@@ -98,6 +98,12 @@
       return;
     }
     parts.counters().lookUp(query.service());
+    HttpResponse head = new BasicHttpResponse(200);
+    Answers.mark(head, ResultCode.OK);
+    Answers.send(exchange, head, describe(query, route));
+  }
+
+  private ObjectNode describe(LookUps.Query query, Route route) {
     ObjectNode json = JSON.createObjectNode();
     json.put("contract", query.contract());
     json.put("revision", route.revision());
@@ -119,9 +125,7 @@
       // go elsewhere it would cost two more hops, so there the first try fetches it.
       json.put("permit", permits.mint(service.name(), ""));
     }
-    HttpResponse head = new BasicHttpResponse(200);
-    Answers.mark(head, ResultCode.OK);
-    Answers.send(exchange, head, json);
+    return json;
   }
 
   private void request(CallerExchange exchange, String path) throws IOException {
@@ -143,17 +147,7 @@
       return;
     }
     if (head.deadline().compareTo(service.longestDeadline()) > 0) {
-      refuse(
-          exchange,
-          Result.notRun(
-              ResultCode.DEADLINE_INVALID,
-              Headers.DEADLINE
-                  + " "
-                  + head.deadline().toMillis()
-                  + " is above the "
-                  + service.longestDeadline().toMillis()
-                  + " that the contract allows for "
-                  + service.name()));
+      refuse(exchange, tooLong(head, service));
       return;
     }
     parts
@@ -166,6 +160,18 @@
     permits.guard(exchange, head, service, flow -> carry(flow, head));
   }
 
+  private static Result.NotRun tooLong(RequestHead head, Contract.Service service) {
+    return Result.notRun(
+        ResultCode.DEADLINE_INVALID,
+        Headers.DEADLINE
+            + " "
+            + head.deadline().toMillis()
+            + " is above the "
+            + service.longestDeadline().toMillis()
+            + " that the contract allows for "
+            + service.name());
+  }
+
   private void carry(RequestFlow flow, RequestHead head) {
     ServiceGate gate = gates.holding(head.service());
     if (gate != null) {
