--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -13,8 +13,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.util.Timeout;
 import org.sageladder.core.event.EventBuffer;
 import org.sageladder.core.event.EventKind;
@@ -69,10 +67,6 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int CONNECTIONS_PER_HOST = 390;
   private static final Duration LOAD_PERIOD = Duration.ofSeconds(1);
-
-  /** Well under the shortest time after which an entry VM closes an idle connection itself. */
-  private static final Duration IDLE_CONNECTION = Duration.ofSeconds(25);
-
   private static final int EVENTS_PER_PAGE = 2_000;
   private static final Duration STOP_GRACE = Duration.ofSeconds(1);
   private static final Duration KEY_PERIOD = Duration.ofDays(1);
@@ -135,12 +129,6 @@
     parts.add(timers::shutdownNow);
     OutboundClient client =
         parts.add(OutboundClient.start(settings.callerLimits().workers(), CONNECTIONS_PER_HOST));
-    ScheduledFuture<?> unused =
-        timers.scheduleWithFixedDelay(
-            () -> client.closeIdle(IDLE_CONNECTION),
-            IDLE_CONNECTION.toMillis(),
-            IDLE_CONNECTION.toMillis(),
-            TimeUnit.MILLISECONDS);
     PermitKeys permitKeys =
         PermitKeys.of(store, settings.customer(), KEY_PERIOD, new SecureRandom());
     Member self = self(settings, store, time);
