--- a/sageladder-bench/src/main/java/org/sageladder/bench/capacity/Capacity.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/capacity/Capacity.java
@@ -15,17 +15,21 @@
 
   /**
    * Code slopes always; with {@code --full} also those of control and of failures, which take four
-   * minutes; with {@code --failures} these alone.
+   * minutes; with {@code --control} or {@code --failures} these alone.
    */
   public static void main(String[] args) throws Exception {
     if (args.length > 0 && args[0].equals("--failures")) {
       failures();
       return;
     }
-    List<Line> lines = new ArrayList<>(CodeSlopes.measure());
-    lines.addAll(ExchangeSlopes.measure());
     boolean full = args.length > 0 && args[0].equals("--full");
-    if (full) {
+    boolean control = args.length > 0 && args[0].equals("--control");
+    List<Line> lines = new ArrayList<>();
+    if (!control) {
+      lines.addAll(CodeSlopes.measure());
+      lines.addAll(ExchangeSlopes.measure());
+    }
+    if (full || control) {
       lines.addAll(ControlSlopes.measure());
     }
     double worst = 0;
