--- a/sageladder-bench/src/main/java/org/sageladder/bench/capacity/Capacity.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/capacity/Capacity.java
@@ -15,13 +15,21 @@
 
   /**
    * Code slopes always; with {@code --full} also those of control and of failures, which take four
-   * minutes.
+   * minutes; with {@code --control} or {@code --failures} these alone.
    */
   public static void main(String[] args) throws Exception {
-    List<Line> lines = new ArrayList<>(CodeSlopes.measure());
-    lines.addAll(ExchangeSlopes.measure());
+    if (args.length > 0 && args[0].equals("--failures")) {
+      failures();
+      return;
+    }
     boolean full = args.length > 0 && args[0].equals("--full");
-    if (full) {
+    boolean control = args.length > 0 && args[0].equals("--control");
+    List<Line> lines = new ArrayList<>();
+    if (!control) {
+      lines.addAll(CodeSlopes.measure());
+      lines.addAll(ExchangeSlopes.measure());
+    }
+    if (full || control) {
       lines.addAll(ControlSlopes.measure());
     }
     double worst = 0;
@@ -34,9 +42,7 @@
       }
     }
     if (full) {
-      // Differences of traffic that flows anyway, so their errors are large; the aim leaves them
-      // out.
-      FailureCosts.measure().forEach(line -> System.out.println(line.describe()));
+      failures();
     }
     System.out.printf(
         Locale.ROOT,
@@ -46,4 +52,11 @@
         100 * AIM_ERROR);
     System.exit(worst <= AIM_ERROR ? 0 : 1);
   }
+
+  /**
+   * Differences of traffic that flows anyway: their errors are large, and the aim leaves them out.
+   */
+  private static void failures() throws Exception {
+    FailureCosts.measure().forEach(line -> System.out.println(line.describe()));
+  }
 }
--- a/sageladder-http/src/main/java/org/sageladder/http/Connector.java
+++ b/sageladder-http/src/main/java/org/sageladder/http/Connector.java
@@ -164,6 +164,11 @@
     }
   }
 
+  /** Lets exchanges that run end, then closes. */
+  public void closeGracefully() {
+    requester.close(CloseMode.GRACEFUL);
+  }
+
   @Override
   public void close() {
     requester.close(CloseMode.IMMEDIATE);
