--- a/sageladder-bench/src/main/java/org/sageladder/bench/background/BackgroundMain.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/background/BackgroundMain.java
@@ -50,11 +50,11 @@
     this.bed = bed;
   }
 
-  /** Takes {@code --full} for 5,000 pulls instead of 500. */
+  /** Takes {@code --full} for 5,000 pulls instead of 1,500. */
   public static void main(String[] args) throws Exception {
-    int count = List.of(args).contains("--full") ? 5_000 : 500;
+    int count = List.of(args).contains("--full") ? 5_000 : 1_500;
     try (TestBed bed = TestBed.start(100)) {
-      bed.addTargets("archive", 4, ServiceTime.fixed(100), 4);
+      bed.addTargets("archive", 4, ServiceTime.fixed(300), 4);
       bed.addTargets("listings", 4, ServiceTime.fixed(20), 3);
       bed.addEntries(4);
       for (TargetServer target : bed.targets().subList(0, 4)) {
@@ -80,8 +80,8 @@
     try (SageladderClient client = SageladderClient.start(ClientOptions.seeds(seeds))) {
       pullAll(client, count);
     }
-    faults.end();
     long seconds = Math.max(1, (System.nanoTime() - start) / 1_000_000_000);
+    faults.end();
     over = true;
     Histogram busy = beside.get();
     listing.shutdown();
@@ -182,11 +182,12 @@
           () -> {
             Caller caller = Caller.create();
             SplittableRandom random = new SplittableRandom(seed);
+            int port = port(random);
             while (!over && System.nanoTime() < untilNanos) {
               long start = System.nanoTime();
               Reply reply =
                   caller.send(
-                      port(random),
+                      port,
                       "GET",
                       "listings",
                       "/lots?answerBytes=" + LISTING_BYTES + "&work=l" + random.nextLong(1 << 30),
@@ -197,6 +198,9 @@
               if (reply.ran()) {
                 latency.recordValue(millisSince(start));
               }
+              if (!reply.ran() || reply.lookUpAgain()) {
+                port = port(random);
+              }
               Thread.sleep(random.nextInt(60));
             }
             return null;
