Limits: the waits of several moves of a target do not add up

Cause: a gate that lost a target while it still waited a window for the gate before told its new gate nothing, and that gate began a wait of its own. With VMs that join one after the other, at a zone's start or a rolling restart, a target stayed out of work for longer than any cap needs. Found by reading after refusals in the first seconds of a fresh system; ruled out: that the old gate may have used the target, since it gives none of its work before the end of its wait. Change: TargetHistory tells what is left of the wait; the new gate waits for the rest, and uses the target's part of the gain from then.

--- a/sageladder-core/src/main/java/org/sageladder/core/limits/TargetPool.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/TargetPool.java
@@ -19,6 +19,8 @@
  * <p>Not safe for use by several threads; the gate's lock guards it.
  */
 final class TargetPool {
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
   private final Map<String, TargetSlots> targets = new HashMap<>();
 
   /** Lost targets whose growth still counts here, because nobody else may know of it. */
@@ -109,8 +111,8 @@
   }
 
   /**
-   * What this gate counted of a target that it no longer holds; null where it knows of none or not
-   * of the whole window, because it still waited for the gate before it.
+   * What this gate counted of a target that it no longer holds, or how long it still had to wait
+   * for the gate before it; null where it knows of none or has told.
    *
    * <p>The target's part of the region's gain is released only where the targets left here keep to
    * what is left of it, whatever the new gate does. Targets lost before count with what they have
@@ -121,11 +123,18 @@
     if (target == null || target.isHeld() || target.wasHandedOver()) {
       return null;
     }
+    target.markHandedOver();
     if (target.awaitsWindow(nowNanos)) {
-      return null;
+      // The next gate would else begin a whole wait of its own, one for each VM that joins.
+      long leftNanos = target.workFromNanos() - nowNanos;
+      return TargetHistory.stillWaiting(
+          name,
+          target.holding().targetIncarnation(),
+          nowMillis,
+          target.mayRun(nowNanos),
+          Math.floorDiv(leftNanos, NANOS_PER_MILLI) + 1);
     }
     recount(nowNanos);
-    target.markHandedOver();
     int othersGrowth = RateHistory.worst(growthsBesides(target), 0);
     boolean released = target.hasGainPart(nowNanos) && othersGrowth <= gainUnits(nowNanos);
     return new TargetHistory(
@@ -135,7 +144,8 @@
         target.mayRun(nowNanos),
         target.history().steps(),
         target.regionHistory().steps(),
-        released);
+        released,
+        0);
   }
 
   /** Takes what the gate before counted of a target held here now. */
--- a/sageladder-core/src/main/java/org/sageladder/core/limits/TargetSlots.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/TargetSlots.java
@@ -1,6 +1,7 @@
 package org.sageladder.core.limits;
 
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.contract.Contract;
 import org.sageladder.core.membership.Holding;
@@ -142,6 +143,12 @@
     if (coldStartHere || !awaitsWindow(nowNanos)) {
       return false;
     }
+    if (told.waitMillis() > 0) {
+      long until = nowNanos + TimeUnit.MILLISECONDS.toNanos(told.waitMillis());
+      workFromNanos = Math.min(workFromNanos, until);
+      gainFromNanos = Math.min(gainFromNanos, until);
+      return true;
+    }
     history.addPast(told.targetSteps(), stepsAgo);
     workFromNanos = nowNanos;
     experience.trustWarmTarget(holding.slots());
--- a/sageladder-entry/src/test/java/org/sageladder/entry/gates/GateTableTest.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/gates/GateTableTest.java
@@ -89,6 +89,25 @@
     assertCapKept();
   }
 
+  // Three entry VMs of a zone start one after the other, and a target that somebody may have used
+  // goes from hand to hand. Each began a wait of a whole window anew: the first seconds of a fresh
+  // zone, or of each rolling restart, were refused.
+  @Test
+  void waitsOfSeveralMovesDoNotAddUp() {
+    first.follow(view(1, "vm-0"));
+    first.follow(view(2, ""));
+    first.follow(view(3, "vm-1"));
+    second.follow(view(3, "vm-1"));
+    time.advance(HALF_WAY);
+    all(view(4, ""));
+    all(view(5, "vm-2"));
+    assertEquals(1, sent.size());
+    second.learn(5, sent.get(0));
+    time.advance(HALF_WAY.plusSeconds(1));
+    flood(Duration.ofSeconds(1), second);
+    assertTrue(total() > 0, "the wait of the first gate is over: " + perStep);
+  }
+
   // The message overtakes the view that names the new holder. Thrown away it would cost a window.
   @Test
   void historyThatOvertakesTheViewIsKept() {
