Bench at-most-once: bidders come back when told; refusals are listed by result

Change: a bidder waits as told, a second at most; the report lists why permits ended without a run. The aim is unchanged.

--- a/sageladder-bench/src/main/java/org/sageladder/bench/atmostonce/AtMostOnceMain.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/atmostonce/AtMostOnceMain.java
@@ -111,6 +111,7 @@
             + ledger.count(Ledger.Told.NOT_RUN)
             + ", unknown to the end "
             + ledger.count(Ledger.Told.UNKNOWN));
+    System.out.println("refusals of the bidders' own copies: " + ledger.refusals());
     System.out.println("executions at targets: " + runs.values().stream().mapToInt(n -> n).sum());
     System.out.println("permits run more than once: " + twice);
     System.out.println("told not run and found run: " + notRunButRan);
--- a/sageladder-bench/src/main/java/org/sageladder/bench/atmostonce/Bidder.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/atmostonce/Bidder.java
@@ -18,6 +18,7 @@
 final class Bidder {
   private static final Duration DEADLINE = Duration.ofSeconds(3);
   private static final Duration PATIENCE = Duration.ofMillis(400);
+  private static final long LONGEST_PAUSE_MILLIS = 1_000;
   private static final int MOST_COPIES = 12;
   private static final int ANSWER_BYTES = 64;
   private static final double STRAY_SHARE = 0.05;
@@ -48,7 +49,11 @@
       if (!last.notRun()) {
         return;
       }
+      ledger.refused(last.result());
       permit = last.permit();
+      // As docs/CALLERS.md asks: who comes back sooner than told is refused again, and gives up on
+      // a bid that would have run.
+      Thread.sleep(Math.min(last.retryAfterMillis(), LONGEST_PAUSE_MILLIS));
     }
   }
 
--- a/sageladder-bench/src/main/java/org/sageladder/bench/atmostonce/Ledger.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/atmostonce/Ledger.java
@@ -1,6 +1,7 @@
 package org.sageladder.bench.atmostonce;
 
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
 
@@ -14,6 +15,7 @@
   }
 
   private final Map<String, Told> byKey = new ConcurrentHashMap<>();
+  private final Map<String, Integer> refusals = new ConcurrentHashMap<>();
   private final LongAdder contradictions = new LongAdder();
   private final LongAdder wrongAnswers = new LongAdder();
 
@@ -33,6 +35,16 @@
         });
   }
 
+  /** Notes why a permit ended without a run. */
+  void refused(String result) {
+    refusals.merge(result, 1, Integer::sum);
+  }
+
+  /** Refusals by result. */
+  Map<String, Integer> refusals() {
+    return new TreeMap<>(refusals);
+  }
+
   void wrongAnswer() {
     wrongAnswers.increment();
   }
--- a/sageladder-bench/src/main/java/org/sageladder/bench/process/Reply.java
+++ b/sageladder-bench/src/main/java/org/sageladder/bench/process/Reply.java
@@ -12,15 +12,16 @@
     String permit,
     byte[] body,
     long checksum,
-    boolean lookUpAgain) {
+    boolean lookUpAgain,
+    long retryAfterMillis) {
   /** No connection could be made, so nothing was sent. */
-  public static final Reply REFUSED = new Reply(0, "refused", "", "", new byte[0], -1, false);
+  public static final Reply REFUSED = new Reply(0, "refused", "", "", new byte[0], -1, false, 0);
 
   /** The caller's patience ended first. */
-  public static final Reply TIMEOUT = new Reply(0, "timeout", "", "", new byte[0], -1, false);
+  public static final Reply TIMEOUT = new Reply(0, "timeout", "", "", new byte[0], -1, false, 0);
 
   /** The connection ended before the answer was whole. */
-  public static final Reply CUT = new Reply(0, "cut", "", "", new byte[0], -1, false);
+  public static final Reply CUT = new Reply(0, "cut", "", "", new byte[0], -1, false, 0);
 
   static Reply of(HttpResponse<byte[]> response) {
     return new Reply(
@@ -30,7 +31,8 @@
         header(response, "Sageladder-Permit"),
         response.body(),
         response.headers().firstValueAsLong("Request-Checksum").orElse(-1),
-        !header(response, "Sageladder-Look-Up-Again").isEmpty());
+        !header(response, "Sageladder-Look-Up-Again").isEmpty(),
+        response.headers().firstValueAsLong("Sageladder-Retry-After-Millis").orElse(0));
   }
 
   private static String header(HttpResponse<byte[]> response, String name) {
