HTTP: one observer of connections in place of three empty ones

Cause: three classes implemented the library's seven-method listener of connections for one or two of its methods (found by reading the whole change for what stands twice). Behaviour as before: HttpListenerTest, TargetServerTest, SageladderClientTest, HttpStoreTest pass.

--- a/sageladder-entry/src/main/java/org/sageladder/entry/http/OpenConnections.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/http/OpenConnections.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOSession;
-import org.apache.hc.core5.reactor.IOSessionListener;
+import org.sageladder.http.SessionObserver;
 
 /**
  * Counts the connections of one port and closes those beyond the limit.
@@ -13,7 +13,7 @@
  * process, and then neither targets nor peers can be reached. A connection beyond the limit is
  * closed before anything was read from it, so its caller may go to another entry VM at once.
  */
-final class OpenConnections implements IOSessionListener {
+final class OpenConnections extends SessionObserver {
   private final int most;
   private final AtomicInteger open = new AtomicInteger();
   private final AtomicLong refused = new AtomicLong();
@@ -42,19 +42,4 @@
   public void disconnected(IOSession session) {
     open.decrementAndGet();
   }
-
-  @Override
-  public void startTls(IOSession session) {}
-
-  @Override
-  public void inputReady(IOSession session) {}
-
-  @Override
-  public void outputReady(IOSession session) {}
-
-  @Override
-  public void timeout(IOSession session) {}
-
-  @Override
-  public void exception(IOSession session, Exception cause) {}
 }
--- a/sageladder-http/src/main/java/org/sageladder/http/Connector.java
+++ b/sageladder-http/src/main/java/org/sageladder/http/Connector.java
@@ -21,7 +21,6 @@
 import org.apache.hc.core5.pool.PoolConcurrencyPolicy;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.IOSession;
-import org.apache.hc.core5.reactor.IOSessionListener;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
 
@@ -98,29 +97,11 @@
    * each later silence, so a target that works for longer than that, or a watch that waits, is cut
    * off as lost. The deadline of the request ends a wait that is too long.
    */
-  private static final class NoSilenceLimit implements IOSessionListener {
+  private static final class NoSilenceLimit extends SessionObserver {
     @Override
     public void connected(IOSession session) {
       session.setSocketTimeout(Timeout.DISABLED);
     }
-
-    @Override
-    public void startTls(IOSession session) {}
-
-    @Override
-    public void inputReady(IOSession session) {}
-
-    @Override
-    public void outputReady(IOSession session) {}
-
-    @Override
-    public void timeout(IOSession session) {}
-
-    @Override
-    public void exception(IOSession session, Exception cause) {}
-
-    @Override
-    public void disconnected(IOSession session) {}
   }
 
   /** Begins to lease a connection and tells {@code whenDone}; pooled ones may have been closed. */
--- a/sageladder-standin/src/main/java/org/sageladder/standin/http/ConnectionTable.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/http/ConnectionTable.java
@@ -9,14 +9,14 @@
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOSession;
-import org.apache.hc.core5.reactor.IOSessionListener;
+import org.sageladder.http.SessionObserver;
 
 /**
  * Open connections by the caller's address, so that a fault can cut the one that a request came on.
  *
  * <p>Safe for use by several threads.
  */
-public final class ConnectionTable implements IOSessionListener {
+public final class ConnectionTable extends SessionObserver {
   private final Map<SocketAddress, IOSession> open = new ConcurrentHashMap<>();
   private final Consumer<SocketAddress> onClosed;
 
@@ -61,21 +61,6 @@
     open.put(session.getRemoteAddress(), session);
   }
 
-  @Override
-  public void startTls(IOSession session) {}
-
-  @Override
-  public void inputReady(IOSession session) {}
-
-  @Override
-  public void outputReady(IOSession session) {}
-
-  @Override
-  public void timeout(IOSession session) {}
-
-  @Override
-  public void exception(IOSession session, Exception failure) {}
-
   @Override
   public void disconnected(IOSession session) {
     SocketAddress peer = session.getRemoteAddress();
