Entry: an answer that is about to be written is not cut off as idle

Cause: HttpListenerTest failed once in a whole run of the suite ("closed after ''"): an answer given after a long wait counts as given before its first byte is written, and the look for idle connections in that moment found that nothing had moved for long and nobody waited. A caller whose export waits longer than callerLimits.idle could be cut off so. Ruled out: the request not being counted as waiting (it was, until the answer was handed over), and the machine's load, which only makes the moment longer. Change: the idle time begins anew with the last look at which an answer was awaited.

--- a/sageladder-entry/src/main/java/org/sageladder/entry/http/IdleHandler.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/http/IdleHandler.java
@@ -20,6 +20,9 @@
 final class IdleHandler implements IOEventHandler {
   private final IOEventHandler handler;
 
+  /** Last look at which an answer was awaited, or the beginning. Used by one I/O thread alone. */
+  private long awaitedNanos = System.nanoTime();
+
   private IdleHandler(IOEventHandler handler) {
     this.handler = handler;
   }
@@ -29,9 +32,19 @@
     return (session, attachment) -> new IdleHandler(factory.createHandler(session, attachment));
   }
 
+  /**
+   * Called at short intervals once nothing has moved for {@code timeout}.
+   *
+   * <p>Failure guarded against: an answer that comes after a long wait counts as given before its
+   * first byte is written. Closed in that moment, the caller would see a cut connection in place of
+   * it. So the time begins anew with the last look at which an answer was awaited.
+   */
   @Override
   public void timeout(IOSession session, Timeout timeout) {
-    if (!awaitsAnswer()) {
+    long now = System.nanoTime();
+    if (awaitsAnswer()) {
+      awaitedNanos = now;
+    } else if (now - awaitedNanos > timeout.toNanoseconds()) {
       // The library would reset it, and a caller that sends at this moment could not tell why.
       session.close(CloseMode.GRACEFUL);
     }
