Entry: also an answer that comes at the very first look for idle connections is written

Cause: the change before noted that an answer was awaited only when a look found it so. Change: a look that finds more answers given than the last one starts the idle time anew.

--- a/sageladder-entry/src/main/java/org/sageladder/entry/http/IdleHandler.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/http/IdleHandler.java
@@ -20,8 +20,9 @@
 final class IdleHandler implements IOEventHandler {
   private final IOEventHandler handler;
 
-  /** Last look at which an answer was awaited, or the beginning. Used by one I/O thread alone. */
-  private long awaitedNanos = System.nanoTime();
+  // Both are used by the connection's one I/O thread alone.
+  private long sinceNanos = System.nanoTime();
+  private long answersSeen;
 
   private IdleHandler(IOEventHandler handler) {
     this.handler = handler;
@@ -37,24 +38,22 @@
    *
    * <p>Failure guarded against: an answer that comes after a long wait counts as given before its
    * first byte is written. Closed in that moment, the caller would see a cut connection in place of
-   * it. So the time begins anew with the last look at which an answer was awaited.
+   * it. So the time begins anew with each look that finds an answer awaited, or one given since.
    */
   @Override
   public void timeout(IOSession session, Timeout timeout) {
     long now = System.nanoTime();
-    if (awaitsAnswer()) {
-      awaitedNanos = now;
-    } else if (now - awaitedNanos > timeout.toNanoseconds()) {
+    EndpointDetails details = ((HttpConnection) handler).getEndpointDetails();
+    long answers = details.getResponseCount();
+    if (details.getRequestCount() > answers || answers != answersSeen) {
+      answersSeen = answers;
+      sinceNanos = now;
+    } else if (now - sinceNanos > timeout.toNanoseconds()) {
       // The library would reset it, and a caller that sends at this moment could not tell why.
       session.close(CloseMode.GRACEFUL);
     }
   }
 
-  private boolean awaitsAnswer() {
-    EndpointDetails details = ((HttpConnection) handler).getEndpointDetails();
-    return details.getRequestCount() > details.getResponseCount();
-  }
-
   @Override
   public void connected(IOSession session) throws IOException {
     handler.connected(session);
--- a/sageladder-entry/src/test/java/org/sageladder/entry/http/IdleHandlerTest.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/http/IdleHandlerTest.java
@@ -16,6 +16,7 @@
 /** Which connections count as idle. */
 class IdleHandlerTest {
   private static final Timeout LONG = Timeout.ofMinutes(10);
+  private static final Timeout AT_ONCE = Timeout.ZERO_MILLISECONDS;
 
   private final List<String> closed = new ArrayList<>();
   private long requests;
@@ -30,11 +31,18 @@
         IdleHandler.decorate((session, attachment) -> (IOEventHandler) connection())
             .createHandler(null, null);
     requests = 1;
-    idle.timeout(session(), LONG);
     answers = 1;
+    idle.timeout(session(), AT_ONCE);
+    assertEquals(List.of(), closed, "answered since the last look");
+    requests = 2;
+    idle.timeout(session(), AT_ONCE);
+    assertEquals(List.of(), closed, "waits");
+    answers = 2;
+    idle.timeout(session(), AT_ONCE);
+    assertEquals(List.of(), closed, "answered since the last look");
     idle.timeout(session(), LONG);
-    assertEquals(List.of(), closed);
-    idle.timeout(session(), Timeout.ZERO_MILLISECONDS);
+    assertEquals(List.of(), closed, "not idle for long enough");
+    idle.timeout(session(), AT_ONCE);
     assertEquals(List.of("GRACEFUL"), closed);
   }
 
