Callers' library: only a refusal is taken elsewhere at once; RateHistory loses a method that tests alone used

Ruled out: refusals proper, whose way is unchanged. Change: RetryRules, where the decisions are, says which steps are refusals.

--- a/sageladder-client/src/main/java/org/sageladder/client/RetryRules.java
+++ b/sageladder-client/src/main/java/org/sageladder/client/RetryRules.java
@@ -70,7 +70,15 @@
      * @param uncounted true where sending again is no retry of work: the last try reached nobody,
      *     or the permit has been used, so that sending it again only asks what became of it
      */
-    record Again(Duration pause, boolean uncounted, Answer ifNoTimeIsLeft) implements Step {}
+    record Again(Duration pause, boolean uncounted, Answer ifNoTimeIsLeft) implements Step {
+      /**
+       * True where one entry VM had no room, so that another may have. What runs or may have run is
+       * known at its permit's home alone; asked elsewhere at once, the same home would answer.
+       */
+      boolean isRefusal() {
+        return ifNoTimeIsLeft instanceof Answer.NotRun;
+      }
+    }
 
     /** Get a new permit, then send; the old one is known not to have run. */
     record Renew(Duration pause, Answer ifNoTimeIsLeft) implements Step {}
--- a/sageladder-client/src/main/java/org/sageladder/client/SageladderClient.java
+++ b/sageladder-client/src/main/java/org/sageladder/client/SageladderClient.java
@@ -160,7 +160,8 @@
         if (step instanceof RetryRules.Step.Again again) {
           boolean allowed = again.uncounted() || mayRetry(++retries);
           questions += again.uncounted() ? 1 : 0;
-          Duration pause = goesOnAtOnce(again.pause(), route) ? Duration.ZERO : again.pause();
+          boolean atOnce = again.isRefusal() && goesOnAtOnce(again.pause(), route);
+          Duration pause = atOnce ? Duration.ZERO : again.pause();
           if (!allowed || !pause(pause, retries + questions)) {
             return again.ifNoTimeIsLeft();
           }
@@ -197,7 +198,7 @@
     }
 
     /**
-     * True where the next entry VM of the look-up is asked without waiting.
+     * True where, after a refusal, the next entry VM of the look-up is asked without waiting.
      *
      * <p>When to come back binds for the entry VM that said it; another may have room now. Failure
      * guarded against: a bid waited at a full gate, was told to come back later, and came back to
--- a/sageladder-client/src/test/java/org/sageladder/client/RetryRulesProperties.java
+++ b/sageladder-client/src/test/java/org/sageladder/client/RetryRulesProperties.java
@@ -1,6 +1,7 @@
 package org.sageladder.client;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -191,4 +192,17 @@
     assertInstanceOf(
         Answer.NotRun.class, assertInstanceOf(RetryRules.Step.End.class, step).answer());
   }
+
+  // A bid runs at its permit's home, which says so and when to ask again. Every entry VM passes the
+  // question on to that home, so the next one knows no better: asked at once it spends a question,
+  // and a bid that runs for a while is given up as "asked too often".
+  @Example
+  void onlyARefusalIsTakenElsewhereAtOnce() {
+    RetryRules bid = RetryRules.begin(true, "p-1");
+    RetryRules.Step running = bid.after(said(ResultCode.PERMIT_RUNNING));
+    assertFalse(assertInstanceOf(RetryRules.Step.Again.class, running).isRefusal());
+    RetryRules search = RetryRules.begin(false, "");
+    RetryRules.Step full = search.after(said(ResultCode.QUEUE_FULL));
+    assertTrue(assertInstanceOf(RetryRules.Step.Again.class, full).isRefusal());
+  }
 }
--- a/sageladder-core/src/main/java/org/sageladder/core/limits/RateHistory.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/RateHistory.java
@@ -18,7 +18,8 @@
 final class RateHistory {
   /**
    * Steps in one window. An observer whose windows begin within a step may see the requests of one
-   * step more than the cap: with a tenth of a window these were up to an eighth of the window.
+   * step more than the cap: a fiftieth of a window at an even pace, and the pace of a tenth where a
+   * burst falls into one step.
    */
   static final int STEPS = 50;
 
@@ -138,11 +139,6 @@
     return growths;
   }
 
-  /** Growth of this window over the one before. */
-  int growth() {
-    return recent() - before();
-  }
-
   /** Largest growth of this and the steps to come if nothing more is admitted. */
   int worstGrowth() {
     return worst(growths(), 0);
--- a/sageladder-core/src/test/java/org/sageladder/core/limits/RateHistoryTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/limits/RateHistoryTest.java
@@ -21,7 +21,8 @@
       for (int step = 0; step < RateHistory.STEPS; step++) {
         history.rollTo(((long) (window - 1) * RateHistory.STEPS + step) * STEP);
         fillStep(history);
-        assertTrue(history.growth() <= UNITS, "window " + window + " step " + step);
+        assertTrue(
+            history.recent() - history.before() <= UNITS, "window " + window + " step " + step);
       }
       assertEquals(window * UNITS, history.recent(), "requests of window " + window);
     }
