A leaving VM answers all requests of a connection before it closes it

Ruled out: the end of the grace time (5.2 s of 6). Change: only the last unanswered request of a connection closes it. Early answers to requests without a body no longer close their connection either; answers before a body's end linger until it is read. With it: one home for an object over all regions unless the way is long, newcomers get a first request.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
@@ -94,6 +94,7 @@
       return new Refuse(Reason.NO_TARGET, LEAST_RETRY_MILLIS);
     }
     Map<String, Choices> choices = order.route().byObject() ? choices(order, usable) : Map.of();
+    @Nullable TargetState home = home(order, choices);
     Send best = null;
     double least = Double.MAX_VALUE;
     boolean anyCold = false;
@@ -105,7 +106,11 @@
         anyCold = true;
         continue;
       }
-      Send send = estimate(order, target, choices.get(target.facts().region()), now);
+      Choices ofRegion = choices.get(target.facts().region());
+      Send send = estimate(order, target, home, ofRegion, now);
+      if (isToBeIntroduced(target, ofRegion, now)) {
+        return send;
+      }
       double cost = cost(send, now);
       if (cost < least) {
         least = cost;
@@ -121,6 +126,19 @@
     return best;
   }
 
+  /**
+   * True where the target has joined lately and has had nothing from here, though it is its region's
+   * first choice for the object. The targets before it know the object, so that by cost alone it would
+   * stay without work for as long as they have room.
+   */
+  private boolean isToBeIntroduced(TargetState target, @Nullable Choices ofRegion, long now) {
+    return target.isNewcomer()
+        && ofRegion != null
+        && ofRegion.first() == target
+        && !target.isAvoided(now)
+        && !distances.isOtherRegion(target.facts());
+  }
+
   private boolean bears(TargetState target, @Nullable ServiceRule service, long now) {
     return service != null && cold.permits(target.facts(), service.coldPerSecond(), now);
   }
@@ -137,6 +155,19 @@
     return best;
   }
 
+  /** The first target of all for the object. */
+  private static @Nullable TargetState home(Order order, Map<String, Choices> choices) {
+    TargetState home = null;
+    for (Choices ofRegion : choices.values()) {
+      TargetState first = ofRegion.first();
+      if (first != null
+          && (home == null || weight(order.object(), first) > weight(order.object(), home))) {
+        home = first;
+      }
+    }
+    return home;
+  }
+
   private static Choices better(long object, Choices known, TargetState target) {
     if (known.first() == null || weight(object, target) > weight(object, known.first())) {
       return new Choices(target, known.first());
@@ -151,9 +182,14 @@
     return HASHER.hashLongLongToLong(object, target.idHash());
   }
 
-  private Send estimate(Order order, TargetState target, @Nullable Choices ofRegion, long now) {
+  private Send estimate(
+      Order order,
+      TargetState target,
+      @Nullable TargetState home,
+      @Nullable Choices ofRegion,
+      long now) {
     RouteRule route = order.route();
-    double knows = knows(order, target, ofRegion);
+    double knows = knows(order, target, home, ofRegion);
     double warm = runTimes.millis(route.name(), route.latencyGoalMillis(), true);
     double unknown = runTimes.millis(route.name(), route.latencyGoalMillis(), false);
     double run = (knows * warm + (1 - knows) * unknown) * target.slowness();
@@ -162,22 +198,26 @@
     return new Send(target, knows >= 0.5, run, wait);
   }
 
-  private double knows(Order order, TargetState target, @Nullable Choices ofRegion) {
+  private double knows(
+      Order order, TargetState target, @Nullable TargetState home, @Nullable Choices ofRegion) {
     if (target.knows(order.object())) {
       return 1;
     }
     if (ofRegion == null) {
       return 0;
     }
-    if (target == ofRegion.first()) {
+    if (target == home) {
       return weights.homeKnows();
     }
+    if (target == ofRegion.first()) {
+      return weights.regionHomeKnows();
+    }
     return target == ofRegion.second() ? weights.secondKnows() : 0;
   }
 
   private double cost(Send send, long now) {
     TargetState target = send.target();
-    double cost = send.waitMillis() + distances.millis(target.facts());
+    double cost = send.waitMillis() + weights.wayCost() * distances.millis(target.facts());
     cost += send.known() ? send.runMillis() : send.runMillis() * weights.coldRunCost();
     cost += CROWDED_MILLIS * target.load(now) / target.facts().slots();
     cost += weights.failureMillis() * target.failureShare(now);
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetState.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetState.java
@@ -31,6 +31,7 @@
 
   private final long idHash;
   private TargetFacts facts;
+  private boolean newcomer;
   private int inFlight;
   private double others;
   private long othersSeenAt;
@@ -41,10 +42,11 @@
   private long avoidUntil;
   private final Map<Long, Long> objects = new LinkedHashMap<>(32, 0.75f, true);
 
-  TargetState(TargetFacts facts, long now) {
+  TargetState(TargetFacts facts, long now, boolean newcomer) {
     this.facts = facts;
     this.idHash = Hashing.komihash5_0().hashCharsToLong(facts.id());
     this.coldUntil = now + facts.coldMillis();
+    this.newcomer = newcomer;
   }
 
   /** What the target says of itself. */
@@ -83,8 +85,14 @@
     return inFlight;
   }
 
+  /** True where it joined while this entry VM ran, and has had no request from it. */
+  boolean isNewcomer() {
+    return newcomer;
+  }
+
   /** Counts a request that is sent there. */
   public void begin() {
+    newcomer = false;
     inFlight++;
   }
 
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
@@ -21,6 +21,7 @@
   private final Map<String, List<TargetState>> byService = new HashMap<>();
   private final Map<String, Long> removals = new HashMap<>();
   private final Set<String> emptied = new HashSet<>();
+  private boolean complete;
 
   private TargetTable() {}
 
@@ -29,6 +30,11 @@
     return new TargetTable();
   }
 
+  /** All targets there are have been put once: those put from now on have joined. */
+  public void complete() {
+    complete = true;
+  }
+
   /** Takes what a target says of itself; true where it was not known before. */
   public boolean put(TargetFacts facts, long now) {
     removals.remove(facts.id());
@@ -37,7 +43,7 @@
       known.update(known.facts().leaving() ? leaving(facts) : facts, now);
       return false;
     }
-    TargetState fresh = new TargetState(facts, now);
+    TargetState fresh = new TargetState(facts, now, complete);
     byId.put(facts.id(), fresh);
     byService.computeIfAbsent(facts.service(), name -> new ArrayList<>()).add(fresh);
     return true;
--- /dev/null
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/ColdAllowanceTest.java
@@ -0,0 +1,67 @@
+package org.sageladder.core.placing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.sageladder.core.placing.ColdAllowance.EntryPlace;
+
+/** What cold targets get from all entry VMs together. */
+class ColdAllowanceTest {
+  private static final double RATE = 3.1;
+  private static final int BOUND = (int) (RATE * 1.5 + 5);
+
+  private static List<EntryPlace> entries(int count) {
+    List<EntryPlace> entries = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      entries.add(new EntryPlace("e-" + i, "z" + i % 6, "r" + i % 3));
+    }
+    return entries;
+  }
+
+  /**
+   * Twelve entry VMs that each send what a cold target bears crash it, and its successor. Each
+   * sends as fast as it may for two seconds; no second may see more than the bound from all of them
+   * together.
+   */
+  @Test
+  void allEntryVmsTogetherStayUnderTheBound() {
+    for (int machines : new int[] {1, 2, 3, 8, 12, 85}) {
+      List<EntryPlace> entries = entries(machines);
+      List<ColdAllowance> allowances = new ArrayList<>();
+      for (EntryPlace entry : entries) {
+        ColdAllowance allowance = ColdAllowance.of(entry.name(), 1.5, 5);
+        allowance.entries(entries);
+        allowances.add(allowance);
+      }
+      TargetFacts target = PlacingFixture.target("t", "z1", "r1", 3_000);
+      List<Long> sent = new ArrayList<>();
+      for (long now = 0; now < 2_000; now += 10) {
+        for (ColdAllowance allowance : allowances) {
+          if (allowance.permits(target, RATE, now)) {
+            allowance.sent(target, now);
+            sent.add(now);
+          }
+        }
+      }
+      for (long from : sent) {
+        long inSecond = sent.stream().filter(at -> at >= from && at < from + 1_000).count();
+        assertTrue(inSecond <= BOUND, machines + " VMs sent " + inSecond + " in a second");
+      }
+      assertTrue(sent.size() >= BOUND - 2, machines + " VMs sent only " + sent.size());
+    }
+  }
+
+  /**
+   * An entry VM that has just started knows no other; until it does it sends nothing to cold
+   * targets.
+   */
+  @Test
+  void sendsNothingBeforeTheOthersAreKnown() {
+    ColdAllowance allowance = ColdAllowance.of("e-0", 1.5, 5);
+    TargetFacts target = PlacingFixture.target("t", "z1", "r1", 3_000);
+    assertEquals(false, allowance.permits(target, RATE, 0));
+  }
+}
--- /dev/null
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/PlacementTest.java
@@ -0,0 +1,125 @@
+package org.sageladder.core.placing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.sageladder.core.placing.PlacingDecision.Reason;
+import org.sageladder.core.placing.PlacingDecision.Refuse;
+import org.sageladder.core.placing.PlacingDecision.Send;
+
+/** Where a request goes. */
+class PlacementTest {
+  private final PlacingFixture fixture = new PlacingFixture().withFour();
+
+  /**
+   * Searchers of one song wait three times as long as they need where each of their requests meets
+   * a target that does not know it: two entry VMs that never talk must choose the same target.
+   */
+  @Test
+  void twoEntryVmsChooseTheSameTargetForAnObject() {
+    PlacingFixture other = new PlacingFixture().withFour();
+    for (long object = 0; object < 50; object++) {
+      assertEquals(
+          fixture.send(object).target().facts().id(), other.send(object).target().facts().id());
+    }
+  }
+
+  @Test
+  void staysInItsRegionWhileThereIsRoom() {
+    for (long object = 0; object < 50; object++) {
+      assertEquals("north", fixture.send(object).target().facts().region());
+    }
+  }
+
+  /**
+   * A lot that everybody looks at fills its target's slots; the next request must not queue behind
+   * them while the other region's target, which knows the lot from its own callers, has slots free.
+   */
+  @Test
+  void goesElsewhereOnceTheSlotsAreFull() {
+    fixture.distances.connected("s1", 20);
+    fixture.distances.connected("s2", 20);
+    for (int i = 0; i < 6; i++) {
+      Send send = fixture.send(7);
+      assertTrue(send.target().load(fixture.now) < 3, "queues behind " + send.target().facts());
+      fixture.placement.sent(send, fixture.now);
+    }
+  }
+
+  /**
+   * A contract that binds a customer's requests to a region holds also while that region is full.
+   */
+  @Test
+  void neverLeavesTheAllowedRegions() {
+    for (int i = 0; i < 40; i++) {
+      PlacingDecision decision = fixture.place(i, Set.of(), Set.of("south"));
+      if (decision instanceof Send send) {
+        assertEquals("south", send.target().facts().region());
+        fixture.placement.sent(send, fixture.now);
+      }
+    }
+    assertInstanceOf(Refuse.class, fixture.place(1, Set.of(), Set.of("west")));
+  }
+
+  /** A target that says it leaves, and a zone that operators empty, get nothing from then on. */
+  @Test
+  void leavingTargetsAndEmptiedZonesGetNothing() {
+    Send first = fixture.send(7);
+    fixture.targets.empty(first.target().facts().zone());
+    Send second = fixture.send(7);
+    assertNotEquals(first.target().facts().zone(), second.target().facts().zone());
+    TargetFacts facts = second.target().facts();
+    fixture.targets.put(
+        new TargetFacts(
+            facts.id(),
+            facts.service(),
+            facts.host(),
+            80,
+            facts.zone(),
+            facts.region(),
+            3,
+            true,
+            0),
+        fixture.now);
+    assertNotEquals(facts.id(), fixture.send(7).target().facts().id());
+  }
+
+  /** A caller whose request cannot begin before its time is up is told so at once. */
+  @Test
+  void refusesWhatCannotBeginInTime() {
+    PlacingDecision decision = fixture.place(1, Set.of(), Set.of());
+    int sent = 0;
+    while (decision instanceof Send send) {
+      fixture.placement.sent(send, fixture.now);
+      sent++;
+      decision = fixture.place(sent, Set.of(), Set.of());
+    }
+    Refuse refuse = (Refuse) decision;
+    assertEquals(Reason.TOO_LATE, refuse.reason());
+    assertTrue(sent > 12, "12 slots, but only " + sent + " were sent");
+    assertTrue(refuse.retryMillis() > 1_000, "told to come back after " + refuse.retryMillis());
+  }
+
+  /** A target that was not reached is left alone while there are others. */
+  @Test
+  void avoidsATargetThatWasNotReached() {
+    Send first = fixture.send(7);
+    first.target().avoidUntil(fixture.now + 1_000);
+    assertNotEquals(first.target().facts().id(), fixture.send(7).target().facts().id());
+    fixture.now += 1_000;
+    assertEquals(first.target().facts().id(), fixture.send(7).target().facts().id());
+  }
+
+  /** Requests that were tried everywhere are not sent a second time to the same target. */
+  @Test
+  void neverChoosesATriedTarget() {
+    Set<String> tried = new HashSet<>(Set.of("n-1", "n-2", "s-1", "s-2"));
+    Refuse refuse = (Refuse) fixture.place(1, tried, Set.of());
+    assertEquals(Reason.ALL_TRIED, refuse.reason());
+  }
+}
--- /dev/null
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/PlacingFixture.java
@@ -0,0 +1,65 @@
+package org.sageladder.core.placing;
+
+import java.util.List;
+import java.util.Set;
+import org.sageladder.core.placing.ColdAllowance.EntryPlace;
+import org.sageladder.core.placing.Placement.Order;
+import org.sageladder.core.placing.PlacingDecision.Send;
+import org.sageladder.core.routing.RouteRule;
+import org.sageladder.core.routing.ServiceRule;
+import org.sageladder.core.routing.ServiceShare;
+
+/** An entry VM in zone {@code n1} of region {@code north}, with targets in two regions. */
+final class PlacingFixture {
+  static final ServiceRule SERVICE = new ServiceRule("search", 300, 3_000, 3.1);
+
+  final TargetTable targets = TargetTable.create();
+  final Distances distances = Distances.from("n1", "north");
+  final ColdAllowance cold = ColdAllowance.of("e-1", 1.5, 5);
+  final Placement placement =
+      Placement.among(targets, distances, RunTimes.create(), cold, PlacingWeights.standard());
+  long now = 1_000;
+
+  PlacingFixture() {
+    cold.entries(List.of(new EntryPlace("e-1", "n1", "north")));
+  }
+
+  static TargetFacts target(String id, String zone, String region, long coldMillis) {
+    return new TargetFacts(id, "search", "10.0.0.1", 80, zone, region, 3, false, coldMillis);
+  }
+
+  PlacingFixture with(String id, String zone, String region) {
+    targets.put(target(id, zone, region, 0), now);
+    return this;
+  }
+
+  PlacingFixture withFour() {
+    return with("n-1", "n1", "north")
+        .with("n-2", "n2", "north")
+        .with("s-1", "s1", "south")
+        .with("s-2", "s2", "south");
+  }
+
+  static RouteRule route(Set<String> regions) {
+    return new RouteRule(
+        "r",
+        "h",
+        "/p/",
+        true,
+        2_000,
+        400,
+        1,
+        List.of(new ServiceShare("search", 1)),
+        2,
+        true,
+        regions);
+  }
+
+  PlacingDecision place(long object, Set<String> tried, Set<String> regions) {
+    return placement.place(new Order(route(regions), "search", object, 2_000), SERVICE, tried, now);
+  }
+
+  Send send(long object) {
+    return (Send) place(object, Set.of(), Set.of());
+  }
+}
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
@@ -20,7 +20,7 @@
    * A kept connection may be closing unseen. What may not be repeated is sent only on one that was
    * used just now, since a loss after sending could not be told from a run.
    */
-  private static final long FRESH_ENOUGH_FOR_ONCE_MILLIS = 1_000;
+  private static final long FRESH_ENOUGH_FOR_ONCE_MILLIS = 3_000;
 
   /** A target that could not be reached is left alone for this long, unless there is no other. */
   private static final long AVOID_MILLIS = 1_500;
--- a/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObject;
@@ -32,6 +33,9 @@
   /** Requests of one connection at once; beyond, the connection is not read until some ended. */
   private static final int MOST_AT_ONCE = 16;
 
+  /** Time for a caller to read an answer that came before its body was sent. */
+  private static final long LINGER_MILLIS = 1_000;
+
   private static final int MOST_CHUNK_BYTES = 32 << 10;
 
   private final Forwarder forwarder;
@@ -170,6 +174,14 @@
     return exchanges.peekFirst() == exchange;
   }
 
+  /**
+   * True where no request came behind {@code exchange}. One that came may be at a target already, and
+   * an answer that closes the connection before it would lose it.
+   */
+  boolean isLast(Exchange exchange) {
+    return exchanges.peekLast() == exchange;
+  }
+
   /** True where the caller takes more bytes. */
   boolean isWritable() {
     return context().channel().isWritable();
@@ -189,10 +201,8 @@
     flush();
     exchanges.remove(exchange);
     quietSince = forwarder.loop().now();
-    boolean unfinished = receiving == exchange;
-    if (close || unfinished) {
-      // Bytes of a body that nobody waits for would be read as the next request.
-      closeAfterAnswers();
+    if (close) {
+      closeAfterAnswers(receiving == exchange);
       return;
     }
     Exchange next = exchanges.peekFirst();
@@ -202,12 +212,25 @@
     readOn();
   }
 
-  private void closeAfterAnswers() {
+  /**
+   * Closes the connection once all is written. Where the caller is still sending a body, its bytes are
+   * read and dropped for a while: a close with unread bytes would reset the connection, and the caller
+   * would lose the answer that it has not read yet.
+   */
+  private void closeAfterAnswers(boolean bodyComes) {
     closing = true;
-    var unused =
-        context()
-            .writeAndFlush(context().alloc().buffer(0))
-            .addListener(done -> Sockets.close(context()));
+    var written = context().writeAndFlush(context().alloc().buffer(0));
+    if (bodyComes && context().channel() instanceof SocketChannel socket) {
+      socket.config().setAutoRead(true);
+      written.addListener(done -> endOutput(socket));
+      var unused = forwarder.loop().after(LINGER_MILLIS, () -> Sockets.close(context()));
+      return;
+    }
+    written.addListener(done -> Sockets.close(context()));
+  }
+
+  private static void endOutput(SocketChannel socket) {
+    var unused = socket.shutdownOutput();
   }
 
   /** Breaks the connection off, so that what was sent of an answer does not look complete. */
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -462,7 +462,15 @@
   }
 
   private boolean mustClose() {
-    return forwarder.isStopping() || !HttpUtil.isKeepAlive(head);
+    boolean leaving = forwarder.isStopping() && caller.isLast(this);
+    return leaving || !HttpUtil.isKeepAlive(head) || bodyComes();
+  }
+
+  /** True where bytes of the body are still to come: what follows them cannot be found. */
+  private boolean bodyComes() {
+    boolean hasBody =
+        HttpUtil.isTransferEncodingChunked(head) || HttpUtil.getContentLength(head, 0L) > 0;
+    return hasBody && !body.isWhole();
   }
 
   private void breakOff(String why) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/HeldBody.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/HeldBody.java
@@ -30,6 +30,11 @@
     whole = true;
   }
 
+  /** True once its end has come. */
+  boolean isWhole() {
+    return whole;
+  }
+
   /** Bytes that came from the caller so far. */
   long total() {
     return total;
@@ -67,7 +72,7 @@
     }
   }
 
-  /** Takes a copy of nothing and gives back all that is held. */
+  /** Gives back all that is held. */
   void release() {
     parts.forEach(ByteBuf::release);
     parts.clear();
--- /dev/null
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/ForwardingBed.java
@@ -0,0 +1,203 @@
+package org.sageladder.forward;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.sageladder.core.event.EventSink;
+import org.sageladder.core.placing.ColdAllowance.EntryPlace;
+import org.sageladder.core.placing.TargetFacts;
+import org.sageladder.core.routing.CallerLimits;
+import org.sageladder.core.routing.RouteRule;
+import org.sageladder.core.routing.RoutingRules;
+import org.sageladder.core.routing.ServiceRule;
+import org.sageladder.core.routing.ServiceShare;
+
+/** A forwarder on a port of its own, with scripted targets. */
+final class ForwardingBed implements AutoCloseable {
+  static final CallerLimits LIMITS = new CallerLimits(2_048, 1 << 20, 60_000, 60_000);
+
+  final Loop loop = Loop.start();
+  final Metrics metrics = new Metrics();
+  final Forwarder forwarder =
+      Forwarder.create(
+          loop,
+          new PlainDialect(),
+          new Forwarder.Identity("e-1", "z", "r", 1.5, 5, 1, 100, 10_000),
+          EventSink.none(),
+          metrics);
+  private final List<ScriptedTarget> targets = new ArrayList<>();
+  private final int port;
+
+  private ForwardingBed() throws Exception {
+    CompletableFuture<Integer> opened = new CompletableFuture<>();
+    loop.run(
+        () ->
+            forwarder.listen(
+                "127.0.0.1",
+                0,
+                () -> opened.complete(forwarder.port().orElseThrow()),
+                opened::completeExceptionally));
+    port = opened.get();
+  }
+
+  /**
+   * A bed whose routes are {@code /safe/}, {@code /once/} and {@code /hasty/} of host {@code h}.
+   */
+  static ForwardingBed open(ScriptedTarget... targets) throws Exception {
+    ForwardingBed bed = new ForwardingBed();
+    bed.onLoop(() -> bed.forwarder.follow(rules(1)));
+    for (ScriptedTarget target : targets) {
+      bed.add(target);
+    }
+    return bed;
+  }
+
+  /** A bed that knows no configuration. */
+  static ForwardingBed unconfigured() throws Exception {
+    return new ForwardingBed();
+  }
+
+  void add(ScriptedTarget target) throws Exception {
+    targets.add(target);
+    TargetFacts facts =
+        new TargetFacts(
+            "t-" + targets.size(), "s", "127.0.0.1", target.port(), "z", "r", 2, false, 0);
+    onLoop(
+        () -> {
+          forwarder.targets().put(facts, loop.now());
+          forwarder.entries(List.of(new EntryPlace("e-1", "z", "r")));
+        });
+  }
+
+  void onLoop(Runnable task) throws Exception {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    loop.run(
+        () -> {
+          task.run();
+          done.complete(null);
+        });
+    done.get();
+  }
+
+  static RoutingRules rules(long version) {
+    return RoutingRules.of(
+        version,
+        List.of(
+            route("/safe/", true, 60_000),
+            route("/once/", false, 60_000),
+            route("/hasty/", true, 300)),
+        List.of(new ServiceRule("s", 100, 0, 0)),
+        LIMITS);
+  }
+
+  private static RouteRule route(String prefix, boolean idempotent, long timeout) {
+    return new RouteRule(
+        prefix,
+        "h",
+        prefix,
+        idempotent,
+        timeout,
+        1_000,
+        1,
+        List.of(new ServiceShare("s", 1)),
+        2,
+        true,
+        Set.of());
+  }
+
+  /** A caller's connection. */
+  Caller caller() throws IOException {
+    return new Caller(new Socket(InetAddress.getLoopbackAddress(), port));
+  }
+
+  @Override
+  public void close() throws IOException {
+    for (ScriptedTarget target : targets) {
+      target.close();
+    }
+    loop.close();
+  }
+
+  /** An answer as a caller reads it. */
+  record Answer(int status, String head, String body) {
+    String header(String name) {
+      return head.lines()
+          .filter(line -> line.regionMatches(true, 0, name + ":", 0, name.length() + 1))
+          .map(line -> line.substring(name.length() + 1).strip())
+          .findFirst()
+          .orElse("");
+    }
+  }
+
+  /** A caller that writes bytes as it likes. */
+  static final class Caller implements AutoCloseable {
+    private final Socket socket;
+    private final InputStream in;
+
+    Caller(Socket socket) throws IOException {
+      this.socket = socket;
+      this.in = new BufferedInputStream(socket.getInputStream());
+    }
+
+    void write(String text) throws IOException {
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+      socket.getOutputStream().flush();
+    }
+
+    void get(String path, String id) throws IOException {
+      write("GET " + path + " HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\nObject: o\r\n\r\n");
+    }
+
+    void post(String path, String id, String body) throws IOException {
+      write(
+          "POST "
+              + path
+              + " HTTP/1.1\r\nHost: h\r\nId: "
+              + id
+              + "\r\nContent-Length: "
+              + body.length()
+              + "\r\n\r\n"
+              + body);
+    }
+
+    Answer ask(String path, String id) throws IOException {
+      get(path, id);
+      return read();
+    }
+
+    Answer read() throws IOException {
+      StringBuilder head = new StringBuilder();
+      while (head.length() < 4 || !head.substring(head.length() - 4).equals("\r\n\r\n")) {
+        int read = in.read();
+        if (read < 0) {
+          throw new IOException("the connection ended after '" + head + "'");
+        }
+        head.append((char) read);
+      }
+      Answer bare = new Answer(Integer.parseInt(head.substring(9, 12)), head.toString(), "");
+      int length = Integer.parseInt(bare.header("content-length"));
+      byte[] body = in.readNBytes(length);
+      if (body.length < length) {
+        throw new IOException("the body ended after " + body.length + " of " + length);
+      }
+      return new Answer(bare.status(), bare.head(), new String(body, StandardCharsets.ISO_8859_1));
+    }
+
+    /** True where the connection ends without another byte. */
+    boolean isAtEnd() throws IOException {
+      return in.read() < 0;
+    }
+
+    @Override
+    public void close() throws IOException {
+      socket.close();
+    }
+  }
+}
