--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
@@ -88,7 +88,7 @@
    */
   public PlacingDecision place(
       Order order, @Nullable ServiceRule service, Set<String> tried, long now) {
-    List<TargetState> usable = targets.usable(order.service());
+    List<TargetState> usable = targets.usable(order.service(), now);
     usable.removeIf(target -> !order.route().allows(target.facts().region()));
     if (usable.isEmpty()) {
       return new Refuse(Reason.NO_TARGET, LEAST_RETRY_MILLIS);
@@ -127,9 +127,9 @@
   }
 
   /**
-   * True where the target has joined lately and has had nothing from here, though it is its region's
-   * first choice for the object. The targets before it know the object, so that by cost alone it would
-   * stay without work for as long as they have room.
+   * True where the target has joined lately and has had nothing from here, though it is its
+   * region's first choice for the object. The targets before it know the object, so that by cost
+   * alone it would stay without work for as long as they have room.
    */
   private boolean isToBeIntroduced(TargetState target, @Nullable Choices ofRegion, long now) {
     return target.isNewcomer()
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/PlacingWeights.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/PlacingWeights.java
@@ -8,8 +8,8 @@
  * @param secondKnows the same for the second choice of each region
  * @param coldRunCost how often a run of an unknown object counts: it holds a slot that others wait
  *     for, besides taking longer itself
- * @param wayCost how often the way to a target and back counts: it comes on top of every run, and the
- *     time between a run and the latency goal is short
+ * @param wayCost how often the way to a target and back counts: it comes on top of every run, and
+ *     the time between a run and the latency goal is short
  * @param otherZoneMillis what the bytes to another zone are worth, in waiting
  * @param otherRegionMillis what the bytes to another region are worth, in waiting
  * @param failureMillis waiting that a share of failures of 1 counts as
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
@@ -133,16 +133,18 @@
     return byId.size();
   }
 
-  /** True where new work may go to {@code target}. */
-  public boolean takesWork(TargetState target) {
-    return !target.facts().leaving() && !emptied.contains(target.facts().zone());
+  /** True where new work may go to {@code target}; a removal counts from its very moment. */
+  public boolean takesWork(TargetState target, long now) {
+    Long removal = removals.get(target.facts().id());
+    boolean removed = removal != null && removal <= now;
+    return !removed && !target.facts().leaving() && !emptied.contains(target.facts().zone());
   }
 
   /** The targets of a service that new work may go to. */
-  public List<TargetState> usable(String service) {
+  public List<TargetState> usable(String service, long now) {
     List<TargetState> usable = new ArrayList<>();
     for (TargetState target : byService.getOrDefault(service, List.of())) {
-      if (takesWork(target)) {
+      if (takesWork(target, now)) {
         usable.add(target);
       }
     }
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/TargetTableTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/TargetTableTest.java
@@ -26,6 +26,17 @@
     assertEquals(3, fixture.targets.size());
   }
 
+  /**
+   * A target that leaves got a request 2,533 ms after the store had said so, 33 ms too late: its
+   * removal was carried out at the next sweep, up to a quarter of a second after its time.
+   */
+  @Test
+  void aRemovalCountsFromItsMoment() {
+    fixture.targets.removeAt("n-1", 3_000);
+    assertEquals(4, fixture.targets.usable("search", 2_999).size());
+    assertEquals(3, fixture.targets.usable("search", 3_000).size());
+  }
+
   /** A heartbeat that was sent before the target said it leaves comes late: it is leaving still. */
   @Test
   void aLeavingTargetStaysSo() {
@@ -33,7 +44,7 @@
     fixture.targets.put(
         new TargetFacts("n-1", "search", "10.0.0.1", 80, "n1", "north", 3, true, 0), 1);
     fixture.targets.put(ready, 2);
-    assertFalse(fixture.targets.takesWork(fixture.targets.find("n-1").orElseThrow()));
+    assertFalse(fixture.targets.takesWork(fixture.targets.find("n-1").orElseThrow(), 3));
   }
 
   /**
--- a/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
@@ -175,8 +175,8 @@
   }
 
   /**
-   * True where no request came behind {@code exchange}. One that came may be at a target already, and
-   * an answer that closes the connection before it would lose it.
+   * True where no request came behind {@code exchange}. One that came may be at a target already,
+   * and an answer that closes the connection before it would lose it.
    */
   boolean isLast(Exchange exchange) {
     return exchanges.peekLast() == exchange;
@@ -213,9 +213,9 @@
   }
 
   /**
-   * Closes the connection once all is written. Where the caller is still sending a body, its bytes are
-   * read and dropped for a while: a close with unread bytes would reset the connection, and the caller
-   * would lose the answer that it has not read yet.
+   * Closes the connection once all is written. Where the caller is still sending a body, its bytes
+   * are read and dropped for a while: a close with unread bytes would reset the connection, and the
+   * caller would lose the answer that it has not read yet.
    */
   private void closeAfterAnswers(boolean bodyComes) {
     closing = true;
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -53,6 +53,9 @@
   /** Wait for a configuration: an entry VM that has started knows one within about this time. */
   private static final long NO_RULES_RETRY_MILLIS = 500;
 
+  /** A caller refused by a leaving VM finds another one at once. */
+  private static final long STOPPING_RETRY_MILLIS = 20;
+
   private static final HttpRequest NO_REQUEST =
       new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
 
@@ -237,6 +240,10 @@
             .placement()
             .place(order, rules == null ? null : rules.service(service).orElse(null), tried, now);
     if (decision instanceof PlacingDecision.Send send) {
+      if (!forwarder.hasTimeFor(send.waitMillis() + send.runMillis())) {
+        end(ResultCode.STOPPING, STOPPING_RETRY_MILLIS, "no time left before the stop");
+        return;
+      }
       Attempt next = new Attempt(forwarder, this, order, send);
       attempt = next;
       tried.add(send.target().facts().id());
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -33,6 +33,9 @@
   /** Connections are looked at for heads and idleness that take too long. */
   private static final long SWEEP_MILLIS = 250;
 
+  /** How much longer than expected a request may take that a leaving VM still takes. */
+  private static final double STOP_RESERVE = 2;
+
   private final Loop loop;
   private final Dialect dialect;
   private final EventSink log;
@@ -49,6 +52,7 @@
   private @Nullable RoutingRules rules;
   private @Nullable Channel listening;
   private boolean stopping;
+  private long leavesAt;
   private int inFlight;
 
   /**
@@ -165,9 +169,21 @@
     return inFlight;
   }
 
-  /** From now on each answer closes its connection, so that callers look up again. */
-  public void leave() {
+  /**
+   * From now on each answer closes its connection, so that callers look up again, and a request
+   * that would hardly end within {@code millis} is refused.
+   */
+  public void leave(long millis) {
     stopping = true;
+    leavesAt = loop.now() + millis;
+  }
+
+  /**
+   * True where a request expected to take {@code millis} can be taken. A stop cuts off what still
+   * waits at a target when its time is over; a run takes up to twice as long as expected.
+   */
+  boolean hasTimeFor(double millis) {
+    return !stopping || loop.now() + STOP_RESERVE * millis < leavesAt;
   }
 
   /** Takes no new connections and closes those without a request. */
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
@@ -20,14 +20,22 @@
  * long, unless the entry is back before. A removal in calm times counts at once.
  */
 public final class EntryControl implements StoreFollower.Listener {
-  /** Time that lapsed entries take to be back; less than any bound on leaving targets. */
-  private static final long LAPSED_MILLIS = 1_900;
+  /**
+   * Wait for lapsed entries, which are back about two seconds after the store is; a removal is seen
+   * some hundred milliseconds after that. Less than the shortest bound on leaving targets (2,500
+   * ms) by what the news of the removal (250 ms and the way) and a request on its way to the target
+   * take.
+   */
+  private static final long LAPSED_MILLIS = 1_400;
 
   /** After trouble of the store of this age, a removal may be a lapse. */
   private static final long TROUBLE_MILLIS = 3_000;
 
-  /** So many items gone in one answer look like a lapse, also where no call had failed. */
-  private static final int MANY_AT_ONCE = 6;
+  /**
+   * Part of the targets that, gone in one answer, look like a lapse also where no call had failed:
+   * operators empty a zone of six at once, never half of all targets.
+   */
+  private static final double LAPSE_PART = 0.5;
 
   /** Cold time of a zone taken back where no service says its own, as operators set today. */
   private static final long COLD_MILLIS = 3_000;
@@ -157,7 +165,8 @@
 
   private boolean mayBeLapse(int atOnce) {
     StoreFollower known = follower;
-    return atOnce >= MANY_AT_ONCE || (known != null && known.troubledWithin(TROUBLE_MILLIS));
+    return atOnce > LAPSE_PART * forwarder.targets().size()
+        || (known != null && known.troubledWithin(TROUBLE_MILLIS));
   }
 
   private long coldMillis() {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
@@ -43,7 +43,7 @@
      * An item is gone.
      *
      * @param before what it last said
-     * @param atOnce how many items went in the same answer
+     * @param atOnce how many targets went in the same answer
      */
     void removed(String key, Fact before, int atOnce);
 
@@ -184,8 +184,13 @@
     var unused = loop.after(pause, again);
   }
 
+  private boolean isTargetGone(StoreItem item) {
+    Known before = known.get(item.key());
+    return item.fact() == null && before != null && before.fact() instanceof Fact.Target;
+  }
+
   private void apply(List<StoreItem> items) {
-    int removals = (int) items.stream().filter(item -> item.fact() == null).count();
+    int removals = (int) items.stream().filter(this::isTargetGone).count();
     for (StoreItem item : items) {
       Known before = known.get(item.key());
       if (before != null && before.revision() >= item.revision()) {
--- a/sageladder-forward/src/test/java/org/sageladder/forward/LeavingTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/LeavingTest.java
@@ -13,8 +13,8 @@
 /** An entry VM's planned stop cuts nothing off. */
 class LeavingTest {
   /**
-   * An auction house sends two pulls at once, then the VM is told to stop. The first answer closed the
-   * connection while the second pull was at its target, and the house got nothing for it.
+   * An auction house sends two pulls at once, then the VM is told to stop. The first answer closed
+   * the connection while the second pull was at its target, and the house got nothing for it.
    */
   @Test
   void requestsBehindOneAnotherAreAllAnsweredBeforeTheConnectionCloses() throws Exception {
@@ -32,7 +32,7 @@
       caller.get("/safe/1", "a");
       caller.get("/safe/2", "b");
       assertTrue(both.await(60, TimeUnit.SECONDS));
-      bed.onLoop(bed.forwarder::leave);
+      bed.onLoop(() -> bed.forwarder.leave(60_000));
       leaving.countDown();
       Answer first = caller.read();
       assertEquals("a", first.body());
@@ -56,7 +56,27 @@
     }
   }
 
-  /** A request in flight when the VM stops listening gets its answer; new connections are refused. */
+  /**
+   * A scholar's recording is asked for while the VM stops, and waits at its target when the time is
+   * over: the connection closed without an answer. Told at once that it has not run, it is fetched
+   * elsewhere.
+   */
+  @Test
+  void whatCannotEndBeforeTheStopIsRefusedAtOnce() throws Exception {
+    ScriptedTarget target = ScriptedTarget.of(request -> request.answer("ran"));
+    try (ForwardingBed bed = ForwardingBed.open(target);
+        Caller caller = bed.caller()) {
+      bed.onLoop(() -> bed.forwarder.leave(100));
+      Answer answer = caller.ask("/safe/1", "a");
+      assertEquals(503, answer.status());
+      assertEquals("close", answer.header("Connection"));
+      assertEquals(0, target.received.size());
+    }
+  }
+
+  /**
+   * A request in flight when the VM stops listening gets its answer; new connections are refused.
+   */
   @Test
   void aRequestInFlightEndsThoughThePortIsClosed() throws Exception {
     CountDownLatch closed = new CountDownLatch(1);
@@ -72,7 +92,7 @@
       assertTrue(target.first.await(60, TimeUnit.SECONDS));
       bed.onLoop(
           () -> {
-            bed.forwarder.leave();
+            bed.forwarder.leave(60_000);
             bed.forwarder.stopListening();
           });
       awaitRefused(bed);
