Requests that crash targets are held back, here and at the other entry VMs

Change: a lost request whose target then accepts no connection is suspect; the quarantine of the core refuses it after two crashes; crashes are told through the store only where another VM may meet them.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
@@ -229,6 +229,10 @@
     }
     finish(false);
     dropAnswer();
+    TargetConnection used = connection;
+    if (used != null && !used.anyAnswerByte()) {
+      forwarder.crashes().lost(target().facts(), exchange.fingerprint(), exchange.runsOnce());
+    }
     exchange.lost(this, cause);
   }
 
--- /dev/null
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CrashWatch.java
@@ -0,0 +1,121 @@
+package org.sageladder.forward;
+
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.sageladder.core.event.EventKind;
+import org.sageladder.core.event.EventSink;
+import org.sageladder.core.placing.TargetFacts;
+import org.sageladder.core.quarantine.CrashReport;
+import org.sageladder.core.quarantine.Quarantine;
+
+/**
+ * Notices targets that crashed, and holds back requests that crash one target after the other.
+ *
+ * <p>A request is lost and its target accepts no connection a moment later: then the target has
+ * crashed, and what was lost there at that time is suspect. A request that was in flight at two
+ * crashes, and at half of all crashes about then, is refused instead of crashing a third target.
+ * The other entry VMs are told of a crash where one of them might meet the request next: it was
+ * suspect before, or its caller is not answered by a second target here.
+ */
+final class CrashWatch {
+  /**
+   * A target that has crashed refuses connections by now; one that only cut a connection does not.
+   */
+  private static final long PROBE_AFTER_MILLIS = 60;
+
+  private static final int PROBE_MILLIS = 500;
+
+  /** Crashes do not become alike by time alone: a target has one crash in each incarnation. */
+  private static final long ONLY_INCARNATION = 1;
+
+  private record Lost(Set<Long> fingerprints, boolean anyOnce) {}
+
+  private final Loop loop;
+  private final EventSink log;
+  private final Quarantine quarantine =
+      Quarantine.create(
+          new Quarantine.Limits(
+              Duration.ofMinutes(10),
+              Duration.ofMinutes(1),
+              Duration.ofMinutes(10),
+              Duration.ofSeconds(5),
+              1_000));
+  private final Map<String, Lost> suspects = new HashMap<>();
+  private final Set<Long> seenBefore = new HashSet<>();
+  private Consumer<CrashReport> tell = report -> {};
+
+  CrashWatch(Loop loop, EventSink log) {
+    this.loop = loop;
+    this.log = log;
+  }
+
+  /** What is called with crashes that other entry VMs are to know of. */
+  void tellBy(Consumer<CrashReport> teller) {
+    tell = teller;
+  }
+
+  /** Takes a crash that another entry VM has told. */
+  void told(CrashReport report) {
+    seenBefore.addAll(report.fingerprints());
+    quarantine.add(report);
+  }
+
+  /** Milliseconds for which a request is held back; 0 where it is not. */
+  long heldMillis(LongSupplier fingerprint) {
+    if (quarantine.isEmpty()) {
+      return 0;
+    }
+    return quarantine.remainingMillis(fingerprint.getAsLong(), System.currentTimeMillis());
+  }
+
+  /** A request's connection ended before any byte of an answer. */
+  void lost(TargetFacts target, long fingerprint, boolean once) {
+    Lost known = suspects.get(target.id());
+    if (known == null) {
+      known = new Lost(new HashSet<>(), once);
+      var unused = loop.after(PROBE_AFTER_MILLIS, () -> probe(target));
+    }
+    known.fingerprints().add(fingerprint);
+    suspects.put(target.id(), new Lost(known.fingerprints(), known.anyOnce() || once));
+  }
+
+  private void probe(TargetFacts target) {
+    Sockets.connector(loop, PROBE_MILLIS, new ChannelInboundHandlerAdapter())
+        .connect(target.host(), target.port())
+        .addListener(
+            (ChannelFuture done) -> {
+              Lost lost = suspects.remove(target.id());
+              if (done.isSuccess()) {
+                Sockets.close(done.channel());
+              } else if (lost != null) {
+                crashed(target, lost);
+              }
+            });
+  }
+
+  private void crashed(TargetFacts target, Lost lost) {
+    CrashReport report =
+        new CrashReport(
+            target.id(), ONLY_INCARNATION, System.currentTimeMillis(), lost.fingerprints());
+    boolean again = lost.fingerprints().stream().anyMatch(seenBefore::contains);
+    seenBefore.addAll(lost.fingerprints());
+    quarantine.add(report);
+    log.record(
+        EventKind.TARGET_CRASHED,
+        "",
+        target.service(),
+        target.id(),
+        0,
+        lost.fingerprints().size() + " requests lost, suspect before: " + again);
+    if (again || lost.anyOnce()) {
+      tell.accept(report);
+    }
+  }
+}
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -107,6 +107,18 @@
     return body;
   }
 
+  /** True where the request must not run twice. */
+  boolean runsOnce() {
+    return !route().idempotent();
+  }
+
+  /** Tells requests apart by what a target might crash at: caller, path and body. */
+  long fingerprint() {
+    return Hashing.komihash5_0()
+        .hashCharsToLong(
+            caller.callerHost() + '\n' + head.method() + head.uri() + '\n' + body.fingerprint());
+  }
+
   /** Time until the request must be answered. */
   long millisLeft() {
     return Math.max(0, endsAt - forwarder.loop().now());
@@ -232,6 +244,13 @@
 
   private void place() {
     placed = true;
+    long held = forwarder.crashes().heldMillis(this::fingerprint);
+    if (held > 0) {
+      // 503 and not the code's own status: should the suspicion be wrong, the caller comes back.
+      answerOwn(
+          ResultCode.QUARANTINED, mayHaveRun ? 502 : 503, spread(held), "it has crashed targets");
+      return;
+    }
     long now = forwarder.loop().now();
     Order order = new Order(route(), service, object, millisLeft());
     RoutingRules rules = forwarder.rules();
@@ -433,9 +452,13 @@
   }
 
   private void answerOwn(ResultCode code, long retryMillis, String why) {
+    answerOwn(code, code.httpStatus(), retryMillis, why);
+  }
+
+  private void answerOwn(ResultCode code, int status, long retryMillis, String why) {
     over = true;
     cancelTimer();
-    inTurn(() -> writeOwn(code, code.httpStatus(), retryMillis, mustClose(), why));
+    inTurn(() -> writeOwn(code, status, retryMillis, mustClose(), why));
   }
 
   private void inTurn(Runnable answer) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.event.EventKind;
 import org.sageladder.core.event.EventSink;
@@ -19,6 +20,7 @@
 import org.sageladder.core.placing.RetryAllowance;
 import org.sageladder.core.placing.RunTimes;
 import org.sageladder.core.placing.TargetTable;
+import org.sageladder.core.quarantine.CrashReport;
 import org.sageladder.core.routing.CallerLimits;
 import org.sageladder.core.routing.RouteRule;
 import org.sageladder.core.routing.RoutingRules;
@@ -46,6 +48,7 @@
   private final RetryAllowance retries;
   private final Placement placement;
   private final TargetConnections connections;
+  private final CrashWatch crashes;
   private final Map<String, WeightedTurns> turns = new HashMap<>();
   private final Set<CallerConnection> callers = new HashSet<>();
   private final Random random;
@@ -88,6 +91,7 @@
     this.placement =
         Placement.among(targets, distances, RunTimes.create(), cold, PlacingWeights.standard());
     this.connections = new TargetConnections(loop, dialect);
+    this.crashes = new CrashWatch(loop, log);
     this.random = new Random(identity.name().hashCode());
   }
 
@@ -100,8 +104,7 @@
   }
 
   /** Opens the callers' port. */
-  public void listen(
-      String host, int port, Runnable opened, java.util.function.Consumer<Throwable> failed) {
+  public void listen(String host, int port, Runnable opened, Consumer<Throwable> failed) {
     ChannelInitializer<Channel> initializer =
         new ChannelInitializer<>() {
           @Override
@@ -164,6 +167,16 @@
     cold.forget(target);
   }
 
+  /** Takes a target's crash that another entry VM has told. */
+  public void crashTold(CrashReport report) {
+    crashes.told(report);
+  }
+
+  /** Calls {@code teller} with the crashes that other entry VMs are to know of. */
+  public void tellCrashesBy(Consumer<CrashReport> teller) {
+    crashes.tellBy(teller);
+  }
+
   /** Requests that have no whole answer yet. */
   public int inFlight() {
     return inFlight;
@@ -239,6 +252,10 @@
     return stopping;
   }
 
+  CrashWatch crashes() {
+    return crashes;
+  }
+
   Loop loop() {
     return loop;
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
@@ -83,6 +83,8 @@
     } else if (fact instanceof Fact.ZoneEmptied zone) {
       forwarder.targets().empty(zone.zone());
       log.record(EventKind.VIEW_CHANGED, "", "", zone.zone(), 0, "zone is emptied");
+    } else if (fact instanceof Fact.Crash crash) {
+      forwarder.crashTold(crash.report());
     } else if (fact instanceof Fact.Entry entry) {
       lapsing.remove(entry.vm().name());
       lookUps.joined(entry.vm());
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/Fact.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/Fact.java
@@ -1,6 +1,7 @@
 package org.sageladder.forward.control;
 
 import org.sageladder.core.placing.TargetFacts;
+import org.sageladder.core.quarantine.CrashReport;
 import org.sageladder.core.routing.RoutingRules;
 
 /** What one item of the platform's store says. */
@@ -17,6 +18,9 @@
   /** An entry VM is live. */
   record Entry(EntryVm vm) implements Fact {}
 
+  /** A target has crashed, as another entry VM saw it. */
+  record Crash(CrashReport report) implements Fact {}
+
   /** Something that sageladder does not follow. */
   record Other() implements Fact {}
 
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/PlatformStore.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/PlatformStore.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.sageladder.core.quarantine.CrashReport;
 
 /**
  * The calls of the platform's store that an entry VM makes. Each call is priced.
@@ -29,6 +30,9 @@
   /** Ends a lease and removes what depends on it. */
   void endLease(long lease, Consumer<StoreAnswer<Long>> then);
 
+  /** Writes for all entry VMs, under a lease, that a target has crashed as {@code vm} saw it. */
+  void tellCrash(String vm, CrashReport report, long lease, Consumer<StoreAnswer<Long>> then);
+
   /** Writes this entry VM's own item under a lease, whatever stood there. */
   void announce(EntryVm self, long lease, Consumer<StoreAnswer<Long>> then);
 }
--- /dev/null
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/CrashWatchTest.java
@@ -0,0 +1,81 @@
+package org.sageladder.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.sageladder.core.quarantine.CrashReport;
+import org.sageladder.forward.ForwardingBed.Caller;
+
+/** Requests that crash their targets. */
+class CrashWatchTest {
+  /** A target that is gone, port and all, as soon as it has read a request for {@code /bad}. */
+  private static ScriptedTarget fragile() throws Exception {
+    ScriptedTarget[] self = new ScriptedTarget[1];
+    self[0] =
+        ScriptedTarget.of(
+            request -> {
+              if (request.path().endsWith("bad")) {
+                self[0].close();
+                request.reset();
+                return;
+              }
+              request.answer("fine");
+            });
+    return self[0];
+  }
+
+  /**
+   * One request crashes each target that runs it, and its caller sends it again. After the second
+   * crash it is refused, and the targets that are left go on serving everybody else.
+   */
+  @Test
+  void aRequestThatCrashedTwoTargetsReachesNoThird() throws Exception {
+    ScriptedTarget[] targets = {fragile(), fragile(), fragile(), fragile()};
+    try (ForwardingBed bed = ForwardingBed.open(targets)) {
+      BlockingQueue<CrashReport> told = new LinkedBlockingQueue<>();
+      bed.onLoop(() -> bed.forwarder.tellCrashesBy(told::add));
+      try (Caller caller = bed.caller()) {
+        assertEquals(502, caller.ask("/safe/bad", "a").status());
+      }
+      CrashReport second = told.poll(60, TimeUnit.SECONDS);
+      assertTrue(second != null, "the second crash is told to the other entry VMs");
+      try (Caller caller = bed.caller()) {
+        assertEquals(503, caller.ask("/safe/bad", "b").status());
+        assertEquals(200, caller.ask("/safe/good", "c").status());
+      }
+      long crashed = List.of(targets).stream().filter(target -> !target.received.isEmpty()).count();
+      assertTrue(crashed <= 3, "two crashed and one served, but " + crashed + " were reached");
+    }
+  }
+
+  /** Another entry VM met the request twice already: it crashes nothing here. */
+  @Test
+  void crashesToldByOthersCount() throws Exception {
+    ScriptedTarget target = fragile();
+    try (ForwardingBed bed = ForwardingBed.open(target)) {
+      BlockingQueue<CrashReport> told = new LinkedBlockingQueue<>();
+      bed.onLoop(() -> bed.forwarder.tellCrashesBy(told::add));
+      try (Caller caller = bed.caller()) {
+        caller.post("/once/bad", "a", "x");
+        assertEquals(502, caller.read().status());
+      }
+      CrashReport first = told.poll(60, TimeUnit.SECONDS);
+      assertTrue(first != null, "the crash is told, since its caller may go to another entry VM");
+      Set<Long> same = first.fingerprints();
+      ScriptedTarget next = fragile();
+      bed.add(next);
+      bed.onLoop(() -> bed.forwarder.crashTold(new CrashReport("t-9", 1, first.atMillis(), same)));
+      try (Caller caller = bed.caller()) {
+        caller.post("/once/bad", "b", "x");
+        assertEquals(503, caller.read().status());
+      }
+      assertEquals(0, next.received.size());
+    }
+  }
+}
