Load reports fade into their mean; the store's changes are gathered for 600 ms

Change: an old report fades into the mean of the reports; watches pause 600 ms after changes (bound 2.5 s), and removals that may be lapses are held 1.2 s in place of 1.4.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetState.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetState.java
@@ -17,9 +17,15 @@
    */
   private static final int OBJECTS_REMEMBERED = 24;
 
-  /** A load report counts half after this time: about one run of a request, in milliseconds. */
+  /**
+   * What a load report says beyond the mean counts half after this time: about one run of a
+   * request, in milliseconds.
+   */
   private static final double LOAD_HALF_LIFE_MILLIS = 400;
 
+  /** Part of a new report in the mean of the load of others; about the last ten reports count. */
+  private static final double LOAD_STEP = 0.1;
+
   /** Part of a new outcome in the share of failures; about the last ten outcomes count. */
   private static final double FAILURE_STEP = 0.1;
 
@@ -34,6 +40,7 @@
   private boolean newcomer;
   private int inFlight;
   private double others;
+  private double usualOthers;
   private long othersSeenAt;
   private long coldUntil;
   private double failureShare;
@@ -104,13 +111,21 @@
   /** Takes the load that the target told in an answer; that answer's request has ended already. */
   public void report(LoadReport load, long now) {
     others = Math.max(0, load.running() + load.waiting() - inFlight);
+    usualOthers += LOAD_STEP * (others - usualOthers);
     othersSeenAt = now;
   }
 
-  /** Requests believed to be there now, of all entry VMs. */
+  /**
+   * Requests believed to be there now, of all entry VMs.
+   *
+   * <p>An old report fades into the mean, not into nothing: where many VMs share a target each
+   * hears of it seldom, and a target believed idle between two reports would be crowded by all of
+   * them.
+   */
   public double load(long now) {
     double age = Math.max(0, now - othersSeenAt);
-    return inFlight + others * Math.pow(0.5, age / LOAD_HALF_LIFE_MILLIS);
+    double fresh = Math.pow(0.5, age / LOAD_HALF_LIFE_MILLIS);
+    return inFlight + usualOthers + (others - usualOthers) * fresh;
   }
 
   /** Notes that the target served or failed a request. */
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/PlacementTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/PlacementTest.java
@@ -105,6 +105,21 @@
     assertTrue(refuse.retryMillis() > 1_000, "told to come back after " + refuse.retryMillis());
   }
 
+  /**
+   * Tartu's few targets were crowded by 22 entry VMs while Pärnu's had slots free: each VM heard of
+   * a target's load every few seconds and took it for idle in between. The mean of what it heard
+   * counts.
+   */
+  @Test
+  void aTargetThatWasCrowdedEachTimeItWasSeenIsNotTakenForIdle() {
+    TargetState target = fixture.targets.find("n-1").orElseThrow();
+    for (int i = 0; i < 30; i++) {
+      fixture.now += 3_000;
+      target.report(new LoadReport(3, 4, 3), fixture.now);
+    }
+    assertTrue(target.load(fixture.now + 3_000) > 6, "load " + target.load(fixture.now + 3_000));
+  }
+
   /** A target that was not reached is left alone while there are others. */
   @Test
   void avoidsATargetThatWasNotReached() {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
@@ -23,10 +23,10 @@
   /**
    * Wait for lapsed entries, which are back about two seconds after the store is; a removal is seen
    * some hundred milliseconds after that. Less than the shortest bound on leaving targets (2,500
-   * ms) by what the news of the removal (250 ms and the way) and a request on its way to the target
+   * ms) by what the news of the removal (600 ms and the way) and a request on its way to the target
    * take.
    */
-  private static final long LAPSED_MILLIS = 1_400;
+  private static final long LAPSED_MILLIS = 1_200;
 
   /** After trouble of the store of this age, a removal may be a lapse. */
   private static final long TROUBLE_MILLIS = 3_000;
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
@@ -27,7 +27,7 @@
    * Pause before the next watch after changes, so that changes in quick succession cost one call.
    * Bounds of 2.5 s on changes leave room for it.
    */
-  private static final long GATHER_MILLIS = 250;
+  private static final long GATHER_MILLIS = 600;
 
   /** Pauses after failures: short at first, since many end at once; calls that fail are priced. */
   private static final long FIRST_PAUSE_MILLIS = 150;
