--- a/sageladder-core/src/main/java/org/sageladder/core/placing/ColdAllowance.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/ColdAllowance.java
@@ -24,8 +24,8 @@
   /** Requests that stay unused, for a target seen by two views of the entry VMs at once. */
   private static final int SPARE = 1;
 
-  private final double over;
-  private final int slack;
+  private double over;
+  private int slack;
   private final String self;
   private Collection<EntryPlace> entries = List.of();
   private final Map<String, Deque<Long>> sent = new HashMap<>();
@@ -52,6 +52,12 @@
     return new ColdAllowance(self, over, slack);
   }
 
+  /** Puts newer bounds in force. */
+  public void bounds(double newOver, int newSlack) {
+    over = newOver;
+    slack = newSlack;
+  }
+
   /** Follows the list of live entry VMs; empty means that it is not known yet. */
   public void entries(Collection<EntryPlace> live) {
     entries = List.copyOf(live);
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/RetryAllowance.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/RetryAllowance.java
@@ -19,9 +19,9 @@
    */
   private static final double USED = 0.75;
 
-  private final double ratio;
-  private final double extra;
-  private final long windowMillis;
+  private double ratio;
+  private double extra;
+  private long windowMillis;
   private int machines = 1;
   private final Map<String, Spent> services = new HashMap<>();
 
@@ -41,6 +41,13 @@
     return new RetryAllowance(ratio, extra, windowMillis);
   }
 
+  /** Puts newer bounds in force, also for what was counted before. */
+  public void bounds(double newRatio, double newExtra, long newWindowMillis) {
+    ratio = newRatio;
+    extra = newExtra;
+    windowMillis = newWindowMillis;
+  }
+
   /** Notes how many entry VMs share the extra; a lower number than before has no effect. */
   public void machines(int seen) {
     machines = Math.max(machines, seen);
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -7,15 +7,12 @@
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.HashSet;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
@@ -78,6 +75,7 @@
   private boolean waitsForTurn;
   private boolean placed;
   private boolean over;
+  private boolean counted;
   private boolean passing;
   private @Nullable Runnable answerInTurn;
   private @Nullable HeldAnswer fallBack;
@@ -448,7 +446,7 @@
   void refuseUnread(ResultCode code, int status) {
     over = true;
     cancelTimer();
-    inTurn(() -> writeOwn(code, status, 0, true, "not readable"));
+    inTurn(() -> writeOwn(new OwnAnswer(code, status, 0, true), "not readable"));
   }
 
   private void answerOwn(ResultCode code, long retryMillis, String why) {
@@ -458,7 +456,7 @@
   private void answerOwn(ResultCode code, int status, long retryMillis, String why) {
     over = true;
     cancelTimer();
-    inTurn(() -> writeOwn(code, status, retryMillis, mustClose(), why));
+    inTurn(() -> writeOwn(new OwnAnswer(code, status, retryMillis, mustClose()), why));
   }
 
   private void inTurn(Runnable answer) {
@@ -469,26 +467,11 @@
     answerInTurn = answer;
   }
 
-  private void writeOwn(ResultCode code, int status, long retryMillis, boolean close, String why) {
-    FullHttpResponse answer =
-        new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.EMPTY_BUFFER);
-    answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
-    answer.headers().set("Sageladder-Result", code.number());
-    if (!id.isEmpty()) {
-      forwarder.dialect().answerTo(answer.headers(), id);
-    }
-    if (retryMillis > 0) {
-      answer
-          .headers()
-          .set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryMillis / 1e3));
-    }
-    if (close) {
-      answer.headers().set(HttpHeaderNames.CONNECTION, "close");
-    }
-    caller.write(answer);
-    EventKind kind = code.outcome() == Outcome.NOT_RUN ? EventKind.REFUSED : EventKind.FAILED;
-    finish(kind, null, code.name() + " " + why, close);
+  private void writeOwn(OwnAnswer answer, String why) {
+    caller.write(answer.to(id, forwarder.dialect()));
+    boolean notRun = answer.code().outcome() == Outcome.NOT_RUN;
+    String detail = answer.code().name() + " " + why;
+    finish(notRun ? EventKind.REFUSED : EventKind.FAILED, null, detail, answer.close());
   }
 
   private boolean mustClose() {
@@ -524,8 +507,6 @@
     ended(EventKind.CANCELLED, null, "the caller has gone");
   }
 
-  private boolean counted;
-
   private void ended(EventKind kind, @Nullable Attempt last, String detail) {
     over = true;
     cancelTimer();
@@ -537,40 +518,15 @@
     counted = true;
     forwarder.done();
     long millis = forwarder.loop().now() - startedAt;
-    forwarder.metrics().count("requests_" + kind.name().toLowerCase(Locale.ROOT));
-    forwarder.metrics().time("request", millis);
-    RoutingRules rules = forwarder.rules();
-    String target = last == null ? "" : last.target().facts().id();
-    forwarder
-        .log()
-        .record(
-            kind,
-            id,
-            route == null ? "" : route().name(),
-            target,
-            rules == null ? 0 : rules.version(),
-            detail + " after " + millis + " ms, sends " + sends + describe(last));
-  }
-
-  private static String describe(@Nullable Attempt last) {
-    if (last == null) {
-      return "";
-    }
-    return String.format(
-        Locale.ROOT,
-        ", known %s, expected %.0f + %.0f ms, sent for %d ms, others and own there %.1f",
-        last.decision().known(),
-        last.decision().waitMillis(),
-        last.decision().runMillis(),
-        last.millis(),
-        (double) last.target().inFlight());
+    forwarder.requests().end(kind, subject(), last, forwarder.rules(), millis, sends, detail);
+  }
+
+  private RequestLog.Subject subject() {
+    return new RequestLog.Subject(id, route == null ? "" : route().name());
   }
 
   private void note(EventKind kind, Attempt of, String detail) {
-    forwarder.metrics().count("tries_" + kind.name().toLowerCase(Locale.ROOT));
-    forwarder
-        .log()
-        .record(kind, id, route().name(), of.target().facts().id(), 0, detail + describe(of));
+    forwarder.requests().attempt(kind, subject(), of, detail);
   }
 
   private void dropFallBack() {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -42,6 +42,7 @@
   private final Dialect dialect;
   private final EventSink log;
   private final Metrics metrics;
+  private final RequestLog requests;
   private final TargetTable targets = TargetTable.create();
   private final Distances distances;
   private final ColdAllowance cold;
@@ -83,6 +84,7 @@
     this.dialect = dialect;
     this.log = log;
     this.metrics = metrics;
+    this.requests = new RequestLog(log, metrics);
     this.distances = Distances.from(identity.zone(), identity.region());
     this.cold = ColdAllowance.of(identity.name(), identity.coldOver(), identity.coldSlack());
     this.retries =
@@ -155,6 +157,12 @@
     return targets;
   }
 
+  /** Puts newer bounds in force; name, zone and region are those of the start. */
+  public void bounds(Identity newer) {
+    cold.bounds(newer.coldOver(), newer.coldSlack());
+    retries.bounds(newer.retryRatio(), newer.retryExtra(), newer.retryWindowMillis());
+  }
+
   /** Tells which entry VMs are live, and how many were seen at once. */
   public void entries(List<ColdAllowance.EntryPlace> live) {
     cold.entries(live);
@@ -264,8 +272,8 @@
     return dialect;
   }
 
-  EventSink log() {
-    return log;
+  RequestLog requests() {
+    return requests;
   }
 
   Metrics metrics() {
--- /dev/null
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/RequestLog.java
@@ -0,0 +1,75 @@
+package org.sageladder.forward;
+
+import java.util.Locale;
+import org.jspecify.annotations.Nullable;
+import org.sageladder.core.event.EventKind;
+import org.sageladder.core.event.EventSink;
+import org.sageladder.core.routing.RoutingRules;
+
+/** Writes what became of requests and of their attempts: a log line each, counters and times. */
+final class RequestLog {
+  private final EventSink log;
+  private final Metrics metrics;
+
+  /**
+   * The request that a line is about.
+   *
+   * @param id the caller's id of it, or empty
+   * @param route name of its route, or empty
+   */
+  record Subject(String id, String route) {}
+
+  RequestLog(EventSink log, Metrics metrics) {
+    this.log = log;
+    this.metrics = metrics;
+  }
+
+  /** One attempt ended without the request's answer. */
+  void attempt(EventKind kind, Subject of, Attempt attempt, String detail) {
+    metrics.count("tries_" + lower(kind));
+    log.record(kind, of.id(), of.route(), target(attempt), 0, detail + expectation(attempt));
+  }
+
+  /**
+   * The request ended.
+   *
+   * @param last the attempt that its answer came from, or null
+   * @param sends attempts that may have reached a target
+   */
+  void end(
+      EventKind kind,
+      Subject of,
+      @Nullable Attempt last,
+      @Nullable RoutingRules rules,
+      long millis,
+      int sends,
+      String detail) {
+    metrics.count("requests_" + lower(kind));
+    metrics.time("request", millis);
+    String text = detail + " after " + millis + " ms, sends " + sends + expectation(last);
+    long version = rules == null ? 0 : rules.version();
+    log.record(kind, of.id(), of.route(), target(last), version, text);
+  }
+
+  private static String lower(EventKind kind) {
+    return kind.name().toLowerCase(Locale.ROOT);
+  }
+
+  private static String target(@Nullable Attempt attempt) {
+    return attempt == null ? "" : attempt.target().facts().id();
+  }
+
+  private static String expectation(@Nullable Attempt attempt) {
+    if (attempt == null) {
+      return "";
+    }
+    return String.format(
+        Locale.ROOT,
+        ", known %s, expected %.0f + %.0f ms, sent for %d ms, own there %d",
+        attempt.decision().known(),
+        attempt.decision().waitMillis(),
+        attempt.decision().runMillis(),
+        attempt.millis(),
+        attempt.target().inFlight());
+  }
+}
