sageladderctl trace: from a request's id to its cause; log lines are written whole

Change: the attempt that the clock ends has a line of its own; pieces of at most 4,000 characters; trace prints a request's lines with what its VM and targets did about then. Unused methods removed.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
@@ -1,7 +1,6 @@
 package org.sageladder.core.placing;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -113,21 +112,11 @@
     }
   }
 
-  /** The zones that operators have emptied. */
-  public Set<String> emptiedZones() {
-    return Set.copyOf(emptied);
-  }
-
   /** The target of that id. */
   public Optional<TargetState> find(String id) {
     return Optional.ofNullable(byId.get(id));
   }
 
-  /** All ids that are known. */
-  public Collection<String> ids() {
-    return List.copyOf(byId.keySet());
-  }
-
   /** How many targets are known. */
   public int size() {
     return byId.size();
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/PlacingUnderLoadTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/PlacingUnderLoadTest.java
@@ -67,7 +67,9 @@
       send.target().end();
       send.target().report(load, now);
       if (ran) {
-        vms.get(vm).placement.answered(order(object), send, (double) (now - sentAt.get(key)), load, now);
+        vms.get(vm)
+            .placement
+            .answered(order(object), send, (double) (now - sentAt.get(key)), load, now);
       }
     }
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/CrashWatch.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CrashWatch.java
@@ -32,7 +32,7 @@
 
   private static final int PROBE_MILLIS = 500;
 
-  /** Crashes do not become alike by time alone: a target has one crash in each incarnation. */
+  /** A target that starts again has another id, so that each id has one crash at most. */
   private static final long ONLY_INCARNATION = 1;
 
   private record Lost(Set<Long> fingerprints, boolean anyOnce) {}
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -395,6 +395,7 @@
     if (known != null) {
       mayHaveRun |= known.isSent();
       known.target().outcome(false, forwarder.loop().now());
+      note(EventKind.FAILED, known, "no answer in time");
       stopAttempt();
     }
     if (passing) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/LineLog.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/LineLog.java
@@ -27,6 +27,12 @@
   /** Each wake-up costs processor time; a fifth of a second is soon enough to read along. */
   private static final long PAUSE_MILLIS = 200;
 
+  /**
+   * Characters written at once: a pipe takes 4,096 bytes whole or not at all, and a reader that
+   * takes less of a larger piece leaves lines cut off in their middle.
+   */
+  private static final int MOST_AT_ONCE = 4_000;
+
   private final String vm;
   private final TimeSource time;
   private final OutputStream out;
@@ -131,22 +137,32 @@
     StringBuilder lines = new StringBuilder();
     String line = waiting.poll();
     while (line != null) {
+      if (lines.length() + line.length() > MOST_AT_ONCE) {
+        write(lines);
+      }
       lines.append(line);
       line = waiting.poll();
     }
+    write(lines);
+  }
+
+  private void write(StringBuilder lines) throws IOException {
     if (lines.length() > 0) {
       out.write(lines.toString().getBytes(StandardCharsets.UTF_8));
+      lines.setLength(0);
     }
   }
 
-  /** Writes what waits and ends. */
+  /** Writes what waits and ends; leaves it where the reader of standard output has stopped. */
   @Override
   public void close() {
     open = false;
     writer.interrupt();
     try {
       writer.join(PAUSE_MILLIS);
-      drain();
+      if (!writer.isAlive()) {
+        drain();
+      }
     } catch (IOException ignored) {
       // Standard output is closed; there is nowhere to write the rest.
     } catch (InterruptedException e) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Metrics.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Metrics.java
@@ -28,11 +28,6 @@
     counters.put(name, value);
   }
 
-  /** How often {@code name} was counted. */
-  public long counted(String name) {
-    return counters.getOrDefault(name, 0L);
-  }
-
   /** Takes one time, in milliseconds. */
   public void time(String name, long millis) {
     times
--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
@@ -65,7 +65,6 @@
   private boolean reusable = true;
   private long idleMillis;
   private long idleSince;
-  private boolean fresh = true;
   private @Nullable Runnable onIdleEnd;
 
   TargetConnection(Dialect dialect, long idleMillisUntilTold) {
@@ -105,11 +104,6 @@
     return known;
   }
 
-  /** True until a request was sent on it. */
-  boolean isFresh() {
-    return fresh;
-  }
-
   /** True where it has been idle for less than {@code share} of the time the target keeps it. */
   boolean isIdleWithin(long now, double share) {
     return context().channel().isActive() && now - idleSince < idleMillis * share;
@@ -272,7 +266,6 @@
     }
     if (content instanceof LastHttpContent && listener == to) {
       listener = null;
-      fresh = false;
       to.ended();
     }
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
@@ -85,11 +85,6 @@
     return failures > 0 || loop.now() - troubledUntil < millis;
   }
 
-  /** True once all items were read. */
-  public boolean isComplete() {
-    return complete;
-  }
-
   private void read(@Nullable String afterKey, boolean mayBeStale) {
     if (afterKey == null) {
       seenInRead.clear();
--- a/sageladder-tools/src/main/java/org/sageladder/tools/ctl/Ctl.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/ctl/Ctl.java
@@ -178,7 +178,16 @@
                   .addOption(option(SystemCommands.CONTRACT, "CUSTOMER", "of a look-up"))
                   .addOption(option(SystemCommands.SERVICE, "NAME", "of a look-up"))
                   .addOption(option(SystemCommands.BLOCK, "N", "client block of a look-up")),
-              SystemCommands::explain));
+              SystemCommands::explain),
+          new Command(
+              "trace",
+              Command.Group.SYSTEM,
+              "REQUEST FILE...",
+              2,
+              Integer.MAX_VALUE,
+              "what decided a request, out of entry VMs' log files",
+              options(),
+              TraceCommand::run));
 
   private static Options options() {
     return new Options()
