A watch that a silent store forgot is begun anew

Ruled out: gathering changes for 600 ms; a slow store; TCP keep-alive (the connection itself lives). Change: the first answered call after a silence begins a new watch; renewals that fail come again after 0.5 s; a watch waits 12 s at most.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
@@ -74,6 +74,14 @@
     return control;
   }
 
+  /** Takes whether the store answered a call that was made elsewhere. */
+  public void heard(boolean answered) {
+    StoreFollower known = follower;
+    if (known != null) {
+      known.heard(answered);
+    }
+  }
+
   @Override
   public void changed(String key, Fact fact) {
     if (fact instanceof Fact.Rules rules) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryRegistration.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryRegistration.java
@@ -15,27 +15,40 @@
   /** Renewals in a lease's time: one may be lost without losing the lease. */
   private static final int RENEWALS = 3;
 
+  /** Pause after a call without an answer; it is also how soon a store that is back is noticed. */
+  private static final long AGAIN_MILLIS = 500;
+
   private final Loop loop;
   private final PlatformStore store;
   private final EntryVm self;
   private final EventSink log;
+  private final Heard heard;
   private final long leaseMillis;
   private long lease;
   private boolean leaving;
 
+  /** Told of each call whether the store answered it. */
+  @FunctionalInterface
+  public interface Heard {
+    /** One call has ended. */
+    void of(boolean answered);
+  }
+
   private EntryRegistration(
-      Loop loop, PlatformStore store, EntryVm self, long leaseMillis, EventSink log) {
+      Loop loop, PlatformStore store, EntryVm self, long leaseMillis, EventSink log, Heard heard) {
     this.loop = loop;
     this.store = store;
     this.self = self;
     this.leaseMillis = leaseMillis;
     this.log = log;
+    this.heard = heard;
   }
 
   /** Registers the VM and keeps it so; called on the loop's thread. */
   public static EntryRegistration begin(
-      Loop loop, PlatformStore store, EntryVm self, long leaseMillis, EventSink log) {
-    EntryRegistration registration = new EntryRegistration(loop, store, self, leaseMillis, log);
+      Loop loop, PlatformStore store, EntryVm self, long leaseMillis, EventSink log, Heard heard) {
+    EntryRegistration registration =
+        new EntryRegistration(loop, store, self, leaseMillis, log, heard);
     registration.acquire();
     return registration;
   }
@@ -47,11 +60,12 @@
     store.lease(
         leaseMillis,
         answer -> {
+          heard(answer);
           if (answer instanceof StoreAnswer.Done<Long> done) {
             announce(done.value());
             return;
           }
-          later(this::acquire);
+          again(this::acquire);
         });
   }
 
@@ -60,6 +74,7 @@
         self,
         fresh,
         answer -> {
+          heard(answer);
           if (answer instanceof StoreAnswer.Done<Long>) {
             lease = fresh;
             log.record(EventKind.LEASE_GAINED, "", "", self.name(), fresh, "registered");
@@ -70,7 +85,7 @@
             later(this::renew);
             return;
           }
-          later(this::acquire);
+          again(this::acquire);
         });
   }
 
@@ -81,16 +96,29 @@
     store.renew(
         lease,
         answer -> {
+          heard(answer);
           if (answer instanceof StoreAnswer.Gone<Long>) {
             log.record(EventKind.LEASE_LOST, "", "", self.name(), lease, "the store ended it");
             lease = 0;
             acquire();
             return;
           }
+          if (answer instanceof StoreAnswer.Failed<Long>) {
+            again(this::renew);
+            return;
+          }
           later(this::renew);
         });
   }
 
+  private void heard(StoreAnswer<Long> answer) {
+    heard.of(!(answer instanceof StoreAnswer.Failed<Long>));
+  }
+
+  private void again(Runnable task) {
+    var unused = loop.after(AGAIN_MILLIS, task);
+  }
+
   private void later(Runnable task) {
     var unused = loop.after(leaseMillis / RENEWALS, task);
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
@@ -20,8 +20,11 @@
  * read again and what is missing counts as removed.
  */
 public final class StoreFollower {
-  /** A waiting watch costs one call; this long a wait makes them few. */
-  private static final long WAIT_MILLIS = 25_000;
+  /**
+   * A waiting watch costs one call; this long a wait makes them few, and a watch whose answer is
+   * lost unseen does not leave the VM blind for longer.
+   */
+  private static final long WAIT_MILLIS = 12_000;
 
   /**
    * Pause before the next watch after changes, so that changes in quick succession cost one call.
@@ -63,6 +66,9 @@
   private long readRevision;
   private boolean complete;
   private int failures;
+  private int watchNumber;
+  private boolean watching;
+  private boolean silent;
   private long troubledUntil = Long.MIN_VALUE;
 
   private StoreFollower(Loop loop, PlatformStore store, Listener listener, EventSink log) {
@@ -135,33 +141,63 @@
     apply(gone);
   }
 
+  /**
+   * Takes how another call to the store ended.
+   *
+   * <p>A store that fell silent may never answer the watch that waited then, also after it is back:
+   * the VM would follow nothing until the wait is over. So the first answer after a silence begins
+   * a new watch, and whatever still comes of the old one is passed over.
+   */
+  public void heard(boolean answered) {
+    if (!answered) {
+      silent = true;
+      return;
+    }
+    if (silent && watching) {
+      log.record(EventKind.STORE_UP, "", "", "store", revision, "answers again; watching anew");
+      troubledUntil = loop.now();
+      watch();
+    }
+    silent = false;
+  }
+
   private void watch() {
+    watchNumber++;
+    int number = watchNumber;
+    watching = true;
     store.watch(
         revision,
         WAIT_MILLIS,
         answer -> {
-          if (answer instanceof StoreAnswer.Done<StorePage> done) {
-            succeeded();
-            StorePage page = done.value();
-            apply(page.items());
-            revision = Math.max(revision, page.asOf());
-            if (page.items().isEmpty()) {
-              watch();
-            } else {
-              var unused = loop.after(GATHER_MILLIS, this::watch);
-            }
-            return;
-          }
-          if (answer instanceof StoreAnswer.Gone<StorePage>) {
-            log.record(EventKind.STORE_DOWN, "", "", "history", revision, "forgotten; reading all");
-            troubledUntil = loop.now();
-            read(null, false);
-            return;
+          if (number == watchNumber) {
+            watching = false;
+            watched(answer);
           }
-          failed("watch", answer, this::watch);
         });
   }
 
+  private void watched(StoreAnswer<StorePage> answer) {
+    if (answer instanceof StoreAnswer.Done<StorePage> done) {
+      succeeded();
+      StorePage page = done.value();
+      apply(page.items());
+      revision = Math.max(revision, page.asOf());
+      if (page.items().isEmpty()) {
+        watch();
+      } else {
+        var unused = loop.after(GATHER_MILLIS, this::watch);
+      }
+      return;
+    }
+    if (answer instanceof StoreAnswer.Gone<StorePage>) {
+      log.record(EventKind.STORE_DOWN, "", "", "history", revision, "forgotten; reading all");
+      troubledUntil = loop.now();
+      read(null, false);
+      return;
+    }
+    failed("watch", answer, this::watch);
+  }
+
   private void succeeded() {
     if (failures > 0) {
       log.record(EventKind.STORE_UP, "", "", "store", revision, "after " + failures + " failures");
--- /dev/null
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerTest.java
@@ -0,0 +1,148 @@
+package org.sageladder.forward.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.sageladder.core.event.EventSink;
+import org.sageladder.core.quarantine.CrashReport;
+import org.sageladder.forward.Loop;
+
+/** Following the store through what goes wrong with it. */
+class StoreFollowerTest {
+  /** A store whose watches the test answers. */
+  private static final class FakeStore implements PlatformStore {
+    final LinkedBlockingQueue<Consumer<StoreAnswer<StorePage>>> watches =
+        new LinkedBlockingQueue<>();
+
+    @Override
+    public void read(
+        @Nullable String afterKey, boolean mayBeStale, Consumer<StoreAnswer<StorePage>> then) {
+      then.accept(new StoreAnswer.Done<>(page(10)));
+    }
+
+    @Override
+    public void watch(long revision, long waitMillis, Consumer<StoreAnswer<StorePage>> then) {
+      watches.add(then);
+    }
+
+    @Override
+    public void lease(long millis, Consumer<StoreAnswer<Long>> then) {}
+
+    @Override
+    public void renew(long lease, Consumer<StoreAnswer<Long>> then) {}
+
+    @Override
+    public void endLease(long lease, Consumer<StoreAnswer<Long>> then) {}
+
+    @Override
+    public void tellCrash(
+        String vm, CrashReport report, long lease, Consumer<StoreAnswer<Long>> then) {}
+
+    @Override
+    public void announce(EntryVm self, long lease, Consumer<StoreAnswer<Long>> then) {}
+  }
+
+  /** Notes the zones that were emptied, in order. */
+  private static final class Zones implements StoreFollower.Listener {
+    final List<String> emptied = new ArrayList<>();
+
+    @Override
+    public void changed(String key, Fact fact) {
+      if (fact instanceof Fact.ZoneEmptied zone) {
+        emptied.add(zone.zone());
+      }
+    }
+
+    @Override
+    public void removed(String key, Fact before, int atOnce) {
+      emptied.remove(key);
+    }
+
+    @Override
+    public void complete() {}
+  }
+
+  private final Loop loop = Loop.start();
+  private final FakeStore store = new FakeStore();
+  private final Zones zones = new Zones();
+  private final StoreFollower follower = StoreFollower.start(loop, store, zones, EventSink.none());
+
+  private static StorePage page(long asOf, StoreItem... items) {
+    return new StorePage(List.of(items), false, asOf);
+  }
+
+  private static StoreItem emptied(String zone, long revision) {
+    return new StoreItem(zone, revision, new Fact.ZoneEmptied(zone));
+  }
+
+  private Consumer<StoreAnswer<StorePage>> nextWatch() throws InterruptedException {
+    Consumer<StoreAnswer<StorePage>> watch = store.watches.poll(60, TimeUnit.SECONDS);
+    if (watch == null) {
+      throw new AssertionError("no watch was begun");
+    }
+    return watch;
+  }
+
+  private void onLoop(Runnable task) throws Exception {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    loop.run(
+        () -> {
+          task.run();
+          done.complete(null);
+        });
+    done.get();
+  }
+
+  @AfterEach
+  void stop() {
+    loop.close();
+  }
+
+  /**
+   * The store falls silent for 8 s and is back; the watch that waited then is never answered.
+   * Requests went by a configuration that had been replaced 2.6 s before, though renewals of the
+   * lease had been answered all that time.
+   */
+  @Test
+  void aWatchThatASilentStoreForgotIsBegunAnew() throws Exception {
+    Consumer<StoreAnswer<StorePage>> forgotten = nextWatch();
+    onLoop(() -> follower.heard(false));
+    onLoop(() -> follower.heard(true));
+    Consumer<StoreAnswer<StorePage>> fresh = nextWatch();
+    onLoop(() -> fresh.accept(new StoreAnswer.Done<>(page(12, emptied("z-1", 12)))));
+    assertEquals(List.of("z-1"), zones.emptied);
+    onLoop(() -> forgotten.accept(new StoreAnswer.Done<>(page(11, emptied("z-0", 11)))));
+    assertEquals(List.of("z-1"), zones.emptied);
+  }
+
+  /** Calls that are answered in calm times begin no watch: each costs. */
+  @Test
+  void calmRenewalsBeginNoWatch() throws Exception {
+    Consumer<StoreAnswer<StorePage>> waiting = nextWatch();
+    onLoop(() -> follower.heard(true));
+    onLoop(() -> follower.heard(true));
+    assertEquals(0, store.watches.size());
+    onLoop(() -> waiting.accept(new StoreAnswer.Done<>(page(11, emptied("z-1", 11)))));
+    assertEquals(List.of("z-1"), zones.emptied);
+  }
+
+  /** A repeated or older change does not undo a newer one. */
+  @Test
+  void anOlderRevisionOfAnItemHasNoEffect() throws Exception {
+    Consumer<StoreAnswer<StorePage>> first = nextWatch();
+    onLoop(
+        () ->
+            first.accept(
+                new StoreAnswer.Done<>(
+                    page(14, emptied("z-1", 14), new StoreItem("z-1", 13, null)))));
+    assertEquals(List.of("z-1"), zones.emptied);
+  }
+}
