--- a/sageladder-tools/src/test/java/org/sageladder/tools/ctl/TraceCommandTest.java
+++ b/sageladder-tools/src/test/java/org/sageladder/tools/ctl/TraceCommandTest.java
@@ -28,13 +28,16 @@
       {"at":5040,"vm":"e-1","kind":"ANSWERED","request":"cut off by the end of its pro
       """;
 
+  // Apart from the results: a fault names the file, whose random path may hold a target's name.
+  private final ByteArrayOutputStream err = new ByteArrayOutputStream();
   private final ByteArrayOutputStream out = new ByteArrayOutputStream();
 
   private ExitCode run(Path directory, String id) throws Exception {
     Path file = directory.resolve("e-1.log");
     Files.writeString(file, LOG);
-    PrintStream to = new PrintStream(out, true, StandardCharsets.UTF_8);
-    return Ctl.run(new String[] {"trace", id, file.toString()}, to, to);
+    PrintStream results = new PrintStream(out, true, StandardCharsets.UTF_8);
+    PrintStream faults = new PrintStream(err, true, StandardCharsets.UTF_8);
+    return Ctl.run(new String[] {"trace", id, file.toString()}, results, faults);
   }
 
   /** A bid got 502: its target had crashed, which its entry VM noticed 80 ms later. */
@@ -49,6 +52,8 @@
     assertFalse(text.contains("status 200"), "another request: " + text);
     assertFalse(text.contains("STOPPING"), "another VM: " + text);
     assertFalse(text.contains("STORE_DOWN"), "long before: " + text);
+    String faults = err.toString(StandardCharsets.UTF_8);
+    assertTrue(faults.contains("1 lines not read, since they are cut off"), faults);
   }
 
   @Test
