A store that was never in trouble is not taken for one that was

Cause: troubledWithin subtracted Long.MIN_VALUE until the store's first trouble and overflowed to yes, so that removals of targets and entry VMs in calm times were held 1.2 s as if they might be a lapse. Change: the time of the last trouble counts only once there was one; the test failed before. No bound is looser: removals count sooner.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
@@ -69,7 +69,8 @@
   private int watchNumber;
   private boolean watching;
   private boolean silent;
-  private long troubledUntil = Long.MIN_VALUE;
+  private boolean everTroubled;
+  private long troubledUntil;
 
   private StoreFollower(Loop loop, PlatformStore store, Listener listener, EventSink log) {
     this.loop = loop;
@@ -88,7 +89,7 @@
 
   /** True while calls fail, and for {@code millis} after they did. */
   public boolean troubledWithin(long millis) {
-    return failures > 0 || loop.now() - troubledUntil < millis;
+    return failures > 0 || (everTroubled && loop.now() - troubledUntil < millis);
   }
 
   private void read(@Nullable String afterKey, boolean mayBeStale) {
@@ -155,7 +156,7 @@
     }
     if (silent && watching) {
       log.record(EventKind.STORE_UP, "", "", "store", revision, "answers again; watching anew");
-      troubledUntil = loop.now();
+      troubled();
       watch();
     }
     silent = false;
@@ -191,17 +192,22 @@
     }
     if (answer instanceof StoreAnswer.Gone<StorePage>) {
       log.record(EventKind.STORE_DOWN, "", "", "history", revision, "forgotten; reading all");
-      troubledUntil = loop.now();
+      troubled();
       read(null, false);
       return;
     }
     failed("watch", answer, this::watch);
   }
 
+  private void troubled() {
+    everTroubled = true;
+    troubledUntil = loop.now();
+  }
+
   private void succeeded() {
     if (failures > 0) {
       log.record(EventKind.STORE_UP, "", "", "store", revision, "after " + failures + " failures");
-      troubledUntil = loop.now();
+      troubled();
     }
     failures = 0;
   }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerTest.java
@@ -1,6 +1,8 @@
 package org.sageladder.forward.control;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -95,8 +97,12 @@
     CompletableFuture<Void> done = new CompletableFuture<>();
     loop.run(
         () -> {
-          task.run();
-          done.complete(null);
+          try {
+            task.run();
+            done.complete(null);
+          } catch (AssertionError e) {
+            done.completeExceptionally(e);
+          }
         });
     done.get();
   }
@@ -134,6 +140,20 @@
     assertEquals(List.of("z-1"), zones.emptied);
   }
 
+  /**
+   * A target that left went on getting work for 1.2 s more, as if the store had just been away:
+   * before its first trouble the time since then was worked out from the lowest number there is,
+   * and overflowed.
+   */
+  @Test
+  void aStoreThatWasNeverInTroubleIsNotTakenForOneThatWas() throws Exception {
+    nextWatch();
+    onLoop(() -> assertFalse(follower.troubledWithin(3_000)));
+    onLoop(() -> follower.heard(false));
+    onLoop(() -> follower.heard(true));
+    onLoop(() -> assertTrue(follower.troubledWithin(60_000)));
+  }
+
   /** A repeated or older change does not undo a newer one. */
   @Test
   void anOlderRevisionOfAnItemHasNoEffect() throws Exception {
