One piece where logic stood twice: connection headers, quarantine limits, leaving targets, registration

Cause: read again as a newcomer. Headers that end at a connection were listed in two modules; the quarantine's standard limits stood a second time; the objects of a target were a map whose values nobody read; the order of targets for an object and the run times of a route were worked out again for each target of a request; changed settings were copied field by field; the entry VM carried answers from registration to follower. Ruled out: load and poll of the two target probes, whose answers and faults differ. Figures: no behaviour changes; tests keep their assertions.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
@@ -2,6 +2,7 @@
 
 import com.dynatrace.hash4j.hashing.Hasher64;
 import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,14 +18,14 @@
  * Chooses the target on which a request ends soonest, counting what its run costs the others.
  *
  * <p>A target that has handled an object runs it in about a third of the time, and slots are too
- * few for work on unknown objects. So each object has a first choice in each region, by rendezvous
- * hashing, which all entry VMs agree on without talking and which moves little when targets come
- * and go. A request goes to the first choice of its own region while that has a free slot, then to
- * wherever waiting, way and run together are shortest: mostly the first choice of a near region,
- * which knows the object from its own callers.
+ * few for work on unknown objects. So each object has a first choice among all targets and one in
+ * each region, by rendezvous hashing, which all entry VMs agree on without talking and which moves
+ * little when targets come and go. A request goes to wherever waiting, way and run together are
+ * shortest: to the first choice of all where the way is short, else to that of its own region; to
+ * the others as these fill up.
  *
  * <pre>{@code
- * PlacingDecision decision = placement.place(order, Set.of(), now);
+ * PlacingDecision decision = placement.place(order, rule, Set.of(), now);
  * if (decision instanceof PlacingDecision.Send send) { ... }
  * }</pre>
  */
@@ -50,7 +51,41 @@
    */
   public record Order(RouteRule route, String service, long object, long millisLeft) {}
 
-  private record Choices(@Nullable TargetState first, @Nullable TargetState second) {}
+  /** A target and its place in the order of targets for an object; the highest comes first. */
+  private record Ranked(TargetState target, long weight) {}
+
+  /** The first two targets of a region for an object. */
+  private record Choices(Ranked first, @Nullable Ranked second) {
+    boolean isFirst(TargetState target) {
+      return first.target() == target;
+    }
+
+    boolean isSecond(TargetState target) {
+      return second != null && second.target() == target;
+    }
+
+    Choices with(Ranked other) {
+      if (other.weight() > first.weight()) {
+        return new Choices(other, first);
+      }
+      if (second == null || other.weight() > second.weight()) {
+        return new Choices(first, other);
+      }
+      return this;
+    }
+  }
+
+  /** What is worked out once for an order, whatever the target. */
+  private record Prospects(
+      Order order,
+      Map<String, Choices> choices,
+      @Nullable TargetState home,
+      double knownMillis,
+      double unknownMillis) {
+    @Nullable Choices ofRegion(TargetState target) {
+      return choices.get(target.facts().region());
+    }
+  }
 
   private final TargetTable targets;
   private final Distances distances;
@@ -93,8 +128,7 @@
     if (usable.isEmpty()) {
       return new Refuse(Reason.NO_TARGET, LEAST_RETRY_MILLIS);
     }
-    Map<String, Choices> choices = order.route().byObject() ? choices(order, usable) : Map.of();
-    @Nullable TargetState home = home(order, choices);
+    Prospects prospects = prospects(order, usable);
     Send best = null;
     double least = Double.MAX_VALUE;
     boolean anyCold = false;
@@ -106,9 +140,8 @@
         anyCold = true;
         continue;
       }
-      Choices ofRegion = choices.get(target.facts().region());
-      Send send = estimate(order, target, home, ofRegion, now);
-      if (isToBeIntroduced(target, ofRegion, now)) {
+      Send send = estimate(prospects, target, now);
+      if (isToBeIntroduced(target, prospects.ofRegion(target), now)) {
         return send;
       }
       double cost = cost(send, now);
@@ -134,7 +167,7 @@
   private boolean isToBeIntroduced(TargetState target, @Nullable Choices ofRegion, long now) {
     return target.isNewcomer()
         && ofRegion != null
-        && ofRegion.first() == target
+        && ofRegion.isFirst(target)
         && !target.isAvoided(now)
         && !distances.isOtherRegion(target.facts());
   }
@@ -143,76 +176,63 @@
     return service != null && cold.permits(target.facts(), service.coldPerSecond(), now);
   }
 
+  private Prospects prospects(Order order, List<TargetState> usable) {
+    RouteRule route = order.route();
+    Map<String, Choices> choices = route.byObject() ? choices(order, usable) : Map.of();
+    return new Prospects(
+        order,
+        choices,
+        home(choices),
+        runTimes.millis(route.name(), route.latencyGoalMillis(), true),
+        runTimes.millis(route.name(), route.latencyGoalMillis(), false));
+  }
+
   /** The first two targets of each region for the object, among all that take work. */
   private static Map<String, Choices> choices(Order order, List<TargetState> usable) {
     Map<String, Choices> best = new HashMap<>();
     for (TargetState target : usable) {
-      best.merge(
-          target.facts().region(),
-          new Choices(target, null),
-          (known, fresh) -> better(order.object(), known, target));
+      long weight = HASHER.hashLongLongToLong(order.object(), target.idHash());
+      Ranked ranked = new Ranked(target, weight);
+      Choices known = best.get(target.facts().region());
+      Choices now = known == null ? new Choices(ranked, null) : known.with(ranked);
+      best.put(target.facts().region(), now);
     }
     return best;
   }
 
   /** The first target of all for the object. */
-  private static @Nullable TargetState home(Order order, Map<String, Choices> choices) {
-    TargetState home = null;
-    for (Choices ofRegion : choices.values()) {
-      TargetState first = ofRegion.first();
-      if (first != null
-          && (home == null || weight(order.object(), first) > weight(order.object(), home))) {
-        home = first;
-      }
-    }
-    return home;
-  }
-
-  private static Choices better(long object, Choices known, TargetState target) {
-    if (known.first() == null || weight(object, target) > weight(object, known.first())) {
-      return new Choices(target, known.first());
-    }
-    if (known.second() == null || weight(object, target) > weight(object, known.second())) {
-      return new Choices(known.first(), target);
-    }
-    return known;
-  }
-
-  private static long weight(long object, TargetState target) {
-    return HASHER.hashLongLongToLong(object, target.idHash());
+  private static @Nullable TargetState home(Map<String, Choices> choices) {
+    return choices.values().stream()
+        .map(Choices::first)
+        .max(Comparator.comparingLong(Ranked::weight))
+        .map(Ranked::target)
+        .orElse(null);
   }
 
-  private Send estimate(
-      Order order,
-      TargetState target,
-      @Nullable TargetState home,
-      @Nullable Choices ofRegion,
-      long now) {
-    RouteRule route = order.route();
-    double knows = knows(order, target, home, ofRegion);
-    double warm = runTimes.millis(route.name(), route.latencyGoalMillis(), true);
-    double unknown = runTimes.millis(route.name(), route.latencyGoalMillis(), false);
-    double run = (knows * warm + (1 - knows) * unknown) * target.slowness();
+  private Send estimate(Prospects prospects, TargetState target, long now) {
+    double knows = knows(prospects, target);
+    double mean = knows * prospects.knownMillis() + (1 - knows) * prospects.unknownMillis();
+    double run = mean * target.slowness();
     double over = target.load(now) + 1 - target.facts().slots();
     double wait = over <= 0 ? 0 : over / target.facts().slots() * run;
     return new Send(target, knows >= 0.5, run, wait);
   }
 
-  private double knows(
-      Order order, TargetState target, @Nullable TargetState home, @Nullable Choices ofRegion) {
-    if (target.knows(order.object())) {
+  private double knows(Prospects prospects, TargetState target) {
+    if (target.knows(prospects.order().object())) {
       return 1;
     }
+    Choices ofRegion = prospects.ofRegion(target);
     if (ofRegion == null) {
       return 0;
     }
-    if (target == home) {
+    if (target == prospects.home()) {
       return weights.homeKnows();
     }
-    if (target == ofRegion.first()) {
+    if (ofRegion.isFirst(target)) {
       return weights.regionHomeKnows();
     }
-    return target == ofRegion.second() ? weights.secondKnows() : 0;
+    return ofRegion.isSecond(target) ? weights.secondKnows() : 0;
   }
 
   private double cost(Send send, long now) {
@@ -256,6 +276,6 @@
       target.ran(run / usual);
       runTimes.ran(route.name(), route.latencyGoalMillis(), known, run);
     }
-    target.remember(order.object(), now);
+    target.remember(order.object());
   }
 }
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetFacts.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetFacts.java
@@ -22,4 +22,9 @@
     String region,
     int slots,
     boolean leaving,
-    long coldMillis) {}
+    long coldMillis) {
+  /** The same target, leaving. */
+  public TargetFacts asLeaving() {
+    return new TargetFacts(id, service, host, port, zone, region, slots, true, coldMillis);
+  }
+}
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetState.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetState.java
@@ -1,8 +1,8 @@
 package org.sageladder.core.placing;
 
 import com.dynatrace.hash4j.hashing.Hashing;
-import java.util.LinkedHashMap;
-import java.util.Map;
+import java.util.LinkedHashSet;
+import java.util.Set;
 
 /**
  * One target as this entry VM believes it to be: its facts, its load and what it was like lately.
@@ -47,7 +47,8 @@
   private long failureSeenAt;
   private double slowness = 1;
   private long avoidUntil;
-  private final Map<Long, Long> objects = new LinkedHashMap<>(32, 0.75f, true);
+  // Oldest first.
+  private final Set<Long> objects = new LinkedHashSet<>();
 
   TargetState(TargetFacts facts, long now, boolean newcomer) {
     this.facts = facts;
@@ -165,15 +166,16 @@
   }
 
   /** Notes that the target has run {@code object}. */
-  public void remember(long object, long now) {
-    objects.put(object, now);
+  public void remember(long object) {
+    objects.remove(object);
+    objects.add(object);
     if (objects.size() > OBJECTS_REMEMBERED) {
-      objects.remove(objects.keySet().iterator().next());
+      objects.remove(objects.iterator().next());
     }
   }
 
   /** True where this entry VM has had {@code object} run there lately. */
   public boolean knows(long object) {
-    return objects.containsKey(object);
+    return objects.contains(object);
   }
 }
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -39,7 +38,7 @@
     removals.remove(facts.id());
     TargetState known = byId.get(facts.id());
     if (known != null) {
-      known.update(known.facts().leaving() ? leaving(facts) : facts, now);
+      known.update(known.facts().leaving() ? facts.asLeaving() : facts, now);
       return false;
     }
     TargetState fresh = new TargetState(facts, now, complete);
@@ -48,19 +47,6 @@
     return true;
   }
 
-  private static TargetFacts leaving(TargetFacts facts) {
-    return new TargetFacts(
-        facts.id(),
-        facts.service(),
-        facts.host(),
-        facts.port(),
-        facts.zone(),
-        facts.region(),
-        facts.slots(),
-        true,
-        facts.coldMillis());
-  }
-
   /** Removes a target at {@code at}, unless it is put again before. */
   public void removeAt(String id, long at) {
     if (byId.containsKey(id)) {
@@ -79,15 +65,11 @@
 
   /** Carries out the removals that are due and returns the ids removed. */
   public List<String> sweep(long now) {
-    List<String> due = new ArrayList<>();
-    Iterator<Map.Entry<String, Long>> all = removals.entrySet().iterator();
-    while (all.hasNext()) {
-      Map.Entry<String, Long> removal = all.next();
-      if (removal.getValue() <= now) {
-        due.add(removal.getKey());
-        all.remove();
-      }
-    }
+    List<String> due =
+        removals.entrySet().stream()
+            .filter(removal -> removal.getValue() <= now)
+            .map(Map.Entry::getKey)
+            .toList();
     due.forEach(this::remove);
     return due;
   }
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/PlacementTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/PlacementTest.java
@@ -74,18 +74,7 @@
     Send second = fixture.send(7);
     assertNotEquals(first.target().facts().zone(), second.target().facts().zone());
     TargetFacts facts = second.target().facts();
-    fixture.targets.put(
-        new TargetFacts(
-            facts.id(),
-            facts.service(),
-            facts.host(),
-            80,
-            facts.zone(),
-            facts.region(),
-            3,
-            true,
-            0),
-        fixture.now);
+    fixture.targets.put(facts.asLeaving(), fixture.now);
     assertNotEquals(facts.id(), fixture.send(7).target().facts().id());
   }
 
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
@@ -86,7 +86,7 @@
 
   private HttpRequest head() {
     HttpRequest from = exchange.head();
-    HttpHeaders headers = Hop.passedOn(from.headers());
+    HttpHeaders headers = PassedOn.of(from.headers());
     boolean chunked = HttpUtil.isTransferEncodingChunked(from);
     if (chunked) {
       headers.remove(HttpHeaderNames.CONTENT_LENGTH);
--- a/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.jspecify.annotations.Nullable;
@@ -92,7 +93,7 @@
 
   /** The caller's IP number. */
   String callerHost() {
-    return context().channel().remoteAddress() instanceof java.net.InetSocketAddress address
+    return context().channel().remoteAddress() instanceof InetSocketAddress address
         ? address.getAddress().getHostAddress()
         : "";
   }
@@ -166,7 +167,7 @@
     headSince = 0;
     Exchange exchange = Exchange.unreadable(forwarder, this);
     exchanges.addLast(exchange);
-    exchange.refuseUnread(code, code.httpStatus());
+    exchange.refuseUnread(code);
   }
 
   /** True where the answer of {@code exchange} may be written now. */
--- a/sageladder-forward/src/main/java/org/sageladder/forward/CrashWatch.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CrashWatch.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -39,14 +38,7 @@
 
   private final Loop loop;
   private final EventSink log;
-  private final Quarantine quarantine =
-      Quarantine.create(
-          new Quarantine.Limits(
-              Duration.ofMinutes(10),
-              Duration.ofMinutes(1),
-              Duration.ofMinutes(10),
-              Duration.ofSeconds(5),
-              1_000));
+  private final Quarantine quarantine = Quarantine.create(Quarantine.Limits.standard());
   private final Map<String, Lost> suspects = new HashMap<>();
   private final Set<Long> seenBefore = new HashSet<>();
   private Consumer<CrashReport> tell = report -> {};
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -23,6 +23,7 @@
 import org.sageladder.core.result.ResultCode;
 import org.sageladder.core.routing.RouteRule;
 import org.sageladder.core.routing.RoutingRules;
+import org.sageladder.core.routing.ServiceRule;
 
 /**
  * One request of a caller, from its head to its one answer.
@@ -128,7 +129,7 @@
     id = named == null ? "" : named;
     ResultCode fault = HeadCheck.fault(head, named);
     if (fault != null) {
-      refuseUnread(fault, fault.httpStatus());
+      refuseUnread(fault);
       return;
     }
     RoutingRules rules = forwarder.rules();
@@ -137,7 +138,7 @@
       return;
     }
     if (HttpUtil.getContentLength(head, 0L) > rules.limits().bodyBytes()) {
-      refuseUnread(ResultCode.BODY_TOO_LARGE, ResultCode.BODY_TOO_LARGE.httpStatus());
+      refuseUnread(ResultCode.BODY_TOO_LARGE);
       return;
     }
     Optional<RouteRule> match = rules.match(HeadCheck.host(head), HeadCheck.path(head));
@@ -181,7 +182,7 @@
     body.add(bytes);
     if (body.total() > forwarder.callerLimits().bodyBytes()) {
       stopAttempt();
-      refuseUnread(ResultCode.BODY_TOO_LARGE, ResultCode.BODY_TOO_LARGE.httpStatus());
+      refuseUnread(ResultCode.BODY_TOO_LARGE);
       return;
     }
     bodyMoved();
@@ -252,10 +253,8 @@
     long now = forwarder.loop().now();
     Order order = new Order(route(), service, object, millisLeft());
     RoutingRules rules = forwarder.rules();
-    PlacingDecision decision =
-        forwarder
-            .placement()
-            .place(order, rules == null ? null : rules.service(service).orElse(null), tried, now);
+    ServiceRule rule = rules == null ? null : rules.service(service).orElse(null);
+    PlacingDecision decision = forwarder.placement().place(order, rule, tried, now);
     if (decision instanceof PlacingDecision.Send send) {
       if (!forwarder.hasTimeFor(send.waitMillis() + send.runMillis())) {
         end(ResultCode.STOPPING, STOPPING_RETRY_MILLIS, "no time left before the stop");
@@ -422,8 +421,8 @@
       return;
     }
     if (!mayHaveRun) {
-      ResultCode true503 = code.outcome() == Outcome.NOT_RUN ? code : ResultCode.QUEUE_DEADLINE;
-      refuse(true503, retryMillis, why);
+      ResultCode notRun = code.outcome() == Outcome.NOT_RUN ? code : ResultCode.QUEUE_DEADLINE;
+      refuse(notRun, retryMillis, why);
       return;
     }
     ResultCode unknown = code.outcome() == Outcome.NOT_RUN ? ResultCode.TARGET_LOST : code;
@@ -444,10 +443,10 @@
   }
 
   /** Refuses what cannot be read as a request, and closes, since what follows cannot be either. */
-  void refuseUnread(ResultCode code, int status) {
+  void refuseUnread(ResultCode code) {
     over = true;
     cancelTimer();
-    inTurn(() -> writeOwn(new OwnAnswer(code, status, 0, true), "not readable"));
+    inTurn(() -> writeOwn(new OwnAnswer(code, code.httpStatus(), 0, true), "not readable"));
   }
 
   private void answerOwn(ResultCode code, long retryMillis, String why) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -1,7 +1,9 @@
 package org.sageladder.forward;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -119,7 +121,7 @@
     Sockets.listener(loop, initializer)
         .bind(host, port)
         .addListener(
-            (io.netty.channel.ChannelFuture done) -> {
+            (ChannelFuture done) -> {
               if (!done.isSuccess()) {
                 failed.accept(done.cause());
                 return;
@@ -134,7 +136,7 @@
     Channel open = listening;
     return open == null
         ? Optional.empty()
-        : Optional.of(((java.net.InetSocketAddress) open.localAddress()).getPort());
+        : Optional.of(((InetSocketAddress) open.localAddress()).getPort());
   }
 
   /** Puts newer rules in force; older ones than those in force have no effect. */
--- a/sageladder-forward/src/main/java/org/sageladder/forward/HeldAnswer.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/HeldAnswer.java
@@ -57,7 +57,7 @@
     to.write(new DefaultLastHttpContent());
   }
 
-  /** Writes the head and what has come of a body that goes on; true where it is of known length. */
+  /** Writes the head and what has come of a body that goes on. */
   void writeBeginning(CallerConnection to, boolean close) {
     HttpResponse answer = answerHead(close);
     if (!HttpUtil.isContentLengthSet(answer)) {
@@ -68,7 +68,7 @@
   }
 
   private HttpResponse answerHead(boolean close) {
-    HttpHeaders headers = Hop.passedOn(head.headers());
+    HttpHeaders headers = PassedOn.of(head.headers());
     if (close) {
       headers.set(HttpHeaderNames.CONNECTION, "close");
     }
--- /dev/null
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/PassedOn.java
@@ -0,0 +1,25 @@
+package org.sageladder.forward;
+
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Map;
+import org.sageladder.core.message.ConnectionHeaders;
+
+/** Headers that are passed on from one connection to another. */
+final class PassedOn {
+  private PassedOn() {}
+
+  /** What is passed on of {@code headers}, in the same order. */
+  static HttpHeaders of(HttpHeaders headers) {
+    ConnectionHeaders left = ConnectionHeaders.naming(headers.getAll(HttpHeaderNames.CONNECTION));
+    HttpHeaders passed =
+        DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders();
+    for (Map.Entry<String, String> header : headers) {
+      if (!left.contains(header.getKey())) {
+        passed.add(header.getKey(), header.getValue());
+      }
+    }
+    return passed;
+  }
+}
--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnections.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnections.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.DoubleConsumer;
+import org.jspecify.annotations.Nullable;
 import org.sageladder.core.placing.TargetFacts;
 
 /**
@@ -82,8 +83,7 @@
     };
   }
 
-  private @org.jspecify.annotations.Nullable TargetConnection take(
-      String target, long mostIdleMillis) {
+  private @Nullable TargetConnection take(String target, long mostIdleMillis) {
     Deque<TargetConnection> kept = idle.get(target);
     long now = loop.now();
     while (kept != null && !kept.isEmpty()) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
@@ -44,38 +44,63 @@
   private final Forwarder forwarder;
   private final LookUps lookUps;
   private final EventSink log;
-  private final Runnable onRules;
+  private final PlatformStore store;
+  private final EntryVm self;
+  private final long leaseMillis;
   private final Set<String> lapsing = new HashSet<>();
   private @Nullable StoreFollower follower;
+  private @Nullable EntryRegistration registration;
 
   private EntryControl(
-      Loop loop, Forwarder forwarder, LookUps lookUps, EventSink log, Runnable onRules) {
+      Loop loop,
+      PlatformStore store,
+      Forwarder forwarder,
+      LookUps lookUps,
+      EntryVm self,
+      long leaseMillis,
+      EventSink log) {
     this.loop = loop;
+    this.store = store;
     this.forwarder = forwarder;
     this.lookUps = lookUps;
+    this.self = self;
+    this.leaseMillis = leaseMillis;
     this.log = log;
-    this.onRules = onRules;
   }
 
   /**
-   * Follows {@code store} from now on.
+   * Follows {@code store} from now on, and registers {@code self} there once rules are in force.
    *
-   * @param onRules run when the first rules are in force
+   * @param leaseMillis how long the registration outlives this VM
    */
   public static EntryControl start(
       Loop loop,
       PlatformStore store,
       Forwarder forwarder,
       LookUps lookUps,
-      EventSink log,
-      Runnable onRules) {
-    EntryControl control = new EntryControl(loop, forwarder, lookUps, log, onRules);
+      EntryVm self,
+      long leaseMillis,
+      EventSink log) {
+    EntryControl control =
+        new EntryControl(loop, store, forwarder, lookUps, self, leaseMillis, log);
     control.follower = StoreFollower.start(loop, store, control, log);
     return control;
   }
 
-  /** Takes whether the store answered a call that was made elsewhere. */
-  public void heard(boolean answered) {
+  /** This VM stops: it is named by no look-up any more and leaves the store. */
+  public void leave() {
+    lookUps.leave();
+    EntryRegistration known = registration;
+    if (known != null) {
+      known.leave();
+    }
+  }
+
+  private void register() {
+    registration = EntryRegistration.begin(loop, store, self, leaseMillis, log, this::heard);
+  }
+
+  private void heard(boolean answered) {
     StoreFollower known = follower;
     if (known != null) {
       known.heard(answered);
@@ -121,7 +146,7 @@
         rules.version(),
         rules.routeCount() + " routes");
     if (first) {
-      onRules.run();
+      register();
     }
   }
 
