--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetFacts.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetFacts.java
@@ -27,4 +27,9 @@
   public TargetFacts asLeaving() {
     return new TargetFacts(id, service, host, port, zone, region, slots, true, coldMillis);
   }
+
+  /** The same target, cold for another {@code millis}. */
+  public TargetFacts coldFor(long millis) {
+    return new TargetFacts(id, service, host, port, zone, region, slots, leaving, millis);
+  }
 }
--- a/sageladder-core/src/main/java/org/sageladder/core/routing/RouteRule.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/routing/RouteRule.java
@@ -40,4 +40,20 @@
   public boolean allows(String region) {
     return regions.isEmpty() || regions.contains(region);
   }
+
+  /** The same route, to other services. */
+  public RouteRule to(List<ServiceShare> others) {
+    return new RouteRule(
+        name,
+        host,
+        prefix,
+        idempotent,
+        timeoutMillis,
+        latencyGoalMillis,
+        priority,
+        others,
+        mostTargets,
+        byObject,
+        regions);
+  }
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/CrashWatch.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CrashWatch.java
@@ -64,7 +64,7 @@
     if (quarantine.isEmpty()) {
       return 0;
     }
-    return quarantine.remainingMillis(fingerprint.getAsLong(), System.currentTimeMillis());
+    return quarantine.remainingMillis(fingerprint.getAsLong(), loop.wallMillis());
   }
 
   /** A request's connection ended before any byte of an answer. */
@@ -79,8 +79,7 @@
   }
 
   private void probe(TargetFacts target) {
-    Sockets.connector(loop, PROBE_MILLIS, new ChannelInboundHandlerAdapter())
-        .connect(target.host(), target.port())
+    loop.connect(target.host(), target.port(), PROBE_MILLIS, new ChannelInboundHandlerAdapter())
         .addListener(
             (ChannelFuture done) -> {
               Lost lost = suspects.remove(target.id());
@@ -94,8 +93,7 @@
 
   private void crashed(TargetFacts target, Lost lost) {
     CrashReport report =
-        new CrashReport(
-            target.id(), ONLY_INCARNATION, System.currentTimeMillis(), lost.fingerprints());
+        new CrashReport(target.id(), ONLY_INCARNATION, loop.wallMillis(), lost.fingerprints());
     boolean again = lost.fingerprints().stream().anyMatch(seenBefore::contains);
     seenBefore.addAll(lost.fingerprints());
     quarantine.add(report);
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -5,7 +5,7 @@
 import io.netty.channel.ChannelInitializer;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -53,7 +53,7 @@
   private final TargetConnections connections;
   private final CrashWatch crashes;
   private final Map<String, WeightedTurns> turns = new HashMap<>();
-  private final Set<CallerConnection> callers = new HashSet<>();
+  private final Set<CallerConnection> callers = new LinkedHashSet<>();
   private final Random random;
   private @Nullable RoutingRules rules;
   private @Nullable Channel listening;
@@ -118,8 +118,7 @@
             connection.install(channel.pipeline());
           }
         };
-    Sockets.listener(loop, initializer)
-        .bind(host, port)
+    loop.listen(host, port, initializer)
         .addListener(
             (ChannelFuture done) -> {
               if (!done.isSuccess()) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Loop.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Loop.java
@@ -2,11 +2,15 @@
 
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import org.sageladder.core.time.TimeSource;
 
 /**
  * The one thread of an entry VM: its clock, its timers and its sockets.
@@ -16,19 +20,45 @@
 public final class Loop implements AutoCloseable {
   private static final long NANOS_PER_MILLI = 1_000_000;
 
-  private final MultiThreadIoEventLoopGroup group;
   private final EventLoop thread;
+  private final TimeSource time;
+  private final Transport transport;
+  private final Executor turns;
+  private final Runnable end;
 
-  private Loop(MultiThreadIoEventLoopGroup group) {
-    this.group = group;
-    this.thread = group.next();
+  private Loop(
+      EventLoop thread, TimeSource time, Transport transport, Executor turns, Runnable end) {
+    this.thread = thread;
+    this.time = time;
+    this.transport = transport;
+    this.turns = turns;
+    this.end = end;
   }
 
-  /** Starts the thread. */
+  /** Starts a thread with this machine's clocks and sockets. */
   public static Loop start() {
-    return new Loop(
+    MultiThreadIoEventLoopGroup group =
         new MultiThreadIoEventLoopGroup(
-            1, new DefaultThreadFactory("loop"), NioIoHandler.newFactory()));
+            1, new DefaultThreadFactory("loop"), NioIoHandler.newFactory());
+    return new Loop(
+        group.next(),
+        TimeSource.system(),
+        new Sockets(),
+        Runnable::run,
+        () -> {
+          var unused = group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        });
+  }
+
+  /**
+   * A loop on a thread that is run by others.
+   *
+   * @param time the clock by which {@code thread} runs its timers
+   * @param turns runs each task when its time has come; may hold it back or drop it, as a machine
+   *     does that is suspended or without power
+   */
+  public static Loop on(EventLoop thread, TimeSource time, Transport transport, Executor turns) {
+    return new Loop(thread, time, transport, turns, () -> {});
   }
 
   /** What Netty's bootstraps take. */
@@ -43,17 +73,38 @@
 
   /** Milliseconds of the steady clock. */
   public long now() {
-    return System.nanoTime() / NANOS_PER_MILLI;
+    return time.nanos() / NANOS_PER_MILLI;
+  }
+
+  /** Nanoseconds of the steady clock. */
+  public long nanos() {
+    return time.nanos();
+  }
+
+  /** Milliseconds since the Unix epoch by this machine's time of day, which may jump. */
+  public long wallMillis() {
+    return time.wallMillis();
+  }
+
+  /** Opens a connection; see {@link Transport#connect}. */
+  public ChannelFuture connect(String host, int port, int connectMillis, ChannelHandler handler) {
+    return transport.connect(this, host, port, connectMillis, handler);
+  }
+
+  /** Opens a port; see {@link Transport#listen}. */
+  public ChannelFuture listen(String host, int port, ChannelHandler handler) {
+    return transport.listen(this, host, port, handler);
   }
 
   /** Runs {@code task} on the thread, soon. */
   public void run(Runnable task) {
-    thread.execute(task);
+    thread.execute(() -> turns.execute(task));
   }
 
   /** Runs {@code task} on the thread after {@code millis}. */
   public Timer after(long millis, Runnable task) {
-    var future = thread.schedule(task, Math.max(0, millis), TimeUnit.MILLISECONDS);
+    var future =
+        thread.schedule(() -> turns.execute(task), Math.max(0, millis), TimeUnit.MILLISECONDS);
     return () -> {
       var unused = future.cancel(false);
     };
@@ -61,7 +112,9 @@
 
   /** Runs {@code task} on the thread each {@code millis}, from then on. */
   public void each(long millis, Runnable task) {
-    var unused = thread.scheduleAtFixedRate(task, millis, millis, TimeUnit.MILLISECONDS);
+    var unused =
+        thread.scheduleAtFixedRate(
+            () -> turns.execute(task), millis, millis, TimeUnit.MILLISECONDS);
   }
 
   /** A task that waits for its time. */
@@ -73,6 +126,6 @@
 
   @Override
   public void close() {
-    var unused = group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    end.run();
   }
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Sockets.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Sockets.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundInvoker;
@@ -18,7 +19,7 @@
  * nothing. Keep-alive probes of the kernel end such a connection after about three seconds, so that
  * a request waiting on it fails while its caller still waits.
  */
-public final class Sockets {
+public final class Sockets implements Transport {
   private static final int PROBE_AFTER_SECONDS = 1;
   private static final int PROBE_EACH_SECONDS = 1;
   private static final int PROBES = 2;
@@ -28,7 +29,7 @@
 
   private static final int BACKLOG = 1024;
 
-  private Sockets() {}
+  Sockets() {}
 
   /**
    * Closes a connection, whatever comes of it: there is nothing left to do for one that fails to.
@@ -37,8 +38,9 @@
     var unused = connection.close();
   }
 
-  /** What opens connections, established within {@code connectMillis}. */
-  public static Bootstrap connector(Loop loop, int connectMillis, ChannelHandler handler) {
+  @Override
+  public ChannelFuture connect(
+      Loop loop, String host, int port, int connectMillis, ChannelHandler handler) {
     return new Bootstrap()
         .group(loop.thread())
         .channel(NioSocketChannel.class)
@@ -50,11 +52,12 @@
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_AFTER_SECONDS)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_EACH_SECONDS)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBES)
-        .handler(handler);
+        .handler(handler)
+        .connect(host, port);
   }
 
-  /** What opens a listening port. */
-  public static ServerBootstrap listener(Loop loop, ChannelHandler handler) {
+  @Override
+  public ChannelFuture listen(Loop loop, String host, int port, ChannelHandler handler) {
     return new ServerBootstrap()
         .group(loop.thread())
         .channel(NioServerSocketChannel.class)
@@ -68,6 +71,7 @@
         .childOption(
             NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_EACH_SECONDS)
         .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBES)
-        .childHandler(handler);
+        .childHandler(handler)
+        .bind(host, port);
   }
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnections.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnections.java
@@ -60,16 +60,15 @@
       return;
     }
     TargetConnection fresh = new TargetConnection(dialect, IDLE_MILLIS_UNTIL_TOLD);
-    long from = System.nanoTime();
-    Sockets.connector(loop, CONNECT_MILLIS, initializer(fresh))
-        .connect(target.host(), target.port())
+    long from = loop.nanos();
+    loop.connect(target.host(), target.port(), CONNECT_MILLIS, initializer(fresh))
         .addListener(
             (ChannelFuture done) -> {
               if (!done.isSuccess()) {
                 failed.accept(String.valueOf(done.cause().getMessage()));
                 return;
               }
-              established.accept((System.nanoTime() - from) / 1e6);
+              established.accept((loop.nanos() - from) / 1e6);
               ready.accept(fresh);
             });
   }
--- /dev/null
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/Deployment.java
@@ -0,0 +1,253 @@
+package org.sageladder.scenario;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.sageladder.core.routing.RouteRule;
+import org.sageladder.core.routing.ServiceRule;
+import org.sageladder.core.routing.ServiceShare;
+import org.sageladder.standin.network.SimulatedNetwork.Ways;
+import org.sageladder.standin.platform.CallerKind;
+import org.sageladder.standin.platform.CallerKind.Habit;
+import org.sageladder.standin.platform.TargetTraits;
+
+/**
+ * A deployment: zones, entry VMs, services with their targets, kinds of request.
+ *
+ * @param regionOfZone region of each zone, in the order of zones
+ * @param entries entry VMs in each zone
+ * @param services the services
+ * @param routes the operator's first routes
+ * @param kinds what callers send
+ * @param ways delays between hosts
+ */
+public record Deployment(
+    Map<String, String> regionOfZone,
+    Map<String, Integer> entries,
+    List<Service> services,
+    List<RouteRule> routes,
+    List<CallerKind> kinds,
+    Ways ways) {
+  /** Name of the host that callers name. */
+  static final String HOST = "shop.example";
+
+  /** Each so many days the listing is played. */
+  private static final long LISTING_EACH = 4;
+
+  /** What a kind of request and its route say beside their names. */
+  private record Work(
+      String service, double perSecond, long millis, long goalMillis, long timeoutMillis) {}
+
+  /**
+   * A service.
+   *
+   * @param targets its targets in each zone
+   * @param traits what they are like
+   */
+  public record Service(String name, Map<String, Integer> targets, TargetTraits traits) {}
+
+  /**
+   * A small auction house: three regions of two zones, six entry VMs, searches, bids that must not
+   * repeat, long pulls behind one another. The slots bear it where most runs are of remembered
+   * objects.
+   */
+  public static Deployment auction() {
+    Map<String, String> zones = zones("north", "south", "west");
+    return new Deployment(
+        zones,
+        inEach(zones, 1),
+        List.of(
+            new Service("search", inEach(zones, 2), TargetTraits.standard()),
+            new Service("ledger", inEach(zones, 2), TargetTraits.standard()),
+            new Service("archive", inEach(zones, 2), TargetTraits.standard())),
+        List.of(
+            safe("browse", new Work("search", 30, 640, 400, 2_000)),
+            once("bid", new Work("ledger", 12, 840, 600, 2_000)),
+            only(
+                safe("pull", new Work("archive", 3, 3_000, 1_500, 7_000)),
+                Set.of("north", "south"))),
+        List.of(
+            kind("browse", true, new Work("search", 30, 640, 400, 3_000), Habit.KEPT),
+            kind("bid", false, new Work("ledger", 12, 840, 600, 4_000), Habit.FRESH),
+            kind("pull", true, new Work("archive", 3, 3_000, 1_500, 8_000), Habit.PIPELINED)),
+        Ways.standard());
+  }
+
+  /**
+   * Short look-ups of a busy listing on few targets: each gets more than a cold one bears, so that
+   * cold starts are what matters.
+   */
+  public static Deployment listing() {
+    Map<String, String> zones = zones("north", "south", "west");
+    return new Deployment(
+        zones,
+        inEach(zones, 1),
+        List.of(new Service("search", inEach(zones, 1), TargetTraits.standard())),
+        List.of(safe("browse", new Work("search", 90, 120, 400, 2_000))),
+        List.of(kind("browse", true, new Work("search", 90, 120, 400, 3_000), Habit.KEPT)),
+        Ways.standard());
+  }
+
+  /**
+   * Kalnins and Dauge as their sheet has it: twelve entry VMs, 46 targets that lie unevenly, slots
+   * that bear the load only where objects are remembered.
+   */
+  public static Deployment stamps() {
+    Map<String, String> zones = zones("riga", "liepaja", "daugavpils");
+    Map<String, Integer> few = perZone(zones, 1, 1, 2, 2, 3, 3);
+    Map<String, Integer> many = perZone(zones, 1, 1, 5, 5, 5, 5);
+    TargetTraits larger = new TargetTraits(4, 12, 27, 0.3, 3_000, 3.1, 10_000);
+    return new Deployment(
+        zones,
+        perZone(zones, 2, 2, 3, 2, 2, 1),
+        List.of(
+            new Service("listing", few, TargetTraits.standard()),
+            new Service("ledger", few, TargetTraits.standard()),
+            new Service("archive", many, larger)),
+        List.of(
+            safe("browse", new Work("listing", 82.2, 640, 400, 2_000)),
+            once("bid", new Work("ledger", 32.1, 840, 600, 2_000)),
+            safe("catalogue", new Work("archive", 38, 1_600, 1_000, 4_000)),
+            safe("provenance", new Work("archive", 24, 2_560, 1_500, 6_000))),
+        List.of(
+            kind("browse", true, new Work("listing", 82.2, 640, 400, 3_000), Habit.KEPT),
+            kind("bid", false, new Work("ledger", 32.1, 840, 600, 4_000), Habit.FRESH),
+            kind("catalogue", true, new Work("archive", 19, 1_600, 1_000, 8_000), Habit.PIPELINED),
+            kind("provenance", true, new Work("archive", 24, 2_560, 1_500, 12_000), Habit.FRESH)),
+        new Ways(100, 1_400, 20_000));
+  }
+
+  /** The archive of Kannelkoda as its sheet has it: eight entry VMs, 38 targets, far regions. */
+  public static Deployment archive() {
+    Map<String, String> zones = zones("tallinn", "tartu", "parnu");
+    TargetTraits traits = TargetTraits.standard();
+    return new Deployment(
+        zones,
+        perZone(zones, 2, 1, 1, 1, 2, 1),
+        List.of(
+            new Service("lyrics", inEach(zones, 2), traits),
+            new Service("donations", inEach(zones, 2), traits),
+            new Service("exports", perZone(zones, 2, 2, 2, 2, 3, 3), traits)),
+        List.of(
+            safe("lyric", new Work("lyrics", 53.1, 480, 400, 2_000)),
+            once("donation", new Work("donations", 20.1, 640, 500, 2_000)),
+            safe("transcript", new Work("exports", 22.4, 1_200, 800, 3_000)),
+            safe("audio", new Work("exports", 13, 1_920, 1_200, 5_000))),
+        List.of(
+            kind("lyric", true, new Work("lyrics", 53.1, 480, 400, 2_500), Habit.KEPT),
+            kind("donation", false, new Work("donations", 20.1, 640, 500, 3_000), Habit.FRESH),
+            kind("transcript", true, new Work("exports", 11.2, 1_200, 800, 6_000), Habit.PIPELINED),
+            kind("audio", true, new Work("exports", 13, 1_920, 1_200, 10_000), Habit.FRESH)),
+        new Ways(100, 900, 55_000));
+  }
+
+  /** The deployment of a name, as the command takes it. */
+  static Optional<Deployment> named(String name) {
+    return switch (name) {
+      case "auction" -> Optional.of(auction());
+      case "listing" -> Optional.of(listing());
+      case "stamps" -> Optional.of(stamps());
+      case "archive" -> Optional.of(archive());
+      default -> Optional.empty();
+    };
+  }
+
+  /** One of the small deployments, by the number of a day. */
+  public static Deployment ofDay(long seed) {
+    return seed % LISTING_EACH == 0 ? listing() : auction();
+  }
+
+  /** What the operator says of the services. */
+  List<ServiceRule> serviceRules() {
+    return services.stream()
+        .map(
+            service ->
+                new ServiceRule(
+                    service.name(),
+                    390,
+                    service.traits().coldMillis(),
+                    service.traits().coldPerSecond()))
+        .toList();
+  }
+
+  private static Map<String, String> zones(String... regions) {
+    Map<String, String> zones = new LinkedHashMap<>();
+    for (String region : regions) {
+      zones.put(region + "-a", region);
+      zones.put(region + "-b", region);
+    }
+    return zones;
+  }
+
+  private static Map<String, Integer> inEach(Map<String, String> zones, int count) {
+    Map<String, Integer> each = new LinkedHashMap<>();
+    zones.keySet().forEach(zone -> each.put(zone, count));
+    return each;
+  }
+
+  private static Map<String, Integer> perZone(Map<String, String> zones, int... counts) {
+    Map<String, Integer> each = new LinkedHashMap<>();
+    int next = 0;
+    for (String zone : zones.keySet()) {
+      each.put(zone, counts[next]);
+      next++;
+    }
+    return each;
+  }
+
+  private static RouteRule safe(String name, Work work) {
+    return route(name, true, 2, work);
+  }
+
+  private static RouteRule once(String name, Work work) {
+    return route(name, false, 1, work);
+  }
+
+  private static RouteRule route(String name, boolean idempotent, int priority, Work work) {
+    return new RouteRule(
+        name,
+        HOST,
+        '/' + name + '/',
+        idempotent,
+        work.timeoutMillis(),
+        work.goalMillis(),
+        priority,
+        List.of(new ServiceShare(work.service(), 1)),
+        2,
+        true,
+        Set.of());
+  }
+
+  private static RouteRule only(RouteRule route, Set<String> regions) {
+    return new RouteRule(
+        route.name(),
+        route.host(),
+        route.prefix(),
+        route.idempotent(),
+        route.timeoutMillis(),
+        route.latencyGoalMillis(),
+        route.priority(),
+        route.services(),
+        route.mostTargets(),
+        route.byObject(),
+        regions);
+  }
+
+  private static CallerKind kind(String route, boolean idempotent, Work work, Habit habit) {
+    double worth = idempotent ? 1 : 2;
+    return new CallerKind(
+        route,
+        HOST,
+        '/' + route + '/',
+        idempotent,
+        work.perSecond(),
+        work.millis(),
+        work.goalMillis(),
+        work.timeoutMillis(),
+        worth,
+        24,
+        habit);
+  }
+}
--- /dev/null
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/AnswerRules.java
@@ -0,0 +1,118 @@
+package org.sageladder.scenario.rule;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.sageladder.scenario.Day;
+import org.sageladder.standin.platform.Ledger;
+
+/** Rules on what callers got. */
+final class AnswerRules {
+  /** Answers that promise that the request has not run and never will. */
+  private static final Set<Integer> NOT_RUN = Set.of(408, 421, 429, 503);
+
+  /** Requests of ours that may be turned down though they are proper. */
+  private static final int FEW = 5;
+
+  /** Time after the last trouble by which the system serves again. */
+  private static final long RECOVERED_MILLIS = 15_000;
+
+  private static final double LEAST_SERVED = 0.25;
+
+  private AnswerRules() {}
+
+  static List<String> ranTwice(Day day) {
+    List<String> broken = new ArrayList<>();
+    day.ledger()
+        .runs()
+        .forEach(
+            (id, runs) -> {
+              boolean once = day.ledger().asked(id).map(a -> !a.route().idempotent()).orElse(false);
+              if (once && runs.size() > 1) {
+                broken.add(id + " ran " + runs.size() + " times");
+              }
+            });
+    return broken;
+  }
+
+  static List<String> refusedThoughRun(Day day) {
+    List<String> broken = new ArrayList<>();
+    for (Ledger.Asked asked : day.ledger().asked().values()) {
+      int status = day.ledger().answer(asked.id()).map(Ledger.Answered::status).orElse(0);
+      if (!asked.route().idempotent()
+          && NOT_RUN.contains(status)
+          && !day.ledger().runs(asked.id()).isEmpty()) {
+        broken.add(asked.id() + " was answered " + status + " and ran");
+      }
+    }
+    return broken;
+  }
+
+  static List<String> wrongAnswers(Day day) {
+    List<String> broken = new ArrayList<>();
+    for (Ledger.Asked asked : day.ledger().asked().values()) {
+      day.ledger()
+          .answer(asked.id())
+          .filter(answer -> answer.status() != 0 && !isRight(day, answer))
+          .ifPresent(answer -> broken.add(asked.id() + " got " + answer));
+    }
+    return broken;
+  }
+
+  private static boolean isRight(Day day, Ledger.Answered answer) {
+    if (answer.named() != null && !answer.named().equals(answer.id())) {
+      return false;
+    }
+    boolean success = answer.status() >= 200 && answer.status() < 300;
+    if (!success && !answer.sealed()) {
+      return true;
+    }
+    return answer.sealed()
+        && day.ledger().runs(answer.id()).stream()
+            .anyMatch(
+                run ->
+                    run.status() == answer.status()
+                        && (!success || answer.body().equals(run.answer())));
+  }
+
+  static List<String> denied(Day day) {
+    List<String> broken = new ArrayList<>();
+    for (Ledger.Asked asked : day.ledger().asked().values()) {
+      int status = day.ledger().answer(asked.id()).map(Ledger.Answered::status).orElse(0);
+      if (status >= 300 && status < 500 && !NOT_RUN.contains(status)) {
+        broken.add(asked.id() + " of " + asked.route().name() + " got " + status);
+      }
+    }
+    return broken.size() > FEW ? broken : List.of();
+  }
+
+  /** A planned stop, and nothing else, is going on: whoever was read gets an answer. */
+  static List<String> cutByPlannedWork(Day day) {
+    List<String> broken = new ArrayList<>();
+    for (Ledger.Asked asked : day.ledger().asked().values()) {
+      day.ledger()
+          .answer(asked.id())
+          .filter(answer -> answer.status() == 0)
+          .filter(answer -> reachedTarget(day, asked.id()))
+          .filter(answer -> day.calm(asked.at(), answer.at()))
+          .filter(answer -> answer.at() - asked.at() < asked.route().timeoutMillis())
+          .ifPresent(answer -> broken.add(asked.id() + " at " + asked.vm() + " was cut off"));
+    }
+    return broken;
+  }
+
+  private static boolean reachedTarget(Day day, String id) {
+    return !day.ledger().runs(id).isEmpty();
+  }
+
+  static List<String> notBack(Day day) {
+    long from = day.lastTrouble() + RECOVERED_MILLIS;
+    if (from >= day.endsAt()) {
+      return List.of();
+    }
+    double served = day.served(from);
+    return served < LEAST_SERVED
+        ? List.of("only " + served + " are served from " + from + " on")
+        : List.of();
+  }
+}
--- /dev/null
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/CallerTroubles.java
@@ -0,0 +1,32 @@
+package org.sageladder.scenario.trouble;
+
+import java.util.Map;
+import java.util.Random;
+import org.sageladder.scenario.Fleet;
+
+/** What callers do in a day. */
+final class CallerTroubles {
+  private static final double BURST = 3;
+  private static final long BURST_MILLIS = 4_000;
+  private static final double LEAVING_SHARE = 0.33;
+  private static final long LEAVE_AFTER_MILLIS = 150;
+  private static final long LEAVING_MILLIS = 5_000;
+
+  private CallerTroubles() {}
+
+  static void addTo(Map<String, Trouble> all) {
+    all.put("burst", CallerTroubles::burst);
+    all.put("callers-leave", CallerTroubles::leave);
+  }
+
+  private static void burst(Fleet fleet, Random random) {
+    fleet.callers().forEach(callers -> callers.pace(BURST));
+    fleet.after(BURST_MILLIS, () -> fleet.callers().forEach(callers -> callers.pace(1)));
+  }
+
+  /** Callers leave before they have an answer. */
+  private static void leave(Fleet fleet, Random random) {
+    fleet.callers().forEach(callers -> callers.leave(LEAVING_SHARE, LEAVE_AFTER_MILLIS));
+    fleet.after(LEAVING_MILLIS, () -> fleet.callers().forEach(callers -> callers.leave(0, 0)));
+  }
+}
--- /dev/null
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
@@ -0,0 +1,283 @@
+package org.sageladder.scenario.rule;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.sageladder.core.routing.RouteRule;
+import org.sageladder.core.routing.ServiceShare;
+import org.sageladder.scenario.Day;
+import org.sageladder.standin.platform.Ledger;
+import org.sageladder.standin.platform.Ledger.Answered;
+import org.sageladder.standin.platform.Ledger.Arrival;
+import org.sageladder.standin.platform.Ledger.Asked;
+import org.sageladder.standin.platform.Ledger.Fate;
+import org.sageladder.standin.platform.Ledger.Moment;
+
+/** Each rule finds a day that breaks it: a check that cannot fail would prove nothing. */
+class RulesTest {
+  private static final String VM = "10.1.0.1";
+  private static final long LATE = 100_000;
+
+  private final Day day = new Day();
+  private final Ledger ledger = day.ledger();
+
+  private static RouteRule route(boolean idempotent) {
+    return new RouteRule(
+        idempotent ? "safe" : "once",
+        "h",
+        "/a/",
+        idempotent,
+        2_000,
+        400,
+        1,
+        List.of(new ServiceShare("s", 1)),
+        2,
+        true,
+        Set.of("north"));
+  }
+
+  private void asked(String id, boolean idempotent, long at) {
+    RouteRule route = route(idempotent);
+    ledger.asked(new Asked(id, route, "/a/" + id, "", "north", VM, at, 3_000));
+  }
+
+  private static Arrival arrival(String id, long at) {
+    return new Arrival(id, "t-1", "s", "north-a", "north", VM, at, Fate.TAKEN, true, 900, false);
+  }
+
+  private static Arrival in(Arrival from, String service, String region) {
+    return new Arrival(
+        from.id(),
+        from.target(),
+        service,
+        from.zone(),
+        region,
+        VM,
+        from.at(),
+        from.fate(),
+        true,
+        from.deadlineMillis(),
+        false);
+  }
+
+  private void ran(String id, int status, String body) {
+    ledger.began(id, "t-1", 10).ended(20, status, body);
+  }
+
+  private List<String> broken(String name) {
+    Rule rule =
+        Rules.all().stream().filter(each -> each.name().equals(name)).findFirst().orElseThrow();
+    return rule.broken(day);
+  }
+
+  private void assertBroken(String name) {
+    assertFalse(broken(name).isEmpty(), name + " should be broken");
+  }
+
+  private void assertKept(String name) {
+    assertEquals(List.of(), broken(name));
+  }
+
+  @Test
+  void twice() {
+    asked("q", false, 0);
+    ran("q", 200, "x");
+    assertKept("TWICE");
+    ran("q", 200, "x");
+    assertBroken("TWICE");
+  }
+
+  @Test
+  void refused() {
+    asked("q", false, 0);
+    ledger.answered(new Answered("q", 503, "", false, "q", 5));
+    assertKept("REFUSED");
+    ran("q", 200, "x");
+    assertBroken("REFUSED");
+  }
+
+  @Test
+  void mixed() {
+    asked("q", true, 0);
+    ran("q", 200, "mine");
+    ledger.answered(new Answered("q", 200, "other", true, "q", 5));
+    assertBroken("MIXED");
+  }
+
+  @Test
+  void mixedWithoutTheSeal() {
+    asked("q", true, 0);
+    ran("q", 200, "mine");
+    ledger.answered(new Answered("q", 200, "mine", false, "q", 5));
+    assertBroken("MIXED");
+  }
+
+  @Test
+  void denied() {
+    for (int i = 0; i < 6; i++) {
+      asked("q" + i, true, 0);
+      ledger.answered(new Answered("q" + i, 404, "", false, null, 5));
+    }
+    assertBroken("DENIED");
+  }
+
+  @Test
+  void lostInCalm() {
+    asked("q", true, 0);
+    ran("q", 200, "x");
+    ledger.answered(new Answered("q", 0, "", false, null, 500));
+    assertBroken("LOST");
+  }
+
+  @Test
+  void lostWhileAMachineIsInTroubleDoesNotCount() {
+    asked("q", true, 0);
+    ran("q", 200, "x");
+    ledger.answered(new Answered("q", 0, "", false, null, 500));
+    day.trouble(new Day.Span(VM, false, 400, 450));
+    assertKept("LOST");
+  }
+
+  @Test
+  void unasked() {
+    Arrival changed =
+        new Arrival("q", "t-1", "s", "north-a", "north", VM, 5, Fate.TAKEN, false, 900, false);
+    ledger.arrived(changed);
+    assertBroken("UNASKED");
+  }
+
+  @Test
+  void wrongService() {
+    day.allow(route(true));
+    asked("q", true, 0);
+    ledger.arrived(in(arrival("q", 5), "other", "north"));
+    assertBroken("ROUTE");
+  }
+
+  @Test
+  void wrongRegion() {
+    asked("q", true, 0);
+    ledger.arrived(in(arrival("q", 5), "s", "south"));
+    assertBroken("HOME");
+  }
+
+  @Test
+  void leaving() {
+    long bound = day.bounds().drainMillis();
+    asked("q", true, LATE);
+    ledger.moment(Moment.Kind.TARGET_LEAVES, "t-1", LATE);
+    ledger.arrived(arrival("q", LATE + bound));
+    assertKept("DRAIN");
+    ledger.arrived(arrival("q", LATE + bound + 1));
+    assertBroken("DRAIN");
+    day.trouble(new Day.Span(VM, false, LATE, LATE));
+    assertKept("DRAIN");
+  }
+
+  @Test
+  void emptied() {
+    long bound = day.bounds().evacuateMillis();
+    asked("q", true, LATE);
+    ledger.moment(Moment.Kind.ZONE_EMPTIED, "north-a", LATE);
+    ledger.arrived(arrival("q", LATE + bound + 1));
+    assertBroken("EVAC");
+    ledger.moment(Moment.Kind.ZONE_TAKEN_BACK, "north-a", LATE + bound);
+    assertKept("EVAC");
+  }
+
+  @Test
+  void olderConfiguration() {
+    ledger.moment(Moment.Kind.CONFIGURATION, "safe", LATE);
+    asked("q", true, LATE + day.bounds().applyMillis() + 1);
+    ledger.arrived(in(arrival("q", LATE + 4_000), "before", "north"));
+    assertBroken("CONFIG");
+  }
+
+  @Test
+  void gone() {
+    for (int i = 0; i < 5; i++) {
+      asked("q" + i, true, LATE);
+      ledger.callerLeft("q" + i, LATE + 100);
+      ledger.arrived(arrival("q" + i, LATE + 700));
+    }
+    assertBroken("GONE");
+  }
+
+  @Test
+  void goneThoughItsRunGoesOn() {
+    for (int i = 0; i < 5; i++) {
+      asked("q" + i, true, LATE);
+      ledger.callerLeft("q" + i, LATE + 100);
+      ledger.began("q" + i, "t-1", LATE + 50).ended(LATE + 700, 200, "x");
+    }
+    assertBroken("GONE");
+  }
+
+  @Test
+  void coldRate() {
+    int most = (int) (day.coldPerSecond() * day.bounds().coldOver() + day.bounds().coldSlack());
+    for (int i = 0; i < most; i++) {
+      ledger.arrived(cold("q" + i, LATE));
+    }
+    assertKept("FAILBACK");
+    ledger.arrived(cold("q", LATE + 900));
+    assertBroken("FAILBACK");
+  }
+
+  private static Arrival cold(String id, long at) {
+    return new Arrival(id, "t-1", "s", "north-a", "north", VM, at, Fate.TAKEN, true, 900, true);
+  }
+
+  @Test
+  void secondSends() {
+    for (int i = 0; i < day.bounds().retryExtra(); i++) {
+      ledger.arrived(arrival("q", LATE + i));
+    }
+    assertKept("BUDGET retries");
+    ledger.arrived(arrival("q", LATE + 900));
+    ledger.arrived(arrival("q", LATE + 901));
+    assertBroken("BUDGET retries");
+  }
+
+  @Test
+  void mostTargets() {
+    for (int i = 0; i < 4; i++) {
+      asked("q" + i, true, LATE);
+      for (String target : List.of("t-1", "t-2", "t-3")) {
+        ledger.began("q" + i, target, LATE).ended(LATE + 1, 500, "x");
+      }
+    }
+    assertBroken("BUDGET targets");
+  }
+
+  @Test
+  void deadlines() {
+    for (int i = 0; i < 21; i++) {
+      asked("q" + i, true, LATE);
+      ledger.arrived(arrival("q" + i, LATE + 3_000));
+    }
+    assertBroken("BUDGET time");
+  }
+
+  @Test
+  void crashingRequests() {
+    for (int i = 0; i < 8; i++) {
+      String id = "q" + i;
+      RouteRule route = route(true);
+      long at = LATE + i * 4_000L;
+      ledger.asked(new Asked(id, route, "/a/poison", "", "north", VM, at, 3_000));
+      ledger.arrived(arrival(id, at));
+    }
+    assertBroken("BUDGET crashes");
+  }
+
+  @Test
+  void everyRuleHasItsOwnName() {
+    long names = Rules.all().stream().map(Rule::name).distinct().count();
+    assertTrue(names == Rules.all().size());
+  }
+}
--- /dev/null
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/network/SimulatedNetwork.java
@@ -0,0 +1,282 @@
+package org.sageladder.standin.network;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelOption;
+import java.io.IOException;
+import java.net.BindException;
+import java.net.ConnectException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiPredicate;
+import org.jspecify.annotations.Nullable;
+import org.sageladder.forward.Loop;
+import org.sageladder.forward.Transport;
+
+/**
+ * Hosts in zones and regions, and what passes between them.
+ *
+ * <pre>{@code
+ * SimulatedNetwork network = SimulatedNetwork.on(loop, Ways.standard(), seed);
+ * SimulatedHost vm = network.host("10.0.0.1", "north-a", "north");
+ * Loop vmLoop = network.loopOf(vm);       // what the VM's code is started with
+ * try (Cut cut = network.cut((from, to) -> from == vm)) { ... } // nothing gets out of it
+ * }</pre>
+ */
+public final class SimulatedNetwork {
+  /** Idle time and probes after which a kernel gives a dead connection up, as daemons set them. */
+  private static final long KEEP_ALIVE_MILLIS = 3_000;
+
+  /** How long a kernel waits before it sends a lost packet again. */
+  private static final long SENT_AGAIN_MILLIS = 200;
+
+  private static final long NANOS_PER_MILLI = 1_000_000;
+  private static final long NANOS_PER_MICRO = 1_000;
+  private static final int FIRST_CLIENT_PORT = 32_768;
+
+  /**
+   * One-way delays, in microseconds.
+   *
+   * @param inZone inside a zone
+   * @param betweenZones between zones of a region
+   * @param betweenRegions between regions
+   */
+  public record Ways(long inZone, long betweenZones, long betweenRegions) {
+    /** About what the users' regions have. */
+    public static Ways standard() {
+      return new Ways(100, 1_400, 20_000);
+    }
+  }
+
+  /** A cut between hosts, until it is closed. */
+  public interface Cut extends AutoCloseable {
+    @Override
+    void close();
+  }
+
+  /** How an attempt to connect ends. */
+  interface ConnectAnswer {
+    void established();
+
+    void failed(IOException cause);
+  }
+
+  private final VirtualLoop loop;
+  private final Ways ways;
+  private final Random random;
+  private final Map<String, SimulatedHost> hosts = new LinkedHashMap<>();
+  private final Map<SimulatedAddress, SimulatedPort> ports = new LinkedHashMap<>();
+  private final List<BiPredicate<SimulatedHost, SimulatedHost>> cuts = new ArrayList<>();
+  private final Set<Pipe> held = new LinkedHashSet<>();
+  private double lossShare;
+  private int nextClientPort = FIRST_CLIENT_PORT;
+
+  private SimulatedNetwork(VirtualLoop loop, Ways ways, long seed) {
+    this.loop = loop;
+    this.ways = ways;
+    this.random = new Random(seed);
+  }
+
+  /** A network without hosts. */
+  public static SimulatedNetwork on(VirtualLoop loop, Ways ways, long seed) {
+    return new SimulatedNetwork(loop, ways, seed);
+  }
+
+  /** Adds a host with power and nothing running on it. */
+  public SimulatedHost host(String ip, String zone, String region) {
+    SimulatedHost host = new SimulatedHost(this, ip, zone, region);
+    hosts.put(ip, host);
+    return host;
+  }
+
+  /** The loop of the process that runs on {@code host} from now on, until it ends. */
+  public Loop loopOf(SimulatedHost host) {
+    return Loop.on(loop, loop.clocks(0), new HostTransport(host), host.process());
+  }
+
+  /** Lets nothing pass from one host to another where {@code blocks} says so. */
+  public Cut cut(BiPredicate<SimulatedHost, SimulatedHost> blocks) {
+    cuts.add(blocks);
+    var unused = loop.schedule(this::giveUpDead, KEEP_ALIVE_MILLIS, TimeUnit.MILLISECONDS);
+    return () -> {
+      cuts.remove(blocks);
+      List<Pipe> waiting = List.copyOf(held);
+      held.clear();
+      waiting.forEach(Pipe::arrive);
+    };
+  }
+
+  /** Kernels notice that a host has lost its power by their keep-alive probes. */
+  public void powerOff(SimulatedHost host) {
+    host.powerOff();
+    var unused = loop.schedule(this::giveUpDead, KEEP_ALIVE_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Loses that share of what is sent between zones; kernels send it again later. */
+  public void lose(double share) {
+    lossShare = share;
+  }
+
+  /** Resets {@code share} of the host's connections, or makes them silent for good. */
+  public void spoilConnections(SimulatedHost host, double share, boolean silent) {
+    for (SimulatedChannel channel : host.channels()) {
+      if (random.nextDouble() >= share) {
+        continue;
+      }
+      if (!silent) {
+        host.execute(() -> channel.fail("Connection reset by peer"));
+        continue;
+      }
+      Pipe out = channel.out();
+      if (out != null) {
+        out.silence();
+      }
+    }
+    var unused = loop.schedule(this::giveUpDead, KEEP_ALIVE_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void giveUpDead() {
+    for (SimulatedHost host : hosts.values()) {
+      for (SimulatedChannel channel : host.channels()) {
+        Pipe out = channel.out();
+        if (out != null && out.isBlocked()) {
+          host.execute(() -> channel.fail("Connection timed out"));
+        }
+      }
+    }
+  }
+
+  /** True where packets pass between the hosts in both directions. */
+  public boolean passesBothWays(SimulatedHost one, SimulatedHost other) {
+    return passes(one, other) && passes(other, one);
+  }
+
+  boolean passes(SimulatedHost from, SimulatedHost to) {
+    return cuts.stream().noneMatch(blocks -> blocks.test(from, to));
+  }
+
+  long nanos() {
+    return loop.clocks(0).nanos();
+  }
+
+  long arrivalNanos(SimulatedHost from, SimulatedHost to) {
+    long micros = ways.betweenRegions();
+    if (from.zone().equals(to.zone())) {
+      micros = ways.inZone();
+    } else if (from.region().equals(to.region())) {
+      micros = ways.betweenZones();
+    }
+    long at = nanos() + micros * NANOS_PER_MICRO;
+    boolean lost = !from.zone().equals(to.zone()) && random.nextDouble() < lossShare;
+    return lost ? at + SENT_AGAIN_MILLIS * NANOS_PER_MILLI : at;
+  }
+
+  void at(long atNanos, Runnable task) {
+    var unused = loop.schedule(task, Math.max(0, atNanos - nanos()), TimeUnit.NANOSECONDS);
+  }
+
+  void soon(Runnable task) {
+    loop.execute(task);
+  }
+
+  void hold(Pipe pipe) {
+    held.add(pipe);
+  }
+
+  void bind(SimulatedAddress address, SimulatedPort port) throws IOException {
+    if (ports.putIfAbsent(address, port) != null) {
+      throw new BindException("Address already in use: " + address);
+    }
+  }
+
+  void unbind(SimulatedAddress address, SimulatedPort port) {
+    ports.remove(address, port);
+  }
+
+  void closePorts(SimulatedHost host) {
+    ports.values().removeIf(port -> port.host() == host);
+  }
+
+  /** Opens a connection from {@code client}, as its handshake goes over the network. */
+  void connect(SimulatedChannel client, SimulatedAddress to, ConnectAnswer answer) {
+    SimulatedHost from = client.host();
+    SimulatedHost target = hosts.get(to.ip());
+    long timeout = client.config().getConnectTimeoutMillis() * NANOS_PER_MILLI;
+    at(
+        nanos() + timeout,
+        () ->
+            from.execute(() -> answer.failed(new ConnectException("connection timed out: " + to))));
+    if (target == null) {
+      return;
+    }
+    at(arrivalNanos(from, target), () -> target.execute(() -> knock(client, target, to, answer)));
+  }
+
+  private void knock(
+      SimulatedChannel client, SimulatedHost target, SimulatedAddress to, ConnectAnswer answer) {
+    SimulatedHost from = client.host();
+    if (!passes(from, target) || !passes(target, from) || !client.isOpen()) {
+      return;
+    }
+    SimulatedPort port = ports.get(to);
+    if (port == null) {
+      at(
+          arrivalNanos(target, from),
+          () ->
+              from.execute(() -> answer.failed(new ConnectException("Connection refused: " + to))));
+      return;
+    }
+    SimulatedChannel server = new SimulatedChannel(port, this, target);
+    SimulatedChannel.join(client, server, to, clientPort());
+    port.accept(server);
+    at(arrivalNanos(target, from), () -> from.execute(answer::established));
+  }
+
+  private int clientPort() {
+    nextClientPort++;
+    return nextClientPort;
+  }
+
+  private final class HostTransport implements Transport {
+    private final SimulatedHost host;
+
+    HostTransport(SimulatedHost host) {
+      this.host = host;
+    }
+
+    @Override
+    public ChannelFuture connect(
+        Loop from, String to, int port, int connectMillis, ChannelHandler handler) {
+      return new Bootstrap()
+          .group(from.thread())
+          .channelFactory(() -> new SimulatedChannel(null, SimulatedNetwork.this, host))
+          .option(ChannelOption.ALLOCATOR, from.buffers())
+          .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis)
+          .handler(handler)
+          .connect(new SimulatedAddress(to, port));
+    }
+
+    @Override
+    public ChannelFuture listen(Loop on, String ip, int port, ChannelHandler handler) {
+      return new ServerBootstrap()
+          .group(on.thread())
+          .channelFactory(() -> new SimulatedPort(SimulatedNetwork.this, host))
+          .childOption(ChannelOption.ALLOCATOR, on.buffers())
+          .childHandler(handler)
+          .bind(new SimulatedAddress(ip, port));
+    }
+  }
+
+  /** The host of that IP number, or null. */
+  @Nullable SimulatedHost find(String ip) {
+    return hosts.get(ip);
+  }
+}
--- /dev/null
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/CallerConnection.java
@@ -0,0 +1,149 @@
+package org.sageladder.standin.platform;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.sageladder.forward.Loop;
+
+/** A caller's connection; several requests may be sent before the first answer. */
+final class CallerConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
+  private static final int MOST_BODY_BYTES = 4 << 20;
+
+  /** How a request ended on the connection. */
+  sealed interface Reply {
+    /** A whole answer. */
+    record Whole(int status, HttpHeaders headers, String body) implements Reply {}
+
+    /** The connection ended, or what came is no answer. */
+    record Broken(String cause) implements Reply {}
+  }
+
+  private final Deque<Consumer<Reply>> waiting = new ArrayDeque<>();
+  private @Nullable ChannelHandlerContext context;
+  private boolean closing;
+
+  static void open(
+      Loop loop,
+      String host,
+      int port,
+      int connectMillis,
+      Consumer<CallerConnection> ready,
+      Consumer<String> failed) {
+    CallerConnection connection = new CallerConnection();
+    ChannelInitializer<Channel> initializer =
+        new ChannelInitializer<>() {
+          @Override
+          protected void initChannel(Channel channel) {
+            channel
+                .pipeline()
+                .addLast(
+                    new HttpClientCodec(), new HttpObjectAggregator(MOST_BODY_BYTES), connection);
+          }
+        };
+    loop.connect(host, port, connectMillis, initializer)
+        .addListener(
+            (ChannelFuture done) -> {
+              if (done.isSuccess()) {
+                ready.accept(connection);
+              } else {
+                failed.accept(String.valueOf(done.cause().getMessage()));
+              }
+            });
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext added) {
+    context = added;
+  }
+
+  private ChannelHandlerContext context() {
+    ChannelHandlerContext known = context;
+    if (known == null) {
+      throw new IllegalStateException("the connection is in no channel yet");
+    }
+    return known;
+  }
+
+  boolean isUsable() {
+    return !closing && waiting.isEmpty() && context().channel().isActive();
+  }
+
+  void send(
+      String method, String path, Map<String, String> headers, String body, Consumer<Reply> to) {
+    FullHttpRequest request =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            HttpMethod.valueOf(method),
+            path,
+            Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+    headers.forEach((name, value) -> request.headers().set(name, value));
+    if (!body.isEmpty()) {
+      HttpUtil.setContentLength(request, request.content().readableBytes());
+    }
+    waiting.addLast(to);
+    var unused = context().writeAndFlush(request);
+  }
+
+  /** Ends the connection; nobody is told any more. */
+  void leave() {
+    closing = true;
+    waiting.clear();
+    var unused = context().close();
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+    Consumer<Reply> first = waiting.pollFirst();
+    if (!HttpUtil.isKeepAlive(response)) {
+      closing = true;
+    }
+    if (first == null || response.decoderResult().isFailure()) {
+      closing = true;
+      var unused = ctx.close();
+    }
+    if (first == null) {
+      return;
+    }
+    if (response.decoderResult().isFailure()) {
+      first.accept(new Reply.Broken("no answer: " + response.decoderResult().cause()));
+      return;
+    }
+    first.accept(
+        new Reply.Whole(
+            response.status().code(),
+            response.headers().copy(),
+            response.content().toString(StandardCharsets.UTF_8)));
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    closing = true;
+    while (!waiting.isEmpty()) {
+      waiting.removeFirst().accept(new Reply.Broken("the connection ended"));
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    closing = true;
+    var unused = ctx.close();
+  }
+}
--- /dev/null
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/PlatformBounds.java
@@ -0,0 +1,32 @@
+package org.sageladder.standin.platform;
+
+/**
+ * Bounds of the platform's rules, as the users' deployments have them.
+ *
+ * @param contactMillis calm time after which a machine counts as in touch
+ * @param drainMillis time after which nothing new may reach a leaving target
+ * @param graceMillis time from SIGTERM to SIGKILL
+ * @param applyMillis time after which a configuration is in force everywhere
+ * @param evacuateMillis time after which an emptied zone gets nothing more
+ * @param coldOver factor on a cold target's rate
+ * @param coldSlack requests beyond that in a second
+ * @param retryRatio second sends for each request of a window
+ * @param retryExtra second sends besides
+ * @param retryWindowMillis length of the window
+ */
+public record PlatformBounds(
+    long contactMillis,
+    long drainMillis,
+    long graceMillis,
+    long applyMillis,
+    long evacuateMillis,
+    double coldOver,
+    int coldSlack,
+    double retryRatio,
+    int retryExtra,
+    long retryWindowMillis) {
+  /** The bounds of the smaller of the users' sites. */
+  public static PlatformBounds standard() {
+    return new PlatformBounds(3_000, 2_500, 6_000, 2_500, 5_000, 1.5, 5, 0.2, 64, 10_000);
+  }
+}
--- /dev/null
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/PlatformTexts.java
@@ -0,0 +1,152 @@
+package org.sageladder.standin.platform;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.Base64;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import org.sageladder.core.placing.TargetFacts;
+import org.sageladder.core.routing.RouteRule;
+import org.sageladder.core.routing.ServiceRule;
+
+/** Writes what operators, targets and the platform write: configurations, entries, settings. */
+public final class PlatformTexts {
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private PlatformTexts() {}
+
+  /** A value as the store keeps it. */
+  public static String base64(String text) {
+    return Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Milliseconds of a time such as {@code 1500ms} or {@code 2.5s}. */
+  static long millis(String text) {
+    if (text.endsWith("ms")) {
+      return Math.round(Double.parseDouble(text.substring(0, text.length() - 2)));
+    }
+    return Math.round(1_000 * Double.parseDouble(text.substring(0, text.length() - 1)));
+  }
+
+  /** The operator's configuration of that version. */
+  public static String configuration(
+      long version, List<RouteRule> routes, List<ServiceRule> services) {
+    ObjectNode root = JSON.createObjectNode();
+    root.put("config_version", String.format(Locale.ROOT, "%08x", version));
+    ArrayNode resources = root.putArray("resources");
+    for (RouteRule route : routes) {
+      route(resource(resources, "routes", route.name()), route);
+    }
+    for (ServiceRule service : services) {
+      ObjectNode spec = resource(resources, "services", service.name());
+      spec.put("health_path", "/health");
+      spec.put("max_connections", service.mostConnections());
+      spec.put("cold_start", service.coldMillis() + "ms");
+      spec.put("cold_per_s", service.coldPerSecond());
+    }
+    ObjectNode limits = resource(resources, "limits", "limits");
+    limits.put("max_header_bytes", 16_384).put("max_body_bytes", 1 << 20);
+    limits.put("header_timeout", "3s").put("idle_timeout", "15s");
+    return root.toString();
+  }
+
+  private static ObjectNode resource(ArrayNode resources, String kind, String name) {
+    ObjectNode resource = resources.addObject();
+    resource.put("resource_kind", kind);
+    resource.putObject("metadata").put("name", name);
+    return resource.putObject("spec");
+  }
+
+  private static void route(ObjectNode spec, RouteRule route) {
+    spec.put("host", route.host()).put("prefix", route.prefix());
+    spec.put("kind", route.idempotent() ? "safe" : "unsafe");
+    spec.put("timeout", route.timeoutMillis() + "ms");
+    spec.put("target_latency", route.latencyGoalMillis() + "ms");
+    spec.put("priority", route.priority()).put("max_attempts", route.mostTargets());
+    spec.put("sticky_sessions", route.byObject());
+    ArrayNode regions = spec.putArray("allowed_regions");
+    route.regions().stream().sorted().forEach(regions::add);
+    if (route.services().size() == 1) {
+      spec.put("service", route.services().get(0).service());
+      return;
+    }
+    ArrayNode split = spec.putArray("split");
+    route
+        .services()
+        .forEach(
+            share ->
+                split.addObject().put("service", share.service()).put("weight", share.weight()));
+  }
+
+  /** A target's entry in the store. */
+  public static String target(TargetFacts facts, long sequence) {
+    ObjectNode entry = JSON.createObjectNode();
+    entry.put("service", facts.service());
+    entry.put("address", facts.host() + ':' + facts.port());
+    entry.put("zone", facts.zone()).put("config_version", "v1");
+    entry.put("slots", facts.slots()).put("state", facts.leaving() ? "draining" : "ready");
+    entry.put("cold_left", facts.coldMillis() + "ms").put("sequence", sequence);
+    return entry.toString();
+  }
+
+  /**
+   * An entry VM's settings file.
+   *
+   * @param ip where its ports are
+   * @param ports callers', readiness', look-ups' and metrics' port, in this order
+   * @param store the store's address
+   */
+  public static String settings(
+      String name,
+      String ip,
+      String zone,
+      Map<String, String> regionOfZone,
+      List<Integer> ports,
+      String store) {
+    StringBuilder text = new StringBuilder();
+    line(text, "node_name", quoted(name));
+    line(text, "role", quoted("entry"));
+    line(text, "serves", "[\"front\",\"directory\"]");
+    line(text, "zone", quoted(zone));
+    line(text, "region", quoted(regionOfZone.getOrDefault(zone, "")));
+    line(text, "internal_ports", "[" + ports.get(3) + "," + (ports.get(3) + 15) + "]");
+    line(text, "heartbeat", quoted("1500ms"));
+    text.append("[zones]\n");
+    for (String known : Set.copyOf(regionOfZone.keySet()).stream().sorted().toList()) {
+      line(text, known, quoted(regionOfZone.getOrDefault(known, "")));
+    }
+    text.append("[listen]\n");
+    line(text, "front", quoted(ip + ':' + ports.get(0)));
+    line(text, "ready", quoted(ip + ':' + ports.get(1)));
+    line(text, "directory", quoted(ip + ':' + ports.get(2)));
+    text.append("[bounds]\n");
+    PlatformBounds bounds = PlatformBounds.standard();
+    line(text, "contact", quoted(bounds.contactMillis() + "ms"));
+    line(text, "drain", quoted(bounds.drainMillis() + "ms"));
+    line(text, "grace", quoted(bounds.graceMillis() + "ms"));
+    line(text, "config_apply", quoted(bounds.applyMillis() + "ms"));
+    line(text, "ttl_max", quoted("5s"));
+    line(text, "cold_over", Double.toString(bounds.coldOver()));
+    line(text, "cold_slack", Integer.toString(bounds.coldSlack()));
+    line(text, "budget_ratio", Double.toString(bounds.retryRatio()));
+    line(text, "budget_extra", Integer.toString(bounds.retryExtra()));
+    line(text, "budget_window", quoted(bounds.retryWindowMillis() + "ms"));
+    line(text, "shift_most", "0.15");
+    text.append("[provider]\n");
+    line(text, "address", quoted(store));
+    line(text, "ttl_min", quoted("1000ms"));
+    return text.toString();
+  }
+
+  private static void line(StringBuilder text, String key, String value) {
+    text.append(key).append(" = ").append(value).append('\n');
+  }
+
+  private static String quoted(String text) {
+    return '"' + text + '"';
+  }
+}
