--- a/sageladder-forward/src/main/java/org/sageladder/forward/RequestLog.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/RequestLog.java
@@ -65,8 +65,8 @@
     }
     return String.format(
         Locale.ROOT,
-        ", known %s, expected %.0f + %.0f ms, sent for %d ms, own there %d",
-        attempt.decision().known(),
+        ", standing %s, expected %.0f + %.0f ms, sent for %d ms, own there %d",
+        attempt.decision().standing(),
         attempt.decision().waitMillis(),
         attempt.decision().runMillis(),
         attempt.millis(),
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/Deployment.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/Deployment.java
@@ -159,6 +159,12 @@
     return seed % LISTING_EACH == 0 ? listing() : auction();
   }
 
+  /** The same with {@code factor} times as many requests. */
+  Deployment atPace(double factor) {
+    List<CallerKind> paced = kinds.stream().map(kind -> kind.atPace(factor)).toList();
+    return new Deployment(regionOfZone, entries, services, routes, paced, ways);
+  }
+
   /** What the operator says of the services. */
   List<ServiceRule> serviceRules() {
     return services.stream()
--- a/sageladder-standin/src/main/java/org/sageladder/standin/network/SimulatedNetwork.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/network/SimulatedNetwork.java
@@ -258,6 +258,8 @@
       return new Bootstrap()
           .group(from.thread())
           .channelFactory(() -> new SimulatedChannel(null, SimulatedNetwork.this, host))
+          // Netty's table of resolvers is static and would keep each loop, and with it a whole day.
+          .disableResolver()
           .option(ChannelOption.ALLOCATOR, from.buffers())
           .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis)
           .handler(handler)
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/CallerKind.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/CallerKind.java
@@ -36,4 +36,20 @@
     /** Two requests behind one another before the first answer. */
     PIPELINED
   }
+
+  /** The same kind with {@code factor} times as many requests. */
+  public CallerKind atPace(double factor) {
+    return new CallerKind(
+        route,
+        host,
+        prefix,
+        idempotent,
+        perSecond * factor,
+        workMillis,
+        goalMillis,
+        deadlineMillis,
+        worth,
+        objects,
+        habit);
+  }
 }
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/Ledger.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/Ledger.java
@@ -72,14 +72,16 @@
   public static final class Run {
     private final String id;
     private final String target;
+    private final boolean known;
     private final long beganAt;
     private long endedAt = -1;
     private @Nullable String answer;
     private int status;
 
-    Run(String id, String target, long beganAt) {
+    Run(String id, String target, boolean known, long beganAt) {
       this.id = id;
       this.target = target;
+      this.known = known;
       this.beganAt = beganAt;
     }
 
@@ -100,6 +102,11 @@
       return target;
     }
 
+    /** True where the target remembered its object. */
+    public boolean known() {
+      return known;
+    }
+
     /** When it began. */
     public long beganAt() {
       return beganAt;
@@ -172,9 +179,9 @@
     arrivals.add(arrival);
   }
 
-  /** A target begins to run a request. */
-  public Run began(String id, String target, long at) {
-    Run run = new Run(id, target, at);
+  /** A target begins to run a request; {@code known} where it remembers the object. */
+  public Run began(String id, String target, boolean known, long at) {
+    Run run = new Run(id, target, known, at);
     runs.computeIfAbsent(id, key -> new ArrayList<>()).add(run);
     return run;
   }
