--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
@@ -38,9 +38,6 @@
   /** Waiting counted for a share of slots in use of 1, so that equals share the work. */
   private static final double CROWDED_MILLIS = 4;
 
-  /** Part of its mean by which a run's time may differ, either way, as targets' runs do. */
-  private static final double SPREAD = 0.15;
-
   /** Least time until a refused caller is told to come back. */
   private static final long LEAST_RETRY_MILLIS = 100;
 
@@ -95,7 +92,6 @@
   private final RunTimes runTimes;
   private final ColdAllowance cold;
   private final PlacingWeights weights;
-  private final Beliefs beliefs = new Beliefs();
 
   private Placement(
       TargetTable targets,
@@ -148,7 +144,7 @@
       if (isToBeIntroduced(target, prospects.ofRegion(target), now)) {
         return send;
       }
-      double cost = cost(prospects, send, now);
+      double cost = cost(send, now);
       if (cost < least) {
         least = cost;
         best = send;
@@ -214,37 +210,35 @@
   }
 
   private Send estimate(Prospects prospects, TargetState target, long now) {
-    Standing standing = standing(prospects, target);
-    double knows = beliefs.knows(prospects.order().service(), standing);
+    double knows = knows(prospects, target);
     double mean = knows * prospects.knownMillis() + (1 - knows) * prospects.unknownMillis();
     double run = mean * target.slowness();
     double over = target.load(now) + 1 - target.facts().slots();
     double wait = over <= 0 ? 0 : over / target.facts().slots() * run;
-    return new Send(target, standing, run, wait);
+    return new Send(target, knows >= 0.5, run, wait);
   }
 
-  private static Standing standing(Prospects prospects, TargetState target) {
+  private double knows(Prospects prospects, TargetState target) {
     if (target.knows(prospects.order().object())) {
-      return Standing.REMEMBERED;
+      return 1;
     }
     Choices ofRegion = prospects.ofRegion(target);
     if (ofRegion == null) {
-      return Standing.NONE;
+      return 0;
     }
     if (target == prospects.home()) {
-      return Standing.HOME;
+      return weights.homeKnows();
     }
     if (ofRegion.isFirst(target)) {
-      return Standing.REGION_HOME;
+      return weights.regionHomeKnows();
     }
-    return ofRegion.isSecond(target) ? Standing.SECOND : Standing.NONE;
+    return ofRegion.isSecond(target) ? weights.secondKnows() : 0;
   }
 
-  private double cost(Prospects prospects, Send send, long now) {
+  private double cost(Send send, long now) {
     TargetState target = send.target();
-    double cost = send.waitMillis() + send.runMillis();
-    cost += weights.wayCost() * distances.millis(target.facts());
-    cost += latenessCost(prospects, send) + copyCost(prospects, send);
+    double cost = send.waitMillis() + weights.wayCost() * distances.millis(target.facts());
+    cost += send.known() ? send.runMillis() : send.runMillis() * weights.coldRunCost();
     cost += CROWDED_MILLIS * target.load(now) / target.facts().slots();
     cost += weights.failureMillis() * target.failureShare(now);
     if (distances.isOtherRegion(target.facts())) {
@@ -255,39 +249,6 @@
     return target.isAvoided(now) ? cost + AVOIDED_MILLIS : cost;
   }
 
-  /** What it costs that the answer may miss the route's goal. */
-  private double latenessCost(Prospects prospects, Send send) {
-    TargetState target = send.target();
-    double goal = prospects.order().route().latencyGoalMillis();
-    double beside = send.waitMillis() + distances.millis(target.facts());
-    double ifKnown = inTime(beside + prospects.knownMillis() * target.slowness(), goal);
-    double ifUnknown = inTime(beside + prospects.unknownMillis() * target.slowness(), goal);
-    double knows = beliefs.knows(prospects.order().service(), send.standing());
-    return weights.lateGoals() * goal * (1 - knows * ifKnown - (1 - knows) * ifUnknown);
-  }
-
-  /** How surely what takes {@code millis} on average ends within {@code goal}. */
-  private static double inTime(double millis, double goal) {
-    double sure = (1 + SPREAD) * goal - millis;
-    return Math.max(0, Math.min(1, sure / (2 * SPREAD * goal)));
-  }
-
-  /**
-   * What a run of an unknown object costs elsewhere than at its home. While homes know little, as
-   * at the beginning of a day, it keeps homes from learning; later it makes a second target know
-   * the object, which is worth something where the home is crowded.
-   */
-  private double copyCost(Prospects prospects, Send send) {
-    if (send.standing() == Standing.HOME) {
-      return 0;
-    }
-    String service = prospects.order().service();
-    double homesKnow = beliefs.knows(service, Standing.HOME);
-    double each = weights.coldCopy() * (1 - homesKnow) + weights.warmCopy() * homesKnow;
-    double unknown = 1 - beliefs.knows(service, send.standing());
-    return each * unknown * prospects.unknownMillis() * send.target().slowness();
-  }
-
   /** Notes that a request was sent as decided. */
   public void sent(Send send, long now) {
     send.target().begin();
@@ -309,24 +270,12 @@
     boolean waited = load == null ? send.waitMillis() > 0 : load.waiting() > 0;
     double run = millis - distances.millis(target.facts());
     if (!waited && run > 0 && !target.isCold(now)) {
-      learn(order, send, run);
+      boolean known = target.knows(order.object());
+      RouteRule route = order.route();
+      double usual = runTimes.millis(route.name(), route.latencyGoalMillis(), known);
+      target.ran(run / usual);
+      runTimes.ran(route.name(), route.latencyGoalMillis(), known, run);
     }
     target.remember(order.object());
   }
-
-  /**
-   * Learns from a run that did not wait. Whether the target knew an object that this VM has not had
-   * run there shows in the time: it is nearer to one mean or to the other.
-   */
-  private void learn(Order order, Send send, double run) {
-    TargetState target = send.target();
-    RouteRule route = order.route();
-    double known = runTimes.millis(route.name(), route.latencyGoalMillis(), true);
-    double unknown = runTimes.millis(route.name(), route.latencyGoalMillis(), false);
-    boolean knew =
-        target.knows(order.object()) || run / target.slowness() < Math.sqrt(known * unknown);
-    target.ran(run / (knew ? known : unknown));
-    runTimes.ran(route.name(), route.latencyGoalMillis(), knew, run);
-    beliefs.saw(order.service(), send.standing(), knew);
-  }
 }
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/PlacingDecision.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/PlacingDecision.java
@@ -6,11 +6,11 @@
    * It goes to a target.
    *
    * @param target the target
-   * @param standing what the target is to the object
+   * @param known true where the target is believed to know the object
    * @param runMillis how long the run is expected to take
    * @param waitMillis how long it is expected to wait for a slot
    */
-  record Send(TargetState target, Standing standing, double runMillis, double waitMillis)
+  record Send(TargetState target, boolean known, double runMillis, double waitMillis)
       implements PlacingDecision {}
 
   /**
--- a/sageladder-forward/src/main/java/org/sageladder/forward/RequestLog.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/RequestLog.java
@@ -65,8 +65,8 @@
     }
     return String.format(
         Locale.ROOT,
-        ", standing %s, expected %.0f + %.0f ms, sent for %d ms, own there %d",
-        attempt.decision().standing(),
+        ", known %s, expected %.0f + %.0f ms, sent for %d ms, own there %d",
+        attempt.decision().known(),
         attempt.decision().waitMillis(),
         attempt.decision().runMillis(),
         attempt.millis(),
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/Fleet.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/Fleet.java
@@ -141,7 +141,7 @@
     int number = 0;
     for (Map.Entry<String, String> zone : deployment.regionOfZone().entrySet()) {
       number++;
-      SimulatedHost host = network.host("10.9.0." + number, zone.getKey(), zone.getValue());
+      SimulatedHost host = network.callersHost("10.9.0." + number, zone.getKey(), zone.getValue());
       callers.add(
           CallersStandIn.start(
               network.loopOf(host),
--- a/sageladder-standin/src/main/java/org/sageladder/standin/network/SimulatedHost.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/network/SimulatedHost.java
@@ -17,13 +17,16 @@
   private final String ip;
   private final String zone;
   private final String region;
+  private final boolean callers;
   private final Queue<Runnable> kept = new ArrayDeque<>();
   private final Set<SimulatedChannel> channels = new LinkedHashSet<>();
   private boolean powered = true;
   private boolean suspended;
   private int life;
 
-  SimulatedHost(SimulatedNetwork network, String ip, String zone, String region) {
+  SimulatedHost(
+      SimulatedNetwork network, String ip, String zone, String region, boolean callers) {
+    this.callers = callers;
     this.network = network;
     this.ip = ip;
     this.zone = zone;
@@ -45,6 +48,10 @@
     return region;
   }
 
+  boolean isCallers() {
+    return callers;
+  }
+
   /** False where it has no power: it answers nothing, not even with a reset. */
   public boolean isPowered() {
     return powered;
