--- a/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalMain.java
+++ b/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalMain.java
@@ -25,7 +25,8 @@
 
 /**
  * The command {@code sageladder-local}: runs every given contract's whole system for a short while,
- * ends one entry VM and drains one target on the way, and tells what callers saw.
+ * ends one entry VM and drains one target on the way, and tells what callers saw; then plays a day
+ * of each user on the platform's stand-ins, on virtual time.
  */
 public final class LocalMain {
   private static final int ENTRIES_PER_ZONE = 1;
@@ -78,6 +79,7 @@
     for (Path file : files) {
       whole &= run(file, duration, load, System.out);
     }
+    whole &= PlatformDays.play(System.out);
     System.exit((whole ? ExitCode.OK : ExitCode.VERDICT_FAILED).status());
   }
 
--- /dev/null
+++ b/sageladder-assembly/src/main/java/org/sageladder/assembly/PlatformDays.java
@@ -0,0 +1,51 @@
+package org.sageladder.assembly;
+
+import java.io.PrintStream;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.sageladder.scenario.Deployment;
+import org.sageladder.scenario.Fleet.LogSource;
+import org.sageladder.scenario.Scenario;
+import org.sageladder.scenario.Scenario.Outcome;
+import org.sageladder.scenario.Scenario.Strike;
+
+/**
+ * The way of a request on the users' platform, from the store and a look-up to a target and back:
+ * the real entry VMs before stand-ins of the platform, thirty seconds of virtual time for each
+ * user, with an entry VM killed, targets replaced and the store silent on the way.
+ */
+final class PlatformDays {
+  private static final long SEED = 1;
+
+  private static final List<Strike> STRIKES =
+      List.of(
+          new Strike(8_000, "entry-killed"),
+          new Strike(14_000, "targets-released"),
+          new Strike(20_000, "store-silent"));
+
+  private PlatformDays() {}
+
+  /** Plays them; true where no rule of the platform broke. */
+  static boolean play(PrintStream out) {
+    Map<String, Deployment> users = new LinkedHashMap<>();
+    users.put("kalnins-dauge", Deployment.stamps());
+    users.put("kannelkoda", Deployment.archive());
+    boolean kept = true;
+    for (Map.Entry<String, Deployment> user : users.entrySet()) {
+      Outcome outcome = new Scenario(SEED, STRIKES).play(user.getValue(), LogSource.none());
+      out.printf(
+          Locale.ROOT,
+          "%n%s on the platform: %d requests, %.1f %% served, %.1f %% of the worth, %s%n",
+          user.getKey(),
+          outcome.day().requests().size(),
+          100 * outcome.day().served(0),
+          100 * outcome.day().worth(),
+          outcome.broken().isEmpty() ? "no rule broken" : "RULES BROKEN");
+      outcome.broken().forEach(line -> out.println("  " + line));
+      kept &= outcome.broken().isEmpty();
+    }
+    return kept;
+  }
+}
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/ScenarioMain.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/ScenarioMain.java
@@ -18,14 +18,14 @@
 import org.sageladder.scenario.trouble.Troubles;
 
 /**
- * The command {@code sageladder-scenario}: plays days with troubles drawn from seeds, and says
- * which rules broke.
+ * The command {@code sageladder-days}: plays days with troubles drawn from seeds, and says which
+ * rules broke.
  *
  * <pre>{@code
- * sageladder-scenario --seeds 1..50
- * sageladder-scenario --seeds 17 --log day-17.jsonl
- * sageladder-scenario --trouble store-silent --seeds 1..5
- * sageladder-scenario --deployment stamps --trouble none --windows --seeds 1
+ * sageladder-days --seeds 1..50
+ * sageladder-days --seeds 17 --log day-17.jsonl
+ * sageladder-days --trouble store-silent --seeds 1..5
+ * sageladder-days --deployment stamps --trouble none --windows --seeds 1
  * }</pre>
  *
  * <p>Exit codes: 0 where no rule broke, 1 where one did, 2 where the command line cannot be used.
@@ -81,7 +81,7 @@
               line.hasOption("windows"));
       System.exit(play(seeds, plan) ? 0 : BROKEN);
     } catch (ParseException e) {
-      System.err.println("sageladder-scenario: " + e.getMessage());
+      System.err.println("sageladder-days: " + e.getMessage());
       System.exit(USAGE);
     }
   }
--- a/sageladder-standin/src/main/java/org/sageladder/standin/network/SimulatedHost.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/network/SimulatedHost.java
@@ -24,8 +24,7 @@
   private boolean suspended;
   private int life;
 
-  SimulatedHost(
-      SimulatedNetwork network, String ip, String zone, String region, boolean callers) {
+  SimulatedHost(SimulatedNetwork network, String ip, String zone, String region, boolean callers) {
     this.callers = callers;
     this.network = network;
     this.ip = ip;
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/CallersStandIn.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/CallersStandIn.java
@@ -24,9 +24,7 @@
 /**
  * The callers of one zone: they look up, connect, wait, and come back as the platform's pages say.
  *
- * <p>Objects belong to a region: those that its callers ask for are asked for nowhere else, as with
- * the users' lots and recordings. Requests come by chance with the means of their kinds; the same
- * seed gives the same
+ * <p>They send requests by chance with the means of their kinds; the same seed gives the same
  * requests at the same times, whatever the system answers.
  */
 public final class CallersStandIn {
@@ -163,7 +161,7 @@
   }
 
   private Request request(CallerKind kind) {
-    String object = place.region() + random.nextInt(kind.objects());
+    String object = "o" + random.nextInt(kind.objects());
     String body = kind.idempotent() ? "" : "body of " + object + ' ' + "x".repeat(200);
     Request request = new Request(kind, object, body, 1);
     if (random.nextDouble() < leaveShare) {
