--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/Fleet.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/Fleet.java
@@ -301,6 +301,11 @@
       return host;
     }
 
+    /** Where callers connect. */
+    public int callersPort() {
+      return ENTRY_PORTS.get(0);
+    }
+
     private void start() {
       running = true;
       String settings =
