--- /dev/null
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/FleetEntry.java
@@ -0,0 +1,105 @@
+package org.sageladder.scenario;
+
+import java.util.List;
+import org.sageladder.adapter.PlatformEntry;
+import org.sageladder.adapter.PlatformSettings;
+import org.sageladder.standin.network.SimulatedHost;
+import org.sageladder.standin.platform.PlatformTexts;
+
+/** One entry VM: its machine and the process on it. */
+public final class FleetEntry {
+  /** Callers', readiness', look-ups' and metrics' port. */
+  private static final List<Integer> PORTS = List.of(8381, 8388, 8383, 7200);
+
+  /** The platform starts an ended process again after this time. */
+  private static final long RESTART_MILLIS = 500;
+
+  private final FleetParts parts;
+  private final String name;
+  private final SimulatedHost host;
+  private PlatformEntry process;
+  private boolean running;
+
+  FleetEntry(FleetParts parts, String name, SimulatedHost host) {
+    this.parts = parts;
+    this.name = name;
+    this.host = host;
+  }
+
+  /** Its machine. */
+  public SimulatedHost host() {
+    return host;
+  }
+
+  /** Where callers connect. */
+  public int callersPort() {
+    return PORTS.get(0);
+  }
+
+  void start() {
+    running = true;
+    String settings =
+        PlatformTexts.settings(
+            name,
+            host.ip(),
+            host.zone(),
+            parts.deployment().regionOfZone(),
+            PORTS,
+            parts.storeHost().ip() + ':' + FleetParts.STORE_PORT);
+    process =
+        PlatformEntry.start(
+            PlatformSettings.parse(settings),
+            parts.network().loopOf(host),
+            parts.logs().of(name, parts.loop()::now),
+            () -> 0);
+  }
+
+  /** Ends its process at once; it is started again. */
+  public void kill() {
+    host.kill();
+    running = false;
+    startAfter(RESTART_MILLIS);
+  }
+
+  /** Takes its power for {@code millis}. */
+  public void powerOff(long millis) {
+    parts.network().powerOff(host);
+    running = false;
+    parts.after(millis, host::powerOn);
+    startAfter(millis);
+  }
+
+  /** Lets it stand still for {@code millis}. */
+  public void suspend(long millis) {
+    host.suspend();
+    parts.after(millis, host::resume);
+  }
+
+  /** Stops it as planned, and starts it again. */
+  public void stopAndRestart() {
+    PlatformEntry stopping = process;
+    Runnable end =
+        () -> {
+          if (process == stopping && running) {
+            kill();
+          }
+        };
+    stopping.stopSoon(end);
+    parts.after(parts.day().bounds().graceMillis(), end);
+  }
+
+  /** Address of its look-ups. */
+  String lookUps() {
+    return host.ip() + ':' + PORTS.get(2);
+  }
+
+  private void startAfter(long millis) {
+    parts.after(
+        millis,
+        () -> {
+          if (!running && host.isPowered()) {
+            start();
+          }
+        });
+  }
+}
--- /dev/null
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/FleetParts.java
@@ -0,0 +1,98 @@
+package org.sageladder.scenario;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.sageladder.forward.Loop;
+import org.sageladder.standin.network.SimulatedHost;
+import org.sageladder.standin.network.SimulatedNetwork;
+import org.sageladder.standin.network.VirtualLoop;
+import org.sageladder.standin.platform.ServerPort;
+import org.sageladder.standin.platform.StoreModel;
+import org.sageladder.standin.platform.StorePort;
+
+/** What the machines of a fleet share: the clock, the network, the store, the day. */
+final class FleetParts {
+  static final int STORE_PORT = 8384;
+
+  private final Deployment deployment;
+  private final long seed;
+  private final Fleet.LogSource logs;
+  private final VirtualLoop loop = VirtualLoop.create();
+  private final SimulatedNetwork network;
+  private final Day day = new Day();
+  private final SimulatedHost storeHost;
+  private final StoreModel store;
+  private final StorePort storePort;
+  private final Map<String, FleetTarget> targets = new LinkedHashMap<>();
+  private long lastTargetId;
+
+  FleetParts(Deployment deployment, long seed, Fleet.LogSource logs) {
+    this.deployment = deployment;
+    this.seed = seed;
+    this.logs = logs;
+    this.network = SimulatedNetwork.on(loop, deployment.ways(), seed);
+    String firstZone = deployment.regionOfZone().keySet().iterator().next();
+    this.storeHost =
+        network.host("10.200.1.7", "store", deployment.regionOfZone().getOrDefault(firstZone, ""));
+    Loop storeLoop = network.loopOf(storeHost);
+    this.store = new StoreModel(storeLoop::now, StoreModel.PAGE);
+    this.storePort =
+        StorePort.open(storeLoop, storeHost.ip(), STORE_PORT, store, ServerPort.Opened.ignored());
+  }
+
+  Deployment deployment() {
+    return deployment;
+  }
+
+  long seed() {
+    return seed;
+  }
+
+  Fleet.LogSource logs() {
+    return logs;
+  }
+
+  VirtualLoop loop() {
+    return loop;
+  }
+
+  SimulatedNetwork network() {
+    return network;
+  }
+
+  Day day() {
+    return day;
+  }
+
+  SimulatedHost storeHost() {
+    return storeHost;
+  }
+
+  StoreModel store() {
+    return store;
+  }
+
+  StorePort storePort() {
+    return storePort;
+  }
+
+  /** Targets by the IP numbers of their hosts. */
+  Map<String, FleetTarget> targets() {
+    return targets;
+  }
+
+  /** Id of the next start of a target. */
+  String nextTargetId() {
+    lastTargetId++;
+    return "t-" + lastTargetId;
+  }
+
+  long now() {
+    return loop.now();
+  }
+
+  void after(long millis, Runnable task) {
+    var unused = loop.schedule(task, millis, TimeUnit.MILLISECONDS);
+  }
+}
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/EntryTroubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/EntryTroubles.java
@@ -3,7 +3,7 @@
 import java.util.Map;
 import java.util.Random;
 import org.sageladder.scenario.Fleet;
-import org.sageladder.scenario.Fleet.Entry;
+import org.sageladder.scenario.FleetEntry;
 
 /** What happens to entry VMs. */
 final class EntryTroubles {
@@ -23,21 +23,21 @@
   }
 
   private static void kill(Fleet fleet, Random random, int count) {
-    for (Entry entry : Troubles.pick(fleet, random, count)) {
+    for (FleetEntry entry : Troubles.pick(fleet, random, count)) {
       Troubles.noteAt(fleet, entry, 0);
       entry.kill();
     }
   }
 
   private static void allDark(Fleet fleet, Random random) {
-    for (Entry entry : fleet.entries()) {
+    for (FleetEntry entry : fleet.entries()) {
       Troubles.noteAt(fleet, entry, DARK_MILLIS);
       entry.powerOff(DARK_MILLIS);
     }
   }
 
   private static void suspend(Fleet fleet, Random random) {
-    Entry entry = Troubles.pickOne(fleet, random);
+    FleetEntry entry = Troubles.pickOne(fleet, random);
     long millis = Troubles.between(random, 500, 4_500);
     Troubles.noteAt(fleet, entry, millis);
     entry.suspend(millis);
@@ -47,7 +47,7 @@
   private static void restartAll(Fleet fleet, Random random) {
     long gap = Troubles.between(random, 2_000, 5_000);
     long at = 0;
-    for (Entry entry : fleet.entries()) {
+    for (FleetEntry entry : fleet.entries()) {
       fleet.after(
           at,
           () -> {
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/NetworkTroubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/NetworkTroubles.java
@@ -4,7 +4,7 @@
 import java.util.Random;
 import java.util.function.BiPredicate;
 import org.sageladder.scenario.Fleet;
-import org.sageladder.scenario.Fleet.Entry;
+import org.sageladder.scenario.FleetEntry;
 import org.sageladder.standin.network.SimulatedHost;
 import org.sageladder.standin.network.SimulatedNetwork.Cut;
 
@@ -29,7 +29,7 @@
   }
 
   private static void cutFromStore(Fleet fleet, Random random) {
-    Entry entry = Troubles.pickOne(fleet, random);
+    FleetEntry entry = Troubles.pickOne(fleet, random);
     long millis = Troubles.between(random, SHORTEST_CUT, LONGEST_CUT);
     Troubles.noteAt(fleet, entry, millis);
     SimulatedHost store = fleet.storeHost();
@@ -70,7 +70,7 @@
 
   private static void spoil(Fleet fleet, Random random, boolean silent) {
     Troubles.noteEverywhere(fleet, 0);
-    for (Entry entry : Troubles.pick(fleet, random, SPOILT_ENTRIES)) {
+    for (FleetEntry entry : Troubles.pick(fleet, random, SPOILT_ENTRIES)) {
       fleet.network().spoilConnections(entry.host(), SPOILT, silent);
     }
   }
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/TargetTroubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/TargetTroubles.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.Random;
 import org.sageladder.scenario.Fleet;
-import org.sageladder.scenario.Fleet.Target;
+import org.sageladder.scenario.FleetTarget;
 import org.sageladder.standin.platform.TargetStandIn.Fault;
 
 /** What happens to targets. */
@@ -40,20 +40,20 @@
     all.put("answers-fail", (fleet, random) -> faulty(fleet, random, Fault.FAILS));
   }
 
-  private static List<Target> pick(Fleet fleet, Random random, double share) {
-    List<Target> all = new ArrayList<>(fleet.targets());
+  private static List<FleetTarget> pick(Fleet fleet, Random random, double share) {
+    List<FleetTarget> all = new ArrayList<>(fleet.targets());
     Collections.shuffle(all, random);
     return all.subList(0, (int) Math.ceil(share * all.size()));
   }
 
   private static void crash(Fleet fleet, Random random) {
-    for (Target target : pick(fleet, random, CRASH_SHARE)) {
+    for (FleetTarget target : pick(fleet, random, CRASH_SHARE)) {
       target.crash(Troubles.between(random, 1_000, 6_000));
     }
   }
 
   private static void slow(Fleet fleet, Random random) {
-    List<Target> slow = pick(fleet, random, SLOW_SHARE);
+    List<FleetTarget> slow = pick(fleet, random, SLOW_SHARE);
     slow.forEach(target -> target.process().slow(SLOWER));
     fleet.after(SPAN_MILLIS, () -> slow.forEach(target -> target.process().slow(1)));
   }
@@ -65,7 +65,7 @@
   /** Targets leave one after the other, each with a successor before. */
   private static void release(Fleet fleet, Random random) {
     long at = 0;
-    for (Target target : pick(fleet, random, RELEASE_SHARE)) {
+    for (FleetTarget target : pick(fleet, random, RELEASE_SHARE)) {
       fleet.after(
           at,
           () -> {
@@ -78,18 +78,18 @@
 
   /** Targets leave; where {@code told} is false their entries are just removed. */
   static void leave(Fleet fleet, Random random, int count, boolean told) {
-    List<Target> all = pick(fleet, random, 1);
+    List<FleetTarget> all = pick(fleet, random, 1);
     all.subList(0, Math.min(count, all.size())).forEach(target -> target.leave(told));
   }
 
   private static void add(Fleet fleet, Random random) {
-    for (Target beside : pick(fleet, random, ADDED_SHARE)) {
+    for (FleetTarget beside : pick(fleet, random, ADDED_SHARE)) {
       fleet.addColdTarget(beside.service(), beside.host().zone());
     }
   }
 
   private static void faulty(Fleet fleet, Random random, Fault kind) {
-    List<Target> hit = pick(fleet, random, FAULTY_SHARE);
+    List<FleetTarget> hit = pick(fleet, random, FAULTY_SHARE);
     Troubles.noteEverywhere(fleet, SPAN_MILLIS);
     hit.forEach(target -> target.process().faulty(kind, FAULTY_ANSWERS));
     fleet.after(SPAN_MILLIS, () -> hit.forEach(target -> target.process().faulty(Fault.NONE, 0)));
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
@@ -8,7 +8,7 @@
 import java.util.Random;
 import org.sageladder.scenario.Day;
 import org.sageladder.scenario.Fleet;
-import org.sageladder.scenario.Fleet.Entry;
+import org.sageladder.scenario.FleetEntry;
 
 /** All troubles by name, and what they share. */
 public final class Troubles {
@@ -26,13 +26,13 @@
     return all;
   }
 
-  static List<Entry> pick(Fleet fleet, Random random, int count) {
-    List<Entry> all = new ArrayList<>(fleet.entries());
+  static List<FleetEntry> pick(Fleet fleet, Random random, int count) {
+    List<FleetEntry> all = new ArrayList<>(fleet.entries());
     Collections.shuffle(all, random);
     return all.subList(0, Math.min(count, all.size()));
   }
 
-  static Entry pickOne(Fleet fleet, Random random) {
+  static FleetEntry pickOne(Fleet fleet, Random random) {
     return pick(fleet, random, 1).get(0);
   }
 
@@ -41,7 +41,7 @@
   }
 
   /** Notes unplanned trouble of one entry VM. */
-  static void noteAt(Fleet fleet, Entry entry, long millis) {
+  static void noteAt(Fleet fleet, FleetEntry entry, long millis) {
     note(fleet, entry.host().ip(), false, millis);
   }
 
@@ -51,7 +51,7 @@
   }
 
   /** Notes planned work at one entry VM. */
-  static void notePlanned(Fleet fleet, Entry entry, long millis) {
+  static void notePlanned(Fleet fleet, FleetEntry entry, long millis) {
     note(fleet, entry.host().ip(), true, millis);
   }
 
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/HostileFramingProperties.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/HostileFramingProperties.java
@@ -80,7 +80,7 @@
   /** Writes {@code text} in pieces that end at {@code cuts}, and returns what came back. */
   private Heard write(String text, Iterable<Integer> cuts) {
     Heard heard = new Heard();
-    Fleet.Entry entry = fleet.entries().get(0);
+    FleetEntry entry = fleet.entries().get(0);
     ChannelFuture opened = loop.connect(entry.host().ip(), entry.callersPort(), 1_000, heard);
     fleet.runFor(100);
     assertTrue(opened.isSuccess(), "the port is open");
--- a/sageladder-standin/src/main/java/org/sageladder/standin/network/SimulatedHost.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/network/SimulatedHost.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.Executor;
@@ -114,7 +115,8 @@
     suspended = false;
     kept.clear();
     network.closePorts(this);
-    Set<SimulatedChannel> open = Set.copyOf(channels);
+    // In the order of their opening: an unordered copy would differ from one JVM to the next.
+    List<SimulatedChannel> open = List.copyOf(channels);
     channels.clear();
     open.forEach(channel -> channel.die(tellPeers));
   }
