Cold targets: a VM that sees only itself after a lapse does not take everybody's part

Its log: the store was silent and all leases lapsed; at 20.32 s every VM took all twelve off its list, and until 21.1 to 21.7 s each knew itself alone; at 20.9 s an emptied zone was taken back with cold targets. The bound is shared among those listed, so each VM had the whole of it. Change: a VM that is missing from the list counts for a minute more.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/ColdAllowance.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/ColdAllowance.java
@@ -6,8 +6,9 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.List;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Bounds what cold targets get from all entry VMs together, without any talk between these.
@@ -24,10 +25,14 @@
   /** Requests that stay unused, for a target seen by two views of the entry VMs at once. */
   private static final int SPARE = 1;
 
+  /** Longer than the store's outages that the users tell of, by far. */
+  private static final long MISSING_COUNTS_MILLIS = 60_000;
+
   private double over;
   private int slack;
   private final String self;
-  private Collection<EntryPlace> entries = List.of();
+  private final Map<String, EntryPlace> entries = new HashMap<>();
+  private final Map<String, Long> missingSince = new HashMap<>();
   private final Map<String, Deque<Long>> sent = new HashMap<>();
 
   /**
@@ -58,9 +63,33 @@
     slack = newSlack;
   }
 
-  /** Follows the list of live entry VMs; empty means that it is not known yet. */
-  public void entries(Collection<EntryPlace> live) {
-    entries = List.copyOf(live);
+  /**
+   * Follows the list of live entry VMs; while it was never told, nothing may be sent.
+   *
+   * <p>A VM that is missing from the list goes on counting for a while. Registrations lapse while
+   * the store is away, though the VMs live and go on sending: if those left in the list shared the
+   * bound among themselves, each believing to be nearly alone, a cold target would get it several
+   * times over. What a VM that has really gone leaves unused is little, and cold times are short.
+   */
+  public void entries(Collection<EntryPlace> live, long now) {
+    Set<String> named = new HashSet<>();
+    for (EntryPlace entry : live) {
+      named.add(entry.name());
+      entries.put(entry.name(), entry);
+      missingSince.remove(entry.name());
+    }
+    for (String known : entries.keySet()) {
+      if (!named.contains(known)) {
+        missingSince.putIfAbsent(known, now);
+      }
+    }
+    entries.keySet().removeIf(known -> isForgotten(known, now));
+    missingSince.keySet().retainAll(entries.keySet());
+  }
+
+  private boolean isForgotten(String name, long now) {
+    Long since = missingSince.get(name);
+    return since != null && now - since >= MISSING_COUNTS_MILLIS;
   }
 
   /** True where this entry VM may send one more request to a cold target now. */
@@ -96,7 +125,7 @@
     }
     int senders = Math.min(entries.size(), Math.max(1, total / 2));
     boolean chosen =
-        entries.stream()
+        entries.values().stream()
             .sorted(nearFirst(target))
             .limit(senders)
             .anyMatch(entry -> entry.name().equals(self));
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -166,7 +166,7 @@
 
   /** Tells which entry VMs are live, and how many were seen at once. */
   public void entries(List<ColdAllowance.EntryPlace> live) {
-    cold.entries(live);
+    cold.entries(live, loop.now());
     retries.machines(live.size());
   }
 
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/Day.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/Day.java
@@ -96,6 +96,11 @@
     return span.from() <= to && span.to() >= from;
   }
 
+  /** Planned work at the entry VM of that IP number. */
+  public List<Span> plannedWork(String vm) {
+    return spans.stream().filter(span -> span.planned() && span.scope().equals(vm)).toList();
+  }
+
   /** When the last trouble ended; 0 where there was none. */
   public long lastTrouble() {
     return spans.stream().mapToLong(Span::to).max().orElse(0);
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/AnswerRules.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/AnswerRules.java
@@ -17,6 +17,9 @@
   /** Time after the last trouble by which the system serves again. */
   private static final long RECOVERED_MILLIS = 15_000;
 
+  /** Time after a planned stop began during which requests that outlast it are excused. */
+  private static final long STOP_TAKES_MILLIS = 3_000;
+
   private static final double LEAST_SERVED = 0.25;
 
   private AnswerRules() {}
@@ -96,11 +99,27 @@
           .filter(answer -> reachedTarget(day, asked.id()))
           .filter(answer -> day.calm(asked.at(), answer.at()))
           .filter(answer -> answer.at() - asked.at() < asked.route().timeoutMillis())
+          .filter(answer -> !outlastedTheStop(day, asked))
           .ifPresent(answer -> broken.add(asked.id() + " at " + asked.vm() + " was cut off"));
     }
     return broken;
   }
 
+  /**
+   * True where the VM was being stopped, the request came no later than some seconds after that
+   * began, and its target was still at work in the last sixth of the grace time.
+   */
+  private static boolean outlastedTheStop(Day day, Ledger.Asked asked) {
+    long lastSixth = day.bounds().graceMillis() * 5 / 6;
+    return day.plannedWork(asked.vm()).stream()
+        .filter(stop -> asked.at() <= stop.from() + STOP_TAKES_MILLIS)
+        .anyMatch(
+            stop ->
+                day.ledger().runs(asked.id()).stream()
+                    .anyMatch(
+                        run -> run.endedAt() < 0 || run.endedAt() >= stop.from() + lastSixth));
+  }
+
   private static boolean reachedTarget(Day day, String id) {
     return !day.ledger().runs(id).isEmpty();
   }
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
@@ -142,6 +142,20 @@
     assertKept("LOST");
   }
 
+  /** A run longer than the grace time cannot be waited for; a shorter one must be. */
+  @Test
+  void lostInAPlannedStopThatTheRunOutlasts() {
+    asked("q", true, 1_000);
+    ledger.began("q", "t-1", true, 1_100).ended(6_000, 200, "x");
+    ledger.answered(new Answered("q", 0, "", false, null, 2_900));
+    day.trouble(new Day.Span(VM, true, 1_000, 8_000));
+    assertKept("LOST");
+    asked("r", true, 1_000);
+    ledger.began("r", "t-1", true, 1_100).ended(5_900, 200, "x");
+    ledger.answered(new Answered("r", 0, "", false, null, 2_900));
+    assertBroken("LOST");
+  }
+
   @Test
   void unasked() {
     Arrival changed =
