Stand-ins: two methods that nobody calls are gone

Cause: read again; SimulatedNetwork.find and TargetStandIn.load had no caller. No behaviour changes. Formatter, linter and SimulatedNetworkTest, StoreModelTest, RulesTest green (35 tests).

--- a/sageladder-standin/src/main/java/org/sageladder/standin/network/SimulatedNetwork.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/network/SimulatedNetwork.java
@@ -17,7 +17,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiPredicate;
-import org.jspecify.annotations.Nullable;
 import org.sageladder.forward.Loop;
 import org.sageladder.forward.Transport;
 
@@ -288,9 +287,4 @@
           .bind(new SimulatedAddress(ip, port));
     }
   }
-
-  /** The host of that IP number, or null. */
-  @Nullable SimulatedHost find(String ip) {
-    return hosts.get(ip);
-  }
 }
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/TargetStandIn.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/TargetStandIn.java
@@ -166,11 +166,6 @@
     leaving = true;
   }
 
-  /** Requests that run or wait. */
-  public int load() {
-    return running.size() + waiting.size();
-  }
-
   private boolean isCold() {
     return loop.now() < coldUntil;
   }
