A refusal says what it was decided by: wait, run and its runs, load, time left

The line of a request refused with TOO_LATE named the reason only, so that a queue that was really long, a load believed too high and a guessed run looked the same. It now has the best target, the wait and the run expected there, by how many measured runs (0: a guess), the load believed and the time that was left; counters no_target_* tell refusals by reason. No decision is changed.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
+import org.sageladder.core.placing.PlacingDecision.Judged;
 import org.sageladder.core.placing.PlacingDecision.Reason;
 import org.sageladder.core.placing.PlacingDecision.Refuse;
 import org.sageladder.core.placing.PlacingDecision.Send;
@@ -130,7 +131,7 @@
     List<TargetState> usable = targets.usable(order.service(), now);
     usable.removeIf(target -> !order.route().allows(target.facts().region()));
     if (usable.isEmpty()) {
-      return new Refuse(Reason.NO_TARGET, LEAST_RETRY_MILLIS);
+      return new Refuse(Reason.NO_TARGET, LEAST_RETRY_MILLIS, null);
     }
     Prospects prospects = prospects(order, usable);
     Best best = new Best();
@@ -154,7 +155,7 @@
       unmoved.consider(send, cost - send.waitMillis());
       ofRegions.computeIfAbsent(target.facts().region(), name -> new Best()).consider(send, cost);
     }
-    return decided(order, bounded(order, best, unmoved, ofRegions, now), anyCold);
+    return decided(order, bounded(order, best, unmoved, ofRegions, now), anyCold, now);
   }
 
   /**
@@ -201,17 +202,22 @@
     }
   }
 
-  private static PlacingDecision decided(Order order, Best chosen, boolean anyCold) {
+  private PlacingDecision decided(Order order, Best chosen, boolean anyCold, long now) {
     Send best = chosen.send;
     if (best == null) {
-      return new Refuse(anyCold ? Reason.ALL_COLD : Reason.ALL_TRIED, LEAST_RETRY_MILLIS);
+      return new Refuse(anyCold ? Reason.ALL_COLD : Reason.ALL_TRIED, LEAST_RETRY_MILLIS, null);
     }
     if (best.waitMillis() > order.millisLeft()) {
-      return new Refuse(Reason.TOO_LATE, (long) best.waitMillis());
+      return new Refuse(Reason.TOO_LATE, (long) best.waitMillis(), judged(order, best, now));
     }
     return best;
   }
 
+  private Judged judged(Order order, Send send, long now) {
+    long runs = runTimes.measured(order.route().name(), send.known());
+    return new Judged(send, send.target().load(now), runs);
+  }
+
   /**
    * True where the target has joined lately and has had nothing from here, though it is its
    * region's first choice for the object. The targets before it know the object, so that by cost
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/PlacingDecision.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/PlacingDecision.java
@@ -1,5 +1,7 @@
 package org.sageladder.core.placing;
 
+import org.jspecify.annotations.Nullable;
+
 /** What becomes of a request that asks for a target. */
 public sealed interface PlacingDecision {
   /**
@@ -18,8 +20,19 @@
    *
    * @param reason why, for logs and metrics
    * @param retryMillis when there will be room by what is known, before it is spread
+   * @param judged what the best target was refused by, or null where none was looked at
+   */
+  record Refuse(Reason reason, long retryMillis, @Nullable Judged judged)
+      implements PlacingDecision {}
+
+  /**
+   * What was believed of the best target when it was judged too late.
+   *
+   * @param send the target with the wait and the run that were expected
+   * @param load requests believed to be there, of all entry VMs
+   * @param runsMeasured runs of the route that the expected run follows from; 0 where it is a guess
    */
-  record Refuse(Reason reason, long retryMillis) implements PlacingDecision {}
+  record Judged(Send send, double load, long runsMeasured) {}
 
   /** Why no target was chosen. */
   enum Reason {
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/RunTimes.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/RunTimes.java
@@ -21,6 +21,8 @@
   private static final class Means {
     double cold;
     double warm;
+    long coldRuns;
+    long warmRuns;
   }
 
   private final Map<String, Means> routes = new HashMap<>();
@@ -49,13 +51,24 @@
     return known ? means.warm : means.cold;
   }
 
+  /** Runs that the mean follows from; 0 where it is a guess. */
+  public long measured(String route, boolean known) {
+    Means means = routes.get(route);
+    if (means == null) {
+      return 0;
+    }
+    return known ? means.warmRuns : means.coldRuns;
+  }
+
   /** Takes the time of one run. */
   public void ran(String route, long goalMillis, boolean known, double millis) {
     Means means = means(route, goalMillis);
     if (known) {
       means.warm += STEP * (millis - means.warm);
+      means.warmRuns++;
       return;
     }
+    means.coldRuns++;
     means.cold += STEP * (millis - means.cold);
   }
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -267,7 +267,8 @@
       return;
     }
     PlacingDecision.Refuse refuse = (PlacingDecision.Refuse) decision;
-    end(ResultCode.NO_TARGET, refuse.retryMillis(), refuse.reason().name());
+    String why = forwarder.requests().refusal(refuse, order.millisLeft());
+    end(ResultCode.NO_TARGET, refuse.retryMillis(), why);
   }
 
   /** No byte of the request was sent to the target of {@code failed}. */
--- a/sageladder-forward/src/main/java/org/sageladder/forward/RequestLog.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/RequestLog.java
@@ -4,6 +4,9 @@
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.event.EventKind;
 import org.sageladder.core.event.EventSink;
+import org.sageladder.core.placing.PlacingDecision.Judged;
+import org.sageladder.core.placing.PlacingDecision.Refuse;
+import org.sageladder.core.placing.PlacingDecision.Send;
 import org.sageladder.core.routing.RoutingRules;
 
 /** Writes what became of requests and of their attempts: a log line each, counters and times. */
@@ -51,8 +54,33 @@
     log.record(kind, of.id(), of.route(), target(last), version, text);
   }
 
-  private static String lower(EventKind kind) {
-    return kind.name().toLowerCase(Locale.ROOT);
+  /**
+   * Counts why no target was chosen and says by what it was decided.
+   *
+   * @param millisLeft time that the request had
+   */
+  String refusal(Refuse refuse, long millisLeft) {
+    metrics.count("no_target_" + lower(refuse.reason()));
+    Judged judged = refuse.judged();
+    if (judged == null) {
+      return refuse.reason().name();
+    }
+    Send send = judged.send();
+    return String.format(
+        Locale.ROOT,
+        "%s at %s: expected %.0f + %.0f ms by %d runs, load %.1f of %d slots, %d ms left,",
+        refuse.reason(),
+        send.target().facts().id(),
+        send.waitMillis(),
+        send.runMillis(),
+        judged.runsMeasured(),
+        judged.load(),
+        send.target().facts().slots(),
+        millisLeft);
+  }
+
+  private static String lower(Enum<?> word) {
+    return word.name().toLowerCase(Locale.ROOT);
   }
 
   private static String target(@Nullable Attempt attempt) {
--- /dev/null
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/RequestLogTest.java
@@ -0,0 +1,47 @@
+package org.sageladder.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.sageladder.core.event.EventSink;
+import org.sageladder.core.placing.PlacingDecision.Judged;
+import org.sageladder.core.placing.PlacingDecision.Reason;
+import org.sageladder.core.placing.PlacingDecision.Refuse;
+import org.sageladder.core.placing.PlacingDecision.Send;
+import org.sageladder.core.placing.TargetFacts;
+import org.sageladder.core.placing.TargetStart;
+import org.sageladder.core.placing.TargetState;
+import org.sageladder.core.placing.TargetTable;
+
+/** What the log and the counters say of a request. */
+class RequestLogTest {
+  private final Metrics metrics = new Metrics();
+  private final RequestLog log = new RequestLog(EventSink.none(), metrics);
+
+  private static TargetState target() {
+    TargetTable table = TargetTable.create();
+    TargetStart start = new TargetStart("t-1", 0);
+    table.put(new TargetFacts(start, 0, "s", "10.0.0.1", 80, "z", "r", 3, false, 0), 0);
+    return table.find("t-1").orElseThrow();
+  }
+
+  /**
+   * Callers of a new route were refused for seconds. The line said TOO_LATE and nothing of what it
+   * was worked out from, so that a long queue and a wrong guess looked the same.
+   */
+  @Test
+  void aRefusalSaysWhatItWasDecidedBy() {
+    Send best = new Send(target(), false, 1_500, 1_040);
+    Refuse refuse = new Refuse(Reason.TOO_LATE, 1_040, new Judged(best, 4.1, 0));
+    assertEquals(
+        "TOO_LATE at t-1: expected 1040 + 1500 ms by 0 runs, load 4.1 of 3 slots, 980 ms left,",
+        log.refusal(refuse, 980));
+    assertTrue(metrics.text().contains("sageladder_no_target_too_late 1"), metrics.text());
+  }
+
+  @Test
+  void aRefusalWithoutATargetNamesItsReason() {
+    assertEquals("ALL_COLD", log.refusal(new Refuse(Reason.ALL_COLD, 100, null), 980));
+  }
+}
