--- /dev/null
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/AddedRouteTest.java
@@ -0,0 +1,129 @@
+package org.sageladder.core.placing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.sageladder.core.placing.Placement.Order;
+import org.sageladder.core.placing.PlacingDecision.Send;
+import org.sageladder.core.routing.RouteRule;
+import org.sageladder.core.routing.ServiceShare;
+
+/**
+ * Callers of a route that was added in a busy hour got 503 at once, for as long as the hour lasted,
+ * while those of the first routes were answered by the same targets.
+ *
+ * <p>Order: targets are crowded; the operator adds a route whose goal is far above what its runs
+ * take; a request on it is judged. The wait for a slot was worked out from the guessed run of the
+ * request that asks, as if its like stood in the queue: longer than the time left, so it was not
+ * sent, so its run was never measured.
+ */
+class AddedRouteTest {
+  private static final List<String> TARGETS = List.of("n-1", "n-2", "s-1", "s-2");
+
+  /** The queues of the test are about this long for requests of the first route. */
+  private static final int IN_FLIGHT = 7;
+
+  private static final long FIRST_RUN_MILLIS = 250;
+  private static final long ADDED_RUN_MILLIS = 5;
+  private static final long LEFT_MILLIS = 980;
+
+  private final PlacingFixture fixture = new PlacingFixture().withFour();
+
+  /** Goal of 1,000 ms: without a run of it, its run is taken to be 1,500 ms. */
+  private static RouteRule added() {
+    RouteRule first = PlacingFixture.route(Set.of());
+    return new RouteRule(
+        "added",
+        first.host(),
+        "/added/",
+        true,
+        first.timeoutMillis(),
+        1_000,
+        first.priority(),
+        List.of(new ServiceShare("search", 1)),
+        2,
+        true,
+        Set.of());
+  }
+
+  private static Order order(RouteRule route, long object) {
+    return new Order(route, "search", object, LEFT_MILLIS);
+  }
+
+  private PlacingDecision place(RouteRule route, long object) {
+    return fixture.placement.place(
+        order(route, object), PlacingFixture.SERVICE, Set.of(), fixture.now);
+  }
+
+  private void answer(RouteRule route, Send send, long object, long millis, LoadReport load) {
+    fixture.placement.sent(send, fixture.now);
+    send.target().end();
+    send.target().report(load, fixture.now);
+    fixture.placement.answered(order(route, object), send, (double) millis, load, fixture.now);
+  }
+
+  private void crowd() {
+    for (String id : TARGETS) {
+      TargetState target = fixture.targets.find(id).orElseThrow();
+      for (int i = 0; i < IN_FLIGHT; i++) {
+        target.begin();
+      }
+    }
+  }
+
+  @BeforeEach
+  void theFirstRouteHasRunForAWhile() {
+    RouteRule first = PlacingFixture.route(Set.of());
+    for (long object = 0; object < 200; object++) {
+      Send send = (Send) place(first, object);
+      answer(first, send, object, FIRST_RUN_MILLIS, new LoadReport(0, 0, 3));
+    }
+  }
+
+  /** Where a request of the first route waits for 420 ms, one of the added route does so too. */
+  @Test
+  void waitsAsLongAsOthersDoInTheSameQueue() {
+    crowd();
+    for (long object = 1_000; object < 1_020; object++) {
+      Send first =
+          assertInstanceOf(Send.class, place(PlacingFixture.route(Set.of()), object), "first");
+      Send added = assertInstanceOf(Send.class, place(added(), object), "added");
+      assertEquals(first.waitMillis(), added.waitMillis(), 1);
+    }
+  }
+
+  /**
+   * Runs were measured only where nothing waited at the target: in a queue that never empties
+   * nothing is learnt of a new route, though an answer shows that its run was no longer than that.
+   */
+  @Test
+  void isLearntThoughTheQueueNeverEmpties() {
+    LoadReport crowded = new LoadReport(3, 2, 3);
+    for (long object = 0; object < 10; object++) {
+      Send send = assertInstanceOf(Send.class, place(added(), object));
+      answer(added(), send, object, ADDED_RUN_MILLIS, crowded);
+    }
+    Send next = assertInstanceOf(Send.class, place(added(), 2_000));
+    assertTrue(next.runMillis() < 100, "a run of 5 ms is expected to take " + next.runMillis());
+  }
+
+  /**
+   * An entry VM starts anew in the middle of the rush. It has measured nothing, so that any wait is
+   * a guess; targets that are really full refuse by themselves.
+   */
+  @Test
+  void isNotRefusedByAVmThatHasMeasuredNothing() {
+    PlacingFixture fresh = new PlacingFixture().withFour();
+    for (String id : TARGETS) {
+      fresh.targets.find(id).orElseThrow().report(new LoadReport(3, 4, 3), fresh.now);
+    }
+    PlacingDecision decision =
+        fresh.placement.place(order(added(), 1), PlacingFixture.SERVICE, Set.of(), fresh.now);
+    assertInstanceOf(Send.class, decision);
+  }
+}
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/Fleet.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/Fleet.java
@@ -10,6 +10,7 @@
 import org.sageladder.scenario.Deployment.Service;
 import org.sageladder.standin.network.SimulatedHost;
 import org.sageladder.standin.network.SimulatedNetwork;
+import org.sageladder.standin.platform.CallerKind;
 import org.sageladder.standin.platform.CallersStandIn;
 import org.sageladder.standin.platform.Ledger.Moment;
 import org.sageladder.standin.platform.PlatformTexts;
@@ -199,6 +200,11 @@
     return parts.storeHost();
   }
 
+  /** The deployment as it was at the start. */
+  public Deployment deployment() {
+    return parts.deployment();
+  }
+
   /** The routes in force. */
   public List<RouteRule> routes() {
     return List.copyOf(routes.values());
@@ -218,6 +224,14 @@
         });
   }
 
+  /** Adds a route to those in force, and callers who send {@code kind} on it. */
+  public void addRoute(RouteRule added, CallerKind kind) {
+    List<RouteRule> all = new ArrayList<>(routes());
+    all.add(added);
+    configure(all);
+    callers.forEach(each -> each.alsoSend(kind, 1.0 / callers.size()));
+  }
+
   /** Empties a zone. */
   public void empty(String zone) {
     var unused = parts.store().put("op/evacuate/" + zone, PlatformTexts.base64("{}"), 0);
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/Rules.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/Rules.java
@@ -29,6 +29,7 @@
         new Named("DRAIN", ArrivalRules::afterLeaving),
         new Named("EVAC", ArrivalRules::afterEmptying),
         new Named("CONFIG", ArrivalRules::olderConfiguration),
+        new Named("CONFIG added", AddedRoutes::notServed),
         new Named("GONE", ArrivalRules::afterTheCallerLeft),
         new Named("FAILBACK", BudgetRules::coldRate),
         new Named("BUDGET retries", BudgetRules::secondSends),
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/OperatorTroubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/OperatorTroubles.java
@@ -1,22 +1,35 @@
 package org.sageladder.scenario.trouble;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import org.sageladder.core.routing.RouteRule;
 import org.sageladder.core.routing.ServiceShare;
 import org.sageladder.scenario.Fleet;
+import org.sageladder.standin.platform.CallerKind;
 
 /** What operators do in a day. */
 final class OperatorTroubles {
   private static final long EMPTIED_MILLIS = 8_000;
   private static final long MOVED_MILLIS = 5_000;
 
+  private static final String ADDED = "added";
+  private static final long ADDED_GOAL_MILLIS = 1_000;
+  private static final long ADDED_DEADLINE_MILLIS = 1_000;
+  private static final long ADDED_WORK_MILLIS = 5;
+  private static final double ADDED_PER_SECOND = 5;
+  private static final int ADDED_OBJECTS = 24;
+
+  /** Requests beside those of a usual hour. */
+  private static final double RUSH = 1.5;
+
   private OperatorTroubles() {}
 
   static void addTo(Map<String, Trouble> all) {
     all.put("zone-emptied", OperatorTroubles::emptyZone);
     all.put("route-moved", OperatorTroubles::moveRoute);
+    all.put("route-added", OperatorTroubles::addRoute);
   }
 
   /** A zone is emptied, and taken back with cold targets. */
@@ -33,6 +46,53 @@
     fleet.after(MOVED_MILLIS, () -> fleet.configure(before));
   }
 
+  /**
+   * A route is added for short requests to the service that has most to do, under more load than
+   * usual: its callers have little time, and the goal that the operator wrote is far above what a
+   * run takes.
+   */
+  private static void addRoute(Fleet fleet, Random random) {
+    CallerKind busiest =
+        fleet.deployment().kinds().stream()
+            .max(Comparator.comparingDouble(kind -> kind.perSecond() * kind.workMillis()))
+            .orElseThrow();
+    RouteRule like =
+        fleet.routes().stream()
+            .filter(route -> route.name().equals(busiest.route()))
+            .findFirst()
+            .orElseThrow();
+    RouteRule added =
+        new RouteRule(
+            ADDED,
+            like.host(),
+            '/' + ADDED + '/',
+            true,
+            like.timeoutMillis(),
+            ADDED_GOAL_MILLIS,
+            like.priority(),
+            like.services(),
+            like.mostTargets(),
+            true,
+            like.regions());
+    fleet.addRoute(added, shortRequests(added));
+    fleet.callers().forEach(callers -> callers.pace(RUSH));
+  }
+
+  private static CallerKind shortRequests(RouteRule route) {
+    return new CallerKind(
+        route.name(),
+        route.host(),
+        route.prefix(),
+        true,
+        ADDED_PER_SECOND,
+        ADDED_WORK_MILLIS,
+        route.latencyGoalMillis(),
+        ADDED_DEADLINE_MILLIS,
+        0,
+        ADDED_OBJECTS,
+        CallerKind.Habit.FRESH);
+  }
+
   private static RouteRule moved(RouteRule route) {
     return route.name().equals("bid") ? route.to(List.of(new ServiceShare("archive", 1))) : route;
   }
--- /dev/null
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/AddedRouteDayTest.java
@@ -0,0 +1,37 @@
+package org.sageladder.scenario;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+import org.sageladder.scenario.Fleet.LogSource;
+
+/**
+ * A route is added in a busy hour of the Guild; its callers have a second and its runs take 5 ms.
+ *
+ * <p>Of 166 requests on it 24 were served, of 9,452 on the first routes 7,538: each entry VM
+ * refused it at once, since it took the queues for as long as if they held requests with the
+ * guessed run of the new route. Nothing was sent, so the guess stayed.
+ */
+class AddedRouteDayTest {
+  private static final int SEEDS = 3;
+
+  @TestFactory
+  Collection<DynamicTest> aRouteAddedInABusyHourIsServed() {
+    return LongStream.rangeClosed(1, SEEDS)
+        .mapToObj(
+            seed ->
+                DynamicTest.dynamicTest(
+                    "seed " + seed,
+                    () ->
+                        assertEquals(
+                            List.of(),
+                            Scenario.of(seed, "route-added")
+                                .play(Deployment.bookings(), LogSource.none())
+                                .broken())))
+        .toList();
+  }
+}
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
@@ -10,6 +10,8 @@
 import org.sageladder.core.routing.RouteRule;
 import org.sageladder.core.routing.ServiceShare;
 import org.sageladder.scenario.Day;
+import org.sageladder.standin.platform.CallerKind;
+import org.sageladder.standin.platform.CallersStandIn.Ended;
 import org.sageladder.standin.platform.Ledger;
 import org.sageladder.standin.platform.Ledger.Answered;
 import org.sageladder.standin.platform.Ledger.Arrival;
@@ -289,6 +291,30 @@
     assertBroken("BUDGET crashes");
   }
 
+  private void ended(String route, int status, int times) {
+    CallerKind kind =
+        new CallerKind(route, "h", "/a/", true, 1, 5, 400, 1_000, 1, 1, CallerKind.Habit.FRESH);
+    for (int i = 0; i < times; i++) {
+      day.requests().add(new Ended(kind, LATE, status, 10, "north-a"));
+    }
+  }
+
+  @Test
+  void addedRoutesNotServed() {
+    ledger.moment(Moment.Kind.CONFIGURATION, "first", 0);
+    ledger.moment(Moment.Kind.CONFIGURATION, "first", LATE / 2);
+    ledger.moment(Moment.Kind.CONFIGURATION, "added", LATE / 2);
+    ended("first", 200, 80);
+    ended("first", 503, 20);
+    ended("added", 200, 4);
+    ended("added", 503, 15);
+    assertKept("CONFIG added");
+    ended("added", 503, 2);
+    assertBroken("CONFIG added");
+    ended("added", 200, 1);
+    assertKept("CONFIG added");
+  }
+
   @Test
   void everyRuleHasItsOwnName() {
     long names = Rules.all().stream().map(Rule::name).distinct().count();
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/CallersStandIn.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/CallersStandIn.java
@@ -123,6 +123,11 @@
     return callers;
   }
 
+  /** Sends a further kind of request from now on; {@code share} is these callers' part of it. */
+  public void alsoSend(CallerKind kind, double share) {
+    later(kind, share);
+  }
+
   /** Sends no further requests. */
   public void stop() {
     open = false;
