A run that was never measured is bounded by what answers took, waits included

What callers saw: nothing by itself; a route added under a queue that never empties kept its guessed run of 1,500 ms for good, and its requests were judged by it. Runs are measured only where nothing waits at the target. An answer shows that its run took no longer than wait and run together, so it bounds the guess; a known object's run is no longer than an unknown one's. A measured mean is left alone: bounds from above alone would pull it down.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
@@ -358,11 +358,12 @@
   }
 
   private void learnRun(Order order, TargetState target, double millis, boolean waited) {
+    boolean known = target.knows(order.object());
+    RouteRule route = order.route();
     if (waited) {
+      runTimes.ranWithin(route.name(), route.latencyGoalMillis(), known, millis);
       return;
     }
-    boolean known = target.knows(order.object());
-    RouteRule route = order.route();
     double usual = runTimes.millis(route.name(), route.latencyGoalMillis(), known);
     target.ran(millis / usual);
     runTimes.ran(route.name(), route.latencyGoalMillis(), known, millis);
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/RunTimes.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/RunTimes.java
@@ -6,7 +6,9 @@
 /**
  * How long runs of each route take, apart for objects that the target knew and for others.
  *
- * <p>Learnt from answers of targets that had a free slot, since a wait at the target is no run.
+ * <p>Learnt from answers of targets that had a free slot, since a wait at the target is no run. In
+ * a queue that never empties there are none; but a run takes no longer than wait and run together,
+ * so that each answer bounds the guess of a run that was not measured yet.
  */
 public final class RunTimes {
   /** Run of an unknown object until measured, as a part of the route's latency goal. */
@@ -48,7 +50,10 @@
   /** Mean time of a run, in milliseconds. */
   public double millis(String route, long goalMillis, boolean known) {
     Means means = means(route, goalMillis);
-    return known ? means.warm : means.cold;
+    if (!known) {
+      return means.cold;
+    }
+    return means.warmRuns == 0 ? Math.min(means.warm, means.cold) : means.warm;
   }
 
   /** Runs that the mean follows from; 0 where it is a guess. */
@@ -71,4 +76,15 @@
     means.coldRuns++;
     means.cold += STEP * (millis - means.cold);
   }
+
+  /** Takes the time of a wait and the run after it: the run took no longer than both. */
+  public void ranWithin(String route, long goalMillis, boolean known, double millis) {
+    Means means = means(route, goalMillis);
+    if (known && means.warmRuns == 0) {
+      means.warm = Math.min(means.warm, millis);
+    }
+    if (!known && means.coldRuns == 0) {
+      means.cold = Math.min(means.cold, millis);
+    }
+  }
 }
