A VM that has measured nothing refuses nothing for its wait

A wait refuses only where a slot time of the service was measured; that takes one answer, and targets that are full say so by themselves meanwhile.

PlacementTest.refusesWhatCannotBeginInTime filled the targets of a VM that had measured nothing; it now measures one run first, its checks are the same.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
@@ -208,12 +208,22 @@
     if (best == null) {
       return new Refuse(anyCold ? Reason.ALL_COLD : Reason.ALL_TRIED, LEAST_RETRY_MILLIS, null);
     }
-    if (best.waitMillis() > order.millisLeft()) {
+    if (best.waitMillis() > order.millisLeft() && isMeasured(order)) {
       return new Refuse(Reason.TOO_LATE, (long) best.waitMillis(), judged(order, best, now));
     }
     return best;
   }
 
+  /**
+   * True where the wait follows from something measured. An entry VM that has started in the middle
+   * of a rush knows queues from the first answer on, but not how long their requests run; by
+   * guesses it would turn away what its targets could serve. Those that are full refuse by
+   * themselves.
+   */
+  private boolean isMeasured(Order order) {
+    return slotTimes.millis(order.service()).isPresent();
+  }
+
   private Judged judged(Order order, Send send, long now) {
     long runs = runTimes.measured(order.route().name(), send.known());
     return new Judged(send, send.target().load(now), runs);
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/PlacementTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/PlacementTest.java
@@ -104,6 +104,12 @@
   /** A caller whose request cannot begin before its time is up is told so at once. */
   @Test
   void refusesWhatCannotBeginInTime() {
+    Order measured = new Order(PlacingFixture.route(Set.of()), "search", 1, 2_000);
+    Send first = fixture.send(1);
+    fixture.placement.sent(first, fixture.now);
+    first.target().end();
+    LoadReport idle = new LoadReport(0, 0, 3);
+    fixture.placement.answered(measured, first, 600, idle, fixture.now);
     PlacingDecision decision = fixture.place(1, Set.of(), Set.of());
     int sent = 0;
     while (decision instanceof Send send) {
