A queue told of long ago refuses nobody

What callers saw: in a service whose routes have little time, everybody refused for good after a rush: each VM goes by the mean of the last queues it was told of, sends nothing, and is told nothing newer. A wait refuses only where the target has told its load within the route's whole time, by which all that stood in that queue has ended, or holds requests from here, whose ends will tell. So a request goes there and tells. OldBeliefsTest.aTargetThatWasFullAMinuteAgoIsTriedAgain.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
@@ -208,7 +208,7 @@
     if (best == null) {
       return new Refuse(anyCold ? Reason.ALL_COLD : Reason.ALL_TRIED, LEAST_RETRY_MILLIS, null);
     }
-    if (best.waitMillis() > order.millisLeft() && isMeasured(order)) {
+    if (best.waitMillis() > order.millisLeft() && isMeasured(order, best.target(), now)) {
       return new Refuse(Reason.TOO_LATE, (long) best.waitMillis(), judged(order, best, now));
     }
     return best;
@@ -216,12 +216,17 @@
 
   /**
    * True where the wait follows from something measured. An entry VM that has started in the middle
-   * of a rush knows queues from the first answer on, but not how long their requests run; by
-   * guesses it would turn away what its targets could serve. Those that are full refuse by
-   * themselves.
+   * of a rush has no answer yet; by guesses it would turn away what its targets could serve. Those
+   * that are full refuse by themselves.
+   *
+   * <p>The queue must have been told of within the route's whole time, or hold requests from here
+   * that will tell of it. Where all VMs refuse by what they were told before, nothing is sent,
+   * nothing newer is ever told, and a service that stands idle is refused for good.
    */
-  private boolean isMeasured(Order order) {
-    return slotTimes.millis(order.service()).isPresent();
+  private boolean isMeasured(Order order, TargetState target, long now) {
+    boolean queueKnown =
+        target.inFlight() > 0 || target.isToldWithin(order.route().timeoutMillis(), now);
+    return queueKnown && slotTimes.millis(order.service()).isPresent();
   }
 
   private Judged judged(Order order, Send send, long now) {
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetState.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetState.java
@@ -143,6 +143,11 @@
     return inFlight + usual + (reports == 0 ? 0 : (others - usual) * fresh);
   }
 
+  /** True where the target has told its load in the last {@code millis}. */
+  boolean isToldWithin(long millis, long now) {
+    return reports > 0 && now - othersSeenAt <= millis;
+  }
+
   /** Notes that the target served or failed a request. */
   public void outcome(boolean good, long now) {
     failureShare = failureShare(now) + FAILURE_STEP * ((good ? 0 : 1) - failureShare(now));
