Runs are measured for a route at a service, not for a route

What callers saw: after operators moved a route from a quick service to a slower one, requests of the slower service's other routes left targets that were well. The runs of the former service went on counting for the route, so that each target of the new one seemed up to twelve times slower than usual. The newer fact, where the route goes now, lost to the older means; a route split between two services had one mean for both.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
@@ -230,7 +230,7 @@
   }
 
   private Judged judged(Order order, Send send, long now) {
-    long runs = runTimes.measured(order.route().name(), send.known());
+    long runs = runTimes.measured(order.service(), order.route(), send.known());
     return new Judged(send, send.target().load(now), runs);
   }
 
@@ -258,8 +258,8 @@
         order,
         choices,
         home(choices),
-        runTimes.millis(route.name(), route.latencyGoalMillis(), true),
-        runTimes.millis(route.name(), route.latencyGoalMillis(), false));
+        runTimes.millis(order.service(), route, true),
+        runTimes.millis(order.service(), route, false));
   }
 
   /** The first two targets of each region for the object, among all that take work. */
@@ -376,11 +376,11 @@
     boolean known = target.knows(order.object());
     RouteRule route = order.route();
     if (waited) {
-      runTimes.ranWithin(route.name(), route.latencyGoalMillis(), known, millis);
+      runTimes.ranWithin(order.service(), route, known, millis);
       return;
     }
-    double usual = runTimes.millis(route.name(), route.latencyGoalMillis(), known);
+    double usual = runTimes.millis(order.service(), route, known);
     target.ran(millis / usual);
-    runTimes.ran(route.name(), route.latencyGoalMillis(), known, millis);
+    runTimes.ran(order.service(), route, known, millis);
   }
 }
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/RunTimes.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/RunTimes.java
@@ -2,9 +2,10 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.sageladder.core.routing.RouteRule;
 
 /**
- * How long runs of each route take, apart for objects that the target knew and for others.
+ * How long runs of each route take at each service, apart for objects that the target knew.
  *
  * <p>Learnt from answers of targets that had a free slot, since a wait at the target is no run. In
  * a queue that never empties there are none; but a run takes no longer than wait and run together,
@@ -27,7 +28,10 @@
     long warmRuns;
   }
 
-  private final Map<String, Means> routes = new HashMap<>();
+  /** A route at one of its services: another service may run its requests in another time. */
+  private record Place(String service, String route) {}
+
+  private final Map<Place, Means> places = new HashMap<>();
 
   private RunTimes() {}
 
@@ -36,20 +40,20 @@
     return new RunTimes();
   }
 
-  private Means means(String route, long goalMillis) {
-    return routes.computeIfAbsent(
-        route,
-        name -> {
+  private Means means(String service, RouteRule route) {
+    return places.computeIfAbsent(
+        new Place(service, route.name()),
+        place -> {
           Means fresh = new Means();
-          fresh.cold = COLD_OF_GOAL * goalMillis;
-          fresh.warm = WARM_OF_GOAL * goalMillis;
+          fresh.cold = COLD_OF_GOAL * route.latencyGoalMillis();
+          fresh.warm = WARM_OF_GOAL * route.latencyGoalMillis();
           return fresh;
         });
   }
 
   /** Mean time of a run, in milliseconds. */
-  public double millis(String route, long goalMillis, boolean known) {
-    Means means = means(route, goalMillis);
+  public double millis(String service, RouteRule route, boolean known) {
+    Means means = means(service, route);
     if (!known) {
       return means.cold;
     }
@@ -57,17 +61,14 @@
   }
 
   /** Runs that the mean follows from; 0 where it is a guess. */
-  public long measured(String route, boolean known) {
-    Means means = routes.get(route);
-    if (means == null) {
-      return 0;
-    }
+  public long measured(String service, RouteRule route, boolean known) {
+    Means means = means(service, route);
     return known ? means.warmRuns : means.coldRuns;
   }
 
   /** Takes the time of one run. */
-  public void ran(String route, long goalMillis, boolean known, double millis) {
-    Means means = means(route, goalMillis);
+  public void ran(String service, RouteRule route, boolean known, double millis) {
+    Means means = means(service, route);
     if (known) {
       means.warm += STEP * (millis - means.warm);
       means.warmRuns++;
@@ -78,8 +79,8 @@
   }
 
   /** Takes the time of a wait and the run after it: the run took no longer than both. */
-  public void ranWithin(String route, long goalMillis, boolean known, double millis) {
-    Means means = means(route, goalMillis);
+  public void ranWithin(String service, RouteRule route, boolean known, double millis) {
+    Means means = means(service, route);
     if (known && means.warmRuns == 0) {
       means.warm = Math.min(means.warm, millis);
     }
