A guessed run is bounded by the mean of the answers, not by the shortest

One answer bounds one run, not the mean of all: where runs differ by their objects, the shortest of many made unknown objects look as cheap as known ones, and requests left the targets that know their objects. The mean of waits and runs together is no less than the mean run. AddedRouteTest keeps: a run of 5 ms under 100.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/RunTimes.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/RunTimes.java
@@ -8,8 +8,8 @@
  * How long runs of each route take at each service, apart for objects that the target knew.
  *
  * <p>Learnt from answers of targets that had a free slot, since a wait at the target is no run. In
- * a queue that never empties there are none; but a run takes no longer than wait and run together,
- * so that each answer bounds the guess of a run that was not measured yet.
+ * a queue that never empties there are none; but runs take no longer than waits and runs together,
+ * so that the mean of both bounds the guess of a run that was not measured yet.
  */
 public final class RunTimes {
   /** Run of an unknown object until measured, as a part of the route's latency goal. */
@@ -22,10 +22,42 @@
   private static final double STEP = 0.05;
 
   private static final class Means {
-    double cold;
-    double warm;
-    long coldRuns;
-    long warmRuns;
+    final Mean cold;
+    final Mean warm;
+
+    Means(long goalMillis) {
+      cold = new Mean(COLD_OF_GOAL * goalMillis);
+      warm = new Mean(WARM_OF_GOAL * goalMillis);
+    }
+
+    Mean of(boolean known) {
+      return known ? warm : cold;
+    }
+  }
+
+  private static final class Mean {
+    double run;
+    long runs;
+    double within;
+    long withins;
+
+    Mean(double guess) {
+      run = guess;
+    }
+
+    double millis() {
+      return runs == 0 && withins > 0 ? Math.min(run, within) : run;
+    }
+
+    void ran(double millis) {
+      run += STEP * (millis - run);
+      runs++;
+    }
+
+    void ranWithin(double millis) {
+      withins++;
+      within += Math.max(STEP, 1.0 / withins) * (millis - within);
+    }
   }
 
   /** A route at one of its services: another service may run its requests in another time. */
@@ -42,50 +74,29 @@
 
   private Means means(String service, RouteRule route) {
     return places.computeIfAbsent(
-        new Place(service, route.name()),
-        place -> {
-          Means fresh = new Means();
-          fresh.cold = COLD_OF_GOAL * route.latencyGoalMillis();
-          fresh.warm = WARM_OF_GOAL * route.latencyGoalMillis();
-          return fresh;
-        });
+        new Place(service, route.name()), place -> new Means(route.latencyGoalMillis()));
   }
 
-  /** Mean time of a run, in milliseconds. */
+  /** Mean time of a run, in milliseconds; an object that the target knows takes no longer. */
   public double millis(String service, RouteRule route, boolean known) {
     Means means = means(service, route);
-    if (!known) {
-      return means.cold;
-    }
-    return means.warmRuns == 0 ? Math.min(means.warm, means.cold) : means.warm;
+    boolean guessed = known && means.warm.runs == 0;
+    double millis = means.of(known).millis();
+    return guessed ? Math.min(millis, means.cold.millis()) : millis;
   }
 
   /** Runs that the mean follows from; 0 where it is a guess. */
   public long measured(String service, RouteRule route, boolean known) {
-    Means means = means(service, route);
-    return known ? means.warmRuns : means.coldRuns;
+    return means(service, route).of(known).runs;
   }
 
   /** Takes the time of one run. */
   public void ran(String service, RouteRule route, boolean known, double millis) {
-    Means means = means(service, route);
-    if (known) {
-      means.warm += STEP * (millis - means.warm);
-      means.warmRuns++;
-      return;
-    }
-    means.coldRuns++;
-    means.cold += STEP * (millis - means.cold);
+    means(service, route).of(known).ran(millis);
   }
 
-  /** Takes the time of a wait and the run after it: the run took no longer than both. */
+  /** Takes the time of a wait and the run after it, of which there is no other measure. */
   public void ranWithin(String service, RouteRule route, boolean known, double millis) {
-    Means means = means(service, route);
-    if (known && means.warmRuns == 0) {
-      means.warm = Math.min(means.warm, millis);
-    }
-    if (!known && means.coldRuns == 0) {
-      means.cold = Math.min(means.cold, millis);
-    }
+    means(service, route).of(known).ranWithin(millis);
   }
 }
