--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
@@ -151,9 +151,10 @@
       if (isToBeIntroduced(target, prospects.ofRegion(target), now)) {
         return send;
       }
-      double cost = cost(send, now);
+      double crowding = rounds(target, now) * send.runMillis();
+      double cost = cost(send, now) + crowding;
       best.consider(send, cost);
-      unmoved.consider(send, cost - send.waitMillis());
+      unmoved.consider(send, cost - crowding);
       ofRegions.computeIfAbsent(target.facts().region(), name -> new Best()).consider(send, cost);
     }
     return decided(order, bounded(order, best, unmoved, ofRegions, now), anyCold, now);
@@ -297,12 +298,14 @@
    * wait by its own run would keep it from targets that serve the others in time.
    */
   private double wait(Order order, TargetState target, double ownMillis, long now) {
+    double held = slotTimes.millis(order.service()).orElse(ownMillis);
+    return rounds(target, now) * held * target.slowness();
+  }
+
+  /** Requests ahead of one more that is sent there, for each slot; 0 where a slot is free. */
+  private static double rounds(TargetState target, long now) {
     double over = target.load(now) + 1 - target.facts().slots();
-    if (over <= 0) {
-      return 0;
-    }
-    double held = slotTimes.millis(order.service()).orElse(ownMillis) * target.slowness();
-    return over / target.facts().slots() * held;
+    return Math.max(0, over / target.facts().slots());
   }
 
   private double knows(Prospects prospects, TargetState target) {
@@ -324,7 +327,7 @@
 
   private double cost(Send send, long now) {
     TargetState target = send.target();
-    double cost = send.waitMillis() + weights.wayCost() * distances.millis(target.facts());
+    double cost = weights.wayCost() * distances.millis(target.facts());
     cost += send.known() ? send.runMillis() : send.runMillis() * weights.coldRunCost();
     cost += CROWDED_MILLIS * target.load(now) / target.facts().slots();
     cost += weights.failureMillis() * target.failureShare(now);
