A target's speed is judged by measured runs alone

The ratio of a run to the usual one had the guess in it for about sixty runs. It is now taken to the mean of the runs measured at that service, once there are five.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
@@ -39,6 +39,13 @@
   /** Waiting counted for a share of slots in use of 1, so that equals share the work. */
   private static final double CROWDED_MILLIS = 4;
 
+  /**
+   * Runs of a route before a target's speed is judged by their mean: about as many as count in the
+   * speed. By the guess of a route just added, a target that is well seems slow or fast, and the
+   * requests of all routes leave it or crowd it.
+   */
+  private static final int FEWEST_FOR_USUAL = 5;
+
   /** Least time until a refused caller is told to come back. */
   private static final long LEAST_RETRY_MILLIS = 100;
 
@@ -382,8 +389,9 @@
       runTimes.ranWithin(order.service(), route, known, millis);
       return;
     }
-    double usual = runTimes.millis(order.service(), route, known);
-    target.ran(millis / usual);
+    if (runTimes.measured(order.service(), route, known) >= FEWEST_FOR_USUAL) {
+      target.ran(millis / runTimes.measuredMillis(order.service(), route, known));
+    }
     runTimes.ran(order.service(), route, known, millis);
   }
 }
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/RunTimes.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/RunTimes.java
@@ -37,6 +37,7 @@
 
   private static final class Mean {
     double run;
+    double measured;
     long runs;
     double within;
     long withins;
@@ -50,13 +51,19 @@
     }
 
     void ran(double millis) {
-      run += STEP * (millis - run);
       runs++;
+      run += STEP * (millis - run);
+      measured += step(runs) * (millis - measured);
     }
 
     void ranWithin(double millis) {
       withins++;
-      within += Math.max(STEP, 1.0 / withins) * (millis - within);
+      within += step(withins) * (millis - within);
+    }
+
+    /** The first takes the guess's place; from then on the mean is that of what was measured. */
+    private static double step(long number) {
+      return Math.max(STEP, 1.0 / number);
     }
   }
 
@@ -90,6 +97,11 @@
     return means(service, route).of(known).runs;
   }
 
+  /** Mean of the measured runs alone, without the guess before them; 0 where there are none. */
+  public double measuredMillis(String service, RouteRule route, boolean known) {
+    return means(service, route).of(known).measured;
+  }
+
   /** Takes the time of one run. */
   public void ran(String service, RouteRule route, boolean known, double millis) {
     means(service, route).of(known).ran(millis);
