Homes of an object in a class of their own; a refusal's line has the slot time

The line of a refusal also has how long requests of the service hold a slot, since the expected wait follows from it.

--- /dev/null
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Homes.java
@@ -0,0 +1,88 @@
+package org.sageladder.core.placing;
+
+import com.dynatrace.hash4j.hashing.Hasher64;
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The targets that an object's requests go to first: one of all, and two in each region.
+ *
+ * <p>By rendezvous hashing over the targets that take work, so that all entry VMs agree without
+ * talking, and little moves when targets come and go.
+ *
+ * <pre>{@code
+ * Homes homes = Homes.of(object, usable);
+ * double surely = homes.knows(target, weights);
+ * }</pre>
+ */
+final class Homes {
+  private static final Hasher64 HASHER = Hashing.komihash5_0();
+
+  /** A target and its place in the order of targets for an object; the highest comes first. */
+  private record Ranked(TargetState target, long weight) {}
+
+  /** The first two targets of a region. */
+  private record Choices(Ranked first, @Nullable Ranked second) {
+    Choices with(Ranked other) {
+      if (other.weight() > first.weight()) {
+        return new Choices(other, first);
+      }
+      if (second == null || other.weight() > second.weight()) {
+        return new Choices(first, other);
+      }
+      return this;
+    }
+  }
+
+  private final Map<String, Choices> regions = new HashMap<>();
+  private @Nullable Ranked home;
+
+  private Homes() {}
+
+  /** No target is preferred: requests whose route does not go by object. */
+  static Homes none() {
+    return new Homes();
+  }
+
+  /** The homes of an object, by its hash, among all targets that take work. */
+  static Homes of(long object, List<TargetState> usable) {
+    Homes homes = new Homes();
+    for (TargetState target : usable) {
+      homes.add(new Ranked(target, HASHER.hashLongLongToLong(object, target.idHash())));
+    }
+    return homes;
+  }
+
+  private void add(Ranked ranked) {
+    Ranked first = home;
+    if (first == null || ranked.weight() > first.weight()) {
+      home = ranked;
+    }
+    String region = ranked.target().facts().region();
+    Choices known = regions.get(region);
+    regions.put(region, known == null ? new Choices(ranked, null) : known.with(ranked));
+  }
+
+  /** True where {@code target} is the first of its region. */
+  boolean isFirstOfRegion(TargetState target) {
+    Choices choices = regions.get(target.facts().region());
+    return choices != null && choices.first().target() == target;
+  }
+
+  /** How surely {@code target} is believed to know the object, by its place alone; 0 to 1. */
+  double knows(TargetState target, PlacingWeights weights) {
+    Ranked first = home;
+    if (first != null && first.target() == target) {
+      return weights.homeKnows();
+    }
+    if (isFirstOfRegion(target)) {
+      return weights.regionHomeKnows();
+    }
+    Choices choices = regions.get(target.facts().region());
+    Ranked second = choices == null ? null : choices.second();
+    return second != null && second.target() == target ? weights.secondKnows() : 0;
+  }
+}
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
@@ -1,8 +1,5 @@
 package org.sageladder.core.placing;
 
-import com.dynatrace.hash4j.hashing.Hasher64;
-import com.dynatrace.hash4j.hashing.Hashing;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,8 +28,6 @@
  * }</pre>
  */
 public final class Placement {
-  private static final Hasher64 HASHER = Hashing.komihash5_0();
-
   /** What a target that is to be avoided counts as, in waiting: more than any goal. */
   private static final double AVOIDED_MILLIS = 20_000;
 
@@ -59,41 +54,8 @@
    */
   public record Order(RouteRule route, String service, long object, long millisLeft) {}
 
-  /** A target and its place in the order of targets for an object; the highest comes first. */
-  private record Ranked(TargetState target, long weight) {}
-
-  /** The first two targets of a region for an object. */
-  private record Choices(Ranked first, @Nullable Ranked second) {
-    boolean isFirst(TargetState target) {
-      return first.target() == target;
-    }
-
-    boolean isSecond(TargetState target) {
-      return second != null && second.target() == target;
-    }
-
-    Choices with(Ranked other) {
-      if (other.weight() > first.weight()) {
-        return new Choices(other, first);
-      }
-      if (second == null || other.weight() > second.weight()) {
-        return new Choices(first, other);
-      }
-      return this;
-    }
-  }
-
   /** What is worked out once for an order, whatever the target. */
-  private record Prospects(
-      Order order,
-      Map<String, Choices> choices,
-      @Nullable TargetState home,
-      double knownMillis,
-      double unknownMillis) {
-    @Nullable Choices ofRegion(TargetState target) {
-      return choices.get(target.facts().region());
-    }
-  }
+  private record Prospects(Order order, Homes homes, double knownMillis, double unknownMillis) {}
 
   private final TargetTable targets;
   private final Distances distances;
@@ -155,9 +117,12 @@
         continue;
       }
       Send send = estimate(prospects, target, now);
-      if (isToBeIntroduced(target, prospects.ofRegion(target), now)) {
+      if (isToBeIntroduced(target, prospects.homes(), now)) {
         return send;
       }
+      // What the run costs those who come behind it. Not the wait: by that, queues at the targets
+      // that know the object count for more, and work goes to those that run it three times as
+      // long.
       double crowding = rounds(target, now) * send.runMillis();
       double cost = cost(send, now) + crowding;
       best.consider(send, cost);
@@ -239,7 +204,8 @@
 
   private Judged judged(Order order, Send send, long now) {
     long runs = runTimes.measured(order.service(), order.route(), send.known());
-    return new Judged(send, send.target().load(now), runs);
+    double held = slotTimes.millis(order.service()).orElse(0);
+    return new Judged(send, held, send.target().load(now), runs);
   }
 
   /**
@@ -247,10 +213,9 @@
    * region's first choice for the object. The targets before it know the object, so that by cost
    * alone it would stay without work for as long as they have room.
    */
-  private boolean isToBeIntroduced(TargetState target, @Nullable Choices ofRegion, long now) {
+  private boolean isToBeIntroduced(TargetState target, Homes homes, long now) {
     return target.isNewcomer()
-        && ofRegion != null
-        && ofRegion.isFirst(target)
+        && homes.isFirstOfRegion(target)
         && !target.isAvoided(now)
         && !distances.isOtherRegion(target.facts());
   }
@@ -261,37 +226,13 @@
 
   private Prospects prospects(Order order, List<TargetState> usable) {
     RouteRule route = order.route();
-    Map<String, Choices> choices = route.byObject() ? choices(order, usable) : Map.of();
     return new Prospects(
         order,
-        choices,
-        home(choices),
+        route.byObject() ? Homes.of(order.object(), usable) : Homes.none(),
         runTimes.millis(order.service(), route, true),
         runTimes.millis(order.service(), route, false));
   }
 
-  /** The first two targets of each region for the object, among all that take work. */
-  private static Map<String, Choices> choices(Order order, List<TargetState> usable) {
-    Map<String, Choices> best = new HashMap<>();
-    for (TargetState target : usable) {
-      long weight = HASHER.hashLongLongToLong(order.object(), target.idHash());
-      Ranked ranked = new Ranked(target, weight);
-      Choices known = best.get(target.facts().region());
-      Choices now = known == null ? new Choices(ranked, null) : known.with(ranked);
-      best.put(target.facts().region(), now);
-    }
-    return best;
-  }
-
-  /** The first target of all for the object. */
-  private static @Nullable TargetState home(Map<String, Choices> choices) {
-    return choices.values().stream()
-        .map(Choices::first)
-        .max(Comparator.comparingLong(Ranked::weight))
-        .map(Ranked::target)
-        .orElse(null);
-  }
-
   private Send estimate(Prospects prospects, TargetState target, long now) {
     double knows = knows(prospects, target);
     double mean = knows * prospects.knownMillis() + (1 - knows) * prospects.unknownMillis();
@@ -316,20 +257,8 @@
   }
 
   private double knows(Prospects prospects, TargetState target) {
-    if (target.knows(prospects.order().object())) {
-      return 1;
-    }
-    Choices ofRegion = prospects.ofRegion(target);
-    if (ofRegion == null) {
-      return 0;
-    }
-    if (target == prospects.home()) {
-      return weights.homeKnows();
-    }
-    if (ofRegion.isFirst(target)) {
-      return weights.regionHomeKnows();
-    }
-    return ofRegion.isSecond(target) ? weights.secondKnows() : 0;
+    boolean hadIt = target.knows(prospects.order().object());
+    return hadIt ? 1 : prospects.homes().knows(target, weights);
   }
 
   private double cost(Send send, long now) {
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/PlacingDecision.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/PlacingDecision.java
@@ -29,10 +29,11 @@
    * What was believed of the best target when it was judged too late.
    *
    * @param send the target with the wait and the run that were expected
+   * @param slotMillis how long requests of the service hold a slot, by what was measured
    * @param load requests believed to be there, of all entry VMs
    * @param runsMeasured runs of the route that the expected run follows from; 0 where it is a guess
    */
-  record Judged(Send send, double load, long runsMeasured) {}
+  record Judged(Send send, double slotMillis, double load, long runsMeasured) {}
 
   /** Why no target was chosen. */
   enum Reason {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/RequestLog.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/RequestLog.java
@@ -68,7 +68,7 @@
     Send send = judged.send();
     return String.format(
         Locale.ROOT,
-        "%s at %s: expected %.0f + %.0f ms by %d runs, load %.1f of %d slots, %d ms left,",
+        "%s at %s: expected %.0f + %.0f ms by %d runs, load %.1f of %d slots held %.0f ms, %d left,",
         refuse.reason(),
         send.target().facts().id(),
         send.waitMillis(),
@@ -76,6 +76,7 @@
         judged.runsMeasured(),
         judged.load(),
         send.target().facts().slots(),
+        judged.slotMillis(),
         millisLeft);
   }
 
--- a/sageladder-forward/src/test/java/org/sageladder/forward/RequestLogTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/RequestLogTest.java
@@ -33,9 +33,9 @@
   @Test
   void aRefusalSaysWhatItWasDecidedBy() {
     Send best = new Send(target(), false, 1_500, 1_040);
-    Refuse refuse = new Refuse(Reason.TOO_LATE, 1_040, new Judged(best, 4.1, 0));
+    Refuse refuse = new Refuse(Reason.TOO_LATE, 1_040, new Judged(best, 420, 4.1, 0));
     assertEquals(
-        "TOO_LATE at t-1: expected 1040 + 1500 ms by 0 runs, load 4.1 of 3 slots, 980 ms left,",
+        "TOO_LATE at t-1: expected 1040 + 1500 ms by 0 runs, load 4.1 of 3 slots held 420 ms, 980 left,",
         log.refusal(refuse, 980));
     assertTrue(metrics.text().contains("sageladder_no_target_too_late 1"), metrics.text());
   }
