--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/Fleet.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/Fleet.java
@@ -224,9 +224,10 @@
         });
   }
 
-  /** Adds a route to those in force, and callers who send {@code kind} on it. */
+  /** Adds a route to those in force, once by its name, and callers who send {@code kind} on it. */
   public void addRoute(RouteRule added, CallerKind kind) {
     List<RouteRule> all = new ArrayList<>(routes());
+    all.removeIf(route -> route.name().equals(added.name()));
     all.add(added);
     configure(all);
     callers.forEach(each -> each.alsoSend(kind, 1.0 / callers.size()));
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/OperatorTroubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/OperatorTroubles.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.stream.Collectors;
 import org.sageladder.core.routing.RouteRule;
 import org.sageladder.core.routing.ServiceShare;
 import org.sageladder.scenario.Fleet;
@@ -41,9 +42,17 @@
 
   /** A route goes to another service, and soon after back. */
   private static void moveRoute(Fleet fleet, Random random) {
-    List<RouteRule> before = fleet.routes();
-    fleet.configure(before.stream().map(OperatorTroubles::moved).toList());
-    fleet.after(MOVED_MILLIS, () -> fleet.configure(before));
+    Map<String, RouteRule> before =
+        fleet.routes().stream().collect(Collectors.toMap(RouteRule::name, route -> route));
+    fleet.configure(fleet.routes().stream().map(OperatorTroubles::moved).toList());
+    // Routes that were added meanwhile stay.
+    fleet.after(
+        MOVED_MILLIS,
+        () ->
+            fleet.configure(
+                fleet.routes().stream()
+                    .map(route -> before.getOrDefault(route.name(), route))
+                    .toList()));
   }
 
   /**
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/ScenarioTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/ScenarioTest.java
@@ -73,6 +73,20 @@
         .toList();
   }
 
+  /**
+   * A day moved a route, added another, and took the first one back with all routes of before: the
+   * added one was gone while its callers went on, and the system seemed to serve none of them.
+   */
+  @Test
+  void aRouteThatIsAddedStaysWhileAnotherMovesBack() {
+    List<Scenario.Strike> strikes =
+        List.of(
+            new Scenario.Strike(5_000, "route-moved"),
+            new Scenario.Strike(6_000, "route-added"),
+            new Scenario.Strike(7_000, "route-added"));
+    assertEquals(List.of(), play(new Scenario(1, strikes)).broken());
+  }
+
   /** A seed is worth keeping only if it plays the same day each time, on any machine. */
   @Test
   void theSameSeedPlaysTheSameDay() {
