--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/Deployment.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/Deployment.java
@@ -33,6 +33,9 @@
   /** Name of the host that callers name. */
   static final String HOST = "shop.example";
 
+  /** Objects of each kind of request on a small deployment. */
+  private static final int FEW_OBJECTS = 24;
+
   /** Each so many days the listing is played. */
   private static final long LISTING_EACH = 4;
 
@@ -170,6 +173,50 @@
         new Ways(100, 1_400, 55_000, 3_000));
   }
 
+  /**
+   * Kalnins and Dauge grown: eighty-five entry VMs in nine zones, 324 targets. Riga has a tenth of
+   * the slots for a third of the traffic.
+   */
+  public static Deployment grown() {
+    Map<String, String> zones = new LinkedHashMap<>();
+    for (String region : List.of("riga", "liepaja", "daugavpils")) {
+      for (String zone : List.of("a", "b", "c")) {
+        zones.put(region + '-' + zone, region);
+      }
+    }
+    TargetTraits listing = new TargetTraits(5, 15, 28, 0.25, 3_000, 3.1, 10_000);
+    TargetTraits ledger = new TargetTraits(5, 15, 22, 0.25, 3_000, 3.1, 10_000);
+    TargetTraits archive = new TargetTraits(5, 15, 9, 0.25, 3_000, 3.1, 10_000);
+    return new Deployment(
+        zones,
+        perZone(zones, 10, 8, 10, 11, 10, 8, 9, 9, 10),
+        List.of(
+            new Service("listing", perZone(zones, 3, 3, 3, 12, 12, 12, 14, 14, 14), listing),
+            new Service("ledger", perZone(zones, 1, 1, 1, 6, 6, 6, 7, 7, 7), ledger),
+            new Service("archive", perZone(zones, 6, 6, 6, 27, 27, 27, 32, 32, 32), archive)),
+        List.of(
+            safe("browse", new Work("listing", 561, 767, 400, 2_000)),
+            once("bid", new Work("ledger", 219, 1_008, 600, 2_500)),
+            safe("catalogue", new Work("archive", 260, 1_916, 1_000, 4_000)),
+            safe("provenance", new Work("archive", 164, 3_066, 1_500, 6_000))),
+        List.of(
+            kind("browse", true, new Work("listing", 561, 767, 400, 3_000), Habit.KEPT, 185),
+            kind("bid", false, new Work("ledger", 219, 1_008, 600, 4_000), Habit.FRESH, 72),
+            kind(
+                "catalogue",
+                true,
+                new Work("archive", 130, 1_916, 1_000, 8_000),
+                Habit.PIPELINED,
+                130),
+            kind(
+                "provenance",
+                true,
+                new Work("archive", 164, 3_066, 1_500, 12_000),
+                Habit.FRESH,
+                130)),
+        Ways.standard());
+  }
+
   /** The deployment of a name, as the command takes it. */
   static Optional<Deployment> named(String name) {
     return switch (name) {
@@ -178,6 +225,7 @@
       case "stamps" -> Optional.of(stamps());
       case "archive" -> Optional.of(archive());
       case "bookings" -> Optional.of(bookings());
+      case "grown" -> Optional.of(grown());
       default -> Optional.empty();
     };
   }
@@ -270,6 +318,11 @@
   }
 
   private static CallerKind kind(String route, boolean idempotent, Work work, Habit habit) {
+    return kind(route, idempotent, work, habit, FEW_OBJECTS);
+  }
+
+  private static CallerKind kind(
+      String route, boolean idempotent, Work work, Habit habit, int objects) {
     double worth = idempotent ? 1 : 2;
     return new CallerKind(
         route,
@@ -281,7 +334,7 @@
         work.goalMillis(),
         work.timeoutMillis(),
         worth,
-        24,
+        objects,
         habit);
   }
 }
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/Fleet.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/Fleet.java
@@ -32,6 +32,8 @@
   /** Time between the start of the machines and that of the traffic. */
   private static final long LEAD_MILLIS = 3_000;
 
+  private static final long TARGETS_AFTER_MILLIS = 500;
+
   private final FleetParts parts;
   private final List<FleetEntry> entries = new ArrayList<>();
   private final List<CallersStandIn> callers = new ArrayList<>();
@@ -58,10 +60,12 @@
   /** Starts all machines, lets them find each other, and starts the traffic. */
   public static Fleet start(Deployment deployment, long seed, LogSource logs) {
     Fleet fleet = new Fleet(new FleetParts(deployment, seed, logs));
-    fleet.startTargets();
     fleet.startEntries();
     fleet.configure(deployment.routes());
-    fleet.runFor(LEAD_MILLIS);
+    // Targets start with the entry VMs and register a moment after these have read the store.
+    fleet.runFor(TARGETS_AFTER_MILLIS);
+    fleet.startTargets();
+    fleet.runFor(LEAD_MILLIS - TARGETS_AFTER_MILLIS);
     fleet.startCallers();
     return fleet;
   }
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/Scenario.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/Scenario.java
@@ -22,7 +22,9 @@
  * @param strikes the troubles, by their times
  */
 public record Scenario(long seed, List<Strike> strikes) {
-  private static final long LENGTH_MILLIS = 30_000;
+  /** How long the traffic of a day lasts, in milliseconds. */
+  static final long LENGTH_MILLIS = 30_000;
+
   private static final long FIRST_MILLIS = 5_000;
   private static final int LAST_STRIKE_MILLIS = 12_000;
   private static final int FEWEST = 1;
@@ -63,13 +65,18 @@
 
   /** Plays it. */
   public Outcome play(Deployment deployment, Fleet.LogSource logs) {
+    return playFor(LENGTH_MILLIS, deployment, logs);
+  }
+
+  /** Plays its first {@code millis}. */
+  Outcome playFor(long millis, Deployment deployment, Fleet.LogSource logs) {
     Random random = new Random(seed);
     Fleet fleet = Fleet.start(deployment, seed, logs);
     for (Strike strike : strikes) {
       Trouble trouble = Objects.requireNonNull(Troubles.all().get(strike.trouble()));
       fleet.after(strike.atMillis(), () -> trouble.strike(fleet, random));
     }
-    fleet.runFor(LENGTH_MILLIS);
+    fleet.runFor(millis);
     Day day = fleet.end();
     List<String> broken = new ArrayList<>();
     for (Rule rule : Rules.all()) {
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/ScenarioMain.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/ScenarioMain.java
@@ -55,6 +55,7 @@
       @Nullable String trouble,
       @Nullable String log,
       double pace,
+      long lengthMillis,
       boolean windows) {}
 
   private ScenarioMain() {}
@@ -68,9 +69,10 @@
         options,
         "deployment",
         "NAME",
-        "auction, listing, stamps, archive or bookings (default by seed)");
+        "auction, listing, stamps, archive, bookings or grown (default by seed)");
     options.addOption(
         Option.builder().longOpt("windows").desc("what callers got in each two seconds").get());
+    option(options, "length", "MILLIS", "how long the traffic lasts (default 30000)");
     option(options, "pace", "FACTOR", "that many times as many requests (default 1)");
     option(options, "log", "FILE", "where all entry VMs' lines go, by time");
     try {
@@ -82,6 +84,7 @@
               trouble(line.getOptionValue("trouble")),
               line.getOptionValue("log"),
               pace(line.getOptionValue("pace", "1")),
+              length(line.getOptionValue("length")),
               line.hasOption("windows"));
       System.exit(play(seeds, plan) ? 0 : BROKEN);
     } catch (ParseException e) {
@@ -117,7 +120,7 @@
                 new ParseException(
                     "--deployment is '"
                         + name
-                        + "'; accepted are auction, listing, stamps, archive, bookings"));
+                        + "'; accepted are auction, listing, stamps, archive, bookings, grown"));
   }
 
   private static double pace(String text) throws ParseException {
@@ -128,6 +131,16 @@
     }
   }
 
+  private static long length(@Nullable String text) throws ParseException {
+    if (text == null) {
+      return Scenario.LENGTH_MILLIS;
+    }
+    if (text.matches("[1-9][0-9]{2,6}")) {
+      return Long.parseLong(text);
+    }
+    throw new ParseException("--length is '" + text + "'; accepted is 100 to 9999999, in ms");
+  }
+
   private static boolean play(Seeds seeds, Plan plan) throws IOException {
     int broken = 0;
     List<String> lines = new ArrayList<>();
@@ -135,7 +148,9 @@
     for (long seed = seeds.first(); seed <= seeds.last(); seed++) {
       Deployment known = plan.deployment();
       Deployment deployment = known == null ? Deployment.ofDay(seed) : known;
-      Outcome outcome = scenario(seed, plan.trouble()).play(deployment.atPace(plan.pace()), logs);
+      Outcome outcome =
+          scenario(seed, plan.trouble())
+              .playFor(plan.lengthMillis(), deployment.atPace(plan.pace()), logs);
       tell(outcome, System.out);
       if (plan.windows()) {
         Windows.of(outcome.day(), deployment).print(System.out);
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/Rules.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/Rules.java
@@ -31,6 +31,7 @@
         new Named("CONFIG", ArrivalRules::olderConfiguration),
         new Named("CONFIG added", AddedRoutes::notServed),
         new Named("GONE", ArrivalRules::afterTheCallerLeft),
+        new Named("SHIFT", Shifts::tooFast),
         new Named("FAILBACK", BudgetRules::coldRate),
         new Named("BUDGET retries", BudgetRules::secondSends),
         new Named("BUDGET targets", BudgetRules::mostTargets),
--- /dev/null
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/ShiftAtTheStartTest.java
@@ -0,0 +1,25 @@
+package org.sageladder.scenario;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.sageladder.scenario.Fleet.LogSource;
+
+/**
+ * Traffic starts at once on eighty-five entry VMs; Riga has a tenth of the slots for a third of it.
+ *
+ * <p>In the first half second most of Riga's requests run there, two seconds later one in five:
+ * more than a quarter of them change their region from the first two seconds to the next two, where
+ * 15 in 100 are allowed.
+ */
+class ShiftAtTheStartTest {
+  private static final long MILLIS = 8_000;
+
+  @Test
+  void requestsOfACrowdedRegionMoveSlowlyFromTheFirstSecondsOn() {
+    Scenario.Outcome outcome =
+        Scenario.calm(1).playFor(MILLIS, Deployment.grown(), LogSource.none());
+    assertEquals(List.of(), outcome.broken());
+  }
+}
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
@@ -233,6 +233,27 @@
     assertBroken("GONE");
   }
 
+  /** A fifth of a region's requests run elsewhere from one span of two seconds to the next. */
+  @Test
+  void shiftedTooFast() {
+    sentTo(0, 400, 0);
+    sentTo(2_000, 400, 56);
+    assertKept("SHIFT");
+    sentTo(4_000, 400, 56 + 80);
+    assertBroken("SHIFT");
+    day.trouble(new Day.Span(Day.EVERYWHERE, false, 4_500, 4_600));
+    assertKept("SHIFT");
+  }
+
+  private void sentTo(long from, int count, int south) {
+    for (int i = 0; i < count; i++) {
+      String id = from + "/" + i;
+      asked(id, true, from + i);
+      Arrival arrival = arrival(id, from + i);
+      ledger.arrived(in(arrival, "s", i < south ? "south" : "north"));
+    }
+  }
+
   @Test
   void coldRate() {
     int most = (int) (day.coldPerSecond() * day.bounds().coldOver() + day.bounds().coldSlack());
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/PlatformBounds.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/PlatformBounds.java
@@ -13,6 +13,7 @@
  * @param retryRatio second sends for each request of a window
  * @param retryExtra second sends besides
  * @param retryWindowMillis length of the window
+ * @param mostShift part of a region's requests that may change region from one span to the next
  */
 public record PlatformBounds(
     long contactMillis,
@@ -24,9 +25,10 @@
     int coldSlack,
     double retryRatio,
     int retryExtra,
-    long retryWindowMillis) {
+    long retryWindowMillis,
+    double mostShift) {
   /** The bounds of the smaller of the users' sites. */
   public static PlatformBounds standard() {
-    return new PlatformBounds(3_000, 2_500, 6_000, 2_500, 5_000, 1.5, 5, 0.2, 64, 10_000);
+    return new PlatformBounds(3_000, 2_500, 6_000, 2_500, 5_000, 1.5, 5, 0.2, 64, 10_000, 0.15);
   }
 }
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/PlatformTexts.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/PlatformTexts.java
@@ -138,7 +138,7 @@
     line(text, "budget_ratio", Double.toString(bounds.retryRatio()));
     line(text, "budget_extra", Integer.toString(bounds.retryExtra()));
     line(text, "budget_window", quoted(bounds.retryWindowMillis() + "ms"));
-    line(text, "shift_most", "0.15");
+    line(text, "shift_most", Double.toString(bounds.mostShift()));
     text.append("[provider]\n");
     line(text, "address", quoted(store));
     line(text, "ttl_min", quoted("1000ms"));
