Targets that register at the start are no newcomers: a crowded region's first requests go abroad

Cause: a target that was put after the VM's first read of the store counted as a newcomer, and the first request of each object whose region's first choice it is was sent there whatever the cost, so that newcomers get work. A newcomer is now what joins targets of its service that have had work from this VM. TargetTable.complete, which nothing else used, is gone.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetState.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetState.java
@@ -42,6 +42,7 @@
   private final RegionLoad region;
   private TargetFacts facts;
   private boolean newcomer;
+  private boolean hadWork;
   private int inFlight;
   private double others;
   private double usualOthers;
@@ -99,7 +100,12 @@
     return inFlight;
   }
 
-  /** True where it joined while this entry VM ran, and has had no request from it. */
+  /** True where this entry VM has sent a request there. */
+  boolean hadWork() {
+    return hadWork;
+  }
+
+  /** True where it joined others that had work, and has had no request from this entry VM. */
   boolean isNewcomer() {
     return newcomer;
   }
@@ -107,6 +113,7 @@
   /** Counts a request that is sent there. */
   public void begin() {
     newcomer = false;
+    hadWork = true;
     inFlight++;
     region.own(1);
   }
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
@@ -33,7 +33,6 @@
   private final Map<String, Map<String, RegionLoad>> loads = new HashMap<>();
   private Map<String, Integer> alike = Map.of();
   private final Set<String> emptied = new HashSet<>();
-  private boolean complete;
 
   private TargetTable() {}
 
@@ -42,11 +41,6 @@
     return new TargetTable();
   }
 
-  /** All targets there are have been put once: those put from now on have joined. */
-  public void complete() {
-    complete = true;
-  }
-
   /** Takes what a target says of itself. */
   public Change put(TargetFacts facts, long now) {
     TargetState known = byId.get(facts.id());
@@ -75,9 +69,20 @@
   private void add(TargetFacts facts, long now) {
     RegionLoad region = load(facts);
     region.slotsAdded(facts.slots());
-    TargetState fresh = new TargetState(facts, region, now, complete);
+    List<TargetState> others = ofService(facts.service());
+    TargetState fresh = new TargetState(facts, region, now, joinsWorking(others));
     byId.put(facts.id(), fresh);
-    ofService(facts.service()).add(fresh);
+    others.add(fresh);
+  }
+
+  /**
+   * True where a target that is added now joins others that have had work from here. Targets that
+   * register after this VM's first look at the list, all alike without work, are no newcomers:
+   * where all VMs introduce all of them, each VM's first requests stay in its region however few
+   * slots that has.
+   */
+  private static boolean joinsWorking(List<TargetState> others) {
+    return others.stream().anyMatch(TargetState::hadWork);
   }
 
   private RegionLoad load(TargetFacts facts) {
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/TargetTableTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/TargetTableTest.java
@@ -38,6 +38,20 @@
     assertEquals(3, fixture.targets.usable("search", 3_000).size());
   }
 
+  /**
+   * Machines start together and targets register after this VM has read the list. All of them taken
+   * for newcomers, each got a first request from each VM of its region: the few targets of a small
+   * region nearly all of its requests, for the first second.
+   */
+  @Test
+  void onlyWhatJoinsTargetsThatHadWorkIsANewcomer() {
+    fixture.with("n-3", "n1", "north");
+    assertFalse(fixture.targets.find("n-3").orElseThrow().isNewcomer());
+    fixture.targets.find("s-1").orElseThrow().begin();
+    fixture.with("n-4", "n1", "north");
+    assertTrue(fixture.targets.find("n-4").orElseThrow().isNewcomer());
+  }
+
   /** A heartbeat that was sent before the target said it leaves comes late: it is leaving still. */
   @Test
   void aLeavingTargetStaysSo() {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
@@ -240,7 +240,6 @@
   @Override
   public void complete() {
     log.record(EventKind.STORE_UP, "", "", "store", 0, "first read is complete");
-    forwarder.targets().complete();
     tellEntries();
   }
 
