Failing: a withdrawn request arrives in a zone that was emptied meanwhile

The simulated network did not know this: what a cut held up arrived at the moment of healing. Kernels send again after pauses that double; so it does now, and a reset loses what was lost.

--- /dev/null
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/WithdrawnTest.java
@@ -0,0 +1,92 @@
+package org.sageladder.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.sageladder.core.placing.TargetFacts;
+import org.sageladder.core.placing.TargetStart;
+import org.sageladder.forward.ForwardingBed.Caller;
+
+/**
+ * A withdrawn request ends with a reset of its connection.
+ *
+ * <p>A catalogue request was sent into a zone as its links were cut, then elsewhere, and answered.
+ * The zone was emptied meanwhile; seven seconds later the links were back, and the first copy
+ * arrived in the emptied zone and was run. An ordinary close leaves what the target has not taken
+ * with the kernel, which goes on sending it for as long as the cut lasts.
+ */
+class WithdrawnTest {
+  private static final long LATER = System.currentTimeMillis() + 3_600_000;
+
+  private static void assertReset(ScriptedTarget target) throws InterruptedException {
+    String end = String.valueOf(target.ends.poll(1, TimeUnit.MINUTES));
+    assertTrue(end.contains("reset"), end);
+  }
+
+  @Test
+  void aRequestWhoseCallerHasLeft() throws Exception {
+    ScriptedTarget silent = ScriptedTarget.of(request -> {});
+    try (ForwardingBed bed = ForwardingBed.open(silent)) {
+      try (Caller caller = bed.caller()) {
+        caller.get("/safe/1", "a");
+        assertTrue(silent.first.await(1, TimeUnit.MINUTES));
+      }
+      assertReset(silent);
+    }
+  }
+
+  @Test
+  void aBidWhoseCallerHasLeft() throws Exception {
+    ScriptedTarget silent = ScriptedTarget.of(request -> {});
+    try (ForwardingBed bed = ForwardingBed.open(silent)) {
+      try (Caller caller = bed.caller()) {
+        caller.post("/once/1", "a", "bid");
+        assertTrue(silent.first.await(1, TimeUnit.MINUTES));
+      }
+      assertReset(silent);
+    }
+  }
+
+  @Test
+  void aRequestWhoseTimeIsUp() throws Exception {
+    ScriptedTarget silent = ScriptedTarget.of(request -> {});
+    try (ForwardingBed bed = ForwardingBed.open(silent);
+        Caller caller = bed.caller()) {
+      assertEquals(504, caller.ask("/hasty/1", "a").status());
+      assertReset(silent);
+    }
+  }
+
+  @Test
+  void aRequestAtATargetThatHasStartedAgain() throws Exception {
+    ScriptedTarget silent = ScriptedTarget.of(request -> {});
+    try (ForwardingBed bed = ForwardingBed.open(silent);
+        Caller caller = bed.caller()) {
+      bed.onLoop(() -> bed.forwarder.put(born(silent, 1)));
+      caller.post("/once/1", "a", "bid");
+      assertTrue(silent.first.await(1, TimeUnit.MINUTES));
+      bed.onLoop(() -> bed.forwarder.put(born(silent, LATER)));
+      assertReset(silent);
+    }
+  }
+
+  /** A connection without a request is closed in the ordinary way. */
+  @Test
+  void anIdleConnectionIsClosedInOrder() throws Exception {
+    ScriptedTarget target = ScriptedTarget.of(request -> request.answer("done"));
+    try (ForwardingBed bed = ForwardingBed.open(target);
+        Caller caller = bed.caller()) {
+      bed.onLoop(() -> bed.forwarder.put(born(target, 1)));
+      assertEquals("done", caller.ask("/safe/1", "a").body());
+      bed.onLoop(() -> bed.forwarder.put(born(target, LATER)));
+      assertEquals("closed", target.ends.poll(1, TimeUnit.MINUTES));
+    }
+  }
+
+  private static TargetFacts born(ScriptedTarget target, long born) {
+    return new TargetFacts(
+        new TargetStart("t-1", born), 0, "s", "127.0.0.1", target.port(), "z", "r", 2, false, 0);
+  }
+}
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/Day.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/Day.java
@@ -20,7 +20,8 @@
   /**
    * A span of trouble.
    *
-   * @param scope IP number of the entry VM that it touches, or {@link #EVERYWHERE}
+   * @param scope IP number of the entry VM that it touches, the zone whose links it touches, or
+   *     {@link #EVERYWHERE}
    * @param planned true for planned work, such as a planned stop
    */
   public record Span(String scope, boolean planned, long from, long to) {}
@@ -85,6 +86,16 @@
         .noneMatch(span -> overlaps(span, from - bounds.contactMillis(), to));
   }
 
+  /**
+   * True where a request that arrives in {@code zone} was held up by nothing but its sender: no
+   * trouble touched the links to the zone in the contact time before.
+   */
+  public boolean linksSound(String zone, long at) {
+    return spans.stream()
+        .filter(span -> span.scope().equals(zone))
+        .noneMatch(span -> overlaps(span, at - bounds.contactMillis(), at));
+  }
+
   /** True where nothing unplanned touched anything from {@code from} to {@code to}. */
   public boolean calm(long from, long to) {
     return spans.stream()
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/FleetTarget.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/FleetTarget.java
@@ -112,6 +112,9 @@
     if (entry.equals(written) && parts.store().find(key) != null) {
       return;
     }
+    if (!written.isEmpty() && parts.store().find(key) == null) {
+      parts.day().ledger().moment(Moment.Kind.TARGET_BACK, ledgerName(), parts.now());
+    }
     written = entry;
     var unused = parts.store().put(key, PlatformTexts.base64(entry), 0);
   }
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/ArrivalRules.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/ArrivalRules.java
@@ -66,6 +66,8 @@
     day.ledger()
         .moments(Moment.Kind.TARGET_LEAVES)
         .forEach(moment -> left.putIfAbsent(moment.what(), moment.at()));
+    // A target that lives and whose entry had lapsed has not left.
+    day.ledger().moments(Moment.Kind.TARGET_BACK).forEach(moment -> left.remove(moment.what()));
     return lines(
         day,
         arrival -> {
@@ -73,6 +75,7 @@
           return at != null
               && arrival.fate() != Ledger.Fate.OTHER_TARGET
               && arrival.at() > at + day.bounds().drainMillis()
+              && day.linksSound(arrival.zone(), arrival.at())
               && day.inTouch(arrival.from(), at, arrival.at());
         });
   }
@@ -98,6 +101,7 @@
             .orElse(Long.MAX_VALUE);
     return arrival.at() > emptied.at() + day.bounds().evacuateMillis()
         && arrival.at() < until
+        && day.linksSound(arrival.zone(), arrival.at())
         && day.inTouch(arrival.from(), emptied.at(), arrival.at());
   }
 
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/OperatorTroubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/OperatorTroubles.java
@@ -8,11 +8,17 @@
 import org.sageladder.core.routing.RouteRule;
 import org.sageladder.core.routing.ServiceShare;
 import org.sageladder.scenario.Fleet;
+import org.sageladder.standin.network.SimulatedNetwork.Cut;
 import org.sageladder.standin.platform.CallerKind;
 
 /** What operators do in a day. */
 final class OperatorTroubles {
   private static final long EMPTIED_MILLIS = 8_000;
+  private static final long EMPTIED_AFTER_MILLIS = 500;
+
+  /** Over in the pause between two tries of a kernel, the last of which comes 6 s later. */
+  private static final long CUT_MILLIS = 6_600;
+
   private static final long MOVED_MILLIS = 5_000;
 
   private static final String ADDED = "added";
@@ -29,6 +35,7 @@
 
   static void addTo(Map<String, Trouble> all) {
     all.put("zone-emptied", OperatorTroubles::emptyZone);
+    all.put("zone-emptied-behind-a-cut", OperatorTroubles::emptyZoneBehindACut);
     all.put("route-moved", OperatorTroubles::moveRoute);
     all.put("route-added", OperatorTroubles::addRoute);
   }
@@ -40,6 +47,22 @@
     fleet.after(EMPTIED_MILLIS, () -> fleet.takeBack(zone));
   }
 
+  /**
+   * Nothing gets into a zone any more, and it is emptied; after the cut it stays so for a while.
+   */
+  private static void emptyZoneBehindACut(Fleet fleet, Random random) {
+    String zone = Troubles.pickOne(fleet, random).host().zone();
+    fleet.entries().stream()
+        .filter(entry -> entry.host().zone().equals(zone))
+        .forEach(entry -> Troubles.noteAt(fleet, entry, CUT_MILLIS));
+    Troubles.noteLinksTo(fleet, zone, CUT_MILLIS);
+    Cut cut =
+        fleet.network().cut((from, to) -> to.zone().equals(zone) && !from.zone().equals(zone));
+    fleet.after(EMPTIED_AFTER_MILLIS, () -> fleet.empty(zone));
+    fleet.after(CUT_MILLIS, cut::close);
+    fleet.after(EMPTIED_AFTER_MILLIS + 2 * EMPTIED_MILLIS, () -> fleet.takeBack(zone));
+  }
+
   /** A route goes to another service, and soon after back. */
   private static void moveRoute(Fleet fleet, Random random) {
     Map<String, RouteRule> before =
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
@@ -50,6 +50,11 @@
     note(fleet, Day.EVERYWHERE, false, millis);
   }
 
+  /** Notes unplanned trouble of the links to a zone. */
+  static void noteLinksTo(Fleet fleet, String zone, long millis) {
+    note(fleet, zone, false, millis);
+  }
+
   /** Notes planned work at one entry VM. */
   static void notePlanned(Fleet fleet, FleetEntry entry, long millis) {
     note(fleet, entry.host().ip(), true, millis);
--- a/sageladder-standin/src/main/java/org/sageladder/standin/network/Pipe.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/network/Pipe.java
@@ -8,7 +8,8 @@
 /**
  * One direction of a connection: what was sent arrives in order, after the way's delay.
  *
- * <p>What arrives at a cut waits until the cut heals, as a kernel sends it again until then.
+ * <p>What arrives at a cut is sent again by the kernel, after pauses that double, until it passes;
+ * after a long cut it arrives up to as long again later. Only a reset ends that.
  */
 final class Pipe {
   /** What travels: bytes, the connection's orderly end, or its reset. */
@@ -23,6 +24,9 @@
     record Reset() implements Parcel {}
   }
 
+  /** Pause of a kernel before it sends a lost packet again the first time. */
+  private static final long FIRST_PAUSE_NANOS = 200_000_000;
+
   private record Travelling(long atNanos, Parcel parcel) {}
 
   private final SimulatedNetwork network;
@@ -32,6 +36,9 @@
   private @Nullable SimulatedChannel receiver;
   private long lastAtNanos;
   private boolean silent;
+  private boolean reset;
+  private long pauseNanos = FIRST_PAUSE_NANOS;
+  private long sentAgainAtNanos;
 
   Pipe(SimulatedNetwork network, SimulatedHost from, SimulatedHost to) {
     this.network = network;
@@ -66,13 +73,31 @@
     network.at(lastAtNanos, this::arrive);
   }
 
+  /** Ends the connection: what is on its way arrives, what was lost is not sent again. */
+  void reset() {
+    reset = true;
+    send(new Parcel.Reset());
+    if (network.nanos() < sentAgainAtNanos) {
+      loseAll();
+    }
+  }
+
+  private void loseAll() {
+    travelling.forEach(lost -> drop(lost.parcel()));
+    travelling.clear();
+  }
+
   /** Hands over what is due. */
-  void arrive() {
+  private void arrive() {
+    if (network.nanos() < sentAgainAtNanos) {
+      return;
+    }
     while (!travelling.isEmpty() && travelling.peekFirst().atNanos() <= network.nanos()) {
       if (!silent && to.isPowered() && !network.passes(from, to)) {
-        network.hold(this);
+        lost();
         return;
       }
+      pauseNanos = FIRST_PAUSE_NANOS;
       Parcel parcel = travelling.removeFirst().parcel();
       SimulatedChannel known = receiver;
       if (silent || known == null || !to.isPowered()) {
@@ -83,6 +108,16 @@
     }
   }
 
+  private void lost() {
+    if (reset) {
+      loseAll();
+      return;
+    }
+    sentAgainAtNanos = network.nanos() + pauseNanos;
+    pauseNanos *= 2;
+    network.at(sentAgainAtNanos, this::arrive);
+  }
+
   static void drop(Parcel parcel) {
     if (parcel instanceof Parcel.Bytes bytes) {
       bytes.bytes().release();
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/Ledger.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/Ledger.java
@@ -149,6 +149,8 @@
     public enum Kind {
       /** The store has a target's leaving. */
       TARGET_LEAVES,
+      /** The store has the entry of a living target again that had lapsed. */
+      TARGET_BACK,
       /** The store has a configuration; its version is in {@code what}. */
       CONFIGURATION,
       /** The store has that a zone is to be emptied. */
