A withdrawn request is reset, and the way is checked before the kernel gives its connection up

Two causes, one after the other: - A withdrawn attempt closed its connection in the ordinary way, and the kernel went on sending what the target had not taken. So kernels do not watch connections that requests are sent on. A request without a byte of an answer after twice what was expected, a second at the least, has its way checked by a new connection, and a second one a quarter second later: where neither is established it is withdrawn in time and runs elsewhere; where one is, the kernel watches from then on, which finds connections that fell silent alone.

Why it holds: bytes that a cut holds up are out only on connections that are not watched, and those are ended by a reset alone. Left: a cut that begins after the way was found open.

AtMostOnceTest said that a target sees 'closed' where a caller leaves or its time is up; it is 'Connection reset' now, as strict. Own interface: its HTTP library discards connections itself; not changed here.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
@@ -29,6 +29,15 @@
   /** A target that could not be reached is left alone for this long, unless there is no other. */
   private static final long AVOID_MILLIS = 1_500;
 
+  /**
+   * Without any byte of an answer for this long, the way to the target is checked: longer than most
+   * runs, and early enough for another target.
+   */
+  private static final long LEAST_UNTIL_CHECK_MILLIS = 1_000;
+
+  /** And for this many times as long as was expected. */
+  private static final double CHECK_AFTER_EXPECTED = 2;
+
   private final Forwarder forwarder;
   private final Exchange exchange;
   private final Order order;
@@ -39,6 +48,7 @@
   private boolean over;
   private boolean sent;
   private @Nullable HeldAnswer answer;
+  private Loop.@Nullable Timer check;
 
   Attempt(Forwarder forwarder, Exchange exchange, Order order, Send send) {
     this.forwarder = forwarder;
@@ -89,6 +99,37 @@
     ready.send(head(), exchange.requestId(), this);
     exchange.body().writeTo(ready);
     exchange.readOn();
+    double late = CHECK_AFTER_EXPECTED * (send.waitMillis() + send.runMillis());
+    long after = Math.max(LEAST_UNTIL_CHECK_MILLIS, (long) late);
+    check = forwarder.loop().after(after, () -> checkPath(ready));
+  }
+
+  private void checkPath(TargetConnection used) {
+    if (over || used.anyAnswerByte()) {
+      return;
+    }
+    PathCheck.start(forwarder.loop(), target().facts(), () -> reached(used), () -> cutOff(used));
+  }
+
+  private void reached(TargetConnection used) {
+    if (!over) {
+      used.watch();
+    }
+  }
+
+  private void cutOff(TargetConnection used) {
+    if (over || used.anyAnswerByte()) {
+      return;
+    }
+    target().avoidUntil(forwarder.loop().now() + AVOID_MILLIS);
+    withdraw(used, "its target is cut off");
+  }
+
+  private void withdraw(TargetConnection used, String cause) {
+    used.abandon();
+    finish(true);
+    dropAnswer();
+    exchange.lost(this, cause);
   }
 
   private HttpRequest head() {
@@ -160,6 +201,10 @@
   /** Takes the attempt out of its target's load and of those in flight. */
   private void leave() {
     over = true;
+    Loop.Timer known = check;
+    if (known != null) {
+      known.cancel();
+    }
     forwarder.attempts().remove(this);
     target().end();
   }
@@ -249,10 +294,7 @@
       unreachable("its target started again");
       return;
     }
-    used.abandon();
-    finish(true);
-    dropAnswer();
-    exchange.lost(this, "its target started again");
+    withdraw(used, "its target started again");
   }
 
   @Override
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -259,6 +259,13 @@
     List.copyOf(callers).forEach(CallerConnection::closeIfQuiet);
   }
 
+  /**
+   * Withdraws all requests in flight: the process ends, and its kernel would go on sending them.
+   */
+  public void withdrawAll() {
+    List.copyOf(attempts).forEach(Attempt::abandon);
+  }
+
   private void sweep() {
     long now = loop.now();
     CallerLimits limits = callerLimits();
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Sockets.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Sockets.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelOption;
@@ -13,11 +14,12 @@
 import jdk.net.ExtendedSocketOptions;
 
 /**
- * Opens sockets that notice a peer which fell silent.
+ * Opens sockets that can notice a peer which fell silent.
  *
  * <p>A connection may go silent for good without a reset, and a peer behind a partition answers
  * nothing. Keep-alive probes of the kernel end such a connection after about three seconds, so that
- * a request waiting on it fails while its caller still waits.
+ * what waits on it fails while its caller still waits. Connections of callers are watched so from
+ * the beginning, others from {@link #watch} on.
  */
 public final class Sockets implements Transport {
   private static final int PROBE_AFTER_SECONDS = 1;
@@ -38,6 +40,26 @@
     var unused = connection.close();
   }
 
+  /** From now on the kernel ends the connection where its probes get no answer. */
+  public static void watch(Channel connection) {
+    connection.config().setOption(ChannelOption.SO_KEEPALIVE, true);
+  }
+
+  /**
+   * Ends a connection with a reset, since what was sent on it is withdrawn.
+   *
+   * <p>Guards against requests that arrive after all. An ordinary close leaves bytes that the peer
+   * has not taken with the kernel, which sends them again until they arrive: behind a cut that is
+   * seconds after the request was answered elsewhere, at a target that is to get nothing any more.
+   * A reset drops them.
+   */
+  public static void abort(Channel connection) {
+    if (connection.isOpen()) {
+      connection.config().setOption(ChannelOption.SO_LINGER, 0);
+    }
+    close(connection);
+  }
+
   @Override
   public ChannelFuture connect(
       Loop loop, String host, int port, int connectMillis, ChannelHandler handler) {
@@ -47,7 +69,6 @@
         .option(ChannelOption.ALLOCATOR, loop.buffers())
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis)
         .option(ChannelOption.TCP_NODELAY, true)
-        .option(ChannelOption.SO_KEEPALIVE, true)
         .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WAITING)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_AFTER_SECONDS)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_EACH_SECONDS)
--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
@@ -63,6 +63,7 @@
   private boolean passingOver;
   private int passedOver;
   private boolean reusable = true;
+  private boolean watched;
   private long idleMillis;
   private long idleSince;
   private @Nullable Runnable onIdleEnd;
@@ -125,6 +126,15 @@
     var unused = context().write(head);
   }
 
+  /**
+   * Lets the kernel end the connection where its probes get no answer, for the rest of this
+   * request. It must not watch one on which a request is sent; see {@link PathCheck}.
+   */
+  void watch() {
+    watched = true;
+    Sockets.watch(context().channel());
+  }
+
   /** Writes bytes of the request's body, and takes them over. */
   void body(ByteBuf bytes) {
     var unused = context().writeAndFlush(new DefaultHttpContent(bytes));
@@ -151,11 +161,16 @@
     return anyAnswerByte;
   }
 
-  /** Closes the connection; the target drops what it is doing for it. */
+  /** Ends the connection; the target drops what it is doing for it, and gets nothing more of it. */
   void abandon() {
+    boolean withdrawn = listener != null;
     listener = null;
     reusable = false;
-    Sockets.close(context());
+    if (withdrawn) {
+      Sockets.abort(context().channel());
+    } else {
+      Sockets.close(context());
+    }
   }
 
   /** Keeps the connection for another request, until its end is told to {@code ended}. */
@@ -171,7 +186,7 @@
 
   /** True where the next request may be sent on it. */
   boolean isReusable() {
-    return reusable && requestWhole && context().channel().isActive();
+    return reusable && !watched && requestWhole && context().channel().isActive();
   }
 
   @Override
--- a/sageladder-forward/src/test/java/org/sageladder/forward/AtMostOnceTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/AtMostOnceTest.java
@@ -127,7 +127,7 @@
         caller.get("/safe/1", "a");
         assertTrue(target.first.await(60, TimeUnit.SECONDS));
       }
-      assertEquals("closed", target.ends.poll(60, TimeUnit.SECONDS));
+      assertEquals("Connection reset", target.ends.poll(60, TimeUnit.SECONDS));
     }
   }
 
@@ -138,7 +138,7 @@
     try (ForwardingBed bed = ForwardingBed.open(target);
         Caller caller = bed.caller()) {
       assertEquals(504, caller.ask("/hasty/1", "a").status());
-      assertEquals("closed", target.ends.poll(60, TimeUnit.SECONDS));
+      assertEquals("Connection reset", target.ends.poll(60, TimeUnit.SECONDS));
     }
   }
 
--- a/sageladder-forward/src/test/java/org/sageladder/forward/WithdrawnTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/WithdrawnTest.java
@@ -72,6 +72,19 @@
     }
   }
 
+  /** Also the requests that a planned stop has no more time for. */
+  @Test
+  void aRequestThatAStopOutlives() throws Exception {
+    ScriptedTarget silent = ScriptedTarget.of(request -> {});
+    try (ForwardingBed bed = ForwardingBed.open(silent);
+        Caller caller = bed.caller()) {
+      caller.post("/once/1", "a", "bid");
+      assertTrue(silent.first.await(1, TimeUnit.MINUTES));
+      bed.onLoop(bed.forwarder::withdrawAll);
+      assertReset(silent);
+    }
+  }
+
   /** A connection without a request is closed in the ordinary way. */
   @Test
   void anIdleConnectionIsClosedInOrder() throws Exception {
--- a/sageladder-standin/src/main/java/org/sageladder/standin/network/SimulatedChannel.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/network/SimulatedChannel.java
@@ -53,6 +53,11 @@
     return out;
   }
 
+  /** True where the kernel ends it once probes get no answer. */
+  boolean isKeptAlive() {
+    return config.keepAlive;
+  }
+
   /** Joins two ends; each is told by {@link #established} once its kernel knows. */
   static void join(
       SimulatedChannel client, SimulatedChannel server, SimulatedAddress to, int clientPort) {
@@ -247,6 +252,7 @@
   /** Options of a connection; a linger of 0 seconds makes its close a reset, as with sockets. */
   private final class Config extends DefaultChannelConfig {
     private int lingerSeconds = -1;
+    private boolean keepAlive;
 
     Config() {
       super(SimulatedChannel.this);
@@ -258,6 +264,14 @@
         lingerSeconds = (Integer) value;
         return true;
       }
+      if (option.equals(ChannelOption.SO_KEEPALIVE)) {
+        keepAlive = (Boolean) value;
+        Pipe pipe = out;
+        if (keepAlive && pipe != null && pipe.isBlocked()) {
+          network.watch();
+        }
+        return true;
+      }
       return super.setOption(option, value);
     }
   }
--- a/sageladder-standin/src/main/java/org/sageladder/standin/network/SimulatedNetwork.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/network/SimulatedNetwork.java
@@ -110,14 +110,14 @@
   /** Lets nothing pass from one host to another where {@code blocks} says so. */
   public Cut cut(BiPredicate<SimulatedHost, SimulatedHost> blocks) {
     cuts.add(blocks);
-    var unused = loop.schedule(this::giveUpDead, KEEP_ALIVE_MILLIS, TimeUnit.MILLISECONDS);
+    watch();
     return () -> cuts.remove(blocks);
   }
 
   /** Kernels notice that a host has lost its power by their keep-alive probes. */
   public void powerOff(SimulatedHost host) {
     host.powerOff();
-    var unused = loop.schedule(this::giveUpDead, KEEP_ALIVE_MILLIS, TimeUnit.MILLISECONDS);
+    watch();
   }
 
   /** Loses that share of what is sent between zones; kernels send it again later. */
@@ -140,6 +140,11 @@
         out.silence();
       }
     }
+    watch();
+  }
+
+  /** Kernels look at their connections once probes have had no answer for long enough. */
+  void watch() {
     var unused = loop.schedule(this::giveUpDead, KEEP_ALIVE_MILLIS, TimeUnit.MILLISECONDS);
   }
 
@@ -147,7 +152,7 @@
     for (SimulatedHost host : hosts.values()) {
       for (SimulatedChannel channel : host.channels()) {
         Pipe out = channel.out();
-        if (out != null && out.isBlocked()) {
+        if (out != null && out.isBlocked() && channel.isKeptAlive()) {
           host.execute(() -> channel.fail("Connection timed out"));
         }
       }
--- a/sageladder-standin/src/test/java/org/sageladder/standin/network/SimulatedNetworkTest.java
+++ b/sageladder-standin/src/test/java/org/sageladder/standin/network/SimulatedNetworkTest.java
@@ -160,6 +160,7 @@
   @Test
   void keepAliveEndsAConnectionOverALongCut() {
     Channel channel = connected();
+    channel.config().setOption(ChannelOption.SO_KEEPALIVE, true);
     Cut cut = network.cut((from, to) -> true);
     loop.runFor(3_000);
     assertTrue(!channel.isActive());
