Running means are one type; run times and turns of removed routes are forgotten

The mean whose first values count fully and later ones by a fixed part stood four times in core.placing (SlotTimes, RunTimes twice, RegionLoad, TargetState); RunningMean is that one, with the number of values in place of steps. RunTimes and the turns between a route's services kept an entry for each route that ever was; a newer configuration drops those it does not have. Nothing is decided differently: PlacingUnderLoadTest and the placing tests pass unchanged.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
@@ -195,7 +195,7 @@
   private boolean isCutOff(Order order, Send send) {
     double run =
         runTimes
-                .measuredMillis(order.service(), order.route(), send.known(), FEWEST_FOR_USUAL)
+                .fromMeasured(order.service(), order.route(), send.known(), FEWEST_FOR_USUAL)
                 .orElse(0)
             * send.target().slowness();
     return send.waitMillis() > 0 && send.waitMillis() + run > order.millisLeft();
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/RegionLoad.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/RegionLoad.java
@@ -10,14 +10,13 @@
  * the other VMs are taken to send as this one does.
  */
 final class RegionLoad {
-  /** Part of a new report in the mean; about the last twenty reports of the region count. */
-  private static final double STEP = 0.05;
+  /** Reports of the region that count in its mean. */
+  private static final int REPORTS = 20;
 
   /** Reports of the region that weigh as much as the guess from this VM's own requests. */
   private static final double GUESS_WEIGHT = 3;
 
-  private int reports;
-  private double mean;
+  private final RunningMean told = RunningMean.ofLast(REPORTS);
   private int slots;
   private int own;
   private int alike;
@@ -39,15 +38,14 @@
 
   /** A target with {@code ofSlots} slots has told that others have {@code load} requests there. */
   void told(double load, int ofSlots) {
-    reports++;
-    double step = Math.max(STEP, 1.0 / reports);
-    mean += step * (load / ofSlots - mean);
+    told.add(load / ofSlots);
   }
 
   /** Requests of other entry VMs that a target with {@code ofSlots} slots has, as a guess. */
   double guess(int ofSlots) {
     double guessed = slots == 0 ? 0 : (double) own * alike / slots;
-    double perSlot = (reports * mean + GUESS_WEIGHT * guessed) / (reports + GUESS_WEIGHT);
+    long reports = told.count();
+    double perSlot = (reports * told.value() + GUESS_WEIGHT * guessed) / (reports + GUESS_WEIGHT);
     return perSlot * ofSlots;
   }
 }
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/RunTimes.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/RunTimes.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.Set;
 import org.sageladder.core.routing.RouteRule;
 
 /**
@@ -19,8 +20,8 @@
   /** Run of a known object until measured, as a part of the route's latency goal. */
   private static final double WARM_OF_GOAL = 0.5;
 
-  /** Part of a new run in the mean; about the last twenty runs count. */
-  private static final double STEP = 0.05;
+  /** Runs that count in a mean. */
+  private static final int RUNS = 20;
 
   private static final class Means {
     final Mean cold;
@@ -37,49 +38,31 @@
   }
 
   private static final class Mean {
-    double run;
-    double measured;
-    long runs;
-    double within;
-    long withins;
-    double behind;
-    long behinds;
+    private final RunningMean measured = RunningMean.ofLast(RUNS);
+    private final RunningMean within = RunningMean.ofLast(RUNS);
+    private final RunningMean behind = RunningMean.ofLast(RUNS);
+    private double run;
 
     Mean(double guess) {
       run = guess;
     }
 
     double millis() {
-      return runs == 0 && withins > 0 ? Math.min(run, within) : run;
+      boolean bounded = measured.count() == 0 && within.count() > 0;
+      return bounded ? Math.min(run, within.value()) : run;
     }
 
     void ran(double millis) {
-      runs++;
-      run += STEP * (millis - run);
-      measured += step(runs) * (millis - measured);
-    }
-
-    void ranWithin(double millis) {
-      withins++;
-      within += step(withins) * (millis - within);
-    }
-
-    void ranBehind(double millis) {
-      behinds++;
-      behind += step(behinds) * (millis - behind);
+      run += (millis - run) / RUNS;
+      measured.add(millis);
     }
 
     /** What was measured, with free slots where there were any, else behind queues. */
     OptionalDouble measuredBy(long fewest) {
-      if (runs >= fewest) {
-        return OptionalDouble.of(measured);
+      if (measured.count() >= fewest) {
+        return OptionalDouble.of(measured.value());
       }
-      return behinds >= fewest ? OptionalDouble.of(behind) : OptionalDouble.empty();
-    }
-
-    /** The first takes the guess's place; from then on the mean is that of what was measured. */
-    private static double step(long number) {
-      return Math.max(STEP, 1.0 / number);
+      return behind.count() >= fewest ? OptionalDouble.of(behind.value()) : OptionalDouble.empty();
     }
   }
 
@@ -100,22 +83,27 @@
         new Place(service, route.name()), place -> new Means(route.latencyGoalMillis()));
   }
 
+  /** Forgets all routes but those of these names: operators add and remove them for years. */
+  public void retain(Set<String> routes) {
+    places.keySet().removeIf(place -> !routes.contains(place.route()));
+  }
+
   /** Mean time of a run, in milliseconds; an object that the target knows takes no longer. */
   public double millis(String service, RouteRule route, boolean known) {
     Means means = means(service, route);
-    boolean guessed = known && means.warm.runs == 0;
+    boolean guessed = known && means.warm.measured.count() == 0;
     double millis = means.of(known).millis();
     return guessed ? Math.min(millis, means.cold.millis()) : millis;
   }
 
   /** Runs that the mean follows from; 0 where it is a guess. */
   public long measured(String service, RouteRule route, boolean known) {
-    return means(service, route).of(known).runs;
+    return means(service, route).of(known).measured.count();
   }
 
   /** Mean of the measured runs alone, without the guess before them; 0 where there are none. */
   public double measuredMillis(String service, RouteRule route, boolean known) {
-    return means(service, route).of(known).measured;
+    return means(service, route).of(known).measured.value();
   }
 
   /**
@@ -124,7 +112,7 @@
    *
    * @param fewest runs that a mean follows from
    */
-  OptionalDouble measuredMillis(String service, RouteRule route, boolean known, long fewest) {
+  OptionalDouble fromMeasured(String service, RouteRule route, boolean known, long fewest) {
     Means means = means(service, route);
     OptionalDouble asked = means.of(known).measuredBy(fewest);
     return asked.isPresent() ? asked : means.of(!known).measuredBy(fewest);
@@ -132,7 +120,7 @@
 
   /** Takes the time of one run behind a queue, from which the wait was taken off. */
   void ranBehind(String service, RouteRule route, boolean known, double millis) {
-    means(service, route).of(known).ranBehind(millis);
+    means(service, route).of(known).behind.add(millis);
   }
 
   /** Takes the time of one run. */
@@ -142,6 +130,6 @@
 
   /** Takes the time of a wait and the run after it, of which there is no other measure. */
   public void ranWithin(String service, RouteRule route, boolean known, double millis) {
-    means(service, route).of(known).ranWithin(millis);
+    means(service, route).of(known).within.add(millis);
   }
 }
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/SlotTimes.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/SlotTimes.java
@@ -19,15 +19,10 @@
  * }</pre>
  */
 final class SlotTimes {
-  /** Part of a new answer in the mean; about the last twenty answers count. */
-  private static final double STEP = 0.05;
+  /** Answers that count in the mean of a service. */
+  private static final int ANSWERS = 20;
 
-  private static final class Mean {
-    double millis;
-    long answers;
-  }
-
-  private final Map<String, Mean> services = new HashMap<>();
+  private final Map<String, RunningMean> services = new HashMap<>();
 
   private SlotTimes() {}
 
@@ -43,15 +38,14 @@
    * @param rounds requests that waited there, for each slot
    */
   void answered(String service, double millis, double rounds) {
-    Mean mean = services.computeIfAbsent(service, name -> new Mean());
-    mean.answers++;
-    double held = millis / (1 + rounds);
-    mean.millis += Math.max(STEP, 1.0 / mean.answers) * (held - mean.millis);
+    services
+        .computeIfAbsent(service, name -> RunningMean.ofLast(ANSWERS))
+        .add(millis / (1 + rounds));
   }
 
   /** Mean time for which a request holds a slot; empty until one was answered. */
   OptionalDouble millis(String service) {
-    Mean mean = services.get(service);
-    return mean == null ? OptionalDouble.empty() : OptionalDouble.of(mean.millis);
+    RunningMean mean = services.get(service);
+    return mean == null ? OptionalDouble.empty() : OptionalDouble.of(mean.value());
   }
 }
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetState.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetState.java
@@ -23,8 +23,8 @@
    */
   private static final double LOAD_HALF_LIFE_MILLIS = 400;
 
-  /** Part of a new report in the mean of the load of others; about the last ten reports count. */
-  private static final double LOAD_STEP = 0.1;
+  /** Reports that count in the mean of the load of others. */
+  private static final int LOAD_REPORTS = 10;
 
   /** Reports of the target itself that weigh as much as what its region's targets told. */
   private static final double REGION_WEIGHT = 2;
@@ -45,9 +45,8 @@
   private boolean hadWork;
   private int inFlight;
   private double others;
-  private double usualOthers;
+  private final RunningMean usualOthers = RunningMean.ofLast(LOAD_REPORTS);
   private long othersSeenAt;
-  private int reports;
   private long coldUntil;
   private double failureShare;
   private long failureSeenAt;
@@ -127,8 +126,7 @@
   /** Takes the load that the target told in an answer; that answer's request has ended already. */
   public void report(LoadReport load, long now) {
     others = Math.max(0, load.running() + load.waiting() - inFlight);
-    reports++;
-    usualOthers += Math.max(LOAD_STEP, 1.0 / reports) * (others - usualOthers);
+    usualOthers.add(others);
     othersSeenAt = now;
     region.told(others, facts.slots());
   }
@@ -143,16 +141,17 @@
   public double load(long now) {
     double age = Math.max(0, now - othersSeenAt);
     double fresh = Math.pow(0.5, age / LOAD_HALF_LIFE_MILLIS);
-    double heard = Math.min(reports, 1 / LOAD_STEP);
+    long reports = usualOthers.count();
+    double heard = Math.min(reports, LOAD_REPORTS);
     double usual =
-        (heard * usualOthers + REGION_WEIGHT * region.guess(facts.slots()))
+        (heard * usualOthers.value() + REGION_WEIGHT * region.guess(facts.slots()))
             / (heard + REGION_WEIGHT);
     return inFlight + usual + (reports == 0 ? 0 : (others - usual) * fresh);
   }
 
   /** True where the target has told its load in the last {@code millis}. */
   boolean isToldWithin(long millis, long now) {
-    return reports > 0 && now - othersSeenAt <= millis;
+    return usualOthers.count() > 0 && now - othersSeenAt <= millis;
   }
 
   /** Notes that the target served or failed a request. */
--- a/sageladder-core/src/main/java/org/sageladder/core/routing/RoutingRules.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/routing/RoutingRules.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * One version of the operator's configuration, ready to be asked for each request.
@@ -55,6 +57,14 @@
     return version;
   }
 
+  /** Names of all routes. */
+  public Set<String> routeNames() {
+    return routes.values().stream()
+        .flatMap(ofHost -> ofHost.values().stream())
+        .map(RouteRule::name)
+        .collect(Collectors.toSet());
+  }
+
   /** What callers may send. */
   public CallerLimits limits() {
     return limits;
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -57,6 +57,7 @@
   private final ColdAllowance cold;
   private final RetryAllowance retries;
   private final ShiftBound shift;
+  private final RunTimes runTimes = RunTimes.create();
   private final Placement placement;
   private final TargetConnections connections;
   private final CrashWatch crashes;
@@ -106,8 +107,7 @@
             identity.retryRatio(), identity.retryExtra(), identity.retryWindowMillis());
     this.shift = ShiftBound.of(identity.mostShift());
     this.placement =
-        Placement.among(
-            targets, distances, RunTimes.create(), cold, shift, PlacingWeights.standard());
+        Placement.among(targets, distances, runTimes, cold, shift, PlacingWeights.standard());
     this.connections = new TargetConnections(loop, dialect);
     this.crashes = new CrashWatch(loop, log);
     this.random = new Random(identity.name().hashCode());
@@ -159,6 +159,9 @@
       return false;
     }
     rules = newer;
+    Set<String> routes = newer.routeNames();
+    runTimes.retain(routes);
+    turns.keySet().retainAll(routes);
     return true;
   }
 
