--- a/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalMain.java
+++ b/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalMain.java
@@ -58,9 +58,14 @@
             .argName("DIR")
             .desc("where the contracts are that are run when none is named (default contracts)")
             .get());
+    options.addOption(Option.builder().longOpt("help").desc("print this and exit").get());
     CommandLine line;
     try {
       line = new DefaultParser().parse(options, args);
+      if (line.hasOption("help")) {
+        help(options, System.out);
+        System.exit(ExitCode.OK.status());
+      }
     } catch (ParseException e) {
       System.err.println(
           "sageladder-local: "
@@ -83,6 +88,15 @@
     System.exit((whole ? ExitCode.OK : ExitCode.VERDICT_FAILED).status());
   }
 
+  private static void help(Options options, PrintStream out) {
+    out.println("usage: sageladder-local [options] [CONTRACT...]");
+    for (Option option : options.getOptions()) {
+      String argument = option.hasArg() ? ' ' + option.getArgName() : "";
+      out.printf("  %-20s %s%n", "--" + option.getLongOpt() + argument, option.getDescription());
+    }
+    out.println("for example: sageladder-local --seconds 10 contracts/kannelkoda.yaml");
+  }
+
   private static List<Path> contractsIn(Path directory) throws IOException {
     try (Stream<Path> files = Files.list(directory)) {
       return files.filter(file -> file.toString().endsWith(".yaml")).sorted().toList();
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/ScenarioMain.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/ScenarioMain.java
@@ -75,8 +75,13 @@
     option(options, "length", "MILLIS", "how long the traffic lasts (default 30000)");
     option(options, "pace", "FACTOR", "that many times as many requests (default 1)");
     option(options, "log", "FILE", "where all entry VMs' lines go, by time");
+    options.addOption(Option.builder().longOpt("help").desc("print this and exit").get());
     try {
       CommandLine line = new DefaultParser().parse(options, arguments);
+      if (line.hasOption("help")) {
+        help(options, System.out);
+        System.exit(0);
+      }
       Seeds seeds = Seeds.parse(line.getOptionValue("seeds", "1..20"));
       Plan plan =
           new Plan(
@@ -93,6 +98,15 @@
     }
   }
 
+  private static void help(Options options, PrintStream out) {
+    out.println("usage: sageladder-days [options]");
+    for (Option option : options.getOptions()) {
+      String argument = option.hasArg() ? ' ' + option.getArgName() : "";
+      out.printf("  %-24s %s%n", "--" + option.getLongOpt() + argument, option.getDescription());
+    }
+    out.println("for example: sageladder-days --deployment stamps --trouble one-way --seeds 1..5");
+  }
+
   private static void option(Options options, String name, String argument, String text) {
     options.addOption(Option.builder().longOpt(name).hasArg().argName(argument).desc(text).get());
   }
