The rounds behind an answer are worked out in one place

Found on reading the change again: learnSlotTime and learnRun each worked out requests waiting for each slot.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
@@ -321,10 +321,15 @@
     if (load == null && waited) {
       return;
     }
-    double rounds = load == null ? 0 : Math.max(0.0, load.waiting()) / target.facts().slots();
+    double rounds = load == null ? 0 : roundsBehind(target, load);
     slotTimes.answered(order.service(), millis / target.slowness(), rounds);
   }
 
+  /** Requests that waited there behind an answer, for each slot. */
+  private static double roundsBehind(TargetState target, LoadReport load) {
+    return Math.max(0.0, load.waiting()) / target.facts().slots();
+  }
+
   private void learnRun(
       Order order, TargetState target, double millis, @Nullable LoadReport load, boolean waited) {
     boolean known = target.knows(order.object());
@@ -333,7 +338,7 @@
       runTimes.ranWithin(order.service(), route, known, millis);
       if (load != null) {
         double held = slotTimes.millis(order.service()).orElse(millis) * target.slowness();
-        double wait = held * Math.max(0, load.waiting()) / target.facts().slots();
+        double wait = held * roundsBehind(target, load);
         runTimes.ranBehind(order.service(), route, known, Math.max(0, millis - wait));
       }
       return;
