Tests: refusing by measured runs is compared over ten draws of arrivals

fewerAreCutOffAndMoreAnsweredThanByTheWaitAlone compared two policies on one draw of 30 s, where they differ by five requests of 3,000 at 100/s, so that any other change of placing may turn it. It now compares the means of ten draws, by the same strict inequalities at the same four loads.

--- a/sageladder-core/src/test/java/org/sageladder/core/placing/PlacingUnderLoadTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/PlacingUnderLoadTest.java
@@ -23,6 +23,9 @@
 
   private static final int SECONDS = 30;
 
+  /** Draws of arrivals over which policies are compared that differ by few requests in a draw. */
+  private static final int DRAWS = 10;
+
   private static final long SHORT_TIMEOUT_MILLIS = 1_000;
 
   /** The product's decisions, one set of tables for each entry VM. */
@@ -184,11 +187,19 @@
   void fewerAreCutOffAndMoreAnsweredThanByTheWaitAlone() {
     for (int perSecond : new int[] {100, 130, 160, 200}) {
       Outcome ours =
-          TargetModel.play(
-              new Ours(SHORT_TIMEOUT_MILLIS), perSecond, SECONDS, SHORT_TIMEOUT_MILLIS);
+          TargetModel.mean(
+              () -> new Ours(SHORT_TIMEOUT_MILLIS),
+              perSecond,
+              SECONDS,
+              SHORT_TIMEOUT_MILLIS,
+              DRAWS);
       Outcome former =
-          TargetModel.play(
-              new ByWaitAlone(SHORT_TIMEOUT_MILLIS), perSecond, SECONDS, SHORT_TIMEOUT_MILLIS);
+          TargetModel.mean(
+              () -> new ByWaitAlone(SHORT_TIMEOUT_MILLIS),
+              perSecond,
+              SECONDS,
+              SHORT_TIMEOUT_MILLIS,
+              DRAWS);
       String figures = perSecond + "/s: ours " + ours + ", by the wait alone " + former;
       assertTrue(ours.cutOff() < former.cutOff(), figures);
       assertTrue(ours.answered() > former.answered(), figures);
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/TargetModel.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/TargetModel.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -34,6 +35,8 @@
   private static final long KNOWN_MILLIS = 192;
   private static final long WAY_MILLIS = 40;
   private static final long GOAL_MILLIS = 400;
+  private static final long ARRIVALS_SEED = 815;
+  private static final long RUNS_SEED = 4711;
 
   /** Chooses a target for a request, and is told of its end. */
   interface Policy {
@@ -127,7 +130,7 @@
       new PriorityQueue<>(
           (a, b) ->
               a.at() != b.at() ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
-  private final Random random = new Random(4711);
+  private final Random random;
   private final Policy policy;
   private final long timeoutMillis;
   private int cutOff;
@@ -137,7 +140,8 @@
   private int answered;
   private int inGoal;
 
-  private TargetModel(Policy policy, long timeoutMillis) {
+  private TargetModel(Policy policy, long timeoutMillis, long seed) {
+    this.random = new Random(RUNS_SEED + seed);
     this.policy = policy;
     this.timeoutMillis = timeoutMillis;
     for (TargetFacts facts : facts()) {
@@ -174,13 +178,26 @@
 
   /** Plays {@code seconds} of {@code perSecond} requests of callers that wait for any time. */
   static Outcome play(Policy policy, int perSecond, int seconds) {
-    return play(policy, perSecond, seconds, Long.MAX_VALUE / 2);
+    return play(policy, perSecond, seconds, Long.MAX_VALUE / 2, 0);
   }
 
-  /** The same where requests are cut off after {@code timeoutMillis}. */
-  static Outcome play(Policy policy, int perSecond, int seconds, long timeoutMillis) {
-    TargetModel model = new TargetModel(policy, timeoutMillis);
-    Random arrivals = new Random(815);
+  /** The mean over so many draws, where requests are cut off after {@code timeoutMillis}. */
+  static Outcome mean(
+      Supplier<Policy> policies, int perSecond, int seconds, long timeoutMillis, int draws) {
+    List<Outcome> outcomes = new ArrayList<>();
+    for (int seed = 0; seed < draws; seed++) {
+      outcomes.add(play(policies.get(), perSecond, seconds, timeoutMillis, seed));
+    }
+    return new Outcome(
+        outcomes.stream().mapToDouble(Outcome::inGoal).average().orElseThrow(),
+        outcomes.stream().mapToDouble(Outcome::answered).average().orElseThrow(),
+        outcomes.stream().mapToDouble(Outcome::cutOff).average().orElseThrow());
+  }
+
+  private static Outcome play(
+      Policy policy, int perSecond, int seconds, long timeoutMillis, long seed) {
+    TargetModel model = new TargetModel(policy, timeoutMillis, seed);
+    Random arrivals = new Random(ARRIVALS_SEED + seed);
     double at = 0;
     while (at < seconds * 1_000.0) {
       at += -Math.log(1 - arrivals.nextDouble()) * 1_000 / perSecond;
