Learnt run times move no faster than requests may change region

Callers of a region ran elsewhere from one second to the next at the start of traffic (WeightsAtTheStartTest, ShiftAtTheStartTest). Cause: where a request runs when nothing waits follows from the run times of its route. All entry VMs start from the same guess and answer at six requests a second, so that within two seconds all of them leave the guess together. By what each VM decided, liepaja's listing requests would run at home, if nothing waited, in 0.83, 0.50, 0.62, 0.86, 1.00 of the cases, by time; ShiftBound bounds what crowding moves, and took the rest for steady.

A mean now follows newer runs with a time constant of the span over the part that may shift in it (2 s / 0.15), by contract; a route with few requests learns as fast as before, and what refuses (measured runs, slot times) is untouched.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
@@ -311,7 +311,7 @@
     double run = millis - distances.millis(target.facts());
     if (run > 0 && !target.isCold(now)) {
       learnSlotTime(order, target, run, load, waited);
-      learnRun(order, target, run, load, waited);
+      learnRun(order, target, run, load, waited, now);
     }
     target.remember(order.object());
   }
@@ -331,7 +331,12 @@
   }
 
   private void learnRun(
-      Order order, TargetState target, double millis, @Nullable LoadReport load, boolean waited) {
+      Order order,
+      TargetState target,
+      double millis,
+      @Nullable LoadReport load,
+      boolean waited,
+      long now) {
     boolean known = target.knows(order.object());
     RouteRule route = order.route();
     if (waited) {
@@ -346,6 +351,6 @@
     if (runTimes.measured(order.service(), route, known) >= FEWEST_FOR_USUAL) {
       target.ran(millis / runTimes.measuredMillis(order.service(), route, known));
     }
-    runTimes.ran(order.service(), route, known, millis);
+    runTimes.ran(order.service(), route, known, millis, now);
   }
 }
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/RunTimes.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/RunTimes.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.function.DoubleSupplier;
 import org.sageladder.core.routing.RouteRule;
 
 /**
@@ -23,6 +24,8 @@
   /** Runs that count in a mean. */
   private static final int RUNS = 20;
 
+  private static final long NEVER = -1;
+
   private static final class Means {
     final Mean cold;
     final Mean warm;
@@ -42,6 +45,7 @@
     private final RunningMean within = RunningMean.ofLast(RUNS);
     private final RunningMean behind = RunningMean.ofLast(RUNS);
     private double run;
+    private long ranAt = NEVER;
 
     Mean(double guess) {
       run = guess;
@@ -52,8 +56,13 @@
       return bounded ? Math.min(run, within.value()) : run;
     }
 
-    void ran(double millis) {
-      run += (millis - run) / RUNS;
+    void ran(double millis, double settleMillis, long now) {
+      double part = 1.0 / RUNS;
+      if (ranAt != NEVER && settleMillis > 0) {
+        part = Math.min(part, (now - ranAt) / settleMillis);
+      }
+      run += part * (millis - run);
+      ranAt = now;
       measured.add(millis);
     }
 
@@ -70,12 +79,19 @@
   private record Place(String service, String route) {}
 
   private final Map<Place, Means> places = new HashMap<>();
+  private final DoubleSupplier settleMillis;
 
-  private RunTimes() {}
+  private RunTimes(DoubleSupplier settleMillis) {
+    this.settleMillis = settleMillis;
+  }
 
-  /** Run times with nothing measured yet. */
-  public static RunTimes create() {
-    return new RunTimes();
+  /**
+   * Run times with nothing measured yet.
+   *
+   * @param settleMillis shortest time constant in which a mean follows newer runs; 0 for none
+   */
+  public static RunTimes create(DoubleSupplier settleMillis) {
+    return new RunTimes(settleMillis);
   }
 
   private Means means(String service, RouteRule route) {
@@ -123,9 +139,9 @@
     means(service, route).of(known).behind.add(millis);
   }
 
-  /** Takes the time of one run. */
-  public void ran(String service, RouteRule route, boolean known, double millis) {
-    means(service, route).of(known).ran(millis);
+  /** Takes the time of one run that ended at {@code now}. */
+  public void ran(String service, RouteRule route, boolean known, double millis, long now) {
+    means(service, route).of(known).ran(millis, settleMillis.getAsDouble(), now);
   }
 
   /** Takes the time of a wait and the run after it, of which there is no other measure. */
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/ShiftBound.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/ShiftBound.java
@@ -73,6 +73,11 @@
     freeUntil = Math.max(freeUntil, until);
   }
 
+  /** Time in which all requests of a region may change region, in milliseconds; 0 for no bound. */
+  public double settleMillis() {
+    return most >= 1 ? 0 : SPAN_MILLIS / most;
+  }
+
   /** True where the next request may run in another region than it would if nothing waited. */
   public boolean permits(long now) {
     boolean first = firstAt < 0 || now - firstAt < SPAN_MILLIS;
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/PlacingFixture.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/PlacingFixture.java
@@ -15,6 +15,7 @@
 
   final TargetTable targets = TargetTable.create();
   final Distances distances;
+  final RunTimes runTimes;
   final ColdAllowance cold = ColdAllowance.of("e-1", 1.5, 5);
   final Placement placement;
   long now = 1_000;
@@ -31,14 +32,10 @@
   /** The same, where {@code mostShift} of its requests may change region within a span. */
   PlacingFixture(String region, double mostShift) {
     distances = Distances.from("n1", region);
+    ShiftBound shift = ShiftBound.of(mostShift);
+    runTimes = RunTimes.create(shift::settleMillis);
     placement =
-        Placement.among(
-            targets,
-            distances,
-            RunTimes.create(),
-            cold,
-            ShiftBound.of(mostShift),
-            PlacingWeights.standard());
+        Placement.among(targets, distances, runTimes, cold, shift, PlacingWeights.standard());
     cold.entries(List.of(new EntryPlace("e-1", "n1", "north")), 0);
   }
 
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -57,7 +57,7 @@
   private final ColdAllowance cold;
   private final RetryAllowance retries;
   private final ShiftBound shift;
-  private final RunTimes runTimes = RunTimes.create();
+  private final RunTimes runTimes;
   private final Placement placement;
   private final TargetConnections connections;
   private final CrashWatch crashes;
@@ -106,6 +106,7 @@
         RetryAllowance.of(
             identity.retryRatio(), identity.retryExtra(), identity.retryWindowMillis());
     this.shift = ShiftBound.of(identity.mostShift());
+    this.runTimes = RunTimes.create(shift::settleMillis);
     this.placement =
         Placement.among(targets, distances, runTimes, cold, shift, PlacingWeights.standard());
     this.connections = new TargetConnections(loop, dialect);
