Placing: peers with the same share, no longer 'alike'

A rename: RegionLoad and TargetTable take the number of other entry VMs that are assumed to send the same share as this one. Behaviour unchanged; the tests of core.placing and forward pass.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/RegionLoad.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/RegionLoad.java
@@ -19,7 +19,7 @@
   private final RunningMean told = RunningMean.ofLast(REPORTS);
   private int slots;
   private int own;
-  private int alike;
+  private int peers;
 
   /** Targets with that many slots have joined the region, or left it where it is negative. */
   void slotsAdded(int number) {
@@ -31,9 +31,9 @@
     own += change;
   }
 
-  /** How many other entry VMs are taken to send there as this one does. */
-  void alike(int others) {
-    alike = others;
+  /** Sets how many other entry VMs are assumed to send the same share there as this one. */
+  void peers(int number) {
+    peers = number;
   }
 
   /** A target with {@code ofSlots} slots has told that others have {@code load} requests there. */
@@ -43,7 +43,7 @@
 
   /** Requests of other entry VMs that a target with {@code ofSlots} slots has, as a guess. */
   double guess(int ofSlots) {
-    double guessed = slots == 0 ? 0 : (double) own * alike / slots;
+    double guessed = slots == 0 ? 0 : (double) own * peers / slots;
     long reports = told.count();
     double perSlot = (reports * told.value() + GUESS_WEIGHT * guessed) / (reports + GUESS_WEIGHT);
     return perSlot * ofSlots;
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
@@ -31,7 +31,7 @@
   private final Map<String, List<TargetState>> byService = new HashMap<>();
   private final Map<String, Long> removals = new HashMap<>();
   private final Map<String, Map<String, RegionLoad>> loads = new HashMap<>();
-  private Map<String, Integer> alike = Map.of();
+  private Map<String, Integer> peers = Map.of();
   private final Set<String> emptied = new HashSet<>();
 
   private TargetTable() {}
@@ -77,7 +77,7 @@
 
   /**
    * True where a target that is added now joins others that have had work from here. Targets that
-   * register after this VM's first look at the list, all alike without work, are no newcomers:
+   * register after this VM's first look at the list, all of them without work, are no newcomers:
    * where all VMs introduce all of them, each VM's first requests stay in its region however few
    * slots that has.
    */
@@ -92,18 +92,18 @@
             facts.region(),
             name -> {
               RegionLoad fresh = new RegionLoad();
-              fresh.alike(alike.getOrDefault(name, 0));
+              fresh.peers(peers.getOrDefault(name, 0));
               return fresh;
             });
   }
 
-  /** How many other entry VMs are taken to send to each region as this one does. */
-  public void alike(Map<String, Integer> others) {
-    alike = Map.copyOf(others);
+  /** Sets how many other entry VMs are assumed to send the same share to each region. */
+  public void peers(Map<String, Integer> byRegion) {
+    peers = Map.copyOf(byRegion);
     loads
         .values()
         .forEach(
-            regions -> regions.forEach((name, load) -> load.alike(alike.getOrDefault(name, 0))));
+            regions -> regions.forEach((name, load) -> load.peers(peers.getOrDefault(name, 0))));
   }
 
   private List<TargetState> ofService(String service) {
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/RegionLoadTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/RegionLoadTest.java
@@ -21,7 +21,7 @@
    */
   @Test
   void beforeAnyWordTheOthersAreTakenToSendAsThisVmDoes() {
-    fixture.targets.alike(Map.of("north", 20, "south", 20));
+    fixture.targets.peers(Map.of("north", 20, "south", 20));
     target("n-1").begin();
     assertTrue(target("n-2").load(0) > 3, "load " + target("n-2").load(0));
     assertEquals(0, target("s-1").load(0));
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -190,7 +190,7 @@
     int near = (int) live.stream().filter(vm -> vm.region().equals(region)).count();
     Map<String, Integer> others = new HashMap<>();
     live.forEach(vm -> others.put(vm.region(), Math.max(0, near - 1)));
-    targets.alike(others);
+    targets.peers(others);
   }
 
   /** Forgets a start of a target that is gone: its connections and its counts. */
