Placing: newly joined targets, no longer 'newcomers'

A rename: isNewlyJoined, needsFirstRequest. The story of TargetTableTest's test becomes one line. Behaviour unchanged; the tests of core.placing and forward pass.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
@@ -118,7 +118,7 @@
         continue;
       }
       Send send = estimate(prospects, target, now);
-      if (isToBeIntroduced(target, prospects.homes(), now)) {
+      if (needsFirstRequest(target, prospects.homes(), now)) {
         return send;
       }
       // What the run costs those who come behind it. Not the wait: by that, queues at the targets
@@ -228,8 +228,8 @@
    * region's first choice for the object. The targets before it know the object, so that by cost
    * alone it would stay without work for as long as they have room.
    */
-  private boolean isToBeIntroduced(TargetState target, Homes homes, long now) {
-    return target.isNewcomer()
+  private boolean needsFirstRequest(TargetState target, Homes homes, long now) {
+    return target.isNewlyJoined()
         && homes.isFirstOfRegion(target)
         && !target.isAvoided(now)
         && !distances.isOtherRegion(target.facts());
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetState.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetState.java
@@ -41,7 +41,7 @@
   private final long idHash;
   private final RegionLoad region;
   private TargetFacts facts;
-  private boolean newcomer;
+  private boolean newlyJoined;
   private boolean hadWork;
   private int inFlight;
   private double others;
@@ -55,12 +55,12 @@
   // Oldest first.
   private final Set<Long> objects = new LinkedHashSet<>();
 
-  TargetState(TargetFacts facts, RegionLoad region, long now, boolean newcomer) {
+  TargetState(TargetFacts facts, RegionLoad region, long now, boolean newlyJoined) {
     this.facts = facts;
     this.region = region;
     this.idHash = Hashing.komihash5_0().hashCharsToLong(facts.id());
     this.coldUntil = now + facts.coldMillis();
-    this.newcomer = newcomer;
+    this.newlyJoined = newlyJoined;
   }
 
   /** What the target says of itself. */
@@ -105,13 +105,13 @@
   }
 
   /** True where it joined others that had work, and has had no request from this entry VM. */
-  boolean isNewcomer() {
-    return newcomer;
+  boolean isNewlyJoined() {
+    return newlyJoined;
   }
 
   /** Counts a request that is sent there. */
   public void begin() {
-    newcomer = false;
+    newlyJoined = false;
     hadWork = true;
     inFlight++;
     region.own(1);
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/TargetTableTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/TargetTableTest.java
@@ -38,18 +38,14 @@
     assertEquals(3, fixture.targets.usable("search", 3_000).size());
   }
 
-  /**
-   * Machines start together and targets register after this VM has read the list. All of them taken
-   * for newcomers, each got a first request from each VM of its region: the few targets of a small
-   * region nearly all of its requests, for the first second.
-   */
+  /** Guards against a first request from each VM to each target of a small region at the start. */
   @Test
-  void onlyWhatJoinsTargetsThatHadWorkIsANewcomer() {
+  void onlyTargetsThatJoinOthersWithWorkAreNewlyJoined() {
     fixture.with("n-3", "n1", "north");
-    assertFalse(fixture.targets.find("n-3").orElseThrow().isNewcomer());
+    assertFalse(fixture.targets.find("n-3").orElseThrow().isNewlyJoined());
     fixture.targets.find("s-1").orElseThrow().begin();
     fixture.with("n-4", "n1", "north");
-    assertTrue(fixture.targets.find("n-4").orElseThrow().isNewcomer());
+    assertTrue(fixture.targets.find("n-4").orElseThrow().isNewlyJoined());
   }
 
   /** A heartbeat that was sent before the target said it leaves comes late: it is leaving still. */
