--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
@@ -207,13 +207,13 @@
    * of a rush has no answer yet; by guesses it would turn away what its targets could serve. Those
    * that are full refuse by themselves.
    *
-   * <p>The queue must have been told of within the route's whole time, or hold requests from here
-   * that will tell of it. Where all VMs refuse by what they were told before, nothing is sent,
-   * nothing newer is ever told, and a service that stands idle is refused for good.
+   * <p>The queue must have been reported within the route's whole time, or hold requests from here
+   * that will report it. Where all VMs refuse by older reports, nothing is sent, nothing newer is
+   * ever reported, and a service that stands idle is refused for good.
    */
   private boolean isMeasured(Order order, TargetState target, long now) {
     boolean queueKnown =
-        target.inFlight() > 0 || target.isToldWithin(order.route().timeoutMillis(), now);
+        target.inFlight() > 0 || target.hasReportWithin(order.route().timeoutMillis(), now);
     return queueKnown && slotTimes.millis(order.service()).isPresent();
   }
 
@@ -309,7 +309,7 @@
    * Learns from an answer.
    *
    * @param millis from sending to the end of the answer
-   * @param load what the target told of its load, or null
+   * @param load what the target reported of its load, or null
    */
   public void answered(Order order, Send send, double millis, @Nullable LoadReport load, long now) {
     TargetState target = send.target();
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/RegionLoad.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/RegionLoad.java
@@ -6,8 +6,8 @@
  * <p>An entry VM hears of a target's load only when that target answers it. Where sixty VMs share
  * forty targets that is once in ten seconds, and at the start of a day not before the first run has
  * ended: a target believed idle meanwhile is crowded by all of them. So what any target of the
- * region told stands in for those that have told nothing lately, and until one has told anything
- * the other VMs are taken to send as this one does.
+ * region reported stands in for those without a recent report, and until one has reported the other
+ * VMs are taken to send as this one does.
  */
 final class RegionLoad {
   /** Reports of the region that count in its mean. */
@@ -16,7 +16,7 @@
   /** Reports of the region that weigh as much as the guess from this VM's own requests. */
   private static final double GUESS_WEIGHT = 3;
 
-  private final RunningMean told = RunningMean.ofLast(REPORTS);
+  private final RunningMean reported = RunningMean.ofLast(REPORTS);
   private int slots;
   private int own;
   private int peers;
@@ -36,16 +36,17 @@
     peers = number;
   }
 
-  /** A target with {@code ofSlots} slots has told that others have {@code load} requests there. */
-  void told(double load, int ofSlots) {
-    told.add(load / ofSlots);
+  /** Records that others have {@code load} requests at a target with {@code ofSlots} slots. */
+  void recordReport(double load, int ofSlots) {
+    reported.add(load / ofSlots);
   }
 
   /** Requests of other entry VMs that a target with {@code ofSlots} slots has, as a guess. */
   double guess(int ofSlots) {
     double guessed = slots == 0 ? 0 : (double) own * peers / slots;
-    long reports = told.count();
-    double perSlot = (reports * told.value() + GUESS_WEIGHT * guessed) / (reports + GUESS_WEIGHT);
+    long reports = reported.count();
+    double perSlot =
+        (reports * reported.value() + GUESS_WEIGHT * guessed) / (reports + GUESS_WEIGHT);
     return perSlot * ofSlots;
   }
 }
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetState.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetState.java
@@ -8,7 +8,7 @@
  * One target as this entry VM believes it to be: its facts, its load and what it was like lately.
  *
  * <p>The load is this VM's own count, which is exact, plus what others have there, which the target
- * tells in its answers and which is believed less the older it is.
+ * reports in its answers and which is believed less the older it is.
  */
 public final class TargetState {
   /**
@@ -26,7 +26,7 @@
   /** Reports that count in the mean of the load of others. */
   private static final int LOAD_REPORTS = 10;
 
-  /** Reports of the target itself that weigh as much as what its region's targets told. */
+  /** Reports of the target itself that weigh as much as what its region's targets reported. */
   private static final double REGION_WEIGHT = 2;
 
   /** Part of a new outcome in the share of failures; about the last ten outcomes count. */
@@ -123,12 +123,15 @@
     region.own(-1);
   }
 
-  /** Takes the load that the target told in an answer; that answer's request has ended already. */
-  public void report(LoadReport load, long now) {
+  /**
+   * Records the load that the target reported in an answer; that answer's request has ended
+   * already.
+   */
+  public void recordReport(LoadReport load, long now) {
     others = Math.max(0, load.running() + load.waiting() - inFlight);
     usualOthers.add(others);
     othersSeenAt = now;
-    region.told(others, facts.slots());
+    region.recordReport(others, facts.slots());
   }
 
   /**
@@ -149,8 +152,8 @@
     return inFlight + usual + (reports == 0 ? 0 : (others - usual) * fresh);
   }
 
-  /** True where the target has told its load in the last {@code millis}. */
-  boolean isToldWithin(long millis, long now) {
+  /** True where the target has reported its load in the last {@code millis}. */
+  boolean hasReportWithin(long millis, long now) {
     return usualOthers.count() > 0 && now - othersSeenAt <= millis;
   }
 
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/AddedRouteTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/AddedRouteTest.java
@@ -68,7 +68,7 @@
   private void answer(RouteRule route, Send send, long object, long millis, LoadReport load) {
     fixture.placement.sent(send, fixture.now);
     send.target().end();
-    send.target().report(load, fixture.now);
+    send.target().recordReport(load, fixture.now);
     fixture.placement.answered(order(route, object), send, (double) millis, load, fixture.now);
   }
 
@@ -128,7 +128,7 @@
   void isNotRefusedByAVmThatHasMeasuredNothing() {
     PlacingFixture fresh = new PlacingFixture().withFour();
     for (String id : TARGETS) {
-      fresh.targets.find(id).orElseThrow().report(new LoadReport(3, 4, 3), fresh.now);
+      fresh.targets.find(id).orElseThrow().recordReport(new LoadReport(3, 4, 3), fresh.now);
     }
     PlacingDecision decision =
         fresh.placement.place(order(added(), 1), PlacingFixture.SERVICE, Set.of(), fresh.now);
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/OldBeliefsTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/OldBeliefsTest.java
@@ -51,7 +51,7 @@
       Send send = send(order);
       fixture.placement.sent(send, fixture.now);
       send.target().end();
-      send.target().report(load, fixture.now);
+      send.target().recordReport(load, fixture.now);
       fixture.placement.answered(order, send, (double) millis, load, fixture.now);
     }
   }
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/PlacementTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/PlacementTest.java
@@ -133,7 +133,7 @@
     TargetState target = fixture.targets.find("n-1").orElseThrow();
     for (int i = 0; i < 30; i++) {
       fixture.now += 3_000;
-      target.report(new LoadReport(3, 4, 3), fixture.now);
+      target.recordReport(new LoadReport(3, 4, 3), fixture.now);
     }
     assertTrue(target.load(fixture.now + 3_000) > 6, "load " + target.load(fixture.now + 3_000));
   }
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/PlacingUnderLoadTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/PlacingUnderLoadTest.java
@@ -86,7 +86,7 @@
       Send send = sent.get(key);
       send.target().end();
       if (load != null) {
-        send.target().report(load, now);
+        send.target().recordReport(load, now);
       }
       if (ran) {
         vms.get(vm)
@@ -142,7 +142,7 @@
       TargetState state = vms.get(vm).find(target).orElseThrow();
       state.end();
       if (load != null) {
-        state.report(load, now);
+        state.recordReport(load, now);
       }
     }
   }
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/RegionLoadTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/RegionLoadTest.java
@@ -35,7 +35,7 @@
    */
   @Test
   void aFirstReportCountsForAsMuchAsTheGuessBeforeIt() {
-    target("n-1").report(new LoadReport(3, 9, 3), 0);
+    target("n-1").recordReport(new LoadReport(3, 9, 3), 0);
     assertEquals(6, target("n-1").load(10_000), 0.1);
   }
 
@@ -43,7 +43,7 @@
   @Test
   void aTargetThatToldNothingIsTakenToBeLikeTheOthersOfItsRegion() {
     for (int i = 0; i < 20; i++) {
-      target("n-1").report(new LoadReport(3, 3, 3), 0);
+      target("n-1").recordReport(new LoadReport(3, 3, 3), 0);
     }
     assertEquals(6, target("n-2").load(0), 1);
     assertEquals(0, target("s-1").load(0));
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
@@ -244,7 +244,7 @@
     boolean notRun = forwarder.dialect().isNotRun(held.status(), held.headers());
     leave();
     if (load != null) {
-      target().report(load, now);
+      target().recordReport(load, now);
     }
     forwarder.connections().giveBack(target().facts().start(), used);
     if (notRun) {
@@ -270,7 +270,7 @@
   private void refused(@Nullable LoadReport load, long now) {
     if (load == null) {
       int slots = target().facts().slots();
-      target().report(new LoadReport(slots, slots, slots), now);
+      target().recordReport(new LoadReport(slots, slots, slots), now);
       return;
     }
     // A target that refuses with slots free does so for another reason than its load.
