--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
@@ -299,7 +299,7 @@
 
   /** Notes that a request was sent as decided. */
   public void sent(Send send, long now) {
-    send.target().begin();
+    send.target().startRequest();
     if (send.target().isCold(now)) {
       cold.sent(send.target().facts(), now);
     }
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/RegionLoad.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/RegionLoad.java
@@ -27,7 +27,7 @@
   }
 
   /** This VM has sent a request there, or one has ended where {@code change} is negative. */
-  void own(int change) {
+  void addOwnRequests(int change) {
     own += change;
   }
 
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetState.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetState.java
@@ -110,17 +110,17 @@
   }
 
   /** Counts a request that is sent there. */
-  public void begin() {
+  public void startRequest() {
     newlyJoined = false;
     hadWork = true;
     inFlight++;
-    region.own(1);
+    region.addOwnRequests(1);
   }
 
   /** Counts a request that has ended there, however. */
-  public void end() {
+  public void endRequest() {
     inFlight--;
-    region.own(-1);
+    region.addOwnRequests(-1);
   }
 
   /**
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/AddedRouteTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/AddedRouteTest.java
@@ -67,7 +67,7 @@
 
   private void answer(RouteRule route, Send send, long object, long millis, LoadReport load) {
     fixture.placement.sent(send, fixture.now);
-    send.target().end();
+    send.target().endRequest();
     send.target().recordReport(load, fixture.now);
     fixture.placement.answered(order(route, object), send, (double) millis, load, fixture.now);
   }
@@ -76,7 +76,7 @@
     for (String id : TARGETS) {
       TargetState target = fixture.targets.find(id).orElseThrow();
       for (int i = 0; i < IN_FLIGHT; i++) {
-        target.begin();
+        target.startRequest();
       }
     }
   }
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/OldBeliefsTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/OldBeliefsTest.java
@@ -50,7 +50,7 @@
       Order order = order(route, i, 10_000);
       Send send = send(order);
       fixture.placement.sent(send, fixture.now);
-      send.target().end();
+      send.target().endRequest();
       send.target().recordReport(load, fixture.now);
       fixture.placement.answered(order, send, (double) millis, load, fixture.now);
     }
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/PlacementTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/PlacementTest.java
@@ -90,7 +90,7 @@
     for (String id : new String[] {"n-1", "n-2", "s-1", "s-2"}) {
       TargetState target = fixture.targets.find(id).orElseThrow();
       for (int i = 0; i < 4; i++) {
-        target.begin();
+        target.startRequest();
       }
     }
     long left = Math.round(run);
@@ -107,7 +107,7 @@
     Order measured = new Order(PlacingFixture.route(Set.of()), "search", 1, 2_000);
     Send first = fixture.send(1);
     fixture.placement.sent(first, fixture.now);
-    first.target().end();
+    first.target().endRequest();
     LoadReport idle = new LoadReport(0, 0, 3);
     fixture.placement.answered(measured, first, 600, idle, fixture.now);
     PlacingDecision decision = fixture.place(1, Set.of(), Set.of());
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/PlacingUnderLoadTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/PlacingUnderLoadTest.java
@@ -84,7 +84,7 @@
         int vm, long object, String target, boolean ran, @Nullable LoadReport load, long now) {
       String key = vm + "/" + object + "/" + target;
       Send send = sent.get(key);
-      send.target().end();
+      send.target().endRequest();
       if (load != null) {
         send.target().recordReport(load, now);
       }
@@ -132,7 +132,7 @@
                   Comparator.comparingDouble(
                       target -> target.load(now) + (target.facts().region().equals(own) ? 0 : 0.5)))
               .orElseThrow();
-      least.begin();
+      least.startRequest();
       return least.facts().id();
     }
 
@@ -140,7 +140,7 @@
     public void ended(
         int vm, long object, String target, boolean ran, @Nullable LoadReport load, long now) {
       TargetState state = vms.get(vm).find(target).orElseThrow();
-      state.end();
+      state.endRequest();
       if (load != null) {
         state.recordReport(load, now);
       }
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/RegionLoadTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/RegionLoadTest.java
@@ -22,10 +22,10 @@
   @Test
   void beforeAnyWordTheOthersAreTakenToSendAsThisVmDoes() {
     fixture.targets.peers(Map.of("north", 20, "south", 20));
-    target("n-1").begin();
+    target("n-1").startRequest();
     assertTrue(target("n-2").load(0) > 3, "load " + target("n-2").load(0));
     assertEquals(0, target("s-1").load(0));
-    target("n-1").end();
+    target("n-1").endRequest();
     assertEquals(0, target("n-2").load(0));
   }
 
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/ShiftBoundTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/ShiftBoundTest.java
@@ -134,12 +134,12 @@
       fixture.now += 100;
       var send = fixture.send(i);
       fixture.placement.sent(send, fixture.now);
-      send.target().end();
+      send.target().endRequest();
     }
     fixture.now += 100;
     for (String near : List.of("n-1", "n-2")) {
       for (int i = 0; i < 6; i++) {
-        fixture.targets.find(near).orElseThrow().begin();
+        fixture.targets.find(near).orElseThrow().startRequest();
       }
     }
     fixture.send(7);
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/TargetTableTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/TargetTableTest.java
@@ -43,7 +43,7 @@
   void onlyTargetsThatJoinOthersWithWorkAreNewlyJoined() {
     fixture.with("n-3", "n1", "north");
     assertFalse(fixture.targets.find("n-3").orElseThrow().isNewlyJoined());
-    fixture.targets.find("s-1").orElseThrow().begin();
+    fixture.targets.find("s-1").orElseThrow().startRequest();
     fixture.with("n-4", "n1", "north");
     assertTrue(fixture.targets.find("n-4").orElseThrow().isNewlyJoined());
   }
@@ -86,7 +86,7 @@
     assertEquals(Change.JOINED, table.put(born(1_000, 7, 0).asLeaving(), 1));
     TargetState former = table.find("n-1").orElseThrow();
     former.remember(5);
-    former.begin();
+    former.startRequest();
     former.avoidUntil(90_000);
     former.outcome(false, 1);
     table.removeAt("n-1", 50);
@@ -99,7 +99,7 @@
     assertEquals(0, later.failureShare(3));
     assertEquals(List.of(), table.sweep(60));
     assertTrue(table.takesWork(later, 60));
-    former.end();
+    former.endRequest();
     assertEquals(0, later.inFlight());
   }
 
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
@@ -206,7 +206,7 @@
       known.cancel();
     }
     forwarder.attempts().remove(this);
-    target().end();
+    target().endRequest();
   }
 
   private void finish(boolean neutral) {
