--- a/sageladder-core/src/main/java/org/sageladder/core/placing/ShiftBound.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/ShiftBound.java
@@ -9,8 +9,9 @@
  * announced, and back it goes. Operators allow a part of a region's requests to change region
  * within a span. Each VM keeps the bound for its own requests, so that it holds for any sum of them
  * without talk: as many may move as in the last span plus a step, by a token bucket whose rate that
- * is. Where requests run when nothing waits follows from their objects and is not bounded: a VM's
- * shares waver by it, but not those of all VMs together.
+ * is. Where requests run when nothing waits is not bounded here: a VM's shares waver by the objects
+ * that it happens to be asked for. What all VMs change together there is slowed by {@link RunTimes}
+ * and {@link RegionPrice}.
  *
  * <p>Requests come one by one: a bucket that lets one through early overshoots by one request a
  * span. Where a VM has few requests this takes up most of the bound, and the step is what it
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
@@ -78,8 +78,8 @@
   /**
    * True where a target that is added now joins others that have had work from here. Targets that
    * register after this VM's first look at the list, all of them without work, have not newly
-   * joined: if all VMs sent each of them a first request, each VM's first requests stay in its
-   * region however few slots that has.
+   * joined: if all VMs sent each of them a first request, each VM's first requests would stay in
+   * its region, however few slots that has.
    */
   private static boolean joinsWorking(List<TargetState> others) {
     return others.stream().anyMatch(TargetState::hadWork);
