Workspaces and API keys: looked up here, shown to no target

Callers of a contract with workspaces bear a key.

Cause: nothing read the configuration's workspaces. The key is taken out of each head that goes to a target and the workspace's name put in, whatever the caller claimed; route and workspace both bind where both have regions; a key is looked up again before each sending, so that one taken away while a request waits is refused. At a VM out of contact with the store an unknown key gets 503, since 401 is final and the key may be a new one.

Keys appear in no text: they stand apart from the workspace, errors of the configuration quote no lists, objects or parser messages, and the log names an unreadable head by the class of its fault (the message quotes the line).

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
@@ -11,6 +11,7 @@
 import org.sageladder.core.placing.PlacingDecision.Send;
 import org.sageladder.core.routing.RouteRule;
 import org.sageladder.core.routing.ServiceRule;
+import org.sageladder.core.routing.Workspace;
 
 /**
  * Chooses the target on which a request ends soonest, counting what its run costs the others.
@@ -51,8 +52,24 @@
    * @param service the service whose turn it is
    * @param object hash of the object that it concerns; requests of no object have one each
    * @param millisLeft time until it must be answered
+   * @param workspace whose request it is, or null where the route needs no API key
    */
-  public record Order(RouteRule route, String service, long object, long millisLeft) {}
+  public record Order(
+      RouteRule route,
+      String service,
+      long object,
+      long millisLeft,
+      @Nullable Workspace workspace) {
+    /** A request of no workspace. */
+    public Order(RouteRule route, String service, long object, long millisLeft) {
+      this(route, service, object, millisLeft, null);
+    }
+
+    /** True where route and workspace both let the request run in {@code region}. */
+    boolean allows(String region) {
+      return route.allows(region) && (workspace == null || workspace.allows(region));
+    }
+  }
 
   /** What is worked out once for an order, whatever the target. */
   private record Prospects(
@@ -100,7 +117,7 @@
   public PlacingDecision place(
       Order order, @Nullable ServiceRule service, Set<String> tried, long now) {
     List<TargetState> usable = targets.usable(order.service(), now);
-    usable.removeIf(target -> !order.route().allows(target.facts().region()));
+    usable.removeIf(target -> !order.allows(target.facts().region()));
     if (usable.isEmpty()) {
       return new Refuse(Reason.NO_TARGET, LEAST_RETRY_MILLIS, null);
     }
--- a/sageladder-core/src/main/java/org/sageladder/core/routing/RouteRule.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/routing/RouteRule.java
@@ -17,6 +17,7 @@
  * @param mostTargets most targets to which one request may be sent
  * @param byObject true where a target that has handled the object recently is faster
  * @param regions regions in which requests may run; empty means all
+ * @param anonymous true where requests need no API key
  */
 public record RouteRule(
     String name,
@@ -29,7 +30,8 @@
     List<ServiceShare> services,
     int mostTargets,
     boolean byObject,
-    Set<String> regions) {
+    Set<String> regions,
+    boolean anonymous) {
   /** Copies the collections, so that the rule cannot change. */
   public RouteRule {
     services = List.copyOf(services);
@@ -54,6 +56,7 @@
         others,
         mostTargets,
         byObject,
-        regions);
+        regions,
+        anonymous);
   }
 }
--- a/sageladder-core/src/main/java/org/sageladder/core/routing/RoutingRules.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/routing/RoutingRules.java
@@ -23,24 +23,37 @@
   private final Map<String, Map<String, RouteRule>> routes;
   private final Map<String, ServiceRule> services;
   private final CallerLimits limits;
+  private final ApiKeys keys;
 
   private RoutingRules(
       long version,
       Map<String, Map<String, RouteRule>> routes,
       Map<String, ServiceRule> services,
-      CallerLimits limits) {
+      CallerLimits limits,
+      ApiKeys keys) {
     this.version = version;
     this.routes = routes;
     this.services = services;
     this.limits = limits;
+    this.keys = keys;
   }
 
-  /** The rules of one version; of two routes with one host and prefix the later one counts. */
+  /** The rules of one version without workspaces. */
   public static RoutingRules of(
       long version,
       Collection<RouteRule> routes,
       Collection<ServiceRule> services,
       CallerLimits limits) {
+    return of(version, routes, services, limits, ApiKeys.none());
+  }
+
+  /** The rules of one version; of two routes with one host and prefix the later one counts. */
+  public static RoutingRules of(
+      long version,
+      Collection<RouteRule> routes,
+      Collection<ServiceRule> services,
+      CallerLimits limits,
+      ApiKeys keys) {
     Map<String, Map<String, RouteRule>> byHost = new HashMap<>();
     for (RouteRule route : routes) {
       byHost.computeIfAbsent(route.host(), host -> new HashMap<>()).put(route.prefix(), route);
@@ -49,7 +62,7 @@
     for (ServiceRule service : services) {
       byName.put(service.name(), service);
     }
-    return new RoutingRules(version, byHost, byName, limits);
+    return new RoutingRules(version, byHost, byName, limits, keys);
   }
 
   /** Number of the configuration; a newer one has a higher number. */
@@ -70,6 +83,11 @@
     return limits;
   }
 
+  /** The API keys, and who holds them. */
+  public ApiKeys keys() {
+    return keys;
+  }
+
   /** What is said of {@code service}, or empty where the configuration does not name it. */
   public Optional<ServiceRule> service(String service) {
     return Optional.ofNullable(services.get(service));
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/AddedRouteTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/AddedRouteTest.java
@@ -49,7 +49,8 @@
         List.of(new ServiceShare("search", 1)),
         2,
         true,
-        Set.of());
+        Set.of(),
+        false);
   }
 
   private static Order order(RouteRule route, long object) {
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/OldBeliefsTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/OldBeliefsTest.java
@@ -32,7 +32,8 @@
         List.of(new ServiceShare(service, 1)),
         2,
         true,
-        Set.of());
+        Set.of(),
+        like.anonymous());
   }
 
   private static Order order(RouteRule route, long object, long millisLeft) {
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/PlacingFixture.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/PlacingFixture.java
@@ -68,7 +68,8 @@
         List.of(new ServiceShare("search", 1)),
         2,
         true,
-        regions);
+        regions,
+        false);
   }
 
   PlacingDecision place(long object, Set<String> tried, Set<String> regions) {
--- /dev/null
+++ b/sageladder-core/src/test/java/org/sageladder/core/routing/ApiKeysTest.java
@@ -0,0 +1,58 @@
+package org.sageladder.core.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Which workspace holds a key. */
+class ApiKeysTest {
+  private static Workspace workspace(String name) {
+    return new Workspace(name, OptionalInt.empty(), Quota.unlimited(), Set.of());
+  }
+
+  @Test
+  void eachKeyBelongsToItsWorkspace() {
+    ApiKeys keys =
+        ApiKeys.builder()
+            .add(workspace("choir"), List.of("k1", "k2"))
+            .add(workspace("museum"), List.of("k3"))
+            .build();
+    assertTrue(keys.areRequired());
+    assertEquals("choir", keys.workspace("k2").orElseThrow().name());
+    assertEquals("museum", keys.workspace("k3").orElseThrow().name());
+    assertTrue(keys.workspace("K3").isEmpty());
+  }
+
+  @Test
+  void withoutWorkspacesNoKeyIsNeeded() {
+    assertFalse(ApiKeys.none().areRequired());
+  }
+
+  /** Guards against a key that two workspaces hold: whose request it opens would be chance. */
+  @Test
+  void sharedKeyIsRefusedAndNotQuoted() {
+    ApiKeys.Builder keys = ApiKeys.builder().add(workspace("choir"), List.of("secret"));
+    IllegalArgumentException refused =
+        assertThrows(
+            IllegalArgumentException.class, () -> keys.add(workspace("museum"), List.of("secret")));
+    assertFalse(refused.getMessage().contains("secret"));
+  }
+
+  @Test
+  void noTextShowsAKey() {
+    ApiKeys keys = ApiKeys.builder().add(workspace("choir"), List.of("secret")).build();
+    assertFalse((keys + " " + keys.workspaces()).contains("secret"));
+  }
+
+  @Test
+  void negativeQuotaIsRefused() {
+    assertThrows(IllegalArgumentException.class, () -> new Quota(-1, 0));
+    assertThrows(IllegalArgumentException.class, () -> new Quota(1, Double.NaN));
+  }
+}
--- a/sageladder-core/src/test/java/org/sageladder/core/routing/RoutingRulesTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/routing/RoutingRulesTest.java
@@ -21,7 +21,8 @@
         List.of(new ServiceShare("s", 1)),
         2,
         true,
-        Set.of());
+        Set.of(),
+        false);
   }
 
   private static final RoutingRules RULES =
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
@@ -139,6 +139,9 @@
     if (chunked) {
       headers.remove(HttpHeaderNames.CONTENT_LENGTH);
     }
+    if (exchange.hidesKey()) {
+      forwarder.dialect().identify(headers, exchange.workspaceName());
+    }
     forwarder.dialect().address(headers, target().facts().id(), exchange.millisLeft());
     HttpRequest to =
         new DefaultHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri(), headers);
--- a/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
@@ -158,7 +158,8 @@
   private void unreadable(@Nullable Throwable cause) {
     boolean tooLong =
         cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
-    forwarder.note("unreadable", String.valueOf(cause));
+    // Not the message: it quotes what could not be read, which may be a line with an API key.
+    forwarder.note("unreadable", cause == null ? "" : cause.getClass().getSimpleName());
     refuseAndClose(tooLong ? ResultCode.HEAD_TOO_LARGE : ResultCode.MALFORMED_REQUEST);
   }
 
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Dialect.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Dialect.java
@@ -19,6 +19,19 @@
   /** Key of the object that the request concerns, or null. */
   @Nullable String objectKey(HttpHeaders request);
 
+  /** True where the request bears an API key, well-formed or not. */
+  boolean bearsApiKey(HttpHeaders request);
+
+  /** The API key, or null where there is none, more than one, or one that is malformed. */
+  @Nullable String apiKey(HttpHeaders request);
+
+  /**
+   * Takes the API key out of the head of a request, and names the workspace that holds it.
+   *
+   * @param workspace its name, or null for a request of no workspace
+   */
+  void identify(HttpHeaders request, @Nullable String workspace);
+
   /** Adds to the head of a request what a target is to know: time left and who is meant. */
   void address(HttpHeaders request, String target, long millisLeft);
 
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -24,6 +24,7 @@
 import org.sageladder.core.routing.RouteRule;
 import org.sageladder.core.routing.RoutingRules;
 import org.sageladder.core.routing.ServiceRule;
+import org.sageladder.core.routing.Workspace;
 
 /**
  * One request of a caller, from its head to its one answer.
@@ -54,6 +55,9 @@
   /** A caller refused by a leaving VM finds another one at once. */
   private static final long STOPPING_RETRY_MILLIS = 20;
 
+  /** In place of a time to come back: the same request would be refused again. */
+  private static final long NEVER = -1;
+
   private static final HttpRequest NO_REQUEST =
       new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
 
@@ -64,6 +68,8 @@
   private final HeldBody body = new HeldBody();
   private final Set<String> tried = new HashSet<>();
   private @Nullable RouteRule route;
+  private Sender sender = new Sender.Anonymous();
+  private boolean keysRequired;
   private String id = "";
   private String service = "";
   private long object;
@@ -106,6 +112,17 @@
     return body;
   }
 
+  /** True where the contract has workspaces, so that the caller's key stays here. */
+  boolean hidesKey() {
+    return keysRequired;
+  }
+
+  /** Name of the workspace whose request it is, or null where it is of none. */
+  @Nullable String workspaceName() {
+    Workspace workspace = sender.workspaceOrNull();
+    return workspace == null ? null : workspace.name();
+  }
+
   /** True where the request must not run twice. */
   boolean runsOnce() {
     return !route().idempotent();
@@ -146,9 +163,33 @@
       answerOwn(ResultCode.UNKNOWN_ROUTE, 0, "version " + rules.version());
       return;
     }
+    if (!identify(match.get(), rules)) {
+      refuseUnknownKey(rules);
+      return;
+    }
     accept(match.get(), first);
   }
 
+  /** Looks up who sends the request; false where its API key is not known. */
+  private boolean identify(RouteRule matched, RoutingRules rules) {
+    keysRequired = rules.keys().areRequired();
+    sender = Sender.of(head.headers(), forwarder.dialect(), matched, rules.keys());
+    return !(sender instanceof Sender.Unknown);
+  }
+
+  /**
+   * Refuses a key that no workspace holds by the rules in force. A caller takes 401 as final; where
+   * the rules may be old, its key may be a new one, and another VM may know it.
+   */
+  private void refuseUnknownKey(RoutingRules rules) {
+    String version = "version " + rules.version();
+    if (forwarder.mayMissRules()) {
+      end(ResultCode.RULES_OUT_OF_DATE, NO_RULES_RETRY_MILLIS, version);
+      return;
+    }
+    end(ResultCode.API_KEY_UNKNOWN, NEVER, version);
+  }
+
   private void accept(RouteRule matched, boolean first) {
     route = matched;
     service = forwarder.turn(matched);
@@ -251,8 +292,13 @@
       return;
     }
     long now = forwarder.loop().now();
-    Order order = new Order(route(), service, object, millisLeft());
     RoutingRules rules = forwarder.rules();
+    // The key may have been taken away while the request waited or was sent before.
+    if (rules != null && !identify(route(), rules)) {
+      refuseUnknownKey(rules);
+      return;
+    }
+    Order order = new Order(route(), service, object, millisLeft(), sender.workspaceOrNull());
     ServiceRule rule = rules == null ? null : rules.service(service).orElse(null);
     PlacingDecision decision = forwarder.placement().place(order, rule, tried, now);
     if (decision instanceof PlacingDecision.Send send) {
@@ -431,7 +477,7 @@
   }
 
   private void refuse(ResultCode code, long retryMillis, String why) {
-    answerOwn(code, Math.max(1, spread(retryMillis)), why);
+    answerOwn(code, retryMillis == NEVER ? 0 : Math.max(1, spread(retryMillis)), why);
   }
 
   /** Spreads returns over as long again, so that those refused together do not come back so. */
@@ -523,7 +569,9 @@
   }
 
   private RequestLog.Subject subject() {
-    return new RequestLog.Subject(id, route == null ? "" : route().name());
+    String workspace = workspaceName();
+    return new RequestLog.Subject(
+        id, route == null ? "" : route().name(), workspace == null ? "" : workspace);
   }
 
   private void note(EventKind kind, Attempt of, String detail) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.event.EventKind;
@@ -67,6 +68,7 @@
   private final Random random;
   private @Nullable RoutingRules rules;
   private @Nullable Channel listening;
+  private BooleanSupplier mayMissRules = () -> false;
   private boolean stopping;
   private long leavesAt;
   private int inFlight;
@@ -166,6 +168,16 @@
     return true;
   }
 
+  /** Asks {@code source} from now on whether newer rules than those in force may exist unseen. */
+  public void mayMissRules(BooleanSupplier source) {
+    mayMissRules = source;
+  }
+
+  /** True where this VM is out of contact with the store. */
+  boolean mayMissRules() {
+    return mayMissRules.getAsBoolean();
+  }
+
   /** The rules in force, or null before the first were seen. */
   public @Nullable RoutingRules rules() {
     return rules;
--- a/sageladder-forward/src/main/java/org/sageladder/forward/RequestLog.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/RequestLog.java
@@ -19,8 +19,14 @@
    *
    * @param id the caller's id of it, or empty
    * @param route name of its route, or empty
+   * @param workspace name of the workspace that sent it, or empty
    */
-  record Subject(String id, String route) {}
+  record Subject(String id, String route, String workspace) {
+    /** The end of a log line's text: the key itself is never logged, only whose it is. */
+    String sender() {
+      return workspace.isEmpty() ? "" : ", workspace " + workspace;
+    }
+  }
 
   RequestLog(EventSink log, Metrics metrics) {
     this.log = log;
@@ -30,7 +36,8 @@
   /** One attempt ended without the request's answer. */
   void attempt(EventKind kind, Subject of, Attempt attempt, String detail) {
     metrics.count("tries_" + lower(kind));
-    log.record(kind, of.id(), of.route(), target(attempt), 0, detail + expectation(attempt));
+    log.record(
+        kind, of.id(), of.route(), target(attempt), 0, detail + expectation(attempt) + of.sender());
   }
 
   /**
@@ -49,7 +56,8 @@
       String detail) {
     metrics.count("requests_" + lower(kind));
     metrics.time("request", millis);
-    String text = detail + " after " + millis + " ms, sends " + sends + expectation(last);
+    String text =
+        detail + " after " + millis + " ms, sends " + sends + expectation(last) + of.sender();
     long version = rules == null ? 0 : rules.version();
     log.record(kind, of.id(), of.route(), target(last), version, text);
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
@@ -86,7 +86,9 @@
       EventSink log) {
     EntryControl control =
         new EntryControl(loop, store, forwarder, lookUps, self, leaseMillis, log);
-    control.follower = StoreFollower.start(loop, store, control, log);
+    StoreFollower follower = StoreFollower.start(loop, store, control, log);
+    control.follower = follower;
+    forwarder.mayMissRules(follower::isCutOff);
     return control;
   }
 
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
@@ -99,6 +99,11 @@
     return failures > 0 || (everTroubled && loop.now() - troubledUntil < millis);
   }
 
+  /** True while calls to the store fail or get no answer, so that changes may go unseen. */
+  public boolean isCutOff() {
+    return failures > 0 || silent;
+  }
+
   private void read(@Nullable String afterKey, boolean mayBeStale) {
     if (afterKey == null) {
       seenInRead.clear();
--- /dev/null
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/ApiKeysOnThePathTest.java
@@ -0,0 +1,144 @@
+package org.sageladder.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.sageladder.core.routing.ApiKeys;
+import org.sageladder.core.routing.Quota;
+import org.sageladder.core.routing.Workspace;
+import org.sageladder.forward.ForwardingBed.Caller;
+
+/** A caller's API key: looked up here, and shown to no target. */
+class ApiKeysOnThePathTest {
+  private static ApiKeys keys(String... held) {
+    Workspace choir = new Workspace("choir", OptionalInt.empty(), Quota.unlimited(), Set.of());
+    return ApiKeys.builder().add(choir, List.of(held)).build();
+  }
+
+  private static ForwardingBed bed(ScriptedTarget target) throws Exception {
+    ForwardingBed bed = ForwardingBed.open(target);
+    bed.onLoop(() -> bed.forwarder.follow(ForwardingBed.rules(2, keys("k1", "k2"))));
+    return bed;
+  }
+
+  private static int status(Caller caller, String path, String headers) throws Exception {
+    caller.write("GET " + path + " HTTP/1.1\r\nHost: h\r\nId: a\r\n" + headers + "\r\n");
+    return caller.read().status();
+  }
+
+  private static ScriptedTarget echo() throws Exception {
+    return ScriptedTarget.of(request -> request.answer(request.path()));
+  }
+
+  /** Guards against a key that reaches a target: whoever runs it could act for the workspace. */
+  @Test
+  void targetIsToldTheWorkspaceAndNeverTheKey() throws Exception {
+    ScriptedTarget target = echo();
+    try (ForwardingBed bed = bed(target);
+        Caller caller = bed.caller()) {
+      assertEquals(200, status(caller, "/safe/1", "key: k1\r\nWorkspace: other\r\n"));
+      assertEquals(200, status(caller, "/safe/1", "KEY: k2\r\nConnection: workspace\r\n"));
+      for (ScriptedTarget.Received seen : target.received) {
+        assertEquals("choir", seen.header("Workspace"));
+        assertEquals("", seen.header("Key"));
+      }
+    }
+  }
+
+  @Test
+  void missingDoubledOrUnknownKeyIsRefusedAndTheConnectionGoesOn() throws Exception {
+    ScriptedTarget target = echo();
+    try (ForwardingBed bed = bed(target);
+        Caller caller = bed.caller()) {
+      assertEquals(401, status(caller, "/safe/1", ""));
+      assertEquals(401, status(caller, "/safe/1", "Key: k9\r\n"));
+      assertEquals(401, status(caller, "/safe/1", "Key: k1\r\nKey: k2\r\n"));
+      assertEquals(200, status(caller, "/safe/1", "Key: k1\r\n"));
+      assertEquals(1, target.received.size());
+    }
+  }
+
+  /** Guards against a forged workspace on routes that need no key. */
+  @Test
+  void anonymousRouteNeedsNoKeyButHidesWhatTheCallerClaims() throws Exception {
+    ScriptedTarget target = echo();
+    try (ForwardingBed bed = bed(target);
+        Caller caller = bed.caller()) {
+      assertEquals(200, status(caller, "/open/1", "Workspace: choir\r\n"));
+      assertEquals("", target.received.get(0).header("Workspace"));
+      assertEquals(200, status(caller, "/open/1", "Key: k1\r\n"));
+      assertEquals("choir", target.received.get(1).header("Workspace"));
+      assertEquals("", target.received.get(1).header("Key"));
+      assertEquals(401, status(caller, "/open/1", "Key: k9\r\n"));
+    }
+  }
+
+  /** Guards against a key taken away that opens requests on connections kept from before. */
+  @Test
+  void keyTakenAwayIsRefusedOnAKeptConnection() throws Exception {
+    ScriptedTarget target = echo();
+    try (ForwardingBed bed = bed(target);
+        Caller caller = bed.caller()) {
+      assertEquals(200, status(caller, "/safe/1", "Key: k1\r\n"));
+      bed.onLoop(() -> bed.forwarder.follow(ForwardingBed.rules(3, keys("k2"))));
+      assertEquals(401, status(caller, "/safe/1", "Key: k1\r\n"));
+      assertEquals(200, status(caller, "/safe/1", "Key: k2\r\n"));
+    }
+  }
+
+  /** Guards against a request sent again by a key that was taken away after its first sending. */
+  @Test
+  void keyTakenAwayIsNotSentAgain() throws Exception {
+    ForwardingBed[] opened = new ForwardingBed[1];
+    ScriptedTarget.Script refuse =
+        request -> {
+          try {
+            opened[0].onLoop(() -> opened[0].forwarder.follow(ForwardingBed.rules(3, keys("k2"))));
+          } catch (Exception e) {
+            throw new IllegalStateException(e);
+          }
+          request.write(
+              "HTTP/1.1 503 Busy\r\nId: "
+                  + request.header("Id")
+                  + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+        };
+    ScriptedTarget one = ScriptedTarget.of(refuse);
+    ScriptedTarget two = ScriptedTarget.of(refuse);
+    try (ForwardingBed bed = ForwardingBed.open(one, two)) {
+      opened[0] = bed;
+      bed.onLoop(() -> bed.forwarder.follow(ForwardingBed.rules(2, keys("k1"))));
+      try (Caller caller = bed.caller()) {
+        assertEquals(401, status(caller, "/safe/1", "Key: k1\r\n"));
+      }
+      assertEquals(1, one.received.size() + two.received.size());
+    }
+  }
+
+  /** Guards against 401, which is final, for a new key at a VM that cannot have seen it. */
+  @Test
+  void unknownKeyAtAVmOutOfContactMayComeBackElsewhere() throws Exception {
+    ScriptedTarget target = echo();
+    try (ForwardingBed bed = bed(target);
+        Caller caller = bed.caller()) {
+      bed.onLoop(() -> bed.forwarder.mayMissRules(() -> true));
+      caller.write("GET /safe/1 HTTP/1.1\r\nHost: h\r\nId: a\r\nKey: k9\r\n\r\n");
+      ForwardingBed.Answer answer = caller.read();
+      assertEquals(503, answer.status());
+      assertFalse(answer.header("Retry-After").isEmpty());
+    }
+  }
+
+  @Test
+  void withoutWorkspacesTheHeadersAreTheTargetsOwn() throws Exception {
+    ScriptedTarget target = echo();
+    try (ForwardingBed bed = ForwardingBed.open(target);
+        Caller caller = bed.caller()) {
+      assertEquals(200, status(caller, "/safe/1", "Key: of the target\r\n"));
+      assertEquals("of the target", target.received.get(0).header("Key"));
+    }
+  }
+}
--- a/sageladder-forward/src/test/java/org/sageladder/forward/ForwardingBed.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/ForwardingBed.java
@@ -14,6 +14,7 @@
 import org.sageladder.core.placing.ColdAllowance.EntryPlace;
 import org.sageladder.core.placing.TargetFacts;
 import org.sageladder.core.placing.TargetStart;
+import org.sageladder.core.routing.ApiKeys;
 import org.sageladder.core.routing.CallerLimits;
 import org.sageladder.core.routing.RouteRule;
 import org.sageladder.core.routing.RoutingRules;
@@ -107,7 +108,25 @@
         LIMITS);
   }
 
+  /** The same routes, a further one {@code /open/} without keys, and these keys. */
+  static RoutingRules rules(long version, ApiKeys keys) {
+    return RoutingRules.of(
+        version,
+        List.of(
+            route("/safe/", true, 60_000),
+            route("/once/", false, 60_000),
+            route("/open/", true, 60_000, true)),
+        List.of(new ServiceRule("s", 100, 0, 0)),
+        LIMITS,
+        keys);
+  }
+
   private static RouteRule route(String prefix, boolean idempotent, long timeout) {
+    return route(prefix, idempotent, timeout, false);
+  }
+
+  private static RouteRule route(
+      String prefix, boolean idempotent, long timeout, boolean anonymous) {
     return new RouteRule(
         prefix,
         "h",
@@ -119,7 +138,8 @@
         List.of(new ServiceShare("s", 1)),
         2,
         true,
-        Set.of());
+        Set.of(),
+        anonymous);
   }
 
   /** A caller's connection. */
--- a/sageladder-forward/src/test/java/org/sageladder/forward/PlainDialect.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/PlainDialect.java
@@ -21,6 +21,26 @@
     return request.get("Object");
   }
 
+  @Override
+  public boolean bearsApiKey(HttpHeaders request) {
+    return request.contains("Key");
+  }
+
+  @Override
+  public @Nullable String apiKey(HttpHeaders request) {
+    return request.getAll("Key").size() == 1 ? request.get("Key") : null;
+  }
+
+  @Override
+  public void identify(HttpHeaders request, @Nullable String workspace) {
+    request.remove("Key");
+    if (workspace == null) {
+      request.remove("Workspace");
+    } else {
+      request.set("Workspace", workspace);
+    }
+  }
+
   @Override
   public void address(HttpHeaders request, String target, long millisLeft) {
     request.set("Wait", millisLeft);
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/Deployment.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/Deployment.java
@@ -299,7 +299,8 @@
         List.of(new ServiceShare(work.service(), 1)),
         2,
         true,
-        Set.of());
+        Set.of(),
+        false);
   }
 
   private static RouteRule only(RouteRule route, Set<String> regions) {
@@ -314,7 +315,8 @@
         route.services(),
         route.mostTargets(),
         route.byObject(),
-        regions);
+        regions,
+        route.anonymous());
   }
 
   private static CallerKind kind(String route, boolean idempotent, Work work, Habit habit) {
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/OperatorTroubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/OperatorTroubles.java
@@ -111,7 +111,8 @@
             like.services(),
             like.mostTargets(),
             true,
-            like.regions());
+            like.regions(),
+            like.anonymous());
     fleet.addRoute(added, shortRequests(added));
     fleet.callers().forEach(callers -> callers.pace(RUSH));
   }
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
@@ -39,7 +39,8 @@
         List.of(new ServiceShare("s", 1)),
         2,
         true,
-        Set.of("north"));
+        Set.of("north"),
+        false);
   }
 
   private void asked(String id, boolean idempotent, long at) {
