Quotas of workspaces, kept by all entry VMs together

Change: each workspace has a coordinator among the live VMs, by rendezvous hashing. VMs let requests run and report their use, at once or gathered for 0.4 s; once what was reported and what may run unseen near the contract's bound, the coordinator tells all VMs, and each request needs a token from a bucket of the quota's rate and burst. A coordinator that does not answer is passed over after three reports; a VM that reaches none lets run what it did before. Where the contract leaves no room over a quota requests ask first at any time. Datagrams between VMs, bounded, versioned, read only from VMs in the list; without quotas none is sent.

Equal parts without talk refuse or exceed (test).

Tests: QuotasTest (surge, coordinator lost, 35 % of VMs cut off, quota lowered, exact bounds, no message without quotas), QuotaOnThePathTest, 100,000 malformed datagrams.

--- /dev/null
+++ b/sageladder-core/src/main/java/org/sageladder/core/quota/QuotaCoordinator.java
@@ -0,0 +1,182 @@
+package org.sageladder.core.quota;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.sageladder.core.quota.QuotaMessage.TokenGrant;
+import org.sageladder.core.quota.QuotaMessage.UsageReport;
+import org.sageladder.core.routing.Quota;
+
+/**
+ * Counts one workspace's use over all entry VMs, and hands out tokens once it nears its quota.
+ *
+ * <p>Below the quota VMs only report, so that no request waits. The reports may be as old as {@link
+ * #REACTION_MILLIS}; what could run in that time at the present rate is kept free within the
+ * contract's bound. From then on VMs need tokens, from a bucket of the quota's rate and burst, and
+ * never more in a window than the quota allows.
+ *
+ * <p>Where the contract leaves no room over a quota, VMs need tokens at any time.
+ *
+ * <p>Keeps nothing that must last: a VM's first report to another coordinator says what it let run
+ * in the last window, so that this one knows as much after one report of each.
+ */
+final class QuotaCoordinator {
+  /** From a request's admission until all VMs know that tokens are needed. */
+  static final long REACTION_MILLIS = 600;
+
+  /** Without a refusal for this long, and with room, VMs go back to reporting. */
+  private static final long LIFT_MILLIS = 2_000;
+
+  /** Share of the quota's window below which VMs go back to reporting. */
+  private static final double LIFT_SHARE = 0.8;
+
+  /** Tokens of a VM that has not reported for so long have run out there or count as used. */
+  private static final long HELD_MILLIS = 2_000;
+
+  private static final double MILLIS_PER_SECOND = 1_000;
+
+  private static final class Reporter {
+    int number;
+    int total;
+    int held;
+    long at;
+  }
+
+  private final QuotaBounds bounds;
+  private final Map<String, Reporter> reporters = new HashMap<>();
+  private final SlidingCount window;
+  private final SlidingCount lately;
+  private int held;
+  private Quota quota;
+  private boolean limited;
+  private double level;
+  private long levelAt;
+  private long refusedAt;
+  private long nextFreeAt;
+
+  QuotaCoordinator(QuotaBounds bounds, Quota quota) {
+    this.bounds = bounds;
+    this.quota = quota;
+    this.window = new SlidingCount(bounds.windowMillis());
+    this.lately = new SlidingCount((long) MILLIS_PER_SECOND);
+    this.limited = bounds.areExact();
+    this.level = quota.capacity();
+  }
+
+  /** Puts a changed quota in force. */
+  void quota(Quota newer) {
+    quota = newer;
+  }
+
+  /** True while VMs need tokens. */
+  boolean isLimited() {
+    return limited;
+  }
+
+  /** Takes a VM's report in and answers it. */
+  TokenGrant report(String vm, UsageReport report, long now) {
+    refill(now);
+    record(vm, report, now);
+    double used = used(now);
+    updateLimited(used, now);
+    if (!limited) {
+      return new TokenGrant(report.workspace(), report.number(), false, report.wanted(), 0);
+    }
+    double room = Math.min(level, bounds.allowed(quota) - used);
+    int tokens = (int) Math.max(0, Math.min(report.wanted(), Math.floor(room)));
+    level -= tokens;
+    hold(reporters.get(vm), report.held() + tokens);
+    long retry = 0;
+    if (tokens < report.wanted()) {
+      retry = retryMillis(report.wanted() - tokens, now);
+    }
+    return new TokenGrant(report.workspace(), report.number(), true, tokens, retry);
+  }
+
+  private void record(String vm, UsageReport report, long now) {
+    Reporter known = reporters.computeIfAbsent(vm, name -> new Reporter());
+    int ran = ran(known, report);
+    window.add(ran, now);
+    lately.add(ran, now);
+    takeBack(known.held - report.held() - Math.max(0, ran));
+    hold(known, report.held());
+    known.number = report.number();
+    known.total = report.total();
+    known.at = now;
+  }
+
+  /**
+   * Requests that ran since the VM's last report here. Of a VM that reports here for the first
+   * time, or that has started again, all of the last window count; and never more than these, since
+   * a VM may have reported to another coordinator meanwhile.
+   */
+  private static int ran(Reporter known, UsageReport report) {
+    boolean continues = known.number > 0 && report.number() > known.number;
+    return continues ? Math.min(report.total() - known.total, report.recent()) : report.recent();
+  }
+
+  /**
+   * Puts tokens back that the VM neither holds nor used: they ran out, their request did not run,
+   * or the grant was lost.
+   */
+  private void takeBack(int unused) {
+    level = Math.min(quota.capacity(), level + Math.max(0, unused));
+  }
+
+  private void hold(Reporter reporter, int tokens) {
+    held += tokens - reporter.held;
+    reporter.held = tokens;
+  }
+
+  /** Requests of the last window, and tokens that may add to it. */
+  private double used(long now) {
+    return (double) window.count(now) + held;
+  }
+
+  private void updateLimited(double used, long now) {
+    double unseen = lately.count(now) * REACTION_MILLIS / MILLIS_PER_SECOND;
+    if (!limited) {
+      limited = used + unseen > bounds.most(quota);
+      if (limited) {
+        level = Math.max(0, Math.min(quota.capacity(), bounds.allowed(quota) - used));
+        refusedAt = now;
+        nextFreeAt = now;
+      }
+      return;
+    }
+    if (bounds.areExact()) {
+      return;
+    }
+    boolean quiet = now - refusedAt > LIFT_MILLIS;
+    limited = !(quiet && used + unseen < LIFT_SHARE * bounds.allowed(quota));
+  }
+
+  private void refill(long now) {
+    double added = (now - levelAt) / MILLIS_PER_SECOND * quota.ratePerSecond();
+    level = Math.min(quota.capacity(), level + Math.max(0, added));
+    levelAt = now;
+  }
+
+  /** Those refused are told to come back one after the other, at the quota's rate. */
+  private long retryMillis(int refused, long now) {
+    refusedAt = now;
+    double each = MILLIS_PER_SECOND / quota.ratePerSecond();
+    nextFreeAt = Math.max(nextFreeAt, now) + (long) Math.ceil(refused * each);
+    nextFreeAt = Math.min(nextFreeAt, now + bounds.windowMillis());
+    return nextFreeAt - now;
+  }
+
+  /** Forgets tokens that have run out, and VMs that have not reported for two windows. */
+  void sweep(long now) {
+    for (Reporter known : reporters.values()) {
+      if (known.held > 0 && now - known.at > HELD_MILLIS) {
+        hold(known, 0);
+      }
+    }
+    reporters.values().removeIf(known -> now - known.at > 2 * bounds.windowMillis());
+  }
+
+  /** True where no VM has reported lately, so that nothing is known that a new one would not. */
+  boolean isIdle() {
+    return reporters.isEmpty();
+  }
+}
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -19,6 +19,7 @@
 import org.sageladder.core.event.EventKind;
 import org.sageladder.core.placing.Placement.Order;
 import org.sageladder.core.placing.PlacingDecision;
+import org.sageladder.core.quota.QuotaDecision;
 import org.sageladder.core.result.Outcome;
 import org.sageladder.core.result.ResultCode;
 import org.sageladder.core.routing.RouteRule;
@@ -70,6 +71,7 @@
   private @Nullable RouteRule route;
   private Sender sender = new Sender.Anonymous();
   private boolean keysRequired;
+  private final QuotaClaim claim;
   private String id = "";
   private String service = "";
   private long object;
@@ -92,6 +94,7 @@
     this.caller = caller;
     this.head = head;
     this.startedAt = forwarder.loop().now();
+    this.claim = new QuotaClaim(forwarder);
     forwarder.begun();
   }
 
@@ -298,6 +301,11 @@
       refuseUnknownKey(rules);
       return;
     }
+    QuotaDecision quota = claim.ask(sender.workspaceOrNull(), this::quotaDecided);
+    if (!(quota instanceof QuotaDecision.Granted)) {
+      quotaDecided(quota);
+      return;
+    }
     Order order = new Order(route(), service, object, millisLeft(), sender.workspaceOrNull());
     ServiceRule rule = rules == null ? null : rules.service(service).orElse(null);
     PlacingDecision decision = forwarder.placement().place(order, rule, tried, now);
@@ -317,6 +325,19 @@
     end(ResultCode.NO_TARGET, refuse.retryMillis(), why);
   }
 
+  /** Goes on with what the workspace's quota allows; a pending decision comes here later. */
+  private void quotaDecided(QuotaDecision decision) {
+    if (over || decision instanceof QuotaDecision.Pending) {
+      return;
+    }
+    if (decision instanceof QuotaDecision.Refused refused) {
+      forwarder.metrics().count("quota_refused");
+      end(ResultCode.QUOTA_EXCEEDED, refused.retryMillis(), refused.detail());
+      return;
+    }
+    place();
+  }
+
   /** No byte of the request was sent to the target of {@code failed}. */
   void notSent(Attempt failed, String cause) {
     attempt = null;
@@ -351,6 +372,7 @@
   void lost(Attempt failed, String cause) {
     attempt = null;
     mayHaveRun = true;
+    claim.spend();
     sends++;
     note(EventKind.FAILED, failed, cause);
     if (passing) {
@@ -375,6 +397,7 @@
   /** The answer is whole. */
   void whole(Attempt done, HeldAnswer answer) {
     attempt = null;
+    claim.spend();
     sends++;
     if (passing) {
       caller.write(new DefaultLastHttpContent());
@@ -455,6 +478,9 @@
     Attempt known = attempt;
     attempt = null;
     if (known != null) {
+      if (known.isSent()) {
+        claim.spend();
+      }
       known.abandon();
     }
   }
@@ -559,6 +585,7 @@
     cancelTimer();
     dropFallBack();
     body.release();
+    claim.release();
     if (counted) {
       return;
     }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -27,6 +27,9 @@
 import org.sageladder.core.placing.TargetStart;
 import org.sageladder.core.placing.TargetTable;
 import org.sageladder.core.quarantine.CrashReport;
+import org.sageladder.core.quota.QuotaBounds;
+import org.sageladder.core.quota.QuotaMessage;
+import org.sageladder.core.quota.Quotas;
 import org.sageladder.core.routing.CallerLimits;
 import org.sageladder.core.routing.RouteRule;
 import org.sageladder.core.routing.RoutingRules;
@@ -68,6 +71,8 @@
   private final Random random;
   private @Nullable RoutingRules rules;
   private @Nullable Channel listening;
+  private final Quotas quotas;
+  private Quotas.Peers peers = new NoPeers();
   private BooleanSupplier mayMissRules = () -> false;
   private boolean stopping;
   private long leavesAt;
@@ -83,6 +88,8 @@
    * @param retryExtra second sends allowed besides in a window
    * @param retryWindowMillis length of the window
    * @param mostShift part of a region's requests that may change region within two seconds
+   * @param quotas how exactly quotas of workspaces are kept
+   * @param contactMillis time in which a VM that has started is known to all others
    */
   public record Identity(
       String name,
@@ -93,7 +100,9 @@
       double retryRatio,
       double retryExtra,
       long retryWindowMillis,
-      double mostShift) {}
+      double mostShift,
+      QuotaBounds quotas,
+      long contactMillis) {}
 
   private Forwarder(Loop loop, Dialect dialect, Identity identity, EventSink log, Metrics metrics) {
     this.region = identity.region();
@@ -114,6 +123,13 @@
     this.connections = new TargetConnections(loop, dialect);
     this.crashes = new CrashWatch(loop, log);
     this.random = new Random(identity.name().hashCode());
+    this.quotas =
+        Quotas.of(
+            identity.name(),
+            identity.quotas(),
+            identity.contactMillis(),
+            new PeersOfForwarder(),
+            loop.now());
   }
 
   /** A forwarder that knows no configuration and no target, and listens on no port yet. */
@@ -165,9 +181,42 @@
     Set<String> routes = newer.routeNames();
     runTimes.retain(routes);
     turns.keySet().retainAll(routes);
+    quotas.workspaces(newer.keys().workspaces());
     return true;
   }
 
+  /** Keeps the quotas of workspaces together with these VMs from now on. */
+  public void keepQuotasWith(Quotas.Peers others) {
+    peers = others;
+  }
+
+  /** The quotas of workspaces. */
+  public Quotas quotas() {
+    return quotas;
+  }
+
+  /** The VMs that are reached now. */
+  private final class PeersOfForwarder implements Quotas.Peers {
+    @Override
+    public void send(String vm, QuotaMessage message) {
+      peers.send(vm, message);
+    }
+
+    @Override
+    public void wake() {
+      peers.wake();
+    }
+  }
+
+  /** No VM is reached, and nothing has to be looked at later. */
+  private static final class NoPeers implements Quotas.Peers {
+    @Override
+    public void send(String vm, QuotaMessage message) {}
+
+    @Override
+    public void wake() {}
+  }
+
   /** Asks {@code source} from now on whether newer rules than those in force may exist unseen. */
   public void mayMissRules(BooleanSupplier source) {
     mayMissRules = source;
@@ -193,6 +242,7 @@
     cold.bounds(newer.coldOver(), newer.coldSlack());
     retries.bounds(newer.retryRatio(), newer.retryExtra(), newer.retryWindowMillis());
     shift.bound(newer.mostShift());
+    quotas.bounds(newer.quotas());
   }
 
   /** Tells which entry VMs are live, and how many were seen at once. */
@@ -203,6 +253,7 @@
     Map<String, Integer> others = new HashMap<>();
     live.forEach(vm -> others.put(vm.region(), Math.max(0, near - 1)));
     targets.peers(others);
+    quotas.live(live.stream().map(ColdAllowance.EntryPlace::name).toList());
   }
 
   /** Forgets a start of a target that is gone: its connections and its counts. */
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Loop.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Loop.java
@@ -10,6 +10,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.sageladder.core.time.TimeSource;
 
 /**
@@ -96,6 +97,12 @@
     return transport.listen(this, host, port, handler);
   }
 
+  /** Opens a port for datagrams; see {@link Transport#openDatagrams}. */
+  public DatagramPort openDatagrams(
+      String host, int port, DatagramPort.Receiver receiver, Consumer<Throwable> failed) {
+    return transport.openDatagrams(this, host, port, receiver, failed);
+  }
+
   /** Runs {@code task} on the thread, soon. */
   public void run(Runnable task) {
     thread.execute(() -> turns.execute(task));
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Sockets.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Sockets.java
@@ -2,15 +2,23 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundInvoker;
+import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.function.Consumer;
 import jdk.net.ExtendedSocketOptions;
 
 /**
@@ -95,4 +103,51 @@
         .childHandler(handler)
         .bind(host, port);
   }
+
+  @Override
+  public DatagramPort openDatagrams(
+      Loop loop,
+      String host,
+      int port,
+      DatagramPort.Receiver receiver,
+      Consumer<Throwable> failed) {
+    Channel channel =
+        new Bootstrap()
+            .group(loop.thread())
+            .channel(NioDatagramChannel.class)
+            .option(ChannelOption.ALLOCATOR, loop.buffers())
+            .handler(reader(receiver))
+            .bind(host, port)
+            .addListener(
+                (ChannelFuture done) -> {
+                  if (!done.isSuccess()) {
+                    failed.accept(done.cause());
+                  }
+                })
+            .channel();
+    return (toHost, toPort, bytes) -> {
+      // A datagram that is not sent counts as lost: whoever needs it sends again.
+      var unused =
+          channel.writeAndFlush(
+              new DatagramPacket(
+                  Unpooled.wrappedBuffer(bytes), new InetSocketAddress(toHost, toPort)));
+    };
+  }
+
+  private static ChannelHandler reader(DatagramPort.Receiver receiver) {
+    return new SimpleChannelInboundHandler<DatagramPacket>() {
+      @Override
+      protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+        receiver.received(
+            packet.sender().getAddress().getHostAddress(),
+            packet.sender().getPort(),
+            ByteBufUtil.getBytes(packet.content()));
+      }
+
+      @Override
+      public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        // The kernel tells here that a peer's port is closed; the datagram counts as lost.
+      }
+    };
+  }
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Transport.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Transport.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
+import java.util.function.Consumer;
 
 /**
  * Opens connections and ports for a loop.
@@ -25,4 +26,12 @@
    * @param handler what the pipeline of each accepted connection begins with
    */
   ChannelFuture listen(Loop loop, String host, int port, ChannelHandler handler);
+
+  /**
+   * Opens a port for datagrams.
+   *
+   * @param failed told why the port cannot be opened
+   */
+  DatagramPort openDatagrams(
+      Loop loop, String host, int port, DatagramPort.Receiver receiver, Consumer<Throwable> failed);
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
@@ -1,8 +1,10 @@
 package org.sageladder.forward.control;
 
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.event.EventKind;
 import org.sageladder.core.event.EventSink;
@@ -50,6 +52,7 @@
   private final long leaseMillis;
   private final Set<String> lapsing = new HashSet<>();
   private final SpoiltItems spoiltItems;
+  private Consumer<Collection<EntryVm>> peers = vms -> {};
   private @Nullable StoreFollower follower;
   private @Nullable EntryRegistration registration;
 
@@ -92,6 +95,12 @@
     return control;
   }
 
+  /** Tells {@code follower} of the live VMs from now on. */
+  public void tellPeers(Consumer<Collection<EntryVm>> listener) {
+    peers = listener;
+    tellEntries();
+  }
+
   /** This VM stops: it is named by no look-up any more and leaves the store. */
   public void leave() {
     lookUps.leave();
@@ -250,6 +259,7 @@
         lookUps.live().stream()
             .map(vm -> new EntryPlace(vm.name(), vm.zone(), vm.region()))
             .toList();
+    peers.accept(lookUps.live());
     forwarder.entries(places);
   }
 }
--- /dev/null
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/peer/PeerExchange.java
@@ -0,0 +1,104 @@
+package org.sageladder.forward.peer;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.sageladder.core.event.EventKind;
+import org.sageladder.core.event.EventSink;
+import org.sageladder.core.quota.QuotaMessage;
+import org.sageladder.core.quota.Quotas;
+import org.sageladder.forward.DatagramPort;
+import org.sageladder.forward.Forwarder;
+import org.sageladder.forward.Loop;
+import org.sageladder.forward.Metrics;
+import org.sageladder.forward.control.EntryVm;
+
+/**
+ * Carries what entry VMs tell each other of quotas, one message a datagram.
+ *
+ * <p>Only datagrams from the address of a VM in the platform's list are read. VMs that left the
+ * list are still known for a while, since registrations lapse while the store is away.
+ */
+public final class PeerExchange implements Quotas.Peers {
+  /** Most VMs that are remembered after they left the list. */
+  private static final int MOST_LEFT = 1_000;
+
+  private final Loop loop;
+  private final Forwarder forwarder;
+  private final EventSink log;
+  private final Metrics metrics;
+  private final Map<String, EntryVm> byName = new HashMap<>();
+  private final Map<String, String> nameOfAddress = new LinkedHashMap<>();
+  private @Nullable DatagramPort port;
+
+  private PeerExchange(Loop loop, Forwarder forwarder, EventSink log) {
+    this.loop = loop;
+    this.forwarder = forwarder;
+    this.log = log;
+    this.metrics = forwarder.metrics();
+  }
+
+  /** Opens the port {@code host:port}; without it the VM keeps quotas alone. */
+  public static PeerExchange open(
+      Loop loop, Forwarder forwarder, String host, int port, EventSink log) {
+    PeerExchange exchange = new PeerExchange(loop, forwarder, log);
+    exchange.port = loop.openDatagrams(host, port, exchange::received, exchange::notOpened);
+    return exchange;
+  }
+
+  private void notOpened(Throwable cause) {
+    port = null;
+    log.record(EventKind.FAILED, "", "", "peers", 0, "no port for peers: " + cause.getMessage());
+  }
+
+  /** Follows the list of live VMs. */
+  public void live(Collection<EntryVm> vms) {
+    byName.clear();
+    for (EntryVm vm : vms) {
+      byName.put(vm.name(), vm);
+      nameOfAddress.put(vm.peer(), vm.name());
+    }
+    var oldest = nameOfAddress.entrySet().iterator();
+    for (int over = nameOfAddress.size() - vms.size() - MOST_LEFT; over > 0; over--) {
+      oldest.next();
+      oldest.remove();
+    }
+  }
+
+  @Override
+  public void send(String vm, QuotaMessage message) {
+    EntryVm to = byName.get(vm);
+    DatagramPort open = port;
+    if (to == null || open == null || to.peer().isEmpty()) {
+      return;
+    }
+    try {
+      byte[] bytes = QuotaCodec.encode(message);
+      metrics.count("peer_messages_sent");
+      open.send(to.peerHost(), to.peerPort(), bytes);
+    } catch (QuotaCodec.MalformedException e) {
+      metrics.count("peer_messages_not_sent");
+      log.record(EventKind.FAILED, "", "", vm, 0, "message not sent: " + e.getMessage());
+    }
+  }
+
+  @Override
+  public void wake() {
+    var unused = loop.after(Quotas.TICK_MILLIS, () -> forwarder.quotas().tick(loop.now()));
+  }
+
+  private void received(String host, int fromPort, byte[] bytes) {
+    String from = nameOfAddress.get(host + ':' + fromPort);
+    if (from == null) {
+      metrics.count("peer_messages_of_strangers");
+      return;
+    }
+    try {
+      forwarder.quotas().received(from, QuotaCodec.decode(bytes), loop.now());
+    } catch (QuotaCodec.MalformedException e) {
+      metrics.count("peer_messages_malformed");
+    }
+  }
+}
--- /dev/null
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/peer/QuotaCodec.java
@@ -0,0 +1,116 @@
+package org.sageladder.forward.peer;
+
+import java.nio.BufferOverflowException;
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import org.sageladder.core.quota.QuotaMessage;
+import org.sageladder.core.quota.QuotaMessage.TokenGrant;
+import org.sageladder.core.quota.QuotaMessage.UsageReport;
+
+/**
+ * Quota messages as bytes: version, kind, the workspace's name by its length, then the numbers.
+ *
+ * <p>Written by hand: on this path a VM has no protobuf runtime, whose classes would add to the
+ * memory of each VM for two messages of six fields.
+ */
+final class QuotaCodec {
+  private static final byte VERSION = 1;
+  private static final byte USAGE_REPORT = 1;
+  private static final byte TOKEN_GRANT = 2;
+
+  /** Longest datagram that is sent or read; names of workspaces are far shorter. */
+  static final int MOST_BYTES = 512;
+
+  private QuotaCodec() {}
+
+  /** A datagram that is no message of this version. */
+  static final class MalformedException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    MalformedException(String message) {
+      super(message);
+    }
+  }
+
+  static byte[] encode(QuotaMessage message) throws MalformedException {
+    ByteBuffer out = ByteBuffer.allocate(MOST_BYTES);
+    try {
+      out.put(VERSION);
+      if (message instanceof UsageReport report) {
+        out.put(USAGE_REPORT);
+        putName(out, report.workspace());
+        out.putInt(report.number()).putInt(report.total()).putInt(report.recent());
+        out.putInt(report.wanted()).putInt(report.held());
+      } else if (message instanceof TokenGrant grant) {
+        out.put(TOKEN_GRANT);
+        putName(out, grant.workspace());
+        out.putInt(grant.number()).put((byte) (grant.limited() ? 1 : 0));
+        out.putInt(grant.tokens()).putLong(grant.retryMillis());
+      }
+    } catch (BufferOverflowException e) {
+      throw new MalformedException("the message is longer than " + MOST_BYTES + " bytes");
+    }
+    return Arrays.copyOf(out.array(), out.position());
+  }
+
+  private static void putName(ByteBuffer out, String name) {
+    byte[] text = name.getBytes(StandardCharsets.UTF_8);
+    out.putShort((short) text.length).put(text);
+  }
+
+  static QuotaMessage decode(byte[] bytes) throws MalformedException {
+    ByteBuffer in = ByteBuffer.wrap(bytes);
+    try {
+      byte version = in.get();
+      if (version != VERSION) {
+        throw new MalformedException("version " + version + "; known is " + VERSION);
+      }
+      QuotaMessage message = message(in);
+      if (in.hasRemaining()) {
+        throw new MalformedException(in.remaining() + " bytes behind the message");
+      }
+      return message;
+    } catch (BufferUnderflowException e) {
+      throw new MalformedException("cut off after " + bytes.length + " bytes");
+    }
+  }
+
+  private static QuotaMessage message(ByteBuffer in) throws MalformedException {
+    byte kind = in.get();
+    String workspace = name(in);
+    if (kind == USAGE_REPORT) {
+      return new UsageReport(workspace, amount(in), amount(in), amount(in), amount(in), amount(in));
+    }
+    if (kind == TOKEN_GRANT) {
+      int number = amount(in);
+      byte limited = in.get();
+      int tokens = amount(in);
+      long retryMillis = in.getLong();
+      if (limited < 0 || limited > 1 || retryMillis < 0) {
+        throw new MalformedException("limited " + limited + ", retry " + retryMillis);
+      }
+      return new TokenGrant(workspace, number, limited == 1, tokens, retryMillis);
+    }
+    throw new MalformedException("kind " + kind + "; known are 1 and 2");
+  }
+
+  private static String name(ByteBuffer in) throws MalformedException {
+    int length = in.getShort();
+    if (length <= 0 || length > in.remaining()) {
+      throw new MalformedException("a name of " + length + " bytes");
+    }
+    byte[] text = new byte[length];
+    in.get(text);
+    return new String(text, StandardCharsets.UTF_8);
+  }
+
+  private static int amount(ByteBuffer in) throws MalformedException {
+    int amount = in.getInt();
+    if (amount < 0) {
+      throw new MalformedException("a negative number, " + amount);
+    }
+    return amount;
+  }
+}
--- /dev/null
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/peer/package-info.java
@@ -0,0 +1,5 @@
+/** What entry VMs tell each other directly, in datagrams that may be lost. */
+@NullMarked
+package org.sageladder.forward.peer;
+
+import org.jspecify.annotations.NullMarked;
--- a/sageladder-forward/src/test/java/org/sageladder/forward/ForwardingBed.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/ForwardingBed.java
@@ -14,6 +14,7 @@
 import org.sageladder.core.placing.ColdAllowance.EntryPlace;
 import org.sageladder.core.placing.TargetFacts;
 import org.sageladder.core.placing.TargetStart;
+import org.sageladder.core.quota.QuotaBounds;
 import org.sageladder.core.routing.ApiKeys;
 import org.sageladder.core.routing.CallerLimits;
 import org.sageladder.core.routing.RouteRule;
@@ -31,7 +32,8 @@
       Forwarder.create(
           loop,
           new PlainDialect(),
-          new Forwarder.Identity("e-1", "z", "r", 1.5, 5, 1, 100, 10_000, 1),
+          new Forwarder.Identity(
+              "e-1", "z", "r", 1.5, 5, 1, 100, 10_000, 1, QuotaBounds.exact(), 3_000),
           EventSink.none(),
           metrics);
   private final List<ScriptedTarget> targets = new ArrayList<>();
--- a/sageladder-standin/src/main/java/org/sageladder/standin/network/SimulatedNetwork.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/network/SimulatedNetwork.java
@@ -9,12 +9,16 @@
 import java.net.BindException;
 import java.net.ConnectException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiPredicate;
+import java.util.function.Consumer;
+import org.sageladder.forward.DatagramPort;
 import org.sageladder.forward.Loop;
 import org.sageladder.forward.Transport;
 
@@ -73,6 +77,7 @@
   private final Map<String, SimulatedHost> hosts = new LinkedHashMap<>();
   private final Map<SimulatedAddress, SimulatedPort> ports = new LinkedHashMap<>();
   private final List<BiPredicate<SimulatedHost, SimulatedHost>> cuts = new ArrayList<>();
+  private final Map<SimulatedAddress, DatagramPort.Receiver> receivers = new HashMap<>();
   private double lossShare;
   private int nextClientPort = FIRST_CLIENT_PORT;
 
@@ -207,6 +212,7 @@
 
   void closePorts(SimulatedHost host) {
     ports.values().removeIf(port -> port.host() == host);
+    receivers.keySet().removeIf(address -> address.ip().equals(host.ip()));
   }
 
   /** Opens a connection from {@code client}, as its handshake goes over the network. */
@@ -244,6 +250,25 @@
     at(arrivalNanos(target, from), () -> from.execute(answer::established));
   }
 
+  /** Datagrams are lost at a cut, at a host without power, and by the share that links lose. */
+  private void sendDatagram(
+      SimulatedHost from, SimulatedAddress own, SimulatedAddress to, byte[] bytes) {
+    SimulatedHost target = hosts.get(to.ip());
+    boolean lost =
+        target == null || (!from.zone().equals(target.zone()) && random.nextDouble() < lossShare);
+    if (lost) {
+      return;
+    }
+    at(
+        arrivalNanos(from, target),
+        () -> {
+          DatagramPort.Receiver receiver = receivers.get(to);
+          if (receiver != null && target.isPowered() && passes(from, target)) {
+            receiver.received(own.ip(), own.port(), bytes);
+          }
+        });
+  }
+
   private int clientPort() {
     nextClientPort++;
     return nextClientPort;
@@ -279,5 +304,18 @@
           .childHandler(handler)
           .bind(new SimulatedAddress(ip, port));
     }
+
+    @Override
+    public DatagramPort openDatagrams(
+        Loop on, String ip, int port, DatagramPort.Receiver receiver, Consumer<Throwable> failed) {
+      SimulatedAddress own = new SimulatedAddress(ip, port);
+      Executor process = host.process();
+      receivers.put(
+          own,
+          (fromIp, fromPort, bytes) ->
+              process.execute(() -> receiver.received(fromIp, fromPort, bytes)));
+      return (toHost, toPort, bytes) ->
+          sendDatagram(host, own, new SimulatedAddress(toHost, toPort), bytes);
+    }
   }
 }
