One VM of each zone reads the store for the others

Change: in zones of three VMs or more the VM first by rendezvous hashing watches the store; the others ask it every 200 ms for what came after their revision, and read the bytes of the store's own answers. A reader that does not answer within 0.8 s, that reads no longer itself, or whose last contact with the store is older than its renewals explain, is passed over for 5 s; revisions decide as before, so nothing older ever counts. Whole reads, leases and crash reports stay each VM's own. A reader's trouble with the store is told with its answers, since its followers would take lapsed entries for targets that left.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
@@ -50,6 +50,7 @@
   private final PlatformStore store;
   private final EntryVm self;
   private final long leaseMillis;
+  private final ZoneFeed feed;
   private final Set<String> lapsing = new HashSet<>();
   private final SpoiltItems spoiltItems;
   private Consumer<Collection<EntryVm>> peers = vms -> {};
@@ -63,6 +64,7 @@
       LookUps lookUps,
       EntryVm self,
       long leaseMillis,
+      ZoneFeed feed,
       EventSink log) {
     this.loop = loop;
     this.store = store;
@@ -70,6 +72,7 @@
     this.lookUps = lookUps;
     this.self = self;
     this.leaseMillis = leaseMillis;
+    this.feed = feed;
     this.log = log;
     this.spoiltItems = new SpoiltItems(log, forwarder.metrics());
   }
@@ -77,25 +80,45 @@
   /**
    * Follows {@code store} from now on, and registers {@code self} there once rules are in force.
    *
+   * @param peers how other VMs are asked for the store's changes
    * @param leaseMillis how long the registration outlives this VM
    */
   public static EntryControl start(
       Loop loop,
       PlatformStore store,
+      PeerChanges peers,
       Forwarder forwarder,
       LookUps lookUps,
       EntryVm self,
       long leaseMillis,
       EventSink log) {
+    long contactEach = EntryRegistration.renewalMillis(leaseMillis);
+    ZoneFeed feed = ZoneFeed.of(loop, store, peers, self, contactEach, log);
     EntryControl control =
-        new EntryControl(loop, store, forwarder, lookUps, self, leaseMillis, log);
-    StoreFollower follower = StoreFollower.start(loop, store, control, log);
+        new EntryControl(loop, store, forwarder, lookUps, self, leaseMillis, feed, log);
+    StoreFollower follower = StoreFollower.start(loop, store, feed, control, log);
     control.follower = follower;
     forwarder.mayMissRules(follower::isCutOff);
     return control;
   }
 
-  /** Tells {@code follower} of the live VMs from now on. */
+  /** True where this VM asks the store itself, so that it may answer for it to others. */
+  public boolean isReader() {
+    return feed.isReader();
+  }
+
+  /** Time since the store last answered this VM. */
+  public long contactAgeMillis() {
+    return feed.contactAgeMillis();
+  }
+
+  /** True where calls to the store have failed lately. */
+  public boolean hadTrouble() {
+    StoreFollower known = follower;
+    return known == null || known.troubledWithin(TROUBLE_MILLIS);
+  }
+
+  /** Tells {@code listener} of the live VMs from now on. */
   public void tellPeers(Consumer<Collection<EntryVm>> listener) {
     peers = listener;
     tellEntries();
@@ -259,6 +282,7 @@
         lookUps.live().stream()
             .map(vm -> new EntryPlace(vm.name(), vm.zone(), vm.region()))
             .toList();
+    feed.live(lookUps.live());
     peers.accept(lookUps.live());
     forwarder.entries(places);
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryRegistration.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryRegistration.java
@@ -126,12 +126,17 @@
     heard.of(!(answer instanceof StoreAnswer.Failed<Long>));
   }
 
+  /** How often a lease of {@code leaseMillis} is renewed. */
+  static long renewalMillis(long leaseMillis) {
+    return leaseMillis / RENEWALS;
+  }
+
   private void again(Runnable task) {
     var unused = loop.after(AGAIN_MILLIS, task);
   }
 
   private void later(Runnable task) {
-    var unused = loop.after(leaseMillis / RENEWALS, task);
+    var unused = loop.after(renewalMillis(leaseMillis), task);
   }
 
   /** Takes the VM out of the store, and keeps it out. */
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
@@ -20,18 +20,6 @@
  * read again and what is missing counts as removed.
  */
 public final class StoreFollower {
-  /**
-   * A waiting watch costs one call; this long a wait makes them few, and a watch whose answer is
-   * lost unseen does not leave the VM blind for longer.
-   */
-  private static final long WAIT_MILLIS = 12_000;
-
-  /**
-   * Pause before the next watch after changes, so that changes in quick succession cost one call.
-   * Bounds of 2.5 s on changes leave room for it.
-   */
-  private static final long GATHER_MILLIS = 600;
-
   /** Pauses after failures: short at first, since many end at once; calls that fail are priced. */
   private static final long FIRST_PAUSE_MILLIS = 150;
 
@@ -65,6 +53,7 @@
 
   private final Loop loop;
   private final PlatformStore store;
+  private final ChangeFeed feed;
   private final Listener listener;
   private final EventSink log;
   private final Map<String, Known> known = new HashMap<>();
@@ -79,17 +68,25 @@
   private boolean everTroubled;
   private long troubledUntil;
 
-  private StoreFollower(Loop loop, PlatformStore store, Listener listener, EventSink log) {
+  private StoreFollower(
+      Loop loop, PlatformStore store, ChangeFeed feed, Listener listener, EventSink log) {
     this.loop = loop;
     this.store = store;
+    this.feed = feed;
     this.listener = listener;
     this.log = log;
   }
 
-  /** Begins to follow. */
+  /** Begins to follow the store directly. */
   public static StoreFollower start(
       Loop loop, PlatformStore store, Listener listener, EventSink log) {
-    StoreFollower follower = new StoreFollower(loop, store, listener, log);
+    return start(loop, store, ZoneFeed.direct(loop, store), listener, log);
+  }
+
+  /** Begins to follow; changes come from {@code feed}, whole reads from {@code store}. */
+  public static StoreFollower start(
+      Loop loop, PlatformStore store, ChangeFeed feed, Listener listener, EventSink log) {
+    StoreFollower follower = new StoreFollower(loop, store, feed, listener, log);
     loop.run(() -> follower.read(null, true));
     return follower;
   }
@@ -162,13 +159,16 @@
    * a new watch, and whatever still comes of the old one is passed over.
    */
   public void heard(boolean answered) {
+    feed.heard(answered);
     if (!answered) {
       silent = true;
       return;
     }
+    if (silent) {
+      troubled();
+    }
     if (silent && watching) {
       log.record(EventKind.STORE_UP, "", "", "store", revision, "answers again; watching anew");
-      troubled();
       watch();
     }
     silent = false;
@@ -178,9 +178,8 @@
     watchNumber++;
     int number = watchNumber;
     watching = true;
-    store.watch(
+    feed.next(
         revision,
-        WAIT_MILLIS,
         answer -> {
           if (number == watchNumber) {
             watching = false;
@@ -192,14 +191,13 @@
   private void watched(StoreAnswer<StorePage> answer) {
     if (answer instanceof StoreAnswer.Done<StorePage> done) {
       succeeded();
+      if (feed.hadTrouble()) {
+        troubled();
+      }
       StorePage page = done.value();
       apply(page.items());
       revision = Math.max(revision, page.asOf());
-      if (page.items().isEmpty()) {
-        watch();
-      } else {
-        var unused = loop.after(GATHER_MILLIS, this::watch);
-      }
+      watchAgain(feed.pauseMillis(!page.items().isEmpty()));
       return;
     }
     if (answer instanceof StoreAnswer.Gone<StorePage>) {
@@ -211,6 +209,22 @@
     failed("watch", answer, this::watch);
   }
 
+  private void watchAgain(long pauseMillis) {
+    if (pauseMillis == 0) {
+      watch();
+      return;
+    }
+    int number = watchNumber;
+    var unused =
+        loop.after(
+            pauseMillis,
+            () -> {
+              if (number == watchNumber) {
+                watch();
+              }
+            });
+  }
+
   private void troubled() {
     everTroubled = true;
     troubledUntil = loop.now();
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/Deployment.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/Deployment.java
@@ -217,6 +217,18 @@
         Ways.standard());
   }
 
+  /** The small auction house with four entry VMs in each zone, of which one reads the store. */
+  public static Deployment relayed() {
+    Deployment auction = auction();
+    return new Deployment(
+        auction.regionOfZone(),
+        inEach(auction.regionOfZone(), 4),
+        auction.services(),
+        auction.routes(),
+        auction.kinds(),
+        auction.ways());
+  }
+
   /** The deployment of a name, as the command takes it. */
   static Optional<Deployment> named(String name) {
     return switch (name) {
@@ -226,6 +238,7 @@
       case "archive" -> Optional.of(archive());
       case "bookings" -> Optional.of(bookings());
       case "grown" -> Optional.of(grown());
+      case "relayed" -> Optional.of(relayed());
       default -> Optional.empty();
     };
   }
