All entry VMs killed at once do not renew the quotas

Cause: what was let run is known to VMs only, and the coordinators that started again let the quota run anew beside what had run before the kill. Now a coordinator counts the whole quota as used for the part of the window before its VM's start, so that only the quota's rate runs at first.

--- a/sageladder-core/src/main/java/org/sageladder/core/quota/QuotaCoordinator.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quota/QuotaCoordinator.java
@@ -42,6 +42,7 @@
   }
 
   private final QuotaBounds bounds;
+  private final long startedAt;
   private final Map<String, Reporter> reporters = new HashMap<>();
   private final SlidingCount window;
   private final SlidingCount lately;
@@ -53,8 +54,14 @@
   private long refusedAt;
   private long nextFreeAt;
 
-  QuotaCoordinator(QuotaBounds bounds, Quota quota) {
+  /**
+   * A coordinator that has no report yet.
+   *
+   * @param startedAt when its VM started
+   */
+  QuotaCoordinator(QuotaBounds bounds, Quota quota, long startedAt) {
     this.bounds = bounds;
+    this.startedAt = startedAt;
     this.quota = quota;
     this.window = new SlidingCount(bounds.windowMillis());
     this.lately = new SlidingCount((long) MILLIS_PER_SECOND);
@@ -127,9 +134,14 @@
     reporter.held = tokens;
   }
 
-  /** Requests of the last window, and tokens that may add to it. */
+  /**
+   * Requests of the last window, and tokens that may add to it. Where all VMs are killed at once
+   * nobody knows what ran before: of the part of the window before this VM's start the whole quota
+   * counts as used.
+   */
   private double used(long now) {
-    return (double) window.count(now) + held;
+    double unknown = Math.max(0, 1 - (double) (now - startedAt) / bounds.windowMillis());
+    return window.count(now) + held + unknown * bounds.allowed(quota);
   }
 
   private void updateLimited(double used, long now) {
--- a/sageladder-core/src/main/java/org/sageladder/core/quota/Quotas.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quota/Quotas.java
@@ -308,7 +308,8 @@
     }
     Coordinated known =
         coordinated.computeIfAbsent(
-            report.workspace(), name -> new Coordinated(new QuotaCoordinator(bounds, quota)));
+            report.workspace(),
+            name -> new Coordinated(new QuotaCoordinator(bounds, quota, startedAt)));
     TokenGrant answer = known.coordinator.report(from, report, now);
     notice(report.workspace(), known, now);
     return answer;
--- a/sageladder-core/src/test/java/org/sageladder/core/quota/QuotaModel.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/quota/QuotaModel.java
@@ -33,9 +33,11 @@
   private final Set<Integer> cut = new HashSet<>();
   private final Random random;
   private final double lost;
+  private final QuotaBounds bounds;
   private Workspace workspace;
   private long now;
   private long orders;
+  private boolean down;
   private int vmCount;
   long messages;
   final List<Long> offered = new ArrayList<>();
@@ -46,6 +48,7 @@
     this.vmCount = vmCount;
     this.random = new Random(seed);
     this.lost = lost;
+    this.bounds = bounds;
     this.workspace = new Workspace("choir", OptionalInt.empty(), quota, Set.of());
     List<String> names = new ArrayList<>();
     for (int vm = 0; vm < vmCount; vm++) {
@@ -98,6 +101,27 @@
     cut.add(vm);
   }
 
+  /** Kills all VMs at once; they start again, and know nothing, after {@code millis}. */
+  void killAll(long millis) {
+    List<String> names = new ArrayList<>();
+    for (int vm = 0; vm < vmCount; vm++) {
+      names.add("e-" + vm);
+      cut.add(vm);
+    }
+    down = true;
+    at(
+        now + millis,
+        () -> {
+          down = false;
+          cut.clear();
+          for (int vm = 0; vm < vmCount; vm++) {
+            vms.set(vm, Quotas.of("e-" + vm, bounds, 4_000, peersOf(vm), now));
+            vms.get(vm).live(names);
+          }
+          quota(workspace.quota());
+        });
+  }
+
   /** The VM that coordinates, at first. */
   int coordinator() {
     List<String> names = new ArrayList<>();
@@ -150,6 +174,9 @@
   }
 
   private void request(Way way, int vm, long asked) {
+    if (down) {
+      return;
+    }
     offered.add(asked);
     way.ask(
         vm,
--- a/sageladder-core/src/test/java/org/sageladder/core/quota/QuotasTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/quota/QuotasTest.java
@@ -69,6 +69,21 @@
     }
   }
 
+  /** Guards against a quota that starts anew where all VMs are killed in the middle of a surge. */
+  @Test
+  void allVmsKilledAtOnceDoNotRenewTheQuota() {
+    for (long seed = 1; seed <= 5; seed++) {
+      for (Quota quota : new Quota[] {LARGE, SMALL}) {
+        QuotaModel model = model(quota, 0, seed);
+        model.offer(model.together(), quota.ratePerSecond() * 3, 0, END);
+        model.at(12_000, () -> model.killAll(600));
+        model.run(END);
+        assertKept(model);
+        assertServed(model, 0.85);
+      }
+    }
+  }
+
   /** Guards against VMs cut off from all others that each spend the whole quota. */
   @Test
   void vmsCutOffLetRunNoMoreThanBefore() {
