Quotas are served up to the contract's window, half of its tolerance included

Change: near its quota a workspace gets tokens up to what the contract allows in a window and half of what may lie over it. The window before a start counts as used only where it is not the first start of the whole system.

--- a/sageladder-core/src/main/java/org/sageladder/core/quota/QuotaBounds.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quota/QuotaBounds.java
@@ -41,6 +41,11 @@
     return quota.ratePerSecond() * windowMillis / MILLIS_PER_SECOND + quota.capacity();
   }
 
+  /** Requests in a window that are let run where all of them are counted before. */
+  double served(Quota quota) {
+    return (allowed(quota) + most(quota)) / 2;
+  }
+
   /** Requests in a window beyond which the contract is broken. */
   double most(Quota quota) {
     return allowed(quota) * (1 + over) + slack;
--- a/sageladder-core/src/main/java/org/sageladder/core/quota/QuotaCoordinator.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quota/QuotaCoordinator.java
@@ -11,8 +11,8 @@
  *
  * <p>Below the quota VMs only report, so that no request waits. The reports may be as old as {@link
  * #REACTION_MILLIS}; what could run in that time at the present rate is kept free within the
- * contract's bound. From then on VMs need tokens, from a bucket of the quota's rate and burst, and
- * never more in a window than the quota allows.
+ * contract's bound. From then on VMs need tokens, so many in a window as the quota allows and half
+ * of what the contract lets lie over it; the rest covers what VMs let run before they know.
  *
  * <p>Where the contract leaves no room over a quota, VMs need tokens at any time.
  *
@@ -42,31 +42,28 @@
   }
 
   private final QuotaBounds bounds;
-  private final long startedAt;
+  private final long countedSince;
   private final Map<String, Reporter> reporters = new HashMap<>();
   private final SlidingCount window;
   private final SlidingCount lately;
   private int held;
   private Quota quota;
   private boolean limited;
-  private double level;
-  private long levelAt;
   private long refusedAt;
   private long nextFreeAt;
 
   /**
    * A coordinator that has no report yet.
    *
-   * @param startedAt when its VM started
+   * @param countedSince since when its VM knows what ran
    */
-  QuotaCoordinator(QuotaBounds bounds, Quota quota, long startedAt) {
+  QuotaCoordinator(QuotaBounds bounds, Quota quota, long countedSince) {
     this.bounds = bounds;
-    this.startedAt = startedAt;
+    this.countedSince = countedSince;
     this.quota = quota;
     this.window = new SlidingCount(bounds.windowMillis());
     this.lately = new SlidingCount((long) MILLIS_PER_SECOND);
     this.limited = bounds.areExact();
-    this.level = quota.capacity();
   }
 
   /** Puts a changed quota in force. */
@@ -81,16 +78,14 @@
 
   /** Takes a VM's report in and answers it. */
   TokenGrant report(String vm, UsageReport report, long now) {
-    refill(now);
     record(vm, report, now);
     double used = used(now);
     updateLimited(used, now);
     if (!limited) {
       return new TokenGrant(report.workspace(), report.number(), false, report.wanted(), 0);
     }
-    double room = Math.min(level, bounds.allowed(quota) - used);
+    double room = bounds.served(quota) - used;
     int tokens = (int) Math.max(0, Math.min(report.wanted(), Math.floor(room)));
-    level -= tokens;
     hold(reporters.get(vm), report.held() + tokens);
     long retry = 0;
     if (tokens < report.wanted()) {
@@ -104,7 +99,6 @@
     int ran = ran(known, report);
     window.add(ran, now);
     lately.add(ran, now);
-    takeBack(known.held - report.held() - Math.max(0, ran));
     hold(known, report.held());
     known.number = report.number();
     known.total = report.total();
@@ -121,14 +115,6 @@
     return continues ? Math.min(report.total() - known.total, report.recent()) : report.recent();
   }
 
-  /**
-   * Puts tokens back that the VM neither holds nor used: they ran out, their request did not run,
-   * or the grant was lost.
-   */
-  private void takeBack(int unused) {
-    level = Math.min(quota.capacity(), level + Math.max(0, unused));
-  }
-
   private void hold(Reporter reporter, int tokens) {
     held += tokens - reporter.held;
     reporter.held = tokens;
@@ -140,7 +126,7 @@
    * counts as used.
    */
   private double used(long now) {
-    double unknown = Math.max(0, 1 - (double) (now - startedAt) / bounds.windowMillis());
+    double unknown = Math.max(0, 1 - (double) (now - countedSince) / bounds.windowMillis());
     return window.count(now) + held + unknown * bounds.allowed(quota);
   }
 
@@ -149,7 +135,6 @@
     if (!limited) {
       limited = used + unseen > bounds.most(quota);
       if (limited) {
-        level = Math.max(0, Math.min(quota.capacity(), bounds.allowed(quota) - used));
         refusedAt = now;
         nextFreeAt = now;
       }
@@ -162,12 +147,6 @@
     limited = !(quiet && used + unseen < LIFT_SHARE * bounds.allowed(quota));
   }
 
-  private void refill(long now) {
-    double added = (now - levelAt) / MILLIS_PER_SECOND * quota.ratePerSecond();
-    level = Math.min(quota.capacity(), level + Math.max(0, added));
-    levelAt = now;
-  }
-
   /** Those refused are told to come back one after the other, at the quota's rate. */
   private long retryMillis(int refused, long now) {
     refusedAt = now;
--- a/sageladder-core/src/main/java/org/sageladder/core/quota/Quotas.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quota/Quotas.java
@@ -97,6 +97,7 @@
   private QuotaBounds bounds;
   private boolean awake;
   private boolean everAnswered;
+  private long countedSince;
 
   private Quotas(String self, QuotaBounds bounds, long contactMillis, Peers peers, long now) {
     this.self = self;
@@ -104,6 +105,7 @@
     this.contactMillis = contactMillis;
     this.peers = peers;
     this.startedAt = now;
+    this.countedSince = now;
     this.live = List.of(self);
   }
 
@@ -118,6 +120,11 @@
     return new Quotas(self, bounds, contactMillis, peers, now);
   }
 
+  /** The whole system starts for the first time: nothing has run before. */
+  public void nothingRanBefore() {
+    countedSince = startedAt - bounds.windowMillis();
+  }
+
   /** Puts newer bounds in force for workspaces that are counted from now on. */
   public void bounds(QuotaBounds newer) {
     bounds = newer;
@@ -309,7 +316,7 @@
     Coordinated known =
         coordinated.computeIfAbsent(
             report.workspace(),
-            name -> new Coordinated(new QuotaCoordinator(bounds, quota, startedAt)));
+            name -> new Coordinated(new QuotaCoordinator(bounds, quota, countedSince)));
     TokenGrant answer = known.coordinator.report(from, report, now);
     notice(report.workspace(), known, now);
     return answer;
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -90,6 +90,7 @@
    * @param mostShift part of a region's requests that may change region within two seconds
    * @param quotas how exactly quotas of workspaces are kept
    * @param contactMillis time in which a VM that has started is known to all others
+   * @param firstStart true where the whole system starts for the first time
    */
   public record Identity(
       String name,
@@ -102,7 +103,8 @@
       long retryWindowMillis,
       double mostShift,
       QuotaBounds quotas,
-      long contactMillis) {}
+      long contactMillis,
+      boolean firstStart) {}
 
   private Forwarder(Loop loop, Dialect dialect, Identity identity, EventSink log, Metrics metrics) {
     this.region = identity.region();
@@ -130,6 +132,9 @@
             identity.contactMillis(),
             new PeersOfForwarder(),
             loop.now());
+    if (identity.firstStart()) {
+      quotas.nothingRanBefore();
+    }
   }
 
   /** A forwarder that knows no configuration and no target, and listens on no port yet. */
