A region with few slots keeps only as many objects as its slots bear

An object's preferred target there counted without its queue, and what queues push out may move by 0.07 of the requests in 2 s at eleven a second a VM: the wish was never reached within a wave of the traffic.

Change: where a region's share of the entry VMs, which stand where callers are, is larger than its share of a service's slots, it keeps that ratio of the objects, by their hash; a run of the others there counts as one in the nearest other region. Standing from the first request on, agreed without communication.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Distances.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Distances.java
@@ -47,6 +47,11 @@
     return target.region().equals(region) ? IN_REGION_MILLIS : ELSEWHERE_MILLIS;
   }
 
+  /** The region that ways are measured from. */
+  String ownRegion() {
+    return region;
+  }
+
   /** True where a connection to the target's zone was established before. */
   boolean isMeasured(TargetFacts target) {
     return shortest.containsKey(target.zone());
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
@@ -73,7 +73,12 @@
 
   /** What is worked out once for an order, whatever the target. */
   private record Prospects(
-      Order order, Homes homes, double regionPrice, double knownMillis, double unknownMillis) {}
+      Order order,
+      Homes homes,
+      double regionPrice,
+      double ownRegionPrice,
+      double knownMillis,
+      double unknownMillis) {}
 
   private final TargetTable targets;
   private final Distances distances;
@@ -82,6 +87,7 @@
   private final ColdAllowance cold;
   private final ShiftBound shift;
   private final PlacingWeights weights;
+  private final RegionShare share = new RegionShare();
 
   private Placement(
       TargetTable targets,
@@ -262,10 +268,31 @@
         order,
         route.byObject() ? Homes.of(order.object(), usable) : Homes.none(),
         RegionPrice.of(order.object()),
+        ownRegionPrice(order, usable),
         runTimes.millis(order.service(), route, true),
         runTimes.millis(order.service(), route, false));
   }
 
+  /** What a run in this VM's region costs besides: nothing for the objects that it keeps. */
+  private double ownRegionPrice(Order order, List<TargetState> usable) {
+    double slotShare = targets.slotShare(order.service(), distances.ownRegion());
+    if (!order.route().byObject() || share.keeps(order.object(), slotShare)) {
+      return 0;
+    }
+    double nearest = Double.MAX_VALUE;
+    for (TargetState target : usable) {
+      if (distances.isOtherRegion(target.facts())) {
+        nearest = Math.min(nearest, distances.millis(target.facts()));
+      }
+    }
+    return nearest == Double.MAX_VALUE ? 0 : weights.wayCost() * nearest;
+  }
+
+  /** Sets which share of all entry VMs this VM's region has. */
+  public void vmShare(double part) {
+    share.vmShare(part);
+  }
+
   private Send estimate(Prospects prospects, TargetState target, long now) {
     double knows = knows(prospects, target);
     double mean = knows * prospects.knownMillis() + (1 - knows) * prospects.unknownMillis();
@@ -311,6 +338,7 @@
       double price = distances.isMeasured(target.facts()) ? prospects.regionPrice() : 1;
       return price * (path + weights.otherRegionMillis());
     }
+    path += prospects.ownRegionPrice();
     return distances.isOtherZone(target.facts()) ? path + weights.otherZoneMillis() : path;
   }
 
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/RegionLoad.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/RegionLoad.java
@@ -26,6 +26,11 @@
     slots += number;
   }
 
+  /** Slots of the region's targets. */
+  int slots() {
+    return slots;
+  }
+
   /** This VM has sent a request there, or one has ended where {@code change} is negative. */
   void addOwnRequests(int change) {
     own += change;
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
@@ -182,6 +182,18 @@
     return !removed && !target.facts().leaving() && !emptied.contains(target.facts().zone());
   }
 
+  /** Share of a service's slots that a region has; 1 where the service has none. */
+  double slotShare(String service, String region) {
+    Map<String, RegionLoad> regions = loads.getOrDefault(service, Map.of());
+    int all = 0;
+    int own = 0;
+    for (Map.Entry<String, RegionLoad> known : regions.entrySet()) {
+      all += known.getValue().slots();
+      own += known.getKey().equals(region) ? known.getValue().slots() : 0;
+    }
+    return all == 0 ? 1 : (double) own / all;
+  }
+
   /** The targets of a service that new work may go to. */
   public List<TargetState> usable(String service, long now) {
     List<TargetState> usable = new ArrayList<>();
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -258,6 +258,7 @@
     Map<String, Integer> others = new HashMap<>();
     live.forEach(vm -> others.put(vm.region(), Math.max(0, near - 1)));
     targets.peers(others);
+    placement.vmShare(live.isEmpty() ? 0 : (double) near / live.size());
     quotas.live(live.stream().map(ColdAllowance.EntryPlace::name).toList());
   }
 
--- /dev/null
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/FewSlotsNearCallersTest.java
@@ -0,0 +1,24 @@
+package org.sageladder.scenario;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.sageladder.scenario.Fleet.LogSource;
+
+/** Guards against queues in a region of few slots while other regions stand idle. */
+class FewSlotsNearCallersTest {
+  private static final long MILLIS = 20_000;
+
+  /** Without a share for each region these days earned 0.548 and 0.537 of their worth. */
+  @Test
+  void callersOfARegionWithFewSlotsAreServedInTimeElsewhere() {
+    for (long seed = 1; seed <= 2; seed++) {
+      Scenario.Outcome outcome =
+          Scenario.calm(seed).playFor(MILLIS, Deployment.bookings(), LogSource.none());
+      assertEquals(List.of(), outcome.broken());
+      assertTrue(outcome.day().worth() > 0.57, "worth " + outcome.day().worth());
+    }
+  }
+}
