--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
@@ -87,7 +87,7 @@
   private final ColdAllowance cold;
   private final ShiftBound shift;
   private final PlacingWeights weights;
-  private final RegionShare share = new RegionShare();
+  private final RegionShare share;
 
   private Placement(
       TargetTable targets,
@@ -102,6 +102,7 @@
     this.cold = cold;
     this.shift = shift;
     this.weights = weights;
+    this.share = RegionShare.create(shift::settleMillis);
   }
 
   /** A choice among the targets of {@code targets}. */
@@ -127,7 +128,7 @@
     if (usable.isEmpty()) {
       return new Refuse(Reason.NO_TARGET, LEAST_RETRY_MILLIS, null);
     }
-    Prospects prospects = prospects(order, usable);
+    Prospects prospects = prospects(order, usable, now);
     Best best = new Best();
     Best unmoved = new Best();
     Map<String, Best> ofRegions = new HashMap<>();
@@ -262,21 +263,20 @@
     return service != null && cold.permits(target.facts(), service.coldPerSecond(), now);
   }
 
-  private Prospects prospects(Order order, List<TargetState> usable) {
+  private Prospects prospects(Order order, List<TargetState> usable, long now) {
     RouteRule route = order.route();
     return new Prospects(
         order,
         route.byObject() ? Homes.of(order.object(), usable) : Homes.none(),
         RegionPrice.of(order.object()),
-        ownRegionPrice(order, usable),
+        ownRegionPrice(order, usable, now),
         runTimes.millis(order.service(), route, true),
         runTimes.millis(order.service(), route, false));
   }
 
   /** What a run in this VM's region costs besides: nothing for the objects that it keeps. */
-  private double ownRegionPrice(Order order, List<TargetState> usable) {
-    double slotShare = targets.slotShare(order.service(), distances.ownRegion());
-    if (!order.route().byObject() || share.keeps(order.object(), slotShare)) {
+  private double ownRegionPrice(Order order, List<TargetState> usable, long now) {
+    if (!order.route().byObject() || keeps(order, now)) {
       return 0;
     }
     double nearest = Double.MAX_VALUE;
@@ -288,9 +288,15 @@
     return nearest == Double.MAX_VALUE ? 0 : weights.wayCost() * nearest;
   }
 
-  /** Sets which share of all entry VMs this VM's region has. */
-  public void vmShare(double part) {
-    share.vmShare(part);
+  private boolean keeps(Order order, long now) {
+    String service = order.service();
+    double slotShare = targets.slotShare(service, distances.ownRegion());
+    return share.keeps(order.object(), service, slotShare, targets.busyShare(service), now);
+  }
+
+  /** Sets which share of all zones this VM's region has; until then it keeps all objects. */
+  public void zoneShare(double part) {
+    share.zoneShare(part);
   }
 
   private Send estimate(Prospects prospects, TargetState target, long now) {
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/RegionLoad.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/RegionLoad.java
@@ -26,6 +26,11 @@
     slots += number;
   }
 
+  /** Requests believed to be at all targets of the region. */
+  double busy() {
+    return own + guess(slots);
+  }
+
   /** Slots of the region's targets. */
   int slots() {
     return slots;
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/RegionShare.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/RegionShare.java
@@ -2,16 +2,23 @@
 
 import com.dynatrace.hash4j.hashing.Hasher64;
 import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.DoubleSupplier;
 
 /**
  * Which objects a region with few slots keeps, and which it leaves to the others.
  *
  * <p>Guards against a region whose callers outnumber its slots: all its targets have queues while
  * others stand idle, and what the queues push out moves to other regions and back with each wave of
- * traffic. Entry VMs stand where callers are, so that a region's share of the VMs is taken as its
- * share of the traffic. Where that is larger than its share of a service's slots, it keeps as many
- * objects as the ratio says; the others have no preferred region. Which ones follows from the
- * object alone, so that all entry VMs agree without communication.
+ * traffic. Zones stand where callers are, so that a region's share of the zones is taken as its
+ * share of the traffic. By that and by how busy a service's slots are everywhere follows how busy
+ * the region's would be; where that is too much, it keeps as many objects as its slots bear, and
+ * the others have no preferred region. Which ones follows from the object alone, so that all entry
+ * VMs agree without communication, also while VMs come and go.
+ *
+ * <p>Until anything is known of the load, slots count as busy as they may be. From then on the
+ * share moves no faster than requests may change region.
  */
 final class RegionShare {
   private static final Hasher64 HASHER = Hashing.komihash5_0();
@@ -19,23 +26,68 @@
   /** Keeps the choice independent of prices and of the order of targets. */
   private static final long SALT = 2;
 
-  private double vmShare;
+  /** Part of the slots that may be busy on the mean: above, most requests wait. */
+  private static final double MOST_BUSY = 0.6;
+
+  /** Part of the bound on shifts that is used: other things move requests as well. */
+  private static final double USED = 0.6;
+
+  private static final class Kept {
+    double part;
+    long movedAt;
+
+    Kept(double part, long movedAt) {
+      this.part = part;
+      this.movedAt = movedAt;
+    }
+  }
+
+  private final DoubleSupplier settleMillis;
+  private final Map<String, Kept> services = new HashMap<>();
+  private double zoneShare;
+
+  private RegionShare(DoubleSupplier settleMillis) {
+    this.settleMillis = settleMillis;
+  }
+
+  /**
+   * A share that keeps all objects until {@link #zoneShare} is told.
+   *
+   * @param settleMillis time in which all requests of a region may change region; 0 for no bound
+   */
+  static RegionShare create(DoubleSupplier settleMillis) {
+    return new RegionShare(settleMillis);
+  }
 
-  /** Sets which share of all entry VMs this VM's region has; 0 where that is not known. */
-  void vmShare(double share) {
-    vmShare = share;
+  /** Sets which share of all zones this VM's region has; 0 where that is not known. */
+  void zoneShare(double share) {
+    zoneShare = share;
   }
 
   /**
    * True where the region keeps the object.
    *
    * @param slotShare share of the service's slots that the region has
+   * @param busy part of all the service's slots that is busy
    */
-  boolean keeps(long object, double slotShare) {
-    if (slotShare >= vmShare) {
+  boolean keeps(long object, String service, double slotShare, double busy, long now) {
+    if (slotShare >= zoneShare) {
       return true;
     }
+    double part = part(service, slotShare, busy, now);
     double uniform = (HASHER.hashLongLongToLong(object, SALT) >>> 1) / (double) Long.MAX_VALUE;
-    return uniform * vmShare < slotShare;
+    return uniform < part;
+  }
+
+  /** Part of the service's objects that the region keeps. */
+  double part(String service, double slotShare, double busy, long now) {
+    double even = slotShare / zoneShare;
+    Kept kept = services.computeIfAbsent(service, name -> new Kept(even, now));
+    double wanted = busy <= 0 ? kept.part : Math.min(1, even * MOST_BUSY / busy);
+    double settle = settleMillis.getAsDouble();
+    double most = settle <= 0 ? 1 : USED * (now - kept.movedAt) / settle;
+    kept.part += Math.max(-most, Math.min(most, wanted - kept.part));
+    kept.movedAt = now;
+    return kept.part;
   }
 }
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
@@ -194,6 +194,17 @@
     return all == 0 ? 1 : (double) own / all;
   }
 
+  /** Part of a service's slots, in all regions, that is believed to be busy; 0 to 1. */
+  double busyShare(String service) {
+    double busy = 0;
+    int slots = 0;
+    for (RegionLoad region : loads.getOrDefault(service, Map.of()).values()) {
+      busy += region.busy();
+      slots += region.slots();
+    }
+    return slots == 0 ? 0 : Math.min(1, busy / slots);
+  }
+
   /** The targets of a service that new work may go to. */
   public List<TargetState> usable(String service, long now) {
     List<TargetState> usable = new ArrayList<>();
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/RegionShareTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/RegionShareTest.java
@@ -9,14 +9,20 @@
 /** Which objects a region keeps. */
 class RegionShareTest {
   private static final int OBJECTS = 10_000;
+  private static final double THIRD = 1.0 / 3;
+  private static final double SETTLE_MILLIS = 2_000 / 0.15;
 
-  private static long kept(double vmShare, double slotShare) {
-    RegionShare share = new RegionShare();
-    share.vmShare(vmShare);
+  private static RegionShare share(double zones) {
+    RegionShare share = RegionShare.create(() -> SETTLE_MILLIS);
+    share.zoneShare(zones);
+    return share;
+  }
+
+  private static int kept(RegionShare share, double slotShare, double busy, long now) {
     Random random = new Random(1);
-    long kept = 0;
+    int kept = 0;
     for (int i = 0; i < OBJECTS; i++) {
-      kept += share.keeps(random.nextLong(), slotShare) ? 1 : 0;
+      kept += share.keeps(random.nextLong(), "s", slotShare, busy, now) ? 1 : 0;
     }
     return kept;
   }
@@ -24,26 +30,30 @@
   /** Guards against a region whose few targets have queues while those of others stand idle. */
   @Test
   void regionWithFewSlotsKeepsAsManyObjectsAsItsSlotsBear() {
-    assertEquals(0.3 * OBJECTS, kept(1.0 / 3, 0.1), 0.02 * OBJECTS);
+    RegionShare share = share(THIRD);
+    assertEquals(0.3 * OBJECTS, kept(share, 0.1, 0, 0), 0.02 * OBJECTS);
+    assertEquals(0.3 * OBJECTS, kept(share, 0.1, 0.6, 60_000), 0.02 * OBJECTS);
+    assertEquals(0.6 * OBJECTS, kept(share, 0.1, 0.3, 120_000), 0.02 * OBJECTS);
   }
 
   @Test
-  void regionWithEnoughSlotsKeepsAll() {
-    assertEquals(OBJECTS, kept(1.0 / 3, 0.4));
-    assertEquals(OBJECTS, kept(0, 0.1));
+  void regionWithEnoughSlotsOrLittleLoadKeepsAll() {
+    assertEquals(OBJECTS, kept(share(THIRD), 0.4, 1, 0));
+    assertEquals(OBJECTS, kept(share(0), 0.1, 1, 0));
+    RegionShare idle = share(THIRD);
+    kept(idle, 0.1, 0.1, 0);
+    assertEquals(OBJECTS, kept(idle, 0.1, 0.1, 60_000));
   }
 
-  /** Guards against objects that change region as the share wavers. */
+  /** Guards against requests that change region together as soon as the load is known. */
   @Test
-  void smallerShareKeepsNoOtherObjects() {
-    RegionShare more = new RegionShare();
-    RegionShare less = new RegionShare();
-    more.vmShare(0.3);
-    less.vmShare(0.35);
-    Random random = new Random(2);
-    for (int i = 0; i < OBJECTS; i++) {
-      long object = random.nextLong();
-      assertTrue(more.keeps(object, 0.1) || !less.keeps(object, 0.1));
+  void shareMovesNoFasterThanRequestsMayChangeRegion() {
+    RegionShare share = share(THIRD);
+    double before = share.part("s", 0.1, 0, 0);
+    for (long now = 0; now <= 2_000; now += 10) {
+      share.part("s", 0.1, 0.05, now);
     }
+    double moved = share.part("s", 0.1, 0.05, 2_000) - before;
+    assertTrue(moved > 0.05 && moved < 0.15, "moved " + moved);
   }
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -82,6 +82,7 @@
    * What an entry VM is told about itself and its bounds.
    *
    * @param name its name
+   * @param zoneShare share of all zones that its region has
    * @param coldOver factor on a cold target's rate that all entry VMs may reach together
    * @param coldSlack requests beyond that in a second
    * @param retryRatio second sends allowed for each request, all entry VMs together
@@ -96,6 +97,7 @@
       String name,
       String zone,
       String region,
+      double zoneShare,
       double coldOver,
       int coldSlack,
       double retryRatio,
@@ -122,6 +124,7 @@
     this.runTimes = RunTimes.create(shift::settleMillis);
     this.placement =
         Placement.among(targets, distances, runTimes, cold, shift, PlacingWeights.standard());
+    placement.zoneShare(identity.zoneShare());
     this.connections = new TargetConnections(loop, dialect);
     this.crashes = new CrashWatch(loop, log);
     this.random = new Random(identity.name().hashCode());
@@ -258,7 +261,6 @@
     Map<String, Integer> others = new HashMap<>();
     live.forEach(vm -> others.put(vm.region(), Math.max(0, near - 1)));
     targets.peers(others);
-    placement.vmShare(live.isEmpty() ? 0 : (double) near / live.size());
     quotas.live(live.stream().map(ColdAllowance.EntryPlace::name).toList());
   }
 
--- a/sageladder-forward/src/test/java/org/sageladder/forward/ForwardingBed.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/ForwardingBed.java
@@ -33,7 +33,7 @@
           loop,
           new PlainDialect(),
           new Forwarder.Identity(
-              "e-1", "z", "r", 1.5, 5, 1, 100, 10_000, 1, QuotaBounds.exact(), 3_000, true),
+              "e-1", "z", "r", 1, 1.5, 5, 1, 100, 10_000, 1, QuotaBounds.exact(), 3_000, true),
           EventSink.none(),
           metrics);
   private final List<ScriptedTarget> targets = new ArrayList<>();
