--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/Day.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/Day.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.sageladder.core.routing.RouteRule;
+import org.sageladder.core.routing.Workspace;
 import org.sageladder.standin.platform.CallersStandIn.Ended;
 import org.sageladder.standin.platform.Ledger;
 import org.sageladder.standin.platform.PlatformBounds;
@@ -34,6 +35,7 @@
   private final List<Span> spans = new ArrayList<>();
   private final List<Ended> requests = new ArrayList<>();
   private final Map<String, Set<String>> servicesOfRoute = new HashMap<>();
+  private final Map<String, Workspace> workspaces = new HashMap<>();
   private long endsAt;
 
   /** What was seen. */
@@ -60,6 +62,16 @@
     endsAt = at;
   }
 
+  /** Notes a workspace as the newest configuration has it. */
+  public void hold(Workspace workspace) {
+    workspaces.put(workspace.name(), workspace);
+  }
+
+  /** The workspaces by name, as the newest configuration has them. */
+  public Map<String, Workspace> workspaces() {
+    return workspaces;
+  }
+
   /** Notes a span of trouble. */
   public void trouble(Span span) {
     spans.add(span);
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/Deployment.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/Deployment.java
@@ -1,13 +1,18 @@
 package org.sageladder.scenario;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
+import org.sageladder.core.routing.Quota;
 import org.sageladder.core.routing.RouteRule;
 import org.sageladder.core.routing.ServiceRule;
 import org.sageladder.core.routing.ServiceShare;
+import org.sageladder.core.routing.Workspace;
+import org.sageladder.scenario.Customers.Customer;
 import org.sageladder.standin.network.SimulatedNetwork.Ways;
 import org.sageladder.standin.platform.CallerKind;
 import org.sageladder.standin.platform.CallerKind.Habit;
@@ -22,6 +27,7 @@
  * @param routes the operator's first routes
  * @param kinds what callers send
  * @param ways delays between hosts
+ * @param customers workspaces with API keys; empty where requests bear none
  */
 public record Deployment(
     Map<String, String> regionOfZone,
@@ -29,13 +35,28 @@
     List<Service> services,
     List<RouteRule> routes,
     List<CallerKind> kinds,
-    Ways ways) {
+    Ways ways,
+    List<Customer> customers) {
+  /** A deployment without workspaces. */
+  public Deployment(
+      Map<String, String> regionOfZone,
+      Map<String, Integer> entries,
+      List<Service> services,
+      List<RouteRule> routes,
+      List<CallerKind> kinds,
+      Ways ways) {
+    this(regionOfZone, entries, services, routes, kinds, ways, List.of());
+  }
+
   /** Name of the host that callers name. */
   static final String HOST = "shop.example";
 
   /** Objects of each kind of request on a small deployment. */
   private static final int FEW_OBJECTS = 24;
 
+  /** Workspaces of the deployment that has some. */
+  private static final int WORKSPACES = 20;
+
   /** Each so many days the listing is played. */
   private static final long LISTING_EACH = 4;
 
@@ -229,6 +250,35 @@
         auction.ways());
   }
 
+  /**
+   * The small auction house with two entry VMs in each zone and twenty workspaces, one of them
+   * large, one bound to a region, all with quotas of about 1.6 times their usual requests.
+   */
+  public static Deployment workspaces() {
+    Deployment auction = auction();
+    double perSecond = auction.kinds().stream().mapToDouble(CallerKind::perSecond).sum();
+    List<Customer> customers = new ArrayList<>();
+    for (int i = 0; i < WORKSPACES; i++) {
+      double weight = i == 0 ? WORKSPACES : 1;
+      double usual = perSecond * weight / (2 * WORKSPACES - 1);
+      double quota = Math.ceil(1.6 * usual);
+      Set<String> regions = i == 1 ? Set.of("north") : Set.of();
+      customers.add(
+          new Customer(
+              new Workspace("w-" + i, OptionalInt.empty(), new Quota(quota, quota), regions),
+              List.of("key-a-" + i, "key-b-" + i),
+              weight));
+    }
+    return new Deployment(
+        auction.regionOfZone(),
+        inEach(auction.regionOfZone(), 2),
+        auction.services(),
+        auction.routes(),
+        auction.kinds(),
+        auction.ways(),
+        customers);
+  }
+
   /** The deployment of a name, as the command takes it. */
   static Optional<Deployment> named(String name) {
     return switch (name) {
@@ -239,6 +289,7 @@
       case "bookings" -> Optional.of(bookings());
       case "grown" -> Optional.of(grown());
       case "relayed" -> Optional.of(relayed());
+      case "workspaces" -> Optional.of(workspaces());
       default -> Optional.empty();
     };
   }
@@ -251,7 +302,7 @@
   /** The same with {@code factor} times as many requests. */
   Deployment atPace(double factor) {
     List<CallerKind> paced = kinds.stream().map(kind -> kind.atPace(factor)).toList();
-    return new Deployment(regionOfZone, entries, services, routes, paced, ways);
+    return new Deployment(regionOfZone, entries, services, routes, paced, ways, customers);
   }
 
   /** What the operator says of the services. */
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/Fleet.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/Fleet.java
@@ -38,6 +38,7 @@
   private final List<FleetEntry> entries = new ArrayList<>();
   private final List<CallersStandIn> callers = new ArrayList<>();
   private final Map<String, RouteRule> routes = new HashMap<>();
+  private final Customers customers;
   private long version = 4;
   private int targetHosts;
 
@@ -55,6 +56,7 @@
 
   private Fleet(FleetParts parts) {
     this.parts = parts;
+    this.customers = new Customers(parts.deployment().customers());
   }
 
   /** Starts all machines, lets them find each other, and starts the traffic. */
@@ -118,6 +120,8 @@
               parts.seed(),
               ended -> parts.day().requests().add(ended)));
     }
+    callers.forEach(each -> each.bear(customers::draw));
+    customers.all().forEach(each -> parts.day().hold(each.workspace()));
   }
 
   /** Look-up ports, those of the zone first, then those of its region. */
@@ -214,10 +218,17 @@
     return List.copyOf(routes.values());
   }
 
+  /** The workspaces as they are now; a change is in the configuration with {@link #configure}. */
+  public Customers customers() {
+    return customers;
+  }
+
   /** Writes a newer configuration with these routes. */
   public void configure(List<RouteRule> newer) {
     version += 3;
-    String text = PlatformTexts.configuration(version, newer, parts.deployment().serviceRules());
+    String text =
+        PlatformTexts.configuration(
+            version, newer, parts.deployment().serviceRules(), customers.configured());
     var unused = parts.store().put("op/config", PlatformTexts.base64(text), 0);
     routes.clear();
     newer.forEach(
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/Scenario.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/Scenario.java
@@ -73,7 +73,7 @@
     Random random = new Random(seed);
     Fleet fleet = Fleet.start(deployment, seed, logs);
     for (Strike strike : strikes) {
-      Trouble trouble = Objects.requireNonNull(Troubles.all().get(strike.trouble()));
+      Trouble trouble = Objects.requireNonNull(Troubles.named(strike.trouble()));
       fleet.after(strike.atMillis(), () -> trouble.strike(fleet, random));
     }
     fleet.runFor(millis);
--- /dev/null
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/KeyRules.java
@@ -0,0 +1,161 @@
+package org.sageladder.scenario.rule;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.sageladder.core.routing.Quota;
+import org.sageladder.core.routing.Workspace;
+import org.sageladder.scenario.Day;
+import org.sageladder.standin.platform.Ledger;
+import org.sageladder.standin.platform.Ledger.Moment;
+import org.sageladder.standin.platform.Ledger.Told;
+
+/** Rules on API keys and quotas of workspaces. */
+final class KeyRules {
+  private static final double MILLIS_PER_SECOND = 1_000;
+
+  /** A workspace is starved where it is served that much less often than all. */
+  private static final double STARVED = 0.25;
+
+  /** Requests below which a workspace's share served is chance. */
+  private static final int FEW = 20;
+
+  private KeyRules() {}
+
+  /** Targets that were shown a key, or told another workspace than the key's. */
+  static List<String> wrongWorkspace(Day day) {
+    List<String> broken = new ArrayList<>();
+    for (Told told : day.ledger().told()) {
+      day.ledger()
+          .bearer(told.id())
+          .filter(bearer -> told.keyShown() || !told.workspace().equals(bearer.workspace()))
+          .ifPresent(bearer -> broken.add(told + " bore a key of " + bearer.workspace()));
+    }
+    return broken;
+  }
+
+  /** Requests that ran though no configuration ever held their key. */
+  static List<String> forgedKeys(Day day) {
+    List<String> broken = new ArrayList<>();
+    for (Told told : day.ledger().told()) {
+      boolean forged =
+          day.ledger().bearer(told.id()).filter(bearer -> !bearer.everHeld()).isPresent();
+      if (forged && told.fate() == Ledger.Fate.TAKEN) {
+        broken.add(told.id() + " ran with a key that nobody ever held");
+      }
+    }
+    return broken;
+  }
+
+  /** Requests sent by machines in touch after their key's end was in force that reach a target. */
+  static List<String> keysTakenAway(Day day) {
+    List<String> broken = new ArrayList<>();
+    for (Moment moment : day.ledger().moments(Moment.Kind.KEY_TAKEN_AWAY)) {
+      long inForce = moment.at() + day.bounds().applyMillis();
+      for (Told told : day.ledger().told()) {
+        boolean bears =
+            day.ledger().bearer(told.id()).filter(b -> b.key().equals(moment.what())).isPresent();
+        if (bears && told.fate() == Ledger.Fate.TAKEN && isSentInTouch(day, told.id(), inForce)) {
+          broken.add(told.id() + " ran after its key was taken away at " + moment.at());
+        }
+      }
+    }
+    return broken;
+  }
+
+  /** True where the request bears no key, or one that all configurations so far have held. */
+  static boolean isHeld(Day day, String id) {
+    Ledger.Bearer bearer = day.ledger().bearer(id).orElse(null);
+    if (bearer == null) {
+      return true;
+    }
+    boolean taken =
+        day.ledger().moments(Moment.Kind.KEY_TAKEN_AWAY).stream()
+            .anyMatch(moment -> moment.what().equals(bearer.key()));
+    return bearer.everHeld() && !taken;
+  }
+
+  private static boolean isSentInTouch(Day day, String id, long after) {
+    return day.ledger()
+        .asked(id)
+        .filter(asked -> asked.at() > after)
+        .filter(asked -> day.inTouch(asked.vm(), asked.at(), asked.at()))
+        .isPresent();
+  }
+
+  /** More requests of a workspace in some window than its quota allows, over all machines. */
+  static List<String> quotas(Day day) {
+    List<String> broken = new ArrayList<>();
+    Map<String, TreeMap<Long, Integer>> ran = new HashMap<>();
+    for (Told told : day.ledger().told()) {
+      if (told.fate() == Ledger.Fate.TAKEN && !told.workspace().isEmpty()) {
+        ran.computeIfAbsent(told.workspace(), name -> new TreeMap<>())
+            .merge(told.at(), 1, Integer::sum);
+      }
+    }
+    long settled = settledAt(day);
+    ran.forEach(
+        (name, times) -> {
+          Workspace workspace = day.workspaces().get(name);
+          if (workspace == null || !workspace.quota().isLimited()) {
+            return;
+          }
+          double most = most(day, workspace.quota());
+          for (long from : times.tailMap(settled).keySet()) {
+            long end = from + day.bounds().quotaWindowMillis();
+            int count = times.subMap(from, end).values().stream().mapToInt(n -> n).sum();
+            if (count > most) {
+              broken.add(name + " ran " + count + " of " + most + " in the window from " + from);
+              return;
+            }
+          }
+        });
+    return broken;
+  }
+
+  /** A lower quota binds one window after it is in force. */
+  private static long settledAt(Day day) {
+    return day.ledger().moments(Moment.Kind.QUOTA_LOWERED).stream()
+        .mapToLong(m -> m.at() + day.bounds().applyMillis() + day.bounds().quotaWindowMillis())
+        .max()
+        .orElse(0);
+  }
+
+  private static double most(Day day, Quota quota) {
+    double seconds = day.bounds().quotaWindowMillis() / MILLIS_PER_SECOND;
+    double allowed = quota.ratePerSecond() * seconds + quota.burst();
+    return allowed * (1 + day.bounds().quotaOver()) + day.bounds().quotaSlack();
+  }
+
+  /** Workspaces within their quotas whose requests are served far less often than all. */
+  static List<String> starved(Day day) {
+    Map<String, int[]> counts = new HashMap<>();
+    int[] all = new int[2];
+    for (String id : day.ledger().asked().keySet()) {
+      day.ledger()
+          .bearer(id)
+          .filter(bearer -> !bearer.workspace().isEmpty())
+          .ifPresent(
+              bearer -> {
+                int served =
+                    day.ledger().answer(id).filter(a -> a.status() / 100 == 2).isPresent() ? 1 : 0;
+                int[] own = counts.computeIfAbsent(bearer.workspace(), name -> new int[2]);
+                own[0]++;
+                own[1] += served;
+                all[0]++;
+                all[1] += served;
+              });
+    }
+    List<String> broken = new ArrayList<>();
+    counts.forEach(
+        (name, own) -> {
+          double share = (double) own[1] / own[0];
+          if (own[0] >= FEW && share < STARVED * all[1] / all[0]) {
+            broken.add(name + " was served " + own[1] + " of " + own[0]);
+          }
+        });
+    return broken;
+  }
+}
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import org.jspecify.annotations.Nullable;
 import org.sageladder.scenario.Day;
 import org.sageladder.scenario.Fleet;
 import org.sageladder.scenario.FleetEntry;
@@ -26,6 +27,19 @@
     return all;
   }
 
+  /** Troubles of workspaces, by name; seeds draw them on no deployment. */
+  public static Map<String, Trouble> ofWorkspaces() {
+    Map<String, Trouble> all = new LinkedHashMap<>();
+    WorkspaceTroubles.addTo(all);
+    return all;
+  }
+
+  /** The trouble of that name, or null. */
+  public static @Nullable Trouble named(String name) {
+    Trouble known = all().get(name);
+    return known == null ? ofWorkspaces().get(name) : known;
+  }
+
   static List<FleetEntry> pick(Fleet fleet, Random random, int count) {
     List<FleetEntry> all = new ArrayList<>(fleet.entries());
     Collections.shuffle(all, random);
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/CallersStandIn.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/CallersStandIn.java
@@ -47,8 +47,16 @@
   /** What became of one request of a caller, after all its attempts. */
   public record Ended(CallerKind kind, long askedAt, int status, long millis, String zone) {}
 
+  /** Draws the key that a request bears; null where requests bear none. */
+  @FunctionalInterface
+  public interface Keys {
+    /** The next request's key and who holds it. */
+    Ledger.@Nullable Bearer draw(Random random);
+  }
+
   private final class Request {
     final CallerKind kind;
+    final Ledger.@Nullable Bearer bearer = keys.draw(keyRandom);
     final long askedAt;
     final String object;
     final String body;
@@ -82,6 +90,8 @@
   private List<String> addresses = new ArrayList<>();
   private long addressesUntil = Long.MIN_VALUE;
   private double pace = 1;
+  private Keys keys = random -> null;
+  private final Random keyRandom;
   private double leaveShare;
   private long leaveAfterMillis;
   private boolean open = true;
@@ -100,6 +110,7 @@
     this.routes = routes;
     this.random = new Random(seed ^ place.zone().hashCode());
     this.ended = ended;
+    this.keyRandom = new Random(seed + place.zone().hashCode());
   }
 
   /**
@@ -128,6 +139,11 @@
     later(kind, share);
   }
 
+  /** Sends requests with keys from now on. */
+  public void bear(Keys drawn) {
+    keys = drawn;
+  }
+
   /** Sends no further requests. */
   public void stop() {
     open = false;
@@ -303,6 +319,11 @@
     headers.put("Request-Id", id);
     headers.put("Cookie", "Affinity-Key=" + request.object);
     headers.put("Request-Deadline", Long.toString(request.left()));
+    Ledger.Bearer bearer = request.bearer;
+    if (bearer != null) {
+      headers.put("Authorization", "Token " + bearer.key());
+      ledger.bears(id, bearer);
+    }
     ledger.asked(
         new Ledger.Asked(
             id,
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/Ledger.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/Ledger.java
@@ -157,6 +157,10 @@
       ZONE_EMPTIED,
       /** The store has that a zone is taken back. */
       ZONE_TAKEN_BACK,
+      /** The store has a configuration without a key that callers still bear. */
+      KEY_TAKEN_AWAY,
+      /** The store has a configuration that lowers a workspace's quota. */
+      QUOTA_LOWERED,
       /** Something goes wrong from now on. */
       TROUBLE_BEGINS,
       /** It is well again. */
@@ -164,6 +168,24 @@
     }
   }
 
+  /**
+   * Whose key an attempt of a caller bore.
+   *
+   * @param workspace the workspace that held the key when it was sent, or empty where none did
+   * @param everHeld true where some configuration of the day had the key
+   */
+  public record Bearer(String workspace, String key, boolean everHeld) {}
+
+  /**
+   * What a target was told of a request's caller.
+   *
+   * @param workspace the workspace that was named, or empty
+   * @param keyShown true where the key itself was passed on
+   */
+  public record Told(String id, String workspace, boolean keyShown, Fate fate, long at) {}
+
+  private final Map<String, Bearer> bearers = new HashMap<>();
+  private final List<Told> told = new ArrayList<>();
   private final Map<String, Asked> asked = new LinkedHashMap<>();
   private final List<Arrival> arrivals = new ArrayList<>();
   private final Map<String, List<Run>> runs = new HashMap<>();
@@ -171,6 +193,26 @@
   private final Map<String, Long> left = new HashMap<>();
   private final List<Moment> moments = new ArrayList<>();
 
+  /** The attempt of that id bears a key. */
+  public void bears(String id, Bearer bearer) {
+    bearers.put(id, bearer);
+  }
+
+  /** Whose key the attempt of that id bore; empty where it bore none. */
+  public Optional<Bearer> bearer(String id) {
+    return Optional.ofNullable(bearers.get(id));
+  }
+
+  /** A target was told of a request's caller. */
+  public void told(Told of) {
+    told.add(of);
+  }
+
+  /** What targets were told of callers, in order. */
+  public List<Told> told() {
+    return told;
+  }
+
   /** An attempt was sent. */
   public void asked(Asked attempt) {
     asked.put(attempt.id(), attempt);
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/PlatformTexts.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/PlatformTexts.java
@@ -12,6 +12,7 @@
 import org.sageladder.core.placing.TargetFacts;
 import org.sageladder.core.routing.RouteRule;
 import org.sageladder.core.routing.ServiceRule;
+import org.sageladder.core.routing.Workspace;
 
 /** Writes what operators, targets and the platform write: configurations, entries, settings. */
 public final class PlatformTexts {
@@ -32,9 +33,22 @@
     return Math.round(1_000 * Double.parseDouble(text.substring(0, text.length() - 1)));
   }
 
-  /** The operator's configuration of that version. */
+  /** The operator's configuration of that version, without workspaces. */
   public static String configuration(
       long version, List<RouteRule> routes, List<ServiceRule> services) {
+    return configuration(version, routes, services, Map.of());
+  }
+
+  /**
+   * The operator's configuration of that version.
+   *
+   * @param workspaces the workspaces, each with its keys
+   */
+  public static String configuration(
+      long version,
+      List<RouteRule> routes,
+      List<ServiceRule> services,
+      Map<Workspace, List<String>> workspaces) {
     ObjectNode root = JSON.createObjectNode();
     root.put("config_version", String.format(Locale.ROOT, "%08x", version));
     ArrayNode resources = root.putArray("resources");
@@ -48,6 +62,9 @@
       spec.put("cold_start", service.coldMillis() + "ms");
       spec.put("cold_per_s", service.coldPerSecond());
     }
+    workspaces.forEach(
+        (workspace, keys) ->
+            workspace(resource(resources, "tenants", workspace.name()), workspace, keys));
     ObjectNode limits = resource(resources, "limits", "limits");
     limits.put("max_header_bytes", 16_384).put("max_body_bytes", 1 << 20);
     limits.put("header_timeout", "3s").put("idle_timeout", "15s");
@@ -61,6 +78,16 @@
     return resource.putObject("spec");
   }
 
+  private static void workspace(ObjectNode spec, Workspace workspace, List<String> keys) {
+    ArrayNode held = spec.putArray("api_keys");
+    keys.forEach(held::add);
+    workspace.priority().ifPresent(priority -> spec.put("priority", priority));
+    spec.put("rate_per_s", workspace.quota().ratePerSecond());
+    spec.put("burst", workspace.quota().burst());
+    ArrayNode regions = spec.putArray("allowed_regions");
+    workspace.regions().stream().sorted().forEach(regions::add);
+  }
+
   private static void route(ObjectNode spec, RouteRule route) {
     spec.put("host", route.host()).put("prefix", route.prefix());
     spec.put("kind", route.idempotent() ? "safe" : "unsafe");
@@ -139,6 +166,9 @@
     line(text, "budget_extra", Integer.toString(bounds.retryExtra()));
     line(text, "budget_window", quoted(bounds.retryWindowMillis() + "ms"));
     line(text, "shift_most", Double.toString(bounds.mostShift()));
+    line(text, "quota_window", quoted(bounds.quotaWindowMillis() + "ms"));
+    line(text, "quota_over", Double.toString(bounds.quotaOver()));
+    line(text, "quota_slack", Integer.toString(bounds.quotaSlack()));
     text.append("[provider]\n");
     line(text, "address", quoted(store));
     line(text, "ttl_min", quoted("1000ms"));
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/TargetStandIn.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/TargetStandIn.java
@@ -187,7 +187,10 @@
     boolean other = !headers.get("Expected-Instance", facts.id()).equals(facts.id());
     boolean full = running.size() >= traits.slots() && waiting.size() >= traits.queue();
     Ledger.Fate fate = full ? Ledger.Fate.REFUSED : Ledger.Fate.TAKEN;
-    note(request, id, deadline, exchange, other ? Ledger.Fate.OTHER_TARGET : fate);
+    Ledger.Fate seen = other ? Ledger.Fate.OTHER_TARGET : fate;
+    note(request, id, deadline, exchange, seen);
+    boolean keyShown = headers.contains("Authorization");
+    ledger.told(new Ledger.Told(id, headers.get("Tenant", ""), keyShown, seen, loop.now()));
     if (other) {
       answer(exchange, 421, Map.of("Instance-Id", facts.id()), "");
       return;
