Quotas: half of the contract's tolerance is kept for what runs unseen

Cause, by the log: no VM needed tokens yet; the two VMs behind the cut let seven requests run, three of them sent again, which the coordinator never heard of, and it let the others run up to the contract's whole bound.

Change: VMs need tokens from the quota and half of the tolerance on, the line up to which tokens are given anyway. Besides: while tokens are needed VMs report as long as their window has requests, so that one that falls silent goes on counting by its last report, and a VM without coordinator lets run half of what it did before, not all.

--- a/sageladder-core/src/main/java/org/sageladder/core/quota/QuotaCoordinator.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quota/QuotaCoordinator.java
@@ -9,10 +9,11 @@
 /**
  * Counts one workspace's use over all entry VMs, and hands out tokens once it nears its quota.
  *
- * <p>Below the quota VMs only report, so that no request waits. The reports may be as old as {@link
- * #REACTION_MILLIS}; what could run in that time at the present rate is kept free within the
- * contract's bound. From then on VMs need tokens, so many in a window as the quota allows and half
- * of what the contract lets lie over it; the rest covers what VMs let run before they know.
+ * <p>Up to the quota and half of what the contract lets lie over it, VMs only report, so that no
+ * request waits. The reports may be as old as {@link #REACTION_MILLIS}; what could run in that time
+ * at the present rate counts as used. From then on VMs need tokens, as many in a window. The other
+ * half of the tolerance covers what is let run unseen: by VMs that are cut off, or by requests that
+ * are sent again.
  *
  * <p>Where the contract leaves no room over a quota, VMs need tokens at any time.
  *
@@ -37,6 +38,7 @@
   private static final class Reporter {
     int number;
     int total;
+    int recent;
     int held;
     long at;
   }
@@ -102,6 +104,7 @@
     hold(known, report.held());
     known.number = report.number();
     known.total = report.total();
+    known.recent = report.recent();
     known.at = now;
   }
 
@@ -127,13 +130,28 @@
    */
   private double used(long now) {
     double unknown = Math.max(0, 1 - (double) (now - countedSince) / bounds.windowMillis());
-    return window.count(now) + held + unknown * bounds.allowed(quota);
+    return Math.max(window.count(now), reported()) + held + unknown * bounds.allowed(quota);
+  }
+
+  /**
+   * Sum of what each VM reported last. While tokens are needed VMs report as long as their own
+   * window has requests: one that falls silent is cut off, and may be let run as much by another
+   * coordinator on its side of the cut.
+   */
+  private int reported() {
+    int sum = 0;
+    if (limited) {
+      for (Reporter known : reporters.values()) {
+        sum += known.recent;
+      }
+    }
+    return sum;
   }
 
   private void updateLimited(double used, long now) {
     double unseen = lately.count(now) * REACTION_MILLIS / MILLIS_PER_SECOND;
     if (!limited) {
-      limited = used + unseen > bounds.most(quota);
+      limited = used + unseen > bounds.served(quota);
       if (limited) {
         refusedAt = now;
         nextFreeAt = now;
--- a/sageladder-core/src/main/java/org/sageladder/core/quota/Quotas.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quota/Quotas.java
@@ -166,7 +166,7 @@
       known.meter.await(later, now);
     }
     reportIfDue(known, now);
-    activate(known);
+    activate(known, now);
     return decision;
   }
 
@@ -184,7 +184,7 @@
     if (quota(workspace.name()).isLimited()) {
       Counted known = counted(workspace);
       known.meter.adjust(requests, now);
-      activate(known);
+      activate(known, now);
     }
   }
 
@@ -193,8 +193,8 @@
         workspace.name(), name -> new Counted(workspace, new WorkspaceMeter(name, bounds)));
   }
 
-  private void activate(Counted known) {
-    if (known.meter.isActive()) {
+  private void activate(Counted known, long now) {
+    if (known.meter.isActive(now)) {
       active.add(known);
     }
     wake();
@@ -213,7 +213,7 @@
     for (Counted known : new ArrayList<>(active)) {
       lookAt(known, now);
     }
-    active.removeIf(known -> !known.meter.isActive());
+    active.removeIf(known -> !known.meter.isActive(now));
     for (Map.Entry<String, Coordinated> known : coordinated.entrySet()) {
       known.getValue().coordinator.sweep(now);
       notice(known.getKey(), known.getValue(), now);
@@ -295,7 +295,7 @@
         everAnswered = true;
         Counted known = counted(workspace);
         granted(known, grant, now);
-        activate(known);
+        activate(known, now);
       }
     }
   }
--- a/sageladder-core/src/main/java/org/sageladder/core/quota/WorkspaceMeter.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quota/WorkspaceMeter.java
@@ -24,12 +24,21 @@
   /** Tokens asked for beyond the requests that wait cover the requests of this time. */
   private static final long AHEAD_MILLIS = 200;
 
+  /** While tokens are needed, VMs that let requests run report at least this often. */
+  private static final long ALIVE_MILLIS = 1_000;
+
   /** Reports are put together for this long while requests need no tokens. */
   private static final long GATHER_MILLIS = 400;
 
   /** Longest time for which a refusal is repeated without asking again. */
   private static final long MOST_EMPTY_MILLIS = 200;
 
+  /**
+   * Part of what it let run in a window that a VM without coordinator goes on letting run. The
+   * others take up what it leaves, so that both together have to stay within the tolerance.
+   */
+  private static final double ALONE_PART = 0.5;
+
   /** A request waits for the coordinator's answer no longer than this. */
   private static final long MOST_WAIT_MILLIS = 500;
 
@@ -43,6 +52,7 @@
   private long emptyUntil = Long.MIN_VALUE;
   private long emptyRetryMillis;
   private int total;
+  private int lastRecent;
   private int tokens;
   private long tokensUntil;
   private int number;
@@ -114,14 +124,22 @@
     if (unanswered) {
       return false;
     }
+    if (mustShowLife(now)) {
+      return true;
+    }
     boolean asks = !waiting.isEmpty();
     boolean gathered = now - reportedAt >= (isLimited(now) ? AHEAD_MILLIS : GATHER_MILLIS);
     return asks || (unreported && gathered);
   }
 
+  private boolean mustShowLife(long now) {
+    return isLimited(now) && lastRecent > 0 && now - reportedAt >= ALIVE_MILLIS;
+  }
+
   /** True where it has to be looked at again soon. */
-  boolean isActive() {
-    return unreported || unanswered || tokens > 0 || !waiting.isEmpty();
+  boolean isActive(long now) {
+    boolean open = unreported || unanswered || tokens > 0 || !waiting.isEmpty();
+    return open || (isLimited(now) && lastRecent > 0);
   }
 
   /** Since when a report is unanswered; -1 where none is. */
@@ -137,6 +155,7 @@
     unanswered = true;
     reportedAt = now;
     int recent = used.count(now);
+    lastRecent = recent;
     return new UsageReport(workspace, number, total, recent, wanted(recent, now), tokens);
   }
 
@@ -203,7 +222,7 @@
   void alone(Quota quota, long now) {
     if (!alone) {
       alone = true;
-      aloneAllowance = Math.max(1, used.count(now));
+      aloneAllowance = Math.max(1, (int) (ALONE_PART * used.count(now)));
     }
     decideAlone(quota, now);
   }
