--- a/sageladder-core/src/main/java/org/sageladder/core/placing/RegionShare.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/RegionShare.java
@@ -51,7 +51,7 @@
   }
 
   /**
-   * A share that keeps all objects until {@link #zoneShare} is told.
+   * A share that keeps all objects until {@link #zoneShare} is called.
    *
    * @param settleMillis time in which all requests of a region may change region; 0 for no bound
    */
--- a/sageladder-core/src/main/java/org/sageladder/core/quota/QuotaCoordinator.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quota/QuotaCoordinator.java
@@ -17,7 +17,7 @@
  *
  * <p>Where the contract leaves no room over a quota, VMs need tokens at any time.
  *
- * <p>Keeps nothing that must last: a VM's first report to another coordinator says what it let run
+ * <p>Keeps nothing that must last: a VM's first report to another coordinator has what it let run
  * in the last window, so that this one knows as much after one report of each.
  */
 final class QuotaCoordinator {
@@ -165,7 +165,7 @@
     limited = !(quiet && used + unseen < LIFT_SHARE * bounds.allowed(quota));
   }
 
-  /** Those refused are told to come back one after the other, at the quota's rate. */
+  /** Refused requests may come back one after the other, at the quota's rate. */
   private long retryMillis(int refused, long now) {
     refusedAt = now;
     double each = MILLIS_PER_SECOND / quota.ratePerSecond();
--- a/sageladder-core/src/main/java/org/sageladder/core/quota/QuotaMessage.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quota/QuotaMessage.java
@@ -1,6 +1,6 @@
 package org.sageladder.core.quota;
 
-/** What entry VMs tell each other of the use of quotas. */
+/** Messages between entry VMs on the use of quotas. */
 public sealed interface QuotaMessage {
   /** Name of the workspace that it is about. */
   String workspace();
--- a/sageladder-core/src/main/java/org/sageladder/core/quota/Quotas.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quota/Quotas.java
@@ -153,7 +153,7 @@
   /**
    * Decides whether a request may run. It counts from the decision on; see {@link #giveBack}.
    *
-   * @param later told the decision where it is {@link QuotaDecision.Pending} at first
+   * @param later called with the decision where it is {@link QuotaDecision.Pending} at first
    */
   public QuotaDecision admit(Workspace workspace, long now, Consumer<QuotaDecision> later) {
     Quota quota = quota(workspace.name());
--- a/sageladder-core/src/main/java/org/sageladder/core/quota/WorkspaceMeter.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quota/WorkspaceMeter.java
@@ -10,12 +10,12 @@
 /**
  * One workspace at one entry VM: what it let run, its tokens, and the requests that wait for some.
  *
- * <p>While the coordinator says nothing else, requests are let run and reported. Once it says that
- * the quota is near, each needs a token. A VM that reaches no coordinator lets no more run than it
- * did before, which the others leave it in their sums.
+ * <p>Requests are let run and reported. Once the coordinator announces that the quota is near, each
+ * needs a token. A VM that reaches no coordinator lets no more run than it did before, which the
+ * others leave it in their sums.
  */
 final class WorkspaceMeter {
-  /** How long a coordinator's word that tokens are needed holds; it is repeated each second. */
+  /** How long a coordinator's notice that tokens are needed holds; it is repeated each second. */
   private static final long LIMITED_MILLIS = 3_000;
 
   /** Tokens not used in this time are given back: another VM may need them. */
@@ -170,8 +170,8 @@
   /**
    * Takes the answer to the last report, or a notice.
    *
-   * @param mayLift true where the coordinator is the one that said before whether tokens are
-   *     needed; one that has just taken over has not heard of all VMs yet
+   * @param mayLift true where the coordinator is the workspace's first; one that has just taken
+   *     over does not have the reports of all VMs yet
    */
   void granted(TokenGrant grant, boolean mayLift, long now) {
     if (grant.number() == TokenGrant.NOTICE) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/QuotaClaim.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/QuotaClaim.java
@@ -33,7 +33,7 @@
    * Asks before a sending whether it may run.
    *
    * @param of whose request it is, or null where that is nobody's
-   * @param later told the decision where it is pending, unless the claim was released before
+   * @param later called with the decision where it is pending, unless the claim was released before
    */
   QuotaDecision ask(@Nullable Workspace of, Consumer<QuotaDecision> later) {
     if (of == null || state == State.ADMITTED) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Sockets.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Sockets.java
@@ -146,7 +146,7 @@
 
       @Override
       public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        // The kernel tells here that a peer's port is closed; the datagram counts as lost.
+        // The kernel reports a peer's closed port here; the datagram counts as lost.
       }
     };
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Transport.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Transport.java
@@ -30,7 +30,7 @@
   /**
    * Opens a port for datagrams.
    *
-   * @param failed told why the port cannot be opened
+   * @param failed called with the cause where the port cannot be opened
    */
   DatagramPort openDatagrams(
       Loop loop, String host, int port, DatagramPort.Receiver receiver, Consumer<Throwable> failed);
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/ChangeFeed.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/ChangeFeed.java
@@ -19,6 +19,6 @@
   /** True where the VM that answered last had trouble with the store lately. */
   boolean hadTrouble();
 
-  /** Takes how another call to the store ended. */
-  void heard(boolean answered);
+  /** Records whether the store answered another call. */
+  void recordContact(boolean answered);
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
@@ -53,7 +53,7 @@
   private final ZoneFeed feed;
   private final Set<String> lapsing = new HashSet<>();
   private final SpoiltItems spoiltItems;
-  private Consumer<Collection<EntryVm>> peers = vms -> {};
+  private Consumer<Collection<EntryVm>> liveListener = vms -> {};
   private boolean entriesChanged;
   private @Nullable StoreFollower follower;
   private @Nullable EntryRegistration registration;
@@ -119,10 +119,10 @@
     return known == null || known.troubledWithin(TROUBLE_MILLIS);
   }
 
-  /** Tells {@code listener} of the live VMs from now on. */
-  public void tellPeers(Consumer<Collection<EntryVm>> listener) {
-    peers = listener;
-    tellEntries();
+  /** Calls {@code listener} with the live VMs, now and whenever they change. */
+  public void onLiveVms(Consumer<Collection<EntryVm>> listener) {
+    liveListener = listener;
+    publishEntries();
   }
 
   /** This VM stops: it is named by no look-up any more and leaves the store. */
@@ -161,7 +161,7 @@
       lapsing.remove(entry.vm().name());
       lookUps.joined(entry.vm());
       log.record(EventKind.MEMBER_JOINED, "", "", entry.vm().name(), 0, entry.vm().address());
-      tellEntriesSoon();
+      publishEntriesSoon();
     }
   }
 
@@ -258,7 +258,7 @@
     }
     log.record(EventKind.MEMBER_LEFT, "", "", vm.name(), 0, vm.address());
     lookUps.left(vm.name());
-    tellEntriesSoon();
+    publishEntriesSoon();
   }
 
   private boolean mayBeLapse(int atOnce) {
@@ -275,24 +275,24 @@
   @Override
   public void complete() {
     log.record(EventKind.STORE_UP, "", "", "store", 0, "first read is complete");
-    tellEntries();
+    publishEntries();
   }
 
-  /** Tells of the list of VMs once for all changes that came together. */
-  private void tellEntriesSoon() {
+  /** Publishes the list of VMs once for all changes that came together. */
+  private void publishEntriesSoon() {
     if (!entriesChanged) {
       entriesChanged = true;
-      loop.run(this::tellEntries);
+      loop.run(this::publishEntries);
     }
   }
 
-  private void tellEntries() {
+  private void publishEntries() {
     entriesChanged = false;
     Collection<EntryVm> live = lookUps.live();
     List<EntryPlace> places =
         live.stream().map(vm -> new EntryPlace(vm.name(), vm.zone(), vm.region())).toList();
     feed.live(live);
-    peers.accept(live);
+    liveListener.accept(live);
     forwarder.entries(places);
   }
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
@@ -159,7 +159,7 @@
    * a new watch, and whatever still comes of the old one is passed over.
    */
   public void heard(boolean answered) {
-    feed.heard(answered);
+    feed.recordContact(answered);
     if (!answered) {
       silent = true;
       return;
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/ZoneFeed.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/ZoneFeed.java
@@ -72,7 +72,7 @@
   }
 
   /**
-   * A feed that asks the store itself until it is told of other VMs.
+   * A feed that asks the store itself until {@link #live} names other VMs.
    *
    * @param contactEachMillis a VM has contact with the store this often while all is well
    */
@@ -131,7 +131,7 @@
   }
 
   @Override
-  public void heard(boolean answered) {
+  public void recordContact(boolean answered) {
     if (answered) {
       contactAt = loop.now();
     }
@@ -172,7 +172,7 @@
         revision,
         WAIT_MILLIS,
         answer -> {
-          heard(answer instanceof StoreAnswer.Done<StorePage>);
+          recordContact(answer instanceof StoreAnswer.Done<StorePage>);
           then.accept(answer);
         });
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/peer/PeerExchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/peer/PeerExchange.java
@@ -16,7 +16,7 @@
 import org.sageladder.forward.control.EntryVm;
 
 /**
- * Carries what entry VMs tell each other of quotas, one message a datagram.
+ * Exchanges messages on quotas with other entry VMs, one a datagram.
  *
  * <p>Only datagrams from the address of a VM in the platform's list are read. VMs that left the
  * list are still known for a while, since registrations lapse while the store is away.
--- a/sageladder-forward/src/main/java/org/sageladder/forward/peer/package-info.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/peer/package-info.java
@@ -1,4 +1,4 @@
-/** What entry VMs tell each other directly, in datagrams that may be lost. */
+/** Messages between entry VMs, in datagrams that may be lost. */
 @NullMarked
 package org.sageladder.forward.peer;
 
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/KeyRules.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/KeyRules.java
@@ -9,8 +9,8 @@
 import org.sageladder.core.routing.Workspace;
 import org.sageladder.scenario.Day;
 import org.sageladder.standin.platform.Ledger;
+import org.sageladder.standin.platform.Ledger.Delivery;
 import org.sageladder.standin.platform.Ledger.Moment;
-import org.sageladder.standin.platform.Ledger.Told;
 
 /** Rules on API keys and quotas of workspaces. */
 final class KeyRules {
@@ -24,14 +24,14 @@
 
   private KeyRules() {}
 
-  /** Targets that were shown a key, or told another workspace than the key's. */
+  /** Targets that were shown a key, or were named another workspace than the key's. */
   static List<String> wrongWorkspace(Day day) {
     List<String> broken = new ArrayList<>();
-    for (Told told : day.ledger().told()) {
+    for (Delivery delivery : day.ledger().deliveries()) {
       day.ledger()
-          .bearer(told.id())
-          .filter(bearer -> told.keyShown() || !told.workspace().equals(bearer.workspace()))
-          .ifPresent(bearer -> broken.add(told + " bore a key of " + bearer.workspace()));
+          .bearer(delivery.id())
+          .filter(bearer -> delivery.keyShown() || !delivery.workspace().equals(bearer.workspace()))
+          .ifPresent(bearer -> broken.add(delivery + " bore a key of " + bearer.workspace()));
     }
     return broken;
   }
@@ -39,11 +39,11 @@
   /** Requests that ran though no configuration ever held their key. */
   static List<String> forgedKeys(Day day) {
     List<String> broken = new ArrayList<>();
-    for (Told told : day.ledger().told()) {
+    for (Delivery delivery : day.ledger().deliveries()) {
       boolean forged =
-          day.ledger().bearer(told.id()).filter(bearer -> !bearer.everHeld()).isPresent();
-      if (forged && told.fate() == Ledger.Fate.TAKEN) {
-        broken.add(told.id() + " ran with a key that nobody ever held");
+          day.ledger().bearer(delivery.id()).filter(bearer -> !bearer.everHeld()).isPresent();
+      if (forged && delivery.fate() == Ledger.Fate.TAKEN) {
+        broken.add(delivery.id() + " ran with a key that nobody ever held");
       }
     }
     return broken;
@@ -54,11 +54,16 @@
     List<String> broken = new ArrayList<>();
     for (Moment moment : day.ledger().moments(Moment.Kind.KEY_TAKEN_AWAY)) {
       long inForce = moment.at() + day.bounds().applyMillis();
-      for (Told told : day.ledger().told()) {
+      for (Delivery delivery : day.ledger().deliveries()) {
         boolean bears =
-            day.ledger().bearer(told.id()).filter(b -> b.key().equals(moment.what())).isPresent();
-        if (bears && told.fate() == Ledger.Fate.TAKEN && isSentInTouch(day, told.id(), inForce)) {
-          broken.add(told.id() + " ran after its key was taken away at " + moment.at());
+            day.ledger()
+                .bearer(delivery.id())
+                .filter(b -> b.key().equals(moment.what()))
+                .isPresent();
+        if (bears
+            && delivery.fate() == Ledger.Fate.TAKEN
+            && isSentInTouch(day, delivery.id(), inForce)) {
+          broken.add(delivery.id() + " ran after its key was taken away at " + moment.at());
         }
       }
     }
@@ -89,10 +94,10 @@
   static List<String> quotas(Day day) {
     List<String> broken = new ArrayList<>();
     Map<String, TreeMap<Long, Integer>> ran = new HashMap<>();
-    for (Told told : day.ledger().told()) {
-      if (told.fate() == Ledger.Fate.TAKEN && !told.workspace().isEmpty()) {
-        ran.computeIfAbsent(told.workspace(), name -> new TreeMap<>())
-            .merge(told.at(), 1, Integer::sum);
+    for (Delivery delivery : day.ledger().deliveries()) {
+      if (delivery.fate() == Ledger.Fate.TAKEN && !delivery.workspace().isEmpty()) {
+        ran.computeIfAbsent(delivery.workspace(), name -> new TreeMap<>())
+            .merge(delivery.at(), 1, Integer::sum);
       }
     }
     long settled = settledAt(day);
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/KeyRulesTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/KeyRulesTest.java
@@ -40,7 +40,7 @@
   }
 
   private void ran(String id, String workspace, boolean keyShown, long at) {
-    ledger.told(new Ledger.Told(id, workspace, keyShown, Ledger.Fate.TAKEN, at));
+    ledger.delivered(new Ledger.Delivery(id, workspace, keyShown, Ledger.Fate.TAKEN, at));
   }
 
   private static void assertBroken(List<String> broken) {
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/Ledger.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/Ledger.java
@@ -177,15 +177,15 @@
   public record Bearer(String workspace, String key, boolean everHeld) {}
 
   /**
-   * What a target was told of a request's caller.
+   * What a target was shown of a request's caller.
    *
    * @param workspace the workspace that was named, or empty
    * @param keyShown true where the key itself was passed on
    */
-  public record Told(String id, String workspace, boolean keyShown, Fate fate, long at) {}
+  public record Delivery(String id, String workspace, boolean keyShown, Fate fate, long at) {}
 
   private final Map<String, Bearer> bearers = new HashMap<>();
-  private final List<Told> told = new ArrayList<>();
+  private final List<Delivery> deliveries = new ArrayList<>();
   private final Map<String, Asked> asked = new LinkedHashMap<>();
   private final List<Arrival> arrivals = new ArrayList<>();
   private final Map<String, List<Run>> runs = new HashMap<>();
@@ -203,14 +203,14 @@
     return Optional.ofNullable(bearers.get(id));
   }
 
-  /** A target was told of a request's caller. */
-  public void told(Told of) {
-    told.add(of);
+  /** A request reached a target. */
+  public void delivered(Delivery of) {
+    deliveries.add(of);
   }
 
-  /** What targets were told of callers, in order. */
-  public List<Told> told() {
-    return told;
+  /** What targets were shown of callers, in order. */
+  public List<Delivery> deliveries() {
+    return deliveries;
   }
 
   /** An attempt was sent. */
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/TargetStandIn.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/TargetStandIn.java
@@ -190,7 +190,8 @@
     Ledger.Fate seen = other ? Ledger.Fate.OTHER_TARGET : fate;
     note(request, id, deadline, exchange, seen);
     boolean keyShown = headers.contains("Authorization");
-    ledger.told(new Ledger.Told(id, headers.get("Tenant", ""), keyShown, seen, loop.now()));
+    ledger.delivered(
+        new Ledger.Delivery(id, headers.get("Tenant", ""), keyShown, seen, loop.now()));
     if (other) {
       answer(exchange, 421, Map.of("Instance-Id", facts.id()), "");
       return;
