--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/StoreReaderDayTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/StoreReaderDayTest.java
@@ -4,10 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestFactory;
+import org.sageladder.core.event.EventKind;
 import org.sageladder.scenario.Fleet.LogSource;
 import org.sageladder.scenario.trouble.Troubles;
 
@@ -31,6 +35,29 @@
         .toList();
   }
 
+  /** Guards against followers of a reader that has read all anew, and passes none of it on. */
+  @Test
+  void changeInAForgottenHistoryIsInForceAtAllVms() {
+    Map<String, Long> inForce = new HashMap<>();
+    LogSource logs =
+        (vm, clock) ->
+            (kind, request, contract, subject, revision, detail) -> {
+              if (kind == EventKind.CONTRACT_IN_FORCE) {
+                inForce.put(vm, revision);
+              }
+            };
+    Fleet fleet = Fleet.start(Deployment.relayed(), 1, logs);
+    fleet.runFor(2_000);
+    fleet.store().deafenWatches();
+    fleet.configure(fleet.routes());
+    fleet.runFor(300);
+    fleet.store().forgetHistory();
+    fleet.store().cutWatches();
+    fleet.runFor(fleet.day().bounds().applyMillis());
+    assertEquals(VMS, inForce.size());
+    assertEquals(1, Set.copyOf(inForce.values()).size(), inForce.toString());
+  }
+
   private static void keeps(Scenario scenario) {
     Scenario.Outcome outcome = scenario.play(Deployment.relayed(), LogSource.none());
     assertEquals(List.of(), outcome.broken(), scenario.toString());
