--- a/sageladder-core/src/main/java/org/sageladder/core/quota/WorkspaceMeter.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quota/WorkspaceMeter.java
@@ -11,8 +11,7 @@
  * One workspace at one entry VM: what it let run, its tokens, and the requests that wait for some.
  *
  * <p>Requests are let run and reported. Once the coordinator announces that the quota is near, each
- * needs a token. A VM that reaches no coordinator lets no more run than it did before, which the
- * others leave it in their sums.
+ * needs a token. A VM that reaches no coordinator lets run a part of what it did before.
  */
 final class WorkspaceMeter {
   /** How long a coordinator's notice that tokens are needed holds; it is repeated each second. */
@@ -218,7 +217,7 @@
     reportedAt = now - GATHER_MILLIS;
   }
 
-  /** No coordinator answers: until one does, the VM lets run what it did before. */
+  /** No coordinator answers: until one does, the VM lets run a part of what it did before. */
   void alone(Quota quota, long now) {
     if (!alone) {
       alone = true;
