--- a/sageladder-core/src/main/java/org/sageladder/core/placing/RegionPrice.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/RegionPrice.java
@@ -1,8 +1,5 @@
 package org.sageladder.core.placing;
 
-import com.dynatrace.hash4j.hashing.Hasher64;
-import com.dynatrace.hash4j.hashing.Hashing;
-
 /**
  * How much a run in another region counts for each object, as a part of the mean price.
  *
@@ -17,8 +14,6 @@
  * }</pre>
  */
 final class RegionPrice {
-  private static final Hasher64 HASHER = Hashing.komihash5_0();
-
   /** Keeps prices independent of the order of targets, which follows from the same hash. */
   private static final long SALT = 1;
 
@@ -29,8 +24,6 @@
 
   /** The price for an object, by its hash; 1 on average over all objects. */
   static double of(long object) {
-    long hash = HASHER.hashLongLongToLong(object, SALT);
-    double uniform = (hash >>> 1) / (double) Long.MAX_VALUE;
-    return 1 + SPREAD * (2 * uniform - 1);
+    return 1 + SPREAD * (2 * ObjectHash.uniform(object, SALT) - 1);
   }
 }
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/RegionShare.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/RegionShare.java
@@ -1,7 +1,5 @@
 package org.sageladder.core.placing;
 
-import com.dynatrace.hash4j.hashing.Hasher64;
-import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.DoubleSupplier;
@@ -21,8 +19,6 @@
  * share moves no faster than requests may change region.
  */
 final class RegionShare {
-  private static final Hasher64 HASHER = Hashing.komihash5_0();
-
   /** Keeps the choice independent of prices and of the order of targets. */
   private static final long SALT = 2;
 
@@ -74,9 +70,7 @@
     if (slotShare >= zoneShare) {
       return true;
     }
-    double part = part(service, slotShare, busy, now);
-    double uniform = (HASHER.hashLongLongToLong(object, SALT) >>> 1) / (double) Long.MAX_VALUE;
-    return uniform < part;
+    return ObjectHash.uniform(object, SALT) < part(service, slotShare, busy, now);
   }
 
   /** Part of the service's objects that the region keeps. */
