Quotas are given their peers; the forwarder needs no go-between

Forwarder had two classes only to hand quotas' messages on to peers that are known later. Quotas takes them itself (exchangeWith), and a look that was asked for before is asked for again. The bound on coordinators was applied twice.

--- a/sageladder-core/src/main/java/org/sageladder/core/quota/Quotas.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quota/Quotas.java
@@ -59,6 +59,17 @@
 
     /** Calls {@link Quotas#tick} after {@link #TICK_MILLIS}. */
     void wake();
+
+    /** No VM is reached, and nothing is looked at later. */
+    static Peers none() {
+      return new Peers() {
+        @Override
+        public void send(String vm, QuotaMessage message) {}
+
+        @Override
+        public void wake() {}
+      };
+    }
   }
 
   private static final class Counted {
@@ -87,7 +98,7 @@
 
   private final String self;
   private final long contactMillis;
-  private final Peers peers;
+  private Peers peers;
   private final long startedAt;
   private final Map<String, Counted> counted = new HashMap<>();
   private final Map<String, Coordinated> coordinated = new LinkedHashMap<>();
@@ -120,6 +131,13 @@
     return new Quotas(self, bounds, contactMillis, peers, now);
   }
 
+  /** Keeps the quotas together with these VMs from now on. */
+  public void exchangeWith(Peers others) {
+    peers = others;
+    awake = false;
+    wake();
+  }
+
   /** The whole system starts for the first time: nothing has run before. */
   public void nothingRanBefore() {
     countedSince = startedAt - bounds.windowMillis();
@@ -238,7 +256,7 @@
 
   /** Goes to the next coordinator in order; behind the last one, on without any for a while. */
   private void goOn(Counted known, long now) {
-    int last = Math.min(COORDINATORS, order(known).size()) - 1;
+    int last = order(known).size() - 1;
     known.rankUntil = now + SUSPECT_MILLIS;
     if (known.rank < last) {
       known.rank++;
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -28,7 +28,6 @@
 import org.sageladder.core.placing.TargetTable;
 import org.sageladder.core.quarantine.CrashReport;
 import org.sageladder.core.quota.QuotaBounds;
-import org.sageladder.core.quota.QuotaMessage;
 import org.sageladder.core.quota.Quotas;
 import org.sageladder.core.routing.CallerLimits;
 import org.sageladder.core.routing.RouteRule;
@@ -72,7 +71,6 @@
   private @Nullable RoutingRules rules;
   private @Nullable Channel listening;
   private final Quotas quotas;
-  private Quotas.Peers peers = new NoPeers();
   private BooleanSupplier mayMissRules = () -> false;
   private boolean stopping;
   private long leavesAt;
@@ -133,7 +131,7 @@
             identity.name(),
             identity.quotas(),
             identity.contactMillis(),
-            new PeersOfForwarder(),
+            Quotas.Peers.none(),
             loop.now());
     if (identity.firstStart()) {
       quotas.nothingRanBefore();
@@ -193,38 +191,11 @@
     return true;
   }
 
-  /** Keeps the quotas of workspaces together with these VMs from now on. */
-  public void keepQuotasWith(Quotas.Peers others) {
-    peers = others;
-  }
-
   /** The quotas of workspaces. */
   public Quotas quotas() {
     return quotas;
   }
 
-  /** The VMs that are reached now. */
-  private final class PeersOfForwarder implements Quotas.Peers {
-    @Override
-    public void send(String vm, QuotaMessage message) {
-      peers.send(vm, message);
-    }
-
-    @Override
-    public void wake() {
-      peers.wake();
-    }
-  }
-
-  /** No VM is reached, and nothing has to be looked at later. */
-  private static final class NoPeers implements Quotas.Peers {
-    @Override
-    public void send(String vm, QuotaMessage message) {}
-
-    @Override
-    public void wake() {}
-  }
-
   /** Asks {@code source} from now on whether newer rules than those in force may exist unseen. */
   public void mayMissRules(BooleanSupplier source) {
     mayMissRules = source;
--- a/sageladder-forward/src/main/java/org/sageladder/forward/peer/PeerExchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/peer/PeerExchange.java
@@ -67,6 +67,16 @@
     }
   }
 
+  /** True where a live VM takes datagrams on the host of that IP number. */
+  public boolean isPeer(String host) {
+    for (EntryVm vm : byName.values()) {
+      if (!vm.peer().isEmpty() && vm.peerHost().equals(host)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   @Override
   public void send(String vm, QuotaMessage message) {
     EntryVm to = byName.get(vm);
