--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
@@ -53,7 +53,7 @@
 
   private final Loop loop;
   private final PlatformStore store;
-  private final ChangeFeed feed;
+  private final ZoneFeed feed;
   private final Listener listener;
   private final EventSink log;
   private final Map<String, Known> known = new HashMap<>();
@@ -69,7 +69,7 @@
   private long troubledUntil;
 
   private StoreFollower(
-      Loop loop, PlatformStore store, ChangeFeed feed, Listener listener, EventSink log) {
+      Loop loop, PlatformStore store, ZoneFeed feed, Listener listener, EventSink log) {
     this.loop = loop;
     this.store = store;
     this.feed = feed;
@@ -85,7 +85,7 @@
 
   /** Begins to follow; changes come from {@code feed}, whole reads from {@code store}. */
   public static StoreFollower start(
-      Loop loop, PlatformStore store, ChangeFeed feed, Listener listener, EventSink log) {
+      Loop loop, PlatformStore store, ZoneFeed feed, Listener listener, EventSink log) {
     StoreFollower follower = new StoreFollower(loop, store, feed, listener, log);
     loop.run(() -> follower.read(null, true));
     return follower;
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/ZoneFeed.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/ZoneFeed.java
@@ -17,7 +17,7 @@
  * for too long, or is no reader itself, a VM goes to the store directly for a while: it is then as
  * far behind as the reader's silence took to notice, and never farther back than it was.
  */
-public final class ZoneFeed implements ChangeFeed {
+public final class ZoneFeed {
   /**
    * A waiting watch costs one call; this long a wait makes them few, and a watch whose answer is
    * lost unseen does not leave the VM blind for longer.
@@ -130,15 +130,17 @@
     return loop.now() - contactAt;
   }
 
-  @Override
-  public void recordContact(boolean answered) {
+  /** Records whether the store answered another call. */
+  void recordContact(boolean answered) {
     if (answered) {
       contactAt = loop.now();
     }
   }
 
-  @Override
-  public void next(long revision, Consumer<StoreAnswer<StorePage>> then) {
+  /**
+   * Asks for changes after {@code revision}; answers with none where there were none for a while.
+   */
+  void next(long revision, Consumer<StoreAnswer<StorePage>> then) {
     EntryVm from = reader;
     if (from == null || from.name().equals(self.name()) || loop.now() < directUntil) {
       askStore(revision, then);
@@ -177,16 +179,20 @@
         });
   }
 
-  @Override
-  public long pauseMillis(boolean anyChange) {
+  /**
+   * Pause until the next question.
+   *
+   * @param anyChange true where the last answer had changes
+   */
+  long pauseMillis(boolean anyChange) {
     if (relayed) {
       return POLL_MILLIS;
     }
     return anyChange ? GATHER_MILLIS : 0;
   }
 
-  @Override
-  public boolean hadTrouble() {
+  /** True where the VM that answered last had trouble with the store lately. */
+  boolean hadTrouble() {
     return troubled;
   }
 }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerTest.java
@@ -14,13 +14,12 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.sageladder.core.event.EventSink;
-import org.sageladder.core.quarantine.CrashReport;
 import org.sageladder.forward.Loop;
 
 /** Following the store through what goes wrong with it. */
 class StoreFollowerTest {
   /** A store whose watches the test answers. */
-  private static final class FakeStore implements PlatformStore {
+  private static final class WatchedStore extends FakeStore {
     final LinkedBlockingQueue<Consumer<StoreAnswer<StorePage>>> watches =
         new LinkedBlockingQueue<>();
 
@@ -34,22 +33,6 @@
     public void watch(long revision, long waitMillis, Consumer<StoreAnswer<StorePage>> then) {
       watches.add(then);
     }
-
-    @Override
-    public void lease(long millis, Consumer<StoreAnswer<Long>> then) {}
-
-    @Override
-    public void renew(long lease, Consumer<StoreAnswer<Long>> then) {}
-
-    @Override
-    public void endLease(long lease, Consumer<StoreAnswer<Long>> then) {}
-
-    @Override
-    public void tellCrash(
-        String vm, CrashReport report, long lease, Consumer<StoreAnswer<Long>> then) {}
-
-    @Override
-    public void announce(EntryVm self, long lease, Consumer<StoreAnswer<Long>> then) {}
   }
 
   /** Notes the zones that were emptied, in order. */
@@ -76,7 +59,7 @@
   }
 
   private final Loop loop = Loop.start();
-  private final FakeStore store = new FakeStore();
+  private final WatchedStore store = new WatchedStore();
   private final Zones zones = new Zones();
   private final StoreFollower follower = StoreFollower.start(loop, store, zones, EventSink.none());
 
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/ZoneFeedTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/ZoneFeedTest.java
@@ -8,11 +8,9 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
-import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.sageladder.core.event.EventSink;
-import org.sageladder.core.quarantine.CrashReport;
 import org.sageladder.forward.Loop;
 
 /** Whom a VM asks for the store's changes. */
@@ -20,34 +18,14 @@
   private static final long CONTACT_EACH = 1_300;
 
   /** A store that answers each watch at once. */
-  private static final class AnsweringStore implements PlatformStore {
+  private static final class AnsweringStore extends FakeStore {
     int watches;
 
-    @Override
-    public void read(
-        @Nullable String afterKey, boolean mayBeStale, Consumer<StoreAnswer<StorePage>> then) {}
-
     @Override
     public void watch(long revision, long waitMillis, Consumer<StoreAnswer<StorePage>> then) {
       watches++;
       then.accept(new StoreAnswer.Done<>(new StorePage(List.of(), false, revision)));
     }
-
-    @Override
-    public void lease(long millis, Consumer<StoreAnswer<Long>> then) {}
-
-    @Override
-    public void renew(long lease, Consumer<StoreAnswer<Long>> then) {}
-
-    @Override
-    public void endLease(long lease, Consumer<StoreAnswer<Long>> then) {}
-
-    @Override
-    public void tellCrash(
-        String vm, CrashReport report, long lease, Consumer<StoreAnswer<Long>> then) {}
-
-    @Override
-    public void announce(EntryVm self, long lease, Consumer<StoreAnswer<Long>> then) {}
   }
 
   private final Loop loop = Loop.start();
