Log the request rate that a target states in its answers

Cause of the change: the logs had no line and no counter on what targets state in answers, so that "not read" and "kept by each VM alone" could not be told apart. Signals of an answer that was altered or belongs to another target (421) are ignored.

Nothing that chooses a target asks for it: behaviour is unchanged.

--- /dev/null
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetSignals.java
@@ -0,0 +1,16 @@
+package org.sageladder.core.placing;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What a target states about itself in an answer.
+ *
+ * @param load its load, or null if it reports none
+ * @param rateLimit the request rate that it accepts
+ */
+public record TargetSignals(@Nullable LoadReport load, RateLimitSignal rateLimit) {
+  /** Returns the signals of an answer that states nothing. */
+  public static TargetSignals none() {
+    return new TargetSignals(null, new RateLimitSignal.Unlimited());
+  }
+}
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
@@ -13,6 +13,7 @@
 import org.sageladder.core.placing.Placement.PlacementRequest;
 import org.sageladder.core.placing.PlacementDecision.Send;
 import org.sageladder.core.placing.TargetIncarnation;
+import org.sageladder.core.placing.TargetSignals;
 import org.sageladder.core.placing.TargetState;
 
 /**
@@ -53,6 +54,7 @@
   private boolean isFinished;
   private boolean isSent;
   private @Nullable BufferedResponse response;
+  private TargetSignals signals = TargetSignals.none();
   private Loop.@Nullable Timer reachabilityTimer;
 
   Attempt(Forwarder forwarder, Exchange exchange, PlacementRequest placementRequest, Send send) {
@@ -232,6 +234,12 @@
   @Override
   public void onHead(HttpResponse head) {
     response = new BufferedResponse(head);
+    Dialect dialect = forwarder.dialect();
+    signals = dialect.targetSignals(head.headers());
+    int status = head.status().code();
+    if (!dialect.isMisdirected(status) && dialect.isAuthentic(status, head.headers())) {
+      forwarder.onTargetSignals(target().facts(), signals);
+    }
   }
 
   @Override
@@ -253,7 +261,7 @@
     }
     response = null;
     long now = forwarder.loop().nowMillis();
-    LoadReport load = forwarder.dialect().loadReport(buffered.headers());
+    LoadReport load = signals.load();
     boolean notRun = forwarder.dialect().isNotRun(buffered.status(), buffered.headers());
     detach();
     if (load != null) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Dialect.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Dialect.java
@@ -2,7 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import org.jspecify.annotations.Nullable;
-import org.sageladder.core.placing.LoadReport;
+import org.sageladder.core.placing.TargetSignals;
 
 /**
  * Defines the headers that callers and targets use.
@@ -52,6 +52,6 @@
   /** True if the response was created by a target and not altered in transit. */
   boolean isAuthentic(int status, HttpHeaders response);
 
-  /** The load reported by the target, or null. */
-  @Nullable LoadReport loadReport(HttpHeaders response);
+  /** What the target states about itself; malformed values are marked or left out. */
+  TargetSignals targetSignals(HttpHeaders response);
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -19,12 +19,15 @@
 import org.sageladder.core.placing.ColdTargetLimiter;
 import org.sageladder.core.placing.Placement;
 import org.sageladder.core.placing.PlacementWeights;
+import org.sageladder.core.placing.RateLimitSignal;
 import org.sageladder.core.placing.RegionShiftLimiter;
 import org.sageladder.core.placing.RoundTripTimes;
 import org.sageladder.core.placing.RunTimes;
 import org.sageladder.core.placing.ServiceRetryBudget;
 import org.sageladder.core.placing.TargetFacts;
 import org.sageladder.core.placing.TargetIncarnation;
+import org.sageladder.core.placing.TargetRateLimiter;
+import org.sageladder.core.placing.TargetSignals;
 import org.sageladder.core.placing.TargetTable;
 import org.sageladder.core.quarantine.CrashReport;
 import org.sageladder.core.quota.QuotaTolerance;
@@ -61,6 +64,7 @@
   private final TargetTable targets = TargetTable.create();
   private final RoundTripTimes roundTripTimes;
   private final ColdTargetLimiter coldLimiter;
+  private final TargetRateLimiter targetLimiter = TargetRateLimiter.create();
   private final ServiceRetryBudget retryBudget;
   private final RegionShiftLimiter shiftLimiter;
   private final RunTimes runTimes;
@@ -358,6 +362,32 @@
         "removed from the platform's list of targets");
   }
 
+  /** Applies what a target states about itself in an answer to this VM. */
+  void onTargetSignals(TargetFacts target, TargetSignals signals) {
+    switch (targetLimiter.recordSignal(target.incarnation(), signals.rateLimit())) {
+      case LIMITED, WITHDRAWN -> {
+        metrics.count("target_limit_changes");
+        logTargetLimit(target, signals.rateLimit());
+      }
+      case MALFORMED -> metrics.count("target_limits_malformed");
+      case NONE -> {}
+    }
+  }
+
+  private void logTargetLimit(TargetFacts target, RateLimitSignal signal) {
+    String detail =
+        signal instanceof RateLimitSignal.Limited limited
+            ? "accepts " + limited.requestsPerSecond() + " requests/s, as stated in an answer"
+            : "no longer states a request rate";
+    log.record(
+        EventKind.TARGET_LIMITED,
+        "",
+        target.service(),
+        target.id(),
+        target.incarnation().startedAtMillis(),
+        detail);
+  }
+
   void onCallerClosed(CallerConnection connection) {
     callerConnections.remove(connection);
   }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/TestDialect.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/TestDialect.java
@@ -2,7 +2,8 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import org.jspecify.annotations.Nullable;
-import org.sageladder.core.placing.LoadReport;
+import org.sageladder.core.placing.RateLimitSignal;
+import org.sageladder.core.placing.TargetSignals;
 
 /** Headers that the callers and targets of the tests use. */
 final class TestDialect implements Dialect {
@@ -73,7 +74,12 @@
   }
 
   @Override
-  public @Nullable LoadReport loadReport(HttpHeaders response) {
-    return null;
+  public TargetSignals targetSignals(HttpHeaders response) {
+    String limit = response.get("Limit");
+    return new TargetSignals(
+        null,
+        limit == null
+            ? new RateLimitSignal.Unlimited()
+            : new RateLimitSignal.Limited(Double.parseDouble(limit)));
   }
 }
