--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/SimulatedDay.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/SimulatedDay.java
@@ -101,6 +101,16 @@
         .noneMatch(span -> overlaps(span, fromMillis - bounds.discoveryMillis(), toMillis));
   }
 
+  /**
+   * Returns true if this entry VM itself was restarted, suspended, cut off or otherwise disturbed
+   * between {@code fromMillis} and {@code toMillis}, or in the contact time before.
+   */
+  public boolean wasDisturbed(String vm, long fromMillis, long toMillis) {
+    return troubleIntervals.stream()
+        .filter(span -> span.scope().equals(vm))
+        .anyMatch(span -> overlaps(span, fromMillis - bounds.discoveryMillis(), toMillis));
+  }
+
   /**
    * Returns true if no trouble affected the network links to {@code zone} during the contact time
    * before {@code atMillis}, so that only the sender can have delayed a request that arrives there.
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/Rules.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/Rules.java
@@ -38,6 +38,7 @@
         new NamedRule("CONFIG added", AddedRouteRule::underserved),
         new NamedRule("GONE", ArrivalRules::afterCallerLeft),
         new NamedRule("SHIFT", ShiftRule::tooFast),
+        new NamedRule("LIMIT", SignalRules::exceededTargetRates),
         new NamedRule("FAILBACK", BudgetRules::coldOverload),
         new NamedRule("BUDGET retries", BudgetRules::excessRetries),
         new NamedRule("BUDGET targets", BudgetRules::tooManyTargets),
--- /dev/null
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/SignalRules.java
@@ -0,0 +1,66 @@
+package org.sageladder.scenario.rule;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.sageladder.scenario.SimulatedDay;
+import org.sageladder.standin.platform.Ledger.Arrival;
+import org.sageladder.standin.platform.Ledger.RateLimitPeriod;
+
+/** Rules on what targets state about themselves in their answers. */
+final class SignalRules {
+  private static final long RATE_WINDOW_MILLIS = 4_000;
+  private static final double RATE_FACTOR = 1.5;
+  private static final int EXTRA_REQUESTS = 5;
+
+  /** Requests that are already on their way when the VM gets the answer do not count. */
+  private static final long ON_THE_WAY_MILLIS = 500;
+
+  private SignalRules() {}
+
+  /** Targets that got more requests than the rate that they had stated to the senders allows. */
+  static List<String> exceededTargetRates(SimulatedDay day) {
+    List<String> violations = new ArrayList<>();
+    for (RateLimitPeriod period : day.ledger().rateLimitPeriods()) {
+      checkPeriod(day, period, violations);
+    }
+    return violations;
+  }
+
+  private static void checkPeriod(
+      SimulatedDay day, RateLimitPeriod period, List<String> violations) {
+    double bound =
+        RATE_FACTOR * period.requestsPerSecond() * RATE_WINDOW_MILLIS / 1_000 + EXTRA_REQUESTS;
+    long checkedFromMillis = period.fromMillis() + day.bounds().discoveryMillis();
+    Deque<Long> inWindow = new ArrayDeque<>();
+    for (Arrival arrival : day.ledger().arrivals()) {
+      if (!countsFor(day, period, arrival)) {
+        continue;
+      }
+      inWindow.addLast(arrival.at());
+      while (inWindow.peekFirst() <= arrival.at() - RATE_WINDOW_MILLIS) {
+        inWindow.removeFirst();
+      }
+      if (arrival.at() >= checkedFromMillis && inWindow.size() > bound) {
+        violations.add(
+            period.target()
+                + " accepts "
+                + period.requestsPerSecond()
+                + " requests/s and received "
+                + inWindow.size()
+                + " in the window to "
+                + arrival.at());
+      }
+    }
+  }
+
+  private static boolean countsFor(SimulatedDay day, RateLimitPeriod period, Arrival arrival) {
+    Long answeredAtMillis = period.answeredAtMillis().get(arrival.from());
+    return arrival.target().equals(period.target())
+        && answeredAtMillis != null
+        && arrival.at() >= answeredAtMillis + ON_THE_WAY_MILLIS
+        && arrival.at() < period.toMillis()
+        && !day.wasDisturbed(arrival.from(), answeredAtMillis, arrival.at());
+  }
+}
--- /dev/null
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/SignalTroubles.java
@@ -0,0 +1,46 @@
+package org.sageladder.scenario.trouble;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.sageladder.scenario.Fleet;
+import org.sageladder.scenario.FleetTarget;
+
+/** Troubles of targets that state in their answers what they accept. */
+final class SignalTroubles {
+  private static final double LIMITED_FRACTION = 0.2;
+  private static final double MIN_RATE_PER_SECOND = 0.3;
+  private static final double MAX_RATE_PER_SECOND = 3;
+  private static final long CHANGE_MILLIS = 6_000;
+
+  private SignalTroubles() {}
+
+  static void addTo(Map<String, Trouble> all) {
+    all.put("targets-limited", SignalTroubles::limitRates);
+  }
+
+  private static List<FleetTarget> pick(Fleet fleet, Random random, double fraction) {
+    List<FleetTarget> all = new ArrayList<>(fleet.runningTargets());
+    Collections.shuffle(all, random);
+    return all.subList(0, (int) Math.ceil(fraction * all.size()));
+  }
+
+  /** Targets state a rate, then another one, then none, then one again. */
+  private static void limitRates(Fleet fleet, Random random) {
+    for (FleetTarget target : pick(fleet, random, LIMITED_FRACTION)) {
+      double first = drawRate(random);
+      double second = drawRate(random);
+      target.process().setRateLimit(first);
+      fleet.runAfter(CHANGE_MILLIS, () -> target.process().setRateLimit(second));
+      fleet.runAfter(
+          2 * CHANGE_MILLIS, () -> target.process().setRateLimit(Double.POSITIVE_INFINITY));
+      fleet.runAfter(3 * CHANGE_MILLIS, () -> target.process().setRateLimit(first));
+    }
+  }
+
+  private static double drawRate(Random random) {
+    return MIN_RATE_PER_SECOND + (MAX_RATE_PER_SECOND - MIN_RATE_PER_SECOND) * random.nextDouble();
+  }
+}
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
@@ -34,10 +34,19 @@
     return all;
   }
 
+  /** Troubles of what targets state in answers, by name; these are never chosen at random. */
+  public static Map<String, Trouble> signalTroubles() {
+    Map<String, Trouble> all = new LinkedHashMap<>();
+    SignalTroubles.addTo(all);
+    return all;
+  }
+
   /** The trouble with that name, or null. */
   public static @Nullable Trouble find(String name) {
-    Trouble known = all().get(name);
-    return known == null ? workspaceTroubles().get(name) : known;
+    Map<String, Trouble> known = all();
+    known.putAll(workspaceTroubles());
+    known.putAll(signalTroubles());
+    return known.get(name);
   }
 
   static List<FleetEntry> pickEntries(Fleet fleet, Random random, int count) {
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
@@ -380,4 +380,27 @@
     long names = Rules.all().stream().map(Rule::name).distinct().count();
     assertTrue(names == Rules.all().size());
   }
+
+  @Test
+  void moreRequestsThanTheTargetsStatedRateAllowsViolateLimit() {
+    ledger.startRateLimit("t-1", 1, BASE_MILLIS);
+    ledger.recordRateLimitAnswer("t-1", VM, BASE_MILLIS);
+    for (int i = 0; i < 11; i++) {
+      ledger.recordArrival(arrival("r-" + i, BASE_MILLIS + 3_000 + 100L * i));
+    }
+    assertEquals(List.of(), violations("LIMIT"));
+    ledger.recordArrival(arrival("r-11", BASE_MILLIS + 6_000));
+    assertViolated("LIMIT");
+  }
+
+  @Test
+  void requestsOnTheirWayOrOfVmsThatWereNotToldKeepLimit() {
+    ledger.startRateLimit("t-1", 0, BASE_MILLIS);
+    for (int i = 0; i < 20; i++) {
+      ledger.recordArrival(arrival("r-" + i, BASE_MILLIS + 3_000 + 20L * i));
+    }
+    assertEquals(List.of(), violations("LIMIT"));
+    ledger.recordRateLimitAnswer("t-1", VM, BASE_MILLIS + 2_900);
+    assertEquals(List.of(), violations("LIMIT"));
+  }
 }
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/Ledger.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/Ledger.java
@@ -188,6 +188,21 @@
    */
   public record Delivery(String id, String workspace, boolean keyShown, Fate fate, long at) {}
 
+  /**
+   * A period in which a target stated one request rate in its answers.
+   *
+   * @param requestsPerSecond the rate that it accepted from all entry VMs together
+   * @param toMillis end of the period, or {@link Long#MAX_VALUE} while it lasts
+   * @param answeredAtMillis when each entry VM, by its IP address, first got such an answer
+   */
+  public record RateLimitPeriod(
+      String target,
+      double requestsPerSecond,
+      long fromMillis,
+      long toMillis,
+      Map<String, Long> answeredAtMillis) {}
+
+  private final List<RateLimitPeriod> rateLimitPeriods = new ArrayList<>();
   private final Map<String, Credential> credentials = new HashMap<>();
   private final List<Delivery> deliveries = new ArrayList<>();
   private final Map<String, Attempt> attempts = new LinkedHashMap<>();
@@ -197,6 +212,40 @@
   private final Map<String, Long> callerLeftAtMillis = new HashMap<>();
   private final List<PlatformEvent> events = new ArrayList<>();
 
+  /** Records that a target states a request rate in its answers from now on. */
+  public void startRateLimit(String target, double requestsPerSecond, long atMillis) {
+    rateLimitPeriods.add(
+        new RateLimitPeriod(target, requestsPerSecond, atMillis, Long.MAX_VALUE, new HashMap<>()));
+  }
+
+  /** Records that a target no longer states the rate that it stated before, if it did. */
+  public void endRateLimit(String target, long atMillis) {
+    rateLimitPeriods.replaceAll(
+        period ->
+            period.target().equals(target) && period.toMillis() == Long.MAX_VALUE
+                ? new RateLimitPeriod(
+                    target,
+                    period.requestsPerSecond(),
+                    period.fromMillis(),
+                    atMillis,
+                    period.answeredAtMillis())
+                : period);
+  }
+
+  /** Records that an entry VM gets an answer in which a target states its current rate. */
+  public void recordRateLimitAnswer(String target, String vm, long atMillis) {
+    for (RateLimitPeriod period : rateLimitPeriods) {
+      if (period.target().equals(target) && period.toMillis() == Long.MAX_VALUE) {
+        period.answeredAtMillis().putIfAbsent(vm, atMillis);
+      }
+    }
+  }
+
+  /** Returns the periods in which targets stated request rates, in the order of their starts. */
+  public List<RateLimitPeriod> rateLimitPeriods() {
+    return rateLimitPeriods;
+  }
+
   /** Records the API key of the attempt {@code id}. */
   public void recordCredential(String id, Credential credential) {
     credentials.put(id, credential);
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/TargetStandIn.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/TargetStandIn.java
@@ -88,6 +88,7 @@
   private Fault fault = Fault.NONE;
   private double faultFraction;
   private boolean isDraining;
+  private double rateLimitPerSecond = Double.POSITIVE_INFINITY;
 
   private TargetStandIn(
       Loop loop,
@@ -148,6 +149,35 @@
     faultFraction = fraction;
   }
 
+  /**
+   * States in all answers from now on that all entry VMs together may send {@code perSecond}
+   * requests; infinite to state no limit.
+   */
+  public void setRateLimit(double perSecond) {
+    ledger.endRateLimit(facts.incarnation().toString(), loop.nowMillis());
+    if (Double.isFinite(perSecond)) {
+      ledger.startRateLimit(facts.incarnation().toString(), perSecond, loop.nowMillis());
+    }
+    rateLimitPerSecond = perSecond;
+  }
+
+  /** Records that the entry VM gets an answer with the headers of {@link #signalHeaders}. */
+  private void recordSignals(ServerPort.Exchange exchange) {
+    if (Double.isFinite(rateLimitPerSecond)) {
+      ledger.recordRateLimitAnswer(
+          facts.incarnation().toString(), exchange.callerIp(), loop.nowMillis());
+    }
+  }
+
+  private Map<String, String> signalHeaders() {
+    Map<String, String> headers = new LinkedHashMap<>();
+    headers.put("Server-Load", loadHeader());
+    if (Double.isFinite(rateLimitPerSecond)) {
+      headers.put("Server-Limit", Double.toString(rateLimitPerSecond));
+    }
+    return headers;
+  }
+
   /** Clears the cache and starts a cold phase, as after a start. */
   public void becomeCold() {
     cachedObjects.clear();
@@ -325,6 +355,9 @@
     if (run != null) {
       run.recordEnd(loop.nowMillis(), sentStatus, body);
     }
+    if (drawn == Fault.NONE || drawn == Fault.FAILS) {
+      recordSignals(job.exchange);
+    }
     byte[] answer = answerText(sentStatus, job.id, body).getBytes(StandardCharsets.ISO_8859_1);
     switch (drawn) {
       case LOSES_ANSWER -> job.exchange.reset();
@@ -364,7 +397,10 @@
   }
 
   private String answerHeaders(String id) {
-    return "Request-Id: " + id + "\r\nServer-Seal: seal\r\nServer-Load: " + loadHeader() + "\r\n";
+    StringBuilder text = new StringBuilder("Request-Id: " + id + "\r\nServer-Seal: seal\r\n");
+    signalHeaders()
+        .forEach((name, value) -> text.append(name).append(": ").append(value).append("\r\n"));
+    return text.toString();
   }
 
   private String loadHeader() {
@@ -372,9 +408,9 @@
   }
 
   private void refuse(ServerPort.Exchange exchange, int status, String id) {
-    Map<String, String> headers = new LinkedHashMap<>();
+    Map<String, String> headers = signalHeaders();
     headers.put("Not-Executed", "1");
-    headers.put("Server-Load", loadHeader());
+    recordSignals(exchange);
     if (!id.isEmpty()) {
       headers.put("Request-Id", id);
     }
