--- a/sageladder-core/src/main/java/org/sageladder/core/placing/ColdTargetLimiter.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/ColdTargetLimiter.java
@@ -1,14 +1,9 @@
 package org.sageladder.core.placing;
 
-import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.ArrayDeque;
-import java.util.Collection;
-import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * Limits the requests that all entry VMs together send to a cold target, without communication
@@ -30,17 +25,9 @@
    */
   private static final int RESERVED_REQUESTS = 1;
 
-  /**
-   * How long an entry VM that is missing from the list keeps its share: far longer than the store
-   * outages that users report.
-   */
-  private static final long MISSING_VM_GRACE_MILLIS = 60_000;
-
   private double rateFactor;
   private int extraRequests;
-  private final String self;
-  private final Map<String, EntryVmLocation> entryVms = new HashMap<>();
-  private final Map<String, Long> missingSinceMillis = new HashMap<>();
+  private final EntryVmRanking entryVms;
   private final Map<String, Deque<Long>> sentTimes = new HashMap<>();
 
   /**
@@ -50,20 +37,19 @@
    */
   public record EntryVmLocation(String name, String zone, String region) {}
 
-  private ColdTargetLimiter(String self, double rateFactor, int extraRequests) {
-    this.self = self;
+  private ColdTargetLimiter(EntryVmRanking entryVms, double rateFactor, int extraRequests) {
+    this.entryVms = entryVms;
     this.rateFactor = rateFactor;
     this.extraRequests = extraRequests;
   }
 
   /**
    * Creates a limiter of {@code rate * rateFactor + extraRequests} requests a second for each cold
-   * target.
-   *
-   * @param self name of this entry VM
+   * target. Before {@code entryVms} has its first list, no request is permitted.
    */
-  public static ColdTargetLimiter of(String self, double rateFactor, int extraRequests) {
-    return new ColdTargetLimiter(self, rateFactor, extraRequests);
+  public static ColdTargetLimiter of(
+      EntryVmRanking entryVms, double rateFactor, int extraRequests) {
+    return new ColdTargetLimiter(entryVms, rateFactor, extraRequests);
   }
 
   /** Replaces the limits. */
@@ -72,36 +58,6 @@
     extraRequests = newExtraRequests;
   }
 
-  /**
-   * Updates the list of live entry VMs. Before the first call, no request is permitted.
-   *
-   * <p>A VM that is missing from the list keeps its share for a while. Registrations expire during
-   * a store outage although the VMs stay alive and go on sending. If the VMs left in the list
-   * divided the limit among themselves, each assuming that it is nearly alone, a cold target would
-   * get several times the limit. The share that a stopped VM leaves unused is small, and targets
-   * are cold only briefly.
-   */
-  public void updateEntryVms(Collection<EntryVmLocation> live, long now) {
-    Set<String> liveNames = new HashSet<>();
-    for (EntryVmLocation entryVm : live) {
-      liveNames.add(entryVm.name());
-      entryVms.put(entryVm.name(), entryVm);
-      missingSinceMillis.remove(entryVm.name());
-    }
-    for (String name : entryVms.keySet()) {
-      if (!liveNames.contains(name)) {
-        missingSinceMillis.putIfAbsent(name, now);
-      }
-    }
-    entryVms.keySet().removeIf(name -> isExpired(name, now));
-    missingSinceMillis.keySet().retainAll(entryVms.keySet());
-  }
-
-  private boolean isExpired(String name, long now) {
-    Long since = missingSinceMillis.get(name);
-    return since != null && now - since >= MISSING_VM_GRACE_MILLIS;
-  }
-
   /** Returns true if this entry VM may send one more request to a cold target now. */
   public boolean permits(TargetFacts target, double coldPerSecond, long now) {
     int totalLimit =
@@ -131,29 +87,11 @@
   }
 
   private int ownRequestLimit(TargetFacts target, int totalLimit) {
-    if (entryVms.isEmpty() || totalLimit <= 0) {
+    if (entryVms.size() == 0 || totalLimit <= 0) {
       return 0;
     }
     int senderCount = Math.min(entryVms.size(), Math.max(1, totalLimit / 2));
-    boolean isSender =
-        entryVms.values().stream()
-            .sorted(byDistance(target))
-            .limit(senderCount)
-            .anyMatch(entryVm -> entryVm.name().equals(self));
+    boolean isSender = entryVms.ownRank(target) < senderCount;
     return isSender ? Math.max(1, totalLimit / senderCount) : 0;
   }
-
-  private static Comparator<EntryVmLocation> byDistance(TargetFacts target) {
-    return Comparator.<EntryVmLocation>comparingInt(entryVm -> distance(entryVm, target))
-        .thenComparingLong(
-            entryVm -> Hashing.komihash5_0().hashCharsToLong(target.id() + '\n' + entryVm.name()))
-        .thenComparing(EntryVmLocation::name);
-  }
-
-  private static int distance(EntryVmLocation entryVm, TargetFacts target) {
-    if (entryVm.zone().equals(target.zone())) {
-      return 0;
-    }
-    return entryVm.region().equals(target.region()) ? 1 : 2;
-  }
 }
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/ColdTargetLimiterTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/ColdTargetLimiterTest.java
@@ -32,8 +32,9 @@
       List<EntryVmLocation> entryVms = entryVms(vmCount);
       List<ColdTargetLimiter> limiters = new ArrayList<>();
       for (EntryVmLocation entry : entryVms) {
-        ColdTargetLimiter limiter = ColdTargetLimiter.of(entry.name(), 1.5, 5);
-        limiter.updateEntryVms(entryVms, 0);
+        EntryVmRanking ranking = EntryVmRanking.of(entry.name());
+        ColdTargetLimiter limiter = ColdTargetLimiter.of(ranking, 1.5, 5);
+        ranking.update(entryVms, 0);
         limiters.add(limiter);
       }
       TargetFacts target = PlacementFixture.target("t", "z1", "r1", 3_000);
@@ -63,7 +64,7 @@
    */
   @Test
   void permitsNothingBeforeFirstEntryVmList() {
-    ColdTargetLimiter limiter = ColdTargetLimiter.of("e-0", 1.5, 5);
+    ColdTargetLimiter limiter = ColdTargetLimiter.of(EntryVmRanking.of("e-0"), 1.5, 5);
     TargetFacts target = PlacementFixture.target("t", "z1", "r1", 3_000);
     assertEquals(false, limiter.permits(target, COLD_REQUESTS_PER_SECOND, 0));
   }
@@ -79,9 +80,10 @@
     TargetFacts target = PlacementFixture.target("t", "z1", "r1", 3_000);
     int sent = 0;
     for (EntryVmLocation entry : entries) {
-      ColdTargetLimiter limiter = ColdTargetLimiter.of(entry.name(), 1.5, 5);
-      limiter.updateEntryVms(entries, 0);
-      limiter.updateEntryVms(List.of(entry), 20_000);
+      EntryVmRanking ranking = EntryVmRanking.of(entry.name());
+      ColdTargetLimiter limiter = ColdTargetLimiter.of(ranking, 1.5, 5);
+      ranking.update(entries, 0);
+      ranking.update(List.of(entry), 20_000);
       while (limiter.permits(target, COLD_REQUESTS_PER_SECOND, 20_100)) {
         limiter.recordSent(target, 20_100);
         sent++;
@@ -94,11 +96,12 @@
   @Test
   void shareOfMissingVmIsReassignedAfterGracePeriod() {
     List<EntryVmLocation> entries = entryVms(2);
-    ColdTargetLimiter limiter = ColdTargetLimiter.of("e-0", 1.5, 5);
+    EntryVmRanking ranking = EntryVmRanking.of("e-0");
+    ColdTargetLimiter limiter = ColdTargetLimiter.of(ranking, 1.5, 5);
     TargetFacts target = PlacementFixture.target("t", "z0", "r0", 3_000);
-    limiter.updateEntryVms(entries, 0);
-    limiter.updateEntryVms(entries.subList(0, 1), 1_000);
-    limiter.updateEntryVms(entries.subList(0, 1), 61_000);
+    ranking.update(entries, 0);
+    ranking.update(entries.subList(0, 1), 1_000);
+    ranking.update(entries.subList(0, 1), 61_000);
     int sent = 0;
     while (limiter.permits(target, COLD_REQUESTS_PER_SECOND, 61_000)) {
       limiter.recordSent(target, 61_000);
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/PlacementFixture.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/PlacementFixture.java
@@ -16,7 +16,8 @@
   final TargetTable targets = TargetTable.create();
   final RoundTripTimes roundTripTimes;
   final RunTimes runTimes;
-  final ColdTargetLimiter coldLimiter = ColdTargetLimiter.of("e-1", 1.5, 5);
+  final EntryVmRanking entryVms = EntryVmRanking.of("e-1");
+  final ColdTargetLimiter coldLimiter = ColdTargetLimiter.of(entryVms, 1.5, 5);
   final Placement placement;
   long now = 1_000;
 
@@ -42,7 +43,7 @@
             coldLimiter,
             shiftLimiter,
             PlacementWeights.standard());
-    coldLimiter.updateEntryVms(List.of(new EntryVmLocation("e-1", "n1", "north")), 0);
+    entryVms.update(List.of(new EntryVmLocation("e-1", "n1", "north")), 0);
   }
 
   static TargetFacts target(String id, String zone, String region, long remainingColdMillis) {
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/PlacementUnderLoadTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/PlacementUnderLoadTest.java
@@ -49,7 +49,7 @@
       this.timeoutMillis = timeoutMillis;
       for (int vm = 0; vm < TargetModel.VM_COUNT; vm++) {
         PlacementFixture fixture = new PlacementFixture(TargetModel.regionOf(vm));
-        fixture.coldLimiter.updateEntryVms(
+        fixture.entryVms.update(
             List.of(new EntryVmLocation("e-1", "a", TargetModel.regionOf(vm))), 0);
         for (TargetFacts facts : TargetModel.facts()) {
           fixture.targets.put(facts, 0);
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -17,6 +17,7 @@
 import org.sageladder.core.event.EventKind;
 import org.sageladder.core.event.EventSink;
 import org.sageladder.core.placing.ColdTargetLimiter;
+import org.sageladder.core.placing.EntryVmRanking;
 import org.sageladder.core.placing.Placement;
 import org.sageladder.core.placing.PlacementWeights;
 import org.sageladder.core.placing.RateLimitSignal;
@@ -63,6 +64,7 @@
   private final RequestLog requestLog;
   private final TargetTable targets = TargetTable.create();
   private final RoundTripTimes roundTripTimes;
+  private final EntryVmRanking entryVms;
   private final ColdTargetLimiter coldLimiter;
   private final TargetRateLimiter targetLimiter = TargetRateLimiter.create();
   private final ServiceRetryBudget retryBudget;
@@ -122,9 +124,9 @@
     this.metrics = metrics;
     this.requestLog = new RequestLog(log, metrics);
     this.roundTripTimes = RoundTripTimes.from(options.zone(), options.region());
+    this.entryVms = EntryVmRanking.of(options.name());
     this.coldLimiter =
-        ColdTargetLimiter.of(
-            options.name(), options.coldRateFactor(), options.coldSlackPerSecond());
+        ColdTargetLimiter.of(entryVms, options.coldRateFactor(), options.coldSlackPerSecond());
     this.retryBudget =
         ServiceRetryBudget.of(
             options.retryRatio(), options.extraRetriesPerWindow(), options.retryWindowMillis());
@@ -252,7 +254,7 @@
 
   /** Updates the set of live entry VMs. */
   public void updateEntries(List<ColdTargetLimiter.EntryVmLocation> liveEntries) {
-    coldLimiter.updateEntryVms(liveEntries, loop.nowMillis());
+    entryVms.update(liveEntries, loop.nowMillis());
     retryBudget.updateEntryVmCount(liveEntries.size());
     int vmsInRegion = (int) liveEntries.stream().filter(vm -> vm.region().equals(region)).count();
     Map<String, Integer> peersByRegion = new HashMap<>();
