--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/Ledger.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/Ledger.java
@@ -193,14 +193,14 @@
    *
    * @param requestsPerSecond the rate that it accepted from all entry VMs together
    * @param toMillis end of the period, or {@link Long#MAX_VALUE} while it lasts
-   * @param answeredAtMillis when each entry VM, by its IP address, first got such an answer
+   * @param answeredIds ids of the requests that it answered so, by the IP address of the entry VM
    */
   public record RateLimitPeriod(
       String target,
       double requestsPerSecond,
       long fromMillis,
       long toMillis,
-      Map<String, Long> answeredAtMillis) {}
+      Map<String, List<String>> answeredIds) {}
 
   private final List<RateLimitPeriod> rateLimitPeriods = new ArrayList<>();
   private final Map<String, Credential> credentials = new HashMap<>();
@@ -228,15 +228,15 @@
                     period.requestsPerSecond(),
                     period.fromMillis(),
                     atMillis,
-                    period.answeredAtMillis())
+                    period.answeredIds())
                 : period);
   }
 
-  /** Records that an entry VM gets an answer in which a target states its current rate. */
-  public void recordRateLimitAnswer(String target, String vm, long atMillis) {
+  /** Records that a target states its current rate in the answer to a request of an entry VM. */
+  public void recordRateLimitAnswer(String target, String vm, String requestId) {
     for (RateLimitPeriod period : rateLimitPeriods) {
       if (period.target().equals(target) && period.toMillis() == Long.MAX_VALUE) {
-        period.answeredAtMillis().putIfAbsent(vm, atMillis);
+        period.answeredIds().computeIfAbsent(vm, ip -> new ArrayList<>()).add(requestId);
       }
     }
   }
