Keep to the request rate that a target states, all entry VMs together

What callers saw: nothing; the requests were served.

Cause: no VM read the rate; of a target's answers the load report alone was taken.

Why the fix holds: TargetRateLimiter is asked for every candidate of every sending. The first VMs of EntryVmRanking alone have a part of the rate, as buckets that start empty, so that even when all of them are full and one VM more sends than the others know of, 4 s hold fewer than 6 * rate + 5. The others send a rare request, spread in time and lapsing if unused, to notice that the limit has ended. Then the rate doubles each second instead of all load returning at once.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
@@ -94,6 +94,7 @@
   private final RunTimes runTimes;
   private final SlotHoldTimes slotHoldTimes = SlotHoldTimes.create();
   private final ColdTargetLimiter coldLimiter;
+  private final TargetRateLimiter rateLimiter;
   private final RegionShiftLimiter shiftLimiter;
   private final PlacementWeights weights;
   private final RegionObjectShare regionShare;
@@ -103,12 +104,14 @@
       RoundTripTimes roundTripTimes,
       RunTimes runTimes,
       ColdTargetLimiter coldLimiter,
+      TargetRateLimiter rateLimiter,
       RegionShiftLimiter shiftLimiter,
       PlacementWeights weights) {
     this.targets = targets;
     this.roundTripTimes = roundTripTimes;
     this.runTimes = runTimes;
     this.coldLimiter = coldLimiter;
+    this.rateLimiter = rateLimiter;
     this.shiftLimiter = shiftLimiter;
     this.weights = weights;
     this.regionShare = RegionObjectShare.create(shiftLimiter::settleMillis);
@@ -120,9 +123,11 @@
       RoundTripTimes roundTripTimes,
       RunTimes runTimes,
       ColdTargetLimiter coldLimiter,
+      TargetRateLimiter rateLimiter,
       RegionShiftLimiter shiftLimiter,
       PlacementWeights weights) {
-    return new Placement(targets, roundTripTimes, runTimes, coldLimiter, shiftLimiter, weights);
+    return new Placement(
+        targets, roundTripTimes, runTimes, coldLimiter, rateLimiter, shiftLimiter, weights);
   }
 
   /**
@@ -141,13 +146,18 @@
     CheapestSend best = new CheapestSend();
     CheapestSend bestWithoutQueues = new CheapestSend();
     Map<String, CheapestSend> bestByRegion = new HashMap<>();
-    boolean anyCold = false;
+    Exclusions exclusions = new Exclusions();
     for (TargetState target : usable) {
       if (tried.contains(target.facts().id())) {
         continue;
       }
       if (target.isCold(now) && !admitsColdRequest(target, service, now)) {
-        anyCold = true;
+        exclusions.anyCold = true;
+        continue;
+      }
+      long permittedInMillis = rateLimiter.permittedInMillis(target.facts(), now);
+      if (permittedInMillis > 0) {
+        exclusions.addLimited(permittedInMillis);
         continue;
       }
       Send send = estimate(context, target, now);
@@ -165,8 +175,8 @@
           .computeIfAbsent(target.facts().region(), name -> new CheapestSend())
           .consider(send, costMillis);
     }
-    return decide(
-        request, limitShift(request, best, bestWithoutQueues, bestByRegion, now), anyCold, now);
+    CheapestSend chosen = limitShift(request, best, bestWithoutQueues, bestByRegion, now);
+    return decide(request, chosen, exclusions, now);
   }
 
   /**
@@ -199,6 +209,27 @@
     return best;
   }
 
+  /** Why targets that accept requests were left out. */
+  private static final class Exclusions {
+    private boolean anyCold;
+    private long limitedForMillis = Long.MAX_VALUE;
+
+    void addLimited(long permittedInMillis) {
+      limitedForMillis = Math.min(limitedForMillis, permittedInMillis);
+    }
+
+    Refuse refusal() {
+      if (anyCold) {
+        return new Refuse(Reason.ALL_COLD, MIN_RETRY_AFTER_MILLIS, null);
+      }
+      if (limitedForMillis < Long.MAX_VALUE) {
+        long retryAfterMillis = Math.max(MIN_RETRY_AFTER_MILLIS, limitedForMillis);
+        return new Refuse(Reason.ALL_LIMITED, retryAfterMillis, null);
+      }
+      return new Refuse(Reason.ALL_TRIED, MIN_RETRY_AFTER_MILLIS, null);
+    }
+  }
+
   /** The cheapest of the targets considered. */
   private static final class CheapestSend {
     private @Nullable Send send;
@@ -224,10 +255,10 @@
   }
 
   private PlacementDecision decide(
-      PlacementRequest request, CheapestSend chosen, boolean anyCold, long now) {
+      PlacementRequest request, CheapestSend chosen, Exclusions exclusions, long now) {
     Send best = chosen.send;
     if (best == null) {
-      return new Refuse(anyCold ? Reason.ALL_COLD : Reason.ALL_TRIED, MIN_RETRY_AFTER_MILLIS, null);
+      return exclusions.refusal();
     }
     if (wouldTimeOut(request, best) && isWaitMeasured(request, best.target(), now)) {
       return new Refuse(
@@ -298,7 +329,7 @@
     return new RequestContext(
         request,
         route.hasObjectAffinity()
-            ? PreferredTargets.of(request.object(), usable)
+            ? PreferredTargets.of(request.object(), withoutLimited(usable))
             : PreferredTargets.none(),
         CrossRegionCostFactor.of(request.object()),
         ownRegionCostMillis(request, usable, now),
@@ -306,6 +337,17 @@
         runTimes.estimateMillis(request.service(), route, false));
   }
 
+  /**
+   * Returns the targets without those that state a request rate, unless all do. An object whose
+   * preferred target can only take a few requests would otherwise be run by any of the others, each
+   * time by one that is cold for it.
+   */
+  private List<TargetState> withoutLimited(List<TargetState> usable) {
+    List<TargetState> unlimited =
+        usable.stream().filter(target -> !rateLimiter.isLimited(target.facts())).toList();
+    return unlimited.isEmpty() ? usable : unlimited;
+  }
+
   /**
    * Returns the additional cost of a run in this entry VM's region: 0 for the objects that the
    * region retains.
@@ -409,6 +451,7 @@
     if (send.target().isCold(now)) {
       coldLimiter.recordSent(send.target().facts(), now);
     }
+    rateLimiter.recordSent(send.target().facts(), now);
   }
 
   /**
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/PlacementDecision.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/PlacementDecision.java
@@ -47,6 +47,8 @@
     ALL_TRIED,
     /** The remaining targets are cold and already get as many requests as they can handle. */
     ALL_COLD,
+    /** The remaining targets state a request rate, and this entry VM's part of it is used up. */
+    ALL_LIMITED,
     /** The expected wait for a slot is longer than the remaining time. */
     TOO_LATE
   }
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/PlacementFixture.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/PlacementFixture.java
@@ -18,6 +18,7 @@
   final RunTimes runTimes;
   final EntryVmRanking entryVms = EntryVmRanking.of("e-1");
   final ColdTargetLimiter coldLimiter = ColdTargetLimiter.of(entryVms, 1.5, 5);
+  final TargetRateLimiter rateLimiter = TargetRateLimiter.of(entryVms, () -> 0.5);
   final Placement placement;
   long now = 1_000;
 
@@ -41,6 +42,7 @@
             roundTripTimes,
             runTimes,
             coldLimiter,
+            rateLimiter,
             shiftLimiter,
             PlacementWeights.standard());
     entryVms.update(List.of(new EntryVmLocation("e-1", "n1", "north")), 0);
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -66,7 +66,7 @@
   private final RoundTripTimes roundTripTimes;
   private final EntryVmRanking entryVms;
   private final ColdTargetLimiter coldLimiter;
-  private final TargetRateLimiter targetLimiter = TargetRateLimiter.create();
+  private final TargetRateLimiter targetLimiter;
   private final ServiceRetryBudget retryBudget;
   private final RegionShiftLimiter shiftLimiter;
   private final RunTimes runTimes;
@@ -127,6 +127,8 @@
     this.entryVms = EntryVmRanking.of(options.name());
     this.coldLimiter =
         ColdTargetLimiter.of(entryVms, options.coldRateFactor(), options.coldSlackPerSecond());
+    this.random = new Random(options.name().hashCode());
+    this.targetLimiter = TargetRateLimiter.of(entryVms, random::nextDouble);
     this.retryBudget =
         ServiceRetryBudget.of(
             options.retryRatio(), options.extraRetriesPerWindow(), options.retryWindowMillis());
@@ -138,12 +140,12 @@
             roundTripTimes,
             runTimes,
             coldLimiter,
+            targetLimiter,
             shiftLimiter,
             PlacementWeights.standard());
     placement.updateZoneShare(options.zoneFraction());
     this.connectionPool = new TargetConnectionPool(loop, dialect);
     this.crashDetector = new CrashDetector(loop, log);
-    this.random = new Random(options.name().hashCode());
     this.quotas =
         Quotas.of(
             options.name(),
@@ -366,17 +368,21 @@
 
   /** Applies what a target states about itself in an answer to this VM. */
   void onTargetSignals(TargetFacts target, TargetSignals signals) {
-    switch (targetLimiter.recordSignal(target.incarnation(), signals.rateLimit())) {
-      case LIMITED, WITHDRAWN -> {
-        metrics.count("target_limit_changes");
+    TargetRateLimiter.Change change =
+        targetLimiter.recordSignal(target, signals.rateLimit(), loop.nowMillis());
+    switch (change) {
+      case LIMITED -> {
+        onCapacityChange();
         logTargetLimit(target, signals.rateLimit());
       }
+      case CHANGED, WITHDRAWN -> logTargetLimit(target, signals.rateLimit());
       case MALFORMED -> metrics.count("target_limits_malformed");
-      case NONE -> {}
+      default -> {}
     }
   }
 
   private void logTargetLimit(TargetFacts target, RateLimitSignal signal) {
+    metrics.count("target_limit_changes");
     String detail =
         signal instanceof RateLimitSignal.Limited limited
             ? "accepts " + limited.requestsPerSecond() + " requests/s, as stated in an answer"
