--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/Rules.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/Rules.java
@@ -33,6 +33,7 @@
         new NamedRule("ROUTE", ArrivalRules::wrongService),
         new NamedRule("HOME", ArrivalRules::wrongRegion),
         new NamedRule("DRAIN", ArrivalRules::afterDrain),
+        new NamedRule("DRAIN answer", SignalRules::afterDrainingAnswer),
         new NamedRule("EVAC", ArrivalRules::afterEvacuation),
         new NamedRule("CONFIG", ArrivalRules::staleConfiguration),
         new NamedRule("CONFIG added", AddedRouteRule::underserved),
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/SignalRules.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/SignalRules.java
@@ -6,10 +6,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.scenario.SimulatedDay;
 import org.sageladder.standin.platform.Ledger;
 import org.sageladder.standin.platform.Ledger.Arrival;
+import org.sageladder.standin.platform.Ledger.DrainingAnswer;
 import org.sageladder.standin.platform.Ledger.RateLimitPeriod;
 
 /** Rules on what targets state about themselves in their answers. */
@@ -68,10 +70,8 @@
         .forEach(
             (vm, ids) ->
                 ids.stream()
-                    .flatMap(id -> day.ledger().answer(id).stream())
-                    .filter(Ledger.Answered::sealed)
-                    .mapToLong(Ledger.Answered::at)
-                    .min()
+                    .flatMap(id -> passedOnAtMillis(day, id).stream())
+                    .min(Long::compare)
                     .ifPresent(at -> first.put(vm, at)));
     return first;
   }
@@ -84,4 +84,40 @@
         && arrival.at() < period.toMillis()
         && !day.wasDisturbed(arrival.from(), passedOnAtMillis, arrival.at());
   }
+
+  /**
+   * Requests at targets that had stated to the sender that they are draining, sent by their callers
+   * after the drain time from then on. Counts whether or not the store has the drain.
+   */
+  static List<String> afterDrainingAnswer(SimulatedDay day) {
+    Map<TargetAndVm, Long> passedOnAtMillis = new HashMap<>();
+    for (DrainingAnswer answer : day.ledger().drainingAnswers()) {
+      passedOnAtMillis(day, answer.requestId())
+          .ifPresent(
+              at ->
+                  passedOnAtMillis.merge(
+                      new TargetAndVm(answer.target(), answer.vm()), at, Math::min));
+    }
+    List<String> violations = new ArrayList<>();
+    for (Arrival arrival : day.ledger().arrivals()) {
+      Long atMillis = passedOnAtMillis.get(new TargetAndVm(arrival.target(), arrival.from()));
+      boolean isSentLate =
+          atMillis != null
+              && day.ledger()
+                  .attempt(arrival.id())
+                  .filter(sent -> sent.sentAtMillis() > atMillis + day.bounds().drainMillis())
+                  .isPresent();
+      if (isSentLate && !day.wasDisturbed(arrival.from(), atMillis, arrival.at())) {
+        violations.add(arrival + ", whose sender knew of the drain at " + atMillis);
+      }
+    }
+    return violations;
+  }
+
+  private record TargetAndVm(String target, String vm) {}
+
+  /** When a caller got the target's answer to the request, or empty if it did not. */
+  private static Optional<Long> passedOnAtMillis(SimulatedDay day, String requestId) {
+    return day.ledger().answer(requestId).filter(Ledger.Answered::sealed).map(Ledger.Answered::at);
+  }
 }
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/SignalTroubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/SignalTroubles.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import org.sageladder.scenario.Fleet;
 import org.sageladder.scenario.FleetTarget;
+import org.sageladder.standin.platform.StoreFaultMode;
 
 /** Troubles of targets that state in their answers what they accept. */
 final class SignalTroubles {
@@ -14,11 +15,15 @@
   private static final double MIN_RATE_PER_SECOND = 0.3;
   private static final double MAX_RATE_PER_SECOND = 3;
   private static final long CHANGE_MILLIS = 6_000;
+  private static final double DRAINING_FRACTION = 0.15;
+  private static final long DRAIN_DELAY_MILLIS = 500;
+  private static final long STORE_SILENCE_MILLIS = 12_000;
 
   private SignalTroubles() {}
 
   static void addTo(Map<String, Trouble> all) {
     all.put("targets-limited", SignalTroubles::limitRates);
+    all.put("targets-drain-without-store", SignalTroubles::drainWithoutStore);
   }
 
   private static List<FleetTarget> pick(Fleet fleet, Random random, double fraction) {
@@ -40,6 +45,22 @@
     }
   }
 
+  /** The store is silent while targets drain, so that only their answers say so. */
+  private static void drainWithoutStore(Fleet fleet, Random random) {
+    Troubles.recordAtAll(fleet, STORE_SILENCE_MILLIS);
+    fleet.storePort().setFault(StoreFaultMode.SILENT, caller -> true);
+    fleet.runAfter(
+        STORE_SILENCE_MILLIS,
+        () -> {
+          fleet.store().renewAllLeases();
+          fleet.storePort().clearFault();
+        });
+    for (FleetTarget target : pick(fleet, random, DRAINING_FRACTION)) {
+      fleet.runAfter(DRAIN_DELAY_MILLIS, target.process()::startDraining);
+      fleet.runAfter(STORE_SILENCE_MILLIS, () -> target.leave(true));
+    }
+  }
+
   private static double drawRate(Random random) {
     return MIN_RATE_PER_SECOND + (MAX_RATE_PER_SECOND - MIN_RATE_PER_SECOND) * random.nextDouble();
   }
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
@@ -409,4 +409,23 @@
     recordPassedOnRate("told", BASE_MILLIS + 2_900);
     assertEquals(List.of(), violations("LIMIT"));
   }
+
+  @Test
+  void requestsSentAfterTheDrainTimeOfADrainingAnswerViolateDrain() {
+    ledger.recordDrainingAnswer(new Ledger.DrainingAnswer("t-1", VM, "told"));
+    recordSent("late", true, BASE_MILLIS + 2_600);
+    ledger.recordArrival(arrival("late", BASE_MILLIS + 2_700));
+    assertNotViolated("DRAIN answer");
+    ledger.recordAnswer(new Answered("told", 200, "", true, "told", BASE_MILLIS));
+    assertViolated("DRAIN answer");
+  }
+
+  @Test
+  void requestsSentWithinTheDrainTimeOfADrainingAnswerKeepDrain() {
+    ledger.recordDrainingAnswer(new Ledger.DrainingAnswer("t-1", VM, "told"));
+    ledger.recordAnswer(new Answered("told", 200, "", true, "told", BASE_MILLIS));
+    recordSent("in-time", true, BASE_MILLIS + 2_400);
+    ledger.recordArrival(arrival("in-time", BASE_MILLIS + 3_000));
+    assertNotViolated("DRAIN answer");
+  }
 }
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/Ledger.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/Ledger.java
@@ -202,6 +202,15 @@
       long toMillis,
       Map<String, List<String>> answeredIds) {}
 
+  /**
+   * An answer in which a target states that it is draining.
+   *
+   * @param vm IP address of the entry VM that sent the request
+   * @param requestId id of the answered request
+   */
+  public record DrainingAnswer(String target, String vm, String requestId) {}
+
+  private final List<DrainingAnswer> drainingAnswers = new ArrayList<>();
   private final List<RateLimitPeriod> rateLimitPeriods = new ArrayList<>();
   private final Map<String, Credential> credentials = new HashMap<>();
   private final List<Delivery> deliveries = new ArrayList<>();
@@ -246,6 +255,16 @@
     return rateLimitPeriods;
   }
 
+  /** Records an answer in which a target states that it is draining. */
+  public void recordDrainingAnswer(DrainingAnswer answer) {
+    drainingAnswers.add(answer);
+  }
+
+  /** Returns the answers in which targets stated that they are draining, in order. */
+  public List<DrainingAnswer> drainingAnswers() {
+    return drainingAnswers;
+  }
+
   /** Records the API key of the attempt {@code id}. */
   public void recordCredential(String id, Credential credential) {
     credentials.put(id, credential);
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/TargetStandIn.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/TargetStandIn.java
@@ -166,6 +166,10 @@
     if (Double.isFinite(rateLimitPerSecond)) {
       ledger.recordRateLimitAnswer(facts.incarnation().toString(), exchange.callerIp(), id);
     }
+    if (isDraining) {
+      ledger.recordDrainingAnswer(
+          new Ledger.DrainingAnswer(facts.incarnation().toString(), exchange.callerIp(), id));
+    }
   }
 
   private Map<String, String> signalHeaders() {
@@ -174,6 +178,9 @@
     if (Double.isFinite(rateLimitPerSecond)) {
       headers.put("Server-Limit", Double.toString(rateLimitPerSecond));
     }
+    if (isDraining) {
+      headers.put("Server-Leaving", "1");
+    }
     return headers;
   }
 
