--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/Rules.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/Rules.java
@@ -42,6 +42,7 @@
         new NamedRule("LIMIT", SignalRules::exceededTargetRates),
         new NamedRule("FAILBACK", BudgetRules::coldOverload),
         new NamedRule("BUDGET retries", BudgetRules::excessRetries),
+        new NamedRule("BUDGET back-off", SignalRules::duringBackOff),
         new NamedRule("BUDGET targets", BudgetRules::tooManyTargets),
         new NamedRule("BUDGET time", BudgetRules::extendedDeadlines),
         new NamedRule("BUDGET crashes", BudgetRules::repeatedCrashes),
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/SignalRules.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/SignalRules.java
@@ -11,6 +11,7 @@
 import org.sageladder.scenario.SimulatedDay;
 import org.sageladder.standin.platform.Ledger;
 import org.sageladder.standin.platform.Ledger.Arrival;
+import org.sageladder.standin.platform.Ledger.BackOffAnswer;
 import org.sageladder.standin.platform.Ledger.DrainingAnswer;
 import org.sageladder.standin.platform.Ledger.RateLimitPeriod;
 
@@ -20,9 +21,11 @@
   private static final double RATE_FACTOR = 1.5;
   private static final int EXTRA_REQUESTS = 5;
 
-  /** Requests that are already on their way when the VM passes the answer on do not count. */
+  /** Requests that are already on their way when the VM gets an answer do not count. */
   private static final long ON_THE_WAY_MILLIS = 500;
 
+  private static final int MAX_REQUESTS_DURING_BACK_OFF = 2;
+
   private SignalRules() {}
 
   /** Targets that got more requests than the rate that they had stated to the senders allows. */
@@ -114,6 +117,34 @@
     return violations;
   }
 
+  /**
+   * Targets that got requests from an entry VM in the time for which they had asked it for none.
+   */
+  static List<String> duringBackOff(SimulatedDay day) {
+    Map<TargetAndVm, List<Long>> arrivalTimes = new HashMap<>();
+    for (Arrival arrival : day.ledger().arrivals()) {
+      arrivalTimes
+          .computeIfAbsent(
+              new TargetAndVm(arrival.target(), arrival.from()), key -> new ArrayList<>())
+          .add(arrival.at());
+    }
+    List<String> violations = new ArrayList<>();
+    for (BackOffAnswer answer : day.ledger().backOffAnswers()) {
+      long toMillis = answer.atMillis() + answer.millis();
+      long count =
+          arrivalTimes
+              .getOrDefault(new TargetAndVm(answer.target(), answer.vm()), List.of())
+              .stream()
+              .filter(at -> at >= answer.atMillis() + ON_THE_WAY_MILLIS && at < toMillis)
+              .count();
+      if (count > MAX_REQUESTS_DURING_BACK_OFF
+          && !day.wasDisturbed(answer.vm(), answer.atMillis(), toMillis)) {
+        violations.add(answer + ", then received " + count + " requests from it in that time");
+      }
+    }
+    return violations;
+  }
+
   private record TargetAndVm(String target, String vm) {}
 
   /** When a caller got the target's answer to the request, or empty if it did not. */
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/SignalTroubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/SignalTroubles.java
@@ -18,12 +18,16 @@
   private static final double DRAINING_FRACTION = 0.15;
   private static final long DRAIN_DELAY_MILLIS = 500;
   private static final long STORE_SILENCE_MILLIS = 12_000;
+  private static final double BACKED_OFF_FRACTION = 0.2;
+  private static final int MAX_BACK_OFF_SECONDS = 4;
+  private static final long REFUSAL_MILLIS = 8_000;
 
   private SignalTroubles() {}
 
   static void addTo(Map<String, Trouble> all) {
     all.put("targets-limited", SignalTroubles::limitRates);
     all.put("targets-drain-without-store", SignalTroubles::drainWithoutStore);
+    all.put("targets-back-off", SignalTroubles::backOff);
   }
 
   private static List<FleetTarget> pick(Fleet fleet, Random random, double fraction) {
@@ -61,6 +65,14 @@
     }
   }
 
+  /** Targets refuse all requests for a while and ask each sender for none for some seconds. */
+  private static void backOff(Fleet fleet, Random random) {
+    for (FleetTarget target : pick(fleet, random, BACKED_OFF_FRACTION)) {
+      target.process().setBackOff(1_000L * (1 + random.nextInt(MAX_BACK_OFF_SECONDS)));
+      fleet.runAfter(REFUSAL_MILLIS, () -> target.process().setBackOff(0));
+    }
+  }
+
   private static double drawRate(Random random) {
     return MIN_RATE_PER_SECOND + (MAX_RATE_PER_SECOND - MIN_RATE_PER_SECOND) * random.nextDouble();
   }
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
@@ -428,4 +428,16 @@
     ledger.recordArrival(arrival("in-time", BASE_MILLIS + 3_000));
     assertNotViolated("DRAIN answer");
   }
+
+  @Test
+  void requestsDuringTheTimeForWhichATargetAskedForNoneViolateBudget() {
+    ledger.recordBackOffAnswer(new Ledger.BackOffAnswer("t-1", VM, BASE_MILLIS, 3_000));
+    ledger.recordArrival(arrival("on-the-way", BASE_MILLIS + 400));
+    ledger.recordArrival(arrival("first", BASE_MILLIS + 600));
+    ledger.recordArrival(arrival("second", BASE_MILLIS + 700));
+    ledger.recordArrival(arrival("afterwards", BASE_MILLIS + 3_100));
+    assertNotViolated("BUDGET back-off");
+    ledger.recordArrival(arrival("third", BASE_MILLIS + 2_900));
+    assertViolated("BUDGET back-off");
+  }
 }
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/Ledger.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/Ledger.java
@@ -210,6 +210,16 @@
    */
   public record DrainingAnswer(String target, String vm, String requestId) {}
 
+  /**
+   * A refusal in which a target asks an entry VM for no requests for a time.
+   *
+   * @param vm IP address of the entry VM
+   * @param atMillis when the target answered
+   * @param millis length of the time
+   */
+  public record BackOffAnswer(String target, String vm, long atMillis, long millis) {}
+
+  private final List<BackOffAnswer> backOffAnswers = new ArrayList<>();
   private final List<DrainingAnswer> drainingAnswers = new ArrayList<>();
   private final List<RateLimitPeriod> rateLimitPeriods = new ArrayList<>();
   private final Map<String, Credential> credentials = new HashMap<>();
@@ -265,6 +275,16 @@
     return drainingAnswers;
   }
 
+  /** Records a refusal in which a target asks for no requests for a time. */
+  public void recordBackOffAnswer(BackOffAnswer answer) {
+    backOffAnswers.add(answer);
+  }
+
+  /** Returns the refusals in which targets asked for no requests for a time, in order. */
+  public List<BackOffAnswer> backOffAnswers() {
+    return backOffAnswers;
+  }
+
   /** Records the API key of the attempt {@code id}. */
   public void recordCredential(String id, Credential credential) {
     credentials.put(id, credential);
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/TargetStandIn.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/TargetStandIn.java
@@ -50,6 +50,7 @@
   /** Time within which a change in the store reaches connected entry VMs. */
   private static final long PROPAGATION_MILLIS = 1_000;
 
+  private static final int UNAVAILABLE = 503;
   private static final int PADDING_LENGTH = 400;
 
   private static final class Job {
@@ -89,6 +90,7 @@
   private double faultFraction;
   private boolean isDraining;
   private double rateLimitPerSecond = Double.POSITIVE_INFINITY;
+  private long backOffMillis;
 
   private TargetStandIn(
       Loop loop,
@@ -161,6 +163,14 @@
     rateLimitPerSecond = perSecond;
   }
 
+  /**
+   * Refuses all requests from now on and asks each sender for no requests for {@code millis}; 0 to
+   * accept requests again.
+   */
+  public void setBackOff(long millis) {
+    backOffMillis = millis;
+  }
+
   /** Records that a request is answered with the headers of {@link #signalHeaders}. */
   private void recordSignals(ServerPort.Exchange exchange, String id) {
     if (Double.isFinite(rateLimitPerSecond)) {
@@ -229,7 +239,9 @@
     String id = headers.get("Request-Id", "");
     long remainingMillis = Long.parseLong(headers.get("Request-Deadline", "-1"));
     boolean isOther = !headers.get("Expected-Instance", facts.id()).equals(facts.id());
-    boolean isFull = running.size() >= traits.slots() && queue.size() >= traits.maxQueueLength();
+    boolean isFull =
+        backOffMillis > 0
+            || (running.size() >= traits.slots() && queue.size() >= traits.maxQueueLength());
     Ledger.Fate ownFate = isFull ? Ledger.Fate.REFUSED : Ledger.Fate.TAKEN;
     Ledger.Fate fate = isOther ? Ledger.Fate.OTHER_TARGET : ownFate;
     recordArrival(request, id, remainingMillis, exchange, fate);
@@ -241,7 +253,7 @@
       return;
     }
     if (id.isEmpty() || isFull) {
-      refuse(exchange, id.isEmpty() ? 400 : 503, id);
+      refuse(exchange, id.isEmpty() ? 400 : UNAVAILABLE, id);
       return;
     }
     if (isCold() && exceedsColdRate()) {
@@ -303,7 +315,7 @@
         continue;
       }
       if (loop.nowMillis() >= job.deadlineMillis) {
-        refuse(job.exchange, 503, job.id);
+        refuse(job.exchange, UNAVAILABLE, job.id);
         continue;
       }
       startRun(job);
@@ -415,6 +427,15 @@
     Map<String, String> headers = signalHeaders();
     headers.put("Not-Executed", "1");
     recordSignals(exchange, id);
+    if (status == UNAVAILABLE && backOffMillis > 0) {
+      headers.put("Retry-After", Long.toString(backOffMillis / SECOND_MILLIS));
+      ledger.recordBackOffAnswer(
+          new Ledger.BackOffAnswer(
+              facts.incarnation().toString(),
+              exchange.callerIp(),
+              loop.nowMillis(),
+              backOffMillis));
+    }
     if (!id.isEmpty()) {
       headers.put("Request-Id", id);
     }
