Send no new requests to a target that says in an answer that it is draining

Cause: only the store's list of targets marked a target as draining; what its answers say was not read. Ruled out: requests that had been assigned before the answer (their callers sent them 2.5 s after it).

Why the fix holds: the answer's head marks the incarnation in TargetTable, which acceptsRequests asks for each sending, at the choice and once more when the connection is open. The mark is kept by incarnation, so that neither a registration that says ready nor one that lapses and comes back undoes it; a target born again has said nothing.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetSignals.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetSignals.java
@@ -7,10 +7,12 @@
  *
  * @param load its load, or null if it reports none
  * @param rateLimit the request rate that it accepts
+ * @param isDraining true if it accepts no new requests
  */
-public record TargetSignals(@Nullable LoadReport load, RateLimitSignal rateLimit) {
+public record TargetSignals(
+    @Nullable LoadReport load, RateLimitSignal rateLimit, boolean isDraining) {
   /** Returns the signals of an answer that states nothing. */
   public static TargetSignals none() {
-    return new TargetSignals(null, new RateLimitSignal.Unlimited());
+    return new TargetSignals(null, new RateLimitSignal.Unlimited(), false);
   }
 }
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
@@ -1,6 +1,7 @@
 package org.sageladder.core.placing;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -30,12 +31,20 @@
     OUTDATED
   }
 
+  /**
+   * Incarnations that are remembered to drain. A drain outlives the target's registration, which
+   * may lapse and come back while the target goes on serving.
+   */
+  private static final int MAX_DRAINING_TARGETS = 10_000;
+
   private final Map<String, TargetState> byId = new HashMap<>();
   private final Map<String, List<TargetState>> byService = new HashMap<>();
   private final Map<String, Long> removalTimes = new HashMap<>();
   private final Map<String, Map<String, RegionLoad>> loadsByService = new HashMap<>();
   private Map<String, Integer> peerCountsByRegion = Map.of();
   private final Set<String> evacuatedZones = new HashSet<>();
+  private final Set<TargetIncarnation> drainingByAnswer =
+      Collections.newSetFromMap(new BoundedMap<>(MAX_DRAINING_TARGETS));
 
   private TargetTable() {}
 
@@ -118,6 +127,16 @@
     return byService.computeIfAbsent(service, name -> new ArrayList<>());
   }
 
+  /**
+   * Records that a target said in an answer that it is draining. Holds for the rest of that
+   * incarnation, whatever its registration says.
+   *
+   * @return false if that was known already
+   */
+  public boolean markDraining(TargetIncarnation target) {
+    return drainingByAnswer.add(target);
+  }
+
   /** Schedules a target for removal at {@code at}, unless it is registered again before. */
   public void scheduleRemoval(String id, long at) {
     if (byId.containsKey(id)) {
@@ -192,6 +211,7 @@
     boolean isRemoved = removalTime != null && removalTime <= now;
     return !isRemoved
         && !target.facts().isDraining()
+        && !drainingByAnswer.contains(target.facts().incarnation())
         && !evacuatedZones.contains(target.facts().zone());
   }
 
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/TargetTableTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/TargetTableTest.java
@@ -167,4 +167,26 @@
     assertTrue(target.isCold(7_999));
     assertFalse(target.isCold(8_000));
   }
+
+  /** Guards against a drain that is forgotten when the target's registration lapses. */
+  @Test
+  void drainStatedInAnAnswerOutlivesTheRegistration() {
+    TargetIncarnation draining = new TargetIncarnation("n-1", 0);
+    assertTrue(fixture.targets.markDraining(draining));
+    assertFalse(fixture.targets.markDraining(draining));
+    assertEquals(3, fixture.targets.usable("search", 0).size());
+    fixture.targets.remove(draining);
+    fixture.withTarget("n-1", "n1", "north");
+    assertEquals(3, fixture.targets.usable("search", 0).size());
+  }
+
+  @Test
+  void drainStatedInAnAnswerEndsWithTheIncarnation() {
+    TargetTable table = TargetTable.create();
+    table.put(startedAt(1_000, 0, 0), 0);
+    table.markDraining(new TargetIncarnation("n-1", 1_000));
+    assertEquals(0, table.usable("search", 0).size());
+    table.put(startedAt(2_000, 0, 0), 0);
+    assertEquals(1, table.usable("search", 0).size());
+  }
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
@@ -101,6 +101,12 @@
       forwarder.connectionPool().release(target().facts().incarnation(), opened);
       return;
     }
+    if (!forwarder.targets().acceptsRequests(target(), forwarder.loop().nowMillis())) {
+      forwarder.connectionPool().release(target().facts().incarnation(), opened);
+      finish(true);
+      exchange.onNotSent(this, "the target accepts no requests any more");
+      return;
+    }
     connection = opened;
     isSent = true;
     opened.send(forwardedHead(), exchange.requestId(), this);
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -368,14 +368,22 @@
 
   /** Applies what a target states about itself in an answer to this VM. */
   void onTargetSignals(TargetFacts target, TargetSignals signals) {
-    TargetRateLimiter.Change change =
-        targetLimiter.recordSignal(target, signals.rateLimit(), loop.nowMillis());
+    applyRateLimit(target, signals.rateLimit());
+    if (signals.isDraining() && targets.markDraining(target.incarnation())) {
+      metrics.count("target_drains_in_answers");
+      onCapacityChange();
+      logTarget(EventKind.TARGET_LEAVING, target, "draining, as stated in an answer");
+    }
+  }
+
+  private void applyRateLimit(TargetFacts target, RateLimitSignal signal) {
+    TargetRateLimiter.Change change = targetLimiter.recordSignal(target, signal, loop.nowMillis());
     switch (change) {
       case LIMITED -> {
         onCapacityChange();
-        logTargetLimit(target, signals.rateLimit());
+        logTargetLimit(target, signal);
       }
-      case CHANGED, WITHDRAWN -> logTargetLimit(target, signals.rateLimit());
+      case CHANGED, WITHDRAWN -> logTargetLimit(target, signal);
       case MALFORMED -> metrics.count("target_limits_malformed");
       default -> {}
     }
@@ -387,13 +395,12 @@
         signal instanceof RateLimitSignal.Limited limited
             ? "accepts " + limited.requestsPerSecond() + " requests/s, as stated in an answer"
             : "no longer states a request rate";
+    logTarget(EventKind.TARGET_LIMITED, target, detail);
+  }
+
+  private void logTarget(EventKind kind, TargetFacts target, String detail) {
     log.record(
-        EventKind.TARGET_LIMITED,
-        "",
-        target.service(),
-        target.id(),
-        target.incarnation().startedAtMillis(),
-        detail);
+        kind, "", target.service(), target.id(), target.incarnation().startedAtMillis(), detail);
   }
 
   void onCallerClosed(CallerConnection connection) {
--- a/sageladder-forward/src/test/java/org/sageladder/forward/TestDialect.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/TestDialect.java
@@ -80,6 +80,7 @@
         null,
         limit == null
             ? new RateLimitSignal.Unlimited()
-            : new RateLimitSignal.Limited(Double.parseDouble(limit)));
+            : new RateLimitSignal.Limited(Double.parseDouble(limit)),
+        response.contains("Draining"));
   }
 }
