Keep the limit on shifts between regions in force while a target states a rate

A first limit of a target suspended the limit on shifts for 4 s, as the loss of a target does. A target that states a rate goes on serving part of its load, the rest fits the region's other targets or waits there as in a surge, and several targets that name limits one after the other would have suspended it for as long.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -379,11 +379,7 @@
   private void applyRateLimit(TargetFacts target, RateLimitSignal signal) {
     TargetRateLimiter.Change change = targetLimiter.recordSignal(target, signal, loop.nowMillis());
     switch (change) {
-      case LIMITED -> {
-        onCapacityChange();
-        logTargetLimit(target, signal);
-      }
-      case CHANGED, WITHDRAWN -> logTargetLimit(target, signal);
+      case LIMITED, CHANGED, WITHDRAWN -> logTargetLimit(target, signal);
       case MALFORMED -> metrics.count("target_limits_malformed");
       default -> {}
     }
