Send nothing to a target for the time it asked for after a 503

Cause: a refusal was read as a report of load alone. A target that refuses at once reports free slots, so its estimated wait fell to 0 and drew more. Ruled out: second attempts (all were first attempts) and a wrong clock (requests followed within 100 ms).

Why the fix holds: the answer's head sets a time until which TargetTable does not offer that incarnation, for first and second attempts, requests that waited and preferred targets alike, by the steady clock from the answer's arrival. Each VM adds up to a fifth, so that VMs refused together come back apart. Such a refusal is neither a failure nor a full load, and the slots are no capacity meanwhile. With all targets at rest a request is refused at once, to come back with the first.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.placing.PlacementDecision.CandidateEstimate;
@@ -140,7 +141,7 @@
     List<TargetState> usable = targets.usable(request.service(), now);
     usable.removeIf(target -> !request.allowsRegion(target.facts().region()));
     if (usable.isEmpty()) {
-      return new Refuse(Reason.NO_TARGET, MIN_RETRY_AFTER_MILLIS, null);
+      return refuseWithoutTarget(request, now);
     }
     RequestContext context = requestContext(request, usable, now);
     CheapestSend best = new CheapestSend();
@@ -179,6 +180,17 @@
     return decide(request, chosen, exclusions, now);
   }
 
+  private Refuse refuseWithoutTarget(PlacementRequest request, long now) {
+    OptionalLong backOffMillis =
+        targets.firstBackOffMillis(request.service(), request::allowsRegion, now);
+    return backOffMillis.isEmpty()
+        ? new Refuse(Reason.NO_TARGET, MIN_RETRY_AFTER_MILLIS, null)
+        : new Refuse(
+            Reason.ALL_BACKED_OFF,
+            Math.max(MIN_RETRY_AFTER_MILLIS, backOffMillis.getAsLong()),
+            null);
+  }
+
   /**
    * Returns the cheapest target if the shift limit permits it. Otherwise returns the cheapest one
    * in the region that would be chosen if all queues were empty. The limit is needed because all
@@ -369,9 +381,9 @@
 
   private boolean isRetainedInOwnRegion(PlacementRequest request, long now) {
     String service = request.service();
-    double slotShare = targets.slotShare(service, roundTripTimes.ownRegion());
+    double slotShare = targets.slotShare(service, roundTripTimes.ownRegion(), now);
     return regionShare.retains(
-        request.object(), service, slotShare, targets.utilization(service), now);
+        request.object(), service, slotShare, targets.utilization(service, now), now);
   }
 
   /**
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/PlacementDecision.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/PlacementDecision.java
@@ -43,6 +43,8 @@
   enum Reason {
     /** No target of the service is known in a region that the route allows. */
     NO_TARGET,
+    /** All targets that could take the request asked this entry VM for none for a time. */
+    ALL_BACKED_OFF,
     /** All targets that could take the request were tried already. */
     ALL_TRIED,
     /** The remaining targets are cold and already get as many requests as they can handle. */
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * The targets known to an entry VM, by id and by service, and the zones that operators evacuated.
@@ -32,10 +34,10 @@
   }
 
   /**
-   * Incarnations that are remembered to drain. A drain outlives the target's registration, which
-   * may lapse and come back while the target goes on serving.
+   * Incarnations for which is kept what they said in their answers. That outlives a target's
+   * registration, which may lapse and come back while the target goes on serving.
    */
-  private static final int MAX_DRAINING_TARGETS = 10_000;
+  private static final int MAX_REMEMBERED_TARGETS = 10_000;
 
   private final Map<String, TargetState> byId = new HashMap<>();
   private final Map<String, List<TargetState>> byService = new HashMap<>();
@@ -44,7 +46,9 @@
   private Map<String, Integer> peerCountsByRegion = Map.of();
   private final Set<String> evacuatedZones = new HashSet<>();
   private final Set<TargetIncarnation> drainingByAnswer =
-      Collections.newSetFromMap(new BoundedMap<>(MAX_DRAINING_TARGETS));
+      Collections.newSetFromMap(new BoundedMap<>(MAX_REMEMBERED_TARGETS));
+  private final Map<TargetIncarnation, Long> backOffUntilMillis =
+      new BoundedMap<>(MAX_REMEMBERED_TARGETS);
 
   private TargetTable() {}
 
@@ -137,6 +141,41 @@
     return drainingByAnswer.add(target);
   }
 
+  /**
+   * Records that a target wants no requests from this entry VM until {@code until}; an earlier time
+   * than one recorded before has no effect.
+   */
+  public void backOffUntil(TargetIncarnation target, long until) {
+    backOffUntilMillis.merge(target, until, Math::max);
+  }
+
+  /** Returns the time for which the target wants no requests from this entry VM; 0 if none. */
+  long backOffMillis(TargetState target, long now) {
+    TargetIncarnation incarnation = target.facts().incarnation();
+    Long until = backOffUntilMillis.get(incarnation);
+    if (until == null) {
+      return 0;
+    }
+    if (until <= now) {
+      backOffUntilMillis.remove(incarnation);
+      return 0;
+    }
+    return until - now;
+  }
+
+  /**
+   * Returns the time until the first target of the service that now wants no requests accepts them,
+   * among those in {@code regions}; empty if there is none.
+   */
+  OptionalLong firstBackOffMillis(String service, Predicate<String> regions, long now) {
+    return byService.getOrDefault(service, List.of()).stream()
+        .filter(target -> regions.test(target.facts().region()))
+        .filter(target -> acceptsAfterBackOff(target, now))
+        .mapToLong(target -> backOffMillis(target, now))
+        .filter(millis -> millis > 0)
+        .min();
+  }
+
   /** Schedules a target for removal at {@code at}, unless it is registered again before. */
   public void scheduleRemoval(String id, long at) {
     if (byId.containsKey(id)) {
@@ -207,6 +246,10 @@
    * its time, even before {@link #removeDue} is called.
    */
   public boolean acceptsRequests(TargetState target, long now) {
+    return acceptsAfterBackOff(target, now) && backOffMillis(target, now) == 0;
+  }
+
+  private boolean acceptsAfterBackOff(TargetState target, long now) {
     Long removalTime = removalTimes.get(target.facts().id());
     boolean isRemoved = removalTime != null && removalTime <= now;
     return !isRemoved
@@ -215,27 +258,44 @@
         && !evacuatedZones.contains(target.facts().zone());
   }
 
-  /** Returns the fraction of a service's slots that a region has; 1 if the service has none. */
-  double slotShare(String service, String region) {
+  /** Returns the fraction of a service's usable slots that a region has; 1 if there are none. */
+  double slotShare(String service, String region, long now) {
     Map<String, RegionLoad> regions = loadsByService.getOrDefault(service, Map.of());
-    int allSlots = 0;
-    int regionSlots = 0;
+    int allSlots = -withheldSlots(service, name -> true, now);
+    int regionSlots = -withheldSlots(service, region::equals, now);
     for (Map.Entry<String, RegionLoad> entry : regions.entrySet()) {
       allSlots += entry.getValue().slotCount();
       regionSlots += entry.getKey().equals(region) ? entry.getValue().slotCount() : 0;
     }
-    return allSlots == 0 ? 1 : (double) regionSlots / allSlots;
+    return allSlots <= 0 ? 1 : (double) regionSlots / allSlots;
   }
 
-  /** Returns the estimated fraction of a service's slots that are busy over all regions, 0 to 1. */
-  double utilization(String service) {
+  /** Returns the estimated fraction of a service's usable slots that are busy, 0 to 1. */
+  double utilization(String service, long now) {
     double requests = 0;
-    int slots = 0;
+    int slots = -withheldSlots(service, name -> true, now);
     for (RegionLoad region : loadsByService.getOrDefault(service, Map.of()).values()) {
       requests += region.estimatedRequestCount();
       slots += region.slotCount();
     }
-    return slots == 0 ? 0 : Math.min(1, requests / slots);
+    return slots <= 0 ? 0 : Math.min(1, requests / slots);
+  }
+
+  /** Returns the slots of targets that said in an answer that they accept no requests now. */
+  private int withheldSlots(String service, Predicate<String> regions, long now) {
+    if (drainingByAnswer.isEmpty() && backOffUntilMillis.isEmpty()) {
+      return 0;
+    }
+    return byService.getOrDefault(service, List.of()).stream()
+        .filter(target -> regions.test(target.facts().region()))
+        .filter(target -> isWithheld(target, now))
+        .mapToInt(target -> target.facts().slots())
+        .sum();
+  }
+
+  private boolean isWithheld(TargetState target, long now) {
+    return drainingByAnswer.contains(target.facts().incarnation())
+        || backOffMillis(target, now) > 0;
   }
 
   /** Returns the targets of a service to which new requests may be sent. */
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/TargetTableTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/TargetTableTest.java
@@ -5,7 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.sageladder.core.placing.PlacementDecision.Reason;
+import org.sageladder.core.placing.PlacementDecision.Refuse;
 import org.sageladder.core.placing.TargetTable.Change;
 
 /** Tests which targets an entry VM knows and uses. */
@@ -189,4 +192,38 @@
     table.put(startedAt(2_000, 0, 0), 0);
     assertEquals(1, table.usable("search", 0).size());
   }
+
+  @Test
+  void targetThatWantsNoRequestsIsUsableAgainAfterwards() {
+    TargetIncarnation target = new TargetIncarnation("n-1", 0);
+    fixture.targets.backOffUntil(target, 3_000);
+    fixture.targets.backOffUntil(target, 2_000);
+    assertEquals(3, fixture.targets.usable("search", 2_999).size());
+    assertEquals(4, fixture.targets.usable("search", 3_000).size());
+  }
+
+  /** Guards against a retry-after time that ends before any target accepts requests again. */
+  @Test
+  void refusalNamesTheTimeOfTheFirstTargetThatAcceptsRequestsAgain() {
+    for (String id : List.of("n-1", "n-2", "s-1", "s-2")) {
+      fixture.targets.backOffUntil(new TargetIncarnation(id, 0), fixture.now + 3_000);
+    }
+    fixture.targets.backOffUntil(new TargetIncarnation("n-1", 0), fixture.now + 5_000);
+    fixture.targets.markDraining(new TargetIncarnation("n-2", 0));
+    Refuse anywhere = (Refuse) fixture.place(1, Set.of(), Set.of());
+    assertEquals(Reason.ALL_BACKED_OFF, anywhere.reason());
+    assertEquals(3_000, anywhere.retryAfterMillis());
+    Refuse north = (Refuse) fixture.place(1, Set.of(), Set.of("north"));
+    assertEquals(5_000, north.retryAfterMillis());
+  }
+
+  @Test
+  void slotsOfTargetsThatWantNoRequestsAreNoCapacity() {
+    assertEquals(0.5, fixture.targets.slotShare("search", "north", 0));
+    fixture.targets.backOffUntil(new TargetIncarnation("n-1", 0), 3_000);
+    assertEquals(1.0 / 3, fixture.targets.slotShare("search", "north", 0));
+    fixture.targets.markDraining(new TargetIncarnation("n-2", 0));
+    assertEquals(0, fixture.targets.slotShare("search", "north", 0));
+    assertEquals(1.0 / 3, fixture.targets.slotShare("search", "north", 3_000));
+  }
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
@@ -241,8 +241,8 @@
   public void onHead(HttpResponse head) {
     response = new BufferedResponse(head);
     Dialect dialect = forwarder.dialect();
-    signals = dialect.targetSignals(head.headers());
     int status = head.status().code();
+    signals = dialect.targetSignals(status, head.headers());
     if (!dialect.isMisdirected(status) && dialect.isAuthentic(status, head.headers())) {
       forwarder.onTargetSignals(target().facts(), signals);
     }
@@ -297,6 +297,11 @@
   }
 
   private void recordRefusal(@Nullable LoadReport load, long now) {
+    // A target that asks for no requests for a time gets none: neither its load nor its failures
+    // need to keep them away, and both would outlast that time.
+    if (signals.backOffMillis() > 0) {
+      return;
+    }
     if (load == null) {
       int slots = target().facts().slots();
       target().recordReport(new LoadReport(slots, slots, slots), now);
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Dialect.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Dialect.java
@@ -53,5 +53,5 @@
   boolean isAuthentic(int status, HttpHeaders response);
 
   /** What the target states about itself; malformed values are marked or left out. */
-  TargetSignals targetSignals(HttpHeaders response);
+  TargetSignals targetSignals(int status, HttpHeaders response);
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -56,6 +56,9 @@
    */
   private static final long SHIFT_LIMIT_SUSPENSION_MILLIS = 4_000;
 
+  /** Largest fraction by which a back-off is longer than a target asked for. */
+  private static final double BACK_OFF_JITTER = 0.2;
+
   private final String region;
   private final Loop loop;
   private final Dialect dialect;
@@ -374,6 +377,20 @@
       onCapacityChange();
       logTarget(EventKind.TARGET_LEAVING, target, "draining, as stated in an answer");
     }
+    if (signals.backOffMillis() > 0) {
+      backOff(target, signals.backOffMillis());
+    }
+  }
+
+  /** Sends a target nothing for at least {@code millis}; VMs refused together return apart. */
+  private void backOff(TargetFacts target, long millis) {
+    long jitteredMillis = Math.round(millis * (1 + BACK_OFF_JITTER * randomFraction()));
+    targets.backOffUntil(target.incarnation(), loop.nowMillis() + jitteredMillis);
+    metrics.count("target_back_offs");
+    logTarget(
+        EventKind.TARGET_BACKED_OFF,
+        target,
+        "asked for no requests for " + millis + " ms, gets none for " + jitteredMillis + " ms");
   }
 
   private void applyRateLimit(TargetFacts target, RateLimitSignal signal) {
--- a/sageladder-forward/src/test/java/org/sageladder/forward/TargetSignalsTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/TargetSignalsTest.java
@@ -46,6 +46,24 @@
     assertEquals(1, receivedOf(answering("200 OK", "Seal: s\r\nLimit: 0\r\n"), 6));
   }
 
+  @Test
+  void targetThatAskedForNoRequestsGetsNone() throws Exception {
+    assertEquals(
+        1, receivedOf(answering("503 Unavailable", "Not-Run: 1\r\nBack-Off: 60000\r\n"), 6));
+  }
+
+  @Test
+  void requestIsRefusedAtOnceWhileTheOnlyTargetWantsNone() throws Exception {
+    try (ScriptedTarget target = answering("503 Unavailable", "Not-Run: 1\r\nBack-Off: 60000\r\n");
+        ForwardingFixture fixture = ForwardingFixture.open(target);
+        ForwardingFixture.Caller caller = fixture.caller()) {
+      assertEquals(503, caller.exchange("/safe/1", "r-1").status());
+      assertEquals(503, caller.exchange("/once/2", "r-2").status());
+      assertEquals(1, target.receivedRequests.size());
+      assertEquals(1, countOf(fixture, "no_target_all_backed_off"));
+    }
+  }
+
   /** Another target has the address by now; what it states is not about the intended one. */
   @Test
   void signalsOfMisdirectedAnswersAreIgnored() throws Exception {
--- a/sageladder-forward/src/test/java/org/sageladder/forward/TestDialect.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/TestDialect.java
@@ -74,13 +74,14 @@
   }
 
   @Override
-  public TargetSignals targetSignals(HttpHeaders response) {
+  public TargetSignals targetSignals(int status, HttpHeaders response) {
     String limit = response.get("Limit");
     return new TargetSignals(
         null,
         limit == null
             ? new RateLimitSignal.Unlimited()
             : new RateLimitSignal.Limited(Double.parseDouble(limit)),
-        response.contains("Draining"));
+        response.contains("Draining"),
+        Long.parseLong(response.get("Back-Off", "0")));
   }
 }
