Use the part of a limited target's rate that an entry VM has

Now a VM leaves a target out of an object's preferred targets only while it may not send there: a VM with a token sends the object where it is warm, the others agree on the next target as before.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
@@ -341,7 +341,7 @@
     return new RequestContext(
         request,
         route.hasObjectAffinity()
-            ? PreferredTargets.of(request.object(), withoutLimited(usable))
+            ? PreferredTargets.of(request.object(), permitted(usable, now))
             : PreferredTargets.none(),
         CrossRegionCostFactor.of(request.object()),
         ownRegionCostMillis(request, usable, now),
@@ -350,14 +350,14 @@
   }
 
   /**
-   * Returns the targets without those that state a request rate, unless all do. An object whose
-   * preferred target can only take a few requests would otherwise be run by any of the others, each
-   * time by one that is cold for it.
+   * Returns the targets to which this VM may send a request now, or all if there are none. An
+   * object whose preferred target may get none goes to the next one, on which all VMs agree,
+   * instead of to any other, which would be cold for it.
    */
-  private List<TargetState> withoutLimited(List<TargetState> usable) {
-    List<TargetState> unlimited =
-        usable.stream().filter(target -> !rateLimiter.isLimited(target.facts())).toList();
-    return unlimited.isEmpty() ? usable : unlimited;
+  private List<TargetState> permitted(List<TargetState> usable, long now) {
+    List<TargetState> permitted =
+        usable.stream().filter(target -> rateLimiter.permits(target.facts(), now)).toList();
+    return permitted.isEmpty() ? usable : permitted;
   }
 
   /**
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetRateLimiter.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetRateLimiter.java
@@ -141,12 +141,6 @@
     return Change.CHANGED;
   }
 
-  /** Returns true if the target states a limit. */
-  boolean isLimited(TargetFacts target) {
-    Limit limit = limits.get(target.incarnation());
-    return limit != null && !limit.isWithdrawn;
-  }
-
   /** Returns true if this entry VM may send one more request to the target now. */
   public boolean permits(TargetFacts target, long now) {
     return permittedInMillis(target, now) == 0;
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/TargetRateLimiterTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/TargetRateLimiterTest.java
@@ -174,6 +174,23 @@
     assertEquals(other.target(), fixture.send(1).target());
   }
 
+  /** Guards against a limited target that gets nothing although it may get some requests. */
+  @Test
+  void objectGoesToItsPreferredTargetWheneverThatMayGetARequest() {
+    PlacementFixture fixture = new PlacementFixture().withFourTargets();
+    TargetState preferred = fixture.send(1).target();
+    fixture.rateLimiter.recordSignal(preferred.facts(), new Limited(2), fixture.now);
+    int sentToPreferred = 0;
+    for (int i = 0; i < 100; i++) {
+      fixture.now += 100;
+      Send send = fixture.send(1);
+      fixture.placement.recordSent(send, fixture.now);
+      send.target().endRequest();
+      sentToPreferred += send.target() == preferred ? 1 : 0;
+    }
+    assertEquals(20, sentToPreferred, 1, "of 20 requests that it accepts in 10 s");
+  }
+
   @Test
   void requestIsRefusedUntilTheFirstTargetMayGetOne() {
     PlacementFixture fixture = new PlacementFixture().withTarget("n-1", "n1", "north");
