--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/SignalTroubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/SignalTroubles.java
@@ -1,8 +1,5 @@
 package org.sageladder.scenario.trouble;
 
-import java.util.ArrayList;
-import java.util.Collections;
-import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import org.sageladder.scenario.Fleet;
@@ -30,15 +27,9 @@
     all.put("targets-back-off", SignalTroubles::backOff);
   }
 
-  private static List<FleetTarget> pick(Fleet fleet, Random random, double fraction) {
-    List<FleetTarget> all = new ArrayList<>(fleet.runningTargets());
-    Collections.shuffle(all, random);
-    return all.subList(0, (int) Math.ceil(fraction * all.size()));
-  }
-
   /** Targets state a rate, then another one, then none, then one again. */
   private static void limitRates(Fleet fleet, Random random) {
-    for (FleetTarget target : pick(fleet, random, LIMITED_FRACTION)) {
+    for (FleetTarget target : TargetTroubles.pick(fleet, random, LIMITED_FRACTION)) {
       double first = drawRate(random);
       double second = drawRate(random);
       target.process().setRateLimit(first);
@@ -59,7 +50,7 @@
           fleet.store().renewAllLeases();
           fleet.storePort().clearFault();
         });
-    for (FleetTarget target : pick(fleet, random, DRAINING_FRACTION)) {
+    for (FleetTarget target : TargetTroubles.pick(fleet, random, DRAINING_FRACTION)) {
       fleet.runAfter(DRAIN_DELAY_MILLIS, target.process()::startDraining);
       fleet.runAfter(STORE_SILENCE_MILLIS, () -> target.leave(true));
     }
@@ -67,7 +58,7 @@
 
   /** Targets refuse all requests for a while and ask each sender for none for some seconds. */
   private static void backOff(Fleet fleet, Random random) {
-    for (FleetTarget target : pick(fleet, random, BACKED_OFF_FRACTION)) {
+    for (FleetTarget target : TargetTroubles.pick(fleet, random, BACKED_OFF_FRACTION)) {
       target.process().setBackOff(1_000L * (1 + random.nextInt(MAX_BACK_OFF_SECONDS)));
       fleet.runAfter(REFUSAL_MILLIS, () -> target.process().setBackOff(0));
     }
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/TargetTroubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/TargetTroubles.java
@@ -45,7 +45,8 @@
     all.put("targets-start-again", TargetTroubles::restartBehindCut);
   }
 
-  private static List<FleetTarget> pick(Fleet fleet, Random random, double fraction) {
+  /** Returns {@code fraction} of the running targets, chosen at random. */
+  static List<FleetTarget> pick(Fleet fleet, Random random, double fraction) {
     List<FleetTarget> all = new ArrayList<>(fleet.runningTargets());
     Collections.shuffle(all, random);
     return all.subList(0, (int) Math.ceil(fraction * all.size()));
