--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetRateLimiter.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetRateLimiter.java
@@ -10,9 +10,8 @@
  *
  * <p>The first few entry VMs of the target's {@link EntryVmRanking} each get an equal part of the
  * rate, as a token bucket that starts empty. The others send nothing but a rare request that shows
- * whether the limit is still in force. Equal parts for all VMs would not do: with a hundred VMs and
- * one request per second, either each VM may send at any time, and all of them may do so at once,
- * or the part of a VM that has nothing to send is lost.
+ * whether the limit is still in force. Equal parts for all VMs would exceed a low rate: after a
+ * pause each of them holds a token, and all may use it at once.
  *
  * <p>A limit belongs to one incarnation of a target and is in force until an answer states another
  * one or none. Then the permitted rate grows step by step, since otherwise the load of all entry
@@ -67,8 +66,8 @@
   private static final double MILLIS_PER_SECOND = 1_000;
 
   /**
-   * Incarnations whose limits are kept. A limit outlives the target's registration, which may lapse
-   * and come back while the target goes on serving.
+   * Number of incarnations whose limits are kept. A limit outlives the target's registration, which
+   * may lapse and come back while the target goes on serving.
    */
   private static final int MAX_TARGETS = 10_000;
 
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
@@ -34,7 +34,7 @@
   }
 
   /**
-   * Incarnations for which is kept what they said in their answers. That outlives a target's
+   * Number of incarnations whose drains and back-offs are kept. Both outlive a target's
    * registration, which may lapse and come back while the target goes on serving.
    */
   private static final int MAX_REMEMBERED_TARGETS = 10_000;
