--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/SimulatedDay.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/SimulatedDay.java
@@ -103,12 +103,12 @@
 
   /**
    * Returns true if this entry VM itself was restarted, suspended, cut off or otherwise disturbed
-   * between {@code fromMillis} and {@code toMillis}, or in the contact time before.
+   * between {@code fromMillis} and {@code toMillis}.
    */
   public boolean wasDisturbed(String vm, long fromMillis, long toMillis) {
     return troubleIntervals.stream()
         .filter(span -> span.scope().equals(vm))
-        .anyMatch(span -> overlaps(span, fromMillis - bounds.discoveryMillis(), toMillis));
+        .anyMatch(span -> overlaps(span, fromMillis, toMillis));
   }
 
   /**
