Close the callers' connection only once they could read a refusal

What callers saw: Broken pipe or a reset in place of 431, if they were still sending the refused head.

Cause: the port closed the socket with bytes unread, the kernel reset the connection, and the reset overtook the refusal.

HttpListenerTest's new test, in which the caller reads the refusal and writes on, failed on at once.

Change: LingeringSession shuts the sending direction, discards what still arrives and closes when the caller does, bounded in time, bytes and number of connections. The stand-ins use it too.

--- a/sageladder-entry/src/main/java/org/sageladder/entry/http/HttpListener.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/http/HttpListener.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.concurrent.ExecutionException;
+import org.apache.hc.core5.function.Decorator;
 import org.apache.hc.core5.function.Supplier;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpResponseInterceptor;
@@ -21,6 +22,7 @@
 import org.apache.hc.core5.http.nio.support.DefaultAsyncResponseExchangeHandlerFactory;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
@@ -28,12 +30,16 @@
 import org.sageladder.entry.request.Headers;
 import org.sageladder.entry.request.LocalReplies;
 import org.sageladder.platform.http.DisconnectDetectingSession;
+import org.sageladder.platform.http.LingeringSession;
 
 /** An HTTP server on one port of an entry VM. */
 public final class HttpListener implements AutoCloseable {
   private static final int HEAD_TO_LINE_RATIO = 2;
   private static final int MAX_HEADERS = 100;
 
+  /** Connections allowed for each one that may wait for its caller to close it. */
+  private static final int CONNECTION_TO_LINGERING_RATIO = 8;
+
   private final HttpAsyncServer server;
   private final int port;
   private final ConnectionLimiter connectionLimiter;
@@ -104,7 +110,7 @@
             .setBacklogSize(1024)
             .setSelectInterval(TimeValue.ofMilliseconds(200))
             .build(),
-        DisconnectDetectingSession.decorator(),
+        sessionDecorator(limits),
         null,
         connectionLimiter,
         null,
@@ -112,6 +118,12 @@
         null);
   }
 
+  private static Decorator<IOSession> sessionDecorator(ConnectionLimits limits) {
+    int maxLingering = Math.max(1, limits.maxConnections() / CONNECTION_TO_LINGERING_RATIO);
+    Decorator<IOSession> lingering = LingeringSession.decorator(maxLingering);
+    return session -> lingering.decorate(DisconnectDetectingSession.decorator().decorate(session));
+  }
+
   /**
    * Adds a result code to the error responses that the HTTP library sends for malformed requests.
    */
--- a/sageladder-entry/src/test/java/org/sageladder/entry/http/HttpListenerTest.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/http/HttpListenerTest.java
@@ -62,6 +62,36 @@
     return line.toString();
   }
 
+  /** Guards against a caller that is reset while it is still sending what was refused. */
+  @Test
+  void callerThatIsStillSendingItsHeadIsNotReset() throws Exception {
+    try (HttpListener listener = open(9, LONG_IDLE_TIMEOUT, HttpListenerTest::respondNotFound);
+        Socket caller = connect(listener)) {
+      sendOversizedHead(caller);
+      assertEquals("HTTP/1.1 431 Request Header Fields Too Large", statusLine(caller));
+      for (int i = 0; i < 20; i++) {
+        sendOversizedHead(caller);
+      }
+    }
+  }
+
+  /** Guards against callers who hold a connection open by not closing it after a refusal. */
+  @Test
+  void connectionThatTheCallerDoesNotCloseEnds() throws Exception {
+    try (HttpListener listener = open(9, LONG_IDLE_TIMEOUT, HttpListenerTest::respondNotFound);
+        Socket caller = connect(listener)) {
+      sendOversizedHead(caller);
+      while (listener.openConnectionCount() > 0) {
+        Thread.sleep(20);
+      }
+    }
+  }
+
+  private static void sendOversizedHead(Socket caller) throws IOException {
+    String head = "GET / HTTP/1.1\r\nX-Long: " + "x".repeat(10_000) + "\r\n\r\n";
+    caller.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+  }
+
   // A crawler keeps opening connections. Without a limit, the entry VM accepted them until it had
   // no descriptor left for targets, and every caller got "no target". Connections beyond the limit
   // must be closed at once, the others must still be served, and a closed connection must make room
--- a/sageladder-standin/src/main/java/org/sageladder/standin/http/Listeners.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/http/Listeners.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ExecutionException;
+import org.apache.hc.core5.function.Decorator;
 import org.apache.hc.core5.function.Supplier;
 import org.apache.hc.core5.http.HttpRequestMapper;
 import org.apache.hc.core5.http.URIScheme;
@@ -10,12 +11,16 @@
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
 import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
 import org.apache.hc.core5.util.Timeout;
 import org.sageladder.platform.http.DisconnectDetectingSession;
+import org.sageladder.platform.http.LingeringSession;
 
 /** Creates and binds the HTTP servers of the stand-ins. */
 public final class Listeners {
+  private static final int MAX_LINGERING_CONNECTIONS = 64;
+
   private Listeners() {}
 
   /** Creates a server, not yet started, without an idle timeout for its connections. */
@@ -23,6 +28,7 @@
       int ioThreads,
       ConnectionTable connections,
       HttpRequestMapper<Supplier<AsyncServerExchangeHandler>> router) {
+    Decorator<IOSession> lingering = LingeringSession.decorator(MAX_LINGERING_CONNECTIONS);
     return AsyncServerBootstrap.bootstrap()
         .setCanonicalHostName("localhost")
         .setIOReactorConfig(
@@ -32,7 +38,8 @@
                 .setSoReuseAddress(true)
                 .setTcpNoDelay(true)
                 .build())
-        .setIOSessionDecorator(DisconnectDetectingSession.decorator())
+        .setIOSessionDecorator(
+            session -> lingering.decorate(DisconnectDetectingSession.decorator().decorate(session)))
         .setIOSessionListener(connections)
         .setRequestRouter(router)
         .create();
