Linger after each last response on the users' platform too

Bounds: 1 s, 4 MB a connection, 256 connections. Bytes after the last response do not reach the parser.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
@@ -33,9 +33,12 @@
   /** With this many requests in flight, the connection is not read until one of them has ended. */
   private static final int MAX_PIPELINED_REQUESTS = 16;
 
-  /** Time for a caller to read a response that was sent before the end of its request body. */
+  /** Time for a caller to read the last response and close the connection. */
   private static final long LINGER_MILLIS = 1_000;
 
+  /** Bytes that a caller may still send after the last response. */
+  private static final long MAX_DISCARDED_BYTES = 4 << 20;
+
   private static final int MAX_CHUNK_BYTES = 32 << 10;
 
   private final Forwarder forwarder;
@@ -43,6 +46,8 @@
   private @Nullable ChannelHandlerContext context;
   private @Nullable Exchange receivingExchange;
   private boolean isClosing;
+  private boolean isLingering;
+  private long discardedBytes;
   private long headStartedAtMillis;
   private long idleSinceMillis;
 
@@ -62,6 +67,10 @@
         new ChannelInboundHandlerAdapter() {
           @Override
           public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+            if (isLingering) {
+              discard((ByteBuf) bytes);
+              return;
+            }
             onBytesReceived();
             ctx.fireChannelRead(bytes);
           }
@@ -71,6 +80,14 @@
         this);
   }
 
+  private void discard(ByteBuf bytes) {
+    discardedBytes += bytes.readableBytes();
+    bytes.release();
+    if (discardedBytes > MAX_DISCARDED_BYTES) {
+      Sockets.close(context());
+    }
+  }
+
   private void onBytesReceived() {
     if (receivingExchange == null && headStartedAtMillis == 0) {
       headStartedAtMillis = forwarder.loop().nowMillis();
@@ -205,7 +222,7 @@
     exchanges.remove(exchange);
     idleSinceMillis = forwarder.loop().nowMillis();
     if (close) {
-      closeAfterFlush(receivingExchange == exchange);
+      closeAfterFlush();
       return;
     }
     Exchange next = exchanges.peekFirst();
@@ -216,14 +233,17 @@
   }
 
   /**
-   * Closes the connection once everything is written. If the caller is still sending a body, its
-   * bytes are read and discarded for a while: closing with unread bytes would reset the connection,
-   * and the caller would lose the response that it has not read yet.
+   * Closes the connection once everything is written. What the caller still sends, such as the rest
+   * of a refused head or body, is read and discarded until the caller closes the connection, for a
+   * limited time: closing with unread bytes would reset the connection, and the caller could lose
+   * the response that it has not read yet.
    */
-  private void closeAfterFlush(boolean isBodyIncomplete) {
+  private void closeAfterFlush() {
     isClosing = true;
     var written = context().writeAndFlush(context().alloc().buffer(0));
-    if (isBodyIncomplete && context().channel() instanceof SocketChannel socket) {
+    if (context().channel() instanceof SocketChannel socket && forwarder.mayLinger()) {
+      isLingering = true;
+      forwarder.lingeringStarted();
       socket.config().setAutoRead(true);
       written.addListener(done -> shutdownOutput(socket));
       var unused = forwarder.loop().schedule(LINGER_MILLIS, () -> Sockets.close(context()));
@@ -253,6 +273,9 @@
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     isClosing = true;
+    if (isLingering) {
+      forwarder.lingeringEnded();
+    }
     forwarder.onCallerClosed(this);
     while (!exchanges.isEmpty()) {
       exchanges.removeFirst().onCallerClosed();
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -58,6 +58,12 @@
    */
   private static final long SHIFT_LIMIT_SUSPENSION_MILLIS = 4_000;
 
+  /**
+   * Maximum number of connections that wait for their callers to close them after the last
+   * response, so that callers who do not close cannot use up the descriptors.
+   */
+  private static final int MAX_LINGERING_CONNECTIONS = 256;
+
   /** Largest fraction by which a back-off is longer than a target asked for. */
   private static final double BACK_OFF_JITTER = 0.2;
 
@@ -89,6 +95,7 @@
   private boolean isStopping;
   private long stopDeadlineMillis;
   private int inFlightCount;
+  private int lingeringCount;
 
   /**
    * Identity of this entry VM and the limits that apply to it.
@@ -455,6 +462,19 @@
     callerConnections.remove(connection);
   }
 
+  /** True if one more connection may wait for its caller to close it. */
+  boolean mayLinger() {
+    return lingeringCount < MAX_LINGERING_CONNECTIONS;
+  }
+
+  void lingeringStarted() {
+    lingeringCount++;
+  }
+
+  void lingeringEnded() {
+    lingeringCount--;
+  }
+
   void requestStarted() {
     inFlightCount++;
   }
