Test: a closed entry VM refuses connections before the client is asked

What was seen: unreachableEntryVmDoesNotUseRetryBudget reported an unknown outcome in 17 of 1,500 repetitions beside eight busy processes.

Cause: ServerSocket.close returns while the stand-in's thread may still be inside accept and get one more connection. Evidence: with a counter in the stand-in, 16 of 16 failures had one connection accepted after close and its request head read; the answer was "Connection closed by peer". The client is right to call that unknown. Ruled out: a pooled connection (the client is new), a reset out of the backlog (the head was read).

Change: the stand-in's close waits for its thread. The test and its check are unchanged, and the port now does what the test says of it.

--- a/sageladder-client/src/test/java/org/sageladder/client/ScriptedEntry.java
+++ b/sageladder-client/src/test/java/org/sageladder/client/ScriptedEntry.java
@@ -19,19 +19,20 @@
  */
 final class ScriptedEntry implements AutoCloseable {
   private final ServerSocket server;
+  private final Thread acceptor;
   private final List<String> heads = Collections.synchronizedList(new ArrayList<>());
   private volatile Function<String, String> script = head -> "";
 
   private ScriptedEntry(ServerSocket server) {
     this.server = server;
+    this.acceptor = new Thread(this::serve, "scripted-entry");
+    acceptor.setDaemon(true);
   }
 
   static ScriptedEntry start() throws IOException {
     ScriptedEntry entry =
         new ScriptedEntry(new ServerSocket(0, 50, InetAddress.getLoopbackAddress()));
-    Thread thread = new Thread(entry::serve, "scripted-entry");
-    thread.setDaemon(true);
-    thread.start();
+    entry.acceptor.start();
     return entry;
   }
 
@@ -94,8 +95,23 @@
         + body;
   }
 
+  /**
+   * Closes the port and waits until it refuses connections: a thread that is accepting when the
+   * socket is closed may still accept one more.
+   */
   @Override
   public void close() throws IOException {
     server.close();
+    boolean isInterrupted = false;
+    while (acceptor.isAlive()) {
+      try {
+        acceptor.join();
+      } catch (InterruptedException e) {
+        isInterrupted = true;
+      }
+    }
+    if (isInterrupted) {
+      Thread.currentThread().interrupt();
+    }
   }
 }
