Load tool: begin a variant only once restarted targets are back

What was seen: sageladder-load ended with exit 69, Connection reset by peer on /admin/state, as its next variant started.

Cause: the drain of the variant before is undone by a call that the target answers at once and carries out 50 ms later, resetting all connections; a crashed target may still be down. Evidence: RemoteSystemTest's two new tests find the old incarnation in place when the variant's end returns, and the next call gets Connection reset by peer. Ruled out: a kept connection, since each variant has a new client.

Change: undoing a drain, and ending a variant with a crash, waits until the target states a later incarnation. The stand-in answers /admin/crash before it crashes: repeating the test showed that the answer could be lost.

Measured: both tests fail before, each passes 200 times in a row.

--- a/sageladder-standin/src/main/java/org/sageladder/standin/target/TargetServer.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/target/TargetServer.java
@@ -261,12 +261,17 @@
       case "/admin/executions" -> executionsReply(call);
       case "/admin/state" -> stateReply();
       case "/admin/drain" -> runIfPost(call, this::drain);
-      case "/admin/crash" -> runIfPost(call, this::crash);
+      case "/admin/crash" -> runIfPost(call, this::scheduleCrash);
       case "/admin/restart" -> runIfPost(call, this::scheduleRestart);
       default -> Reply.json(404, Map.of("error", "no such path: " + call.path()));
     };
   }
 
+  /** Crashes after a delay, so that the requesting call can be answered first. */
+  private void scheduleCrash() {
+    schedule(this::crash, REBIND_DELAY_MILLIS);
+  }
+
   /** Restarts after a delay, so that the requesting call can be answered first. */
   private void scheduleRestart() {
     schedule(this::restart, REBIND_DELAY_MILLIS);
--- a/sageladder-tools/src/main/java/org/sageladder/tools/load/RemoteFaults.java
+++ b/sageladder-tools/src/main/java/org/sageladder/tools/load/RemoteFaults.java
@@ -26,6 +26,8 @@
  */
 final class RemoteFaults implements AutoCloseable {
   private static final Duration CALL_TIMEOUT = Duration.ofSeconds(5);
+  private static final Duration RESTART_TIMEOUT = Duration.ofSeconds(10);
+  private static final Duration POLL_INTERVAL = Duration.ofMillis(20);
   private static final ObjectMapper JSON = new ObjectMapper();
 
   private final String customer;
@@ -106,14 +108,14 @@
   private String drain(TargetView target) throws IOException {
     if (storeUri == null) {
       post(target.address().resolve("/admin/drain"));
-      pendingUndos.push(() -> post(target.address().resolve("/admin/restart")));
+      pendingUndos.push(() -> restart(target));
       return target.id();
     }
     ListedVm listed = findListedVm(target.id());
     putListedVm(listed.asLeaving());
     pendingUndos.push(
         () -> {
-          post(target.address().resolve("/admin/restart"));
+          restart(target);
           putListedVm(asRestarted(listed));
         });
     return target.id();
@@ -156,10 +158,53 @@
 
   /** Crashes a target, which restarts by itself after its restart delay. */
   private String crash(TargetView target) throws IOException {
+    long incarnation = incarnation(target);
     post(target.address().resolve("/admin/crash"));
+    pendingUndos.push(() -> awaitRestart(target, incarnation));
     return target.id();
   }
 
+  /** Restarts a target and waits for it: it answers before it closes its connections. */
+  private void restart(TargetView target) throws IOException {
+    long incarnation = incarnation(target);
+    post(target.address().resolve("/admin/restart"));
+    awaitRestart(target, incarnation);
+  }
+
+  private void awaitRestart(TargetView target, long previousIncarnation) throws IOException {
+    long deadlineNanos = System.nanoTime() + RESTART_TIMEOUT.toNanos();
+    while (!hasRestarted(target, previousIncarnation)) {
+      if (System.nanoTime() - deadlineNanos > 0) {
+        throw new IOException(
+            target.id() + " has not restarted within " + RESTART_TIMEOUT.toSeconds() + " s");
+      }
+      sleepBetweenPolls();
+    }
+  }
+
+  private boolean hasRestarted(TargetView target, long previousIncarnation) {
+    try {
+      return incarnation(target) > previousIncarnation;
+    } catch (IOException e) {
+      // Its port is closed or its connections are being reset: the restart is under way.
+      return false;
+    }
+  }
+
+  private long incarnation(TargetView target) throws IOException {
+    BufferedHttpResponse response = client.get(target.address().resolve("/admin/state"));
+    return JSON.readTree(response.body()).path("load").path("incarnation").asLong();
+  }
+
+  private static void sleepBetweenPolls() throws IOException {
+    try {
+      Thread.sleep(POLL_INTERVAL.toMillis());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException("interrupted while a target restarts", e);
+    }
+  }
+
   private String setTargetFaults(Fault fault, String faults) throws IOException {
     TargetView target = findTarget(fault);
     setFaultsUntilUndone(fault, target.address().resolve("/admin/faults"), faults);
--- a/sageladder-tools/src/test/java/org/sageladder/tools/load/RemoteSystemTest.java
+++ b/sageladder-tools/src/test/java/org/sageladder/tools/load/RemoteSystemTest.java
@@ -38,7 +38,9 @@
 
   @BeforeEach
   void start() throws IOException {
-    target = TargetServer.start(TargetOptions.create("t-1").serviceTime(ServiceTime.fixed(1)));
+    target =
+        TargetServer.start(
+            TargetOptions.create("t-1").serviceTime(ServiceTime.fixed(1)).crashMillis(300));
     store = StoreServer.start("127.0.0.1", 0);
     store.putVm(
         new ListedVm(
@@ -89,6 +91,25 @@
     assertEquals(2, listed().incarnation());
   }
 
+  /** Guards against a variant that ends since a target of the previous one restarts under it. */
+  @Test
+  void nextVariantStartsAfterTheDrainedTargetHasRestarted() throws Exception {
+    try (SystemUnderTest system = connect(store.address())) {
+      system.inject(fault(FaultKind.DRAIN_TARGET));
+    }
+    assertEquals(2, target.incarnation());
+  }
+
+  /** Guards against a variant that ends since a target of the previous one is still down. */
+  @Test
+  void nextVariantStartsAfterTheCrashedTargetHasRestarted() throws Exception {
+    try (SystemUnderTest system = connect(null)) {
+      system.inject(fault(FaultKind.CRASH_TARGET));
+    }
+    assertEquals(2, target.incarnation());
+    assertEquals(200, sendWork("g"));
+  }
+
   @Test
   void closeClearsTheTargetsFaults() throws Exception {
     try (SystemUnderTest system = connect(null)) {
