Judge a loss by itself once an earlier one is settled

Found while reading the change: after a target was reached on a new connection and its cold time had passed, a further loss was still judged by the time of the first one, so that no later connection could show that the target had not restarted. A single lost answer then made the target cold for a whole cold time. TargetContactTest.lossAfterTheColdTimeIsJudgedByItself failed before.

A stop closes lingering connections no sooner than their callers do or their second is over; the line of TARGET_UNCONFIRMED says what is done.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetContact.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetContact.java
@@ -45,15 +45,15 @@
    *
    * @param aliveAt when the known incarnation was last known to be alive
    * @param newColdMillis time for which a target of the service is cold after its start
-   * @return true if contact was confirmed before
+   * @return true if no earlier loss was still in doubt
    */
   boolean recordLost(long aliveAt, long now, long newColdMillis) {
-    boolean wasConfirmed = state == State.CONFIRMED;
-    aliveAtMillis = wasConfirmed ? aliveAt : Math.min(aliveAtMillis, aliveAt);
+    boolean wasSettled = state == State.CONFIRMED || isWarmSinceReached(now);
+    aliveAtMillis = wasSettled ? aliveAt : Math.min(aliveAtMillis, aliveAt);
     lostAtMillis = now;
     coldMillis = newColdMillis;
     state = State.LOST;
-    return wasConfirmed;
+    return wasSettled;
   }
 
   /** Records a connection to the target, which may have been opened some time ago. */
@@ -89,7 +89,12 @@
     return switch (state) {
       case CONFIRMED -> false;
       case LOST -> coldMillis > 0 && (now - lostAtMillis < coldMillis || inFlight > 0);
-      case REACHED -> now - reachedAtMillis < coldMillis;
+      case REACHED -> !isWarmSinceReached(now);
     };
   }
+
+  /** Returns true if the target is warm whichever incarnation accepted the new connection. */
+  private boolean isWarmSinceReached(long now) {
+    return state == State.REACHED && now - reachedAtMillis >= coldMillis;
+  }
 }
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/TargetContactTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/TargetContactTest.java
@@ -86,6 +86,15 @@
     assertTrue(contact.recordAnswer(8_000, 10_500, 10_600));
   }
 
+  @Test
+  void lossAfterTheColdTimeIsJudgedByItself() {
+    TargetContact contact = lost();
+    contact.recordConnection(20_000);
+    assertTrue(contact.recordLost(24_000, 25_000, COLD_MILLIS));
+    assertTrue(contact.recordAnswer(20_000, 25_000, 25_100));
+    assertFalse(contact.mayBeCold(25_100, 1));
+  }
+
   @Test
   void targetsOfServiceWithoutColdTimeAreNotLimited() {
     TargetContact contact = new TargetContact(0);
--- a/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
@@ -307,7 +307,7 @@
 
   /** Closes the connection if it has no request; returns whether it did. */
   boolean closeIfIdle() {
-    if (exchanges.isEmpty() && headStartedAtMillis == 0) {
+    if (!isLingering && exchanges.isEmpty() && headStartedAtMillis == 0) {
       closeNow();
       return true;
     }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -394,7 +394,7 @@
       logTarget(
           EventKind.TARGET_UNCONFIRMED,
           target.facts(),
-          "may have restarted, is cold then: " + cause);
+          "may have restarted, treated as cold: " + cause);
     }
   }
 
@@ -467,6 +467,7 @@
     return lingeringCount < MAX_LINGERING_CONNECTIONS;
   }
 
+  /** Counts a connection that waits for its caller to close it. */
   void lingeringStarted() {
     lingeringCount++;
   }
