Count only ends of connections after silence as lost contact

Cause: targets there lose answers and reset connections beyond their cap.

Change: the end of a connection counts after half a second without an answer. A target that resets sooner is there; a restart behind a cut shows as silence.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
@@ -41,6 +41,12 @@
    */
   private static final long MIN_CHECK_DELAY_MILLIS = 1_000;
 
+  /**
+   * Minimum time without an answer before the end of a connection counts as lost contact. A target
+   * that resets a connection sooner is there: it drops an answer or has too many connections.
+   */
+  private static final long MIN_SILENCE_MILLIS = 500;
+
   /** The check is delayed by at least this multiple of the estimated wait and run time. */
   private static final double CHECK_DELAY_FACTOR = 2;
 
@@ -353,12 +359,10 @@
     finish(false);
     dropResponse();
     TargetConnection used = connection;
-    if (used != null && used.isEndedByPeer()) {
-      long now = forwarder.loop().nowMillis();
-      long aliveAt = used.hasResponseBytes() ? now : used.lastAliveMillis();
-      forwarder.onContactLost(target(), aliveAt, cause);
-    }
     if (used != null && !used.hasResponseBytes()) {
+      if (used.isEndedByPeer() && elapsedMillis() >= MIN_SILENCE_MILLIS) {
+        forwarder.onContactLost(target(), used.lastAliveMillis(), cause);
+      }
       forwarder
           .crashDetector()
           .onRequestLost(target().facts(), exchange.fingerprint(), exchange.runsAtMostOnce());
