--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetContact.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetContact.java
@@ -5,9 +5,10 @@
  * connections show.
  *
  * <p>A restarted target is cold, but its new registration is known only a heartbeat later, or not
- * at all while the store is unreachable. No connection survives a restart. So an answer on a
- * connection that is older than the loss of another one proves that the target did not restart, and
- * the first new connection after a loss bounds the time for which it can be cold.
+ * at all while the store is unreachable. No connection survives a restart. So after a connection
+ * was lost, an answer on another one proves that the target did not restart, if that one was open
+ * before the target was last seen alive on the lost one. The first new connection after the loss
+ * bounds the time for which the target can be cold.
  *
  * <pre>{@code
  * contact.recordLost(lastAnswerMillis, now, service.coldMillis());
