Log what identifies the requests that a crashed target had, and why one is held back

Cause of the change: the log of the incident has no fingerprint at a loss, at a crash, at a report of another VM or at a refusal, so that two hypotheses (held back by too few crashes; not recognised as the same) can't be told apart.

TARGET_CRASHED now names request, fingerprint, caller address and the hashes of target and body; a report of another VM has a line with its age; QUARANTINED says when a fingerprint is held back or no longer and on which crashes that rests; a refusal says the same. A counter requests_quarantined.

--- a/sageladder-core/src/main/java/org/sageladder/core/quarantine/Quarantine.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quarantine/Quarantine.java
@@ -137,7 +137,7 @@
     int nearbyCrashes = 0;
     int crashesWithFingerprint = 0;
     for (CrashReport report : reports.values()) {
-      if (Math.abs(report.atMillis() - last) <= limits.correlationWindow().toMillis()) {
+      if (isNear(report, last)) {
         nearbyCrashes++;
         crashesWithFingerprint += report.fingerprints().contains(fingerprint) ? 1 : 0;
       }
@@ -174,6 +174,46 @@
     return untilMillis == null ? 0 : Math.max(0, untilMillis - nowMillis);
   }
 
+  /** The fingerprints that are quarantined at {@code nowMillis}. */
+  public Set<Long> quarantined(long nowMillis) {
+    Set<Long> current = new HashSet<>();
+    quarantinedUntilMillis.forEach(
+        (fingerprint, untilMillis) -> {
+          if (nowMillis < untilMillis) {
+            current.add(fingerprint);
+          }
+        });
+    return current;
+  }
+
+  /**
+   * What the decision on a fingerprint is based on, for log lines: the crashes that include it, the
+   * age of the last one, and how many crashes there were around it.
+   */
+  public String describe(long fingerprint, long nowMillis) {
+    synchronized (lock) {
+      List<CrashReport> with =
+          reports.values().stream()
+              .filter(report -> report.fingerprints().contains(fingerprint))
+              .toList();
+      long last = with.stream().mapToLong(CrashReport::atMillis).max().orElse(nowMillis);
+      long nearby = reports.values().stream().filter(report -> isNear(report, last)).count();
+      return "in flight at the crashes of "
+          + with.stream().map(CrashReport::target).toList()
+          + ", the last "
+          + (nowMillis - last)
+          + " ms ago, "
+          + nearby
+          + " crashes around it, quarantined for "
+          + remainingMillis(fingerprint, nowMillis)
+          + " ms";
+    }
+  }
+
+  private boolean isNear(CrashReport report, long atMillis) {
+    return Math.abs(report.atMillis() - atMillis) <= limits.correlationWindow().toMillis();
+  }
+
   /** The crash reports that are still taken into account, for an entry VM that has just started. */
   public Collection<CrashReport> reports() {
     synchronized (lock) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
@@ -365,7 +365,11 @@
       }
       forwarder
           .crashDetector()
-          .onRequestLost(target().facts(), exchange.fingerprint(), exchange.runsAtMostOnce());
+          .onRequestLost(
+              target().facts(),
+              exchange.requestId(),
+              exchange.fingerprint(),
+              exchange.runsAtMostOnce());
     }
     exchange.onLost(this, cause);
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/CrashDetector.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CrashDetector.java
@@ -2,12 +2,15 @@
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.sageladder.core.event.EventKind;
 import org.sageladder.core.event.EventSink;
 import org.sageladder.core.placing.TargetFacts;
@@ -30,7 +33,11 @@
 
   private static final int PROBE_TIMEOUT_MILLIS = 500;
 
-  private record LostRequests(Set<Long> fingerprints, boolean hasNonIdempotent) {}
+  /** Maximum number of requests that the log line of a crash names. */
+  private static final int MAX_LOGGED_REQUESTS = 8;
+
+  private record LostRequests(
+      Set<Long> fingerprints, boolean hasNonIdempotent, List<String> descriptions) {}
 
   private final Loop loop;
   private final EventSink log;
@@ -52,28 +59,79 @@
   /** Handles a crash that another entry VM has reported. */
   void onCrashReport(CrashReport report) {
     knownSuspects.addAll(report.fingerprints());
+    addToQuarantine(report);
+    log.record(
+        EventKind.TARGET_CRASHED,
+        "",
+        "",
+        report.target(),
+        report.incarnation(),
+        "reported after "
+            + (loop.wallMillis() - report.atMillis())
+            + " ms with "
+            + describeFingerprints(report));
+  }
+
+  /** Adds a crash and logs the requests that it puts into quarantine. */
+  private void addToQuarantine(CrashReport report) {
+    long now = loop.wallMillis();
+    Set<Long> before = quarantine.quarantined(now);
     quarantine.add(report);
+    Set<Long> after = quarantine.quarantined(now);
+    for (long fingerprint : after) {
+      if (!before.contains(fingerprint)) {
+        logQuarantine(fingerprint, quarantine.describe(fingerprint, now));
+      }
+    }
+    for (long fingerprint : before) {
+      if (!after.contains(fingerprint)) {
+        logQuarantine(fingerprint, "ends, " + quarantine.describe(fingerprint, now));
+      }
+    }
+  }
+
+  private void logQuarantine(long fingerprint, String detail) {
+    log.record(EventKind.QUARANTINED, "", "", RequestFingerprint.toHex(fingerprint), 0, detail);
+  }
+
+  private static String describeFingerprints(CrashReport report) {
+    return report.fingerprints().stream()
+        .map(RequestFingerprint::toHex)
+        .collect(Collectors.joining(" "));
   }
 
   /** Milliseconds for which the request stays quarantined; 0 if it is not. */
-  long quarantineMillis(LongSupplier fingerprint) {
+  long quarantineMillis(Supplier<RequestFingerprint> fingerprint) {
     if (quarantine.isEmpty()) {
       return 0;
     }
-    return quarantine.remainingMillis(fingerprint.getAsLong(), loop.wallMillis());
+    return quarantine.remainingMillis(fingerprint.get().value(), loop.wallMillis());
+  }
+
+  /** States why the request is refused, for the log. */
+  String describeQuarantine(RequestFingerprint fingerprint) {
+    return "the request has crashed targets, fingerprint "
+        + fingerprint.describe()
+        + ", "
+        + quarantine.describe(fingerprint.value(), loop.wallMillis());
   }
 
   /** Handles a connection that ended before any byte of a response to its request. */
-  void onRequestLost(TargetFacts target, long fingerprint, boolean nonIdempotent) {
+  void onRequestLost(
+      TargetFacts target, String requestId, RequestFingerprint fingerprint, boolean nonIdempotent) {
     LostRequests lost = lostRequestsByTarget.get(target.incarnation());
     if (lost == null) {
-      lost = new LostRequests(new HashSet<>(), nonIdempotent);
+      lost = new LostRequests(new HashSet<>(), nonIdempotent, new ArrayList<>());
       var unused = loop.schedule(PROBE_DELAY_MILLIS, () -> probe(target));
     }
-    lost.fingerprints().add(fingerprint);
+    lost.fingerprints().add(fingerprint.value());
+    if (lost.descriptions().size() < MAX_LOGGED_REQUESTS) {
+      lost.descriptions().add(requestId + " with fingerprint " + fingerprint.describe());
+    }
     lostRequestsByTarget.put(
         target.incarnation(),
-        new LostRequests(lost.fingerprints(), lost.hasNonIdempotent() || nonIdempotent));
+        new LostRequests(
+            lost.fingerprints(), lost.hasNonIdempotent() || nonIdempotent, lost.descriptions()));
   }
 
   private void probe(TargetFacts target) {
@@ -99,14 +157,18 @@
             lost.fingerprints());
     boolean wasSuspect = lost.fingerprints().stream().anyMatch(knownSuspects::contains);
     knownSuspects.addAll(lost.fingerprints());
-    quarantine.add(report);
+    addToQuarantine(report);
     log.record(
         EventKind.TARGET_CRASHED,
         "",
         target.service(),
         target.id(),
-        0,
-        lost.fingerprints().size() + " requests lost, any suspect before: " + wasSuspect);
+        target.incarnation().startedAtMillis(),
+        lost.fingerprints().size()
+            + " requests lost, any suspect before: "
+            + wasSuspect
+            + "; "
+            + String.join("; ", lost.descriptions()));
     if (wasSuspect || lost.hasNonIdempotent()) {
       publisher.accept(report);
     }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -132,10 +132,9 @@
   }
 
   /** Identifies requests by what may crash a target: caller, path and body. */
-  long fingerprint() {
-    return Hashing.komihash5_0()
-        .hashCharsToLong(
-            caller.callerAddress() + '\n' + head.method() + head.uri() + '\n' + body.fingerprint());
+  RequestFingerprint fingerprint() {
+    return RequestFingerprint.of(
+        caller.callerAddress(), head.method() + head.uri(), body.fingerprint());
   }
 
   /** Milliseconds until the request must be answered. */
@@ -298,11 +297,12 @@
     if (quarantineMillis > 0) {
       // 503 instead of the result code's own status: the request may not have caused the crashes,
       // and callers retry a 503.
+      forwarder.metrics().count("requests_quarantined");
       respond(
           ResultCode.QUARANTINED,
           mayHaveRun ? 502 : 503,
           addJitter(quarantineMillis),
-          "the request has crashed targets");
+          forwarder.crashDetector().describeQuarantine(fingerprint()));
       return;
     }
     long now = forwarder.loop().nowMillis();
