--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
@@ -41,11 +41,19 @@
     return all;
   }
 
+  /** Troubles of requests that crash their targets, by name; these are never chosen at random. */
+  public static Map<String, Trouble> crashingRequests() {
+    Map<String, Trouble> all = new LinkedHashMap<>();
+    CallerTroubles.addCrashingTo(all);
+    return all;
+  }
+
   /** The trouble with that name, or null. */
   public static @Nullable Trouble find(String name) {
     Map<String, Trouble> known = all();
     known.putAll(workspaceTroubles());
     known.putAll(signalTroubles());
+    known.putAll(crashingRequests());
     return known.get(name);
   }
 
@@ -59,6 +67,10 @@
     return pickEntries(fleet, random, 1).get(0);
   }
 
+  static <T> T pickOne(List<T> all, Random random) {
+    return all.get(random.nextInt(all.size()));
+  }
+
   static long randomMillis(Random random, int minMillis, int maxMillis) {
     return (long) minMillis + random.nextInt(maxMillis - minMillis);
   }
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/CallersStandIn.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/CallersStandIn.java
@@ -64,18 +64,24 @@
     final String object;
     final String body;
     final Set<String> failedAddresses = new HashSet<>();
+    final Consumer<CompletedRequest> completion;
     int remainingRetries;
     @Nullable CallerConnection connection;
     @Nullable String id;
     Loop.@Nullable Timer deadlineTimer;
     boolean isFinished;
 
-    Request(RequestProfile profile, String object, String body, int remainingRetries) {
+    Request(
+        RequestProfile profile,
+        String object,
+        int remainingRetries,
+        Consumer<CompletedRequest> completion) {
       this.profile = profile;
       this.startedAtMillis = loop.nowMillis();
       this.object = object;
-      this.body = body;
+      this.body = profile.idempotent() ? "" : "body of " + object + ' ' + "x".repeat(200);
       this.remainingRetries = remainingRetries;
+      this.completion = completion;
     }
 
     long remainingMillis() {
@@ -143,6 +149,26 @@
     scheduleNext(profile, fraction);
   }
 
+  /**
+   * Sends one request that crashes the targets that run it, and sends it again {@code pauseMillis}
+   * after each end until {@code untilMillis}. It does not count among the completed requests.
+   */
+  public void sendCrashingRequest(
+      RequestProfile profile, String object, long pauseMillis, long untilMillis) {
+    if (loop.nowMillis() >= untilMillis) {
+      return;
+    }
+    Runnable sendAgain = () -> sendCrashingRequest(profile, object, pauseMillis, untilMillis);
+    startRequest(
+        new Request(
+            profile,
+            object + "/poison",
+            1,
+            ended -> {
+              var unused = loop.schedule(pauseMillis, sendAgain);
+            }));
+  }
+
   /** Sets the source of the API keys for new requests. */
   public void setCredentialSource(CredentialSource source) {
     credentialSource = source;
@@ -187,8 +213,7 @@
 
   private Request newRequest(RequestProfile profile) {
     String object = "o" + random.nextInt(profile.objectCount());
-    String body = profile.idempotent() ? "" : "body of " + object + ' ' + "x".repeat(200);
-    Request request = new Request(profile, object, body, 1);
+    Request request = new Request(profile, object, 1, onCompletion);
     if (random.nextDouble() < abandonFraction) {
       var unused = loop.schedule(abandonAfterMillis, () -> finish(request, 0));
     }
@@ -415,7 +440,7 @@
       ledger.recordCallerLeft(id, loop.nowMillis());
       connection.abandon();
     }
-    onCompletion.accept(
+    request.completion.accept(
         new CompletedRequest(
             request.profile,
             request.startedAtMillis,
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/Ledger.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/Ledger.java
@@ -38,6 +38,9 @@
       long sentAtMillis,
       long deadlineMillis) {}
 
+  /** A crash of a target that the run of a request caused. */
+  public record Crash(String requestId, String target, long atMillis) {}
+
   /** What a target did with a request on arrival. */
   public enum Fate {
     /** Accepted: it runs or waits for a slot. */
@@ -226,6 +229,7 @@
   private final List<Delivery> deliveries = new ArrayList<>();
   private final Map<String, Attempt> attempts = new LinkedHashMap<>();
   private final List<Arrival> arrivals = new ArrayList<>();
+  private final List<Crash> crashes = new ArrayList<>();
   private final Map<String, List<Run>> runs = new HashMap<>();
   private final Map<String, Answered> answers = new HashMap<>();
   private final Map<String, Long> callerLeftAtMillis = new HashMap<>();
@@ -322,6 +326,16 @@
     return run;
   }
 
+  /** Records that the run of a request has crashed its target. */
+  public void recordCrash(Crash crash) {
+    crashes.add(crash);
+  }
+
+  /** Returns the crashes that requests caused, in the order in which they happened. */
+  public List<Crash> crashes() {
+    return crashes;
+  }
+
   /** Records the answer to an attempt, or that its connection closed; the first one counts. */
   public void recordAnswer(Answered answer) {
     answers.putIfAbsent(answer.id(), answer);
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/TargetStandIn.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/TargetStandIn.java
@@ -18,7 +18,7 @@
  * One incarnation of a target with slots, a queue, an object cache, a cold start and faults.
  *
  * <p>The last segment of a request's path is its mean run time in milliseconds, as in {@code
- * /lots/640}. A path that contains {@code poison} crashes the target that starts to run it.
+ * /lots/640}. A path that contains {@code poison} crashes the target that runs it.
  */
 public final class TargetStandIn {
   /** Faults of a target's answers. */
@@ -50,6 +50,9 @@
   /** Time within which a change in the store reaches connected entry VMs. */
   private static final long PROPAGATION_MILLIS = 1_000;
 
+  /** Time from the start of a run that crashes the target to the crash. */
+  private static final long CRASH_DELAY_MILLIS = 90;
+
   private static final int UNAVAILABLE = 503;
   private static final int PADDING_LENGTH = 400;
 
@@ -326,11 +329,11 @@
     boolean hadCached = traits.cacheCapacity() > 0 && cachedObjects.containsKey(job.object);
     job.run =
         ledger.recordRunStart(job.id, facts.incarnation().toString(), hadCached, loop.nowMillis());
+    running.add(job);
     if (job.path.contains("poison")) {
-      crashProcess.run();
+      var unused = loop.schedule(CRASH_DELAY_MILLIS, () -> crashIfRunning(job));
       return;
     }
-    running.add(job);
     double millis = (double) job.meanServiceMillis * (hadCached ? traits.cachedTimeFraction() : 1);
     millis *=
         1 - SERVICE_TIME_JITTER_FRACTION + 2 * SERVICE_TIME_JITTER_FRACTION * random.nextDouble();
@@ -342,6 +345,14 @@
             Math.round(Math.min(millis, (double) maxMillis)), () -> finishRun(job, inTime));
   }
 
+  private void crashIfRunning(Job job) {
+    if (running.contains(job)) {
+      ledger.recordCrash(
+          new Ledger.Crash(job.id, facts.incarnation().toString(), loop.nowMillis()));
+      crashProcess.run();
+    }
+  }
+
   private void finishRun(Job job, boolean inTime) {
     if (!running.remove(job)) {
       return;
