Reproduce the incident: one request that crashes targets, sent by changing callers

What callers saw: searches refused while targets crash one after the other. They now give the address as a real socket does.

request-crashes-targets sends one such request, each time from another address.

--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/Fleet.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/Fleet.java
@@ -42,6 +42,7 @@
   private final Tenants tenants;
   private long configurationVersion = 4;
   private int targetHostCount;
+  private int callerHostCount;
 
   /** Provides the log sink of each entry VM. */
   @FunctionalInterface
@@ -105,27 +106,37 @@
 
   private void startCallers() {
     double trafficFraction = 1.0 / context.deployment().regionByZone().size();
-    int number = 0;
-    for (Map.Entry<String, String> zone : context.deployment().regionByZone().entrySet()) {
-      number++;
-      SimulatedHost host =
-          context.network().addCallerHost("10.9.0." + number, zone.getKey(), zone.getValue());
+    for (String zone : context.deployment().regionByZone().keySet()) {
       callers.add(
-          CallersStandIn.start(
-              context.network().processLoop(host),
-              new CallersStandIn.Location(
-                  zone.getKey(), zone.getValue(), lookUpAddresses(zone.getKey())),
-              context.deployment().requestProfiles(),
-              trafficFraction,
-              context.day().ledger(),
-              name -> Optional.ofNullable(routes.get(name)),
-              context.seed(),
-              ended -> context.day().requests().add(ended)));
+          startCallers(zone, zone, context.deployment().requestProfiles(), trafficFraction));
     }
     callers.forEach(each -> each.setCredentialSource(tenants::drawCredential));
     tenants.all().forEach(each -> context.day().putWorkspace(each.workspace()));
   }
 
+  /** Starts callers on a host of their own. */
+  private CallersStandIn startCallers(
+      String name, String zone, List<RequestProfile> profiles, double trafficFraction) {
+    callerHostCount++;
+    String region = context.deployment().regionByZone().getOrDefault(zone, "");
+    String ip = "10.9." + callerHostCount / 200 + '.' + callerHostCount % 200;
+    SimulatedHost host = context.network().addCallerHost(ip, zone, region);
+    return CallersStandIn.start(
+        context.network().processLoop(host),
+        new CallersStandIn.Location(name, zone, region, lookUpAddresses(zone)),
+        profiles,
+        trafficFraction,
+        context.day().ledger(),
+        route -> Optional.ofNullable(routes.get(route)),
+        context.seed(),
+        ended -> context.day().requests().add(ended));
+  }
+
+  /** Starts callers with an address of their own, which send nothing by themselves. */
+  public CallersStandIn addCallers(String zone) {
+    return startCallers(zone + '-' + callerHostCount, zone, List.of(), 0);
+  }
+
   /** Look-up addresses of all entry VMs: those in the zone first, then those in its region. */
   private List<String> lookUpAddresses(String zone) {
     String region = context.deployment().regionByZone().getOrDefault(zone, "");
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/CallerTroubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/CallerTroubles.java
@@ -1,9 +1,12 @@
 package org.sageladder.scenario.trouble;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.Supplier;
 import org.sageladder.scenario.Fleet;
 import org.sageladder.standin.platform.CallersStandIn;
+import org.sageladder.standin.platform.RequestProfile;
 
 /** Troubles that callers cause. */
 final class CallerTroubles {
@@ -13,7 +16,7 @@
   private static final long DISCONNECT_AFTER_MILLIS = 150;
   private static final long DISCONNECTING_MILLIS = 5_000;
 
-  private static final int SEVERAL_CRASHING_REQUESTS = 4;
+  private static final int CRASHING_REQUESTS = 4;
   private static final int MIN_PAUSE_MILLIS = 200;
   private static final int MAX_PAUSE_MILLIS = 1_500;
   private static final long CRASHING_MILLIS = 20_000;
@@ -26,10 +29,8 @@
   }
 
   static void addCrashingTo(Map<String, Trouble> all) {
-    all.put("request-crashes-targets", (fleet, random) -> crashTargets(fleet, random, 1));
-    all.put(
-        "requests-crash-targets",
-        (fleet, random) -> crashTargets(fleet, random, SEVERAL_CRASHING_REQUESTS));
+    all.put("request-crashes-targets", CallerTroubles::crashTargets);
+    all.put("requests-crash-targets", CallerTroubles::crashTargetsTogether);
   }
 
   private static void burst(Fleet fleet, Random random) {
@@ -49,22 +50,45 @@
         () -> fleet.callers().forEach(callers -> callers.setAbandonment(0, 0)));
   }
 
-  /**
-   * Requests crash the targets that run them. Their callers send them again, each from its own
-   * address.
-   */
-  private static void crashTargets(Fleet fleet, Random random, int count) {
-    for (int i = 0; i < count; i++) {
-      sendCrashingRequest(fleet, random, "c" + i, Troubles.pickOne(fleet.callers(), random));
+  /** A request crashes the targets that run it and is sent again, each time by another caller. */
+  private static void crashTargets(Fleet fleet, Random random) {
+    List<String> zones = List.copyOf(fleet.deployment().regionByZone().keySet());
+    new CrashingRequest(fleet, random, "c", () -> fleet.addCallers(Troubles.pickOne(zones, random)))
+        .send();
+  }
+
+  /** Several requests crash the targets that run them, each sent again by the same caller. */
+  private static void crashTargetsTogether(Fleet fleet, Random random) {
+    for (int i = 0; i < CRASHING_REQUESTS; i++) {
+      CallersStandIn callers = Troubles.pickOne(fleet.callers(), random);
+      new CrashingRequest(fleet, random, "c" + i, () -> callers).send();
     }
   }
 
-  private static void sendCrashingRequest(
-      Fleet fleet, Random random, String object, CallersStandIn callers) {
-    callers.sendCrashingRequest(
-        Troubles.pickOne(fleet.deployment().requestProfiles(), random),
-        object,
-        Troubles.randomMillis(random, MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS),
-        fleet.nowMillis() + CRASHING_MILLIS);
+  /** A request that its callers send again after a pause, whatever its outcome. */
+  private static final class CrashingRequest {
+    private final Fleet fleet;
+    private final String object;
+    private final Supplier<CallersStandIn> callers;
+    private final RequestProfile profile;
+    private final long pauseMillis;
+    private final long endMillis;
+
+    CrashingRequest(Fleet fleet, Random random, String object, Supplier<CallersStandIn> callers) {
+      this.fleet = fleet;
+      this.object = object;
+      this.callers = callers;
+      this.pauseMillis = Troubles.randomMillis(random, MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS);
+      this.profile = Troubles.pickOne(fleet.deployment().requestProfiles(), random);
+      this.endMillis = fleet.nowMillis() + CRASHING_MILLIS;
+    }
+
+    void send() {
+      if (fleet.nowMillis() < endMillis) {
+        callers
+            .get()
+            .sendCrashingRequest(profile, object, () -> fleet.runAfter(pauseMillis, this::send));
+      }
+    }
   }
 }
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/RequestsThatCrashTargetsTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/RequestsThatCrashTargetsTest.java
@@ -9,12 +9,12 @@
   private static final int SEED_COUNT = 10;
 
   @TestFactory
-  Collection<DynamicTest> oneRequest() {
+  Collection<DynamicTest> requestFromChangingAddresses() {
     return SeededTroubles.testsForSeeds("request-crashes-targets", Deployment.stamps(), SEED_COUNT);
   }
 
   @TestFactory
-  Collection<DynamicTest> severalRequests() {
+  Collection<DynamicTest> severalRequestsAtOnce() {
     return SeededTroubles.testsForSeeds("requests-crash-targets", Deployment.stamps(), SEED_COUNT);
   }
 }
--- a/sageladder-standin/src/main/java/org/sageladder/standin/network/SimulatedAddress.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/network/SimulatedAddress.java
@@ -1,6 +1,9 @@
 package org.sageladder.standin.network;
 
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.net.UnknownHostException;
 
 /** IP address of a {@link SimulatedHost} and a port. */
 @SuppressWarnings("serial") // never serialized; SocketAddress implements Serializable
@@ -23,6 +26,15 @@
     return port;
   }
 
+  /** Returns the form in which a real socket gives its peer's address. */
+  InetSocketAddress toSocketAddress() {
+    try {
+      return new InetSocketAddress(InetAddress.getByName(ip), port);
+    } catch (UnknownHostException e) {
+      throw new IllegalStateException("not an IP address: '" + ip + "'", e);
+    }
+  }
+
   @Override
   public boolean equals(Object other) {
     return other instanceof SimulatedAddress address
--- a/sageladder-standin/src/main/java/org/sageladder/standin/network/SimulatedChannel.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/network/SimulatedChannel.java
@@ -217,7 +217,7 @@
 
   @Override
   protected @Nullable SocketAddress remoteAddress0() {
-    return remoteAddress;
+    return remoteAddress == null ? null : remoteAddress.toSocketAddress();
   }
 
   @Override
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/CallersStandIn.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/CallersStandIn.java
@@ -41,9 +41,10 @@
   /**
    * The location of the callers and the entry VMs that they ask for addresses.
    *
+   * @param name name that no other callers have; request ids begin with it
    * @param lookUpAddresses addresses of entry VMs' look-up ports, nearest first
    */
-  public record Location(String zone, String region, List<String> lookUpAddresses) {}
+  public record Location(String name, String zone, String region, List<String> lookUpAddresses) {}
 
   /** The outcome of a caller's request after all its attempts; status 0 means no answer. */
   public record CompletedRequest(
@@ -117,9 +118,9 @@
     this.location = location;
     this.ledger = ledger;
     this.currentRoutes = currentRoutes;
-    this.random = new Random(seed ^ location.zone().hashCode());
+    this.random = new Random(seed ^ location.name().hashCode());
     this.onCompletion = onCompletion;
-    this.credentialRandom = new Random(seed + location.zone().hashCode());
+    this.credentialRandom = new Random(seed + location.name().hashCode());
   }
 
   /**
@@ -150,23 +151,11 @@
   }
 
   /**
-   * Sends one request that crashes the targets that run it, and sends it again {@code pauseMillis}
-   * after each end until {@code untilMillis}. It does not count among the completed requests.
+   * Sends one request that crashes the targets that run it, and retries it as any other. It does
+   * not count among the completed requests.
    */
-  public void sendCrashingRequest(
-      RequestProfile profile, String object, long pauseMillis, long untilMillis) {
-    if (loop.nowMillis() >= untilMillis) {
-      return;
-    }
-    Runnable sendAgain = () -> sendCrashingRequest(profile, object, pauseMillis, untilMillis);
-    startRequest(
-        new Request(
-            profile,
-            object + "/poison",
-            1,
-            ended -> {
-              var unused = loop.schedule(pauseMillis, sendAgain);
-            }));
+  public void sendCrashingRequest(RequestProfile profile, String object, Runnable onEnd) {
+    startRequest(new Request(profile, object + "/poison", 1, ended -> onEnd.run()));
   }
 
   /** Sets the source of the API keys for new requests. */
@@ -340,7 +329,7 @@
       return;
     }
     lastRequestNumber++;
-    String id = location.zone() + "-" + lastRequestNumber;
+    String id = location.name() + "-" + lastRequestNumber;
     String path =
         request.profile.prefix() + request.object + '/' + request.profile.meanServiceMillis();
     request.connection = connection;
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/ServerPort.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/ServerPort.java
@@ -20,7 +20,6 @@
 import org.jspecify.annotations.Nullable;
 import org.sageladder.forward.Loop;
 import org.sageladder.forward.Sockets;
-import org.sageladder.standin.network.SimulatedAddress;
 
 /** An HTTP port of a stand-in that receives complete requests and answers them asynchronously. */
 public final class ServerPort {
@@ -85,9 +84,6 @@
 
     /** Returns the IP address of the sender. */
     String callerIp() {
-      if (context.channel().remoteAddress() instanceof SimulatedAddress simulated) {
-        return simulated.ip();
-      }
       return ((InetSocketAddress) context.channel().remoteAddress()).getAddress().getHostAddress();
     }
 
