Recognise a request that crashes targets whatever address it comes from

Cause: the fingerprint by which entry VMs recognise such a request included the caller's IP address. Sent again from another address, the request counted as a new one, with two to four targets to end before it was held back.

Now workspace, method, host, target and body make the fingerprint: what a target runs, and for whom. Same class, found beside it: the hash of the body depended on the pieces in which it arrived, and of a body too large to be sent twice on how much had been passed on. It is the hash of the first 64 KiB now.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
@@ -367,7 +367,7 @@
           .crashDetector()
           .onRequestLost(
               target().facts(),
-              exchange.requestId(),
+              exchange.requestId() + " from " + exchange.callerAddress(),
               exchange.fingerprint(),
               exchange.runsAtMostOnce());
     }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/BufferedBody.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/BufferedBody.java
@@ -1,8 +1,11 @@
 package org.sageladder.forward;
 
+import com.dynatrace.hash4j.hashing.HashStream64;
+import com.dynatrace.hash4j.hashing.Hashing;
 import io.netty.buffer.ByteBuf;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The body of a request. A small body is buffered completely so that it can be sent again; a larger
@@ -12,13 +15,19 @@
   /** Most bodies are a few kilobytes, and a VM has some hundred requests in flight. */
   private static final int MAX_BUFFERED_BYTES = 64 << 10;
 
+  /** The part of a body that distinguishes requests; no more than is buffered. */
+  private static final int MAX_HASHED_BYTES = MAX_BUFFERED_BYTES;
+
   private final Deque<ByteBuf> parts = new ArrayDeque<>();
+  private @Nullable HashStream64 hash;
+  private int hashedBytes;
   private long bufferedBytes;
   private long receivedBytes;
   private boolean isComplete;
   private boolean isStreaming;
 
   void add(ByteBuf bytes) {
+    addToHash(bytes);
     bufferedBytes += bytes.readableBytes();
     receivedBytes += bytes.readableBytes();
     parts.addLast(bytes);
@@ -77,12 +86,29 @@
     bufferedBytes = 0;
   }
 
-  /** Hash of the buffered bytes; distinguishes requests that differ only in their body. */
-  int fingerprint() {
-    int hash = 1;
-    for (ByteBuf part : parts) {
-      hash = 31 * hash + part.hashCode();
+  /**
+   * Hash of the first {@value #MAX_HASHED_BYTES} bytes, however they arrive; the same when a target
+   * is chosen and after the body was sent.
+   */
+  long fingerprint() {
+    HashStream64 current = hash;
+    return current == null ? 0 : current.getAsLong();
+  }
+
+  private void addToHash(ByteBuf bytes) {
+    int count = Math.min(bytes.readableBytes(), MAX_HASHED_BYTES - hashedBytes);
+    if (count == 0) {
+      return;
     }
-    return hash;
+    HashStream64 current = hash == null ? Hashing.komihash5_0().hashStream() : hash;
+    bytes.forEachByte(
+        bytes.readerIndex(),
+        count,
+        value -> {
+          current.putByte(value);
+          return true;
+        });
+    hash = current;
+    hashedBytes += count;
   }
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/CrashDetector.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CrashDetector.java
@@ -116,9 +116,13 @@
         + quarantine.describe(fingerprint.value(), loop.wallMillis());
   }
 
-  /** Handles a connection that ended before any byte of a response to its request. */
+  /**
+   * Handles a connection that ended before any byte of a response to its request.
+   *
+   * @param request id and caller of the request, for the log
+   */
   void onRequestLost(
-      TargetFacts target, String requestId, RequestFingerprint fingerprint, boolean nonIdempotent) {
+      TargetFacts target, String request, RequestFingerprint fingerprint, boolean nonIdempotent) {
     LostRequests lost = lostRequestsByTarget.get(target.incarnation());
     if (lost == null) {
       lost = new LostRequests(new HashSet<>(), nonIdempotent, new ArrayList<>());
@@ -126,7 +130,7 @@
     }
     lost.fingerprints().add(fingerprint.value());
     if (lost.descriptions().size() < MAX_LOGGED_REQUESTS) {
-      lost.descriptions().add(requestId + " with fingerprint " + fingerprint.describe());
+      lost.descriptions().add(request + " with fingerprint " + fingerprint.describe());
     }
     lostRequestsByTarget.put(
         target.incarnation(),
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -131,10 +131,18 @@
     return !requireRoute().idempotent();
   }
 
-  /** Identifies requests by what may crash a target: caller, path and body. */
+  /** Identifies the request across attempts and entry VMs. */
   RequestFingerprint fingerprint() {
+    String workspace = workspaceName();
     return RequestFingerprint.of(
-        caller.callerAddress(), head.method() + head.uri(), body.fingerprint());
+        workspace == null ? "" : workspace,
+        head.method() + " " + RequestHeadValidator.hostName(head) + head.uri(),
+        body.fingerprint());
+  }
+
+  /** IP address of the caller, for log lines. */
+  String callerAddress() {
+    return caller.callerAddress();
   }
 
   /** Milliseconds until the request must be answered. */
--- a/sageladder-forward/src/main/java/org/sageladder/forward/RequestFingerprint.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/RequestFingerprint.java
@@ -3,21 +3,33 @@
 import com.dynatrace.hash4j.hashing.Hashing;
 
 /**
- * Identifies a request across attempts, connections and entry VMs.
+ * Identifies a request across attempts, connections, addresses and entry VMs, by what a target runs
+ * and for whom.
+ *
+ * <p>The caller's address is no part of it: callers send a request again from other addresses.
  *
  * @param value what entry VMs compare
- * @param callerAddress IP address of the caller
- * @param targetHash hash of method and request target
+ * @param workspace name of the workspace that sent the request, or empty
+ * @param targetHash hash of method, host and request target
  * @param bodyHash hash of the body
  */
-record RequestFingerprint(long value, String callerAddress, int targetHash, int bodyHash) {
+record RequestFingerprint(long value, String workspace, int targetHash, long bodyHash) {
   private static final int HEX_RADIX = 16;
 
-  static RequestFingerprint of(String callerAddress, String methodAndTarget, int bodyHash) {
+  /**
+   * Returns the fingerprint of a request.
+   *
+   * @param target method, host and request target
+   */
+  static RequestFingerprint of(String workspace, String target, long bodyHash) {
     long value =
         Hashing.komihash5_0()
-            .hashCharsToLong(callerAddress + '\n' + methodAndTarget + '\n' + bodyHash);
-    return new RequestFingerprint(value, callerAddress, methodAndTarget.hashCode(), bodyHash);
+            .hashStream()
+            .putString(workspace)
+            .putString(target)
+            .putLong(bodyHash)
+            .getAsLong();
+    return new RequestFingerprint(value, workspace, target.hashCode(), bodyHash);
   }
 
   /** The form of a fingerprint in log lines and in the store. */
@@ -28,11 +40,10 @@
   /** The fingerprint and its parts, so that a log shows in which part two requests differ. */
   String describe() {
     return toHex(value)
-        + " of "
-        + callerAddress
-        + ", target "
+        + " of target "
         + Integer.toUnsignedString(targetHash, HEX_RADIX)
         + ", body "
-        + Integer.toUnsignedString(bodyHash, HEX_RADIX);
+        + toHex(bodyHash)
+        + (workspace.isEmpty() ? "" : ", workspace " + workspace);
   }
 }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/CrashDetectorTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/CrashDetectorTest.java
@@ -89,4 +89,21 @@
       assertEquals(0, other.receivedRequests.size());
     }
   }
+
+  /** Guards against a request that counts as a new one when its caller has another address. */
+  @Test
+  void requestSentAgainFromAnotherAddressIsHeldBack() throws Exception {
+    ScriptedTarget[] targets = {crashingTarget(), crashingTarget(), crashingTarget()};
+    try (ForwardingFixture fixture = ForwardingFixture.open(targets)) {
+      BlockingQueue<CrashReport> published = new LinkedBlockingQueue<>();
+      fixture.onLoop(() -> fixture.forwarder.publishCrashesTo(published::add));
+      try (Caller caller = fixture.caller()) {
+        assertEquals(502, caller.exchange("/safe/bad", "a").status());
+      }
+      assertTrue(published.poll(60, TimeUnit.SECONDS) != null, "the crashes are not reported");
+      try (Caller caller = fixture.callerFrom("127.0.0.2")) {
+        assertEquals(503, caller.exchange("/safe/bad", "b").status());
+      }
+    }
+  }
 }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/ForwardingFixture.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/ForwardingFixture.java
@@ -153,6 +153,12 @@
     return new Caller(new Socket(InetAddress.getLoopbackAddress(), port));
   }
 
+  /** Opens a connection of a caller with the loopback address {@code address}. */
+  Caller callerFrom(String address) throws IOException {
+    InetAddress local = InetAddress.getByName(address);
+    return new Caller(new Socket(InetAddress.getLoopbackAddress(), port, local, 0));
+  }
+
   @Override
   public void close() throws IOException {
     for (ScriptedTarget target : targets) {
