Hold back a request after three crashes, whatever else crashes beside it

Cause: a request was held back only while it was on at least half of all crashes within 5 s of its last one. Two such requests beside others, or crashes of cold targets, keep each below half; and later crashes ended a quarantine that was in force. The share is there for the loss of a zone, where a request that was retried within the zone is on two of many crashes.

Now three crashes suffice; the crashes of a request held responsible count neither against those that waited beside it nor as crashes of another cause, so that two suffice for others as before. An innocent request is known by what a crashing one never has: a run that ends well. The VM that sees the run no longer counts the crashes before it, so that a popular request in flight wherever targets crash is not held back. The own interface decides by the same code and records such runs too.

--- a/sageladder-core/src/main/java/org/sageladder/core/quarantine/Quarantine.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quarantine/Quarantine.java
@@ -1,22 +1,21 @@
 package org.sageladder.core.quarantine;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
- * Decides which requests crashed two targets and must not be sent to a third.
+ * Decides which requests crashed targets and must not be sent to a further one.
  *
  * <p>The decision depends only on the set of crash reports, not on their order, so entry VMs that
- * received the same reports agree without coordination. A fingerprint is quarantined once two
- * crashes include it and so do at least half of the crashes at about the same time. The second
- * condition covers the loss of a zone: many targets then crash with different requests on them, and
- * a request that was retried within the zone did not cause the crashes.
+ * received the same reports agree without coordination; {@link CrashAttribution} describes it. A
+ * run that ends well is the exception: the entry VM that sees it no longer counts the crashes
+ * before it, since a request that crashes its targets is never answered.
  *
  * <pre>{@code
  * quarantine.add(new CrashReport("t-3", 1, now, Set.of(fingerprint)));
@@ -63,8 +62,12 @@
   private final Object lock = new Object();
   // Guarded by lock: crash reports by identity, in the order of arrival.
   private final Map<CrashId, CrashReport> reports = new java.util.LinkedHashMap<>();
+  // Guarded by lock: when a run of an accused request last ended well, by fingerprint.
+  private final Map<Long, Long> lastSuccessMillis = new HashMap<>();
   // Replaced as a whole, so that the request path reads it without a lock.
   private volatile Map<Long, Long> quarantinedUntilMillis = Map.of();
+  // Fingerprints with crashes that count against them; replaced as a whole.
+  private volatile Set<Long> accused = Set.of();
 
   private Quarantine(Limits limits) {
     this.limits = limits;
@@ -90,7 +93,7 @@
       }
       reports.put(crash, merged);
       evictOldReports(report.atMillis());
-      quarantinedUntilMillis = computeQuarantinedUntil();
+      update();
       return true;
     }
   }
@@ -109,40 +112,60 @@
     while (reports.size() > limits.maxReports()) {
       reports.remove(reports.keySet().iterator().next());
     }
+    lastSuccessMillis.values().removeIf(atMillis -> atMillis < oldest);
   }
 
-  private Map<Long, Long> computeQuarantinedUntil() {
-    Map<Long, List<Long>> crashTimes = new HashMap<>();
-    for (CrashReport report : reports.values()) {
-      for (long fingerprint : report.fingerprints()) {
-        crashTimes
-            .computeIfAbsent(fingerprint, ignored -> new ArrayList<>())
-            .add(report.atMillis());
-      }
-    }
+  private void update() {
+    List<CrashReport> accusing = accusingReports();
     Map<Long, Long> untilMillis = new HashMap<>();
-    crashTimes.forEach(
-        (fingerprint, times) -> {
-          if (times.size() >= 2 && isInHalfOfCrashes(fingerprint, times)) {
-            untilMillis.put(
-                fingerprint, latest(times) + quarantineDuration(times.size()).toMillis());
-          }
-        });
-    return Map.copyOf(untilMillis);
-  }
-
-  /** Returns whether at least half of the crashes around its latest one include the fingerprint. */
-  private boolean isInHalfOfCrashes(long fingerprint, List<Long> times) {
-    long last = latest(times);
-    int nearbyCrashes = 0;
-    int crashesWithFingerprint = 0;
-    for (CrashReport report : reports.values()) {
-      if (isNear(report, last)) {
-        nearbyCrashes++;
-        crashesWithFingerprint += report.fingerprints().contains(fingerprint) ? 1 : 0;
-      }
+    CrashAttribution.attribute(accusing, limits.correlationWindow().toMillis())
+        .forEach(
+            (fingerprint, times) ->
+                untilMillis.put(
+                    fingerprint, latest(times) + quarantineDuration(times.size()).toMillis()));
+    quarantinedUntilMillis = Map.copyOf(untilMillis);
+    accused =
+        accusing.stream()
+            .flatMap(report -> report.fingerprints().stream())
+            .collect(Collectors.toUnmodifiableSet());
+  }
+
+  /** The reports without the requests that have run well since. */
+  private List<CrashReport> accusingReports() {
+    if (lastSuccessMillis.isEmpty()) {
+      return List.copyOf(reports.values());
+    }
+    return reports.values().stream().map(this::withoutSuccessful).toList();
+  }
+
+  private CrashReport withoutSuccessful(CrashReport report) {
+    Set<Long> remaining = new HashSet<>(report.fingerprints());
+    remaining.removeIf(
+        fingerprint -> lastSuccessMillis.getOrDefault(fingerprint, 0L) >= report.atMillis());
+    return new CrashReport(report.target(), report.incarnation(), report.atMillis(), remaining);
+  }
+
+  /**
+   * Records that a run of a request ended well, so that the crashes before it no longer count here.
+   */
+  public void recordSuccess(long fingerprint, long nowMillis) {
+    if (!accused.contains(fingerprint)) {
+      return;
+    }
+    synchronized (lock) {
+      lastSuccessMillis.put(fingerprint, nowMillis);
+      update();
+    }
+  }
+
+  /** The number of crashes that include the fingerprint and count against it. */
+  public int crashCount(long fingerprint) {
+    synchronized (lock) {
+      return (int)
+          accusingReports().stream()
+              .filter(report -> report.fingerprints().contains(fingerprint))
+              .count();
     }
-    return crashesWithFingerprint * 2 >= nearbyCrashes;
   }
 
   private Duration quarantineDuration(int crashCount) {
@@ -168,6 +191,16 @@
     return quarantinedUntilMillis.isEmpty();
   }
 
+  /** Returns whether crashes count against any request, so that the ends of runs matter. */
+  public boolean hasAccused() {
+    return !accused.isEmpty();
+  }
+
+  /** Returns whether crashes count against the request. */
+  public boolean isAccused(long fingerprint) {
+    return accused.contains(fingerprint);
+  }
+
   /** Milliseconds until {@code fingerprint} may be tried again; 0 if it may be tried now. */
   public long remainingMillis(long fingerprint, long nowMillis) {
     Long untilMillis = quarantinedUntilMillis.get(fingerprint);
--- a/sageladder-core/src/test/java/org/sageladder/core/quarantine/QuarantineTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/quarantine/QuarantineTest.java
@@ -67,6 +67,63 @@
     assertFalse(quarantine.isQuarantined(search, START + 1_000));
   }
 
+  /** Guards against requests that crash targets for as long as others crash targets as well. */
+  @Test
+  void severalCrashingRequestsAreQuarantinedAndNothingBesideThem() {
+    long popular = 2_000;
+    long[] crashing = {POISON, POISON + 1, POISON + 2, POISON + 3, POISON + 4};
+    int target = 0;
+    long atMillis = 0;
+    for (int round = 0; round < 3; round++) {
+      for (long request : crashing) {
+        long waiting = 1_000L + target;
+        quarantine.add(crash(target, atMillis, request, waiting, popular));
+        target++;
+        atMillis += 300;
+      }
+    }
+    quarantine.recordSuccess(popular, START + atMillis);
+    assertEquals(
+        Set.of(POISON, POISON + 1, POISON + 2, POISON + 3, POISON + 4),
+        quarantine.quarantined(START + atMillis));
+  }
+
+  /** Guards against a request that only waits beside one that crashes its targets. */
+  @Test
+  void requestBesideAnotherThatCrashedItsTargetsIsNotQuarantined() {
+    long waiting = 9;
+    quarantine.add(crash(1, 0, POISON, waiting));
+    quarantine.add(crash(2, 400, POISON));
+    quarantine.add(crash(3, 800, POISON, waiting));
+    assertTrue(quarantine.isQuarantined(POISON, START + 900));
+    assertFalse(quarantine.isQuarantined(waiting, START + 900));
+  }
+
+  /** Guards against later crashes of another cause that end a quarantine early. */
+  @Test
+  void quarantineOutlastsLaterCrashesOfAnotherCause() {
+    for (int target = 0; target < 3; target++) {
+      quarantine.add(crash(target, target * 400L, POISON));
+    }
+    for (int target = 10; target < 30; target++) {
+      quarantine.add(crash(target, 2_000 + target, 100L + target));
+    }
+    assertTrue(quarantine.isQuarantined(POISON, START + 3_000));
+  }
+
+  /** Guards against holding back a popular request that was in flight wherever targets crashed. */
+  @Test
+  void requestThatRanWellSinceIsNotQuarantined() {
+    long popular = 5;
+    for (int target = 0; target < 6; target++) {
+      quarantine.add(crash(target, target * 10L, popular, 100L + target));
+    }
+    assertTrue(quarantine.isQuarantined(popular, START + 60));
+    quarantine.recordSuccess(popular, START + 70);
+    assertFalse(quarantine.isQuarantined(popular, START + 71));
+    assertEquals(0, quarantine.crashCount(popular));
+  }
+
   /**
    * Entry VMs receive reports of the same crashes in different orders and must refuse the same
    * requests.
--- a/sageladder-entry/src/main/java/org/sageladder/entry/quarantine/CrashDetector.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/quarantine/CrashDetector.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpResponse;
@@ -118,6 +119,13 @@
     }
   }
 
+  /** Records that a target has run a request to its end, so that it does not crash its targets. */
+  public void recordSuccess(LongSupplier fingerprint) {
+    if (quarantine.hasAccused()) {
+      quarantine.recordSuccess(fingerprint.getAsLong(), time.wallMillis());
+    }
+  }
+
   private void probeLoad(Holding holding) {
     HttpHost host = new HttpHost(holding.host(), holding.port());
     BasicHttpRequest request = new BasicHttpRequest("GET", "/load");
--- a/sageladder-entry/src/main/java/org/sageladder/entry/request/TargetAttempt.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/request/TargetAttempt.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.event.EventKind;
@@ -17,6 +18,7 @@
 final class TargetAttempt extends RequestAttempt {
   private final Gate gate;
   private final Admission.Slot slot;
+  private volatile boolean endedWell;
 
   TargetAttempt(RequestFlow flow, Gate gate, Admission.Slot slot) {
     super(flow);
@@ -34,6 +36,7 @@
       RequestFlow.discard(body);
       return;
     }
+    endedWell = response.getCode() < HttpStatus.SC_SERVER_ERROR;
     BasicHttpResponse forwarded = new BasicHttpResponse(response.getCode());
     EndToEndHeaders.copy(response, forwarded, false);
     forwarded.setHeader(Headers.TARGET, slot.target().target());
@@ -48,6 +51,9 @@
   @Override
   public void onComplete() {
     slot.release(Admission.Completion.ANSWERED);
+    if (endedWell) {
+      flow.context().crashDetector().recordSuccess(flow::fingerprint);
+    }
     if (isCurrent()) {
       endRunIfResponded(true);
       flow.finish();
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
@@ -307,6 +307,7 @@
       forwarder
           .placement()
           .recordAnswer(placementRequest, decision, (double) elapsedMillis(), load, now);
+      forwarder.crashDetector().onRunEndedWell(exchange::fingerprint);
     } else {
       target().recordOutcome(false, now);
     }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/CrashDetector.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CrashDetector.java
@@ -59,7 +59,7 @@
   /** Handles a crash that another entry VM has reported. */
   void onCrashReport(CrashReport report) {
     knownSuspects.addAll(report.fingerprints());
-    addToQuarantine(report);
+    updateQuarantine(() -> quarantine.add(report));
     log.record(
         EventKind.TARGET_CRASHED,
         "",
@@ -72,11 +72,22 @@
             + describeFingerprints(report));
   }
 
-  /** Adds a crash and logs the requests that it puts into quarantine. */
-  private void addToQuarantine(CrashReport report) {
+  /** Handles the complete answer to a request, which therefore does not crash its targets. */
+  void onRunEndedWell(Supplier<RequestFingerprint> fingerprint) {
+    if (!quarantine.hasAccused()) {
+      return;
+    }
+    long value = fingerprint.get().value();
+    if (quarantine.isAccused(value)) {
+      updateQuarantine(() -> quarantine.recordSuccess(value, loop.wallMillis()));
+    }
+  }
+
+  /** Applies a change and logs the requests whose quarantine begins or ends with it. */
+  private void updateQuarantine(Runnable change) {
     long now = loop.wallMillis();
     Set<Long> before = quarantine.quarantined(now);
-    quarantine.add(report);
+    change.run();
     Set<Long> after = quarantine.quarantined(now);
     for (long fingerprint : after) {
       if (!before.contains(fingerprint)) {
@@ -161,7 +172,7 @@
             lost.fingerprints());
     boolean wasSuspect = lost.fingerprints().stream().anyMatch(knownSuspects::contains);
     knownSuspects.addAll(lost.fingerprints());
-    addToQuarantine(report);
+    updateQuarantine(() -> quarantine.add(report));
     log.record(
         EventKind.TARGET_CRASHED,
         "",
