--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/ScenarioMain.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/ScenarioMain.java
@@ -209,6 +209,7 @@
     outcome.violations().stream()
         .limit(MAX_VIOLATIONS_SHOWN)
         .forEach(line -> out.println("  " + line));
+    QuarantineReport.of(outcome.day()).print(out);
     if (outcome.violations().size() > MAX_VIOLATIONS_SHOWN) {
       out.println("  and " + (outcome.violations().size() - MAX_VIOLATIONS_SHOWN) + " more");
     }
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/CallersStandIn.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/CallersStandIn.java
@@ -18,6 +18,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
+import org.sageladder.core.result.ResultCode;
 import org.sageladder.core.routing.RouteRule;
 import org.sageladder.forward.Loop;
 
@@ -35,6 +36,7 @@
   private static final int MAX_LOOK_UP_ATTEMPTS = 3;
   private static final double MAX_BACKOFF_FRACTION = 1.0 / 3;
   private static final long MIN_BACKOFF_MILLIS = 50;
+  private static final String QUARANTINED = Integer.toString(ResultCode.QUARANTINED.number());
   private static final Set<Integer> FINAL_STATUSES = Set.of(400, 401, 404, 413, 431);
   private static final Set<Integer> NOT_EXECUTED_STATUSES = Set.of(408, 421, 429, 503);
 
@@ -384,6 +386,9 @@
             headers.contains("Server-Seal"),
             headers.get("Request-Id"),
             loop.nowMillis()));
+    if (QUARANTINED.equals(headers.get("Sageladder-Result"))) {
+      ledger.recordQuarantined(id);
+    }
     if (request.profile.connectionUse() != RequestProfile.ConnectionUse.FRESH
         && connection.isUsable()) {
       idleConnections.computeIfAbsent(address, key -> new ArrayDeque<>()).addLast(connection);
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/Ledger.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/Ledger.java
@@ -230,6 +230,7 @@
   private final Map<String, Attempt> attempts = new LinkedHashMap<>();
   private final List<Arrival> arrivals = new ArrayList<>();
   private final List<Crash> crashes = new ArrayList<>();
+  private final List<String> quarantined = new ArrayList<>();
   private final Map<String, List<Run>> runs = new HashMap<>();
   private final Map<String, Answered> answers = new HashMap<>();
   private final Map<String, Long> callerLeftAtMillis = new HashMap<>();
@@ -336,6 +337,16 @@
     return crashes;
   }
 
+  /** Records that an attempt was refused as one that crashes its targets. */
+  public void recordQuarantined(String requestId) {
+    quarantined.add(requestId);
+  }
+
+  /** Returns the attempts that were refused as ones that crash their targets. */
+  public List<String> quarantined() {
+    return quarantined;
+  }
+
   /** Records the answer to an attempt, or that its connection closed; the first one counts. */
   public void recordAnswer(Answered answer) {
     answers.putIfAbsent(answer.id(), answer);
