Report both crashes of an unanswered request, and wait for the second before a third

What callers saw: a request that crashes targets met each entry VM as an unknown one, and ended two targets there.

Cause: the first crash of a request that may be repeated was never reported, and its second attempt left before the first crash was known (60 to 110 ms later), as did any further one.

Now a VM reports the crashes of a request once it ended without an answer, since its caller may turn to another VM next; what was answered elsewhere accuses no one, so that fewer innocent requests are named. A request that crashes count against waits, before it is sent again, until it is known whether the target that has just lost it crashed too. The set of known suspects that only grew is gone.

Evidence: two new tests of CrashDetectorTest fail on the former code.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
@@ -307,7 +307,7 @@
       forwarder
           .placement()
           .recordAnswer(placementRequest, decision, (double) elapsedMillis(), load, now);
-      forwarder.crashDetector().onRunEndedWell(exchange::fingerprint);
+      exchange.crashEvidence().recordSuccess();
     } else {
       target().recordOutcome(false, now);
     }
@@ -364,13 +364,7 @@
       if (used.isEndedByPeer() && elapsedMillis() >= MIN_SILENCE_MILLIS) {
         forwarder.onContactLost(target(), used.lastAliveMillis(), cause);
       }
-      forwarder
-          .crashDetector()
-          .onRequestLost(
-              target().facts(),
-              exchange.requestId() + " from " + exchange.callerAddress(),
-              exchange.fingerprint(),
-              exchange.runsAtMostOnce());
+      exchange.crashEvidence().recordLoss(target().facts(), exchange.idAndCaller());
     }
     exchange.onLost(this, cause);
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/CrashDetector.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CrashDetector.java
@@ -2,10 +2,8 @@
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.List;
+import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -22,10 +20,12 @@
  * Detects crashed targets and quarantines requests that crash one target after another.
  *
  * <p>If a request is lost and its target refuses connections a moment later, the target has
- * crashed, and the requests lost there at that time are suspect. A request that was in flight at
- * two crashes, and at half of all crashes around that time, is refused instead of crashing a third
- * target. A crash is published to other entry VMs only if they may receive the request next: if it
- * was suspect before, or if it is not retried at a second target here.
+ * crashed, and the requests lost there at that time are suspect. {@link Quarantine} decides which
+ * of them are refused. A request that crashes count against is not sent again before it is known
+ * whether it has just crashed another target.
+ *
+ * <p>Other entry VMs are told of the crashes of a request that ended without an answer, since its
+ * caller may turn to them next. A request that was answered by another target has caused no crash.
  */
 final class CrashDetector {
   /** By then a crashed target refuses connections; one that only closed a connection does not. */
@@ -33,22 +33,20 @@
 
   private static final int PROBE_TIMEOUT_MILLIS = 500;
 
-  /** Maximum number of requests that the log line of a crash names. */
-  private static final int MAX_LOGGED_REQUESTS = 8;
-
-  private record LostRequests(
-      Set<Long> fingerprints, boolean hasNonIdempotent, List<String> descriptions) {}
+  /** Maximum number of incarnations whose lost requests are remembered. */
+  private static final int MAX_LOSSES = 256;
 
   private final Loop loop;
   private final EventSink log;
+  private final Metrics metrics;
   private final Quarantine quarantine = Quarantine.create(Quarantine.Limits.standard());
-  private final Map<TargetIncarnation, LostRequests> lostRequestsByTarget = new HashMap<>();
-  private final Set<Long> knownSuspects = new HashSet<>();
+  private final Map<TargetIncarnation, TargetLoss> losses = new LinkedHashMap<>();
   private Consumer<CrashReport> publisher = report -> {};
 
-  CrashDetector(Loop loop, EventSink log) {
+  CrashDetector(Loop loop, EventSink log, Metrics metrics) {
     this.loop = loop;
     this.log = log;
+    this.metrics = metrics;
   }
 
   /** Sets the consumer of crashes that other entry VMs need to know of. */
@@ -58,8 +56,7 @@
 
   /** Handles a crash that another entry VM has reported. */
   void onCrashReport(CrashReport report) {
-    knownSuspects.addAll(report.fingerprints());
-    updateQuarantine(() -> quarantine.add(report));
+    metrics.count("crash_reports_received");
     log.record(
         EventKind.TARGET_CRASHED,
         "",
@@ -70,45 +67,7 @@
             + (loop.wallMillis() - report.atMillis())
             + " ms with "
             + describeFingerprints(report));
-  }
-
-  /** Handles the complete answer to a request, which therefore does not crash its targets. */
-  void onRunEndedWell(Supplier<RequestFingerprint> fingerprint) {
-    if (!quarantine.hasAccused()) {
-      return;
-    }
-    long value = fingerprint.get().value();
-    if (quarantine.isAccused(value)) {
-      updateQuarantine(() -> quarantine.recordSuccess(value, loop.wallMillis()));
-    }
-  }
-
-  /** Applies a change and logs the requests whose quarantine begins or ends with it. */
-  private void updateQuarantine(Runnable change) {
-    long now = loop.wallMillis();
-    Set<Long> before = quarantine.quarantined(now);
-    change.run();
-    Set<Long> after = quarantine.quarantined(now);
-    for (long fingerprint : after) {
-      if (!before.contains(fingerprint)) {
-        logQuarantine(fingerprint, quarantine.describe(fingerprint, now));
-      }
-    }
-    for (long fingerprint : before) {
-      if (!after.contains(fingerprint)) {
-        logQuarantine(fingerprint, "ends, " + quarantine.describe(fingerprint, now));
-      }
-    }
-  }
-
-  private void logQuarantine(long fingerprint, String detail) {
-    log.record(EventKind.QUARANTINED, "", "", RequestFingerprint.toHex(fingerprint), 0, detail);
-  }
-
-  private static String describeFingerprints(CrashReport report) {
-    return report.fingerprints().stream()
-        .map(RequestFingerprint::toHex)
-        .collect(Collectors.joining(" "));
+    updateQuarantine(() -> quarantine.add(report));
   }
 
   /** Milliseconds for which the request stays quarantined; 0 if it is not. */
@@ -132,21 +91,61 @@
    *
    * @param request id and caller of the request, for the log
    */
-  void onRequestLost(
-      TargetFacts target, String request, RequestFingerprint fingerprint, boolean nonIdempotent) {
-    LostRequests lost = lostRequestsByTarget.get(target.incarnation());
-    if (lost == null) {
-      lost = new LostRequests(new HashSet<>(), nonIdempotent, new ArrayList<>());
+  void onRequestLost(TargetFacts target, String request, RequestFingerprint fingerprint) {
+    TargetLoss loss = losses.get(target.incarnation());
+    if (loss == null) {
+      loss = new TargetLoss(target, loop.wallMillis());
+      losses.put(target.incarnation(), loss);
+      removeOldestLoss();
       var unused = loop.schedule(PROBE_DELAY_MILLIS, () -> probe(target));
     }
-    lost.fingerprints().add(fingerprint.value());
-    if (lost.descriptions().size() < MAX_LOGGED_REQUESTS) {
-      lost.descriptions().add(request + " with fingerprint " + fingerprint.describe());
+    loss.add(fingerprint, request);
+    if (loss.isCrash()) {
+      CrashReport report = loss.report();
+      updateQuarantine(() -> quarantine.add(report));
+    }
+  }
+
+  private void removeOldestLoss() {
+    if (losses.size() > MAX_LOSSES) {
+      TargetLoss oldest = losses.remove(losses.keySet().iterator().next());
+      oldest.runWaiting();
+    }
+  }
+
+  /**
+   * Runs {@code sendAgain} for a request that was just lost at {@code target}: at once, or if
+   * earlier crashes count against it, once it is known whether this target crashed too.
+   */
+  void beforeSendingAgain(TargetIncarnation target, long fingerprint, Runnable sendAgain) {
+    TargetLoss loss = losses.get(target);
+    if (loss == null || !quarantine.isAccused(fingerprint)) {
+      sendAgain.run();
+      return;
+    }
+    loss.whenDecided(sendAgain);
+  }
+
+  /** Handles the end of a request that was lost at {@code targets} and got no answer at others. */
+  void onUnanswered(long fingerprint, Collection<TargetIncarnation> targets) {
+    for (TargetIncarnation target : targets) {
+      TargetLoss loss = losses.get(target);
+      if (loss != null) {
+        loss.addUnanswered(fingerprint);
+        publish(loss);
+      }
+    }
+  }
+
+  /** Handles the complete answer to a request, which therefore does not crash its targets. */
+  void onRunEndedWell(Supplier<RequestFingerprint> fingerprint) {
+    if (!quarantine.hasAccused()) {
+      return;
+    }
+    long value = fingerprint.get().value();
+    if (quarantine.isAccused(value)) {
+      updateQuarantine(() -> quarantine.recordSuccess(value, loop.wallMillis()));
     }
-    lostRequestsByTarget.put(
-        target.incarnation(),
-        new LostRequests(
-            lost.fingerprints(), lost.hasNonIdempotent() || nonIdempotent, lost.descriptions()));
   }
 
   private void probe(TargetFacts target) {
@@ -154,38 +153,74 @@
             target.host(), target.port(), PROBE_TIMEOUT_MILLIS, new ChannelInboundHandlerAdapter())
         .addListener(
             (ChannelFuture done) -> {
-              LostRequests lost = lostRequestsByTarget.remove(target.incarnation());
               if (done.isSuccess()) {
                 Sockets.close(done.channel());
-              } else if (lost != null) {
-                onCrash(target, lost);
+                onAlive(target.incarnation());
+              } else {
+                onCrash(target.incarnation());
               }
             });
   }
 
-  private void onCrash(TargetFacts target, LostRequests lost) {
-    CrashReport report =
-        new CrashReport(
-            target.id(),
-            target.incarnation().startedAtMillis(),
-            loop.wallMillis(),
-            lost.fingerprints());
-    boolean wasSuspect = lost.fingerprints().stream().anyMatch(knownSuspects::contains);
-    knownSuspects.addAll(lost.fingerprints());
-    updateQuarantine(() -> quarantine.add(report));
+  private void onAlive(TargetIncarnation target) {
+    TargetLoss loss = losses.remove(target);
+    if (loss != null) {
+      loss.runWaiting();
+    }
+  }
+
+  private void onCrash(TargetIncarnation target) {
+    TargetLoss loss = losses.get(target);
+    if (loss == null) {
+      return;
+    }
+    loss.confirmCrash();
+    metrics.count("target_crashes");
     log.record(
         EventKind.TARGET_CRASHED,
         "",
-        target.service(),
+        loss.target().service(),
         target.id(),
-        target.incarnation().startedAtMillis(),
-        lost.fingerprints().size()
-            + " requests lost, any suspect before: "
-            + wasSuspect
-            + "; "
-            + String.join("; ", lost.descriptions()));
-    if (wasSuspect || lost.hasNonIdempotent()) {
-      publisher.accept(report);
+        target.startedAtMillis(),
+        loss.describe());
+    updateQuarantine(() -> quarantine.add(loss.report()));
+    loss.runWaiting();
+    publish(loss);
+  }
+
+  private void publish(TargetLoss loss) {
+    if (loss.hasUnpublished()) {
+      publisher.accept(loss.reportToPublish());
     }
   }
+
+  /** Applies a change, and logs the requests whose quarantine begins or ends with it. */
+  private void updateQuarantine(Runnable change) {
+    long now = loop.wallMillis();
+    Set<Long> before = quarantine.quarantined(now);
+    change.run();
+    Set<Long> after = quarantine.quarantined(now);
+    after.stream()
+        .filter(fingerprint -> !before.contains(fingerprint))
+        .forEach(fingerprint -> logQuarantine(fingerprint, "begins"));
+    before.stream()
+        .filter(fingerprint -> !after.contains(fingerprint))
+        .forEach(fingerprint -> logQuarantine(fingerprint, "ends"));
+  }
+
+  private void logQuarantine(long fingerprint, String change) {
+    log.record(
+        EventKind.QUARANTINED,
+        "",
+        "",
+        RequestFingerprint.toHex(fingerprint),
+        0,
+        change + ": " + quarantine.describe(fingerprint, loop.wallMillis()));
+  }
+
+  private static String describeFingerprints(CrashReport report) {
+    return report.fingerprints().stream()
+        .map(RequestFingerprint::toHex)
+        .collect(Collectors.joining(" "));
+  }
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -78,6 +78,7 @@
   private long deadlineMillis = Long.MAX_VALUE;
   private Loop.@Nullable Timer deadlineTimer;
   private @Nullable Attempt attempt;
+  private final CrashEvidence crashEvidence;
   private int sendCount;
   private int unreachedCount;
   private boolean mayHaveRun;
@@ -95,6 +96,7 @@
     this.head = head;
     this.startedAtMillis = forwarder.loop().nowMillis();
     this.quotaClaim = new QuotaClaim(forwarder);
+    this.crashEvidence = new CrashEvidence(forwarder.crashDetector(), this::fingerprint);
     forwarder.requestStarted();
   }
 
@@ -133,16 +135,16 @@
 
   /** Identifies the request across attempts and entry VMs. */
   RequestFingerprint fingerprint() {
-    String workspace = workspaceName();
-    return RequestFingerprint.of(
-        workspace == null ? "" : workspace,
-        head.method() + " " + RequestHeadValidator.hostName(head) + head.uri(),
-        body.fingerprint());
+    return RequestFingerprint.of(workspaceName(), head, body.fingerprint());
+  }
+
+  CrashEvidence crashEvidence() {
+    return crashEvidence;
   }
 
-  /** IP address of the caller, for log lines. */
-  String callerAddress() {
-    return caller.callerAddress();
+  /** Id and caller of the request, for log lines. */
+  String idAndCaller() {
+    return requestId + " from " + caller.callerAddress();
   }
 
   /** Milliseconds until the request must be answered. */
@@ -303,14 +305,7 @@
     isPlaced = true;
     long quarantineMillis = forwarder.crashDetector().quarantineMillis(this::fingerprint);
     if (quarantineMillis > 0) {
-      // 503 instead of the result code's own status: the request may not have caused the crashes,
-      // and callers retry a 503.
-      forwarder.metrics().count("requests_quarantined");
-      respond(
-          ResultCode.QUARANTINED,
-          mayHaveRun ? 502 : 503,
-          addJitter(quarantineMillis),
-          forwarder.crashDetector().describeQuarantine(fingerprint()));
+      refuseQuarantined(quarantineMillis);
       return;
     }
     long now = forwarder.loop().nowMillis();
@@ -351,6 +346,17 @@
     endWithoutResponse(ResultCode.NO_TARGET, refuse.retryAfterMillis(), reason);
   }
 
+  private void refuseQuarantined(long quarantineMillis) {
+    forwarder.metrics().count("requests_quarantined");
+    // 503 instead of the result code's own status: the request may not have caused the crashes,
+    // and callers retry a 503.
+    respond(
+        ResultCode.QUARANTINED,
+        mayHaveRun ? 502 : 503,
+        addJitter(quarantineMillis),
+        forwarder.crashDetector().describeQuarantine(fingerprint()));
+  }
+
   /** Continues with the decision on the quota; a pending decision calls this again later. */
   private void onQuotaDecision(QuotaDecision decision) {
     if (isFinished || decision instanceof QuotaDecision.Pending) {
@@ -413,12 +419,18 @@
       return;
     }
     if (requireRoute().idempotent() && canTryAnotherTarget()) {
-      placeRequest();
+      crashEvidence.beforeSendingAgain(failed.target().facts(), this::placeUnlessFinished);
       return;
     }
     endWithoutResponse(ResultCode.TARGET_LOST, 0, cause);
   }
 
+  private void placeUnlessFinished() {
+    if (!isFinished) {
+      placeRequest();
+    }
+  }
+
   private boolean canTryAnotherTarget() {
     return body.isReplayable()
         && sendCount < requireRoute().maxTargets()
@@ -640,6 +652,7 @@
     isFinished = true;
     cancelDeadlineTimer();
     dropFallbackResponse();
+    crashEvidence.recordEnd();
     body.release();
     quotaClaim.release();
     if (isEndRecorded) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -157,7 +157,7 @@
             PlacementWeights.standard());
     placement.updateZoneShare(options.zoneFraction());
     this.connectionPool = new TargetConnectionPool(loop, dialect);
-    this.crashDetector = new CrashDetector(loop, log);
+    this.crashDetector = new CrashDetector(loop, log, metrics);
     this.quotas =
         Quotas.of(
             options.name(),
--- a/sageladder-forward/src/main/java/org/sageladder/forward/RequestFingerprint.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/RequestFingerprint.java
@@ -1,6 +1,8 @@
 package org.sageladder.forward;
 
 import com.dynatrace.hash4j.hashing.Hashing;
+import io.netty.handler.codec.http.HttpRequest;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Identifies a request across attempts, connections, addresses and entry VMs, by what a target runs
@@ -16,20 +18,18 @@
 record RequestFingerprint(long value, String workspace, int targetHash, long bodyHash) {
   private static final int HEX_RADIX = 16;
 
-  /**
-   * Returns the fingerprint of a request.
-   *
-   * @param target method, host and request target
-   */
-  static RequestFingerprint of(String workspace, String target, long bodyHash) {
+  /** Returns the fingerprint of the request of a workspace, or of none. */
+  static RequestFingerprint of(@Nullable String workspace, HttpRequest head, long bodyHash) {
+    String sender = workspace == null ? "" : workspace;
+    String target = head.method() + " " + RequestHeadValidator.hostName(head) + head.uri();
     long value =
         Hashing.komihash5_0()
             .hashStream()
-            .putString(workspace)
+            .putString(sender)
             .putString(target)
             .putLong(bodyHash)
             .getAsLong();
-    return new RequestFingerprint(value, workspace, target.hashCode(), bodyHash);
+    return new RequestFingerprint(value, sender, target.hashCode(), bodyHash);
   }
 
   /** The form of a fingerprint in log lines and in the store. */
--- a/sageladder-forward/src/test/java/org/sageladder/forward/CrashDetectorTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/CrashDetectorTest.java
@@ -106,4 +106,45 @@
       }
     }
   }
+
+  /** Guards against a first crash that no other entry VM hears of. */
+  @Test
+  void bothCrashesOfAnUnansweredRequestAreReported() throws Exception {
+    ScriptedTarget[] targets = {crashingTarget(), crashingTarget()};
+    try (ForwardingFixture fixture = ForwardingFixture.open(targets)) {
+      BlockingQueue<CrashReport> published = new LinkedBlockingQueue<>();
+      fixture.onLoop(() -> fixture.forwarder.publishCrashesTo(published::add));
+      try (Caller caller = fixture.caller()) {
+        assertEquals(502, caller.exchange("/safe/bad", "a").status());
+      }
+      CrashReport first = published.poll(60, TimeUnit.SECONDS);
+      CrashReport second = published.poll(60, TimeUnit.SECONDS);
+      assertTrue(first != null && second != null, "a crash is not reported");
+      assertEquals(Set.of("t-1", "t-2"), Set.of(first.target(), second.target()));
+      assertEquals(first.fingerprints(), second.fingerprints());
+    }
+  }
+
+  /**
+   * Guards against a request that is sent on while the crash that it has just caused is unknown.
+   */
+  @Test
+  void requestWithAnEarlierCrashWaitsUntilItIsKnownWhetherItCausedAnother() throws Exception {
+    try (ForwardingFixture fixture = ForwardingFixture.open(crashingTarget())) {
+      BlockingQueue<CrashReport> published = new LinkedBlockingQueue<>();
+      fixture.onLoop(() -> fixture.forwarder.publishCrashesTo(published::add));
+      try (Caller caller = fixture.caller()) {
+        assertEquals(502, caller.exchange("/safe/bad", "a").status());
+      }
+      assertTrue(published.poll(60, TimeUnit.SECONDS) != null, "the crash is not reported");
+      ScriptedTarget second = crashingTarget();
+      ScriptedTarget third = crashingTarget();
+      fixture.addTarget(second);
+      fixture.addTarget(third);
+      try (Caller caller = fixture.caller()) {
+        assertEquals(502, caller.exchange("/safe/bad", "b").status());
+      }
+      assertEquals(1, second.receivedRequests.size() + third.receivedRequests.size());
+    }
+  }
 }
