Keep crash reports that the store did not take, and write them again

What callers saw: with the store away or refusing a VM, a request that crashes targets went on at all other VMs.

Cause: a report that could not be written was dropped, in the belief that the next crash by the request would be reported. The VM that saw the crashes holds the request back and sees no further one.

Reports are now kept, 256 at most, later ones of a crash replacing earlier ones, and written again after 0.5 s, doubling to 8 s; an ended lease is granted anew.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/CrashPublisher.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/CrashPublisher.java
@@ -1,7 +1,8 @@
 package org.sageladder.forward.control;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import org.sageladder.core.event.EventKind;
 import org.sageladder.core.event.EventSink;
@@ -13,8 +14,8 @@
  * it ends.
  *
  * <p>Crashes are rare and store calls are priced: the lease is granted with the first crash and not
- * renewed. A crash that cannot be written is logged and dropped; the next crash by the same request
- * is published again.
+ * renewed. A crash that cannot be written is kept and written again after a while: this VM holds
+ * the request back from now on and sees no further crash that would report it.
  */
 public final class CrashPublisher implements Consumer<CrashReport> {
   /** Duration for which a quarantine remembers a crash; also the longest lease of a store. */
@@ -23,14 +24,38 @@
   /** A lease is reused for this long only, so that each crash stays published for a while. */
   private static final long LEASE_REUSE_MILLIS = 300_000;
 
+  private static final long FIRST_RETRY_MILLIS = 500;
+  private static final long MAX_RETRY_MILLIS = 8_000;
+
+  /** Maximum number of crashes kept for later; the oldest are dropped first. */
+  private static final int MAX_PENDING_REPORTS = 256;
+
   private final Loop loop;
   private final PlatformStore store;
   private final String vmName;
   private final EventSink log;
-  private final Deque<CrashReport> pendingReports = new ArrayDeque<>();
+  private final Map<CrashId, PendingReport> pending = new LinkedHashMap<>();
   private long leaseId;
   private long leaseGrantedAtMillis;
   private boolean isLeaseRequested;
+  private boolean isRetryScheduled;
+  private long retryMillis = FIRST_RETRY_MILLIS;
+
+  private record CrashId(String target, long incarnation) {
+    static CrashId of(CrashReport report) {
+      return new CrashId(report.target(), report.incarnation());
+    }
+  }
+
+  /** A report that is not known to be written. */
+  private static final class PendingReport {
+    final CrashReport report;
+    boolean isBeingWritten;
+
+    PendingReport(CrashReport report) {
+      this.report = report;
+    }
+  }
 
   private CrashPublisher(Loop loop, PlatformStore store, String vmName, EventSink log) {
     this.loop = loop;
@@ -44,17 +69,32 @@
     return new CrashPublisher(loop, store, vmName, log);
   }
 
+  /** Publishes a crash, or more of the requests of one published before. */
   @Override
   public void accept(CrashReport report) {
-    pendingReports.addLast(report);
-    if (leaseId != 0 && loop.nowMillis() - leaseGrantedAtMillis < LEASE_REUSE_MILLIS) {
-      publishPending();
+    CrashId crash = CrashId.of(report);
+    pending.remove(crash);
+    pending.put(crash, new PendingReport(report));
+    if (pending.size() > MAX_PENDING_REPORTS) {
+      CrashId oldest = pending.keySet().iterator().next();
+      pending.remove(oldest);
+      logFailure(oldest, "dropped, too many wait for the store");
+    }
+    writePending();
+  }
+
+  private void writePending() {
+    if (isRetryScheduled || isLeaseRequested) {
       return;
     }
-    if (!isLeaseRequested) {
+    if (leaseId == 0 || loop.nowMillis() - leaseGrantedAtMillis >= LEASE_REUSE_MILLIS) {
       isLeaseRequested = true;
       store.grantLease(LEASE_MILLIS, this::onLease);
+      return;
     }
+    List.copyOf(pending.values()).stream()
+        .filter(next -> !next.isBeingWritten)
+        .forEach(this::write);
   }
 
   private void onLease(StoreResult<Long> result) {
@@ -62,34 +102,57 @@
     if (result instanceof StoreResult.Done<Long> done) {
       leaseId = done.value();
       leaseGrantedAtMillis = loop.nowMillis();
-      publishPending();
+      writePending();
+      return;
+    }
+    pending.keySet().forEach(crash -> logFailure(crash, "no lease: " + result));
+    scheduleRetry();
+  }
+
+  private void write(PendingReport next) {
+    next.isBeingWritten = true;
+    store.publishCrash(vmName, next.report, leaseId, result -> onWritten(next, result));
+  }
+
+  private void onWritten(PendingReport written, StoreResult<Long> result) {
+    CrashId crash = CrashId.of(written.report);
+    written.isBeingWritten = false;
+    if (result instanceof StoreResult.Done<Long>) {
+      retryMillis = FIRST_RETRY_MILLIS;
+      pending.remove(crash, written);
       return;
     }
-    dropPending("no lease: " + result);
+    logFailure(crash, String.valueOf(result));
+    if (result instanceof StoreResult.Gone<Long>) {
+      leaseId = 0;
+    }
+    scheduleRetry();
   }
 
-  private void publishPending() {
-    while (!pendingReports.isEmpty()) {
-      CrashReport report = pendingReports.removeFirst();
-      store.publishCrash(
-          vmName,
-          report,
-          leaseId,
-          result -> {
-            if (!(result instanceof StoreResult.Done<Long>)) {
-              leaseId = 0;
-              log.record(
-                  EventKind.FAILED, "", "", report.target(), 0, "crash not published: " + result);
-            }
-          });
+  private void scheduleRetry() {
+    if (isRetryScheduled) {
+      return;
     }
+    isRetryScheduled = true;
+    var unused =
+        loop.schedule(
+            retryMillis,
+            () -> {
+              isRetryScheduled = false;
+              if (!pending.isEmpty()) {
+                writePending();
+              }
+            });
+    retryMillis = Math.min(2 * retryMillis, MAX_RETRY_MILLIS);
   }
 
-  private void dropPending(String cause) {
-    pendingReports.forEach(
-        report ->
-            log.record(
-                EventKind.FAILED, "", "", report.target(), 0, "crash not published, " + cause));
-    pendingReports.clear();
+  private void logFailure(CrashId crash, String cause) {
+    log.record(
+        EventKind.FAILED,
+        "",
+        "",
+        crash.target(),
+        crash.incarnation(),
+        "crash not published: " + cause);
   }
 }
