Tell other entry VMs of runs that clear a request of crashes

A VM that holds a request back never sees it run well, so nothing ended the quarantine there.

A VM whose reports alone would hold a request back, and which saw it run well since, now publishes that run, delayed at random by up to 0.4 s so that most VMs hear of the first; the others count it as their own. Crash reports and such runs are notices that the publisher keeps and writes alike.

What remains are paths that all VMs hold back before any has seen them run since.

--- a/sageladder-core/src/main/java/org/sageladder/core/quarantine/CrashReport.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quarantine/CrashReport.java
@@ -11,9 +11,15 @@
  * @param atMillis wall-clock time of the reporter
  * @param fingerprints fingerprints of the requests in flight on the target, at most one per slot
  */
-public record CrashReport(String target, long incarnation, long atMillis, Set<Long> fingerprints) {
+public record CrashReport(String target, long incarnation, long atMillis, Set<Long> fingerprints)
+    implements QuarantineNotice {
   /** Copies the set, so that the report is immutable. */
   public CrashReport {
     fingerprints = Set.copyOf(fingerprints);
   }
+
+  @Override
+  public String key() {
+    return "crash/" + target + '/' + incarnation;
+  }
 }
--- a/sageladder-core/src/main/java/org/sageladder/core/quarantine/Quarantine.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quarantine/Quarantine.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -68,6 +69,7 @@
   private volatile Map<Long, Long> quarantinedUntilMillis = Map.of();
   // Fingerprints with crashes that count against them; replaced as a whole.
   private volatile Set<Long> accused = Set.of();
+  private volatile Set<Long> refuted = Set.of();
 
   private Quarantine(Limits limits) {
     this.limits = limits;
@@ -124,12 +126,24 @@
                 untilMillis.put(
                     fingerprint, latest(times) + quarantineDuration(times.size()).toMillis()));
     quarantinedUntilMillis = Map.copyOf(untilMillis);
+    refuted = lastSuccessMillis.isEmpty() ? Set.of() : findRefuted(untilMillis.keySet());
     accused =
         accusing.stream()
             .flatMap(report -> report.fingerprints().stream())
             .collect(Collectors.toUnmodifiableSet());
   }
 
+  /** The requests that the reports alone would hold responsible, but not their later runs. */
+  private Set<Long> findRefuted(Set<Long> responsible) {
+    Set<Long> found =
+        new HashSet<>(
+            CrashAttribution.attribute(reports.values(), limits.correlationWindow().toMillis())
+                .keySet());
+    found.removeAll(responsible);
+    found.retainAll(lastSuccessMillis.keySet());
+    return Set.copyOf(found);
+  }
+
   /** The reports without the requests that have run well since. */
   private List<CrashReport> accusingReports() {
     if (lastSuccessMillis.isEmpty()) {
@@ -153,11 +167,40 @@
       return;
     }
     synchronized (lock) {
-      lastSuccessMillis.put(fingerprint, nowMillis);
+      lastSuccessMillis.merge(fingerprint, nowMillis, Math::max);
       update();
     }
   }
 
+  /**
+   * The requests that entry VMs with the same reports hold back unless they saw a run that ended
+   * well, as this one did. Such a run is worth telling them.
+   */
+  public Set<Long> refuted() {
+    return refuted;
+  }
+
+  /** The last run of an accused request that ended well, if one is known. */
+  public Optional<RunSuccess> lastSuccess(long fingerprint) {
+    synchronized (lock) {
+      Long atMillis = lastSuccessMillis.get(fingerprint);
+      return atMillis == null
+          ? Optional.empty()
+          : Optional.of(new RunSuccess(fingerprint, atMillis));
+    }
+  }
+
+  /** Time of the last crash that includes the fingerprint; 0 if there is none. */
+  public long lastCrashMillis(long fingerprint) {
+    synchronized (lock) {
+      return reports.values().stream()
+          .filter(report -> report.fingerprints().contains(fingerprint))
+          .mapToLong(CrashReport::atMillis)
+          .max()
+          .orElse(0);
+    }
+  }
+
   /** The number of crashes that include the fingerprint and count against it. */
   public int crashCount(long fingerprint) {
     synchronized (lock) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/CrashDetector.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CrashDetector.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.sageladder.core.event.EventKind;
@@ -15,6 +16,8 @@
 import org.sageladder.core.placing.TargetIncarnation;
 import org.sageladder.core.quarantine.CrashReport;
 import org.sageladder.core.quarantine.Quarantine;
+import org.sageladder.core.quarantine.QuarantineNotice;
+import org.sageladder.core.quarantine.RunSuccess;
 
 /**
  * Detects crashed targets and quarantines requests that crash one target after another.
@@ -41,17 +44,27 @@
   private final Metrics metrics;
   private final Quarantine quarantine = Quarantine.create(Quarantine.Limits.standard());
   private final Map<TargetIncarnation, TargetLoss> losses = new LinkedHashMap<>();
-  private Consumer<CrashReport> publisher = report -> {};
+  private final SuccessAnnouncer announcer;
+  private Consumer<QuarantineNotice> publisher = notice -> {};
 
-  CrashDetector(Loop loop, EventSink log, Metrics metrics) {
+  CrashDetector(Loop loop, EventSink log, Metrics metrics, DoubleSupplier randomFraction) {
     this.loop = loop;
     this.log = log;
     this.metrics = metrics;
+    this.announcer =
+        new SuccessAnnouncer(
+            loop, quarantine, randomFraction, success -> publisher.accept(success));
   }
 
-  /** Sets the consumer of crashes that other entry VMs need to know of. */
-  void publishTo(Consumer<CrashReport> crashPublisher) {
-    publisher = crashPublisher;
+  /** Sets the consumer of what other entry VMs need to know. */
+  void publishTo(Consumer<QuarantineNotice> noticePublisher) {
+    publisher = noticePublisher;
+  }
+
+  /** Handles a run that ended well at another entry VM. */
+  void onRunSuccess(RunSuccess success) {
+    announcer.onAnnounced(success);
+    updateQuarantine(() -> quarantine.recordSuccess(success.fingerprint(), success.atMillis()));
   }
 
   /** Handles a crash that another entry VM has reported. */
@@ -199,6 +212,7 @@
     long now = loop.wallMillis();
     Set<Long> before = quarantine.quarantined(now);
     change.run();
+    announcer.onChange();
     Set<Long> after = quarantine.quarantined(now);
     after.stream()
         .filter(fingerprint -> !before.contains(fingerprint))
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -32,6 +32,8 @@
 import org.sageladder.core.placing.TargetState;
 import org.sageladder.core.placing.TargetTable;
 import org.sageladder.core.quarantine.CrashReport;
+import org.sageladder.core.quarantine.QuarantineNotice;
+import org.sageladder.core.quarantine.RunSuccess;
 import org.sageladder.core.quota.QuotaTolerance;
 import org.sageladder.core.quota.Quotas;
 import org.sageladder.core.routing.CallerLimits;
@@ -157,7 +159,7 @@
             PlacementWeights.standard());
     placement.updateZoneShare(options.zoneFraction());
     this.connectionPool = new TargetConnectionPool(loop, dialect);
-    this.crashDetector = new CrashDetector(loop, log, metrics);
+    this.crashDetector = new CrashDetector(loop, log, metrics, random::nextDouble);
     this.quotas =
         Quotas.of(
             options.name(),
@@ -313,8 +315,13 @@
     crashDetector.onCrashReport(report);
   }
 
-  /** Passes crashes that other entry VMs need to know of to {@code publisher}. */
-  public void publishCrashesTo(Consumer<CrashReport> publisher) {
+  /** Handles a run that ended well at another entry VM of a request that crashes count against. */
+  public void onRunSuccess(RunSuccess success) {
+    crashDetector.onRunSuccess(success);
+  }
+
+  /** Passes what other entry VMs need to know of crashes to {@code publisher}. */
+  public void publishCrashesTo(Consumer<QuarantineNotice> publisher) {
     crashDetector.publishTo(publisher);
   }
 
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/CrashPublisher.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/CrashPublisher.java
@@ -6,18 +6,18 @@
 import java.util.function.Consumer;
 import org.sageladder.core.event.EventKind;
 import org.sageladder.core.event.EventSink;
-import org.sageladder.core.quarantine.CrashReport;
+import org.sageladder.core.quarantine.QuarantineNotice;
 import org.sageladder.forward.Loop;
 
 /**
- * Publishes crashes to the other entry VMs through the store, under a lease that removes them when
- * it ends.
+ * Publishes crashes, and runs that clear requests of them, to the other entry VMs through the
+ * store, under a lease that removes them when it ends.
  *
  * <p>Crashes are rare and store calls are priced: the lease is granted with the first crash and not
  * renewed. A crash that cannot be written is kept and written again after a while: this VM holds
  * the request back from now on and sees no further crash that would report it.
  */
-public final class CrashPublisher implements Consumer<CrashReport> {
+public final class CrashPublisher implements Consumer<QuarantineNotice> {
   /** Duration for which a quarantine remembers a crash; also the longest lease of a store. */
   private static final long LEASE_MILLIS = 600_000;
 
@@ -27,33 +27,27 @@
   private static final long FIRST_RETRY_MILLIS = 500;
   private static final long MAX_RETRY_MILLIS = 8_000;
 
-  /** Maximum number of crashes kept for later; the oldest are dropped first. */
-  private static final int MAX_PENDING_REPORTS = 256;
+  /** Maximum number of notices kept for later; the oldest are dropped first. */
+  private static final int MAX_PENDING_NOTICES = 256;
 
   private final Loop loop;
   private final PlatformStore store;
   private final String vmName;
   private final EventSink log;
-  private final Map<CrashId, PendingReport> pending = new LinkedHashMap<>();
+  private final Map<String, PendingNotice> pending = new LinkedHashMap<>();
   private long leaseId;
   private long leaseGrantedAtMillis;
   private boolean isLeaseRequested;
   private boolean isRetryScheduled;
   private long retryMillis = FIRST_RETRY_MILLIS;
 
-  private record CrashId(String target, long incarnation) {
-    static CrashId of(CrashReport report) {
-      return new CrashId(report.target(), report.incarnation());
-    }
-  }
-
-  /** A report that is not known to be written. */
-  private static final class PendingReport {
-    final CrashReport report;
+  /** A notice that is not known to be written. */
+  private static final class PendingNotice {
+    final QuarantineNotice notice;
     boolean isBeingWritten;
 
-    PendingReport(CrashReport report) {
-      this.report = report;
+    PendingNotice(QuarantineNotice notice) {
+      this.notice = notice;
     }
   }
 
@@ -69,14 +63,13 @@
     return new CrashPublisher(loop, store, vmName, log);
   }
 
-  /** Publishes a crash, or more of the requests of one published before. */
+  /** Publishes a notice, or a later one in place of one published before. */
   @Override
-  public void accept(CrashReport report) {
-    CrashId crash = CrashId.of(report);
-    pending.remove(crash);
-    pending.put(crash, new PendingReport(report));
-    if (pending.size() > MAX_PENDING_REPORTS) {
-      CrashId oldest = pending.keySet().iterator().next();
+  public void accept(QuarantineNotice notice) {
+    pending.remove(notice.key());
+    pending.put(notice.key(), new PendingNotice(notice));
+    if (pending.size() > MAX_PENDING_NOTICES) {
+      String oldest = pending.keySet().iterator().next();
       pending.remove(oldest);
       logFailure(oldest, "dropped, too many wait for the store");
     }
@@ -105,24 +98,24 @@
       writePending();
       return;
     }
-    pending.keySet().forEach(crash -> logFailure(crash, "no lease: " + result));
+    pending.keySet().forEach(key -> logFailure(key, "no lease: " + result));
     scheduleRetry();
   }
 
-  private void write(PendingReport next) {
+  private void write(PendingNotice next) {
     next.isBeingWritten = true;
-    store.publishCrash(vmName, next.report, leaseId, result -> onWritten(next, result));
+    store.publishNotice(vmName, next.notice, leaseId, result -> onWritten(next, result));
   }
 
-  private void onWritten(PendingReport written, StoreResult<Long> result) {
-    CrashId crash = CrashId.of(written.report);
+  private void onWritten(PendingNotice written, StoreResult<Long> result) {
+    String key = written.notice.key();
     written.isBeingWritten = false;
     if (result instanceof StoreResult.Done<Long>) {
       retryMillis = FIRST_RETRY_MILLIS;
-      pending.remove(crash, written);
+      pending.remove(key, written);
       return;
     }
-    logFailure(crash, String.valueOf(result));
+    logFailure(key, String.valueOf(result));
     if (result instanceof StoreResult.Gone<Long>) {
       leaseId = 0;
     }
@@ -146,13 +139,7 @@
     retryMillis = Math.min(2 * retryMillis, MAX_RETRY_MILLIS);
   }
 
-  private void logFailure(CrashId crash, String cause) {
-    log.record(
-        EventKind.FAILED,
-        "",
-        "",
-        crash.target(),
-        crash.incarnation(),
-        "crash not published: " + cause);
+  private void logFailure(String key, String cause) {
+    log.record(EventKind.FAILED, "", "", key, 0, "not published: " + cause);
   }
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
@@ -164,6 +164,8 @@
       log.record(EventKind.VIEW_CHANGED, "", "", zone.zone(), 0, "zone evacuated");
     } else if (content instanceof ItemContent.Crash crash) {
       forwarder.onCrashReport(crash.report());
+    } else if (content instanceof ItemContent.Success success) {
+      forwarder.onRunSuccess(success.success());
     } else if (content instanceof ItemContent.Entry entry) {
       pendingMemberRemovals.remove(entry.vm().name());
       entryDirectory.add(entry.vm());
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/ItemContent.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/ItemContent.java
@@ -2,6 +2,7 @@
 
 import org.sageladder.core.placing.TargetFacts;
 import org.sageladder.core.quarantine.CrashReport;
+import org.sageladder.core.quarantine.RunSuccess;
 import org.sageladder.core.routing.RoutingRules;
 
 /** The content of one item of the platform's store. */
@@ -21,6 +22,9 @@
   /** A crash of a target that another entry VM has observed. */
   record Crash(CrashReport report) implements ItemContent {}
 
+  /** A run that ended well of a request that crashes count against. */
+  record Success(RunSuccess success) implements ItemContent {}
+
   /** An item that sageladder does not use. */
   record Other() implements ItemContent {}
 
@@ -43,6 +47,8 @@
     ENTRY,
     /** A crash that another entry VM has observed. */
     CRASH,
+    /** A run that ended well of a request that crashes count against. */
+    SUCCESS,
     /** Anything else. */
     OTHER
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/PlatformStore.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/PlatformStore.java
@@ -2,7 +2,7 @@
 
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
-import org.sageladder.core.quarantine.CrashReport;
+import org.sageladder.core.quarantine.QuarantineNotice;
 
 /**
  * The calls to the platform's store that an entry VM makes. Each call is priced.
@@ -31,12 +31,9 @@
   /** Revokes a lease and removes the items under it. */
   void revokeLease(long leaseId, Consumer<StoreResult<Long>> callback);
 
-  /**
-   * Publishes to all entry VMs, under a lease, that {@code vmName} has observed a crash of a
-   * target.
-   */
-  void publishCrash(
-      String vmName, CrashReport report, long leaseId, Consumer<StoreResult<Long>> callback);
+  /** Publishes a notice of {@code vmName} to all entry VMs, under a lease. */
+  void publishNotice(
+      String vmName, QuarantineNotice notice, long leaseId, Consumer<StoreResult<Long>> callback);
 
   /** Writes this entry VM's own item under a lease, replacing any existing one. */
   void writeEntry(EntryVm self, long leaseId, Consumer<StoreResult<Long>> callback);
--- a/sageladder-forward/src/test/java/org/sageladder/forward/CrashDetectorTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/CrashDetectorTest.java
@@ -33,6 +33,20 @@
     return self[0];
   }
 
+  private static BlockingQueue<CrashReport> publishedCrashes(ForwardingFixture fixture)
+      throws Exception {
+    BlockingQueue<CrashReport> published = new LinkedBlockingQueue<>();
+    fixture.onLoop(
+        () ->
+            fixture.forwarder.publishCrashesTo(
+                notice -> {
+                  if (notice instanceof CrashReport crash) {
+                    published.add(crash);
+                  }
+                }));
+    return published;
+  }
+
   /**
    * A request crashes each target that runs it, and its caller sends it again. After the second
    * crash it is refused, and the remaining targets go on serving other requests.
@@ -43,8 +57,7 @@
       crashingTarget(), crashingTarget(), crashingTarget(), crashingTarget()
     };
     try (ForwardingFixture fixture = ForwardingFixture.open(targets)) {
-      BlockingQueue<CrashReport> published = new LinkedBlockingQueue<>();
-      fixture.onLoop(() -> fixture.forwarder.publishCrashesTo(published::add));
+      BlockingQueue<CrashReport> published = publishedCrashes(fixture);
       try (Caller caller = fixture.caller()) {
         assertEquals(502, caller.exchange("/safe/bad", "a").status());
       }
@@ -69,8 +82,7 @@
   void crashReportsOfOtherVmsAreCounted() throws Exception {
     ScriptedTarget target = crashingTarget();
     try (ForwardingFixture fixture = ForwardingFixture.open(target)) {
-      BlockingQueue<CrashReport> published = new LinkedBlockingQueue<>();
-      fixture.onLoop(() -> fixture.forwarder.publishCrashesTo(published::add));
+      BlockingQueue<CrashReport> published = publishedCrashes(fixture);
       try (Caller caller = fixture.caller()) {
         caller.sendPost("/once/bad", "a", "x");
         assertEquals(502, caller.readResponse().status());
@@ -98,8 +110,7 @@
   void requestSentAgainFromAnotherAddressIsHeldBack() throws Exception {
     ScriptedTarget[] targets = {crashingTarget(), crashingTarget(), crashingTarget()};
     try (ForwardingFixture fixture = ForwardingFixture.open(targets)) {
-      BlockingQueue<CrashReport> published = new LinkedBlockingQueue<>();
-      fixture.onLoop(() -> fixture.forwarder.publishCrashesTo(published::add));
+      BlockingQueue<CrashReport> published = publishedCrashes(fixture);
       try (Caller caller = fixture.caller()) {
         assertEquals(502, caller.exchange("/safe/bad", "a").status());
       }
@@ -119,8 +130,7 @@
   void bothCrashesOfAnUnansweredRequestAreReported() throws Exception {
     ScriptedTarget[] targets = {crashingTarget(), crashingTarget()};
     try (ForwardingFixture fixture = ForwardingFixture.open(targets)) {
-      BlockingQueue<CrashReport> published = new LinkedBlockingQueue<>();
-      fixture.onLoop(() -> fixture.forwarder.publishCrashesTo(published::add));
+      BlockingQueue<CrashReport> published = publishedCrashes(fixture);
       try (Caller caller = fixture.caller()) {
         assertEquals(502, caller.exchange("/safe/bad", "a").status());
       }
@@ -138,8 +148,7 @@
   @Test
   void requestWithAnEarlierCrashWaitsUntilItIsKnownWhetherItCausedAnother() throws Exception {
     try (ForwardingFixture fixture = ForwardingFixture.open(crashingTarget())) {
-      BlockingQueue<CrashReport> published = new LinkedBlockingQueue<>();
-      fixture.onLoop(() -> fixture.forwarder.publishCrashesTo(published::add));
+      BlockingQueue<CrashReport> published = publishedCrashes(fixture);
       try (Caller caller = fixture.caller()) {
         assertEquals(502, caller.exchange("/safe/bad", "a").status());
       }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/CrashPublisherTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/CrashPublisherTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.sageladder.core.event.EventSink;
 import org.sageladder.core.quarantine.CrashReport;
+import org.sageladder.core.quarantine.QuarantineNotice;
 import org.sageladder.forward.Loop;
 
 /** Guards against crash reports that are lost because the store did not take them. */
@@ -25,7 +26,7 @@
   private static final class FailingStore extends FakeStore {
     final LinkedBlockingQueue<StoreResult<Long>> leaseResults = new LinkedBlockingQueue<>();
     final LinkedBlockingQueue<StoreResult<Long>> writeResults = new LinkedBlockingQueue<>();
-    final LinkedBlockingQueue<CrashReport> written = new LinkedBlockingQueue<>();
+    final LinkedBlockingQueue<QuarantineNotice> written = new LinkedBlockingQueue<>();
 
     @Override
     public void watch(long revision, long waitMillis, Consumer<StoreResult<StorePage>> callback) {}
@@ -37,14 +38,17 @@
     }
 
     @Override
-    public void publishCrash(
-        String vmName, CrashReport report, long leaseId, Consumer<StoreResult<Long>> callback) {
+    public void publishNotice(
+        String vmName,
+        QuarantineNotice notice,
+        long leaseId,
+        Consumer<StoreResult<Long>> callback) {
       StoreResult<Long> next = writeResults.poll();
       if (next != null) {
         callback.accept(next);
         return;
       }
-      written.add(report);
+      written.add(notice);
       callback.accept(new StoreResult.Done<>(8L));
     }
   }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/FakeStore.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/FakeStore.java
@@ -2,7 +2,7 @@
 
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
-import org.sageladder.core.quarantine.CrashReport;
+import org.sageladder.core.quarantine.QuarantineNotice;
 
 /** A store that does not respond, except to the calls that a test overrides. */
 abstract class FakeStore implements PlatformStore {
@@ -20,8 +20,8 @@
   public void revokeLease(long leaseId, Consumer<StoreResult<Long>> callback) {}
 
   @Override
-  public void publishCrash(
-      String vmName, CrashReport report, long leaseId, Consumer<StoreResult<Long>> callback) {}
+  public void publishNotice(
+      String vmName, QuarantineNotice notice, long leaseId, Consumer<StoreResult<Long>> callback) {}
 
   @Override
   public void writeEntry(EntryVm self, long leaseId, Consumer<StoreResult<Long>> callback) {}
