--- a/sageladder-standin/src/main/java/org/sageladder/standin/network/SimulatedNetwork.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/network/SimulatedNetwork.java
@@ -45,6 +45,8 @@
   private static final long NANOS_PER_MICRO = 1_000;
   private static final int EPHEMERAL_PORT_BASE = 32_768;
 
+  private static final int MAX_PORT = 65_535;
+
   /**
    * One-way delays, in microseconds.
    *
@@ -282,7 +284,8 @@
   }
 
   private int allocateEphemeralPort() {
-    lastEphemeralPort++;
+    boolean isLast = lastEphemeralPort == MAX_PORT;
+    lastEphemeralPort = isLast ? EPHEMERAL_PORT_BASE : lastEphemeralPort + 1;
     return lastEphemeralPort;
   }
 
