--- a/sageladder-standin/src/test/java/org/sageladder/standin/network/SimulatedNetworkTest.java
+++ b/sageladder-standin/src/test/java/org/sageladder/standin/network/SimulatedNetworkTest.java
@@ -11,6 +11,8 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -100,6 +102,35 @@
     assertEquals(List.of((sentAtMillis + 20) + " far a", (sentAtMillis + 20) + " far b"), events);
   }
 
+  /** Guards against callers without an address once the network has used up the client ports. */
+  @Test
+  void peerAddressIsKnownAfterMoreConnectionsThanPorts() {
+    List<SocketAddress> peers = new ArrayList<>();
+    var unused =
+        network
+            .processLoop(far)
+            .listen(
+                far.ip(),
+                81,
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    peers.add(channel.remoteAddress());
+                    channel.pipeline().addLast(new RecordingHandler("far"));
+                  }
+                });
+    int connections = 33_000;
+    for (int i = 0; i < connections; i++) {
+      ChannelFuture opened = connect(81, 1_000);
+      loop.runFor(50);
+      var unusedClose = opened.channel().close();
+    }
+    assertEquals(connections, peers.size());
+    for (SocketAddress peer : peers) {
+      assertEquals("10.0.0.1", ((InetSocketAddress) peer).getAddress().getHostAddress());
+    }
+  }
+
   @Test
   void connectToAClosedPortIsRefused() {
     ChannelFuture opened = connect(81, 1_000);
