--- a/sageladder-forward/src/main/java/org/sageladder/forward/CrashDetector.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CrashDetector.java
@@ -227,14 +227,12 @@
         EventKind.QUARANTINED,
         "",
         "",
-        RequestFingerprint.toHex(fingerprint),
+        Long.toHexString(fingerprint),
         0,
         change + ": " + quarantine.describe(fingerprint, loop.wallMillis()));
   }
 
   private static String describeFingerprints(CrashReport report) {
-    return report.fingerprints().stream()
-        .map(RequestFingerprint::toHex)
-        .collect(Collectors.joining(" "));
+    return report.fingerprints().stream().map(Long::toHexString).collect(Collectors.joining(" "));
   }
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/RequestFingerprint.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/RequestFingerprint.java
@@ -16,8 +16,6 @@
  * @param bodyHash hash of the body
  */
 record RequestFingerprint(long value, String workspace, int targetHash, long bodyHash) {
-  private static final int HEX_RADIX = 16;
-
   /** Returns the fingerprint of the request of a workspace, or of none. */
   static RequestFingerprint of(@Nullable String workspace, HttpRequest head, long bodyHash) {
     String sender = workspace == null ? "" : workspace;
@@ -32,18 +30,13 @@
     return new RequestFingerprint(value, sender, target.hashCode(), bodyHash);
   }
 
-  /** The form of a fingerprint in log lines and in the store. */
-  static String toHex(long value) {
-    return Long.toUnsignedString(value, HEX_RADIX);
-  }
-
   /** The fingerprint and its parts, so that a log shows in which part two requests differ. */
   String describe() {
-    return toHex(value)
+    return Long.toHexString(value)
         + " of target "
-        + Integer.toUnsignedString(targetHash, HEX_RADIX)
+        + Integer.toHexString(targetHash)
         + ", body "
-        + toHex(bodyHash)
+        + Long.toHexString(bodyHash)
         + (workspace.isEmpty() ? "" : ", workspace " + workspace);
   }
 }
