--- a/sageladder-core/src/main/java/org/sageladder/core/placing/ServiceRetryBudget.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/ServiceRetryBudget.java
@@ -21,6 +21,8 @@
    */
   private static final double USED_FRACTION = 0.75;
 
+  private static final double TENTHS = 10;
+
   private double retryRatio;
   private double extraRetries;
   private long windowMillis;
@@ -76,15 +78,30 @@
     RetryWindow window = window(service);
     removeExpired(window.requestTimes, now);
     removeExpired(window.retryTimes, now);
-    double maxRetries =
-        USED_FRACTION * (retryRatio * window.requestTimes.size() + extraRetries / entryVmCount);
-    if (window.retryTimes.size() + 1 > maxRetries) {
+    if (window.retryTimes.size() + 1 > maxRetries(window)) {
       return false;
     }
     window.retryTimes.addLast(now);
     return true;
   }
 
+  private double maxRetries(RetryWindow window) {
+    return USED_FRACTION * (retryRatio * window.requestTimes.size() + extraRetries / entryVmCount);
+  }
+
+  /** Describes the window of {@code service} for a log line, as {@link #tryAcquire} last saw it. */
+  public String describe(String service) {
+    RetryWindow window = window(service);
+    return window.retryTimes.size()
+        + " of "
+        + Math.round(maxRetries(window) * TENTHS) / TENTHS
+        + " retries used for "
+        + window.requestTimes.size()
+        + " requests, extra retries shared by "
+        + entryVmCount
+        + " VMs";
+  }
+
   private RetryWindow window(String service) {
     return windowsByService.computeIfAbsent(service, name -> new RetryWindow());
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -436,7 +436,16 @@
         && sendCount < requireRoute().maxTargets()
         && unreachedCount < MAX_UNREACHED_TARGETS
         && remainingMillis() > MIN_REMAINING_FOR_RETRY_MILLIS
-        && forwarder.retryBudget().tryAcquire(service, forwarder.loop().nowMillis());
+        && tryAcquireRetry();
+  }
+
+  private boolean tryAcquireRetry() {
+    boolean isPermitted = forwarder.retryBudget().tryAcquire(service, forwarder.loop().nowMillis());
+    forwarder
+        .requestLog()
+        .recordRetryDecision(
+            subject(), service, isPermitted, forwarder.retryBudget().describe(service));
+    return isPermitted;
   }
 
   /** Called once the response is complete. */
--- a/sageladder-forward/src/main/java/org/sageladder/forward/RequestLog.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/RequestLog.java
@@ -47,6 +47,17 @@
         detail + describeEstimate(attempt) + of.workspaceSuffix());
   }
 
+  /**
+   * Records whether the retry budget permits another attempt.
+   *
+   * @param budget state of the budget after the decision
+   */
+  void recordRetryDecision(Subject of, String service, boolean isPermitted, String budget) {
+    EventKind kind = isPermitted ? EventKind.RETRY_PERMITTED : EventKind.RETRY_DENIED;
+    metrics.count(toLowerCase(kind));
+    log.record(kind, of.id(), of.route(), service, 0, budget + of.workspaceSuffix());
+  }
+
   /**
    * Records the end of a request.
    *
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/ScenarioMain.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/ScenarioMain.java
@@ -15,6 +15,7 @@
 import org.apache.commons.cli.ParseException;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.scenario.Scenario.Outcome;
+import org.sageladder.scenario.rule.RetryWindow;
 import org.sageladder.scenario.trouble.Troubles;
 
 /**
@@ -195,6 +196,18 @@
     return trouble.equals(NO_TROUBLE) ? Scenario.withoutTroubles(seed) : Scenario.of(seed, trouble);
   }
 
+  private static void printRetries(SimulatedDay day, PrintStream out) {
+    RetryWindow.fullest(day)
+        .ifPresent(
+            window ->
+                out.printf(
+                    Locale.ROOT,
+                    "  retries at most %.2f of those allowed (%s, to %d)%n",
+                    window.usedFraction(),
+                    window.service(),
+                    window.endMillis()));
+  }
+
   private static void printOutcome(Outcome outcome, PrintStream out) {
     Scenario scenario = outcome.scenario();
     out.printf(
@@ -209,6 +222,7 @@
     outcome.violations().stream()
         .limit(MAX_VIOLATIONS_SHOWN)
         .forEach(line -> out.println("  " + line));
+    printRetries(outcome.day(), out);
     QuarantineReport.of(outcome.day()).print(out);
     if (outcome.violations().size() > MAX_VIOLATIONS_SHOWN) {
       out.println("  and " + (outcome.violations().size() - MAX_VIOLATIONS_SHOWN) + " more");
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/BudgetRules.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/BudgetRules.java
@@ -4,12 +4,8 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.NavigableMap;
-import java.util.Set;
-import java.util.TreeMap;
 import org.sageladder.scenario.SimulatedDay;
 import org.sageladder.standin.platform.Ledger;
 import org.sageladder.standin.platform.Ledger.Arrival;
@@ -57,63 +53,16 @@
 
   /** Windows with more retries than the shared budget allows. */
   static List<String> excessRetries(SimulatedDay day) {
-    Map<String, NavigableMap<Long, Integer>> retriesByService = new HashMap<>();
-    Set<String> seenIds = new HashSet<>();
-    for (Arrival arrival : day.ledger().arrivals()) {
-      if (!seenIds.add(arrival.id())) {
-        add(retriesByService, arrival.service(), arrival.at());
-      }
-    }
-    Map<String, NavigableMap<Long, Integer>> requestsByService = requestTimesByService(day);
-    List<String> violations = new ArrayList<>();
-    retriesByService.forEach(
-        (service, times) -> {
-          for (long endMillis : times.keySet()) {
-            long windowMillis = day.bounds().retryWindowMillis();
-            int retries = count(times, endMillis - windowMillis, endMillis);
-            NavigableMap<Long, Integer> requests =
-                requestsByService.getOrDefault(service, new TreeMap<>());
-            int maxRequests = count(requests, endMillis - windowMillis, endMillis);
-            maxRequests =
-                Math.max(
-                    maxRequests,
-                    count(requests, endMillis - 2 * windowMillis, endMillis - windowMillis));
-            maxRequests =
-                Math.max(
-                    maxRequests,
-                    count(
-                        requests, endMillis - windowMillis * 3 / 2, endMillis - windowMillis / 2));
-            double bound = day.bounds().retryRatio() * maxRequests + day.bounds().extraRetries();
-            if (retries > bound) {
-              violations.add(
-                  service + " received " + retries + " retries in the window to " + endMillis);
-            }
-          }
-        });
-    return violations;
-  }
-
-  /**
-   * Number of requests for each service by the time they were sent, whether they arrived or not.
-   */
-  private static Map<String, NavigableMap<Long, Integer>> requestTimesByService(SimulatedDay day) {
-    Map<String, NavigableMap<Long, Integer>> requests = new HashMap<>();
-    for (Attempt attempt : day.ledger().attempts().values()) {
-      attempt
-          .route()
-          .services()
-          .forEach(share -> add(requests, share.service(), attempt.sentAtMillis()));
-    }
-    return requests;
-  }
-
-  private static void add(
-      Map<String, NavigableMap<Long, Integer>> counts, String service, long at) {
-    counts.computeIfAbsent(service, name -> new TreeMap<>()).merge(at, 1, Integer::sum);
-  }
-
-  private static int count(NavigableMap<Long, Integer> times, long fromMillis, long toMillis) {
-    return times.subMap(fromMillis, false, toMillis, true).values().stream().mapToInt(n -> n).sum();
+    return RetryWindow.all(day).stream()
+        .filter(RetryWindow::isExceeded)
+        .map(
+            window ->
+                window.service()
+                    + " received "
+                    + window.retryCount()
+                    + " retries in the window to "
+                    + window.endMillis())
+        .toList();
   }
 
   static List<String> tooManyTargets(SimulatedDay day) {
