sageladder-processes: entry VMs as real processes under series of faults

The command starts the entry VMs with the deploy file's command line, stand-ins of store, targets and callers on loopback, sends signals to the VMs by id in series that overlap, and checks the same rules.

--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/Deployment.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/Deployment.java
@@ -348,7 +348,7 @@
   }
 
   /** The deployment of that name, as accepted by the {@code --deployment} option. */
-  static Optional<Deployment> named(String name) {
+  public static Optional<Deployment> named(String name) {
     return switch (name) {
       case "auction" -> Optional.of(auction());
       case "listing" -> Optional.of(listing());
@@ -376,7 +376,7 @@
   }
 
   /** The services as they appear in the configuration. */
-  List<ServiceRule> serviceRules() {
+  public List<ServiceRule> serviceRules() {
     return services.stream()
         .map(
             service ->
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/SimulatedDay.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/SimulatedDay.java
@@ -60,7 +60,8 @@
     return endMillis;
   }
 
-  void endMillis(long millis) {
+  /** Records when the traffic stopped. */
+  public void endMillis(long millis) {
     endMillis = millis;
   }
 
--- /dev/null
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/EntryVmProcess.java
@@ -0,0 +1,83 @@
+package org.sageladder.scenario.process;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * An entry VM as a process of its own, started with the command of the deploy file. Signals are
+ * sent to the id of this process only.
+ *
+ * <pre>{@code
+ * EntryVmProcess vm = new EntryVmProcess("entry-1", command, settingsText, folder);
+ * vm.start();
+ * vm.signal("STOP");
+ * }</pre>
+ */
+final class EntryVmProcess {
+  private static final String SETTINGS_VARIABLE = "SAGELADDER_SETTINGS";
+  private static final Set<Process> STARTED = ConcurrentHashMap.newKeySet();
+
+  static {
+    Runtime.getRuntime().addShutdownHook(new Thread(EntryVmProcess::killAll, "kill-entry-vms"));
+  }
+
+  private final String name;
+  private final List<String> command;
+  private final Path settings;
+  private final Path log;
+  private Process process;
+
+  /** Writes the settings; the process is not started yet. Its output is appended to its log. */
+  EntryVmProcess(String name, List<String> command, String settingsText, Path folder)
+      throws IOException {
+    this.name = name;
+    this.command = command;
+    this.settings = folder.resolve(name + ".toml");
+    this.log = folder.resolve(name + ".jsonl");
+    Files.writeString(settings, settingsText);
+  }
+
+  private static void killAll() {
+    STARTED.forEach(Process::destroyForcibly);
+  }
+
+  String name() {
+    return name;
+  }
+
+  /** Starts the process, also again after it has ended. */
+  void start() throws IOException {
+    ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+    builder.environment().put(SETTINGS_VARIABLE, settings.toString());
+    process = builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
+    STARTED.removeIf(other -> !other.isAlive());
+    STARTED.add(process);
+  }
+
+  boolean isAlive() {
+    return process.isAlive();
+  }
+
+  /** Kills the process with SIGKILL, also if it is stopped. */
+  void kill() {
+    process.destroyForcibly();
+  }
+
+  /** Asks for a planned stop with SIGTERM. */
+  void terminate() {
+    process.toHandle().destroy();
+  }
+
+  /** Sends a signal such as {@code STOP}, {@code CONT} or {@code HUP}. */
+  void signal(String signal) throws IOException, InterruptedException {
+    int exit =
+        new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+    if (exit != 0 && process.isAlive()) {
+      throw new IOException("cannot send " + signal + " to process " + process.pid());
+    }
+  }
+}
--- /dev/null
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/FaultInjector.java
@@ -0,0 +1,154 @@
+package org.sageladder.scenario.process;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import org.sageladder.standin.platform.StoreFaultMode;
+import org.sageladder.standin.platform.TargetStandIn;
+
+/** Injects series of faults into a fleet, and starts entry VMs that have ended again. */
+final class FaultInjector {
+  /** The platform starts a process that has ended again after about this time. */
+  private static final long RESTART_DELAY_MILLIS = 500;
+
+  private static final long POLL_MILLIS = 20;
+  private static final int CRASHED_TARGETS_DIVISOR = 3;
+  private static final long TARGET_DOWN_MILLIS = 1_500;
+  private static final long GRACE_MILLIS = 6_000;
+
+  private record Step(long atMillis, Action action) {}
+
+  private interface Action {
+    void run() throws IOException, InterruptedException;
+  }
+
+  private final ProcessFleet fleet;
+  private final Random random;
+  private final PriorityQueue<Step> steps =
+      new PriorityQueue<>((a, b) -> Long.compare(a.atMillis(), b.atMillis()));
+  private final List<EntryVmProcess> restarting = new ArrayList<>();
+  private final List<EntryVmProcess> stopped = new ArrayList<>();
+  private long startNanos;
+
+  FaultInjector(ProcessFleet fleet, long seed) {
+    this.fleet = fleet;
+    this.random = new Random(seed);
+  }
+
+  /** Injects {@code series} for {@code trafficMillis}, then continues all stopped VMs. */
+  void run(List<FaultSeries> series, long trafficMillis) throws IOException, InterruptedException {
+    startNanos = System.nanoTime();
+    series.forEach(this::schedule);
+    while (elapsedMillis() < trafficMillis) {
+      while (!steps.isEmpty() && steps.peek().atMillis() <= elapsedMillis()) {
+        steps.poll().action().run();
+      }
+      restartEnded();
+      Thread.sleep(POLL_MILLIS);
+    }
+    continueStopped();
+  }
+
+  private long elapsedMillis() {
+    return (System.nanoTime() - startNanos) / 1_000_000;
+  }
+
+  private void schedule(FaultSeries series) {
+    for (long at = series.fromMillis(); at < series.toMillis(); at += series.everyMillis()) {
+      steps.add(new Step(at, () -> inject(series.kind())));
+    }
+    steps.add(new Step(series.toMillis(), () -> end(series.kind())));
+  }
+
+  private void inject(FaultSeries.Kind kind) throws IOException, InterruptedException {
+    switch (kind) {
+      case KILL_ONE -> kill(1);
+      case KILL_HALF -> kill(fleet.entryVms().size() / 2);
+      case KILL_ALL -> kill(fleet.entryVms().size());
+      case STOP_ONE -> stopOne();
+      case TERMINATE_ONE -> terminateOne();
+      case CRASH_TARGETS -> fleet.runOnLoop(this::crashTargets);
+      case FAIL_REQUESTS -> setFault(TargetStandIn.Fault.FAILS);
+      case LOSE_ANSWERS -> setFault(TargetStandIn.Fault.LOSES_ANSWER);
+      case SILENCE_STORE -> setStoreFault(StoreFaultMode.SILENT);
+      case REFUSE_AT_STORE -> setStoreFault(StoreFaultMode.BUSY);
+    }
+  }
+
+  private void end(FaultSeries.Kind kind) throws IOException, InterruptedException {
+    switch (kind) {
+      case STOP_ONE -> continueStopped();
+      case FAIL_REQUESTS, LOSE_ANSWERS -> setFault(TargetStandIn.Fault.NONE);
+      case SILENCE_STORE, REFUSE_AT_STORE -> setStoreFault(StoreFaultMode.NONE);
+      default -> {}
+    }
+  }
+
+  private List<EntryVmProcess> pick(int count) {
+    List<EntryVmProcess> running = new ArrayList<>(fleet.entryVms());
+    running.removeIf(vm -> !vm.isAlive());
+    Collections.shuffle(running, random);
+    return running.subList(0, Math.min(count, running.size()));
+  }
+
+  private void kill(int count) {
+    pick(count).forEach(EntryVmProcess::kill);
+  }
+
+  private void terminateOne() {
+    for (EntryVmProcess vm : pick(1)) {
+      vm.terminate();
+      steps.add(new Step(elapsedMillis() + GRACE_MILLIS, vm::kill));
+    }
+  }
+
+  private void stopOne() throws IOException, InterruptedException {
+    continueStopped();
+    for (EntryVmProcess vm : pick(1)) {
+      vm.signal("STOP");
+      stopped.add(vm);
+    }
+  }
+
+  private void continueStopped() throws IOException, InterruptedException {
+    for (EntryVmProcess vm : stopped) {
+      vm.signal("CONT");
+    }
+    stopped.clear();
+  }
+
+  private void crashTargets() {
+    List<ProcessTarget> alive = new ArrayList<>(fleet.targets());
+    alive.removeIf(target -> !target.isAlive());
+    Collections.shuffle(alive, random);
+    alive
+        .subList(0, alive.size() / CRASHED_TARGETS_DIVISOR)
+        .forEach(target -> target.crash(TARGET_DOWN_MILLIS));
+  }
+
+  private void setFault(TargetStandIn.Fault fault) {
+    fleet.runOnLoop(() -> fleet.targets().forEach(target -> target.process().setFault(fault, 1)));
+  }
+
+  private void setStoreFault(StoreFaultMode mode) {
+    fleet.runOnLoop(() -> fleet.storePort().setFault(mode, caller -> true));
+  }
+
+  private void restartEnded() {
+    for (EntryVmProcess vm : fleet.entryVms()) {
+      if (!vm.isAlive() && !restarting.contains(vm)) {
+        restarting.add(vm);
+        steps.add(
+            new Step(
+                elapsedMillis() + RESTART_DELAY_MILLIS,
+                () -> {
+                  restarting.remove(vm);
+                  vm.start();
+                }));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/FaultSeries.java
@@ -0,0 +1,100 @@
+package org.sageladder.scenario.process;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Random;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * A fault that is injected again and again for a part of the day. Series may overlap.
+ *
+ * <p>Written {@code KIND@FROM..TO/EVERY}, in milliseconds after the start of the traffic: {@code
+ * kill-all@5000..30000/2500}.
+ *
+ * @param everyMillis time from one injection to the next
+ */
+record FaultSeries(Kind kind, long fromMillis, long toMillis, long everyMillis) {
+  private static final Pattern FORMAT =
+      Pattern.compile("([a-z-]+)@([0-9]{1,7})\\.\\.([0-9]{1,7})/([1-9][0-9]{0,6})");
+  private static final int MIN_RANDOM_SERIES = 2;
+  private static final int RANDOM_SERIES_RANGE = 3;
+  private static final int MIN_RANDOM_EVERY_MILLIS = 500;
+  private static final int RANDOM_EVERY_RANGE_MILLIS = 4_000;
+
+  /** What is injected. */
+  enum Kind {
+    /** SIGKILL to one entry VM. */
+    KILL_ONE,
+    /** SIGKILL to half of the entry VMs. */
+    KILL_HALF,
+    /** SIGKILL to all entry VMs. */
+    KILL_ALL,
+    /** SIGSTOP to one entry VM, and SIGCONT when the next one is stopped. */
+    STOP_ONE,
+    /** SIGTERM to one entry VM. */
+    TERMINATE_ONE,
+    /** A third of the targets crash and start again cold. */
+    CRASH_TARGETS,
+    /** All targets answer with failures until the series ends. */
+    FAIL_REQUESTS,
+    /** All targets lose their answers until the series ends. */
+    LOSE_ANSWERS,
+    /** The store answers nothing until the series ends. */
+    SILENCE_STORE,
+    /** The store refuses all calls until the series ends. */
+    REFUSE_AT_STORE;
+
+    String text() {
+      return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+  }
+
+  /**
+   * Parses a series.
+   *
+   * @throws IllegalArgumentException if {@code text} is none; the message says what is accepted
+   */
+  static FaultSeries parse(String text) {
+    Matcher matcher = FORMAT.matcher(text);
+    if (matcher.matches()) {
+      for (Kind kind : Kind.values()) {
+        if (kind.text().equals(matcher.group(1))) {
+          return new FaultSeries(
+              kind,
+              Long.parseLong(matcher.group(2)),
+              Long.parseLong(matcher.group(3)),
+              Long.parseLong(matcher.group(4)));
+        }
+      }
+    }
+    throw new IllegalArgumentException(
+        "--fault is '"
+            + text
+            + "'; accepted is KIND@FROM..TO/EVERY in ms, such as kill-all@5000..30000/2500, with a "
+            + "kind of "
+            + List.of(Kind.values()).stream().map(Kind::text).toList());
+  }
+
+  /** Series drawn from a seed, most of which overlap. */
+  static List<FaultSeries> random(long seed, long trafficMillis) {
+    Random random = new Random(seed);
+    int count = MIN_RANDOM_SERIES + random.nextInt(RANDOM_SERIES_RANGE);
+    List<FaultSeries> drawn = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
+      long fromMillis = Math.round(trafficMillis * random.nextDouble() / 2);
+      long toMillis =
+          fromMillis + Math.round((trafficMillis - fromMillis) * (0.3 + 0.7 * random.nextDouble()));
+      long everyMillis = (long) MIN_RANDOM_EVERY_MILLIS + random.nextInt(RANDOM_EVERY_RANGE_MILLIS);
+      drawn.add(new FaultSeries(kind, fromMillis, toMillis, everyMillis));
+    }
+    return drawn;
+  }
+
+  @Override
+  public String toString() {
+    return kind.text() + '@' + fromMillis + ".." + toMillis + '/' + everyMillis;
+  }
+}
--- /dev/null
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/ProcessMain.java
@@ -0,0 +1,167 @@
+package org.sageladder.scenario.process;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.sageladder.scenario.Deployment;
+import org.sageladder.scenario.rule.RetryWindow;
+import org.sageladder.scenario.rule.Rules;
+
+/**
+ * The command {@code sageladder-processes}: runs a deployment's entry VMs as real processes under
+ * series of faults, and reports which rules were violated.
+ *
+ * <pre>{@code
+ * sageladder-processes --seed 3
+ * sageladder-processes --deployment archive --fault fail-requests@2000..40000/40000 \
+ *     --fault kill-all@5000..40000/2500 --logs target/incident
+ * }</pre>
+ *
+ * <p>Exit codes: 0 if no rule was violated, 1 if a rule was violated, 2 if the command line is
+ * invalid.
+ */
+public final class ProcessMain {
+  private static final int EXIT_RULE_VIOLATED = 1;
+  private static final int EXIT_USAGE = 2;
+  private static final int MAX_VIOLATIONS_SHOWN = 5;
+  private static final long START_UP_MILLIS = 5_000;
+  private static final long AFTER_TRAFFIC_MILLIS = 11_000;
+  private static final Path DEPLOY_FILE = Path.of("deploy", "system.toml");
+  private static final Pattern RUN_LINE = Pattern.compile("(?m)^run = \"([^\"]+)\"$");
+
+  private ProcessMain() {}
+
+  /** Runs the day that the command line asks for. */
+  public static void main(String[] arguments) throws IOException, InterruptedException {
+    Options options = new Options();
+    addOption(options, "seed", "N", "seed of the requests and of what faults affect (default 1)");
+    addOption(options, "deployment", "NAME", "as of sageladder-days (default archive)");
+    addOption(options, "length", "MILLIS", "duration of the traffic (default 40000)");
+    addOption(options, "fault", "SERIES", "KIND@FROM..TO/EVERY, repeatable (default by seed)");
+    addOption(options, "logs", "FOLDER", "keeps settings and logs of the entry VMs here");
+    options.addOption(Option.builder().longOpt("help").desc("print this and exit").get());
+    try {
+      CommandLine line = new DefaultParser().parse(options, arguments);
+      if (line.hasOption("help")) {
+        printHelp(options);
+        return;
+      }
+      System.exit(run(line) ? 0 : EXIT_RULE_VIOLATED);
+    } catch (ParseException | IllegalArgumentException e) {
+      System.err.println("sageladder-processes: " + e.getMessage());
+      System.exit(EXIT_USAGE);
+    }
+  }
+
+  private static void addOption(Options options, String name, String argument, String text) {
+    options.addOption(Option.builder().longOpt(name).hasArg().argName(argument).desc(text).get());
+  }
+
+  private static void printHelp(Options options) {
+    System.out.println("usage: sageladder-processes [options]");
+    for (Option option : options.getOptions()) {
+      String argument = option.hasArg() ? ' ' + option.getArgName() : "";
+      System.out.printf(
+          "  %-24s %s%n", "--" + option.getLongOpt() + argument, option.getDescription());
+    }
+  }
+
+  private static boolean run(CommandLine line) throws IOException, InterruptedException {
+    long seed = parseNumber(line, "seed", "1");
+    long trafficMillis = parseNumber(line, "length", "40000");
+    String name = line.getOptionValue("deployment", "archive");
+    Deployment deployment =
+        Deployment.named(name)
+            .orElseThrow(
+                () -> new IllegalArgumentException("--deployment is '" + name + "'; unknown"));
+    List<FaultSeries> series = new ArrayList<>();
+    for (String text : Optional.ofNullable(line.getOptionValues("fault")).orElse(new String[0])) {
+      series.add(FaultSeries.parse(text));
+    }
+    if (series.isEmpty()) {
+      series.addAll(FaultSeries.random(seed, trafficMillis));
+    }
+    Path folder =
+        line.hasOption("logs")
+            ? Files.createDirectories(Path.of(line.getOptionValue("logs")))
+            : Files.createTempDirectory("sageladder-processes");
+    try (ProcessFleet fleet = ProcessFleet.start(deployment, seed, entryVmCommand(), folder)) {
+      Thread.sleep(START_UP_MILLIS);
+      fleet.startTraffic();
+      new FaultInjector(fleet, seed).run(series, trafficMillis);
+      fleet.stopTraffic();
+      Thread.sleep(AFTER_TRAFFIC_MILLIS);
+      return report(fleet, seed, series, folder);
+    }
+  }
+
+  private static long parseNumber(CommandLine line, String option, String defaultText) {
+    String text = line.getOptionValue(option, defaultText);
+    if (!text.matches("[0-9]{1,9}")) {
+      throw new IllegalArgumentException(
+          "--" + option + " is '" + text + "'; accepted is a whole number");
+    }
+    return Long.parseLong(text);
+  }
+
+  /** The command of the deploy file; its paths are relative to the repository's root. */
+  private static List<String> entryVmCommand() throws IOException {
+    Matcher run = RUN_LINE.matcher(Files.readString(DEPLOY_FILE));
+    if (!run.find()) {
+      throw new IOException(DEPLOY_FILE + " has no line run = \"...\"");
+    }
+    return List.of(run.group(1).split(" ", -1));
+  }
+
+  private static boolean report(
+      ProcessFleet fleet, long seed, List<FaultSeries> series, Path folder) {
+    return fleet.evaluate(
+        day -> {
+          List<String> violations = new ArrayList<>();
+          Rules.all()
+              .forEach(
+                  rule ->
+                      rule.violations(day)
+                          .forEach(each -> violations.add(rule.name() + ": " + each)));
+          System.out.printf(
+              Locale.ROOT,
+              "seed %d: %d requests, worth %.3f, served %.3f, %s %s%n",
+              seed,
+              day.requests().size(),
+              day.creditFraction(),
+              day.successFraction(0),
+              violations.isEmpty() ? "kept" : "BROKEN",
+              series);
+          RetryWindow.fullest(day)
+              .ifPresent(
+                  window ->
+                      System.out.printf(
+                          Locale.ROOT,
+                          "  retries at most %.2f of those allowed: %d of %.0f (%s, to %d)%n",
+                          window.usedFraction(),
+                          window.retryCount(),
+                          window.maxRetries(),
+                          window.service(),
+                          fleet.trafficMillis(window.endMillis())));
+          violations.stream()
+              .limit(MAX_VIOLATIONS_SHOWN)
+              .forEach(each -> System.out.println("  " + each));
+          if (violations.size() > MAX_VIOLATIONS_SHOWN) {
+            System.out.println("  and " + (violations.size() - MAX_VIOLATIONS_SHOWN) + " more");
+          }
+          System.out.println("  settings and logs are in " + folder);
+          return violations.isEmpty();
+        });
+  }
+}
--- /dev/null
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/ProcessTarget.java
@@ -0,0 +1,107 @@
+package org.sageladder.scenario.process;
+
+import org.sageladder.core.placing.TargetFacts;
+import org.sageladder.core.placing.TargetIncarnation;
+import org.sageladder.forward.Loop;
+import org.sageladder.scenario.Deployment.Service;
+import org.sageladder.standin.platform.Ledger;
+import org.sageladder.standin.platform.PlatformTexts;
+import org.sageladder.standin.platform.ServerPort;
+import org.sageladder.standin.platform.StoreModel;
+import org.sageladder.standin.platform.TargetStandIn;
+
+/** A target on a port of its own, and its entry in the store. */
+final class ProcessTarget {
+  private static final long HEARTBEAT_MILLIS = 1_500;
+
+  /** The platform removes the entry of a target that has been silent for this long. */
+  private static final long EXPIRY_MILLIS = 3 * HEARTBEAT_MILLIS;
+
+  /** The loop, the store and the ledger that all targets share. */
+  record World(Loop loop, StoreModel store, Ledger ledger, long seed) {}
+
+  private final World world;
+  private final Service service;
+  private final String zone;
+  private final String region;
+  private final String name;
+  private final int port;
+  private int startCount;
+  private StandInHost host;
+  private TargetStandIn process;
+
+  ProcessTarget(World world, Service service, String zone, String region, String name, int port) {
+    this.world = world;
+    this.service = service;
+    this.zone = zone;
+    this.region = region;
+    this.name = name;
+    this.port = port;
+  }
+
+  Service service() {
+    return service;
+  }
+
+  TargetStandIn process() {
+    return process;
+  }
+
+  boolean isAlive() {
+    return host.isAlive();
+  }
+
+  /** Starts a new incarnation; must be called on the loop. */
+  void start(long coldMillis) {
+    startCount++;
+    host = StandInHost.on(world.loop());
+    TargetFacts facts =
+        new TargetFacts(
+            new TargetIncarnation(name + "-" + startCount, world.loop().wallMillis()),
+            0,
+            service.name(),
+            LocalPorts.HOST,
+            port,
+            zone,
+            region,
+            service.traits().slots(),
+            false,
+            coldMillis);
+    process =
+        TargetStandIn.start(
+            host.loop(),
+            facts,
+            service.traits(),
+            world.ledger(),
+            world.seed(),
+            () -> crash(service.traits().coldMillis()),
+            ServerPort.OpenListener.ignored());
+    host.loop().execute(this::register);
+    host.loop().scheduleAtFixedRate(HEARTBEAT_MILLIS, this::register);
+  }
+
+  private void register() {
+    process.onFactsStored();
+    String entry = PlatformTexts.targetEntry(process.facts(), 0);
+    var unused = world.store().put(key(), PlatformTexts.base64(entry), 0);
+  }
+
+  /** Crashes, and starts again cold as a new incarnation after {@code downMillis}. */
+  void crash(long downMillis) {
+    if (!host.isAlive()) {
+      return;
+    }
+    host.kill();
+    String crashedKey = key();
+    schedule(EXPIRY_MILLIS, () -> world.store().remove(crashedKey));
+    schedule(downMillis, () -> start(service.traits().coldMillis()));
+  }
+
+  private void schedule(long delayMillis, Runnable task) {
+    var unused = world.loop().schedule(delayMillis, task);
+  }
+
+  private String key() {
+    return "servers/" + name + "-" + startCount;
+  }
+}
