--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/LocalPorts.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/LocalPorts.java
@@ -10,7 +10,10 @@
   private static final int FIRST_PORT = 14_000;
   private static final int PORT_COUNT = 16_000;
 
-  private int next = (int) (ProcessHandle.current().pid() * 37 % PORT_COUNT);
+  /** More than a run needs, so that runs that start together do not choose the same ports. */
+  private static final long PORTS_PER_RUN = 499;
+
+  private int next = (int) (ProcessHandle.current().pid() * PORTS_PER_RUN % PORT_COUNT);
 
   /** A port that nothing listens on, different from all returned before. */
   int next() throws IOException {
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
@@ -48,12 +48,20 @@
     return all;
   }
 
+  /** Troubles of entry VMs that restart while requests fail; these are never chosen at random. */
+  public static Map<String, Trouble> restartTroubles() {
+    Map<String, Trouble> all = new LinkedHashMap<>();
+    RestartTroubles.addTo(all);
+    return all;
+  }
+
   /** The trouble with that name, or null. */
   public static @Nullable Trouble find(String name) {
     Map<String, Trouble> known = all();
     known.putAll(workspaceTroubles());
     known.putAll(signalTroubles());
     known.putAll(crashingRequests());
+    known.putAll(restartTroubles());
     return known.get(name);
   }
 
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/SeededTroubles.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/SeededTroubles.java
@@ -22,7 +22,7 @@
   /** The test of one seed. */
   static DynamicTest testForSeed(String trouble, Deployment deployment, long seed) {
     return DynamicTest.dynamicTest(
-        "seed " + seed, () -> assertRulesHold(seed, trouble, deployment));
+        trouble + ", seed " + seed, () -> assertRulesHold(seed, trouble, deployment));
   }
 
   private static void assertRulesHold(long seed, String trouble, Deployment deployment) {
