Retry budget: a restarted VM leaves room for the retries of its earlier process

Cause: ServiceRetryBudget starts with a whole share, however often its VM is started within a window, and knows nothing of what the process before it sent. It also divided the extra retries by one before the first list of VMs.

Change: within the first window after the first list of VMs a budget permits only the part of the ratio that a whole share leaves (0.25 of it) and no extra retries. Whatever the earlier process sent within a window, both stay within the share, also through restarts in series, since each process counts its own requests. The first list is the one after the initial read of the store; before, the list has this VM alone. AttemptLimit is split off Exchange.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/ServiceRetryBudget.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/ServiceRetryBudget.java
@@ -13,6 +13,11 @@
  * retries are divided equally among the VMs, by the highest number of VMs ever seen at once, since
  * a VM that has left may have used its share within the window. A refused retry counts too: it has
  * reached the service.
+ *
+ * <p>An earlier process of the same VM may have used its whole share just before it ended. Within
+ * its first window a budget therefore permits only the part of the ratio that a whole share leaves,
+ * and no extra retries. The window begins with the first list of VMs, so that the share is known
+ * when it ends.
  */
 public final class ServiceRetryBudget {
   /**
@@ -27,6 +32,8 @@
   private double extraRetries;
   private long windowMillis;
   private int entryVmCount = 1;
+  private boolean areEntryVmsKnown;
+  private long firstListAtMillis;
   private final Map<String, RetryWindow> windowsByService = new HashMap<>();
 
   private static final class RetryWindow {
@@ -57,10 +64,14 @@
 
   /**
    * Updates the number of entry VMs that share the extra retries; a lower number than before has no
-   * effect.
+   * effect. The first call begins the first window.
    */
-  public void updateEntryVmCount(int liveCount) {
+  public void updateEntryVmCount(int liveCount, long now) {
     entryVmCount = Math.max(entryVmCount, liveCount);
+    if (!areEntryVmsKnown) {
+      areEntryVmsKnown = true;
+      firstListAtMillis = now;
+    }
   }
 
   /** Records a caller's request for {@code service}. */
@@ -78,28 +89,38 @@
     RetryWindow window = window(service);
     removeExpired(window.requestTimes, now);
     removeExpired(window.retryTimes, now);
-    if (window.retryTimes.size() + 1 > maxRetries(window)) {
+    if (window.retryTimes.size() + 1 > maxRetries(window, now)) {
       return false;
     }
     window.retryTimes.addLast(now);
     return true;
   }
 
-  private double maxRetries(RetryWindow window) {
-    return USED_FRACTION * (retryRatio * window.requestTimes.size() + extraRetries / entryVmCount);
+  private double maxRetries(RetryWindow window, long now) {
+    double ratioRetries = retryRatio * window.requestTimes.size();
+    return isFirstWindow(now)
+        ? (1 - USED_FRACTION) * ratioRetries
+        : USED_FRACTION * (ratioRetries + extraRetries / entryVmCount);
+  }
+
+  private boolean isFirstWindow(long now) {
+    return !areEntryVmsKnown || now - firstListAtMillis < windowMillis;
   }
 
   /** Describes the window of {@code service} for a log line, as {@link #tryAcquire} last saw it. */
-  public String describe(String service) {
+  public String describe(String service, long now) {
     RetryWindow window = window(service);
+    String sharing =
+        isFirstWindow(now)
+            ? "first window without extra retries"
+            : "extra retries shared by " + entryVmCount + " VMs";
     return window.retryTimes.size()
         + " of "
-        + Math.round(maxRetries(window) * TENTHS) / TENTHS
+        + Math.round(maxRetries(window, now) * TENTHS) / TENTHS
         + " retries used for "
         + window.requestTimes.size()
-        + " requests, extra retries shared by "
-        + entryVmCount
-        + " VMs";
+        + " requests, "
+        + sharing;
   }
 
   private RetryWindow window(String service) {
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/ServiceRetryBudgetTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/ServiceRetryBudgetTest.java
@@ -15,7 +15,7 @@
   @Test
   void entryVmUsesOnlyItsShareOfTheBudget() {
     ServiceRetryBudget budget = ServiceRetryBudget.of(0.2, 64, 10_000);
-    budget.updateEntryVmCount(12);
+    budget.updateEntryVmCount(12, -10_000);
     for (int i = 0; i < 100; i++) {
       budget.recordRequest("s", i);
     }
@@ -32,12 +32,48 @@
   @Test
   void shareDoesNotGrowWhenVmsLeave() {
     ServiceRetryBudget budget = ServiceRetryBudget.of(0, 48, 10_000);
-    budget.updateEntryVmCount(12);
-    budget.updateEntryVmCount(1);
+    budget.updateEntryVmCount(12, -10_000);
+    budget.updateEntryVmCount(1, -9_000);
     int retries = 0;
     while (budget.tryAcquire("s", 0)) {
       retries++;
     }
     assertTrue(retries <= 4, "retries: " + retries);
   }
+
+  /** Guards against a restarted VM that spends the share of its earlier process once more. */
+  @Test
+  void restartedVmLeavesRoomForTheRetriesOfItsEarlierProcess() {
+    for (long restartMillis : new long[] {1, 2_500, 9_999}) {
+      int retries = 0;
+      long firstRetryMillis = 10_000;
+      ServiceRetryBudget earlier = ServiceRetryBudget.of(0.2, 64, 10_000);
+      earlier.updateEntryVmCount(8, -10_000);
+      ServiceRetryBudget later = ServiceRetryBudget.of(0.2, 64, 10_000);
+      for (long now = 0; now < firstRetryMillis + 10_000; now += 10) {
+        boolean isRestarted = now >= firstRetryMillis + restartMillis;
+        ServiceRetryBudget current = isRestarted ? later : earlier;
+        if (now - 10 < firstRetryMillis + restartMillis && isRestarted) {
+          later.updateEntryVmCount(8, now);
+        }
+        current.recordRequest("s", now);
+        while (now >= firstRetryMillis && current.tryAcquire("s", now)) {
+          retries++;
+        }
+      }
+      double maxRetries = 0.2 * 1_000 + 64.0 / 8;
+      assertTrue(retries <= maxRetries, "retries: " + retries);
+      assertTrue(retries >= 0.7 * maxRetries, "retries: " + retries);
+    }
+  }
+
+  /** Guards against a VM that takes the extra retries of all before it knows the others. */
+  @Test
+  void extraRetriesNeedTheListOfVms() {
+    ServiceRetryBudget budget = ServiceRetryBudget.of(0, 48, 10_000);
+    assertEquals(false, budget.tryAcquire("s", 60_000));
+    budget.updateEntryVmCount(12, 60_000);
+    assertEquals(false, budget.tryAcquire("s", 69_999));
+    assertTrue(budget.tryAcquire("s", 70_000));
+  }
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -38,15 +38,9 @@
   /** A response up to this size is buffered until complete; see {@link BufferedResponse}. */
   private static final long MAX_BUFFERED_BYTES = 256 << 10;
 
-  /** Number of unreachable or misdirected targets after which the request fails. */
-  private static final int MAX_UNREACHED_TARGETS = 4;
-
   /** A response is sent this long before the caller's deadline, to arrive in time. */
   private static final long RESPONSE_MARGIN_MILLIS = 20;
 
-  /** With less time than this left, another target could not respond in time. */
-  private static final long MIN_REMAINING_FOR_RETRY_MILLIS = 30;
-
   /** Upper bound on the suggested retry delay, as a fraction of the remaining time. */
   private static final double MAX_RETRY_AFTER_FRACTION = 0.33;
 
@@ -79,8 +73,7 @@
   private Loop.@Nullable Timer deadlineTimer;
   private @Nullable Attempt attempt;
   private final CrashEvidence crashEvidence;
-  private int sendCount;
-  private int unreachedCount;
+  private final AttemptLimit attemptLimit;
   private boolean mayHaveRun;
   private boolean isWaitingForTurn;
   private boolean isPlaced;
@@ -96,6 +89,7 @@
     this.head = head;
     this.startedAtMillis = forwarder.loop().nowMillis();
     this.quotaClaim = new QuotaClaim(forwarder);
+    this.attemptLimit = new AttemptLimit(forwarder);
     this.crashEvidence = new CrashEvidence(forwarder.crashDetector(), this::fingerprint);
     forwarder.requestStarted();
   }
@@ -373,10 +367,9 @@
   /** Called if no byte of the request was sent to the target of {@code failed}. */
   void onNotSent(Attempt failed, String cause) {
     attempt = null;
-    unreachedCount++;
+    attemptLimit.recordUnreached();
     logAttempt(EventKind.RETRIED, failed, "not sent: " + cause);
-    if (unreachedCount < MAX_UNREACHED_TARGETS
-        && remainingMillis() > MIN_REMAINING_FOR_RETRY_MILLIS) {
+    if (attemptLimit.permitsAnotherTarget(remainingMillis())) {
       placeRequest();
       return;
     }
@@ -393,9 +386,9 @@
     if (isMisdirected) {
       forwarder.targets().remove(refused.target().facts().incarnation());
       forwarder.forgetTarget(refused.target().facts().incarnation());
-      unreachedCount++;
+      attemptLimit.recordUnreached();
     } else {
-      sendCount++;
+      attemptLimit.recordSent();
     }
     if (canTryAnotherTarget()) {
       placeRequest();
@@ -412,7 +405,7 @@
     attempt = null;
     mayHaveRun = true;
     quotaClaim.markSpent();
-    sendCount++;
+    attemptLimit.recordSent();
     logAttempt(EventKind.FAILED, failed, cause);
     if (isStreaming) {
       abortResponse("the target's response was truncated: " + cause);
@@ -433,26 +426,14 @@
 
   private boolean canTryAnotherTarget() {
     return body.isReplayable()
-        && sendCount < requireRoute().maxTargets()
-        && unreachedCount < MAX_UNREACHED_TARGETS
-        && remainingMillis() > MIN_REMAINING_FOR_RETRY_MILLIS
-        && tryAcquireRetry();
-  }
-
-  private boolean tryAcquireRetry() {
-    boolean isPermitted = forwarder.retryBudget().tryAcquire(service, forwarder.loop().nowMillis());
-    forwarder
-        .requestLog()
-        .recordRetryDecision(
-            subject(), service, isPermitted, forwarder.retryBudget().describe(service));
-    return isPermitted;
+        && attemptLimit.tryAcquireRetry(requireRoute(), service, remainingMillis(), subject());
   }
 
   /** Called once the response is complete. */
   void onComplete(Attempt done, BufferedResponse response) {
     attempt = null;
     quotaClaim.markSpent();
-    sendCount++;
+    attemptLimit.recordSent();
     if (isStreaming) {
       caller.write(new DefaultLastHttpContent());
       finish(EventKind.ANSWERED, done, "status " + response.status(), mustClose());
@@ -672,7 +653,8 @@
     long millis = forwarder.loop().nowMillis() - startedAtMillis;
     forwarder
         .requestLog()
-        .recordEnd(kind, subject(), last, forwarder.rules(), millis, sendCount, detail);
+        .recordEnd(
+            kind, subject(), last, forwarder.rules(), millis, attemptLimit.sendCount(), detail);
   }
 
   private RequestLog.Subject subject() {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -268,10 +268,10 @@
     quotas.updateTolerance(newOptions.quotaTolerance());
   }
 
-  /** Updates the set of live entry VMs. */
+  /** Updates the set of live entry VMs; must not be called before it is known. */
   public void updateEntries(List<ColdTargetLimiter.EntryVmLocation> liveEntries) {
     entryVms.update(liveEntries, loop.nowMillis());
-    retryBudget.updateEntryVmCount(liveEntries.size());
+    retryBudget.updateEntryVmCount(liveEntries.size(), loop.nowMillis());
     int vmsInRegion = (int) liveEntries.stream().filter(vm -> vm.region().equals(region)).count();
     Map<String, Integer> peersByRegion = new HashMap<>();
     liveEntries.forEach(vm -> peersByRegion.put(vm.region(), Math.max(0, vmsInRegion - 1)));
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
@@ -60,6 +60,7 @@
   private final MalformedItemLog malformedItems;
   private Consumer<Collection<EntryVm>> liveVmListener = vms -> {};
   private boolean isPublishScheduled;
+  private boolean isInitialReadComplete;
   private @Nullable StoreFollower follower;
   private @Nullable EntryRegistration registration;
 
@@ -286,6 +287,7 @@
   @Override
   public void onInitialReadComplete() {
     log.record(EventKind.STORE_UP, "", "", "store", 0, "initial read complete");
+    isInitialReadComplete = true;
     publishEntries();
   }
 
@@ -304,6 +306,9 @@
         live.stream().map(vm -> new EntryVmLocation(vm.name(), vm.zone(), vm.region())).toList();
     changeFeed.updateLiveVms(live);
     liveVmListener.accept(live);
-    forwarder.updateEntries(locations);
+    // Before, the list has this VM alone, which would take the shares of all.
+    if (isInitialReadComplete) {
+      forwarder.updateEntries(locations);
+    }
   }
 }
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/LocalPorts.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/LocalPorts.java
@@ -4,27 +4,57 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 
-/** Free ports of the loopback address, below those that the kernel gives to connections. */
-final class LocalPorts {
+/**
+ * Free ports of the loopback address, below those that the kernel gives to connections.
+ *
+ * <p>Each run takes a range of its own and holds it by listening on the first port, so that runs
+ * beside each other never use the same ports.
+ */
+final class LocalPorts implements AutoCloseable {
   static final String HOST = "127.0.0.1";
   private static final int FIRST_PORT = 14_000;
-  private static final int PORT_COUNT = 16_000;
+  private static final int RANGE_COUNT = 40;
+  private static final int PORTS_PER_RANGE = 400;
 
-  /** More than a run needs, so that runs that start together do not choose the same ports. */
-  private static final long PORTS_PER_RUN = 499;
+  private final ServerSocket guard;
+  private int lastPort;
 
-  private int next = (int) (ProcessHandle.current().pid() * PORTS_PER_RUN % PORT_COUNT);
+  private LocalPorts(ServerSocket guard) {
+    this.guard = guard;
+    this.lastPort = guard.getLocalPort();
+  }
+
+  /** Takes a range that no other run holds. */
+  static LocalPorts reserve() throws IOException {
+    for (int range = 0; range < RANGE_COUNT; range++) {
+      try {
+        return new LocalPorts(listen(FIRST_PORT + range * PORTS_PER_RANGE));
+      } catch (IOException taken) {
+        // Another run holds this range.
+      }
+    }
+    throw new IOException("no free range of ports from " + FIRST_PORT);
+  }
 
   /** A port that nothing listens on, different from all returned before. */
   int next() throws IOException {
-    for (int tried = 0; tried < PORT_COUNT; tried++) {
-      int port = FIRST_PORT + next++ % PORT_COUNT;
-      try (ServerSocket free = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+    while (lastPort < guard.getLocalPort() + PORTS_PER_RANGE - 1) {
+      lastPort++;
+      try (ServerSocket free = listen(lastPort)) {
         return free.getLocalPort();
       } catch (IOException taken) {
-        // Try the next port.
+        // Another program listens on this port.
       }
     }
-    throw new IOException("no free port from " + FIRST_PORT);
+    throw new IOException("no free port in the range from " + guard.getLocalPort());
+  }
+
+  private static ServerSocket listen(int port) throws IOException {
+    return new ServerSocket(port, 1, InetAddress.getLoopbackAddress());
+  }
+
+  @Override
+  public void close() throws IOException {
+    guard.close();
   }
 }
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/ProcessFleet.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/ProcessFleet.java
@@ -38,7 +38,7 @@
   private final long seed;
   private final Loop loop = Loop.start();
   private final SimulatedDay day = new SimulatedDay();
-  private final LocalPorts ports = new LocalPorts();
+  private final LocalPorts ports = LocalPorts.reserve();
   private final Map<String, RouteRule> routes = new HashMap<>();
   private final List<Vm> vms = new ArrayList<>();
   private final List<ProcessTarget> targets = new ArrayList<>();
@@ -221,8 +221,9 @@
   }
 
   @Override
-  public void close() {
+  public void close() throws IOException {
     vms.forEach(vm -> vm.process().kill());
     loop.close();
+    ports.close();
   }
 }
