Cold targets: a restarted VM leaves room for what its earlier process sent

The count of the last second ends with the process, and the next one, about half a second later, sends its whole share again.

Change: a VM sends nothing to cold targets for one window (1.1 s) after its first list of VMs.

The process runner: targets no longer start again while a run ends.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/ColdTargetLimiter.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/ColdTargetLimiter.java
@@ -14,6 +14,9 @@
  * therefore has a few entry VMs, the same in every VM's computation, which alone may send to it
  * while it is cold. Each of them gets an equal whole share of the limit. Entry VMs near the target
  * come first.
+ *
+ * <p>An earlier process of the same VM may have sent its whole share just before it ended. A VM
+ * therefore sends nothing to cold targets for one window after its first list of VMs.
  */
 public final class ColdTargetLimiter {
   /** Length of the window: the second that the limit covers plus a margin for network delay. */
@@ -45,7 +48,7 @@
 
   /**
    * Creates a limiter of {@code rate * rateFactor + extraRequests} requests a second for each cold
-   * target. Before {@code entryVms} has its first list, no request is permitted.
+   * target. Before {@code entryVms} has had a list for a window, no request is permitted.
    */
   public static ColdTargetLimiter of(
       EntryVmRanking entryVms, double rateFactor, int extraRequests) {
@@ -63,7 +66,7 @@
     int totalLimit =
         (int) Math.floor(coldPerSecond * rateFactor + extraRequests) - RESERVED_REQUESTS;
     int ownLimit = ownRequestLimit(target, totalLimit);
-    if (ownLimit == 0) {
+    if (ownLimit == 0 || !entryVms.hasBeenListedFor(WINDOW_MILLIS, now)) {
       return false;
     }
     Deque<Long> times = sentTimes.get(target.id());
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/EntryVmRanking.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/EntryVmRanking.java
@@ -39,6 +39,7 @@
   private final Map<String, EntryVmLocation> entryVms = new HashMap<>();
   private final Map<String, Long> missingSinceMillis = new HashMap<>();
   private final Map<RankedTarget, Integer> ownRanks = new HashMap<>();
+  private long firstListAtMillis;
 
   /** The properties of a target that its ranking depends on. */
   private record RankedTarget(String id, String zone, String region) {}
@@ -58,6 +59,9 @@
 
   /** Updates the list of live entry VMs. */
   public void update(Collection<EntryVmLocation> live, long now) {
+    if (entryVms.isEmpty()) {
+      firstListAtMillis = now;
+    }
     ownRanks.clear();
     Set<String> liveNames = new HashSet<>();
     for (EntryVmLocation entryVm : live) {
@@ -79,6 +83,11 @@
     return since != null && now - since >= MISSING_VM_GRACE_MILLIS;
   }
 
+  /** True if this VM has known the others for at least {@code millis}. */
+  boolean hasBeenListedFor(long millis, long now) {
+    return !entryVms.isEmpty() && now - firstListAtMillis >= millis;
+  }
+
   /** The number of ranked VMs; 0 before the first list. */
   int size() {
     return entryVms.size();
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/ProcessFleet.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/ProcessFleet.java
@@ -223,6 +223,7 @@
   @Override
   public void close() throws IOException {
     vms.forEach(vm -> vm.process().kill());
+    runOnLoop(() -> targets.forEach(ProcessTarget::stop));
     loop.close();
     ports.close();
   }
