Retry budget: VMs that a restarted VM cannot know share the extra retries too

Change: the extra retries are divided by at least the number of zones in the settings, each of which has entry VMs of its own.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/ServiceRetryBudget.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/ServiceRetryBudget.java
@@ -31,7 +31,7 @@
   private double retryRatio;
   private double extraRetries;
   private long windowMillis;
-  private int entryVmCount = 1;
+  private int entryVmCount;
   private boolean areEntryVmsKnown;
   private long firstListAtMillis;
   private final Map<String, RetryWindow> windowsByService = new HashMap<>();
@@ -41,18 +41,23 @@
     final Deque<Long> retryTimes = new ArrayDeque<>();
   }
 
-  private ServiceRetryBudget(double ratio, double extra, long windowMillis) {
+  private ServiceRetryBudget(double ratio, double extra, long windowMillis, int entryVmCount) {
     this.retryRatio = ratio;
     this.extraRetries = extra;
     this.windowMillis = windowMillis;
+    this.entryVmCount = entryVmCount;
   }
 
   /**
    * Creates a budget of {@code retryRatio} of the requests of a window plus a share of {@code
    * extraRetries}.
+   *
+   * @param minEntryVms number of entry VMs that share the extra retries at least: VMs that the
+   *     store turns away may be missing from the list of live ones
    */
-  public static ServiceRetryBudget of(double retryRatio, double extraRetries, long windowMillis) {
-    return new ServiceRetryBudget(retryRatio, extraRetries, windowMillis);
+  public static ServiceRetryBudget of(
+      double retryRatio, double extraRetries, long windowMillis, int minEntryVms) {
+    return new ServiceRetryBudget(retryRatio, extraRetries, windowMillis, Math.max(1, minEntryVms));
   }
 
   /** Replaces the limits, also for requests counted before. */
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/ServiceRetryBudgetTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/ServiceRetryBudgetTest.java
@@ -14,7 +14,7 @@
    */
   @Test
   void entryVmUsesOnlyItsShareOfTheBudget() {
-    ServiceRetryBudget budget = ServiceRetryBudget.of(0.2, 64, 10_000);
+    ServiceRetryBudget budget = ServiceRetryBudget.of(0.2, 64, 10_000, 1);
     budget.updateEntryVmCount(12, -10_000);
     for (int i = 0; i < 100; i++) {
       budget.recordRequest("s", i);
@@ -31,7 +31,7 @@
   /** A VM that leaves may have used its share already: the others do not take it over. */
   @Test
   void shareDoesNotGrowWhenVmsLeave() {
-    ServiceRetryBudget budget = ServiceRetryBudget.of(0, 48, 10_000);
+    ServiceRetryBudget budget = ServiceRetryBudget.of(0, 48, 10_000, 1);
     budget.updateEntryVmCount(12, -10_000);
     budget.updateEntryVmCount(1, -9_000);
     int retries = 0;
@@ -47,9 +47,9 @@
     for (long restartMillis : new long[] {1, 2_500, 9_999}) {
       int retries = 0;
       long firstRetryMillis = 10_000;
-      ServiceRetryBudget earlier = ServiceRetryBudget.of(0.2, 64, 10_000);
+      ServiceRetryBudget earlier = ServiceRetryBudget.of(0.2, 64, 10_000, 1);
       earlier.updateEntryVmCount(8, -10_000);
-      ServiceRetryBudget later = ServiceRetryBudget.of(0.2, 64, 10_000);
+      ServiceRetryBudget later = ServiceRetryBudget.of(0.2, 64, 10_000, 1);
       for (long now = 0; now < firstRetryMillis + 10_000; now += 10) {
         boolean isRestarted = now >= firstRetryMillis + restartMillis;
         ServiceRetryBudget current = isRestarted ? later : earlier;
@@ -70,10 +70,22 @@
   /** Guards against a VM that takes the extra retries of all before it knows the others. */
   @Test
   void extraRetriesNeedTheListOfVms() {
-    ServiceRetryBudget budget = ServiceRetryBudget.of(0, 48, 10_000);
+    ServiceRetryBudget budget = ServiceRetryBudget.of(0, 48, 10_000, 1);
     assertEquals(false, budget.tryAcquire("s", 60_000));
     budget.updateEntryVmCount(12, 60_000);
     assertEquals(false, budget.tryAcquire("s", 69_999));
     assertTrue(budget.tryAcquire("s", 70_000));
   }
+
+  /** Guards against a VM that takes the extra retries of others that it does not know. */
+  @Test
+  void extraRetriesAreSharedWithUnknownVms() {
+    ServiceRetryBudget budget = ServiceRetryBudget.of(0, 48, 10_000, 6);
+    budget.updateEntryVmCount(1, -10_000);
+    int retries = 0;
+    while (budget.tryAcquire("s", 0)) {
+      retries++;
+    }
+    assertTrue(retries <= 8, "retries: " + retries);
+  }
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -109,6 +109,7 @@
    * @param retryRatio retries allowed per request, for all entry VMs together
    * @param extraRetriesPerWindow retries allowed per window in addition to that
    * @param retryWindowMillis length of that window
+   * @param minEntryVms number of entry VMs that there are at least, whether they are known or not
    * @param maxShiftFraction fraction of a region's requests that may move to another region within
    *     two seconds
    * @param quotaTolerance how exactly workspace quotas are enforced
@@ -125,6 +126,7 @@
       double retryRatio,
       double extraRetriesPerWindow,
       long retryWindowMillis,
+      int minEntryVms,
       double maxShiftFraction,
       QuotaTolerance quotaTolerance,
       long discoveryMillis,
@@ -145,7 +147,10 @@
     this.targetLimiter = TargetRateLimiter.of(entryVms, random::nextDouble);
     this.retryBudget =
         ServiceRetryBudget.of(
-            options.retryRatio(), options.extraRetriesPerWindow(), options.retryWindowMillis());
+            options.retryRatio(),
+            options.extraRetriesPerWindow(),
+            options.retryWindowMillis(),
+            options.minEntryVms());
     this.shiftLimiter = RegionShiftLimiter.of(options.maxShiftFraction());
     this.runTimes = RunTimes.create(shiftLimiter::settleMillis);
     this.placement =
--- a/sageladder-forward/src/test/java/org/sageladder/forward/ForwardingFixture.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/ForwardingFixture.java
@@ -33,7 +33,20 @@
           loop,
           new TestDialect(),
           new Forwarder.Options(
-              "e-1", "z", "r", 1, 1.5, 5, 8, 100, 10_000, 1, QuotaTolerance.exact(), 3_000, true),
+              "e-1",
+              "z",
+              "r",
+              1,
+              1.5,
+              5,
+              8,
+              100,
+              10_000,
+              1,
+              1,
+              QuotaTolerance.exact(),
+              3_000,
+              true),
           EventSink.none(),
           metrics);
   private final List<ScriptedTarget> targets = new ArrayList<>();
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/RestartTroubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/RestartTroubles.java
@@ -1,10 +1,14 @@
 package org.sageladder.scenario.trouble;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.sageladder.scenario.Fleet;
 import org.sageladder.scenario.FleetEntry;
 import org.sageladder.scenario.FleetTarget;
+import org.sageladder.standin.platform.StoreFaultMode;
 import org.sageladder.standin.platform.TargetStandIn.Fault;
 
 /** Entry VMs that restart again and again while requests fail at their targets. */
@@ -22,6 +26,13 @@
   private static final long QUIET_MILLIS = 10_000;
 
   private static final long FIRST_KILL_DELAY_MILLIS = 2_000;
+
+  /** Time after which the registrations of VMs that the store turns away have expired. */
+  private static final long REGISTRATION_EXPIRY_MILLIS = 5_000;
+
+  /** Time after which a restarted VM uses its whole share of the retries again. */
+  private static final long FIRST_WINDOW_MILLIS = 11_000;
+
   private static final long FAULT_REFRESH_MILLIS = 500;
 
   private RestartTroubles() {}
@@ -52,6 +63,7 @@
           long atMillis = QUIET_MILLIS + FIRST_KILL_DELAY_MILLIS;
           fleet.runAfter(atMillis, () -> killAll(fleet));
         });
+    all.put("late-failures-and-few-vms-known", RestartTroubles::hideVms);
     all.put(
         "crashes-and-all-killed",
         (fleet, random) -> {
@@ -60,6 +72,26 @@
         });
   }
 
+  /**
+   * The store turns all VMs but one away until their registrations expire. That one restarts and so
+   * never know of them. Then requests fail.
+   */
+  private static void hideVms(Fleet fleet, Random random) {
+    int hiddenCount = fleet.entries().size() - 1;
+    List<FleetEntry> all = Troubles.pickEntries(fleet, random, fleet.entries().size());
+    Set<String> hidden =
+        all.subList(0, hiddenCount).stream()
+            .map(entry -> entry.host().ip())
+            .collect(Collectors.toSet());
+    Troubles.recordAtAll(fleet, TROUBLE_MILLIS);
+    fleet.storePort().setFault(StoreFaultMode.BUSY, hidden::contains);
+    fleet.runAfter(TROUBLE_MILLIS, fleet.storePort()::clearFault);
+    fleet.runAfter(
+        REGISTRATION_EXPIRY_MILLIS,
+        () -> all.subList(hiddenCount, all.size()).forEach(entry -> kill(fleet, entry)));
+    failRequests(fleet, REGISTRATION_EXPIRY_MILLIS + FIRST_WINDOW_MILLIS);
+  }
+
   private static void repeat(Fleet fleet, long fromMillis, long everyMillis, Runnable task) {
     for (long at = fromMillis; at < TROUBLE_MILLIS; at += everyMillis) {
       fleet.runAfter(at, task);
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/RetriesAcrossRestartsTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/RetriesAcrossRestartsTest.java
@@ -15,7 +15,7 @@
     return Troubles.restartTroubles().keySet().stream()
         .flatMap(
             trouble ->
-                Stream.of(Deployment.archive(), Deployment.stamps())
+                Stream.of(Deployment.archive(), Deployment.stamps(), Deployment.auction())
                     .flatMap(
                         each -> SeededTroubles.testsForSeeds(trouble, each, SEED_COUNT).stream()))
         .toList();
