--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/FaultInjector.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/FaultInjector.java
@@ -75,6 +75,7 @@
       case LOSE_ANSWERS -> setFault(TargetStandIn.Fault.LOSES_ANSWER);
       case SILENCE_STORE -> setStoreFault(StoreFaultMode.SILENT);
       case REFUSE_AT_STORE -> setStoreFault(StoreFaultMode.BUSY);
+      default -> throw new IllegalArgumentException("unknown fault " + kind);
     }
   }
 
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/StandInHost.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/StandInHost.java
@@ -4,9 +4,9 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import org.sageladder.core.time.TimeSource;
 import org.sageladder.forward.DatagramPort;
@@ -26,7 +26,7 @@
 final class StandInHost {
   private final Loop world;
   private final Loop loop;
-  private final Set<Channel> channels = new HashSet<>();
+  private final Set<Channel> channels = ConcurrentHashMap.newKeySet();
   private boolean isAlive = true;
 
   private StandInHost(Loop world) {
@@ -48,6 +48,11 @@
     return isAlive;
   }
 
+  /** Number of listening ports and connections. */
+  int openChannelCount() {
+    return channels.size();
+  }
+
   /** Ends the process as a crash does. */
   void kill() {
     isAlive = false;
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/ColdTargetsAcrossRestartsTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/ColdTargetsAcrossRestartsTest.java
@@ -8,7 +8,7 @@
 /** Guards against restarted entry VMs that send their share of a cold target's rate once more. */
 class ColdTargetsAcrossRestartsTest {
   @TestFactory
-  Collection<DynamicTest> getNoMoreThanTheySustain() {
+  Collection<DynamicTest> receiveNoMoreThanTheySustain() {
     return LongStream.of(7, 10, 21)
         .mapToObj(
             seed ->
