--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/EntryVmProcess.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/EntryVmProcess.java
@@ -12,7 +12,7 @@
  * sent to the id of this process only.
  *
  * <pre>{@code
- * EntryVmProcess vm = new EntryVmProcess("entry-1", command, settingsText, folder);
+ * EntryVmProcess vm = EntryVmProcess.create("entry-1", command, settingsText, folder);
  * vm.start();
  * vm.signal("STOP");
  * }</pre>
@@ -31,14 +31,19 @@
   private final Path log;
   private Process process;
 
-  /** Writes the settings; the process is not started yet. Its output is appended to its log. */
-  EntryVmProcess(String name, List<String> command, String settingsText, Path folder)
-      throws IOException {
+  private EntryVmProcess(String name, List<String> command, Path settings, Path log) {
     this.name = name;
     this.command = command;
-    this.settings = folder.resolve(name + ".toml");
-    this.log = folder.resolve(name + ".jsonl");
+    this.settings = settings;
+    this.log = log;
+  }
+
+  /** Writes the settings; the process is not started yet. Its output is appended to its log. */
+  static EntryVmProcess create(String name, List<String> command, String settingsText, Path folder)
+      throws IOException {
+    Path settings = folder.resolve(name + ".toml");
     Files.writeString(settings, settingsText);
+    return new EntryVmProcess(name, command, settings, folder.resolve(name + ".jsonl"));
   }
 
   private static void killAll() {
