Forwarding tests: say why their retry ratio is high

In the first window of a budget a ratio of 1 permits no retry after one request, and these tests retry at once. They test no limit of the budget: before, the extra of 100 retries never ran out either.

Change: the ratio has a name and a reason.

--- a/sageladder-forward/src/test/java/org/sageladder/forward/ForwardingFixture.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/ForwardingFixture.java
@@ -26,6 +26,9 @@
 final class ForwardingFixture implements AutoCloseable {
   static final CallerLimits LIMITS = new CallerLimits(2_048, 1 << 20, 60_000, 60_000);
 
+  /** Retries per request, enough for the tests in the first window of the budget as well. */
+  private static final double RETRY_RATIO = 8;
+
   final Loop loop = Loop.start();
   final Metrics metrics = new Metrics();
   final Forwarder forwarder =
@@ -39,7 +42,7 @@
               1,
               1.5,
               5,
-              8,
+              RETRY_RATIO,
               100,
               10_000,
               1,
