--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/Fleet.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/Fleet.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.sageladder.core.event.EventSink;
 import org.sageladder.core.routing.RouteRule;
 import org.sageladder.scenario.Deployment.Service;
@@ -38,6 +40,7 @@
   private final FleetContext context;
   private final List<FleetEntry> entries = new ArrayList<>();
   private final List<CallersStandIn> callers = new ArrayList<>();
+  private final Set<SimulatedHost> targetHosts = new HashSet<>();
   private final Map<String, RouteRule> routes = new HashMap<>();
   private final Tenants tenants;
   private long configurationVersion = 4;
@@ -196,6 +199,11 @@
     return context.targets().values().stream().filter(FleetTarget::isRunning).toList();
   }
 
+  /** The hosts of all targets, running or not, including those that are added later. */
+  public Set<SimulatedHost> targetHosts() {
+    return targetHosts;
+  }
+
   /** The callers, one group per zone. */
   public List<CallersStandIn> callers() {
     return callers;
@@ -294,8 +302,9 @@
     targetHostCount++;
     String ip = "10.5." + targetHostCount / 200 + '.' + (1 + targetHostCount % 200);
     String region = context.deployment().regionByZone().getOrDefault(zone, "");
-    FleetTarget target =
-        new FleetTarget(context, service, context.network().addHost(ip, zone, region));
+    SimulatedHost host = context.network().addHost(ip, zone, region);
+    targetHosts.add(host);
+    FleetTarget target = new FleetTarget(context, service, host);
     context.targets().put(ip, target);
     target.start(coldMillis);
   }
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/ScenarioMain.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/ScenarioMain.java
@@ -208,6 +208,19 @@
                     window.endMillis()));
   }
 
+  private static void printWorstVm(SimulatedDay day, PrintStream out) {
+    FirstTries.of(day)
+        .worstVm()
+        .ifPresent(
+            worst ->
+                out.printf(
+                    Locale.ROOT,
+                    "  first tries served at least %.3f (%s), in the mean %.3f%n",
+                    worst.servedFraction(),
+                    worst.vm(),
+                    FirstTries.of(day).meanServedFraction()));
+  }
+
   private static void printOutcome(Outcome outcome, PrintStream out) {
     Scenario scenario = outcome.scenario();
     out.printf(
@@ -223,6 +236,7 @@
         .limit(MAX_VIOLATIONS_SHOWN)
         .forEach(line -> out.println("  " + line));
     printRetries(outcome.day(), out);
+    printWorstVm(outcome.day(), out);
     QuarantineReport.of(outcome.day()).print(out);
     if (outcome.violations().size() > MAX_VIOLATIONS_SHOWN) {
       out.println("  and " + (outcome.violations().size() - MAX_VIOLATIONS_SHOWN) + " more");
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/SimulatedDay.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/SimulatedDay.java
@@ -20,6 +20,8 @@
   /** Scope of trouble that affects every entry VM. */
   public static final String ALL_ENTRY_VMS = "everywhere";
 
+  private static final String LINKS_TO_TARGETS = "links to targets";
+
   /**
    * A period during which a trouble is in effect.
    *
@@ -29,12 +31,22 @@
    */
   public record TroubleInterval(String scope, boolean isPlanned, long fromMillis, long toMillis) {}
 
+  /**
+   * A period in which entry VMs reach no target, while callers, the store and the other entry VMs
+   * reach them.
+   *
+   * @param vms IP addresses of these VMs
+   * @param isSteady false if targets are reached at times within the period
+   */
+  public record TargetCut(Set<String> vms, boolean isSteady, long fromMillis, long toMillis) {}
+
   /** Response to a look-up: the entry VM that responded and the addresses that it returned. */
   public record LookUpResponse(String answeredBy, List<String> addresses, long atMillis) {}
 
   private final Ledger ledger = new Ledger();
   private final PlatformBounds bounds = PlatformBounds.standard();
   private final List<TroubleInterval> troubleIntervals = new ArrayList<>();
+  private final List<TargetCut> targetCuts = new ArrayList<>();
   private final List<CompletedRequest> requests = new ArrayList<>();
   private final Map<String, Set<String>> servicesByRoute = new HashMap<>();
   private final Map<String, Workspace> workspaces = new HashMap<>();
@@ -80,6 +92,33 @@
     troubleIntervals.add(interval);
   }
 
+  /**
+   * Records a period in which entry VMs reach no target. These VMs count as in contact all the
+   * while; the period is a disturbance of the day.
+   */
+  public void recordTargetCut(TargetCut cut) {
+    targetCuts.add(cut);
+    recordTrouble(new TroubleInterval(LINKS_TO_TARGETS, false, cut.fromMillis(), cut.toMillis()));
+  }
+
+  /**
+   * Returns true if the links between the entry VM and targets were cut during the contact time
+   * before {@code atMillis}, so that a request that arrives then may have been held up on its way.
+   */
+  public boolean mayBeHeldUp(String vm, long atMillis) {
+    return targetCuts.stream()
+        .filter(cut -> cut.vms().contains(vm))
+        .anyMatch(
+            cut ->
+                cut.fromMillis() <= atMillis
+                    && cut.toMillis() >= atMillis - bounds.discoveryMillis());
+  }
+
+  /** The periods in which entry VMs reached no target. */
+  public List<TargetCut> targetCuts() {
+    return targetCuts;
+  }
+
   /** Records that a configuration allows requests on {@code route} to go to its services. */
   public void allowRoute(RouteRule route) {
     Set<String> services = servicesByRoute.computeIfAbsent(route.name(), name -> new HashSet<>());
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/ArrivalRules.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/ArrivalRules.java
@@ -78,6 +78,7 @@
               && arrival.fate() != Ledger.Fate.OTHER_TARGET
               && arrival.at() > atMillis + day.bounds().drainMillis()
               && day.areLinksHealthy(arrival.zone(), arrival.at())
+              && !day.mayBeHeldUp(arrival.from(), arrival.at())
               && day.isInContact(arrival.from(), atMillis, arrival.at());
         });
   }
@@ -108,6 +109,7 @@
     return arrival.at() > evacuated.atMillis() + day.bounds().evacuateMillis()
         && arrival.at() < reopenedMillis
         && day.areLinksHealthy(arrival.zone(), arrival.at())
+        && !day.mayBeHeldUp(arrival.from(), arrival.at())
         && day.isInContact(arrival.from(), evacuated.atMillis(), arrival.at());
   }
 
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/BudgetRules.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/BudgetRules.java
@@ -88,6 +88,7 @@
       day.ledger()
           .attempt(arrival.id())
           .filter(attempt -> exceedsDeadline(arrival, attempt))
+          .filter(attempt -> !day.mayBeHeldUp(arrival.from(), arrival.at()))
           .filter(attempt -> day.isInContact(arrival.from(), attempt.sentAtMillis(), arrival.at()))
           .ifPresent(attempt -> violations.add(arrival.toString()));
     }
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/Rules.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/Rules.java
@@ -46,6 +46,7 @@
         new NamedRule("BUDGET targets", BudgetRules::tooManyTargets),
         new NamedRule("BUDGET time", BudgetRules::extendedDeadlines),
         new NamedRule("BUDGET crashes", BudgetRules::repeatedCrashes),
-        new NamedRule("RECOVER", ResponseRules::notRecovered));
+        new NamedRule("RECOVER", ResponseRules::notRecovered),
+        new NamedRule("RECOVER cut", TargetCutRule::underserved));
   }
 }
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
@@ -55,6 +55,16 @@
     return all;
   }
 
+  /**
+   * Troubles of entry VMs that reach no target; a random day has one of these beside its others
+   * from time to time.
+   */
+  public static Map<String, Trouble> targetCuts() {
+    Map<String, Trouble> all = new LinkedHashMap<>();
+    TargetCutTroubles.addTo(all);
+    return all;
+  }
+
   /** The trouble with that name, or null. */
   public static @Nullable Trouble find(String name) {
     Map<String, Trouble> known = all();
@@ -62,6 +72,7 @@
     known.putAll(signalTroubles());
     known.putAll(crashingRequests());
     known.putAll(restartTroubles());
+    known.putAll(targetCuts());
     return known.get(name);
   }
 
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
@@ -440,4 +440,34 @@
     ledger.recordArrival(arrival("third", BASE_MILLIS + 2_900));
     assertViolated("BUDGET back-off");
   }
+
+  private void recordFirstTries(String vm, int count, int status) {
+    for (int i = 0; i < count; i++) {
+      String id = vm + status + i;
+      long at = BASE_MILLIS + day.bounds().discoveryMillis();
+      ledger.recordFirstTry(new Ledger.FirstTry(vm, id, at));
+      ledger.recordAnswer(new Answered(id, status, "", true, id, at + 5));
+    }
+  }
+
+  @Test
+  void underservedAtVmsCutOffFromTargets() {
+    day.recordTargetCut(
+        new SimulatedDay.TargetCut(Set.of(VM), true, BASE_MILLIS, BASE_MILLIS + 10_000));
+    recordFirstTries("10.1.0.2", 100, 200);
+    recordFirstTries(VM, 12, 503);
+    assertNotViolated("RECOVER cut");
+    recordFirstTries(VM, 30, 502);
+    assertViolated("RECOVER cut");
+  }
+
+  @Test
+  void servedAsElsewhereAtVmsCutOffFromTargets() {
+    day.recordTargetCut(
+        new SimulatedDay.TargetCut(Set.of(VM), true, BASE_MILLIS, BASE_MILLIS + 10_000));
+    recordFirstTries("10.1.0.2", 100, 200);
+    recordFirstTries(VM, 60, 200);
+    recordFirstTries(VM, 25, 503);
+    assertNotViolated("RECOVER cut");
+  }
 }
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/CallersStandIn.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/CallersStandIn.java
@@ -73,6 +73,8 @@
     @Nullable String id;
     Loop.@Nullable Timer deadlineTimer;
     boolean isFinished;
+    boolean hasTried;
+    boolean isCounted = true;
 
     Request(
         RequestProfile profile,
@@ -157,7 +159,9 @@
    * not count among the completed requests.
    */
   public void sendCrashingRequest(RequestProfile profile, String object, Runnable onEnd) {
-    startRequest(new Request(profile, object + "/poison", 1, ended -> onEnd.run()));
+    Request request = new Request(profile, object + "/poison", 1, ended -> onEnd.run());
+    request.isCounted = false;
+    startRequest(request);
   }
 
   /** Sets the source of the API keys for new requests. */
@@ -308,11 +312,19 @@
         CONNECT_TIMEOUT_MILLIS,
         connection -> sendRequest(request, address, connection),
         cause -> {
+          recordFirstTry(request, address, "");
           request.failedAddresses.add(address);
           retry(request, MIN_BACKOFF_MILLIS, 0);
         });
   }
 
+  private void recordFirstTry(Request request, String address, String attemptId) {
+    if (!request.hasTried && request.isCounted) {
+      ledger.recordFirstTry(new Ledger.FirstTry(host(address), attemptId, loop.nowMillis()));
+    }
+    request.hasTried = true;
+  }
+
   private @Nullable CallerConnection findIdleConnection(RequestProfile profile, String address) {
     Deque<CallerConnection> idle = idleConnections.getOrDefault(address, new ArrayDeque<>());
     while (profile.connectionUse() != RequestProfile.ConnectionUse.FRESH && !idle.isEmpty()) {
@@ -336,6 +348,7 @@
         request.profile.prefix() + request.object + '/' + request.profile.meanServiceMillis();
     request.connection = connection;
     request.id = id;
+    recordFirstTry(request, address, id);
     Map<String, String> headers = new LinkedHashMap<>();
     headers.put("Host", request.profile.host());
     headers.put("Request-Id", id);
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/Ledger.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/Ledger.java
@@ -38,6 +38,14 @@
       long sentAtMillis,
       long deadlineMillis) {}
 
+  /**
+   * The first try of a caller's request.
+   *
+   * @param entryVmIp IP address of the entry VM that the caller chose
+   * @param attemptId id of the attempt, or empty if the connection could not be opened
+   */
+  public record FirstTry(String entryVmIp, String attemptId, long atMillis) {}
+
   /** A crash of a target that the run of a request caused. */
   public record Crash(String requestId, String target, long atMillis) {}
 
@@ -228,6 +236,7 @@
   private final Map<String, Credential> credentials = new HashMap<>();
   private final List<Delivery> deliveries = new ArrayList<>();
   private final Map<String, Attempt> attempts = new LinkedHashMap<>();
+  private final List<FirstTry> firstTries = new ArrayList<>();
   private final List<Arrival> arrivals = new ArrayList<>();
   private final List<Crash> crashes = new ArrayList<>();
   private final List<String> quarantined = new ArrayList<>();
@@ -315,6 +324,16 @@
     attempts.put(attempt.id(), attempt);
   }
 
+  /** Records the first try of a request. */
+  public void recordFirstTry(FirstTry firstTry) {
+    firstTries.add(firstTry);
+  }
+
+  /** Returns the first tries of all requests, in the order of sending. */
+  public List<FirstTry> firstTries() {
+    return firstTries;
+  }
+
   /** Records the arrival of a request at a target. */
   public void recordArrival(Arrival arrival) {
     arrivals.add(arrival);
