Responses without end: limits on interim responses and on the memory for buffered bodies

What callers would see: a target that sends interim (1xx) responses without end kept its request until the route's timeout, and hundreds of endless bodies that wait for their turn on pipelined connections could each buffer 256 KiB, more than the heap of 64 MB.

Change: more than 16 interim responses fail the attempt; bodies of all responses together buffer 8 MiB, after which a response is passed on as it comes, or its target is not read until it is its turn. Heads, header lines, chunk lines and trailers were bounded before (64 KiB).

--- a/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
@@ -233,7 +233,7 @@
 
   @Override
   public void onHead(HttpResponse head) {
-    response = new BufferedResponse(head);
+    response = new BufferedResponse(head, forwarder.responseMemory());
   }
 
   @Override
--- a/sageladder-forward/src/main/java/org/sageladder/forward/BufferedResponse.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/BufferedResponse.java
@@ -22,10 +22,18 @@
 final class BufferedResponse {
   private final HttpResponse head;
   private final List<ByteBuf> parts = new ArrayList<>();
+  private final ResponseMemory memory;
   private long receivedBytes;
+  private long bufferedBytes;
 
-  BufferedResponse(HttpResponse head) {
+  /**
+   * Creates a response without a body so far.
+   *
+   * @param memory counts the bytes that are buffered
+   */
+  BufferedResponse(HttpResponse head, ResponseMemory memory) {
     this.head = head;
+    this.memory = memory;
   }
 
   int status() {
@@ -43,6 +51,8 @@
 
   void add(ByteBuf bytes) {
     receivedBytes += bytes.readableBytes();
+    bufferedBytes += bytes.readableBytes();
+    memory.add(bytes.readableBytes());
     parts.add(bytes);
   }
 
@@ -80,11 +90,17 @@
     for (ByteBuf part : parts) {
       caller.write(new DefaultHttpContent(part));
     }
+    clearParts();
+  }
+
+  private void clearParts() {
     parts.clear();
+    memory.remove(bufferedBytes);
+    bufferedBytes = 0;
   }
 
   void release() {
     parts.forEach(ByteBuf::release);
-    parts.clear();
+    clearParts();
   }
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -88,6 +88,7 @@
   private final RunTimes runTimes;
   private final Placement placement;
   private final TargetConnectionPool<TargetIncarnation> connectionPool;
+  private final ResponseMemory responseMemory = new ResponseMemory();
   private final RelayPeers relayPeers;
   private final TargetConnectionPool<RelayPeer> peerConnections;
   private final CrashDetector crashDetector;
@@ -651,6 +652,10 @@
     return peerConnections;
   }
 
+  ResponseMemory responseMemory() {
+    return responseMemory;
+  }
+
   RelayPeers relayPeers() {
     return relayPeers;
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/ResponseTurn.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseTurn.java
@@ -79,7 +79,7 @@
       return;
     }
     response.add(bytes);
-    if (response.receivedBytes() <= MAX_BUFFERED_BYTES) {
+    if (response.receivedBytes() <= MAX_BUFFERED_BYTES && !forwarder.responseMemory().isFull()) {
       return;
     }
     if (!caller.isFirst(exchange)) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
@@ -32,6 +32,10 @@
   private static final int MAX_HEAD_BYTES = 64 << 10;
   private static final int MAX_CHUNK_BYTES = 64 << 10;
   private static final int MAX_DISCARDED_RESPONSES = 3;
+
+  /** A target sends few interim responses to one request. */
+  private static final int MAX_INFORMATIONAL_RESPONSES = 16;
+
   private static final String KEEP_ALIVE_TIMEOUT_PARAMETER = "timeout=";
 
   /**
@@ -64,6 +68,7 @@
   private boolean hasResponseBytes;
   private boolean isDiscarding;
   private int discardedCount;
+  private int informationalCount;
   private boolean isIntact = true;
   private boolean isKeepAliveEnabled;
   private long maxIdleMillis;
@@ -152,6 +157,7 @@
     isRequestComplete = false;
     hasResponseBytes = false;
     discardedCount = 0;
+    informationalCount = 0;
     var unused = context().write(head);
   }
 
@@ -247,6 +253,10 @@
     }
     if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
       isDiscarding = true;
+      informationalCount++;
+      if (informationalCount > MAX_INFORMATIONAL_RESPONSES) {
+        fail("too many interim responses");
+      }
       return;
     }
     String id = dialect.answeredRequestId(response.headers());
