Relayed requests keep their service; an unreachable entry VM is avoided for longer

Cause: the second VM took the request through its own rotation of services. The first now states the service, and the second uses it if its rules allow it.

In a zone that is cut off, relays to VMs behind the same cut cost half a second each and again a second later: a VM that accepts no connection is now avoided for 4 s.

A connection that only probes a target no longer has its reset logged by the network library past the structured log.

--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
@@ -76,7 +76,7 @@
     /**
      * Returns true if both the route and the workspace allow the request to run in {@code region}.
      */
-    boolean allowsRegion(String region) {
+    public boolean allowsRegion(String region) {
       return route.allows(region) && (workspace == null || workspace.allows(region));
     }
   }
--- a/sageladder-core/src/main/java/org/sageladder/core/routing/RouteRule.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/routing/RouteRule.java
@@ -44,6 +44,11 @@
     return regions.isEmpty() || regions.contains(region);
   }
 
+  /** True if requests of this route may go to that service. */
+  public boolean mayUse(String service) {
+    return services.stream().anyMatch(share -> share.service().equals(service));
+  }
+
   /** Returns the same rule with other services. */
   public RouteRule withServices(List<ServiceShare> newServices) {
     return new RouteRule(
--- a/sageladder-forward/src/main/java/org/sageladder/forward/CrashDetector.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CrashDetector.java
@@ -1,7 +1,6 @@
 package org.sageladder.forward;
 
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ConnectTimeoutException;
 import java.util.Collection;
 import java.util.LinkedHashMap;
@@ -176,8 +175,7 @@
   }
 
   private void probe(TargetFacts target) {
-    loop.connect(
-            target.host(), target.port(), PROBE_TIMEOUT_MILLIS, new ChannelInboundHandlerAdapter())
+    loop.connect(target.host(), target.port(), PROBE_TIMEOUT_MILLIS, new ProbeHandler())
         .addListener(
             (ChannelFuture done) -> {
               if (done.isSuccess()) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -82,7 +82,7 @@
     this.deadline = new RequestDeadline(forwarder.loop());
     this.quotaClaim = new QuotaClaim(forwarder);
     this.attemptLimit = new AttemptLimit(forwarder);
-    this.peerChoice = new PeerChoice(forwarder);
+    this.peerChoice = new PeerChoice(forwarder, caller.isPeer());
     this.turn = new ResponseTurn(forwarder, caller, this, head, body);
     this.crashEvidence = new CrashEvidence(forwarder.crashDetector(), this::fingerprint);
     forwarder.requestStarted();
@@ -189,6 +189,7 @@
       refuse(ResultCode.RULES_OUT_OF_DATE, NO_RETRY_AFTER, "version " + rules.version());
       return false;
     }
+    service = relayHeader.get().service();
     attemptLimit.recordSentElsewhere(relayHeader.get().sendCount());
     quotaClaim.markAdmittedElsewhere();
     return true;
@@ -217,7 +218,9 @@
 
   private void acceptRequest(RouteRule matchedRule, boolean isFirst) {
     route = matchedRule;
-    service = forwarder.nextService(matchedRule);
+    if (!matchedRule.mayUse(service)) {
+      service = forwarder.nextService(matchedRule);
+    }
     long callerMillis = forwarder.dialect().deadlineMillis(head.headers());
     long timeoutMillis = matchedRule.timeoutMillis();
     if (callerMillis >= 0) {
@@ -322,20 +325,20 @@
       onQuotaDecision(quota);
       return;
     }
+    PlacementRequest placementRequest =
+        new PlacementRequest(
+            requireRoute(), service, objectHash, remainingMillis(), sender.workspaceOrNull());
     if (caller.isPeer() && forwarder.reachability().isLost(service)) {
       endWithoutResponse(ResultCode.RELAY_UNAVAILABLE, NO_RETRY_AFTER, "no target reachable");
       return;
     }
-    if (peerChoice.isPreferred(service, attemptLimit) && startAtPeer()) {
+    if (peerChoice.isPreferred(service, attemptLimit) && startAtPeer(placementRequest)) {
       return;
     }
-    PlacementRequest placementRequest =
-        new PlacementRequest(
-            requireRoute(), service, objectHash, remainingMillis(), sender.workspaceOrNull());
     ServiceRule rule = rules == null ? null : rules.service(service).orElse(null);
     PlacementDecision decision =
         forwarder.placement().place(placementRequest, rule, triedTargetIds, now);
-    if (peerChoice.isPreferred(decision, service) && startAtPeer()) {
+    if (peerChoice.isPreferred(decision, service) && startAtPeer(placementRequest)) {
       return;
     }
     if (decision instanceof PlacementDecision.Send send) {
@@ -359,12 +362,8 @@
   }
 
   /** Has another entry VM serve the request; false if there is none that can. */
-  private boolean startAtPeer() {
-    if (caller.isPeer()) {
-      return false;
-    }
-    Optional<PeerAttempt> next =
-        peerChoice.next(this, requireRoute(), sender.workspaceOrNull(), attemptLimit.sendCount());
+  private boolean startAtPeer(PlacementRequest placementRequest) {
+    Optional<PeerAttempt> next = peerChoice.next(this, placementRequest, attemptLimit.sendCount());
     if (next.isEmpty()) {
       return false;
     }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/PeerAttempt.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/PeerAttempt.java
@@ -67,14 +67,10 @@
       return;
     }
     detach();
-    avoidPeer();
+    forwarder().relayPeers().recordUnreachable(peer, forwarder().loop().nowMillis());
     exchange().onPeerUnavailable(this, cause);
   }
 
-  private void avoidPeer() {
-    forwarder().relayPeers().avoid(peer, forwarder().loop().nowMillis());
-  }
-
   @Override
   String peerId() {
     return peer.name();
@@ -103,7 +99,7 @@
 
   @Override
   void recordUnreachable(TargetConnection used) {
-    avoidPeer();
+    forwarder().relayPeers().recordUnreachable(peer, forwarder().loop().nowMillis());
   }
 
   @Override
@@ -148,7 +144,7 @@
     if (REFUSALS_OF_ONE_VM.contains(code)) {
       buffered.release();
       if (code == ResultCode.RELAY_UNAVAILABLE || code == ResultCode.STOPPING) {
-        avoidPeer();
+        forwarder().relayPeers().recordRefusal(peer, forwarder().loop().nowMillis());
       }
       exchange().onPeerUnavailable(this, code.name());
       return;
--- a/sageladder-forward/src/main/java/org/sageladder/forward/PeerChoice.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/PeerChoice.java
@@ -3,12 +3,10 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
-import org.jspecify.annotations.Nullable;
+import org.sageladder.core.placing.Placement.PlacementRequest;
 import org.sageladder.core.placing.PlacementDecision;
 import org.sageladder.core.placing.PlacementDecision.Reason;
-import org.sageladder.core.routing.RouteRule;
 import org.sageladder.core.routing.RoutingRules;
-import org.sageladder.core.routing.Workspace;
 
 /** Decides whether one request is served by another entry VM, and by which. */
 final class PeerChoice {
@@ -18,10 +16,17 @@
   private static final int MAX_PEERS = 3;
 
   private final Forwarder forwarder;
+  private final boolean isRelayed;
   private final Set<String> tried = new HashSet<>();
 
-  PeerChoice(Forwarder forwarder) {
+  /**
+   * Creates the choice for one request.
+   *
+   * @param isRelayed true if another entry VM passed it on; it is not passed on again
+   */
+  PeerChoice(Forwarder forwarder, boolean isRelayed) {
     this.forwarder = forwarder;
+    this.isRelayed = isRelayed;
   }
 
   /** True if this VM does not seem to reach the targets of the service. */
@@ -48,21 +53,15 @@
    *
    * @param sendCount number of attempts that may have reached a target so far
    */
-  Optional<PeerAttempt> next(
-      Exchange exchange, RouteRule route, @Nullable Workspace workspace, int sendCount) {
+  Optional<PeerAttempt> next(Exchange exchange, PlacementRequest request, int sendCount) {
     RoutingRules rules = forwarder.rules();
-    if (tried.size() >= MAX_PEERS || rules == null) {
+    if (isRelayed || tried.size() >= MAX_PEERS || rules == null) {
       return Optional.empty();
     }
     Optional<RelayPeer> chosen =
-        forwarder
-            .relayPeers()
-            .choose(
-                region -> route.allows(region) && (workspace == null || workspace.allows(region)),
-                tried,
-                forwarder.loop().nowMillis());
+        forwarder.relayPeers().choose(request::allowsRegion, tried, forwarder.loop().nowMillis());
     chosen.ifPresent(peer -> tried.add(peer.name()));
-    RelayHeader header = new RelayHeader(rules.version(), sendCount);
+    RelayHeader header = new RelayHeader(rules.version(), sendCount, request.service());
     return chosen.map(peer -> new PeerAttempt(forwarder, exchange, peer, header));
   }
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/ReachabilityCheck.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ReachabilityCheck.java
@@ -1,7 +1,6 @@
 package org.sageladder.forward;
 
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 
 /**
  * Checks with a new connection whether a target or another entry VM is still reachable.
@@ -50,7 +49,7 @@
     if (isFinished) {
       return;
     }
-    loop.connect(host, port, CONNECT_TIMEOUT_MILLIS, new ChannelInboundHandlerAdapter())
+    loop.connect(host, port, CONNECT_TIMEOUT_MILLIS, new ProbeHandler())
         .addListener((ChannelFuture done) -> onConnectResult(done));
   }
 
--- a/sageladder-forward/src/main/java/org/sageladder/forward/RelayPeers.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/RelayPeers.java
@@ -21,8 +21,11 @@
   /** With more requests from here in flight at a VM, one farther away is used. */
   private static final int MAX_IN_FLIGHT_NEARBY = 8;
 
-  /** Time for which a VM that could not serve a request is avoided. */
-  private static final long AVOID_MILLIS = 1_000;
+  /** Time for which a VM that refused a request is avoided. */
+  private static final long AVOID_REFUSING_MILLIS = 1_000;
+
+  /** Time for which a VM that accepted no connection is avoided; each try costs half a second. */
+  private static final long AVOID_UNREACHABLE_MILLIS = 4_000;
 
   private final String zone;
   private final String region;
@@ -83,8 +86,13 @@
   }
 
   /** Avoids a VM for a while, since it could not serve a request. */
-  void avoid(RelayPeer peer, long now) {
-    avoidUntilMillis.put(peer.name(), now + AVOID_MILLIS);
+  void recordRefusal(RelayPeer peer, long now) {
+    avoidUntilMillis.merge(peer.name(), now + AVOID_REFUSING_MILLIS, Math::max);
+  }
+
+  /** Avoids a VM for a while, since it could not be reached. */
+  void recordUnreachable(RelayPeer peer, long now) {
+    avoidUntilMillis.merge(peer.name(), now + AVOID_UNREACHABLE_MILLIS, Math::max);
   }
 
   void recordStart(RelayPeer peer) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetProber.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetProber.java
@@ -1,7 +1,6 @@
 package org.sageladder.forward;
 
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
@@ -81,11 +80,7 @@
     }
     int index = (int) (randomFraction.getAsDouble() * candidates.size());
     TargetFacts target = candidates.get(Math.min(index, candidates.size() - 1)).facts();
-    loop.connect(
-            target.host(),
-            target.port(),
-            CONNECT_TIMEOUT_MILLIS,
-            new ChannelInboundHandlerAdapter())
+    loop.connect(target.host(), target.port(), CONNECT_TIMEOUT_MILLIS, new ProbeHandler())
         .addListener(
             (ChannelFuture done) -> {
               if (done.isSuccess()) {
--- a/sageladder-forward/src/test/java/org/sageladder/forward/RelayPeersTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/RelayPeersTest.java
@@ -43,7 +43,7 @@
   @Test
   void avoidedPeerIsUsedAgainLater() {
     peers.update(List.of(SAME_ZONE, SAME_REGION));
-    peers.avoid(SAME_ZONE, 0);
+    peers.recordRefusal(SAME_ZONE, 0);
     assertEquals("middle", choose(Set.of(), 500));
     assertEquals("near", choose(Set.of(), 1_500));
   }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/RelayTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/RelayTest.java
@@ -96,7 +96,15 @@
       RelayPeer opened = peer.openPeerPort("127.0.0.9");
       try (Caller stranger =
           new Caller(new Socket(InetAddress.getLoopbackAddress(), opened.port()))) {
-        stranger.write("GET /safe/1 HTTP/1.1\r\nHost: h\r\nId: a\r\nSageladder-Relay: 1/0\r\n\r\n");
+        stranger.write(
+            """
+            GET /safe/1 HTTP/1.1\r
+            Host: h\r
+            Id: a\r
+            Sageladder-Relay: 1/0\r
+            Sageladder-Service: s\r
+            \r
+            """);
         Response response = stranger.readResponse();
         assertEquals(ResultCode.RELAY_UNAVAILABLE.number(), resultCode(response));
         assertEquals(List.of(), target.receivedRequests);
