--- a/sageladder-forward/src/main/java/org/sageladder/forward/PeerAttempt.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/PeerAttempt.java
@@ -27,6 +27,8 @@
           ResultCode.RULES_OUT_OF_DATE,
           ResultCode.RELAY_UNAVAILABLE);
 
+  private static final int BAD_GATEWAY = 502;
+
   private final RelayPeer peer;
   private final RelayHeader relayHeader;
 
@@ -149,6 +151,7 @@
       exchange().onPeerUnavailable(this, code.name());
       return;
     }
+    // A request that was quarantined after it may have run has another status than the code's own.
     boolean isNotRun = code.outcome() == Outcome.NOT_RUN && buffered.status() != BAD_GATEWAY;
     if (isNotRun) {
       exchange().onRelayedRefusal(this, code, buffered);
@@ -157,8 +160,6 @@
     exchange().onRelayed(this, buffered);
   }
 
-  private static final int BAD_GATEWAY = 502;
-
   @Override
   public void onLost(String cause) {
     if (isFinished()) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
@@ -21,7 +21,7 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * One connection to a target; carries one request at a time.
+ * One connection to a target or to another entry VM; carries one request at a time.
  *
  * <p>Guards against responses that belong to no request: a target may send a second response after
  * a complete one, late, where the next response is expected. A response with the id of another
