--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/TargetCutTroubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/TargetCutTroubles.java
@@ -105,7 +105,7 @@
       }
       case REFUSE_NEW -> fleet.runAfter(millis, network.refuseConnections(outbound)::close);
       case OUTBOUND -> fleet.runAfter(millis, network.partition(outbound)::close);
-      case FLAPPING -> flap(fleet, eitherWay, millis);
+      default -> flap(fleet, eitherWay, millis);
     }
     Set<String> vms = hosts.stream().map(SimulatedHost::ip).collect(Collectors.toUnmodifiableSet());
     long now = fleet.nowMillis();
