Rule on handed time: strict again for requests that a cut held up

Change: where a cut may have held the request up, the stated time counts from when the caller sent it instead of from the arrival, so that more than the caller's own time is still reported.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryDirectory.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryDirectory.java
@@ -11,7 +11,7 @@
 /**
  * Selects the entry VMs that a caller is to use: those of its zone, then of its region, then all.
  *
- * <p>A VM that reaches no target is left out as long as another one of the caller's region reaches
+ * <p>A VM that reaches no target is left out if at least two others in the caller's region reach
  * some.
  *
  * <p>A caller caches the addresses for seconds and cannot reach a VM that died in the meantime, so
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/FirstTries.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/FirstTries.java
@@ -26,10 +26,9 @@
   static FirstTries of(SimulatedDay day) {
     FirstTries tries = new FirstTries();
     for (Ledger.FirstTry each : day.ledger().firstTries()) {
-      int status = day.ledger().answer(each.attemptId()).map(Ledger.Answered::status).orElse(0);
-      boolean isServed = status >= 200 && status < 300;
+      int servedCount = day.ledger().isServed(each) ? 1 : 0;
       tries.byVm.merge(
-          each.entryVmIp(), new VmTries(each.entryVmIp(), 1, isServed ? 1 : 0), VmTries::plus);
+          each.entryVmIp(), new VmTries(each.entryVmIp(), 1, servedCount), VmTries::plus);
     }
     return tries;
   }
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/BudgetRules.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/BudgetRules.java
@@ -87,16 +87,18 @@
     for (Arrival arrival : day.ledger().arrivals()) {
       day.ledger()
           .attempt(arrival.id())
-          .filter(attempt -> exceedsDeadline(arrival, attempt))
-          .filter(attempt -> !day.mayBeHeldUp(arrival.from(), arrival.at()))
+          .filter(attempt -> exceedsDeadline(day, arrival, attempt))
           .filter(attempt -> day.isInContact(arrival.from(), attempt.sentAtMillis(), arrival.at()))
           .ifPresent(attempt -> violations.add(arrival.toString()));
     }
     return violations.size() > MAX_REQUESTS_OVER_DEADLINE ? violations : List.of();
   }
 
-  private static boolean exceedsDeadline(Arrival arrival, Attempt attempt) {
-    long deadlineAtMillis = arrival.at() + arrival.deadlineMillis();
+  private static boolean exceedsDeadline(SimulatedDay day, Arrival arrival, Attempt attempt) {
+    // The time left was stated when the request was sent, perhaps as soon as the caller sent it.
+    boolean mayBeHeldUp = day.mayBeHeldUp(arrival.from(), arrival.at());
+    long statedAtMillis = mayBeHeldUp ? attempt.sentAtMillis() : arrival.at();
+    long deadlineAtMillis = statedAtMillis + arrival.deadlineMillis();
     return arrival.deadlineMillis() < 0
         || deadlineAtMillis
             > attempt.sentAtMillis() + attempt.deadlineMillis() + DEADLINE_TOLERANCE_MILLIS;
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/TargetCutRule.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/TargetCutRule.java
@@ -59,7 +59,7 @@
       if (isCutOff && !cut.vms().contains(firstTry.entryVmIp())) {
         continue;
       }
-      (isCutOff ? atCutVms : atOthers).add(isServed(day, firstTry));
+      (isCutOff ? atCutVms : atOthers).add(day.ledger().isServed(firstTry));
     }
     if (!isUnderserved(atCutVms, atOthers)) {
       return Optional.empty();
@@ -84,11 +84,6 @@
                     && firstTry.atMillis() < cut.toMillis());
   }
 
-  private static boolean isServed(SimulatedDay day, Ledger.FirstTry firstTry) {
-    int status = day.ledger().answer(firstTry.attemptId()).map(Ledger.Answered::status).orElse(0);
-    return status >= 200 && status < 300;
-  }
-
   private static boolean isUnderserved(Tries atCutVms, Tries atOthers) {
     int allCount = atCutVms.count + atOthers.count;
     return atCutVms.servedFraction() < MIN_RELATIVE_SERVED_FRACTION * atOthers.servedFraction()
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
@@ -470,4 +470,39 @@
     recordFirstTries(VM, 25, 503);
     assertNotViolated("RECOVER cut");
   }
+
+  /** Records more arrivals than may exceed the deadline, on VMs whose links to targets were cut. */
+  private void recordHeldUpArrivals(long statedMillis) {
+    day.recordTargetCut(
+        new SimulatedDay.TargetCut(Set.of(VM), true, BASE_MILLIS, BASE_MILLIS + 10_000));
+    for (int i = 0; i < 50; i++) {
+      String id = "held-up-" + i;
+      recordSent(id, true, BASE_MILLIS);
+      ledger.recordArrival(
+          new Arrival(
+              id,
+              "t-1",
+              "s",
+              "north-a",
+              "north",
+              VM,
+              BASE_MILLIS + 2_000,
+              Fate.TAKEN,
+              true,
+              statedMillis,
+              false));
+    }
+  }
+
+  @Test
+  void moreTimeThanTheCallersOwnCountsThoughTheRequestWasHeldUp() {
+    recordHeldUpArrivals(3_600);
+    assertViolated("BUDGET time");
+  }
+
+  @Test
+  void timeStatedBeforeTheRequestWasHeldUpDoesNotCount() {
+    recordHeldUpArrivals(2_900);
+    assertNotViolated("BUDGET time");
+  }
 }
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/Ledger.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/Ledger.java
@@ -334,6 +334,12 @@
     return firstTries;
   }
 
+  /** Returns true if the first try was answered with a success. */
+  public boolean isServed(FirstTry firstTry) {
+    int status = answer(firstTry.attemptId()).map(Answered::status).orElse(0);
+    return status >= 200 && status < 300;
+  }
+
   /** Records the arrival of a request at a target. */
   public void recordArrival(Arrival arrival) {
     arrivals.add(arrival);
