--- a/sageladder-core/src/main/java/org/sageladder/core/event/EventKind.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/event/EventKind.java
@@ -5,6 +5,7 @@
   STARTED,
   STOPPING,
   STOPPED,
+  LOOP_DELAYED,
   RECEIVED,
   FORWARDED,
   ADMITTED,
--- a/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
@@ -317,6 +317,11 @@
     }
   }
 
+  /** Logs the requests that are still unanswered. */
+  void logUnanswered() {
+    exchanges.forEach(Exchange::logUnanswered);
+  }
+
   /** Closes the connection if it has no request; returns whether it did. */
   boolean closeIfIdle() {
     if (!isLingering && exchanges.isEmpty() && headStartedAtMillis == 0) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -655,6 +655,20 @@
     recordEnd(EventKind.CANCELLED, null, "the caller closed the connection");
   }
 
+  /** Logs that the request is unanswered as the process ends. */
+  void logUnanswered() {
+    Attempt current = attempt;
+    String detail = "unanswered as the shutdown ends, " + (isFinished ? "response due" : "waiting");
+    if (current == null) {
+      long millis = forwarder.loop().nowMillis() - startedAtMillis;
+      forwarder
+          .requestLog()
+          .recordUnanswered(subject(), detail + ", at no target, after " + millis + " ms");
+      return;
+    }
+    logAttempt(EventKind.FAILED, current, detail + (current.isSent() ? ", sent" : ", not sent"));
+  }
+
   private void recordEnd(EventKind kind, @Nullable Attempt last, String detail) {
     stopWaiting();
     dropFallbackResponse();
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -78,6 +78,7 @@
   private final EventSink log;
   private final Metrics metrics;
   private final RequestLog requestLog;
+  private final LoopDelay loopDelay;
   private final TargetTable targets = TargetTable.create();
   private final RoundTripTimes roundTripTimes;
   private final EntryVmRanking entryVms;
@@ -148,6 +149,7 @@
     this.log = log;
     this.metrics = metrics;
     this.requestLog = new RequestLog(log, metrics);
+    this.loopDelay = new LoopDelay(log, metrics, SWEEP_INTERVAL_MILLIS, loop.nowMillis());
     this.roundTripTimes = RoundTripTimes.from(options.zone(), options.region());
     this.entryVms = EntryVmRanking.of(options.name());
     this.coldLimiter =
@@ -419,11 +421,13 @@
    * after the process has ended.
    */
   public void abandonAll() {
+    List.copyOf(callerConnections).forEach(CallerConnection::logUnanswered);
     List.copyOf(attempts).forEach(Attempt::abandon);
   }
 
   private void sweep() {
     long now = loop.nowMillis();
+    loopDelay.recordRun(now);
     CallerLimits limits = callerLimits();
     List.copyOf(callerConnections).forEach(connection -> connection.sweep(now, limits));
     targets.removeDue(now).forEach(this::onTargetRemoved);
