--- a/sageladder-forward/src/test/java/org/sageladder/forward/ForwardingFixture.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/ForwardingFixture.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.sageladder.core.event.EventSink;
 import org.sageladder.core.placing.ColdTargetLimiter.EntryVmLocation;
 import org.sageladder.core.placing.TargetFacts;
@@ -143,6 +144,13 @@
     done.get();
   }
 
+  /** Number of requests without a complete response. */
+  int inFlightCount() throws Exception {
+    AtomicInteger count = new AtomicInteger();
+    onLoop(() -> count.set(forwarder.inFlightCount()));
+    return count.get();
+  }
+
   static RoutingRules rules(long version) {
     return RoutingRules.of(
         version,
@@ -223,11 +231,15 @@
 
   /** A caller that writes raw bytes. */
   static final class Caller implements AutoCloseable {
+    /** Only guards against a response that never comes. */
+    private static final int READ_TIMEOUT_MILLIS = 60_000;
+
     private final Socket socket;
     private final InputStream in;
 
     Caller(Socket socket) throws IOException {
       this.socket = socket;
+      socket.setSoTimeout(READ_TIMEOUT_MILLIS);
       this.in = new BufferedInputStream(socket.getInputStream());
     }
 
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/Fleet.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/Fleet.java
@@ -14,6 +14,7 @@
 import org.sageladder.standin.network.SimulatedNetwork;
 import org.sageladder.standin.platform.CallersStandIn;
 import org.sageladder.standin.platform.Ledger.PlatformEvent;
+import org.sageladder.standin.platform.PersistentCallers;
 import org.sageladder.standin.platform.PlatformTexts;
 import org.sageladder.standin.platform.RequestProfile;
 import org.sageladder.standin.platform.StoreModel;
@@ -36,6 +37,7 @@
   private static final long START_UP_MILLIS = 3_000;
 
   private static final long TARGET_START_DELAY_MILLIS = 500;
+  private static final int PERSISTENT_CONNECTIONS = 8;
 
   private final FleetContext context;
   private final List<FleetEntry> entries = new ArrayList<>();
@@ -122,8 +124,7 @@
       String name, String zone, List<RequestProfile> profiles, double trafficFraction) {
     callerHostCount++;
     String region = context.deployment().regionByZone().getOrDefault(zone, "");
-    String ip = "10.9." + callerHostCount / 200 + '.' + callerHostCount % 200;
-    SimulatedHost host = context.network().addCallerHost(ip, zone, region);
+    SimulatedHost host = context.network().addCallerHost(callerIp(), zone, region);
     return CallersStandIn.start(
         context.network().processLoop(host),
         new CallersStandIn.Location(name, zone, region, lookUpAddresses(zone)),
@@ -140,6 +141,29 @@
     return startCallers(zone + '-' + callerHostCount, zone, List.of(), 0);
   }
 
+  /**
+   * Starts callers that open connections to an entry VM and keep sending on them until it closes
+   * them, from {@code delayMillis} on and for {@code millis}.
+   */
+  public void startPersistentCallers(FleetEntry entry, long delayMillis, long millis, long seed) {
+    callerHostCount++;
+    SimulatedHost host =
+        context.network().addCallerHost(callerIp(), entry.host().zone(), entry.host().region());
+    PersistentCallers.World world =
+        new PersistentCallers.World(
+            context.network().processLoop(host),
+            context.day().ledger(),
+            context.deployment().requestProfiles(),
+            route -> Optional.ofNullable(routes.get(route)));
+    String address = entry.host().ip() + ':' + entry.callersPort();
+    PersistentCallers.of(world, "late-" + callerHostCount, host.region(), address, seed)
+        .start(PERSISTENT_CONNECTIONS, delayMillis, millis);
+  }
+
+  private String callerIp() {
+    return "10.9." + callerHostCount / 200 + '.' + callerHostCount % 200;
+  }
+
   /** Look-up addresses of all entry VMs: those in the zone first, then those in its region. */
   private List<String> lookUpAddresses(String zone) {
     String region = context.deployment().regionByZone().getOrDefault(zone, "");
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/FleetEntry.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/FleetEntry.java
@@ -19,6 +19,7 @@
   private final SimulatedHost host;
   private PlatformEntry process;
   private boolean running;
+  private Runnable onNextStart = () -> {};
 
   FleetEntry(FleetContext context, String name, SimulatedHost host) {
     this.context = context;
@@ -52,6 +53,14 @@
             context.network().processLoop(host),
             context.logs().sinkOf(name, context.loop()::nowMillis),
             () -> 0);
+    Runnable listener = onNextStart;
+    onNextStart = () -> {};
+    listener.run();
+  }
+
+  /** Calls {@code listener} once, when its process has been started again. */
+  public void onNextStart(Runnable listener) {
+    onNextStart = listener;
   }
 
   /** Kills its process; the platform restarts it. */
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
@@ -55,6 +55,13 @@
     return all;
   }
 
+  /** Troubles of planned stops; these are never chosen at random. */
+  public static Map<String, Trouble> plannedStops() {
+    Map<String, Trouble> all = new LinkedHashMap<>();
+    StopTroubles.addTo(all);
+    return all;
+  }
+
   /**
    * Troubles of entry VMs that reach no target; a random day has one of these beside its others
    * from time to time.
@@ -73,6 +80,7 @@
     known.putAll(crashingRequests());
     known.putAll(restartTroubles());
     known.putAll(targetCuts());
+    known.putAll(plannedStops());
     return known.get(name);
   }
 
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/TargetStandIn.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/TargetStandIn.java
@@ -89,6 +89,8 @@
   private long coldUntilMillis;
   private long coldKnownAtMillis = -1;
   private double serviceTimeFactor = 1;
+  private double longRunFraction;
+  private double longRunFactor = 1;
   private Fault fault = Fault.NONE;
   private double faultFraction;
   private boolean isDraining;
@@ -148,6 +150,12 @@
     serviceTimeFactor = factor;
   }
 
+  /** Makes {@code fraction} of the runs, drawn at random, last {@code factor} times as long. */
+  public void setLongRuns(double fraction, double factor) {
+    longRunFraction = fraction;
+    longRunFactor = factor;
+  }
+
   /** Injects a fault into {@code fraction} of the answers. */
   public void setFault(Fault newFault, double fraction) {
     fault = newFault;
@@ -338,6 +346,9 @@
     millis *=
         1 - SERVICE_TIME_JITTER_FRACTION + 2 * SERVICE_TIME_JITTER_FRACTION * random.nextDouble();
     millis *= isCold() ? COLD_SERVICE_TIME_FACTOR * serviceTimeFactor : serviceTimeFactor;
+    if (longRunFraction > 0 && random.nextDouble() < longRunFraction) {
+      millis *= longRunFactor;
+    }
     long maxMillis = Math.max(0, job.deadlineMillis - loop.nowMillis());
     boolean inTime = millis <= maxMillis;
     var unused =
