A VM that is stopped before it has read the store no longer registers itself

What callers saw: look-ups named a VM that was about to end; searches of ordinary callers were read there 3.0 to 3.3 s after its SIGTERM and cut off at 6 s.

Cause: the VM registers when the first rules arrive. A stop that began before found nothing to deregister, and the first rules registered the VM afterwards. A lease that was being granted as the stop began was still used to write the item, and a revocation that the store did not answer was not repeated.

Why it works: a stopping VM never begins a registration; a lease is known from its grant on, so that the stop ends it also while the item is being written (a write under an ended lease is refused); the revocation is repeated while the process lives.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
@@ -62,6 +62,7 @@
   private Consumer<Collection<EntryVm>> liveVmListener = vms -> {};
   private boolean isPublishScheduled;
   private boolean isInitialReadComplete;
+  private boolean isStopping;
   private @Nullable StoreFollower follower;
   private @Nullable EntryRegistration registration;
 
@@ -137,6 +138,7 @@
 
   /** Removes this VM from look-ups and from the store when it stops. */
   public void deregister() {
+    isStopping = true;
     entryDirectory.excludeSelf();
     EntryRegistration current = registration;
     if (current != null) {
@@ -202,7 +204,7 @@
         "rules",
         rules.version(),
         rules.routeCount() + " routes");
-    if (isFirst) {
+    if (isFirst && !isStopping) {
       register();
     }
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryRegistration.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryRegistration.java
@@ -84,7 +84,12 @@
         result -> {
           notifyCallListener(result);
           if (result instanceof StoreResult.Done<Long> done) {
-            writeEntry(done.value());
+            leaseId = done.value();
+            if (isStopping) {
+              revokeLease();
+              return;
+            }
+            writeEntry(leaseId);
             return;
           }
           retryAfterDelay(this::acquireLease);
@@ -98,13 +103,11 @@
         newLeaseId,
         result -> {
           notifyCallListener(result);
+          if (isStopping) {
+            return;
+          }
           if (result instanceof StoreResult.Done<Long>) {
-            leaseId = newLeaseId;
             log.record(EventKind.LEASE_GAINED, "", "", self.name(), newLeaseId, "registered");
-            if (isStopping) {
-              deregister();
-              return;
-            }
             scheduleRenewal(this::renewLease);
             return;
           }
@@ -164,12 +167,20 @@
   /** Removes the VM from the store and does not register it again. */
   public void deregister() {
     isStopping = true;
-    if (leaseId == 0) {
-      return;
+    if (leaseId != 0) {
+      revokeLease();
     }
+  }
+
+  /** Ends the lease and with it the VM's item, also one that is still being written. */
+  private void revokeLease() {
     store.revokeLease(
         leaseId,
-        result ->
-            log.record(EventKind.LEASE_LOST, "", "", self.name(), leaseId, "revoked: " + result));
+        result -> {
+          log.record(EventKind.LEASE_LOST, "", "", self.name(), leaseId, "revoked: " + result);
+          if (result instanceof StoreResult.Failed<Long>) {
+            retryAfterDelay(this::revokeLease);
+          }
+        });
   }
 }
