A planned stop cuts off no request: one clock, certainty in place of an estimate, answers at the end

What callers saw: requests sent 3 to 4 s after the SIGTERM of their entry VM were sent to a target and ended with a closed connection at 6.0 to 6.5 s, without any log line.

Cause: a bound kept by several clocks and a guess, on a path that ends without a line. The grace period counts from the signal, the end of listening and of requests from when the event loop took the signal up, up to 1.6 s later on a busy machine. Within that time requests were accepted by twice their estimated run time, which a long run or a second attempt exceeds. What was left as the time ran out was dropped; a response that was ready could be overtaken by the exit, and a kept connection with unwritten bytes was closed.

Requests end earlier where the loop was late recently (at most a sixth of the grace period earlier). - Shutdown: a request that arrived after the signal, or must not run twice, is sent on only if its deadline is before the end; else it is refused at once with 503, since its caller can use another VM. Idempotent ones from before go by their estimate as until now. - As the time ends each request gets an answer: 503 if it was never sent, else 502; a response that has begun is broken off.

Certainty was chosen: an estimate that is wrong costs its caller the whole grace time, or an unknown outcome.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
@@ -1,6 +1,7 @@
 package org.sageladder.forward;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
@@ -18,6 +19,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.result.ResultCode;
 import org.sageladder.core.routing.CallerLimits;
@@ -47,6 +49,7 @@
   private @Nullable ChannelHandlerContext context;
   private @Nullable Exchange receivingExchange;
   private boolean isClosing;
+  private boolean isClosingCounted;
   private boolean isLingering;
   private long discardedBytes;
   private long headStartedAtMillis;
@@ -251,21 +254,31 @@
    * the response that it has not read yet.
    */
   private void closeAfterFlush() {
-    isClosing = true;
-    var written = context().writeAndFlush(context().alloc().buffer(0));
+    markClosing();
     if (context().channel() instanceof SocketChannel socket && forwarder.mayLinger()) {
       isLingering = true;
       forwarder.lingeringStarted();
       socket.config().setAutoRead(true);
-      written.addListener(done -> shutdownOutput(socket));
-      var unused = forwarder.loop().schedule(LINGER_MILLIS, () -> Sockets.close(context()));
+      flushLast().addListener(done -> linger(socket));
       return;
     }
-    written.addListener(done -> Sockets.close(context()));
+    flushLast().addListener(done -> Sockets.close(context()));
+  }
+
+  private void markClosing() {
+    isClosing = true;
+    isClosingCounted = true;
+    forwarder.closingStarted();
   }
 
-  private static void shutdownOutput(SocketChannel socket) {
-    var unused = socket.shutdownOutput();
+  /** Flushes what was written before; the result is complete once all of it is written. */
+  private ChannelFuture flushLast() {
+    return context().writeAndFlush(context().alloc().buffer(0));
+  }
+
+  private void linger(SocketChannel socket) {
+    var unusedResult = socket.shutdownOutput();
+    var unusedTimer = forwarder.loop().schedule(LINGER_MILLIS, () -> Sockets.close(context()));
   }
 
   /** Closes the connection at once, so that a partial response does not look complete. */
@@ -284,6 +297,9 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
+    if (isClosingCounted) {
+      forwarder.closingEnded();
+    }
     isClosing = true;
     if (isLingering) {
       forwarder.lingeringEnded();
@@ -305,6 +321,7 @@
    */
   void sweep(long now, CallerLimits limits) {
     if (isClosing) {
+      closeUnread(now, limits);
       return;
     }
     if (headStartedAtMillis != 0 && now - headStartedAtMillis > limits.headTimeoutMillis()) {
@@ -317,17 +334,29 @@
     }
   }
 
-  /** Logs the requests that are still unanswered. */
-  void logUnanswered() {
-    exchanges.forEach(Exchange::logUnanswered);
+  /** Closes the connection of a caller that does not read its last response. */
+  private void closeUnread(long now, CallerLimits limits) {
+    if (isClosingCounted && now - idleSinceMillis > limits.idleTimeoutMillis()) {
+      closeNow();
+    }
   }
 
-  /** Closes the connection if it has no request; returns whether it did. */
-  boolean closeIfIdle() {
-    if (!isLingering && exchanges.isEmpty() && headStartedAtMillis == 0) {
-      closeNow();
-      return true;
+  /** Ends all requests as the VM stops, in their order. */
+  void abandonRequests() {
+    List.copyOf(exchanges).forEach(Exchange::onShutdownEnd);
+  }
+
+  /** True if a part of a request's head was received, but not all of it. */
+  boolean isReceivingHead() {
+    return !isClosing && headStartedAtMillis != 0;
+  }
+
+  /** Closes the connection, once its responses are written, if it has no request. */
+  void closeIfIdle() {
+    if (isClosing || !exchanges.isEmpty() || headStartedAtMillis != 0) {
+      return;
     }
-    return false;
+    markClosing();
+    flushLast().addListener(done -> Sockets.close(context()));
   }
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -10,19 +10,15 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.event.EventKind;
 import org.sageladder.core.placing.Placement.PlacementRequest;
-import org.sageladder.core.placing.PlacementDecision;
 import org.sageladder.core.quota.QuotaDecision;
 import org.sageladder.core.result.Outcome;
 import org.sageladder.core.result.ResultCode;
 import org.sageladder.core.routing.RouteRule;
 import org.sageladder.core.routing.RoutingRules;
-import org.sageladder.core.routing.ServiceRule;
 import org.sageladder.core.routing.Workspace;
 
 /**
@@ -39,9 +35,6 @@
   /** An entry VM that has started receives its first rules within about this time. */
   private static final long NO_RULES_RETRY_AFTER_MILLIS = 500;
 
-  /** A caller refused by a stopping VM can retry at another one at once. */
-  private static final long STOPPING_RETRY_AFTER_MILLIS = 20;
-
   /** Retry delay of requests that would be refused again in any case. */
   private static final long NO_RETRY_AFTER = -1;
 
@@ -53,7 +46,6 @@
   private final HttpRequest head;
   private final long startedAtMillis;
   private final BufferedBody body = new BufferedBody();
-  private final Set<String> triedTargetIds = new HashSet<>();
   private @Nullable RouteRule route;
   private Sender sender = new Sender.Anonymous();
   private boolean areKeysRequired;
@@ -65,7 +57,7 @@
   private @Nullable Attempt attempt;
   private final CrashEvidence crashEvidence;
   private final AttemptLimit attemptLimit;
-  private final PeerChoice peerChoice;
+  private final NextAttempt nextAttempt;
   private final ResponseTurn turn;
   private boolean mayHaveRun;
   private boolean isWaitingForTurn;
@@ -82,7 +74,7 @@
     this.deadline = new RequestDeadline(forwarder.loop());
     this.quotaClaim = new QuotaClaim(forwarder);
     this.attemptLimit = new AttemptLimit(forwarder);
-    this.peerChoice = new PeerChoice(forwarder, caller.isPeer());
+    this.nextAttempt = new NextAttempt(forwarder, this, caller.isPeer());
     this.turn = new ResponseTurn(forwarder, caller, this, head, body);
     this.crashEvidence = new CrashEvidence(forwarder.crashDetector(), this::fingerprint);
     forwarder.requestStarted();
@@ -233,6 +225,10 @@
       forwarder.retryBudget().recordRequest(service, startedAtMillis);
     }
     isWaitingForTurn = !isFirst && !matchedRule.idempotent();
+    if (mayOutlastShutdown()) {
+      refuseStopping();
+      return;
+    }
     if (HttpUtil.is100ContinueExpected(head)) {
       caller.write(
           new DefaultFullHttpResponse(
@@ -313,7 +309,10 @@
       refuseQuarantined(quarantineMillis);
       return;
     }
-    long now = forwarder.loop().nowMillis();
+    if (mayOutlastShutdown()) {
+      refuseStopping();
+      return;
+    }
     RoutingRules rules = forwarder.rules();
     // The key may have been revoked while the request waited or since it was last sent.
     if (rules != null && !authenticate(requireRoute(), rules)) {
@@ -328,48 +327,25 @@
     PlacementRequest placementRequest =
         new PlacementRequest(
             requireRoute(), service, objectHash, remainingMillis(), sender.workspaceOrNull());
-    if (caller.isPeer() && forwarder.reachability().isLost(service)) {
-      endWithoutResponse(ResultCode.RELAY_UNAVAILABLE, NO_RETRY_AFTER, "no target reachable");
-      return;
-    }
-    if (peerChoice.isPreferred(service, attemptLimit) && startAtPeer(placementRequest)) {
-      return;
-    }
-    ServiceRule rule = rules == null ? null : rules.service(service).orElse(null);
-    PlacementDecision decision =
-        forwarder.placement().place(placementRequest, rule, triedTargetIds, now);
-    if (peerChoice.isPreferred(decision, service) && startAtPeer(placementRequest)) {
-      return;
-    }
-    if (decision instanceof PlacementDecision.Send send) {
-      if (!forwarder.canFinishBeforeStop(send.expectedWaitMillis() + send.expectedRunMillis())) {
-        endWithoutResponse(
-            ResultCode.STOPPING,
-            STOPPING_RETRY_AFTER_MILLIS,
-            "not enough time before the shutdown");
-        return;
-      }
-      Attempt next = new TargetAttempt(forwarder, this, placementRequest, send);
-      attempt = next;
-      triedTargetIds.add(send.target().facts().id());
-      next.start(!requireRoute().idempotent());
+    NextAttempt.Choice choice = nextAttempt.choose(placementRequest, attemptLimit);
+    if (choice instanceof NextAttempt.Choice.Refuse refuse) {
+      endWithoutResponse(refuse.code(), refuse.retryAfterMillis(), refuse.reason());
       return;
     }
-    PlacementDecision.Refuse refuse = (PlacementDecision.Refuse) decision;
-    String reason =
-        forwarder.requestLog().recordRefusal(refuse, placementRequest.remainingMillis());
-    endWithoutResponse(ResultCode.NO_TARGET, refuse.retryAfterMillis(), reason);
+    Attempt next = ((NextAttempt.Choice.Send) choice).attempt();
+    attempt = next;
+    next.start(!requireRoute().idempotent());
   }
 
-  /** Has another entry VM serve the request; false if there is none that can. */
-  private boolean startAtPeer(PlacementRequest placementRequest) {
-    Optional<PeerAttempt> next = peerChoice.next(this, placementRequest, attemptLimit.sendCount());
-    if (next.isEmpty()) {
-      return false;
-    }
-    attempt = next.get();
-    next.get().start(!requireRoute().idempotent());
-    return true;
+  /** True if this VM may stop before the request ends; its caller can use another one. */
+  private boolean mayOutlastShutdown() {
+    return !forwarder
+        .shutdown()
+        .permits(requireRoute().idempotent(), startedAtMillis, remainingMillis());
+  }
+
+  private void refuseStopping() {
+    endWithoutResponse(ResultCode.STOPPING, Shutdown.RETRY_AFTER_MILLIS, Shutdown.REFUSAL_REASON);
   }
 
   /** Called if another entry VM cannot be reached, or cannot serve the request itself. */
@@ -547,11 +523,9 @@
     }
     Attempt current = attempt;
     if (current != null) {
-      mayHaveRun |= current.isSent();
       current.recordTimeout();
-      logAttempt(EventKind.FAILED, current, "no response before the deadline");
-      abandonAttempt();
     }
+    abandonAttempt("no response before the deadline");
     if (turn.isStreaming()) {
       abortResponse("deadline exceeded during the response");
       return;
@@ -559,6 +533,29 @@
     endWithoutResponse(ResultCode.TARGET_TIMEOUT, 0, "deadline exceeded");
   }
 
+  /** The shutdown of this VM ends before the request does. */
+  void onShutdownEnd() {
+    if (isFinished) {
+      return;
+    }
+    forwarder.metrics().count("requests_ended_by_shutdown");
+    abandonAttempt("no response before the shutdown ends");
+    if (turn.isStreaming()) {
+      abortResponse("the shutdown ends during the response");
+      return;
+    }
+    endWithoutResponse(ResultCode.STOPPING, Shutdown.RETRY_AFTER_MILLIS, "the shutdown ends");
+  }
+
+  private void abandonAttempt(String reason) {
+    Attempt current = attempt;
+    if (current != null) {
+      mayHaveRun |= current.isSent();
+      logAttempt(EventKind.FAILED, current, reason);
+      abandonAttempt();
+    }
+  }
+
   private void abandonAttempt() {
     Attempt current = attempt;
     attempt = null;
@@ -655,20 +652,6 @@
     recordEnd(EventKind.CANCELLED, null, "the caller closed the connection");
   }
 
-  /** Logs that the request is unanswered as the process ends. */
-  void logUnanswered() {
-    Attempt current = attempt;
-    String detail = "unanswered as the shutdown ends, " + (isFinished ? "response due" : "waiting");
-    if (current == null) {
-      long millis = forwarder.loop().nowMillis() - startedAtMillis;
-      forwarder
-          .requestLog()
-          .recordUnanswered(subject(), detail + ", at no target, after " + millis + " ms");
-      return;
-    }
-    logAttempt(EventKind.FAILED, current, detail + (current.isSent() ? ", sent" : ", not sent"));
-  }
-
   private void recordEnd(EventKind kind, @Nullable Attempt last, String detail) {
     stopWaiting();
     dropFallbackResponse();
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -54,9 +54,6 @@
   /** Interval of the check for slow request heads and idle connections. */
   private static final long SWEEP_INTERVAL_MILLIS = 250;
 
-  /** Ratio of the actual to the estimated run time that a stopping VM allows for. */
-  private static final double RUN_TIME_SAFETY_FACTOR = 2;
-
   /**
    * How long the limit on shifts between regions stays suspended; work moves to free capacity
    * within a few requests' run time.
@@ -104,10 +101,10 @@
   private @Nullable Channel peerServerChannel;
   private final Quotas quotas;
   private BooleanSupplier staleRulesCheck = () -> false;
-  private boolean isStopping;
-  private long stopDeadlineMillis;
+  private final Shutdown shutdown;
   private int inFlightCount;
   private int lingeringCount;
+  private int closingCount;
 
   /**
    * Identity of this entry VM and the limits that apply to it.
@@ -145,6 +142,7 @@
   private Forwarder(Loop loop, Dialect dialect, Options options, EventSink log, Metrics metrics) {
     this.region = options.region();
     this.loop = loop;
+    this.shutdown = new Shutdown(loop);
     this.dialect = dialect;
     this.log = log;
     this.metrics = metrics;
@@ -384,23 +382,37 @@
     return inFlightCount;
   }
 
-  /**
-   * Begins the shutdown: each response closes its connection so that callers look up another VM,
-   * and a request that is unlikely to finish within {@code graceMillis} is refused.
-   */
+  /** Begins the shutdown, with {@code graceMillis} from now for the requests in flight. */
   public void beginShutdown(long graceMillis) {
-    isStopping = true;
-    stopDeadlineMillis = loop.nowMillis() + graceMillis;
+    beginShutdown(loop.nowMillis(), loop.nowMillis() + graceMillis);
   }
 
   /**
-   * True if a request with an estimated time of {@code estimatedMillis} is likely to finish before
-   * the stop. The stop aborts whatever still waits at a target then, and a run may take up to twice
-   * its estimate.
+   * Begins the shutdown: each response closes its connection so that callers look up another VM,
+   * and requests that may not end in time are refused.
+   *
+   * @param signalMillis when the stop signal came
+   * @param endMillis when requests that are still in flight are abandoned
    */
-  boolean canFinishBeforeStop(double estimatedMillis) {
-    return !isStopping
-        || loop.nowMillis() + RUN_TIME_SAFETY_FACTOR * estimatedMillis < stopDeadlineMillis;
+  public void beginShutdown(long signalMillis, long endMillis) {
+    shutdown.begin(signalMillis, endMillis);
+  }
+
+  /** The longest delay of the event loop in the last seconds, in milliseconds. */
+  long recentLoopDelayMillis() {
+    return loopDelay.recentMaxMillis();
+  }
+
+  /** True if no request is in flight or being received, and callers have read all responses. */
+  boolean isIdle() {
+    return inFlightCount == 0
+        && closingCount == 0
+        && callerConnections.stream().noneMatch(CallerConnection::isReceivingHead);
+  }
+
+  /** Closes all connections of callers. */
+  void closeConnections() {
+    List.copyOf(callerConnections).forEach(CallerConnection::closeNow);
   }
 
   /** Closes the ports and all connections without a request. */
@@ -417,11 +429,12 @@
   }
 
   /**
-   * Abandons all requests in flight with a reset. Otherwise the kernel would go on sending them
-   * after the process has ended.
+   * Abandons all requests in flight: callers get an error response unless they have a part of the
+   * target's, targets a reset. Otherwise the kernel would go on sending requests after the process
+   * has ended.
    */
   public void abandonAll() {
-    List.copyOf(callerConnections).forEach(CallerConnection::logUnanswered);
+    List.copyOf(callerConnections).forEach(CallerConnection::abandonRequests);
     List.copyOf(attempts).forEach(Attempt::abandon);
   }
 
@@ -575,6 +588,15 @@
     lingeringCount--;
   }
 
+  /** Counts a connection that closes once its caller has got the last response. */
+  void closingStarted() {
+    closingCount++;
+  }
+
+  void closingEnded() {
+    closingCount--;
+  }
+
   void requestStarted() {
     inFlightCount++;
   }
@@ -598,8 +620,8 @@
     log.record(EventKind.FAILED, "", "", "caller", 0, what + ": " + detail);
   }
 
-  boolean isStopping() {
-    return isStopping;
+  Shutdown shutdown() {
+    return shutdown;
   }
 
   CrashDetector crashDetector() {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/RequestLog.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/RequestLog.java
@@ -47,12 +47,6 @@
         detail + attempt.describeEstimate() + of.workspaceSuffix());
   }
 
-  /** Records a request that is at no target and has no answer as the process ends. */
-  void recordUnanswered(Subject of, String detail) {
-    metrics.count("requests_unanswered");
-    log.record(EventKind.FAILED, of.id(), of.route(), "", 0, detail + of.workspaceSuffix());
-  }
-
   /**
    * Records whether the retry budget permits another attempt.
    *
--- a/sageladder-forward/src/main/java/org/sageladder/forward/ResponseTurn.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseTurn.java
@@ -94,7 +94,7 @@
 
   /** True if the connection ends with this response. */
   boolean mustClose() {
-    boolean closesForShutdown = forwarder.isStopping() && caller.isLast(exchange);
+    boolean closesForShutdown = forwarder.shutdown().hasBegun() && caller.isLast(exchange);
     return closesForShutdown || !HttpUtil.isKeepAlive(head) || isBodyIncomplete();
   }
 
