Unknown routes at a VM out of contact with the store are refused as retryable

Cause: a VM whose rules may be stale answered 503 to an unknown API key but 404 to an unknown route.

Change: both are decided in one place (Exchange.refuseUnknown): 503 with Retry-After while the VM is out of contact, 404 or 401 else.

Evidence: unknownRouteWhileOutOfContactIsRefusedAsRetryable failed before (404) and passes; the rest of ApiKeyForwardingTest as before.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -160,11 +160,11 @@
     Optional<RouteRule> match =
         rules.match(RequestHeadValidator.hostName(head), RequestHeadValidator.path(head));
     if (match.isEmpty()) {
-      respond(ResultCode.UNKNOWN_ROUTE, 0, "version " + rules.version());
+      refuseUnknown(ResultCode.UNKNOWN_ROUTE, rules);
       return;
     }
     if (!authenticate(match.get(), rules)) {
-      refuseUnknownApiKey(rules);
+      refuseUnknown(ResultCode.API_KEY_UNKNOWN, rules);
       return;
     }
     acceptRequest(match.get(), isFirst);
@@ -195,17 +195,17 @@
   }
 
   /**
-   * Refuses an API key that belongs to no workspace under the rules in force. Callers treat 401 as
-   * final. If the rules may be stale, the key may be a new one that another VM already accepts, so
-   * that the request is refused as retryable instead.
+   * Refuses a request whose route or API key the rules in force do not have. Callers treat 401 and
+   * 404 as final. If the rules may be stale, route or key may be new ones that another VM already
+   * knows, so that the request is refused as retryable instead.
    */
-  private void refuseUnknownApiKey(RoutingRules rules) {
+  private void refuseUnknown(ResultCode code, RoutingRules rules) {
     String version = "version " + rules.version();
     if (forwarder.mayHaveStaleRules()) {
       endWithoutResponse(ResultCode.RULES_OUT_OF_DATE, NO_RULES_RETRY_AFTER_MILLIS, version);
       return;
     }
-    endWithoutResponse(ResultCode.API_KEY_UNKNOWN, NO_RETRY_AFTER, version);
+    endWithoutResponse(code, NO_RETRY_AFTER, version);
   }
 
   private void acceptRequest(RouteRule matchedRule, boolean isFirst) {
@@ -316,7 +316,7 @@
     RoutingRules rules = forwarder.rules();
     // The key may have been revoked while the request waited or since it was last sent.
     if (rules != null && !authenticate(requireRoute(), rules)) {
-      refuseUnknownApiKey(rules);
+      refuseUnknown(ResultCode.API_KEY_UNKNOWN, rules);
       return;
     }
     QuotaDecision quota = quotaClaim.request(sender.workspaceOrNull(), this::onQuotaDecision);
--- a/sageladder-forward/src/test/java/org/sageladder/forward/ApiKeyForwardingTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/ApiKeyForwardingTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 
 import java.util.List;
 import java.util.OptionalInt;
@@ -38,6 +39,19 @@
   /**
    * Guards against a key that reaches a target, whose operator could then act for the workspace.
    */
+  /** Callers take 404 as final, though another VM may already have the route. */
+  @Test
+  void unknownRouteWhileOutOfContactIsRefusedAsRetryable() throws Exception {
+    try (ForwardingFixture fixture = ForwardingFixture.open();
+        Caller caller = fixture.caller()) {
+      assertEquals(404, caller.exchange("/none/1", "a").status());
+      fixture.onLoop(() -> fixture.forwarder.setStaleRulesCheck(() -> true));
+      ForwardingFixture.Response response = caller.exchange("/none/2", "b");
+      assertEquals(503, response.status());
+      assertNotEquals("", response.header("Retry-After"));
+    }
+  }
+
   @Test
   void targetReceivesTheWorkspaceNameInsteadOfTheKey() throws Exception {
     ScriptedTarget target = echo();
