A request behind one that ends its connection is not sent on

What callers saw: nothing they could read; a request pipelined behind one with "Connection: close" was sent to a target and ran, though its response can never be delivered. Around a planned stop it would count as cut off.

Cause: the connection stops reading only once the closing response is written.

Change: after a request that asks for the end of the connection, what follows is discarded.

Evidence: requestBehindOneThatEndsTheConnectionIsNotSentOn failed before (the target received 2 requests) and passes.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
@@ -49,6 +50,7 @@
   private @Nullable ChannelHandlerContext context;
   private @Nullable Exchange receivingExchange;
   private boolean isClosing;
+  private boolean isLastRequestReceived;
   private boolean isClosingCounted;
   private boolean isLingering;
   private long discardedBytes;
@@ -99,7 +101,7 @@
   }
 
   private void onBytesReceived() {
-    if (receivingExchange == null && headStartedAtMillis == 0) {
+    if (receivingExchange == null && headStartedAtMillis == 0 && !isLastRequestReceived) {
       headStartedAtMillis = forwarder.loop().nowMillis();
     }
   }
@@ -131,7 +133,8 @@
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
-    if (isClosing || !(message instanceof HttpObject part)) {
+    boolean isBehindLast = isLastRequestReceived && receivingExchange == null;
+    if (isClosing || isBehindLast || !(message instanceof HttpObject part)) {
       ReferenceCountUtil.release(message);
       return;
     }
@@ -142,6 +145,7 @@
     }
     if (part instanceof HttpRequest head) {
       headStartedAtMillis = 0;
+      isLastRequestReceived = !HttpUtil.isKeepAlive(head);
       Exchange exchange = new Exchange(forwarder, this, head);
       receivingExchange = exchange;
       exchanges.addLast(exchange);
--- a/sageladder-forward/src/test/java/org/sageladder/forward/ShutdownTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/ShutdownTest.java
@@ -76,6 +76,26 @@
     }
   }
 
+  /** It would run although its response can never be delivered. */
+  @Test
+  void requestBehindOneThatEndsTheConnectionIsNotSentOn() throws Exception {
+    ScriptedTarget target = ScriptedTarget.of(request -> request.respond(request.header("Id")));
+    try (ForwardingFixture fixture = ForwardingFixture.open(target);
+        Caller caller = fixture.caller()) {
+      String get = " HTTP/1.1\r\nHost: h\r\n";
+      caller.write(
+          "GET /safe/1"
+              + get
+              + "Id: a\r\nConnection: close\r\n\r\n"
+              + "GET /safe/2"
+              + get
+              + "Id: b\r\n\r\n");
+      assertEquals("a", caller.readResponse().body());
+      assertTrue(caller.isClosedByPeer());
+      assertEquals(1, target.receivedRequests.size());
+    }
+  }
+
   /** A request in flight when the VM stops listening is answered; new connections are refused. */
   @Test
   void inFlightRequestFinishesAfterThePortIsClosed() throws Exception {
