--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/PlannedStops.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/PlannedStops.java
@@ -21,7 +21,7 @@
  * <pre>{@code
  * PlannedStops stops = PlannedStops.of(day);
  * stops.violations().forEach(System.out::println);
- * System.out.println(stops.describe()); // 812 answered, 64 refused, 3 failed, 1 cut, 2 not sent on
+ * System.out.println(stops.describe()); // 812 answered, 64 refused, 3 failed, 2 closed at once
  * }</pre>
  */
 public final class PlannedStops {
@@ -34,6 +34,9 @@
   /** An error response is sent shortly before the caller's deadline, to arrive in time. */
   private static final long RESPONSE_MARGIN_MILLIS = 100;
 
+  /** A request whose connection ends later than this after its last byte may have been read. */
+  private static final long MAX_UNREAD_MILLIS = 200;
+
   private static final int FIRST_ERROR_STATUS = 500;
 
   /** What an attempt ended with. */
@@ -42,7 +45,8 @@
     REFUSED,
     FAILED,
     CUT,
-    NOT_SENT_ON,
+    CLOSED_AT_ONCE,
+    CLOSED_LATE,
     LEFT
   }
 
@@ -180,6 +184,14 @@
         .collect(Collectors.joining(", "));
   }
 
+  private Ending endingOfUnanswered(Attempt attempt, Answered answer) {
+    if (reachedTarget(attempt.id())) {
+      return Ending.CUT;
+    }
+    boolean isLate = answer.at() - attempt.sentAtMillis() > MAX_UNREAD_MILLIS;
+    return isLate ? Ending.CLOSED_LATE : Ending.CLOSED_AT_ONCE;
+  }
+
   private Ending endingOf(Attempt attempt) {
     Optional<Answered> answer = day.ledger().answer(attempt.id());
     if (answer.isEmpty()) {
@@ -187,7 +199,7 @@
     }
     int status = answer.get().status();
     if (status == 0) {
-      return reachedTarget(attempt.id()) ? Ending.CUT : Ending.NOT_SENT_ON;
+      return endingOfUnanswered(attempt, answer.get());
     }
     if (ResponseRules.NOT_RUN_STATUSES.contains(status)) {
       return Ending.REFUSED;
