--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/StopTroubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/StopTroubles.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.sageladder.scenario.Fleet;
 import org.sageladder.scenario.FleetEntry;
+import org.sageladder.standin.platform.StoreFaultMode;
 
 /**
  * Planned stops of entry VMs in series that overlap, while some callers keep sending on connections
@@ -14,6 +15,7 @@
  */
 final class StopTroubles {
   private static final long TROUBLE_MILLIS = 24_000;
+  private static final long STORE_AWAY_MILLIS = 6_000;
   private static final int MIN_INTERVAL_MILLIS = 700;
   private static final int MAX_INTERVAL_MILLIS = 2_000;
 
@@ -52,6 +54,7 @@
         "stops-after-start",
         (fleet, random) -> stopInSeries(fleet, random, StopTroubles::stopTwice));
     all.put("stop-of-all", StopTroubles::stopAll);
+    all.put("stops-without-store", StopTroubles::stopWithoutStore);
   }
 
   /** A planned stop of one entry VM. */
@@ -100,6 +103,15 @@
     stop(fleet, entry, random);
   }
 
+  /** A store that is away is no excuse for requests that are cut off. */
+  private static void stopWithoutStore(Fleet fleet, Random random) {
+    Troubles.recordSlowdown(fleet, STORE_AWAY_MILLIS);
+    fleet.storePort().setFault(StoreFaultMode.SILENT, caller -> true);
+    fleet.runAfter(
+        STORE_AWAY_MILLIS, () -> fleet.storePort().setFault(StoreFaultMode.NONE, caller -> true));
+    stopInSeries(fleet, random, StopTroubles::stop);
+  }
+
   private static void stopAll(Fleet fleet, Random random) {
     for (FleetEntry entry : List.copyOf(fleet.entries())) {
       fleet.runAfter(random.nextInt(MAX_GAP_MILLIS), () -> stop(fleet, entry, random));
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
@@ -122,6 +122,14 @@
     record(fleet, entry.host().ip(), true, millis);
   }
 
+  /**
+   * Records that rules on what single entry VMs do in time are excused for {@code millis}, as in
+   * planned work; what callers lose is not.
+   */
+  static void recordSlowdown(Fleet fleet, long millis) {
+    record(fleet, SimulatedDay.ALL_ENTRY_VMS, true, millis);
+  }
+
   private static void record(Fleet fleet, String scope, boolean planned, long millis) {
     fleet
         .day()
