LOST: the caller's deadline excuses no connection that was cut

What would have been missed: since a request whose connection was cut without an answer after its caller's own deadline did not count; before, only the route's time excused it. No trace asked for that.

Change: for cut connections the check is as strict as it was; the deadline and the 100 ms before it excuse only an error response in place of a run, which is what the traces show.

--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/PlannedStops.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/PlannedStops.java
@@ -81,24 +81,29 @@
       }
       if (answer.get().status() == 0
           && reachedTarget(attempt.id())
-          && !isExcused(attempt, answer.get(), 0)) {
+          && !isExcused(attempt, answer.get())) {
         violations.add(describe(attempt, answer.get(), "was cut off"));
       } else if (isBrokenOff(attempt, answer.get())
-          && !isExcused(attempt, answer.get(), RESPONSE_MARGIN_MILLIS)) {
+          && !isExcused(attempt, answer.get())
+          && !isAtDeadline(attempt, answer.get())) {
         violations.add(describe(attempt, answer.get(), "was broken off"));
       }
     }
     return violations;
   }
 
-  private boolean isExcused(Attempt attempt, Answered answer, long marginMillis) {
-    long millis = answer.at() - attempt.sentAtMillis() + marginMillis;
-    return millis >= attempt.route().timeoutMillis()
-        || millis >= attempt.deadlineMillis()
+  private boolean isExcused(Attempt attempt, Answered answer) {
+    return answer.at() - attempt.sentAtMillis() >= attempt.route().timeoutMillis()
         || !day.isUndisturbed(attempt.sentAtMillis(), answer.at())
         || outlastsGracePeriod(attempt);
   }
 
+  /** True if the answer came as the time of the route or of the caller was up. */
+  private static boolean isAtDeadline(Attempt attempt, Answered answer) {
+    long limitMillis = Math.min(attempt.route().timeoutMillis(), attempt.deadlineMillis());
+    return answer.at() - attempt.sentAtMillis() >= limitMillis - RESPONSE_MARGIN_MILLIS;
+  }
+
   /** True if a run ended without a response as the caller got an error of the system's own. */
   private boolean isBrokenOff(Attempt attempt, Answered answer) {
     return answer.status() >= FIRST_ERROR_STATUS
