--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/Deployment.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/Deployment.java
@@ -305,6 +305,108 @@
         OneWayDelays.standard());
   }
 
+  /**
+   * Freight bookings on ferries: 100 entry VMs and 176 targets on shared machines whose speed
+   * changes by the moment. One region has a tenth of the targets for a third of the callers.
+   */
+  public static Deployment freight() {
+    Map<String, String> zones = twoZonesPerRegion("vestur", "austur", "sudur");
+    TargetTraits.Interference interference = new TargetTraits.Interference(0.15, 2.5, 600);
+    TargetTraits harbour =
+        new TargetTraits(9, 27, 43, 0.3, 3_000, 7.2, 10_000).withInterference(interference);
+    TargetTraits deck =
+        new TargetTraits(9, 27, 24, 0.3, 3_000, 7.2, 10_000).withInterference(interference);
+    return new Deployment(
+        zones,
+        countByZone(zones, 18, 16, 18, 16, 16, 16),
+        List.of(
+            new Service("harbour", countByZone(zones, 25, 25, 5, 5, 21, 21), harbour),
+            new Service("deck", countByZone(zones, 18, 18, 4, 4, 15, 15), deck)),
+        List.of(
+            idempotentRoute("manifest", new Workload("harbour", 737, 650, 600, 2_500)),
+            nonIdempotentRoute("customs", new Workload("harbour", 256, 820, 800, 3_000)),
+            withPriority(
+                0, nonIdempotentRoute("booking", new Workload("deck", 256, 440, 500, 2_000))),
+            idempotentRoute("ledger", new Workload("deck", 150, 2_600, 2_000, 8_000))),
+        List.of(
+            callerKind(
+                "manifest",
+                true,
+                new Workload("harbour", 737, 650, 600, 4_000),
+                ConnectionUse.KEPT,
+                263),
+            callerKind(
+                "customs",
+                false,
+                new Workload("harbour", 256, 820, 800, 5_000),
+                ConnectionUse.FRESH,
+                91),
+            callerKind(
+                "booking",
+                false,
+                new Workload("deck", 256, 440, 500, 2_500),
+                ConnectionUse.KEPT,
+                91),
+            callerKind(
+                "ledger",
+                true,
+                new Workload("deck", 150, 2_600, 2_000, 15_000),
+                ConnectionUse.KEPT,
+                53)),
+        new OneWayDelays(100, 1_400, 55_000, 1_000));
+  }
+
+  /**
+   * A catalogue of spare parts: 75 entry VMs and 216 targets, of which few take the orders. One
+   * region has a tenth of the targets for a third of the callers.
+   */
+  public static Deployment parts() {
+    Map<String, String> zones = twoZonesPerRegion("ulaanbaatar", "erdenet", "dalanzadgad");
+    TargetTraits catalogue = new TargetTraits(6, 18, 27, 0.3, 3_000, 5.9, 10_000);
+    TargetTraits orders = new TargetTraits(6, 18, 37, 0.3, 3_000, 5.9, 10_000);
+    return new Deployment(
+        zones,
+        countByZone(zones, 13, 12, 13, 12, 13, 12),
+        List.of(
+            new Service("catalogue", countByZone(zones, 47, 47, 10, 10, 39, 39), catalogue),
+            new Service("orders", countByZone(zones, 6, 6, 1, 1, 5, 5), orders)),
+        List.of(
+            withPriority(
+                1, idempotentRoute("lookup", new Workload("catalogue", 791, 760, 600, 2_000))),
+            withPriority(
+                2,
+                nonIdempotentRoute("reserve", new Workload("catalogue", 395, 1_000, 1_500, 2_500))),
+            withPriority(
+                0, idempotentRoute("manual", new Workload("orders", 109, 600, 500, 3_000))),
+            nonIdempotentRoute("order", new Workload("orders", 104, 600, 500, 1_500))),
+        List.of(
+            callerKind(
+                "lookup",
+                true,
+                new Workload("catalogue", 395, 760, 600, 4_000),
+                ConnectionUse.PIPELINED,
+                282),
+            callerKind(
+                "reserve",
+                false,
+                new Workload("catalogue", 395, 1_000, 1_500, 5_000),
+                ConnectionUse.KEPT,
+                141),
+            callerKind(
+                "manual",
+                true,
+                new Workload("orders", 109, 600, 500, 3_000),
+                ConnectionUse.KEPT,
+                38),
+            callerKind(
+                "order",
+                false,
+                new Workload("orders", 104, 600, 500, 3_000),
+                ConnectionUse.KEPT,
+                37)),
+        new OneWayDelays(100, 1_400, 55_000, 3_000));
+  }
+
   /** {@link #auction()} with four entry VMs in each zone, one of which reads the store. */
   public static Deployment relayed() {
     Deployment auction = auction();
@@ -356,6 +458,8 @@
       case "archive" -> Optional.of(archive());
       case "bookings" -> Optional.of(bookings());
       case "grown" -> Optional.of(grown());
+      case "freight" -> Optional.of(freight());
+      case "parts" -> Optional.of(parts());
       case "relayed" -> Optional.of(relayed());
       case "workspaces" -> Optional.of(workspaces());
       default -> Optional.empty();
@@ -437,6 +541,22 @@
         false);
   }
 
+  private static RouteRule withPriority(int priority, RouteRule route) {
+    return new RouteRule(
+        route.name(),
+        route.host(),
+        route.prefix(),
+        route.idempotent(),
+        route.timeoutMillis(),
+        route.latencyGoalMillis(),
+        priority,
+        route.services(),
+        route.maxTargets(),
+        route.hasObjectAffinity(),
+        route.regions(),
+        route.anonymous());
+  }
+
   private static RouteRule restrictedTo(RouteRule route, Set<String> regions) {
     return new RouteRule(
         route.name(),
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/TargetStandIn.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/TargetStandIn.java
@@ -53,6 +53,7 @@
   /** Time from the start of a run that crashes the target to the crash. */
   private static final long CRASH_DELAY_MILLIS = 90;
 
+  private static final int USUAL_RUN_PERCENT = 100;
   private static final int UNAVAILABLE = 503;
   private static final int PADDING_LENGTH = 400;
 
@@ -89,6 +90,7 @@
   private long coldUntilMillis;
   private long coldKnownAtMillis = -1;
   private double serviceTimeFactor = 1;
+  private double interferenceFactor = 1;
   private double longRunFraction;
   private double longRunFactor = 1;
   private Fault fault = Fault.NONE;
@@ -130,6 +132,9 @@
       Runnable crashProcess,
       ServerPort.OpenListener onOpen) {
     TargetStandIn target = new TargetStandIn(loop, facts, traits, ledger, seed, crashProcess);
+    if (traits.interference().isPresent()) {
+      target.changeInterference();
+    }
     ServerPort.open(
         loop,
         facts.host(),
@@ -150,6 +155,13 @@
     serviceTimeFactor = factor;
   }
 
+  private void changeInterference() {
+    TargetTraits.Interference interference = traits.interference();
+    interferenceFactor = random.nextDouble() < interference.fraction() ? interference.factor() : 1;
+    long nextMillis = Math.round(-Math.log(1 - random.nextDouble()) * interference.periodMillis());
+    var unused = loop.schedule(1 + nextMillis, this::changeInterference);
+  }
+
   /** Makes {@code fraction} of the runs, drawn at random, last {@code factor} times as long. */
   public void setLongRuns(double fraction, double factor) {
     longRunFraction = fraction;
@@ -346,6 +358,7 @@
     millis *=
         1 - SERVICE_TIME_JITTER_FRACTION + 2 * SERVICE_TIME_JITTER_FRACTION * random.nextDouble();
     millis *= isCold() ? COLD_SERVICE_TIME_FACTOR * serviceTimeFactor : serviceTimeFactor;
+    millis *= interferenceFactor;
     if (longRunFraction > 0 && random.nextDouble() < longRunFraction) {
       millis *= longRunFactor;
     }
@@ -442,7 +455,10 @@
   }
 
   private String loadHeader() {
-    return running.size() + "," + queue.size() + "," + traits.slots();
+    String load = running.size() + "," + queue.size() + "," + traits.slots();
+    return traits.interference().isPresent()
+        ? load + "," + Math.round(USUAL_RUN_PERCENT * interferenceFactor)
+        : load;
   }
 
   private void refuse(ServerPort.Exchange exchange, int status, String id) {
