--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/Fleet.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/Fleet.java
@@ -199,6 +199,7 @@
   public SimulatedDay finish() {
     callers.forEach(CallersStandIn::stop);
     context.day().endMillis(nowMillis());
+    context.day().recordStoreCalls(context.storePort().callCountsByKind());
     long maxDeadlineMillis =
         context.deployment().requestProfiles().stream()
             .mapToLong(profile -> profile.deadlineMillis())
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/ScenarioMain.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/ScenarioMain.java
@@ -72,7 +72,7 @@
         options,
         "deployment",
         "NAME",
-        "auction, listing, stamps, archive, bookings or grown (default by seed)");
+        "auction, listing, stamps, archive, bookings, grown, freight or parts (default by seed)");
     options.addOption(
         Option.builder()
             .longOpt("windows")
@@ -140,7 +140,8 @@
                 new ParseException(
                     "--deployment is '"
                         + name
-                        + "'; accepted are auction, listing, stamps, archive, bookings, grown"));
+                        + "'; accepted are auction, listing, stamps, archive, bookings, grown, freight,"
+                        + " parts, relayed, workspaces"));
   }
 
   private static double parseRateFactor(String text) throws ParseException {
@@ -237,6 +238,7 @@
         .forEach(line -> out.println("  " + line));
     printRetries(outcome.day(), out);
     printWorstVm(outcome.day(), out);
+    out.println("  calls to the store " + outcome.day().storeCallsByKind());
     QuarantineReport.of(outcome.day()).print(out);
     if (outcome.violations().size() > MAX_VIOLATIONS_SHOWN) {
       out.println("  and " + (outcome.violations().size() - MAX_VIOLATIONS_SHOWN) + " more");
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/SimulatedDay.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/SimulatedDay.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import org.sageladder.core.routing.RouteRule;
 import org.sageladder.core.routing.Workspace;
 import org.sageladder.standin.platform.CallersStandIn.CompletedRequest;
@@ -50,6 +51,7 @@
   private final List<CompletedRequest> requests = new ArrayList<>();
   private final Map<String, Set<String>> servicesByRoute = new HashMap<>();
   private final Map<String, Workspace> workspaces = new HashMap<>();
+  private final Map<String, Integer> storeCallsByKind = new TreeMap<>();
   private long endMillis;
 
   /** What callers, targets and the operator observed. */
@@ -77,6 +79,16 @@
     endMillis = millis;
   }
 
+  /** Records the number of calls to the store, by kind. */
+  public void recordStoreCalls(Map<String, Integer> countsByKind) {
+    storeCallsByKind.putAll(countsByKind);
+  }
+
+  /** Calls to the store until the traffic stopped, by kind. */
+  public Map<String, Integer> storeCallsByKind() {
+    return storeCallsByKind;
+  }
+
   /** Records a workspace as defined by the newest configuration. */
   public void putWorkspace(Workspace workspace) {
     workspaces.put(workspace.name(), workspace);
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/StorePort.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/StorePort.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Predicate;
 import org.sageladder.forward.Loop;
 
@@ -76,6 +77,16 @@
         || !isAffected.test(ip);
   }
 
+  /**
+   * Returns the number of calls so far by kind, which is the first segment of their path, including
+   * refused ones.
+   */
+  public Map<String, Integer> callCountsByKind() {
+    Map<String, Integer> counts = new TreeMap<>();
+    callCounts.forEach((path, count) -> counts.merge(path.split("/")[1], count, Integer::sum));
+    return counts;
+  }
+
   /** Returns the number of calls so far with that path prefix, including refused ones. */
   public int callCount(String pathPrefix) {
     return callCounts.entrySet().stream()
