--- a/sageladder-core/src/main/java/org/sageladder/core/overload/AdmissionPolicy.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/overload/AdmissionPolicy.java
@@ -7,7 +7,7 @@
  * way to others.
  *
  * <pre>{@code
- * if (policy.judge(candidate) instanceof AdmissionPolicy.Verdict.Refuse refuse) { ... }
+ * if (policy.judge(candidate, now) instanceof AdmissionPolicy.Verdict.Refuse refuse) { ... }
  * }</pre>
  */
 @FunctionalInterface
@@ -16,22 +16,21 @@
    * A request and the best target found for it.
    *
    * @param route the request's route
-   * @param expectedWaitMillis expected wait for a slot at the target
+   * @param service the service that the request goes to
+   * @param priority priority of the request; 0 is the highest
+   * @param isRetry true if the request was sent to another target before
+   * @param expectedWaitMillis expected wait for a slot at the target; 0 if a slot is free
    * @param expectedRunMillis expected run time there
-   * @param elapsedMillis time since the request arrived at this entry VM
-   * @param remainingMillis time left until its deadline
-   * @param serviceUtilization requests at all targets of the service, from all entry VMs, per
-   *     usable slot; above 1 requests wait
-   * @param isWaitMeasured true if the expected wait rests on recent reports of targets
+   * @param load load of the service's targets
    */
   record Candidate(
       RouteRule route,
+      String service,
+      int priority,
+      boolean isRetry,
       double expectedWaitMillis,
       double expectedRunMillis,
-      long elapsedMillis,
-      long remainingMillis,
-      double serviceUtilization,
-      boolean isWaitMeasured) {}
+      ServiceLoad load) {}
 
   /** The result of a decision. */
   sealed interface Verdict {
@@ -41,17 +40,27 @@
     /**
      * The request is refused.
      *
-     * @param retryAfterMillis time until its caller may return, before jitter is added
-     * @param reason the reason, for logs
+     * @param retryAfterMillis time in which room is expected, before jitter is added
+     * @param overload the inputs of the decision, for logs
      */
-    record Refuse(long retryAfterMillis, String reason) implements Verdict {}
+    record Refuse(long retryAfterMillis, Overload overload) implements Verdict {}
   }
 
+  /**
+   * State of an overloaded service.
+   *
+   * @param priority priority of the refused request
+   * @param load load of the service's targets
+   * @param overloadedForMillis time since the overload began
+   * @param boundMillis wait above which a growing part of these requests is refused
+   */
+  record Overload(int priority, ServiceLoad load, long overloadedForMillis, double boundMillis) {}
+
   /** Decides on one request. */
-  Verdict judge(Candidate candidate);
+  Verdict judge(Candidate candidate, long now);
 
   /** A policy that sends every request. */
   static AdmissionPolicy sendAll() {
-    return candidate -> new Verdict.Send();
+    return (candidate, now) -> new Verdict.Send();
   }
 }
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
@@ -6,6 +6,8 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
+import org.sageladder.core.overload.AdaptiveAdmission;
+import org.sageladder.core.overload.AdmissionPolicy;
 import org.sageladder.core.placing.PlacementDecision.CandidateEstimate;
 import org.sageladder.core.placing.PlacementDecision.Reason;
 import org.sageladder.core.placing.PlacementDecision.Refuse;
@@ -79,6 +81,11 @@
     public boolean allowsRegion(String region) {
       return route.allows(region) && (workspace == null || workspace.allows(region));
     }
+
+    /** Returns the priority of the workspace, or else that of the route. */
+    int priority() {
+      return workspace == null ? route.priority() : workspace.priority().orElse(route.priority());
+    }
   }
 
   /** Values of a request that are the same for all targets, computed once. */
@@ -99,6 +106,7 @@
   private final RegionShiftLimiter shiftLimiter;
   private final PlacementWeights weights;
   private final RegionObjectShare regionShare;
+  private final AdaptiveAdmission admission = AdaptiveAdmission.create();
 
   private Placement(
       TargetTable targets,
@@ -177,7 +185,16 @@
           .consider(send, costMillis);
     }
     CheapestSend chosen = limitShift(request, best, bestWithoutQueues, bestByRegion, now);
-    return decide(request, chosen, exclusions, now);
+    PlacementDecision decision = decide(request, chosen, exclusions, !tried.isEmpty(), now);
+    if (decision instanceof Send sent && bestWithoutQueues.send != null) {
+      shiftLimiter.recordPlaced(!isInSameRegion(sent, bestWithoutQueues.send), now);
+    }
+    return decision;
+  }
+
+  /** Which requests are refused under overload. */
+  public AdaptiveAdmission admission() {
+    return admission;
   }
 
   private Refuse refuseWithoutTarget(PlacementRequest request, long now) {
@@ -209,16 +226,16 @@
       return best;
     }
     String region = unqueued.target().facts().region();
-    boolean isShifted = !cheapest.target().facts().region().equals(region);
     CheapestSend bestInRegion = bestByRegion.getOrDefault(region, best);
-    if (isShifted
-        && !shiftLimiter.permitsShift(now)
-        && bestInRegion.canAnswerInTime(request, now)) {
-      shiftLimiter.recordPlaced(false, now);
-      return bestInRegion;
-    }
-    shiftLimiter.recordPlaced(isShifted, now);
-    return best;
+    boolean staysInRegion =
+        !isInSameRegion(cheapest, unqueued)
+            && !shiftLimiter.permitsShift(now)
+            && bestInRegion.canAnswerInTime(request, now);
+    return staysInRegion ? bestInRegion : best;
+  }
+
+  private static boolean isInSameRegion(Send first, Send second) {
+    return first.target().facts().region().equals(second.target().facts().region());
   }
 
   /** Why targets that accept requests were left out. */
@@ -267,16 +284,43 @@
   }
 
   private PlacementDecision decide(
-      PlacementRequest request, CheapestSend chosen, Exclusions exclusions, long now) {
+      PlacementRequest request,
+      CheapestSend chosen,
+      Exclusions exclusions,
+      boolean isRetry,
+      long now) {
     Send best = chosen.send;
     if (best == null) {
       return exclusions.refusal();
     }
-    if (wouldTimeOut(request, best) && isWaitMeasured(request, best.target(), now)) {
+    if (!isWaitMeasured(request, best.target(), now)) {
+      return best;
+    }
+    if (wouldTimeOut(request, best)) {
       return new Refuse(
           Reason.TOO_LATE, (long) best.expectedWaitMillis(), candidateEstimate(request, best, now));
     }
-    return best;
+    AdmissionPolicy.Verdict verdict =
+        admission.judge(admissionCandidate(request, best, isRetry, now), now);
+    return verdict instanceof AdmissionPolicy.Verdict.Refuse refuse
+        ? new Refuse(
+            Reason.OVERLOAD,
+            refuse.retryAfterMillis(),
+            candidateEstimate(request, best, now),
+            refuse.overload())
+        : best;
+  }
+
+  private AdmissionPolicy.Candidate admissionCandidate(
+      PlacementRequest request, Send best, boolean isRetry, long now) {
+    return new AdmissionPolicy.Candidate(
+        request.route(),
+        request.service(),
+        request.priority(),
+        isRetry,
+        best.expectedWaitMillis(),
+        best.expectedRunMillis(),
+        targets.measuredLoad(request.service(), request::allowsRegion, now));
   }
 
   /**
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/PlacementDecision.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/PlacementDecision.java
@@ -1,6 +1,7 @@
 package org.sageladder.core.placing;
 
 import org.jspecify.annotations.Nullable;
+import org.sageladder.core.overload.AdmissionPolicy;
 
 /** The result of choosing a target for a request. */
 public sealed interface PlacementDecision {
@@ -23,9 +24,19 @@
    * @param retryAfterMillis time until capacity is expected, before jitter is added
    * @param bestCandidate the estimate by which the best target was refused, or null if none was
    *     estimated
+   * @param overload state of the overloaded service, or null if it was refused for another reason
    */
-  record Refuse(Reason reason, long retryAfterMillis, @Nullable CandidateEstimate bestCandidate)
-      implements PlacementDecision {}
+  record Refuse(
+      Reason reason,
+      long retryAfterMillis,
+      @Nullable CandidateEstimate bestCandidate,
+      AdmissionPolicy.@Nullable Overload overload)
+      implements PlacementDecision {
+    /** A refusal for another reason than overload. */
+    public Refuse(Reason reason, long retryAfterMillis, @Nullable CandidateEstimate bestCandidate) {
+      this(reason, retryAfterMillis, bestCandidate, null);
+    }
+  }
 
   /**
    * The estimate for the best target when it was judged too late.
@@ -52,6 +63,8 @@
     /** The remaining targets state a request rate, and this entry VM's part of it is used up. */
     ALL_LIMITED,
     /** The expected wait for a slot is longer than the remaining time. */
-    TOO_LATE
+    TOO_LATE,
+    /** The service is overloaded and the request gives way to others. */
+    OVERLOAD
   }
 }
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/RegionLoad.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/RegionLoad.java
@@ -18,6 +18,7 @@
   private static final double PRIOR_WEIGHT_REPORTS = 3;
 
   private final RunningMean reportedLoadPerSlot = RunningMean.ofLast(REPORT_WINDOW);
+  private long lastReportAtMillis;
   private int slotCount;
   private int ownRequestCount;
   private int peerCount;
@@ -51,8 +52,19 @@
    * Records that other entry VMs have {@code load} requests at a target with {@code targetSlots}
    * slots.
    */
-  void recordReport(double load, int targetSlots) {
+  void recordReport(double load, int targetSlots, long now) {
     reportedLoadPerSlot.add(load / targetSlots);
+    lastReportAtMillis = now;
+  }
+
+  /** The number of reports from targets of the region. */
+  long reportCount() {
+    return reportedLoadPerSlot.count();
+  }
+
+  /** Time since the newest report from a target of the region. */
+  long reportAgeMillis(long now) {
+    return now - lastReportAtMillis;
   }
 
   /**
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetState.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetState.java
@@ -172,7 +172,7 @@
     peerLoad = Math.max(0, load.running() + load.waiting() - inFlight);
     meanPeerLoad.add(peerLoad);
     lastReportAtMillis = now;
-    regionLoad.recordReport(peerLoad, facts.slots());
+    regionLoad.recordReport(peerLoad, facts.slots(), now);
   }
 
   /**
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
+import org.sageladder.core.overload.ServiceLoad;
 
 /**
  * The targets known to an entry VM, by id and by service, and the zones that operators evacuated.
@@ -296,6 +297,32 @@
     return slots <= 0 ? 0 : Math.min(1, requests / slots);
   }
 
+  /**
+   * Returns the load of a service's targets in those of {@code regions} that have reported
+   * recently.
+   */
+  ServiceLoad measuredLoad(String service, Predicate<String> regions, long now) {
+    double requests = 0;
+    int slots = 0;
+    long reports = 0;
+    long ageMillis = Long.MAX_VALUE;
+    for (Map.Entry<String, RegionLoad> entry :
+        loadsByService.getOrDefault(service, Map.of()).entrySet()) {
+      RegionLoad region = entry.getValue();
+      boolean isRecent = region.reportAgeMillis(now) <= ServiceLoad.MAX_REPORT_AGE_MILLIS;
+      if (!isRecent || region.reportCount() == 0 || !regions.test(entry.getKey())) {
+        continue;
+      }
+      requests += region.estimatedRequestCount();
+      slots += region.slotCount() - withheldSlots(service, entry.getKey()::equals, now);
+      reports += region.reportCount();
+      ageMillis = Math.min(ageMillis, region.reportAgeMillis(now));
+    }
+    return slots <= 0
+        ? ServiceLoad.unknown()
+        : new ServiceLoad(requests / slots, ageMillis, reports);
+  }
+
   /** Returns the slots of targets that said in an answer that they accept no requests now. */
   private int withheldSlots(String service, Predicate<String> regions, long now) {
     if (drainingByAnswer.isEmpty() && backOffUntilMillis.isEmpty()) {
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/PlacementUnderLoadTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/PlacementUnderLoadTest.java
@@ -15,6 +15,7 @@
 import org.sageladder.core.placing.Placement.PlacementRequest;
 import org.sageladder.core.placing.PlacementDecision.Send;
 import org.sageladder.core.placing.TargetModel.Outcome;
+import org.sageladder.core.routing.RouteRule;
 
 /** Compares placement with simpler policies in a simulation of targets. */
 class PlacementUnderLoadTest {
@@ -35,7 +36,7 @@
   private static final long SHORT_TIMEOUT_MILLIS = 1_000;
 
   /** The placement under test, with separate tables for each entry VM. */
-  private static class PlacementPolicy implements TargetModel.Policy {
+  static class PlacementPolicy implements TargetModel.Policy {
     private final long timeoutMillis;
     private final List<PlacementFixture> vms = new ArrayList<>();
     private final Map<String, Send> sent = new HashMap<>();
@@ -60,9 +61,13 @@
       }
     }
 
+    /** Returns the route of a request for {@code object}. */
+    RouteRule route(long object) {
+      return PlacementFixture.route(Set.of());
+    }
+
     private PlacementRequest request(long object) {
-      return new PlacementRequest(
-          PlacementFixture.route(Set.of()), "search", object, timeoutMillis);
+      return new PlacementRequest(route(object), "search", object, timeoutMillis);
     }
 
     /** Returns the target for a request that placement refuses, or null to refuse it. */
@@ -71,7 +76,7 @@
     }
 
     @Override
-    public String choose(int vm, long object, long now) {
+    public @Nullable String choose(int vm, long object, long now) {
       Placement placement = vms.get(vm).placement;
       PlacementDecision decision =
           placement.place(request(object), PlacementFixture.SERVICE, Set.of(), now);
--- a/sageladder-core/src/test/java/org/sageladder/core/placing/TargetModel.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/placing/TargetModel.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.function.IntUnaryOperator;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
@@ -41,7 +42,12 @@
   /** Chooses a target for a request and is notified of its end. */
   interface Policy {
     /** Returns the id of the chosen target, or null if the request is refused. */
-    String choose(int vm, long object, long now);
+    @Nullable String choose(int vm, long object, long now);
+
+    /** Returns when the caller that was refused last may return; negative if it does not. */
+    default long retryAfterMillis() {
+      return -1;
+    }
 
     /**
      * Called when an attempt has ended; {@code load} is what the target reported, null if it timed
@@ -59,11 +65,23 @@
   /** Results as fractions of all requests. Requests neither answered nor timed out were refused. */
   record Outcome(double inGoalFraction, double answeredFraction, double timedOutFraction) {}
 
+  /** How a request of a caller ended, after at most one return. */
+  enum End {
+    IN_GOAL,
+    LATE,
+    REFUSED,
+    TIMED_OUT
+  }
+
+  /** A request of a caller and how it ended. */
+  record Ended(long object, long arrivedAtMillis, End end) {}
+
   private static final class Request {
     final int vm;
     final long object;
     final long arrivedAtMillis;
     boolean isFinished;
+    boolean hasReturned;
 
     Request(int vm, long object, long arrivedAt) {
       this.vm = vm;
@@ -143,12 +161,10 @@
   private final Random random;
   private final Policy policy;
   private final long timeoutMillis;
-  private int timedOut;
+  private final List<Ended> ended = new ArrayList<>();
+  private final List<Long> returns = new ArrayList<>();
   private long now;
   private long order;
-  private int requests;
-  private int answered;
-  private int inGoal;
 
   private TargetModel(Policy policy, long timeoutMillis, long seed) {
     this.random = new Random(RUNS_SEED + seed);
@@ -211,11 +227,31 @@
 
   private static Outcome simulate(
       Policy policy, int perSecond, int seconds, long timeoutMillis, long seed) {
+    List<Ended> ended =
+        simulate(policy, second -> perSecond, seconds, timeoutMillis, seed).ended();
+    double inGoal = fraction(ended, End.IN_GOAL);
+    return new Outcome(
+        inGoal, inGoal + fraction(ended, End.LATE), fraction(ended, End.TIMED_OUT));
+  }
+
+  /** Returns the fraction of the requests that ended so; 0 if there are none. */
+  static double fraction(List<Ended> requests, End end) {
+    return requests.stream().mapToInt(request -> request.end() == end ? 1 : 0).average().orElse(0);
+  }
+
+  /**
+   * All requests, and when refused callers returned.
+   */
+  record History(List<Ended> ended, List<Long> returnsAtMillis) {}
+
+  /** Simulates requests whose rate per second is given for each second. */
+  static History simulate(
+      Policy policy, IntUnaryOperator perSecond, int seconds, long timeoutMillis, long seed) {
     TargetModel model = new TargetModel(policy, timeoutMillis, seed);
     Random arrivals = new Random(ARRIVALS_SEED + seed);
     double at = 0;
     while (at < seconds * 1_000.0) {
-      at += -Math.log(1 - arrivals.nextDouble()) * 1_000 / perSecond;
+      at += -Math.log(1 - arrivals.nextDouble()) * 1_000 / perSecond.applyAsInt((int) at / 1_000);
       Request request =
           new Request(arrivals.nextInt(VM_COUNT), arrivals.nextInt(OBJECT_COUNT), Math.round(at));
       model.schedule(request.arrivedAtMillis, () -> model.arrive(request));
@@ -225,10 +261,7 @@
       model.now = next.atMillis();
       next.action().run();
     }
-    return new Outcome(
-        (double) model.inGoal / model.requests,
-        (double) model.answered / model.requests,
-        (double) model.timedOut / model.requests);
+    return new History(model.ended, model.returns);
   }
 
   private void schedule(long atMillis, Runnable action) {
@@ -241,9 +274,9 @@
   }
 
   private void arrive(Request request) {
-    requests++;
     String chosen = policy.choose(request.vm, request.object, now);
     if (chosen == null) {
+      refuse(request);
       return;
     }
     Target target = targets.get(chosen);
@@ -251,12 +284,28 @@
     schedule(request.arrivedAtMillis + timeoutMillis, () -> timeOut(target, request));
   }
 
+  private void refuse(Request request) {
+    long returnAtMillis = now + policy.retryAfterMillis();
+    boolean isInTime = returnAtMillis < request.arrivedAtMillis + timeoutMillis;
+    if (returnAtMillis < now || request.hasReturned || !isInTime) {
+      end(request, End.REFUSED);
+      return;
+    }
+    request.hasReturned = true;
+    returns.add(returnAtMillis);
+    schedule(returnAtMillis, () -> arrive(request));
+  }
+
+  private void end(Request request, End end) {
+    ended.add(new Ended(request.object, request.arrivedAtMillis, end));
+  }
+
   private void timeOut(Target target, Request request) {
     if (request.isFinished) {
       return;
     }
     request.isFinished = true;
-    timedOut++;
+    end(request, End.TIMED_OUT);
     target.cancel(request);
     policy.onAttemptEnded(request.vm, request.object, target.id, false, null, now);
   }
@@ -270,11 +319,10 @@
   private void deliver(Target from, Request request, boolean hasCompleted, LoadReport load) {
     policy.onAttemptEnded(request.vm, request.object, from.id, hasCompleted, load, now);
     if (!hasCompleted) {
+      end(request, End.REFUSED);
       return;
     }
-    answered++;
-    if (now - request.arrivedAtMillis <= GOAL_MILLIS) {
-      inGoal++;
-    }
+    boolean isInGoal = now - request.arrivedAtMillis <= GOAL_MILLIS;
+    end(request, isInGoal ? End.IN_GOAL : End.LATE);
   }
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -172,6 +172,7 @@
             shiftLimiter,
             PlacementWeights.standard());
     placement.updateZoneShare(options.zoneFraction());
+    placement.admission().onStateChange(requestLog::recordOverload);
     this.relayPeers = new RelayPeers(options.zone(), options.region());
     this.peerConnections = new TargetConnectionPool<>(loop, dialect);
     this.connectionPool = new TargetConnectionPool<>(loop, dialect);
--- a/sageladder-forward/src/main/java/org/sageladder/forward/RequestDeadline.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/RequestDeadline.java
@@ -8,6 +8,7 @@
   private static final double MAX_RETRY_AFTER_FRACTION = 0.33;
 
   private static final double MIN_RETRY_AFTER_FACTOR = 0.75;
+  private static final double MAX_RETRY_AFTER_FACTOR = 1 + MIN_RETRY_AFTER_FACTOR;
 
   private final Loop loop;
   private long atMillis = Long.MAX_VALUE;
@@ -39,15 +40,16 @@
 
   /**
    * Multiplies a retry delay by a random factor from 0.75 to 1.75, so that callers refused together
-   * do not return together.
+   * do not return together. A delay too long for the remaining time is shortened before, not cut
+   * off: otherwise all those callers would return after the longest delay possible.
    *
    * @param randomFraction a random number between 0 and 1
    */
   long retryAfterMillis(long millis, double randomFraction) {
-    long jittered = Math.round(millis * (MIN_RETRY_AFTER_FACTOR + randomFraction));
-    if (atMillis == Long.MAX_VALUE) {
-      return jittered;
-    }
-    return Math.min(jittered, Math.round(remainingMillis() * MAX_RETRY_AFTER_FRACTION));
+    double maxMillis =
+        atMillis == Long.MAX_VALUE
+            ? Double.MAX_VALUE
+            : remainingMillis() * MAX_RETRY_AFTER_FRACTION / MAX_RETRY_AFTER_FACTOR;
+    return Math.round(Math.min(millis, maxMillis) * (MIN_RETRY_AFTER_FACTOR + randomFraction));
   }
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/RequestLog.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/RequestLog.java
@@ -4,6 +4,8 @@
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.event.EventKind;
 import org.sageladder.core.event.EventSink;
+import org.sageladder.core.overload.AdaptiveAdmission.ServiceStatus;
+import org.sageladder.core.overload.AdmissionPolicy;
 import org.sageladder.core.placing.PlacementDecision.CandidateEstimate;
 import org.sageladder.core.placing.PlacementDecision.Refuse;
 import org.sageladder.core.placing.PlacementDecision.Send;
@@ -12,6 +14,7 @@
 /** Logs one line per attempt and per request, and records their counters and latencies. */
 final class RequestLog {
   private static final double TENTHS = 10;
+  private static final double PERCENT = 100;
 
   private final EventSink log;
   private final Metrics metrics;
@@ -93,6 +96,10 @@
    */
   String recordRefusal(Refuse refuse, long remainingMillis) {
     metrics.count("no_target_" + toLowerCase(refuse.reason()));
+    AdmissionPolicy.Overload overload = refuse.overload();
+    if (overload != null) {
+      metrics.count("overload_refused_priority_" + overload.priority());
+    }
     CandidateEstimate judged = refuse.bestCandidate();
     if (judged == null) {
       return refuse.reason().name();
@@ -115,7 +122,44 @@
         + Math.round(judged.slotHoldMillis())
         + " ms, "
         + remainingMillis
-        + " ms left,";
+        + " ms left,"
+        + (overload == null ? "" : describe(overload));
+  }
+
+  private static String describe(AdmissionPolicy.Overload overload) {
+    return " priority "
+        + overload.priority()
+        + " waits at most "
+        + Math.round(overload.boundMillis())
+        + " ms, "
+        + Math.round(overload.load().utilization() * PERCENT)
+        + " % of slots in use or asked for by "
+        + overload.load().reportCount()
+        + " reports, the newest "
+        + overload.load().reportAgeMillis()
+        + " ms old, overloaded for "
+        + overload.overloadedForMillis()
+        + " ms,";
+  }
+
+  /** Records that a service's overload began or ended. */
+  void recordOverload(String service, ServiceStatus status) {
+    EventKind kind =
+        status.isOverloaded() ? EventKind.SERVICE_OVERLOADED : EventKind.SERVICE_RELIEVED;
+    metrics.count(toLowerCase(kind));
+    metrics.setGauge("overloaded{service=\"" + service + "\"}", status.isOverloaded() ? 1 : 0);
+    log.record(
+        kind,
+        "",
+        "",
+        service,
+        0,
+        Math.round(status.load().utilization() * PERCENT)
+            + " % of slots in use or asked for by "
+            + status.load().reportCount()
+            + " reports, the newest "
+            + status.load().reportAgeMillis()
+            + " ms old");
   }
 
   private static String toLowerCase(Enum<?> constant) {
