--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetState.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetState.java
@@ -187,7 +187,7 @@
     peerLoad = Math.max(0, load.running() + load.waiting() - inFlight);
     meanPeerLoad.add(peerLoad);
     lastReportAtMillis = observedAtMillis;
-    regionLoad.recordReport(peerLoad, facts.slots());
+    regionLoad.recordReport(peerLoad, facts.slots(), observedAtMillis);
   }
 
   /**
