--- a/sageladder-core/src/main/java/org/sageladder/core/observation/PeerSilence.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/observation/PeerSilence.java
@@ -32,6 +32,11 @@
     }
   }
 
+  /** Starts to measure silence anew, since this VM may have missed digests or sent none. */
+  void restart(long nowMillis) {
+    lastHeardMillis.replaceAll((peer, heardMillis) -> nowMillis);
+  }
+
   /** Returns the peers that have fallen silent since the last call. */
   List<String> takeNewlySilent(long nowMillis) {
     List<String> newlySilent = new ArrayList<>();
--- a/sageladder-core/src/main/java/org/sageladder/core/observation/ZoneObservations.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/observation/ZoneObservations.java
@@ -20,7 +20,9 @@
  * none is acknowledged or repeated.
  *
  * <pre>{@code
- * ZoneObservations observations = ZoneObservations.of("e-1", targets, peers, nowMillis, wallMillis);
+ * ZoneObservations observations = ZoneObservations.of("e-1", targets, nowMillis, wallMillis);
+ * observations.connectPeers(peers);
+ * observations.updateZoneVms(List.of("e-1", "e-2"));
  * observations.record(target, object, load, nowMillis, wallMillis);
  * observations.tick(nowMillis, wallMillis); // sends a digest to the peers
  * }</pre>
@@ -69,7 +71,7 @@
   /**
    * The effect of a digest.
    *
-   * @param isStale true if it was ignored: a duplicate, or possibly old
+   * @param isStale true if it was ignored: a duplicate, possibly old, or not from the zone
    * @param appliedCount observations that were applied
    */
   public record Effect(boolean isStale, int appliedCount) {
@@ -88,6 +90,7 @@
   private @Nullable Peers peers;
   private boolean tickScheduled;
   private int lastSequence;
+  private long lastTickMillis;
   private long distrustUntilMillis = Long.MIN_VALUE;
 
   private ZoneObservations(String self, TargetTable targets, long nowMillis, long wallMillis) {
@@ -176,8 +179,11 @@
     if (!heardAgain.isEmpty()) {
       connected.onHeardAgain(heardAgain);
     }
-    // After a pause of this process, all peers would seem silent.
-    List<String> newlySilent = isDistrusted ? List.of() : peerSilence.takeNewlySilent(nowMillis);
+    if (isDistrusted || nowMillis - lastTickMillis > SILENT_AFTER_MILLIS) {
+      peerSilence.restart(nowMillis);
+    }
+    lastTickMillis = nowMillis;
+    List<String> newlySilent = peerSilence.takeNewlySilent(nowMillis);
     if (!newlySilent.isEmpty()) {
       connected.onSilent(newlySilent);
     }
--- a/sageladder-core/src/test/java/org/sageladder/core/observation/ZoneObservationsTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/observation/ZoneObservationsTest.java
@@ -25,6 +25,7 @@
   private static final class Vm implements ZoneObservations.Peers {
     final TargetTable targets = TargetTable.create();
     final List<ObservationDigest> sent = new ArrayList<>();
+    List<String> receivers = List.of();
     final List<String> silenceEvents = new ArrayList<>();
     final ZoneObservations observations;
     long nowMillis;
@@ -71,6 +72,7 @@
     @Override
     public void send(Collection<String> vms, ObservationDigest digest) {
       sent.add(digest);
+      receivers = List.copyOf(vms);
     }
 
     @Override
@@ -225,12 +227,36 @@
     assertEquals(0, receiver.receive(digest(OBJECT, FULL)));
   }
 
+  /** A VM without peers has no timer, sends nothing and keeps its own estimates. */
   @Test
-  void vmAloneInItsZoneSchedulesAndSendsNothing() {
+  void vmAloneInItsZoneDecidesAsBefore() {
     sender.observations.updateZoneVms(List.of("a"));
     sender.observe(OBJECT, FULL);
     assertEquals(0, sender.scheduledTicks);
     assertTrue(sender.sent.isEmpty());
+    assertEquals(0, sender.load());
+  }
+
+  /** Guards against traffic that grows with the square of the number of VMs in a zone. */
+  @Test
+  void digestIsSentToABoundedAndStablePartOfALargeZone() {
+    List<String> vms = new ArrayList<>();
+    for (int i = 0; i < 100; i++) {
+      vms.add("v-" + i);
+    }
+    vms.add("a");
+    List<String> receivers = receiversAmong(vms);
+    assertEquals(20, receivers.size());
+    vms.remove(receivers.get(3));
+    List<String> kept = new ArrayList<>(receiversAmong(vms));
+    kept.retainAll(receivers);
+    assertEquals(19, kept.size());
+  }
+
+  private List<String> receiversAmong(List<String> vms) {
+    sender.observations.updateZoneVms(vms);
+    digest(0, IDLE);
+    return sender.receivers;
   }
 
   @Test
@@ -254,4 +280,16 @@
     receiver.tick();
     assertEquals(List.of("silent [a]", "heard [a]"), receiver.silenceEvents);
   }
+
+  /** Guards against log lines that call all peers silent after a time without requests. */
+  @Test
+  void peersAreNotSilentAfterAPauseWithoutRequests() {
+    receiver.receive(digest(0, IDLE));
+    receiver.observe(OBJECT, IDLE);
+    receiver.tick();
+    receiver.advance(60_000);
+    receiver.observe(OBJECT, IDLE);
+    receiver.tick();
+    assertEquals(List.of(), receiver.silenceEvents);
+  }
 }
