--- a/sageladder-forward/src/main/java/org/sageladder/forward/RequestDeadline.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/RequestDeadline.java
@@ -50,6 +50,7 @@
         atMillis == Long.MAX_VALUE
             ? Double.MAX_VALUE
             : remainingMillis() * MAX_RETRY_AFTER_FRACTION / MAX_RETRY_AFTER_FACTOR;
-    return Math.round(Math.min(millis, maxMillis) * (MIN_RETRY_AFTER_FACTOR + randomFraction));
+    return Math.round(
+        Math.min((double) millis, maxMillis) * (MIN_RETRY_AFTER_FACTOR + randomFraction));
   }
 }
