Requests that have arrived are read before their connection or port is closed

What callers saw: as an entry VM closed its port after a SIGTERM, connections ended without an answer although the request on them had been sent up to 1.5 s before.

Cause: an event loop that is late runs the closing task before it reads again, so that the request lies unread in the kernel; connections in the kernel's queue of the port were reset with it, and one that was just accepted was closed while its first request was on its way. The idle timeout and the timeout of heads judge by what was read as well.

Change: a connection that looks idle, or whose head looks slow, is read once more in the task that closes it (AcceptedSocket); a port accepts what waits in its queue before it closes (ListeningSocket); a connection without any byte yet is kept for 300 ms. The connections and their counts moved out of Forwarder into CallerConnections.

Evidence: the three new tests of ShutdownTest send from a task of the event loop, which cannot read or accept meanwhile.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
@@ -44,12 +44,17 @@
 
   private static final int MAX_CHUNK_BYTES = 32 << 10;
 
+  /** Time for the first request of a new connection to arrive, from callers in any region. */
+  private static final long FIRST_REQUEST_MILLIS = 300;
+
   private final Forwarder forwarder;
+  private final CallerConnections connections;
   private final boolean isPeer;
   private final Deque<Exchange> exchanges = new ArrayDeque<>();
   private @Nullable ChannelHandlerContext context;
   private @Nullable Exchange receivingExchange;
   private boolean isClosing;
+  private boolean hasReceivedBytes;
   private boolean isLastRequestReceived;
   private boolean isClosingCounted;
   private boolean isLingering;
@@ -64,6 +69,7 @@
    */
   CallerConnection(Forwarder forwarder, boolean isPeer) {
     this.forwarder = forwarder;
+    this.connections = forwarder.callerConnections();
     this.isPeer = isPeer;
     this.idleSinceMillis = forwarder.loop().nowMillis();
   }
@@ -101,6 +107,7 @@
   }
 
   private void onBytesReceived() {
+    hasReceivedBytes = true;
     if (receivingExchange == null && headStartedAtMillis == 0 && !isLastRequestReceived) {
       headStartedAtMillis = forwarder.loop().nowMillis();
     }
@@ -259,9 +266,9 @@
    */
   private void closeAfterFlush() {
     markClosing();
-    if (context().channel() instanceof SocketChannel socket && forwarder.mayLinger()) {
+    if (context().channel() instanceof SocketChannel socket && connections.mayLinger()) {
       isLingering = true;
-      forwarder.lingeringStarted();
+      connections.lingeringStarted();
       socket.config().setAutoRead(true);
       flushLast().addListener(done -> linger(socket));
       return;
@@ -272,7 +279,7 @@
   private void markClosing() {
     isClosing = true;
     isClosingCounted = true;
-    forwarder.closingStarted();
+    connections.closingStarted();
   }
 
   /** Flushes what was written before; the result is complete once all of it is written. */
@@ -302,13 +309,13 @@
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     if (isClosingCounted) {
-      forwarder.closingEnded();
+      connections.closingEnded();
     }
     isClosing = true;
     if (isLingering) {
-      forwarder.lingeringEnded();
+      connections.lingeringEnded();
     }
-    forwarder.onCallerClosed(this);
+    connections.remove(this);
     while (!exchanges.isEmpty()) {
       exchanges.removeFirst().onCallerClosed();
     }
@@ -328,16 +335,32 @@
       closeUnread(now, limits);
       return;
     }
-    if (headStartedAtMillis != 0 && now - headStartedAtMillis > limits.headTimeoutMillis()) {
-      refuseAndClose(ResultCode.HEAD_TOO_SLOW);
+    if (!isHeadTooSlow(now, limits) && !isIdleTooLong(now, limits)) {
+      return;
+    }
+    Sockets.readReceived(context().channel());
+    if (isClosing) {
       return;
     }
-    boolean isIdle = exchanges.isEmpty() && headStartedAtMillis == 0;
-    if (isIdle && now - idleSinceMillis > limits.idleTimeoutMillis()) {
+    if (isHeadTooSlow(now, limits)) {
+      refuseAndClose(ResultCode.HEAD_TOO_SLOW);
+    } else if (isIdleTooLong(now, limits)) {
       closeNow();
     }
   }
 
+  private boolean isHeadTooSlow(long now, CallerLimits limits) {
+    return headStartedAtMillis != 0 && now - headStartedAtMillis > limits.headTimeoutMillis();
+  }
+
+  private boolean isIdleTooLong(long now, CallerLimits limits) {
+    return isWithoutRequest() && now - idleSinceMillis > limits.idleTimeoutMillis();
+  }
+
+  private boolean isWithoutRequest() {
+    return exchanges.isEmpty() && headStartedAtMillis == 0;
+  }
+
   /** Closes the connection of a caller that does not read its last response. */
   private void closeUnread(long now, CallerLimits limits) {
     if (isClosingCounted && now - idleSinceMillis > limits.idleTimeoutMillis()) {
@@ -350,14 +373,23 @@
     List.copyOf(exchanges).forEach(Exchange::onShutdownEnd);
   }
 
-  /** True if a part of a request's head was received, but not all of it. */
-  boolean isReceivingHead() {
-    return !isClosing && headStartedAtMillis != 0;
+  /** True if a part of a request's head was received, or the first request may be on its way. */
+  boolean expectsRequest() {
+    return !isClosing && (headStartedAtMillis != 0 || isNew());
+  }
+
+  private boolean isNew() {
+    return !hasReceivedBytes
+        && forwarder.loop().nowMillis() - idleSinceMillis < FIRST_REQUEST_MILLIS;
   }
 
   /** Closes the connection, once its responses are written, if it has no request. */
   void closeIfIdle() {
-    if (isClosing || !exchanges.isEmpty() || headStartedAtMillis != 0) {
+    if (isClosing || !isWithoutRequest()) {
+      return;
+    }
+    Sockets.readReceived(context().channel());
+    if (isClosing || !isWithoutRequest() || isNew()) {
       return;
     }
     markClosing();
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -60,12 +60,6 @@
    */
   private static final long SHIFT_LIMIT_SUSPENSION_MILLIS = 4_000;
 
-  /**
-   * Maximum number of connections that wait for their callers to close them after the last
-   * response, so that callers who do not close cannot use up the descriptors.
-   */
-  private static final int MAX_LINGERING_CONNECTIONS = 256;
-
   /** Largest fraction by which a back-off is longer than a target asked for. */
   private static final double BACK_OFF_JITTER = 0.2;
 
@@ -91,7 +85,7 @@
   private final TargetConnectionPool<RelayPeer> peerConnections;
   private final CrashDetector crashDetector;
   private final Map<String, SmoothWeightedRoundRobin> serviceRotations = new HashMap<>();
-  private final Set<CallerConnection> callerConnections = new LinkedHashSet<>();
+  private final CallerConnections callerConnections = new CallerConnections();
   private final Set<Attempt> attempts = new LinkedHashSet<>();
   private final Random random;
   private final TargetReachability reachability = TargetReachability.create();
@@ -103,8 +97,6 @@
   private BooleanSupplier staleRulesCheck = () -> false;
   private final Shutdown shutdown;
   private int inFlightCount;
-  private int lingeringCount;
-  private int closingCount;
 
   /**
    * Identity of this entry VM and the limits that apply to it.
@@ -388,11 +380,11 @@
   }
 
   /**
-   * Begins the shutdown: each response closes its connection so that callers look up another VM,
-   * and requests that may not end in time are refused.
+   * Begins the shutdown, or changes its end: each response closes its connection so that callers
+   * look up another VM, and requests that may not end in time are refused.
    *
    * @param signalMillis when the stop signal came
-   * @param endMillis when requests that are still in flight are abandoned
+   * @param endMillis when requests must have ended for certain to be sent on
    */
   public void beginShutdown(long signalMillis, long endMillis) {
     shutdown.begin(signalMillis, endMillis);
@@ -403,29 +395,27 @@
     return loopDelay.recentMaxMillis();
   }
 
-  /** True if no request is in flight or being received, and callers have read all responses. */
+  /** True if no request is in flight or expected, and callers have read all responses. */
   boolean isIdle() {
-    return inFlightCount == 0
-        && closingCount == 0
-        && callerConnections.stream().noneMatch(CallerConnection::isReceivingHead);
+    return inFlightCount == 0 && callerConnections.areIdle();
   }
 
-  /** Closes all connections of callers. */
-  void closeConnections() {
-    List.copyOf(callerConnections).forEach(CallerConnection::closeNow);
+  /** Open connections of callers. */
+  CallerConnections callerConnections() {
+    return callerConnections;
   }
 
   /** Closes the ports and all connections without a request. */
   public void stopListening() {
     Channel openChannel = serverChannel;
     if (openChannel != null) {
-      Sockets.close(openChannel);
+      Sockets.closeListening(openChannel);
     }
     Channel openPeerChannel = peerServerChannel;
     if (openPeerChannel != null) {
-      Sockets.close(openPeerChannel);
+      Sockets.closeListening(openPeerChannel);
     }
-    List.copyOf(callerConnections).forEach(CallerConnection::closeIfIdle);
+    callerConnections.closeIdle();
   }
 
   /**
@@ -434,7 +424,7 @@
    * has ended.
    */
   public void abandonAll() {
-    List.copyOf(callerConnections).forEach(CallerConnection::abandonRequests);
+    callerConnections.abandonRequests();
     List.copyOf(attempts).forEach(Attempt::abandon);
   }
 
@@ -442,7 +432,7 @@
     long now = loop.nowMillis();
     loopDelay.recordRun(now);
     CallerLimits limits = callerLimits();
-    List.copyOf(callerConnections).forEach(connection -> connection.sweep(now, limits));
+    callerConnections.sweep(now, limits);
     targets.removeDue(now).forEach(this::onTargetRemoved);
     connectionPool.sweep();
     peerConnections.sweep();
@@ -570,33 +560,6 @@
         kind, "", target.service(), target.id(), target.incarnation().startedAtMillis(), detail);
   }
 
-  void onCallerClosed(CallerConnection connection) {
-    callerConnections.remove(connection);
-  }
-
-  /** True if one more connection may wait for its caller to close it. */
-  boolean mayLinger() {
-    return lingeringCount < MAX_LINGERING_CONNECTIONS;
-  }
-
-  /** Counts a connection that waits for its caller to close it. */
-  void lingeringStarted() {
-    lingeringCount++;
-  }
-
-  void lingeringEnded() {
-    lingeringCount--;
-  }
-
-  /** Counts a connection that closes once its caller has got the last response. */
-  void closingStarted() {
-    closingCount++;
-  }
-
-  void closingEnded() {
-    closingCount--;
-  }
-
   void requestStarted() {
     inFlightCount++;
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/GracefulShutdown.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/GracefulShutdown.java
@@ -122,7 +122,7 @@
     }
     isEnded = true;
     forwarder.abandonAll();
-    forwarder.closeConnections();
+    forwarder.callerConnections().closeAll();
     String how =
         abandonedCount == 0
             ? "all requests ended, "
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Sockets.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Sockets.java
@@ -15,7 +15,6 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioDatagramChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
@@ -40,7 +39,8 @@
   private static final WriteBufferWaterMark WRITE_BUFFER_WATER_MARK =
       new WriteBufferWaterMark(32 << 10, 64 << 10);
 
-  private static final int ACCEPT_BACKLOG = 1024;
+  /** Maximum number of connections that wait to be accepted. */
+  static final int ACCEPT_BACKLOG = 1024;
 
   private final @Nullable SocketAddress localAddress;
 
@@ -63,6 +63,24 @@
     var unused = connection.close();
   }
 
+  /**
+   * Reads what has arrived on an accepted connection, to be called before it is closed as idle: an
+   * event loop that is late may not have read a request that arrived long ago.
+   */
+  static void readReceived(Channel connection) {
+    if (connection instanceof AcceptedSocket accepted) {
+      accepted.readReceived();
+    }
+  }
+
+  /** Closes a listening port after accepting the connections that the kernel has established. */
+  static void closeListening(Channel port) {
+    if (port instanceof ListeningSocket listening && listening.isOpen()) {
+      listening.acceptPending();
+    }
+    close(port);
+  }
+
   /** Enables keep-alive probes: the kernel ends the connection if the peer does not answer them. */
   public static void enableKeepAlive(Channel connection) {
     connection.config().setOption(ChannelOption.SO_KEEPALIVE, true);
@@ -106,7 +124,7 @@
   public ChannelFuture listen(Loop loop, String host, int port, ChannelHandler handler) {
     return new ServerBootstrap()
         .group(loop.eventLoop())
-        .channel(NioServerSocketChannel.class)
+        .channelFactory(ListeningSocket::new)
         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.ALLOCATOR, loop.allocator())
--- a/sageladder-forward/src/test/java/org/sageladder/forward/ForwardingFixture.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/ForwardingFixture.java
@@ -3,6 +3,7 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -204,6 +205,15 @@
     return new Caller(new Socket(InetAddress.getLoopbackAddress(), port));
   }
 
+  /** Opens a connection of a caller from a task of the event loop, which cannot accept it yet. */
+  Caller callerUnchecked() {
+    try {
+      return caller();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   /** Opens a connection of a caller with the loopback address {@code address}. */
   Caller callerFrom(String address) throws IOException {
     InetAddress local = InetAddress.getByName(address);
@@ -252,6 +262,15 @@
       write("GET " + path + " HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\nObject: o\r\n\r\n");
     }
 
+    /** Sends a request from a task of the event loop, which cannot read it yet. */
+    void sendGetUnchecked(String path, String id) {
+      try {
+        sendGet(path, id);
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+
     void sendPost(String path, String id, String body) throws IOException {
       write(
           "POST "
--- a/sageladder-forward/src/test/java/org/sageladder/forward/ShutdownTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/ShutdownTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 import org.sageladder.forward.ForwardingFixture.Caller;
 import org.sageladder.forward.ForwardingFixture.Response;
@@ -120,4 +121,57 @@
       assertEquals("whole", caller.readResponse().body());
     }
   }
+
+  /** A late event loop closed connections although a request had arrived long before. */
+  @Test
+  void requestThatArrivedBeforeItsConnectionIsClosedIsAnswered() throws Exception {
+    ScriptedTarget target = ScriptedTarget.of(request -> request.respond("ran"));
+    try (ForwardingFixture fixture = ForwardingFixture.open(target);
+        Caller caller = fixture.caller()) {
+      assertEquals(200, caller.exchange("/safe/1", "a").status());
+      fixture.onLoop(
+          () -> {
+            caller.sendGetUnchecked("/safe/2", "b");
+            fixture.forwarder.stopListening();
+          });
+      assertEquals("ran", caller.readResponse().body());
+    }
+  }
+
+  /** Connections in the kernel's queue of a port that closes were reset with their requests. */
+  @Test
+  void requestOnAConnectionThatWaitsToBeAcceptedIsAnswered() throws Exception {
+    ScriptedTarget target = ScriptedTarget.of(request -> request.respond("ran"));
+    try (ForwardingFixture fixture = ForwardingFixture.open(target)) {
+      AtomicReference<Caller> caller = new AtomicReference<>();
+      fixture.onLoop(
+          () -> {
+            caller.set(fixture.callerUnchecked());
+            caller.get().sendGetUnchecked("/safe/1", "a");
+            fixture.forwarder.stopListening();
+          });
+      try (Caller opened = caller.get()) {
+        assertEquals("ran", opened.readResponse().body());
+      }
+    }
+  }
+
+  /** A connection that was just opened was closed while its first request was on its way. */
+  @Test
+  void firstRequestOfANewConnectionIsAnsweredAfterThePortIsClosed() throws Exception {
+    ScriptedTarget target = ScriptedTarget.of(request -> request.respond("ran"));
+    try (ForwardingFixture fixture = ForwardingFixture.open(target)) {
+      AtomicReference<Caller> caller = new AtomicReference<>();
+      fixture.onLoop(
+          () -> {
+            caller.set(fixture.callerUnchecked());
+            fixture.forwarder.stopListening();
+            fixture.forwarder.stopListening();
+            caller.get().sendGetUnchecked("/safe/1", "a");
+          });
+      try (Caller opened = caller.get()) {
+        assertEquals("ran", opened.readResponse().body());
+      }
+    }
+  }
 }
