A blocked standard output does not keep a process past its grace period

What was seen: processes still there at the end of the grace time after a planned stop.

Cause, one of several: JsonLineLog.close interrupts the writer thread, and where that one was asleep it ended; the remaining lines were then written by the closing thread itself, without a bound. A reader of standard output that has stalled held the shutdown hook.

Change: the writer takes the interruption as the end of its wait, writes what is left and ends; close waits for it for a bounded time, which may be given.

Evidence: closeEndsThoughStandardOutputIsBlocked failed before (still closing after 20 s) and passes now. Whether this was the case in the users' 23 processes is not known: their logs are not here.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/JsonLineLog.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/JsonLineLog.java
@@ -121,16 +121,24 @@
               ("{\"vm\":\"" + vm + "\",\"leftOut\":" + reportedCount + "}\n")
                   .getBytes(StandardCharsets.UTF_8));
         }
-        if (isOpen) {
-          Thread.sleep(WRITE_INTERVAL_MILLIS);
-        }
+        awaitNextWrite();
       }
     } catch (IOException e) {
       // Standard output is closed, and there is nowhere else to report it. Further lines are
       // counted as dropped, which the metrics show.
       isOpen = false;
+    }
+  }
+
+  /** Waits until lines are due to be written, or the log is closed. */
+  private void awaitNextWrite() {
+    if (!isOpen) {
+      return;
+    }
+    try {
+      Thread.sleep(WRITE_INTERVAL_MILLIS);
     } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
+      // Interrupted by close(); the remaining lines are written without a wait.
     }
   }
 
@@ -157,15 +165,15 @@
   /** Writes the queued lines and ends the thread; drops them if standard output is blocked. */
   @Override
   public void close() {
+    close(WRITE_INTERVAL_MILLIS);
+  }
+
+  /** Closes as {@link #close()} does, within {@code maxMillis}. */
+  public void close(long maxMillis) {
     isOpen = false;
     writerThread.interrupt();
     try {
-      writerThread.join(WRITE_INTERVAL_MILLIS);
-      if (!writerThread.isAlive()) {
-        writeQueuedLines();
-      }
-    } catch (IOException ignored) {
-      // Standard output is closed; the remaining lines are dropped.
+      writerThread.join(Math.max(1, maxMillis));
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/JsonLineLogTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/JsonLineLogTest.java
@@ -1,6 +1,7 @@
 package org.sageladder.forward;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
@@ -9,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
 import org.junit.jupiter.api.Test;
 import org.sageladder.core.event.EventKind;
 import org.sageladder.core.time.VirtualTime;
@@ -78,4 +80,33 @@
     readerResumed.countDown();
     log.close();
   }
+
+  /** A process whose standard output blocks as it ends stayed past its grace period. */
+  @Test
+  void closeEndsThoughStandardOutputIsBlocked() throws Exception {
+    CountDownLatch firstLineWritten = new CountDownLatch(1);
+    Semaphore permittedWrites = new Semaphore(1);
+    OutputStream blockedAfterOneWrite =
+        new OutputStream() {
+          @Override
+          public void write(int b) {
+            throw new IllegalStateException("written byte by byte");
+          }
+
+          @Override
+          public void write(byte[] bytes) {
+            permittedWrites.acquireUninterruptibly();
+            firstLineWritten.countDown();
+          }
+        };
+    JsonLineLog log = JsonLineLog.to(blockedAfterOneWrite, "e-1", VirtualTime.startingAt(5));
+    recordLines(log, 1);
+    firstLineWritten.await();
+    recordLines(log, 1);
+    Thread closing = new Thread(log::close);
+    closing.start();
+    closing.join(20_000);
+    assertFalse(closing.isAlive());
+    permittedWrites.release(1_000);
+  }
 }
