A stopping VM leaves its event loop and its JVM time to end

Cause: the exit was planned 100 ms before the end, of which the log could take 200; and the margin for a late loop was computed once, as the stop began, and bounded by a sixth of the grace time for everything, because runs at targets must not be broken off earlier.

Change: ShutdownSchedule plans the steps from the grace time and the measured delay, and GracefulShutdown plans anew at each step, as a loop may become late during the stop; the time until the loop took the signal up counts as a delay. What is new to be sent on must have its deadline before half of the grace time at the earliest (callers can use another VM at once); only requests at targets keep the bound of a sixth. The exit is 300 ms before the end, the last responses 250 ms before that. STOPPED says what kept the VM: connections closing or receiving.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/GracefulShutdown.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/GracefulShutdown.java
@@ -16,22 +16,6 @@
  * }</pre>
  */
 public final class GracefulShutdown {
-  /**
-   * Time for which the port stays open. Readiness is probed each second and look-up results are
-   * cached for two seconds, so that after this time no caller that respects its look-up connects
-   * any more.
-   */
-  private static final long LISTEN_MILLIS = 3_000;
-
-  /** Remainder of the grace period in which requests that are left get a response. */
-  private static final long RESPONSE_MARGIN_MILLIS = 250;
-
-  /** Remainder of the grace period in which the process exits, even if callers still read. */
-  private static final long EXIT_MARGIN_MILLIS = 100;
-
-  /** Bound on the remainder in which requests get a response, as a fraction of the grace period. */
-  private static final double MAX_MARGIN_FRACTION = 1.0 / 6;
-
   private static final long POLL_INTERVAL_MILLIS = 50;
 
   private final Forwarder forwarder;
@@ -40,6 +24,7 @@
   private final String vmName;
   private final long graceMillis;
   private long signalledAtMillis;
+  private long takeUpDelayMillis;
   private Runnable onEnd = () -> {};
   private int abandonedCount;
   private boolean isEnded;
@@ -79,59 +64,56 @@
         vmName,
         0,
         forwarder.inFlightCount() + " in flight, taken up " + describeElapsed());
-    long requestEndMillis = signalMillis + graceMillis - responseMarginMillis();
-    forwarder.beginShutdown(signalMillis, requestEndMillis);
-    scheduleAt(Math.min(signalMillis + LISTEN_MILLIS, requestEndMillis), this::endWhenIdle);
-    scheduleAt(requestEndMillis, this::endRequests);
-    scheduleAt(signalMillis + graceMillis - EXIT_MARGIN_MILLIS, this::end);
-  }
-
-  /** A loop that was late before will be late again as the time runs out. */
-  private long responseMarginMillis() {
-    return Math.min(
-        Math.round(graceMillis * MAX_MARGIN_FRACTION),
-        RESPONSE_MARGIN_MILLIS + forwarder.recentLoopDelayMillis());
-  }
-
-  private void scheduleAt(long atMillis, Runnable task) {
-    var unused = loop.schedule(atMillis - loop.nowMillis(), task);
+    takeUpDelayMillis = elapsedMillis();
+    step();
   }
 
-  private void endWhenIdle() {
+  /** Runs what is due; later steps are planned anew, as the loop may have become later. */
+  private void step() {
     if (isEnded) {
       return;
     }
-    forwarder.stopListening();
-    if (forwarder.isIdle()) {
-      end();
+    ShutdownSchedule schedule =
+        ShutdownSchedule.of(
+            graceMillis, Math.max(takeUpDelayMillis, forwarder.recentLoopDelayMillis()));
+    long elapsedMillis = elapsedMillis();
+    forwarder.beginShutdown(signalledAtMillis, signalledAtMillis + schedule.admissionMillis());
+    if (elapsedMillis >= schedule.responseMillis()) {
+      endRequests();
+    }
+    if (elapsedMillis >= schedule.listenMillis()) {
+      forwarder.stopListening();
+      if (forwarder.isIdle()) {
+        end("all requests ended");
+        return;
+      }
+    }
+    if (elapsedMillis >= schedule.exitMillis()) {
+      end(forwarder.callerConnections().describe());
       return;
     }
-    var unused = loop.schedule(POLL_INTERVAL_MILLIS, this::endWhenIdle);
+    var unused = loop.schedule(POLL_INTERVAL_MILLIS, this::step);
   }
 
   private void endRequests() {
-    if (!isEnded) {
-      abandonedCount = forwarder.inFlightCount();
-      forwarder.abandonAll();
-    }
+    abandonedCount += forwarder.inFlightCount();
+    forwarder.abandonAll();
   }
 
-  private void end() {
-    if (isEnded) {
-      return;
-    }
+  private void end(String state) {
     isEnded = true;
-    forwarder.abandonAll();
+    endRequests();
     forwarder.callerConnections().closeAll();
-    String how =
-        abandonedCount == 0
-            ? "all requests ended, "
-            : abandonedCount + " requests did not end in time, ";
-    log.record(EventKind.STOPPED, "", "", vmName, 0, how + describeElapsed());
+    String how = abandonedCount == 0 ? state : abandonedCount + " requests did not end in time";
+    log.record(EventKind.STOPPED, "", "", vmName, 0, how + ", " + describeElapsed());
     onEnd.run();
   }
 
+  private long elapsedMillis() {
+    return loop.nowMillis() - signalledAtMillis;
+  }
+
   private String describeElapsed() {
-    return loop.nowMillis() - signalledAtMillis + " ms after the signal";
+    return elapsedMillis() + " ms after the signal";
   }
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Shutdown.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Shutdown.java
@@ -23,10 +23,10 @@
   }
 
   /**
-   * Begins the shutdown.
+   * Begins the shutdown, or changes its end.
    *
    * @param newSignalMillis when the stop signal came
-   * @param newEndMillis when requests that are still in flight are abandoned
+   * @param newEndMillis when requests must have ended for certain to be sent on
    */
   void begin(long newSignalMillis, long newEndMillis) {
     hasBegun = true;
