Process runner: how long planned stops took, and when connections closed late

Each run says how long stopped processes lived after the signal, how many had to be killed at the end of the grace time, and by second after the signal which connections were closed without an answer later than 200 ms after their request.

--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/FaultInjector.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/FaultInjector.java
@@ -42,6 +42,7 @@
   private final List<EntryVmProcess> stopped = new ArrayList<>();
   private final Set<EntryVmProcess> stopping = new HashSet<>();
   private final List<String> unexpectedEnds = new ArrayList<>();
+  private final StopTimes stopTimes = new StopTimes();
   private final BusyProcesses busyProcesses = new BusyProcesses();
   private long startNanos;
   private long trafficMillis;
@@ -141,10 +142,27 @@
       Thread.sleep(CONNECT_MILLIS);
       fleet.recordPlannedStop(vm);
       Process terminated = vm.terminate();
-      steps.add(new Step(elapsedMillis() + GRACE_MILLIS, terminated::destroyForcibly));
+      long signalledAtMillis = elapsedMillis();
+      var unused =
+          terminated
+              .onExit()
+              .thenRun(() -> stopTimes.recordEnd(elapsedMillis() - signalledAtMillis));
+      steps.add(new Step(signalledAtMillis + GRACE_MILLIS, () -> killAfterGrace(terminated)));
     }
   }
 
+  private void killAfterGrace(Process terminated) {
+    if (terminated.isAlive()) {
+      stopTimes.recordKill();
+      terminated.destroyForcibly();
+    }
+  }
+
+  /** How long planned stops took. */
+  StopTimes stopTimes() {
+    return stopTimes;
+  }
+
   private void occupyProcessors() throws IOException {
     fleet.recordSlowdown(trafficMillis - elapsedMillis());
     busyProcesses.start();
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/ProcessRun.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/ProcessRun.java
@@ -53,12 +53,14 @@
       if (isCrowded) {
         fleet.recordSlowdown(trafficMillis + AFTER_TRAFFIC_MILLIS);
       }
-      List<String> unexpectedEnds = FaultInjector.of(fleet, seed).run(series, trafficMillis);
+      FaultInjector injector = FaultInjector.of(fleet, seed);
+      List<String> unexpectedEnds = injector.run(series, trafficMillis);
       fleet.stopTraffic();
       Thread.sleep(AFTER_TRAFFIC_MILLIS);
       List<String> violations = new ArrayList<>(fleet.evaluate(ProcessRun::violations));
       unexpectedEnds.forEach(end -> violations.add("FAULT: " + end));
-      return new Result(violations, fleet.evaluate(day -> describe(day, fleet)));
+      String stops = fleet.plannedStopCount() == 0 ? "" : injector.stopTimes().toString();
+      return new Result(violations, fleet.evaluate(day -> describe(day, fleet)) + stops);
     }
   }
 
@@ -88,9 +90,11 @@
         ? ""
         : String.format(
             Locale.ROOT,
-            "  %d planned stops; attempts sent to a VM while it stopped: %s%n",
+            "  %d planned stops; attempts sent to a VM while it stopped: %s%n"
+                + "  closed late, by second after the signal: %s%n",
             fleet.plannedStopCount(),
-            PlannedStops.of(day).describe());
+            PlannedStops.of(day).describe(),
+            PlannedStops.of(day).describeLateCloses());
   }
 
   private static String describe(RetryWindow window, ProcessFleet fleet) {
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/PlannedStops.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/PlannedStops.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.stream.Collectors;
 import org.sageladder.scenario.SimulatedDay;
 import org.sageladder.scenario.SimulatedDay.TroubleInterval;
@@ -37,6 +38,7 @@
   /** A request whose connection ends later than this after its last byte may have been read. */
   private static final long MAX_UNREAD_MILLIS = 200;
 
+  private static final long MILLIS_PER_SECOND = 1_000;
   private static final int FIRST_ERROR_STATUS = 500;
 
   /** What an attempt ended with. */
@@ -189,6 +191,20 @@
         .collect(Collectors.joining(", "));
   }
 
+  /** Counts by second after the stop signal of connections that were closed late. */
+  public String describeLateCloses() {
+    Map<Long, Integer> counts = new TreeMap<>();
+    for (Attempt attempt : day.ledger().attempts().values()) {
+      Optional<TroubleInterval> stop = stopAt(attempt);
+      if (stop.isPresent() && endingOf(attempt) == Ending.CLOSED_LATE) {
+        long closedMillis =
+            day.ledger().answer(attempt.id()).orElseThrow().at() - stop.get().fromMillis();
+        counts.merge(closedMillis / MILLIS_PER_SECOND, 1, Integer::sum);
+      }
+    }
+    return counts.toString();
+  }
+
   private Ending endingOfUnanswered(Attempt attempt, Answered answer) {
     if (reachedTarget(attempt.id())) {
       return Ending.CUT;
