--- a/sageladder-core/src/main/java/org/sageladder/core/limits/ServiceGate.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/limits/ServiceGate.java
@@ -447,7 +447,22 @@
   private void deliver(List<Decision> decisions) {
     for (Decision decision : decisions) {
       recordEvent(decision);
-      decision.waiting.onDecision.accept(decision.admission);
+      try {
+        decision.waiting.onDecision.accept(decision.admission);
+      } catch (RuntimeException e) {
+        onDeliveryFailed(decision, e);
+      }
+    }
+  }
+
+  /** The other requests get their decisions whatever became of this one. */
+  private void onDeliveryFailed(Decision decision, RuntimeException cause) {
+    String request = decision.waiting.request.requestId();
+    String subject = service().name();
+    events.record(
+        EventKind.FAILED, request, customer, subject, 0, "decision not delivered: " + cause);
+    if (decision.admission instanceof Admission.Admitted admitted) {
+      admitted.slot().release(Admission.Completion.UNUSED);
     }
   }
 
--- a/sageladder-core/src/test/java/org/sageladder/core/limits/ServiceGateTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/limits/ServiceGateTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.channels.CancelledKeyException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -14,6 +15,7 @@
 import org.sageladder.core.contract.RequestClass;
 import org.sageladder.core.event.EventSink;
 import org.sageladder.core.membership.HoldingGuard;
+import org.sageladder.core.result.Result;
 import org.sageladder.core.result.ResultCode;
 
 class ServiceGateTest {
@@ -79,6 +81,36 @@
     assertEquals(0, gate.busySlots());
   }
 
+  /** The connection of the first waiting caller has ended; the others got no refusal. */
+  @Test
+  void listenerThatThrowsKeepsNoOtherCallerFromItsRefusal() {
+    gate.updateHoldings(GateFixture.holdings(1, 1));
+    gate.request(gates.requestWithin(Duration.ofSeconds(5)), admission -> {});
+    gate.request(
+        gates.requestWithin(Duration.ofSeconds(5)),
+        admission -> {
+          throw new CancelledKeyException();
+        });
+    gate.request(gates.requestWithin(Duration.ofSeconds(5)), decisions::add);
+    gate.request(gates.requestWithin(Duration.ofSeconds(5)), decisions::add);
+    gate.close();
+    assertEquals(2, refusalCount(ResultCode.STOPPING));
+    Admission.Refused refused = assertInstanceOf(Admission.Refused.class, decisions.get(1));
+    assertFalse(((Result.NotRun) refused.result()).retryAfter().isZero());
+  }
+
+  /** A listener that threw on its admission kept the slot for good. */
+  @Test
+  void slotOfAListenerThatThrowsIsFreeAgain() {
+    gate.updateHoldings(GateFixture.holdings(1, 1));
+    gate.request(
+        gates.requestWithin(Duration.ofSeconds(5)),
+        admission -> {
+          throw new CancelledKeyException();
+        });
+    assertEquals(0, gate.busySlots());
+  }
+
   @Test
   void retryAfterIsWhenTheCapAllowsTheRequest() {
     // A cold service has used its gain for this window. Guards against a retry-after that covers
--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -78,6 +78,7 @@
   private final EventSink events;
   private final CountDownLatch drainRequested;
   private final PlannedStop plannedStop;
+  private final GateTable gates;
   private final ResourceStack resources;
 
   private EntryDaemon(
@@ -88,6 +89,7 @@
       EventSink events,
       CountDownLatch drainRequested,
       PlannedStop plannedStop,
+      GateTable gates,
       ResourceStack resources) {
     this.settings = settings;
     this.controlPlane = controlPlane;
@@ -96,6 +98,7 @@
     this.events = events;
     this.drainRequested = drainRequested;
     this.plannedStop = plannedStop;
+    this.gates = gates;
     this.resources = resources;
   }
 
@@ -137,10 +140,8 @@
     RelayControlPlane control =
         resources.add(startControlPlane(settings, self, store, vmList, permitKeys, time, events));
     resources.add(KeyRefresher.start(permitKeys, time));
-    ControlMetrics.bind(metrics, control);
     GateTable gates =
-        resources.add(
-            createGateTable(settings, self.incarnation(), control.guard(), time, timers, events));
+        createGateTable(settings, self.incarnation(), control.guard(), time, timers, events);
     RequestPipeline pipeline =
         RequestPipeline.assemble(
             settings, client, timers, time, events, metrics, control, gates, permitKeys::ring);
@@ -150,14 +151,7 @@
     resources.add(LoadPoller.start(gates, client, time, timers, LOAD_POLL_INTERVAL));
     gates.useHistorySender(
         HttpHistorySender.of(self, settings.customer(), pipeline.codec(), client, time));
-    control.onChange(gates::applyState);
-    control.onChange(
-        ViewEventRecorder.of(settings.vm(), settings.zone(), settings.customer(), events));
-    control.onChange(pipeline::applyState);
-    control.setSummarySource(gates::summaries);
-    control.setTargetReportSource(gates::targetReports);
-    control.setTargetProbe(HttpTargetProbe.of(client));
-    registerContractGauge(metrics, control, settings.customer());
+    connect(control, gates, pipeline, client, settings, events, metrics);
     CountDownLatch drainRequested = new CountDownLatch(1);
     OperatorPort operatorPort =
         OperatorPort.of(
@@ -184,6 +178,8 @@
                 settings.ports().callers(),
                 connectionLimits(settings, settings.callerLimits().workerThreads()),
                 () -> CallerExchange.create(pipeline.router(), inFlight)));
+    // Closed before the ports, so that waiting callers get their refusals.
+    resources.add(gates);
     registerConnectionMetrics(metrics, callers);
     pipeline.advertiseAddress(settings.host(), callers.port());
     control.startServing(callers.port());
@@ -192,7 +188,34 @@
         "%s serves callers on %s:%d and operators on port %d",
         settings.vm(), settings.host(), callers.port(), operators.port());
     return new EntryDaemon(
-        settings, control, callers, operators, events, drainRequested, plannedStop, resources);
+        settings,
+        control,
+        callers,
+        operators,
+        events,
+        drainRequested,
+        plannedStop,
+        gates,
+        resources);
+  }
+
+  private static void connect(
+      RelayControlPlane control,
+      GateTable gates,
+      RequestPipeline pipeline,
+      OutboundClient client,
+      EntrySettings settings,
+      EventSink events,
+      PrometheusMeterRegistry metrics) {
+    ControlMetrics.bind(metrics, control);
+    registerContractGauge(metrics, control, settings.customer());
+    control.onChange(gates::applyState);
+    control.onChange(
+        ViewEventRecorder.of(settings.vm(), settings.zone(), settings.customer(), events));
+    control.onChange(pipeline::applyState);
+    control.setSummarySource(gates::summaries);
+    control.setTargetReportSource(gates::targetReports);
+    control.setTargetProbe(HttpTargetProbe.of(client));
   }
 
   private static ConnectionLimits connectionLimits(EntrySettings settings, int workerThreads) {
@@ -361,6 +384,7 @@
   public PlannedStop.Outcome stop() throws InterruptedException {
     events.record(EventKind.STOPPING, "", settings.customer(), "", 0, settings.vm());
     PlannedStop.Outcome outcome = plannedStop.run();
+    gates.close();
     callersListener.stop(Timeout.of(STOP_GRACE));
     close();
     return outcome;
--- a/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnections.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnections.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.sageladder.core.routing.CallerLimits;
 
 /** The open connections of callers, and how many of them are about to close. */
@@ -13,10 +14,21 @@
    */
   private static final int MAX_LINGERING_CONNECTIONS = 256;
 
+  private final Consumer<RuntimeException> onFailure;
   private final Set<CallerConnection> open = new LinkedHashSet<>();
   private int lingeringCount;
   private int closingCount;
 
+  /**
+   * Creates an empty set.
+   *
+   * @param onFailure called with what handling of a connection threw; the connection is closed, and
+   *     the others are handled all the same
+   */
+  CallerConnections(Consumer<RuntimeException> onFailure) {
+    this.onFailure = onFailure;
+  }
+
   void add(CallerConnection connection) {
     open.add(connection);
   }
@@ -60,18 +72,29 @@
   }
 
   void closeIdle() {
-    List.copyOf(open).forEach(CallerConnection::closeIfIdle);
+    forEach(CallerConnection::closeIfIdle);
   }
 
   void closeAll() {
-    List.copyOf(open).forEach(CallerConnection::closeNow);
+    forEach(CallerConnection::closeNow);
   }
 
   void abandonRequests() {
-    List.copyOf(open).forEach(CallerConnection::abandonRequests);
+    forEach(CallerConnection::abandonRequests);
   }
 
   void sweep(long nowMillis, CallerLimits limits) {
-    List.copyOf(open).forEach(connection -> connection.sweep(nowMillis, limits));
+    forEach(connection -> connection.sweep(nowMillis, limits));
+  }
+
+  private void forEach(Consumer<CallerConnection> action) {
+    for (CallerConnection connection : List.copyOf(open)) {
+      try {
+        action.accept(connection);
+      } catch (RuntimeException e) {
+        onFailure.accept(e);
+        connection.closeNow();
+      }
+    }
   }
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -85,7 +85,8 @@
   private final TargetConnectionPool<RelayPeer> peerConnections;
   private final CrashDetector crashDetector;
   private final Map<String, SmoothWeightedRoundRobin> serviceRotations = new HashMap<>();
-  private final CallerConnections callerConnections = new CallerConnections();
+  private final CallerConnections callerConnections =
+      new CallerConnections(e -> logCallerFailure("caller connection failed", e.toString()));
   private final Set<Attempt> attempts = new LinkedHashSet<>();
   private final Random random;
   private final TargetReachability reachability = TargetReachability.create();
--- a/sageladder-platform/src/main/java/org/sageladder/platform/http/LingeringSession.java
+++ b/sageladder-platform/src/main/java/org/sageladder/platform/http/LingeringSession.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -57,6 +58,33 @@
     return isLingering ? 0 : super.read(target);
   }
 
+  @Override
+  public void setEventMask(int events) {
+    ignoreIfEnded(() -> session.setEventMask(events));
+  }
+
+  @Override
+  public void setEvent(int event) {
+    ignoreIfEnded(() -> session.setEvent(event));
+  }
+
+  @Override
+  public void clearEvent(int event) {
+    ignoreIfEnded(() -> session.clearEvent(event));
+  }
+
+  /**
+   * Other threads request events of a connection that the reactor may just have ended; they learn
+   * of its end by the handler.
+   */
+  private static void ignoreIfEnded(Runnable change) {
+    try {
+      change.run();
+    } catch (CancelledKeyException e) {
+      // Nothing is left to be notified of.
+    }
+  }
+
   @Override
   public boolean isOpen() {
     return !isLingering && super.isOpen();
@@ -101,7 +129,7 @@
     isLingering = true;
     session.upgrade(new Discarder(session.getHandler()));
     session.setSocketTimeout(MAX_LINGER);
-    session.setEventMask(SelectionKey.OP_READ);
+    setEventMask(SelectionKey.OP_READ);
     return true;
   }
 
@@ -140,7 +168,7 @@
 
     @Override
     public void outputReady(IOSession connection) {
-      session.clearEvent(SelectionKey.OP_WRITE);
+      clearEvent(SelectionKey.OP_WRITE);
     }
 
     @Override
