The own interface's planned stop has one clock

What callers saw: nothing; the steps of a stop had limits of their own (3 s, twice 30 s, 60 s and the hand-over's) without a bound on their sum, over two minutes together.

Change: PlannedStop takes a limit of the whole stop, 80 s, by which every step and the hand-over end; runs leave a quarter of the time for what follows them.

Evidence: allStepsTogetherEndWithinTheLimitOfTheWholeStop, with a run of 20 s and a peer that never answers. PlannedStopTest's limits got the new value, three times its longest step, so that its other cases run as before.

--- a/sageladder-entry/src/main/java/org/sageladder/entry/stop/PermitHandOver.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/stop/PermitHandOver.java
@@ -53,6 +53,7 @@
   private final PermitHome.Limits limits;
   private final RequestSender client;
   private final TimeSource time;
+  private long endNanos;
 
   private PermitHandOver(
       String vm,
@@ -93,10 +94,12 @@
    * Closes the issuer, naming the first candidate that responds as its successor, and sends it the
    * states.
    *
+   * @param newEndNanos monotonic time after which nothing more is sent
    * @return false if no successor has acknowledged the states: the outcomes of their permits stay
    *     unknown
    */
-  public boolean run() throws InterruptedException {
+  public boolean run(long newEndNanos) throws InterruptedException {
+    endNanos = newEndNanos;
     Optional<Member> successor = Optional.empty();
     for (Member candidate : stayingMembers()) {
       // Closing the issuer fixes its successor, so only a candidate that responds is chosen.
@@ -184,6 +187,10 @@
 
   private boolean putAndAwaitAcknowledgement(Member to, String route, String successor, byte[] body)
       throws InterruptedException {
+    long maxWaitNanos = Math.min(RESPONSE_TIMEOUT.toNanos(), endNanos - time.nanos());
+    if (maxWaitNanos <= 0) {
+      return false;
+    }
     BasicHttpRequest request = new BasicHttpRequest("PUT", route);
     HttpHost host = new HttpHost(to.host(), to.port());
     request.setScheme(host.getSchemeName());
@@ -199,7 +206,7 @@
             CONNECT_TIMEOUT,
             new Acknowledgement(acknowledged));
     try {
-      return acknowledged.get(RESPONSE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+      return acknowledged.get(maxWaitNanos, TimeUnit.NANOSECONDS);
     } catch (ExecutionException | TimeoutException e) {
       cancel.run();
       return false;
--- a/sageladder-entry/src/main/java/org/sageladder/entry/stop/PlannedStop.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/stop/PlannedStop.java
@@ -10,10 +10,10 @@
 /**
  * Takes an entry VM out of service without aborting in-flight requests.
  *
- * <p>The steps, each with a time limit: announce that this VM is leaving, so that look-ups stop
- * naming it and its targets get other holders; serve callers that use older look-ups until these
- * have expired; let runs under permits end and hand the permit states over to a successor; wait for
- * the last exchange.
+ * <p>The steps, each with a time limit and all with a common one: announce that this VM is leaving,
+ * so that look-ups stop naming it and its targets get other holders; serve callers that use older
+ * look-ups until these have expired; let runs under permits end and hand the permit states over to
+ * a successor; wait for the last exchange.
  */
 public final class PlannedStop {
   /**
@@ -25,21 +25,27 @@
    * @param maxLookUpExpiryWait maximum wait for that quiet period
    * @param maxRunWait maximum wait for runs under permits
    * @param maxExchangeWait maximum wait for all other exchanges
+   * @param maxDuration maximum time of all steps together
    */
   public record Limits(
       Duration propagationDelay,
       Duration quietPeriod,
       Duration maxLookUpExpiryWait,
       Duration maxRunWait,
-      Duration maxExchangeWait) {
-    /** Look-ups expire after 2 s, and the announcement takes up to 1 s more. */
+      Duration maxExchangeWait,
+      Duration maxDuration) {
+    /**
+     * Look-ups expire after 2 s, and the announcement takes up to 1 s more. Service managers
+     * usually kill a process that has not ended 90 s after its stop signal.
+     */
     public static Limits standard() {
       return new Limits(
           Duration.ofMillis(700),
           Duration.ofMillis(500),
           Duration.ofSeconds(3),
           Duration.ofSeconds(30),
-          Duration.ofSeconds(60));
+          Duration.ofSeconds(60),
+          Duration.ofSeconds(80));
     }
   }
 
@@ -63,12 +69,16 @@
   private static final Duration POLL_INTERVAL = Duration.ofMillis(5);
   private static final Duration MIN_IDLE_TIME = Duration.ofMillis(300);
 
+  /** Fraction of the time that is left which runs leave for the hand-over and the exchanges. */
+  private static final double TIME_AFTER_RUNS_FRACTION = 1.0 / 4;
+
   private final ControlPlane control;
   private final InFlightCounter inFlight;
   private final PermitHome issuer;
   private final PermitHandOver handOver;
   private final TimeSource time;
   private final Limits limits;
+  private long endNanos;
 
   private PlannedStop(
       ControlPlane control,
@@ -99,14 +109,15 @@
   /** Runs all steps; the listening ports may be closed once it returns. */
   public Outcome run() throws InterruptedException {
     long startNanos = time.nanos();
+    endNanos = startNanos + limits.maxDuration().toNanos();
     inFlight.beginLeaving();
     control.beginLeaving();
     awaitLookUpExpiry();
     long lookUpsExpiredNanos = time.nanos();
     issuer.startDraining();
-    await(limits.maxRunWait(), () -> issuer.runningOwnCount() == 0);
+    await(maxOwnRunWait(), () -> issuer.runningOwnCount() == 0);
     long runsEndedNanos = time.nanos();
-    boolean handedOver = handOver.run();
+    boolean handedOver = handOver.run(endNanos);
     long handedOverNanos = time.nanos();
     await(limits.maxRunWait(), () -> issuer.runningCount() == 0);
     awaitIdle();
@@ -120,6 +131,11 @@
         Duration.ofNanos(time.nanos() - handedOverNanos));
   }
 
+  private Duration maxOwnRunWait() {
+    double maxNanos = (1 - TIME_AFTER_RUNS_FRACTION) * (endNanos - time.nanos());
+    return Duration.ofNanos(Math.min(limits.maxRunWait().toNanos(), (long) maxNanos));
+  }
+
   /**
    * Waits until callers no longer use older look-ups, which they cache for their time to live. A
    * caller that comes after the port is closed fails to connect and uses the next entry VM of its
@@ -157,8 +173,9 @@
   }
 
   private void await(Duration maxWait, BooleanSupplier done) throws InterruptedException {
-    long endNanos = time.nanos() + maxWait.toNanos();
-    while (!done.getAsBoolean() && time.nanos() - endNanos < 0) {
+    long maxWaitNanos = Math.min(maxWait.toNanos(), endNanos - time.nanos());
+    long waitEndNanos = time.nanos() + maxWaitNanos;
+    while (!done.getAsBoolean() && time.nanos() - waitEndNanos < 0) {
       Thread.sleep(POLL_INTERVAL.toMillis());
     }
   }
--- a/sageladder-entry/src/test/java/org/sageladder/entry/stop/PlannedStopTest.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/stop/PlannedStopTest.java
@@ -37,7 +37,7 @@
   private static final Duration SHORT = Duration.ofMillis(1);
   private static final Duration LONG = Duration.ofSeconds(20);
   private static final PlannedStop.Limits LIMITS =
-      new PlannedStop.Limits(SHORT, SHORT, Duration.ofMillis(2), LONG, LONG);
+      new PlannedStop.Limits(SHORT, SHORT, Duration.ofMillis(2), LONG, LONG, LONG.multipliedBy(3));
 
   private final InFlightCounter inFlight = InFlightCounter.create();
   private final PermitHome issuer = PermitHome.of("entry-1", 1, PermitHome.Limits.standard());
@@ -47,6 +47,10 @@
   private final TimeSource time = TimeSource.system();
 
   private PlannedStop stop(RequestSender outbound, Member... peers) {
+    return stop(LIMITS, outbound, peers);
+  }
+
+  private PlannedStop stop(PlannedStop.Limits limits, RequestSender outbound, Member... peers) {
     byte[] secret = new byte[32];
     KeyRing ring = KeyRing.of(List.of(new KeyRing.Key("k", 0, KeyRing.Secret.of(secret))));
     ControlPlane control = new FixedControlPlane(List.of(peers));
@@ -61,7 +65,7 @@
             PermitHome.Limits.standard(),
             outbound,
             time);
-    return PlannedStop.of(control, inFlight, issuer, handOver, time, LIMITS);
+    return PlannedStop.of(control, inFlight, issuer, handOver, time, limits);
   }
 
   private static Member member(String vm, boolean isDraining) {
@@ -147,4 +151,17 @@
     assertEquals(
         new Decision.Moved("entry-2"), issuer.beginExecution(permit, "bid", time.wallMillis()));
   }
+
+  /** Limits of single steps added up, so that a stop outlasted any bound on the whole. */
+  @Test
+  void allStepsTogetherEndWithinTheLimitOfTheWholeStop() throws Exception {
+    beginExchange();
+    PlannedStop.Limits limits =
+        new PlannedStop.Limits(SHORT, SHORT, SHORT, LONG, LONG, Duration.ofMillis(50));
+    RequestSender silent = (host, request, details, body, connectTimeout, listener) -> () -> {};
+    PlannedStop.Outcome outcome = stop(limits, silent, member("entry-2", false)).run();
+    assertEquals(1, outcome.exchangesCut());
+    Duration total = outcome.runs().plus(outcome.handOver()).plus(outcome.exchanges());
+    assertTrue(total.compareTo(LONG.dividedBy(10)) < 0, total.toString());
+  }
 }
