Routes added while the store was silent are not denied before the news has arrived

What callers saw: 404, which is final, on a route that the newest configuration has, from VMs that had been out of contact with the store.

Change: a VM is out of contact until the watch has a result (or a second has passed, since a watch without changes has none for long), and until a new read is complete.

Evidence: vmIsOutOfContactUntilTheChangesFromASilenceHaveArrived failed before, passes now.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
@@ -28,6 +28,12 @@
 
   private static final long MAX_RETRY_DELAY_MILLIS = 800;
 
+  /**
+   * A store that answers again delivers changes within this time; without changes a watch has no
+   * result for long.
+   */
+  private static final long MAX_CATCH_UP_MILLIS = 1_000;
+
   /** Receives the changes of items. */
   public interface Listener {
     /** An item is new or has changed. */
@@ -68,6 +74,8 @@
   private int watchId;
   private boolean isWatching;
   private boolean isStoreSilent;
+  private boolean isReadingAgain;
+  private long catchingUpUntilMillis;
   private boolean hasEverFailed;
   private long lastFailureAtMillis;
 
@@ -102,9 +110,15 @@
         || (hasEverFailed && loop.nowMillis() - lastFailureAtMillis < millis);
   }
 
-  /** True while calls to the store fail or are not answered, so that changes may be missed. */
+  /**
+   * True while calls to the store fail or are not answered, and then until the changes from that
+   * time have arrived, so that what is known may be out of date.
+   */
   public boolean isOutOfContact() {
-    return consecutiveFailures > 0 || isStoreSilent;
+    return consecutiveFailures > 0
+        || isStoreSilent
+        || isReadingAgain
+        || loop.nowMillis() < catchingUpUntilMillis;
   }
 
   private void read(@Nullable String afterKey, boolean mayBeStale) {
@@ -136,6 +150,7 @@
       return;
     }
     removeMissing();
+    isReadingAgain = false;
     revision = readRevision;
     if (!isInitialReadComplete) {
       isInitialReadComplete = true;
@@ -172,6 +187,7 @@
     }
     if (isStoreSilent) {
       recordFailure();
+      catchingUpUntilMillis = loop.nowMillis() + MAX_CATCH_UP_MILLIS;
     }
     if (isStoreSilent && isWatching) {
       log.record(
@@ -198,6 +214,7 @@
   private void onWatchResult(StoreResult<StorePage> result) {
     if (result instanceof StoreResult.Done<StorePage> done) {
       onSuccess();
+      catchingUpUntilMillis = 0;
       if (changeFeed.hadRecentFailures()) {
         recordFailure();
       }
@@ -216,6 +233,7 @@
           revision,
           "discarded by the store; reading all items");
       recordFailure();
+      isReadingAgain = true;
       read(null, false);
       return;
     }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerTest.java
@@ -116,6 +116,21 @@
     assertEquals(List.of("z-1"), zoneRecorder.evacuated);
   }
 
+  /** Requests on a route added during a silence got 404 between its end and the news of it. */
+  @Test
+  void vmIsOutOfContactUntilTheChangesFromASilenceHaveArrived() throws Exception {
+    nextWatch();
+    onLoop(
+        () -> {
+          follower.onStoreCall(false);
+          follower.onStoreCall(true);
+          assertTrue(follower.isOutOfContact());
+        });
+    Consumer<StoreResult<StorePage>> newWatch = nextWatch();
+    onLoop(() -> newWatch.accept(new StoreResult.Done<>(page(12))));
+    onLoop(() -> assertFalse(follower.isOutOfContact()));
+  }
+
   /** Answered calls start no new watch unless one failed before, since each watch is priced. */
   @Test
   void answeredCallsStartNoWatchWithoutAFailure() throws Exception {
