--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/AddedRouteRule.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/AddedRouteRule.java
@@ -67,6 +67,15 @@
     return violations;
   }
 
+  /** When each route was added that the first configuration does not have. */
+  static Map<String, Long> addedMillis(SimulatedDay day) {
+    Map<String, Long> configuredMillis = firstConfiguredMillis(day);
+    long initialMillis =
+        configuredMillis.values().stream().mapToLong(Long::longValue).min().orElse(0);
+    configuredMillis.values().removeIf(millis -> millis == initialMillis);
+    return configuredMillis;
+  }
+
   private static Map<String, Long> firstConfiguredMillis(SimulatedDay day) {
     Map<String, Long> configuredMillis = new HashMap<>();
     day.ledger()
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
@@ -119,6 +119,43 @@
     assertViolated("MIXED");
   }
 
+  private void denyOnAddedRoute(int count, long sentMillis) {
+    for (int i = 0; i < count; i++) {
+      String id = "denied-" + sentMillis + '-' + i;
+      recordSent(id, true, sentMillis);
+      ledger.recordAnswer(new Answered(id, 404, "", false, id, sentMillis + 5));
+    }
+  }
+
+  private void addRouteLater() {
+    ledger.recordEvent(PlatformEvent.Kind.CONFIGURATION, "once", 0);
+    ledger.recordEvent(PlatformEvent.Kind.CONFIGURATION, "safe", BASE_MILLIS);
+  }
+
+  @Test
+  void addedRouteMayBeUnknownUntilItsConfigurationMustBeInForce() {
+    addRouteLater();
+    denyOnAddedRoute(20, BASE_MILLIS + day.bounds().configurationApplyMillis());
+    assertNotViolated("DENIED");
+    assertNotViolated("CONFIG denied");
+    denyOnAddedRoute(1, BASE_MILLIS + day.bounds().configurationApplyMillis() + 1);
+    assertViolated("CONFIG denied");
+    denyOnAddedRoute(6, BASE_MILLIS + day.bounds().configurationApplyMillis() + 2);
+    assertViolated("DENIED");
+  }
+
+  @Test
+  void addedRouteIsNotDeniedByAVmThatHasServedIt() {
+    addRouteLater();
+    recordSent("served", true, BASE_MILLIS + 10);
+    recordRun("served", 200, "x");
+    ledger.recordAnswer(new Answered("served", 200, "x", true, "served", BASE_MILLIS + 20));
+    denyOnAddedRoute(1, BASE_MILLIS + 200);
+    assertNotViolated("CONFIG denied");
+    denyOnAddedRoute(1, BASE_MILLIS + 400);
+    assertViolated("CONFIG denied");
+  }
+
   @Test
   void deniedRequests() {
     for (int i = 0; i < 6; i++) {
