Tests: relayed requests around the planned stop of either VM

A stopping VM refuses a relayed request as not run, and another serves it; one in flight is answered though the peer's port has closed; as the stop of either VM ends, the caller gets 502 and the run is cancelled.

--- a/sageladder-forward/src/test/java/org/sageladder/forward/RelayTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/RelayTest.java
@@ -6,6 +6,7 @@
 import java.net.InetAddress;
 import java.net.Socket;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.sageladder.core.result.ResultCode;
@@ -126,4 +127,82 @@
       assertTrue(target.connectionEnds.poll(10, TimeUnit.SECONDS) != null);
     }
   }
+
+  /** A VM that is stopping cannot promise to serve a relayed request; another VM has to. */
+  @Test
+  void requestRelayedToAStoppingPeerIsServedByAnother() throws Exception {
+    ScriptedTarget target = ScriptedTarget.of(request -> request.respond("ran"));
+    try (ForwardingFixture stopping = ForwardingFixture.open(target);
+        ForwardingFixture running = ForwardingFixture.open(target);
+        ForwardingFixture fixture = cutOff();
+        Caller caller = fixture.caller()) {
+      RelayPeer first = stopping.openPeerPort("127.0.0.1");
+      RelayPeer second = running.openPeerPort("127.0.0.1");
+      fixture.useRelayPeers(
+          ForwardingFixture.peer("e-1-stopping", first.host(), first.port()), second);
+      stopping.onLoop(() -> stopping.forwarder.beginShutdown(100));
+      caller.sendPost("/once/1", "a", "bid");
+      assertEquals("ran", caller.readResponse().body());
+      assertEquals(1, target.receivedRequests.size());
+    }
+  }
+
+  /** A relayed request at a target was cut off as the VM that serves it stopped. */
+  @Test
+  void requestRelayedToAPeerThatStopsMeanwhileIsAnswered() throws Exception {
+    CountDownLatch portClosed = new CountDownLatch(1);
+    ScriptedTarget target =
+        ScriptedTarget.of(
+            request -> {
+              portClosed.await();
+              request.respond("ran");
+            });
+    try (ForwardingFixture peer = ForwardingFixture.open(target);
+        ForwardingFixture fixture = cutOff();
+        Caller caller = fixture.caller()) {
+      fixture.useRelayPeers(peer.openPeerPort("127.0.0.1"));
+      caller.sendPost("/once/1", "a", "bid");
+      assertTrue(target.firstRequest.await(60, TimeUnit.SECONDS));
+      peer.onLoop(
+          () -> {
+            peer.forwarder.beginShutdown(60_000);
+            peer.forwarder.stopListening();
+          });
+      portClosed.countDown();
+      assertEquals("ran", caller.readResponse().body());
+    }
+  }
+
+  /** As a stop ends, the caller of a relayed request learns that its outcome is unknown. */
+  @Test
+  void relayedRequestHasAnOutcomeAsTheStopOfThePeerEnds() throws Exception {
+    ScriptedTarget silent = ScriptedTarget.of(request -> {});
+    try (ForwardingFixture peer = ForwardingFixture.open(silent);
+        ForwardingFixture fixture = cutOff();
+        Caller caller = fixture.caller()) {
+      fixture.useRelayPeers(peer.openPeerPort("127.0.0.1"));
+      caller.sendPost("/once/1", "a", "bid");
+      assertTrue(silent.firstRequest.await(60, TimeUnit.SECONDS));
+      peer.onLoop(() -> peer.forwarder.beginShutdown(60_000));
+      peer.onLoop(peer.forwarder::abandonAll);
+      assertEquals(502, caller.readResponse().status());
+    }
+  }
+
+  /** As a VM stops, requests that it has relayed get an answer like those at targets. */
+  @Test
+  void requestRelayedByAVmThatStopsIsAnswered() throws Exception {
+    ScriptedTarget silent = ScriptedTarget.of(request -> {});
+    try (ForwardingFixture peer = ForwardingFixture.open(silent);
+        ForwardingFixture fixture = cutOff();
+        Caller caller = fixture.caller()) {
+      fixture.useRelayPeers(peer.openPeerPort("127.0.0.1"));
+      caller.sendPost("/once/1", "a", "bid");
+      assertTrue(silent.firstRequest.await(60, TimeUnit.SECONDS));
+      fixture.onLoop(() -> fixture.forwarder.beginShutdown(60_000));
+      fixture.onLoop(fixture.forwarder::abandonAll);
+      assertEquals(502, caller.readResponse().status());
+      assertTrue(silent.connectionEnds.poll(10, TimeUnit.SECONDS) != null);
+    }
+  }
 }
