--- a/sageladder-core/src/main/java/org/sageladder/core/quota/QuotaCoordinator.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quota/QuotaCoordinator.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import org.sageladder.core.quota.QuotaMessage.TokenGrant;
 import org.sageladder.core.quota.QuotaMessage.UsageReport;
 import org.sageladder.core.routing.Quota;
@@ -10,12 +11,14 @@
  * Counts the requests of one workspace over all entry VMs and hands out tokens once the workspace
  * nears its quota.
  *
- * <p>Up to the admission ceiling, which is the quota plus half of the tolerance, VMs only report
- * their use, so that no request waits. Reports may be up to {@link #REACTION_MILLIS} old; the
- * requests that could run in that time at the current rate count as used. Above the ceiling VMs
- * need a token for each request, and get as many tokens per window as the ceiling allows. The other
- * half of the tolerance covers requests that are not counted in time: those of disconnected VMs and
- * those that are sent again.
+ * <p>Up to the admission ceiling, which is the quota plus half of the tolerance, VMs get tokens in
+ * advance and may admit a few requests before they report them, so that hardly any request waits.
+ * Tokens count as used while a VM holds them, and so do the requests that may run unreported: at
+ * most {@link QuotaTolerance#maxUnreportedPerVm} of each VM, and no more than can arrive within
+ * {@link #REACTION_MILLIS} at the current rate. Above the ceiling VMs need a token for each
+ * request, and get as many tokens per window as the ceiling allows. The other half of the tolerance
+ * covers requests that are not counted in time: those of disconnected VMs and those that are sent
+ * again.
  *
  * <p>If the tolerance is zero, VMs always need tokens.
  *
@@ -26,6 +29,9 @@
   /** Time from the admission of a request until all VMs know that tokens are required. */
   static final long REACTION_MILLIS = 600;
 
+  /** Time over which the rate of a beginning surge is measured. */
+  private static final long SURGE_RATE_MILLIS = 200;
+
   /** VMs go back to reporting after this time without a refusal, if the use is low enough. */
   private static final long MIN_QUIET_MILLIS = 2_000;
 
@@ -45,6 +51,7 @@
     int totalAdmitted;
     int admittedInWindow;
     int heldTokens;
+    int lastGrantedTokens;
     long lastReportMillis;
   }
 
@@ -53,6 +60,8 @@
   private final Map<String, Reporter> reporters = new HashMap<>();
   private final SlidingWindowCounter windowCount;
   private final SlidingWindowCounter lastSecondCount;
+  private final SlidingWindowCounter surgeCount;
+  private int vmCount = 1;
   private int heldTokens;
   private Quota quota;
   private boolean tokensRequired;
@@ -70,6 +79,7 @@
     this.quota = quota;
     this.windowCount = new SlidingWindowCounter(tolerance.windowMillis());
     this.lastSecondCount = new SlidingWindowCounter((long) MILLIS_PER_SECOND);
+    this.surgeCount = new SlidingWindowCounter(SURGE_RATE_MILLIS);
     this.tokensRequired = tolerance.isExact();
   }
 
@@ -78,6 +88,16 @@
     quota = newQuota;
   }
 
+  /** Updates the number of VMs that may admit requests. */
+  void updateVmCount(int newVmCount) {
+    vmCount = newVmCount;
+  }
+
+  /** Names of the VMs that have reported recently. */
+  Set<String> reporterNames() {
+    return reporters.keySet();
+  }
+
   /** True while VMs need a token for each request. */
   boolean requiresTokens() {
     return tokensRequired;
@@ -85,29 +105,45 @@
 
   /** Records a VM's report and answers it. */
   TokenGrant answerReport(String vm, UsageReport report, long nowMillis) {
-    recordReport(vm, report, nowMillis);
+    Reporter reporter = reporters.computeIfAbsent(vm, name -> new Reporter());
+    if (isRepeated(reporter, report)) {
+      return grant(report, reporter.lastGrantedTokens, nowMillis);
+    }
+    recordReport(reporter, report, nowMillis);
     double usedRequests = usedRequests(nowMillis);
     updateTokensRequired(usedRequests, nowMillis);
-    if (!tokensRequired) {
-      return new TokenGrant(
-          report.workspace(), report.reportNumber(), false, report.wantedTokens(), 0);
-    }
-    double available = tolerance.admissionCeiling(quota) - usedRequests;
-    int tokens = (int) Math.max(0, Math.min(report.wantedTokens(), Math.floor(available)));
-    setHeldTokens(reporters.get(vm), report.heldTokens() + tokens);
+    int tokens = grantableTokens(report, usedRequests, nowMillis);
+    setHeldTokens(reporter, report.heldTokens() + tokens);
+    reporter.lastGrantedTokens = tokens;
+    return grant(report, tokens, nowMillis);
+  }
+
+  private TokenGrant grant(UsageReport report, int tokens, long nowMillis) {
     long retryAfterMillis = 0;
-    if (tokens < report.wantedTokens()) {
+    if (tokens < report.wantedTokens() && tokensRequired) {
       retryAfterMillis = retryAfterMillis(report.wantedTokens() - tokens, nowMillis);
     }
     return new TokenGrant(
-        report.workspace(), report.reportNumber(), true, tokens, retryAfterMillis);
+        report.workspace(), report.reportNumber(), tokensRequired, tokens, retryAfterMillis);
   }
 
-  private void recordReport(String vm, UsageReport report, long nowMillis) {
-    Reporter reporter = reporters.computeIfAbsent(vm, name -> new Reporter());
+  private int grantableTokens(UsageReport report, double usedRequests, long nowMillis) {
+    double reserved = tokensRequired ? 0 : unreportedRequests(nowMillis);
+    double available = tolerance.admissionCeiling(quota) - usedRequests - reserved;
+    return (int) Math.max(0, Math.min(report.wantedTokens(), Math.floor(available)));
+  }
+
+  /** True if the report has been received before, so that only its answer was lost. */
+  private static boolean isRepeated(Reporter reporter, UsageReport report) {
+    return reporter.lastReportNumber == report.reportNumber()
+        && reporter.totalAdmitted == report.totalAdmitted();
+  }
+
+  private void recordReport(Reporter reporter, UsageReport report, long nowMillis) {
     int admitted = admittedSinceLastReport(reporter, report);
     windowCount.add(admitted, nowMillis);
     lastSecondCount.add(admitted, nowMillis);
+    surgeCount.add(admitted, nowMillis);
     setHeldTokens(reporter, report.heldTokens());
     reporter.lastReportNumber = report.reportNumber();
     reporter.totalAdmitted = report.totalAdmitted();
@@ -161,9 +197,28 @@
     return sum;
   }
 
+  /** Requests that VMs may run before they know that tokens are required. */
+  private double unreportedRequests(long nowMillis) {
+    double perMilli =
+        Math.max(
+            lastSecondCount.count(nowMillis) / MILLIS_PER_SECOND,
+            (double) surgeCount.count(nowMillis) / SURGE_RATE_MILLIS);
+    return Math.min(maxUnreportedRequests(), perMilli * REACTION_MILLIS);
+  }
+
+  private int maxUnreportedRequests() {
+    int share = tolerance.unreportedShare(quota, vmCount);
+    int max =
+        vmCount * tolerance.maxUnreportedPerVm(quota, vmCount)
+            + Math.max(0, vmCount - reporters.size()) * share;
+    for (Reporter reporter : reporters.values()) {
+      max += Math.max(0, share - reporter.admittedInWindow);
+    }
+    return max;
+  }
+
   private void updateTokensRequired(double usedRequests, long nowMillis) {
-    double unreportedRequests =
-        lastSecondCount.count(nowMillis) * REACTION_MILLIS / MILLIS_PER_SECOND;
+    double unreportedRequests = unreportedRequests(nowMillis);
     if (!tokensRequired) {
       tokensRequired = usedRequests + unreportedRequests > tolerance.admissionCeiling(quota);
       if (tokensRequired) {
--- a/sageladder-core/src/main/java/org/sageladder/core/quota/QuotaTolerance.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quota/QuotaTolerance.java
@@ -12,6 +12,9 @@
 public record QuotaTolerance(long windowMillis, double excessFraction, double excessRequests) {
   private static final double MILLIS_PER_SECOND = 1_000;
 
+  /** Fraction of the quota that all VMs together may use before the coordinator knows. */
+  private static final double UNREPORTED_FRACTION = 0.5;
+
   /** Rejects invalid values. */
   public QuotaTolerance {
     if (windowMillis <= 0 || excessFraction < 0 || excessRequests < 0) {
@@ -46,6 +49,24 @@
     return (allowedRequests(quota) + maxRequests(quota)) / 2;
   }
 
+  /**
+   * Requests that each of {@code vmCount} VMs may have admitted without having reported them, so
+   * that all VMs together use at most the tolerance above the admission ceiling; at least one, or a
+   * VM that serves few requests of the workspace would delay each of them.
+   */
+  int maxUnreportedPerVm(Quota quota, int vmCount) {
+    double uncounted = maxRequests(quota) - admissionCeiling(quota);
+    return Math.max(1, (int) (uncounted / Math.max(1, vmCount)));
+  }
+
+  /**
+   * Requests per window that each of {@code vmCount} VMs may admit unreported while the quota is
+   * far from used up; all together use part of the quota, however late their reports are.
+   */
+  int unreportedShare(Quota quota, int vmCount) {
+    return (int) (UNREPORTED_FRACTION * allowedRequests(quota) / Math.max(1, vmCount));
+  }
+
   /** Requests per window above which the contract is violated. */
   double maxRequests(Quota quota) {
     return allowedRequests(quota) * (1 + excessFraction) + excessRequests;
--- a/sageladder-core/src/main/java/org/sageladder/core/quota/Quotas.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quota/Quotas.java
@@ -53,6 +53,12 @@
   /** Interval of the notices, which are repeated since datagrams may be lost and VMs may start. */
   private static final long NOTICE_INTERVAL_MILLIS = 1_000;
 
+  /**
+   * Time after a change of the first coordinator until it may end the need for tokens: by then all
+   * VMs know the change and have reported.
+   */
+  private static final long COORDINATOR_CHANGE_MILLIS = 3_000;
+
   /** Time after which the first notice is repeated. */
   private static final long FIRST_NOTICE_REPEAT_MILLIS = 200;
 
@@ -64,6 +70,9 @@
     /** Calls {@link Quotas#tick} after {@link #TICK_MILLIS}. */
     void scheduleTick();
 
+    /** Records a change for logs and metrics. */
+    default void onChange(String workspace, QuotaChange change) {}
+
     /** Peers of a VM without connections: nothing is sent and no tick is scheduled. */
     static Peers none() {
       return new Peers() {
@@ -83,6 +92,9 @@
     int coordinatorIndex;
     int failedAttempts;
     long retryFirstCoordinatorMillis;
+    String firstCoordinator = "";
+    String lastCoordinator = "";
+    long firstCoordinatorSinceMillis;
 
     LimitedWorkspace(Workspace workspace, WorkspaceRateLimiter limiter) {
       this.workspace = workspace;
@@ -186,6 +198,9 @@
       return new QuotaDecision.Granted();
     }
     LimitedWorkspace entry = limitedWorkspace(workspace);
+    entry.limiter.updateUnreportedLimits(
+        tolerance.maxUnreportedPerVm(quota, liveVms.size()),
+        tolerance.unreportedShare(quota, liveVms.size()));
     QuotaDecision decision = entry.limiter.admit(quota, nowMillis);
     if (decision instanceof QuotaDecision.Pending) {
       entry.limiter.enqueue(onDecision, nowMillis);
@@ -197,18 +212,18 @@
 
   /** Counts an admitted request that is sent again and may have run before. */
   public void recordResend(Workspace workspace, long nowMillis) {
-    adjustCount(workspace, 1, nowMillis);
+    if (quota(workspace.name()).isLimited()) {
+      LimitedWorkspace entry = limitedWorkspace(workspace);
+      entry.limiter.recordResend(nowMillis);
+      trackIfActive(entry, nowMillis);
+    }
   }
 
   /** Takes back the count of an admitted request that has not run and will not run. */
   public void cancelAdmission(Workspace workspace, long nowMillis) {
-    adjustCount(workspace, -1, nowMillis);
-  }
-
-  private void adjustCount(Workspace workspace, int requests, long nowMillis) {
     if (quota(workspace.name()).isLimited()) {
       LimitedWorkspace entry = limitedWorkspace(workspace);
-      entry.limiter.adjustCount(requests, nowMillis);
+      entry.limiter.cancelAdmission(nowMillis);
       trackIfActive(entry, nowMillis);
     }
   }
@@ -251,10 +266,12 @@
   private void checkReport(LimitedWorkspace entry, long nowMillis) {
     long sinceMillis = entry.limiter.awaitingAnswerSince();
     if (sinceMillis >= 0 && nowMillis - sinceMillis >= ANSWER_TIMEOUT_MILLIS) {
-      entry.limiter.onReportTimeout(nowMillis);
       entry.failedAttempts++;
-      if (entry.failedAttempts >= MAX_REPORT_ATTEMPTS) {
+      if (entry.failedAttempts < MAX_REPORT_ATTEMPTS) {
+        retransmit(entry, nowMillis);
+      } else {
         entry.failedAttempts = 0;
+        entry.limiter.abandonReport(nowMillis);
         tryNextCoordinator(entry, nowMillis);
       }
     }
@@ -268,6 +285,7 @@
   private void tryNextCoordinator(LimitedWorkspace entry, long nowMillis) {
     int last = coordinatorOrder(entry).size() - 1;
     entry.retryFirstCoordinatorMillis = nowMillis + COORDINATOR_RETRY_MILLIS;
+    peers.onChange(entry.workspace.name(), QuotaChange.COORDINATOR_UNREACHABLE);
     if (entry.coordinatorIndex < last) {
       entry.coordinatorIndex++;
       return;
@@ -276,6 +294,7 @@
     // The other VMs ignore the reports of a VM that has just started until they know it.
     if (hasBeenAnswered || nowMillis - startedMillis >= discoveryMillis) {
       entry.limiter.enterIsolation(quota(entry.workspace.name()), nowMillis);
+      peers.onChange(entry.workspace.name(), QuotaChange.ISOLATED);
     }
   }
 
@@ -294,8 +313,7 @@
     if (entry.coordinatorIndex > 0 && nowMillis >= entry.retryFirstCoordinatorMillis) {
       entry.coordinatorIndex = 0;
     }
-    List<String> order = coordinatorOrder(entry);
-    String coordinator = order.get(Math.min(entry.coordinatorIndex, order.size() - 1));
+    String coordinator = currentCoordinator(entry, nowMillis);
     UsageReport report = entry.limiter.createReport(nowMillis);
     if (coordinator.equals(self)) {
       TokenGrant answer = answerReport(self, report, nowMillis);
@@ -307,6 +325,27 @@
     peers.send(coordinator, report);
   }
 
+  private void retransmit(LimitedWorkspace entry, long nowMillis) {
+    UsageReport report = entry.limiter.retransmit(nowMillis);
+    if (report != null) {
+      peers.send(currentCoordinator(entry, nowMillis), report);
+    }
+  }
+
+  private String currentCoordinator(LimitedWorkspace entry, long nowMillis) {
+    List<String> order = coordinatorOrder(entry);
+    if (!order.get(0).equals(entry.firstCoordinator)) {
+      entry.firstCoordinator = order.get(0);
+      entry.firstCoordinatorSinceMillis = nowMillis;
+    }
+    String coordinator = order.get(Math.min(entry.coordinatorIndex, order.size() - 1));
+    if (!coordinator.equals(entry.lastCoordinator)) {
+      entry.lastCoordinator = coordinator;
+      entry.limiter.onCoordinatorChange(nowMillis);
+    }
+    return coordinator;
+  }
+
   /** Processes a message from the VM named {@code from}. */
   public void onMessage(String from, QuotaMessage message, long nowMillis) {
     if (message instanceof UsageReport report) {
@@ -332,7 +371,10 @@
     if (grant.reportNumber() != TokenGrant.NOTICE) {
       entry.failedAttempts = 0;
     }
-    entry.limiter.applyGrant(grant, entry.coordinatorIndex == 0, nowMillis);
+    boolean isSettled =
+        entry.coordinatorIndex == 0
+            && nowMillis - entry.firstCoordinatorSinceMillis >= COORDINATOR_CHANGE_MILLIS;
+    entry.limiter.applyGrant(grant, isSettled, nowMillis);
   }
 
   /** Answers a report; null if the workspace is unknown here or no longer has a quota. */
@@ -347,7 +389,14 @@
             name ->
                 new CoordinatedWorkspace(
                     new QuotaCoordinator(tolerance, quota, countedSinceMillis)));
+    entry.coordinator.updateVmCount(liveVms.size());
+    boolean requiredTokens = entry.coordinator.requiresTokens();
     TokenGrant answer = entry.coordinator.answerReport(from, report, nowMillis);
+    if (answer.tokensRequired() != requiredTokens) {
+      peers.onChange(
+          report.workspace(),
+          requiredTokens ? QuotaChange.TOKENS_NOT_REQUIRED : QuotaChange.TOKENS_REQUIRED);
+    }
     sendNotice(report.workspace(), entry, nowMillis);
     return answer;
   }
@@ -365,11 +414,11 @@
         nowMillis + (entry.noticeSent ? NOTICE_INTERVAL_MILLIS : FIRST_NOTICE_REPEAT_MILLIS);
     entry.noticeSent = true;
     TokenGrant notice = new TokenGrant(workspace, TokenGrant.NOTICE, true, 0, 0);
-    for (String vm : liveVms) {
-      if (!vm.equals(self)) {
-        peers.send(vm, notice);
-      }
-    }
+    // VMs whose registration has lapsed go on serving and report.
+    Set<String> receivers = new LinkedHashSet<>(liveVms);
+    receivers.addAll(entry.coordinator.reporterNames());
+    receivers.remove(self);
+    receivers.forEach(vm -> peers.send(vm, notice));
     Workspace own = workspaces.get(workspace);
     if (own != null) {
       applyGrant(limitedWorkspace(own), notice, nowMillis);
--- a/sageladder-core/src/main/java/org/sageladder/core/quota/WorkspaceRateLimiter.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quota/WorkspaceRateLimiter.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 import org.sageladder.core.quota.QuotaMessage.TokenGrant;
 import org.sageladder.core.quota.QuotaMessage.UsageReport;
 import org.sageladder.core.routing.Quota;
@@ -11,9 +12,10 @@
  * Rate limiter of one workspace in one entry VM: counts the admitted requests, and holds the tokens
  * and the requests that wait for one.
  *
- * <p>Requests are admitted immediately and reported later. Once the coordinator announces that the
- * quota is nearly used up, each request needs a token. A VM that reaches no coordinator is isolated
- * and admits a fraction of what it admitted before.
+ * <p>A request uses a token that was granted in advance, or is admitted before it is reported, up
+ * to a limit of unreported requests; further ones wait for the coordinator's answer. Once the
+ * coordinator announces that the quota is nearly used up, each request needs a token. A VM that
+ * reaches no coordinator is isolated and admits a fraction of what it admitted before.
  */
 final class WorkspaceRateLimiter {
   /**
@@ -21,15 +23,31 @@
    */
   private static final long NOTICE_VALIDITY_MILLIS = 3_000;
 
-  /** Unused tokens are returned after this time, since another VM may need them. */
+  /**
+   * Unused tokens are returned after this time, since another VM may need them. It begins with the
+   * report that requested them, so that they expire here before the coordinator stops counting
+   * them.
+   */
   private static final long TOKEN_LIFETIME_MILLIS = 1_000;
 
-  /** Tokens are also requested in advance, for the requests expected in this time. */
+  /** Tokens held in advance are renewed this long before they expire; covers a round trip. */
+  private static final long RENEWAL_MILLIS = 300;
+
+  /** While tokens are required, they are also requested for the requests of this time. */
   private static final long PREFETCH_MILLIS = 200;
 
+  /** Time for which tokens are requested in advance while the quota is far from used up. */
+  private static final long EARLY_PREFETCH_MILLIS = 3_000;
+
   /** While tokens are required, VMs that admit requests report at least this often. */
   private static final long KEEP_ALIVE_MILLIS = 1_000;
 
+  /**
+   * Time after a change of coordinator in which a VM that needs tokens requests none, since the new
+   * coordinator does not have the reports of all VMs yet.
+   */
+  private static final long TAKEOVER_MILLIS = 1_000;
+
   /**
    * While no tokens are required, requests are collected for this time before they are reported.
    */
@@ -62,8 +80,14 @@
   private long tokensExpireMillis;
   private int lastReportNumber;
   private boolean hasUnreported;
-  private boolean awaitingAnswer;
+  private int maxUnreported = 1;
+  private int unreportedShare;
+  private long takeoverUntilMillis = Long.MIN_VALUE;
+  private int admittedSinceReport;
+  private int admittedUnacknowledged;
+  private @Nullable UsageReport unansweredReport;
   private long lastReportMillis = Long.MIN_VALUE / 2;
+  private long lastTransmissionMillis;
   private boolean isolated;
   private int isolatedAllowance;
 
@@ -73,6 +97,23 @@
     this.admittedInWindow = new SlidingWindowCounter(tolerance.windowMillis());
   }
 
+  /**
+   * Sets which requests may be admitted without a token before the coordinator knows of them: up to
+   * {@code newMaxUnreported}, and more as long as fewer than {@code newUnreportedShare} were
+   * admitted in the window.
+   */
+  void updateUnreportedLimits(int newMaxUnreported, int newUnreportedShare) {
+    maxUnreported = newMaxUnreported;
+    unreportedShare = newUnreportedShare;
+  }
+
+  /** Records that the next reports go to another coordinator. */
+  void onCoordinatorChange(long nowMillis) {
+    if (!tolerance.isExact()) {
+      takeoverUntilMillis = nowMillis + TAKEOVER_MILLIS;
+    }
+  }
+
   /** Decides immediately if possible, otherwise returns {@link QuotaDecision.Pending}. */
   QuotaDecision admit(Quota quota, long nowMillis) {
     expireTokens(nowMillis);
@@ -81,19 +122,33 @@
           ? grant(nowMillis)
           : refusedWhileIsolated(quota);
     }
-    if (!requiresTokens(nowMillis)) {
-      return grant(nowMillis);
-    }
-    if (tokens > 0 && waiting.isEmpty()) {
-      tokens--;
+    if (waiting.isEmpty() && tryTake(nowMillis)) {
       return grant(nowMillis);
     }
-    if (nowMillis < cachedRefusalUntilMillis) {
+    if (requiresTokens(nowMillis) && nowMillis < cachedRefusalUntilMillis) {
       return refused(cachedRetryAfterMillis, nowMillis);
     }
     return new QuotaDecision.Pending();
   }
 
+  /** Takes a token, or else one of the requests that may run unreported, if there is one. */
+  private boolean tryTake(long nowMillis) {
+    if (tokens > 0) {
+      tokens--;
+      return true;
+    }
+    if (requiresTokens(nowMillis) || !hasUnreportedAllowance(nowMillis)) {
+      return false;
+    }
+    admittedSinceReport++;
+    return true;
+  }
+
+  private boolean hasUnreportedAllowance(long nowMillis) {
+    return admittedSinceReport + admittedUnacknowledged < maxUnreported
+        || admittedInWindow.count(nowMillis) < unreportedShare;
+  }
+
   private boolean requiresTokens(long nowMillis) {
     return nowMillis < tokensRequiredUntilMillis || tolerance.isExact();
   }
@@ -122,8 +177,18 @@
     waiting.addLast(new Waiter(nowMillis, onDecision));
   }
 
-  /** Corrects the count for a request that is sent again, or that will not run after all. */
-  void adjustCount(int requests, long nowMillis) {
+  /** Counts an admitted request that is sent again, which needs no token. */
+  void recordResend(long nowMillis) {
+    admittedSinceReport++;
+    adjustCount(1, nowMillis);
+  }
+
+  /** Corrects the count for a request that will not run after all. */
+  void cancelAdmission(long nowMillis) {
+    adjustCount(-1, nowMillis);
+  }
+
+  private void adjustCount(int requests, long nowMillis) {
     admittedInWindow.add(requests, nowMillis);
     totalAdmitted += requests;
     hasUnreported = true;
@@ -131,7 +196,8 @@
 
   /** True if a report is due. */
   boolean isReportDue(long nowMillis) {
-    if (awaitingAnswer) {
+    expireTokens(nowMillis);
+    if (unansweredReport != null) {
       return false;
     }
     if (isKeepAliveDue(nowMillis)) {
@@ -141,7 +207,15 @@
     boolean isBatchComplete =
         nowMillis - lastReportMillis
             >= (requiresTokens(nowMillis) ? PREFETCH_MILLIS : REPORT_BATCH_MILLIS);
-    return hasWaiting || (hasUnreported && isBatchComplete);
+    int windowCount = admittedInWindow.count(nowMillis);
+    int prefetchTokens = prefetchTokens(windowCount, nowMillis);
+    boolean isReserveLow = windowCount >= unreportedShare && tokens <= prefetchTokens / 2;
+    boolean isRenewalDue =
+        !requiresTokens(nowMillis)
+            && prefetchTokens > 0
+            && tokens > 0
+            && nowMillis >= tokensExpireMillis - RENEWAL_MILLIS;
+    return hasWaiting || isRenewalDue || (hasUnreported && (isBatchComplete || isReserveLow));
   }
 
   private boolean isKeepAliveDue(long nowMillis) {
@@ -152,13 +226,20 @@
 
   /** True if the workspace must be checked again at the next tick. */
   boolean isActive(long nowMillis) {
-    boolean hasOpenWork = hasUnreported || awaitingAnswer || tokens > 0 || !waiting.isEmpty();
+    boolean hasOpenWork =
+        hasUnreported || unansweredReport != null || tokens > 0 || !waiting.isEmpty();
     return hasOpenWork || (requiresTokens(nowMillis) && lastReportedCount > 0);
   }
 
-  /** Time since which a report is unanswered; -1 if none is. */
+  /** Time of the last transmission of an unanswered report; -1 if there is none. */
   long awaitingAnswerSince() {
-    return awaitingAnswer ? lastReportMillis : -1;
+    return unansweredReport == null ? -1 : lastTransmissionMillis;
+  }
+
+  /** The unanswered report, to be transmitted again unchanged; null if there is none. */
+  @Nullable UsageReport retransmit(long nowMillis) {
+    lastTransmissionMillis = nowMillis;
+    return unansweredReport;
   }
 
   /** Creates the report that is due. */
@@ -166,51 +247,63 @@
     expireTokens(nowMillis);
     lastReportNumber = lastReportNumber == Integer.MAX_VALUE ? 1 : lastReportNumber + 1;
     hasUnreported = false;
-    awaitingAnswer = true;
+    admittedUnacknowledged += admittedSinceReport;
+    admittedSinceReport = 0;
     lastReportMillis = nowMillis;
+    lastTransmissionMillis = nowMillis;
     int windowCount = admittedInWindow.count(nowMillis);
     lastReportedCount = windowCount;
-    return new UsageReport(
-        workspace,
-        lastReportNumber,
-        totalAdmitted,
-        windowCount,
-        wantedTokens(windowCount, nowMillis),
-        tokens);
+    UsageReport report =
+        new UsageReport(
+            workspace,
+            lastReportNumber,
+            totalAdmitted,
+            windowCount,
+            wantedTokens(windowCount, nowMillis),
+            tokens);
+    unansweredReport = report;
+    return report;
   }
 
   private int wantedTokens(int windowCount, long nowMillis) {
-    if (!requiresTokens(nowMillis)) {
-      return waiting.size();
+    if (requiresTokens(nowMillis) && nowMillis < takeoverUntilMillis) {
+      return 0;
     }
-    int prefetchTokens = (int) (windowCount * PREFETCH_MILLIS / tolerance.windowMillis());
+    int prefetchTokens = prefetchTokens(windowCount, nowMillis);
     return Math.max(0, waiting.size() + prefetchTokens - tokens);
   }
 
+  /** Tokens that the VM holds in advance, by the requests of its last window. */
+  private int prefetchTokens(int windowCount, long nowMillis) {
+    long prefetchMillis = requiresTokens(nowMillis) ? PREFETCH_MILLIS : EARLY_PREFETCH_MILLIS;
+    return (int) Math.round((double) windowCount * prefetchMillis / tolerance.windowMillis());
+  }
+
   /**
    * Applies the answer to the last report, or a notice.
    *
-   * @param isFirstCoordinator true if the grant comes from the workspace's first coordinator. Only
-   *     then may it end the need for tokens: a coordinator that has just taken over does not have
-   *     the reports of all VMs yet.
+   * @param mayEndTokenRequirement false if the coordinator has just taken over and does not have
+   *     the reports of all VMs yet
    */
-  void applyGrant(TokenGrant grant, boolean isFirstCoordinator, long nowMillis) {
+  void applyGrant(TokenGrant grant, boolean mayEndTokenRequirement, long nowMillis) {
     if (grant.reportNumber() == TokenGrant.NOTICE) {
       tokensRequiredUntilMillis = nowMillis + NOTICE_VALIDITY_MILLIS;
       return;
     }
-    if (!awaitingAnswer || grant.reportNumber() != lastReportNumber) {
+    if (unansweredReport == null || grant.reportNumber() != lastReportNumber) {
       return;
     }
-    awaitingAnswer = false;
+    unansweredReport = null;
+    admittedUnacknowledged = 0;
     isolated = false;
     if (grant.tokensRequired()) {
       tokensRequiredUntilMillis = nowMillis + NOTICE_VALIDITY_MILLIS;
-    } else if (isFirstCoordinator) {
+    } else if (mayEndTokenRequirement) {
       tokensRequiredUntilMillis = nowMillis;
     }
     tokens += grant.tokens();
-    tokensExpireMillis = nowMillis + TOKEN_LIFETIME_MILLIS;
+    tokensExpireMillis = lastReportMillis + TOKEN_LIFETIME_MILLIS;
+    expireTokens(nowMillis);
     if (grant.retryAfterMillis() > 0) {
       cachedRetryAfterMillis = grant.retryAfterMillis();
       cachedRefusalUntilMillis =
@@ -219,23 +312,26 @@
     decideWaiting(grant, nowMillis);
   }
 
+  /**
+   * Decides the requests that wait. If no token is required, those that got none wait for the next
+   * answer.
+   */
   private void decideWaiting(TokenGrant grant, long nowMillis) {
     while (!waiting.isEmpty()) {
-      Consumer<QuotaDecision> onDecision = waiting.removeFirst().onDecision();
-      if (!requiresTokens(nowMillis)) {
-        onDecision.accept(grant(nowMillis));
-      } else if (tokens > 0) {
-        tokens--;
-        onDecision.accept(grant(nowMillis));
-      } else {
-        onDecision.accept(refused(Math.max(1, grant.retryAfterMillis()), nowMillis));
+      boolean isTaken = tryTake(nowMillis);
+      if (!isTaken && !requiresTokens(nowMillis)) {
+        return;
       }
+      long retryAfterMillis =
+          Math.max(grant.retryAfterMillis(), Math.max(1, takeoverUntilMillis - nowMillis));
+      Consumer<QuotaDecision> onDecision = waiting.removeFirst().onDecision();
+      onDecision.accept(isTaken ? grant(nowMillis) : refused(retryAfterMillis, nowMillis));
     }
   }
 
-  /** Records that the last report got no answer, so that it is sent again. */
-  void onReportTimeout(long nowMillis) {
-    awaitingAnswer = false;
+  /** Gives up the unanswered report; the next one goes to another coordinator. */
+  void abandonReport(long nowMillis) {
+    unansweredReport = null;
     hasUnreported = true;
     lastReportMillis = nowMillis - REPORT_BATCH_MILLIS;
   }
--- a/sageladder-core/src/test/java/org/sageladder/core/quota/QuotaModel.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/quota/QuotaModel.java
@@ -1,6 +1,7 @@
 package org.sageladder.core.quota;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -33,6 +34,7 @@
           java.util.Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::order));
   private final List<Quotas> vms = new ArrayList<>();
   private final Set<Integer> disconnected = new HashSet<>();
+  private final Map<Integer, Long> processingMillis = new HashMap<>();
   private final Random random;
   private final double lossProbability;
   private final QuotaTolerance tolerance;
@@ -80,7 +82,7 @@
         }
         long delayMillis = vm % REGION_COUNT == other % REGION_COUNT ? 1 : CROSS_REGION_MILLIS;
         schedule(
-            nowMillis + delayMillis,
+            nowMillis + delayMillis + processingMillis.getOrDefault(other, 0L),
             () -> {
               if (!disconnected.contains(vm) && !disconnected.contains(other)) {
                 vms.get(other).onMessage("e-" + vm, message, nowMillis);
@@ -99,6 +101,23 @@
     events.add(new Event(timeMillis, nextOrder++, task));
   }
 
+  /** Lets a VM process each message only after {@code millis}. */
+  void slowDown(int vm, long millis) {
+    processingMillis.put(vm, millis);
+  }
+
+  /**
+   * Ends the registrations of the VMs below {@code count}: no live list contains them any more,
+   * while they go on serving and still receive messages.
+   */
+  void endRegistrations(int count) {
+    List<String> registered = new ArrayList<>();
+    for (int vm = count; vm < vmCount; vm++) {
+      registered.add("e-" + vm);
+    }
+    vms.forEach(vm -> vm.updateLiveVms(registered));
+  }
+
   /** Disconnects a VM from all others; its callers still reach it. */
   void disconnect(int vm) {
     disconnected.add(vm);
--- a/sageladder-core/src/test/java/org/sageladder/core/quota/QuotasTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/quota/QuotasTest.java
@@ -12,6 +12,7 @@
 class QuotasTest {
   private static final int VM_COUNT = 84;
   private static final Quota LARGE_QUOTA = new Quota(279, 279);
+  private static final Quota MEDIUM_QUOTA = new Quota(20, 20);
   private static final Quota SMALL_QUOTA = new Quota(3, 3);
   private static final double USUAL_LOAD_FRACTION = 1 / 1.6;
   private static final long END_MILLIS = 30_000;
@@ -109,6 +110,62 @@
     }
   }
 
+  /**
+   * Guards against VMs that run on before they hear of a surge, or refuse it since answers are
+   * late.
+   */
+  @Test
+  void surgeStaysWithinTheQuotaWhileVmsAreSlow() {
+    for (Quota quota : new Quota[] {LARGE_QUOTA, MEDIUM_QUOTA}) {
+      for (long processingMillis : new long[] {50, 100, 200}) {
+        QuotaModel model = model(quota, 0.02, 1);
+        for (int vm = 0; vm < VM_COUNT; vm++) {
+          model.slowDown(vm, processingMillis);
+        }
+        offerSurge(model, quota, 800, 8_000);
+        model.run(10_000);
+        assertQuotaKept(model);
+        assertAdmittedFraction(model, 0.85);
+      }
+    }
+  }
+
+  /** Guards against VMs that admit everything until a slow coordinator is given up. */
+  @Test
+  void surgeStaysWithinTheQuotaWhileTheCoordinatorIsSlow() {
+    for (Quota quota : new Quota[] {LARGE_QUOTA, MEDIUM_QUOTA, SMALL_QUOTA}) {
+      for (long processingMillis : new long[] {200, 700, 3_000}) {
+        QuotaModel model = model(quota, 0, 1);
+        model.schedule(5_000, () -> model.slowDown(model.coordinator(), processingMillis));
+        offerSurge(model, quota, 5_000, 15_000);
+        model.run(16_000);
+        assertQuotaKept(model);
+      }
+    }
+  }
+
+  /** Guards against a new coordinator that grants the quota a second time. */
+  @Test
+  void quotaHoldsWhenRegistrationsEndDuringASurge() {
+    for (long seed = 1; seed <= 3; seed++) {
+      for (Quota quota : new Quota[] {LARGE_QUOTA, MEDIUM_QUOTA, SMALL_QUOTA}) {
+        for (long endMillis : new long[] {6_000, 7_000, 8_000}) {
+          QuotaModel model = model(quota, 0.02, seed);
+          offerSurge(model, quota, 5_000, 15_000);
+          model.schedule(endMillis, () -> model.endRegistrations(model.coordinator() + 1));
+          model.run(16_000);
+          assertQuotaKept(model);
+        }
+      }
+    }
+  }
+
+  private static void offerSurge(QuotaModel model, Quota quota, long surgeMillis, long endMillis) {
+    double usual = quota.ratePerSecond() * USUAL_LOAD_FRACTION;
+    model.offer(model.coordinated(), usual, 0, surgeMillis);
+    model.offer(model.coordinated(), usual * 7.6, surgeMillis, endMillis);
+  }
+
   /** Guards against VMs that keep using the old quota after it was lowered. */
   @Test
   void loweredQuotaHoldsOneWindowLater() {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -328,8 +328,6 @@
     Map<String, Integer> peersByRegion = new HashMap<>();
     liveEntries.forEach(vm -> peersByRegion.put(vm.region(), Math.max(0, vmsInRegion - 1)));
     targets.updatePeerCounts(peersByRegion);
-    quotas.updateLiveVms(
-        liveEntries.stream().map(ColdTargetLimiter.EntryVmLocation::name).toList());
   }
 
   /** Drops the idle connections and the counters of an incarnation that has ended. */
--- a/sageladder-forward/src/main/java/org/sageladder/forward/QuotaClaim.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/QuotaClaim.java
@@ -56,7 +56,9 @@
     state = State.PENDING;
     QuotaDecision decision =
         forwarder.quotas().admit(sender, now, decided -> onDecision(decided, callback));
-    if (!(decision instanceof QuotaDecision.Pending)) {
+    if (decision instanceof QuotaDecision.Pending) {
+      forwarder.metrics().count("quota_waits");
+    } else {
       recordDecision(decision);
     }
     return decision;
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
@@ -325,6 +325,7 @@
     // Before, the list has this VM alone, which would take the shares of all.
     if (isInitialReadComplete) {
       forwarder.updateEntries(locations);
+      forwarder.quotas().updateLiveVms(entryDirectory.registeredNames());
     }
   }
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryDirectory.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryDirectory.java
@@ -4,7 +4,9 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 
@@ -68,6 +70,18 @@
     return all.values();
   }
 
+  /**
+   * Names of the entry VMs that all VMs know from the store. Unlike {@link #liveVms}, it does not
+   * contain this VM while its registration has lapsed, unless no VM is registered.
+   */
+  public Collection<String> registeredNames() {
+    Set<String> names = new TreeSet<>(registeredVms.keySet());
+    if (isStopping) {
+      names.remove(self.name());
+    }
+    return names.isEmpty() ? Set.of(self.name()) : names;
+  }
+
   /** Addresses for a caller in that zone and region; empty if no entry VM is live. */
   public List<String> addresses(String zone, String region) {
     List<EntryVm> chosen = new ArrayList<>();
--- a/sageladder-forward/src/main/java/org/sageladder/forward/peer/PeerExchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/peer/PeerExchange.java
@@ -3,10 +3,13 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.event.EventKind;
 import org.sageladder.core.event.EventSink;
+import org.sageladder.core.quota.QuotaChange;
 import org.sageladder.core.quota.QuotaMessage;
 import org.sageladder.core.quota.Quotas;
 import org.sageladder.forward.DatagramPort;
@@ -18,8 +21,9 @@
 /**
  * Exchanges quota messages with other entry VMs, one per datagram.
  *
- * <p>Only datagrams from the address of a VM in the platform's list are accepted. VMs that left the
- * list are still accepted for a while, since registrations lapse while the store is down.
+ * <p>Only datagrams from the address of a VM in the platform's list are accepted. Messages are
+ * still exchanged with VMs that left the list, since registrations lapse while the store is down or
+ * turns a VM away, and such a VM goes on serving.
  */
 public final class PeerExchange implements Quotas.Peers {
   /** Maximum number of VMs that are remembered after they left the list. */
@@ -30,7 +34,8 @@
   private final EventSink log;
   private final Metrics metrics;
   private final Map<String, EntryVm> liveVmsByName = new HashMap<>();
-  private final Map<String, String> nameByAddress = new LinkedHashMap<>();
+  private final Map<String, EntryVm> knownVmsByName = new LinkedHashMap<>();
+  private final Map<String, String> nameByAddress = new HashMap<>();
   private @Nullable DatagramPort port;
 
   private PeerExchange(Loop loop, Forwarder forwarder, EventSink log) {
@@ -64,12 +69,22 @@
     liveVmsByName.clear();
     for (EntryVm vm : vms) {
       liveVmsByName.put(vm.name(), vm);
-      nameByAddress.put(vm.peerAddress(), vm.name());
+      forget(vm.name());
+      remember(vm);
     }
-    var oldest = nameByAddress.entrySet().iterator();
-    for (int surplus = nameByAddress.size() - vms.size() - MAX_FORMER_VMS; surplus > 0; surplus--) {
-      oldest.next();
-      oldest.remove();
+    int surplus = knownVmsByName.size() - vms.size() - MAX_FORMER_VMS;
+    List.copyOf(knownVmsByName.keySet()).stream().limit(Math.max(0, surplus)).forEach(this::forget);
+  }
+
+  private void remember(EntryVm vm) {
+    knownVmsByName.put(vm.name(), vm);
+    nameByAddress.put(vm.peerAddress(), vm.name());
+  }
+
+  private void forget(String name) {
+    EntryVm former = knownVmsByName.remove(name);
+    if (former != null) {
+      nameByAddress.remove(former.peerAddress(), name);
     }
   }
 
@@ -85,7 +100,7 @@
 
   @Override
   public void send(String vm, QuotaMessage message) {
-    EntryVm peer = liveVmsByName.get(vm);
+    EntryVm peer = knownVmsByName.get(vm);
     DatagramPort openPort = port;
     if (peer == null || openPort == null || peer.peerAddress().isEmpty()) {
       return;
@@ -105,6 +120,12 @@
     var unused = loop.schedule(Quotas.TICK_MILLIS, () -> forwarder.quotas().tick(loop.nowMillis()));
   }
 
+  @Override
+  public void onChange(String workspace, QuotaChange change) {
+    metrics.count("quota_" + change.name().toLowerCase(Locale.ROOT));
+    log.record(EventKind.VIEW_CHANGED, "", "", workspace, 0, "quota: " + change);
+  }
+
   private void onDatagram(String host, int fromPort, byte[] bytes) {
     String from = nameByAddress.get(host + ':' + fromPort);
     if (from == null) {
