--- a/sageladder-core/src/main/java/org/sageladder/core/quota/Quotas.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quota/Quotas.java
@@ -340,8 +340,10 @@
     }
     String coordinator = order.get(Math.min(entry.coordinatorIndex, order.size() - 1));
     if (!coordinator.equals(entry.lastCoordinator)) {
+      if (!entry.lastCoordinator.isEmpty()) {
+        entry.limiter.onCoordinatorChange(nowMillis);
+      }
       entry.lastCoordinator = coordinator;
-      entry.limiter.onCoordinatorChange(nowMillis);
     }
     return coordinator;
   }
--- a/sageladder-core/src/main/java/org/sageladder/core/quota/WorkspaceRateLimiter.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quota/WorkspaceRateLimiter.java
@@ -43,8 +43,8 @@
   private static final long KEEP_ALIVE_MILLIS = 1_000;
 
   /**
-   * Time after a change of coordinator in which a VM that needs tokens requests none, since the new
-   * coordinator does not have the reports of all VMs yet.
+   * Time after a change of coordinator in which a VM requests no tokens, since the new coordinator
+   * does not have the reports of all VMs yet.
    */
   private static final long TAKEOVER_MILLIS = 1_000;
 
@@ -266,7 +266,7 @@
   }
 
   private int wantedTokens(int windowCount, long nowMillis) {
-    if (requiresTokens(nowMillis) && nowMillis < takeoverUntilMillis) {
+    if (nowMillis < takeoverUntilMillis) {
       return 0;
     }
     int prefetchTokens = prefetchTokens(windowCount, nowMillis);
