--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/WorkspaceTroublesTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/WorkspaceTroublesTest.java
@@ -48,6 +48,27 @@
         .toList();
   }
 
+  /** Guards against a coordinator that is cut off or suspended while a surge grows. */
+  @TestFactory
+  Collection<DynamicTest> coordinatorsFailWhileASurgeGrows() {
+    return Stream.of("zone-cut", "one-way", "entry-suspended")
+        .flatMap(
+            name ->
+                Stream.of(5_200L, 6_200L, 6_700L)
+                    .flatMap(
+                        strikeMillis ->
+                            Stream.of(1L, 2L, 3L)
+                                .map(
+                                    seed ->
+                                        new Scenario(
+                                            seed,
+                                            List.of(
+                                                new Strike(5_000, "workspace-hot"),
+                                                new Strike(strikeMillis, name))))))
+        .map(day -> DynamicTest.dynamicTest(day.toString(), () -> assertRulesHold(day)))
+        .toList();
+  }
+
   /** Guards against quotas that refuse requests within the quota. */
   @Test
   void usualRequestsOfAllWorkspacesAreServed() {
