Overload state by service alone; unused policy and status removed

Cause: the load was taken over the regions that a request may run in, so that requests of routes with different regions would have changed the service's state in turn, with a log line each time. Change: load over all regions that reported recently.

--- a/sageladder-core/src/main/java/org/sageladder/core/overload/AdaptiveAdmission.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/overload/AdaptiveAdmission.java
@@ -36,28 +36,20 @@
   public Verdict judge(Candidate candidate, long now) {
     ServiceAdmission service =
         services.computeIfAbsent(candidate.service(), name -> new ServiceAdmission());
-    boolean wasOverloaded = service.status().isOverloaded();
+    boolean wasOverloaded = service.isOverloaded();
     Verdict verdict = service.judge(candidate, now);
-    ServiceStatus status = service.status();
-    if (status.isOverloaded() != wasOverloaded) {
-      stateListener.accept(candidate.service(), status);
+    boolean isOverloaded = service.isOverloaded();
+    if (isOverloaded != wasOverloaded) {
+      stateListener.accept(candidate.service(), new ServiceStatus(isOverloaded, candidate.load()));
     }
     return verdict;
   }
 
-  /** Passes the name and state of each service to {@code consumer}. */
-  public void forEachService(BiConsumer<String, ServiceStatus> consumer) {
-    services.forEach((name, service) -> consumer.accept(name, service.status()));
-  }
-
   /**
-   * State of a service, for metrics.
+   * State of a service when its overload begins or ends.
    *
    * @param isOverloaded true if requests of the service may be refused
-   * @param overloadedSinceMillis when the overload began; 0 if there is none
-   * @param load load of its targets at the last decision
-   * @param boundMillis wait above which requests of the highest priority are refused
+   * @param load load of its targets
    */
-  public record ServiceStatus(
-      boolean isOverloaded, long overloadedSinceMillis, ServiceLoad load, double boundMillis) {}
+  public record ServiceStatus(boolean isOverloaded, ServiceLoad load) {}
 }
--- a/sageladder-core/src/main/java/org/sageladder/core/overload/AdmissionPolicy.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/overload/AdmissionPolicy.java
@@ -60,9 +60,4 @@
 
   /** Decides on one request. */
   Verdict judge(Candidate candidate, long now);
-
-  /** A policy that sends every request. */
-  static AdmissionPolicy sendAll() {
-    return (candidate, now) -> new Verdict.Send();
-  }
 }
--- a/sageladder-core/src/main/java/org/sageladder/core/overload/ServiceAdmission.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/overload/ServiceAdmission.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
-import org.sageladder.core.overload.AdaptiveAdmission.ServiceStatus;
 import org.sageladder.core.overload.AdmissionPolicy.Candidate;
 import org.sageladder.core.overload.AdmissionPolicy.Overload;
 import org.sageladder.core.overload.AdmissionPolicy.Verdict;
@@ -76,15 +75,18 @@
   private final Map<String, ActiveRoute> activeRoutes = new HashMap<>();
   private final Map<Integer, PriorityCounts> countsByPriority = new TreeMap<>();
   private final PriorityCounts totals = new PriorityCounts();
-  private ServiceLoad load = ServiceLoad.unknown();
   private double slotHoldMillis;
   private boolean isOverloaded;
   private long overloadedSinceMillis;
 
+  /** Returns true if requests may be refused now. */
+  boolean isOverloaded() {
+    return isOverloaded;
+  }
+
   /** Decides on a request for this service. */
   Verdict judge(Candidate candidate, long now) {
-    load = candidate.load();
-    updateState(now);
+    updateState(candidate.load(), now);
     if (!isOverloaded) {
       return new Verdict.Send();
     }
@@ -103,10 +105,11 @@
     totals.refused.increment(now);
     return new Verdict.Refuse(
         retryAfterMillis(candidate, boundMillis, now),
-        new Overload(candidate.priority(), load, now - overloadedSinceMillis, boundMillis));
+        new Overload(
+            candidate.priority(), candidate.load(), now - overloadedSinceMillis, boundMillis));
   }
 
-  private void updateState(long now) {
+  private void updateState(ServiceLoad load, long now) {
     boolean wasOverloaded = isOverloaded;
     double threshold = isOverloaded ? RELIEVED_UTILIZATION : OVERLOADED_UTILIZATION;
     isOverloaded = load.isMeasured() && load.utilization() >= threshold;
@@ -187,12 +190,4 @@
     double sentPerMilli = Math.max(1, totals.sent.value(now)) / COUNT_MILLIS;
     return Math.round(Math.max(MIN_RETRY_AFTER_MILLIS, totals.refused.value(now) / sentPerMilli));
   }
-
-  ServiceStatus status() {
-    int highestPriority =
-        activeRoutes.values().stream().mapToInt(ActiveRoute::priority).min().orElse(0);
-    return isOverloaded
-        ? new ServiceStatus(true, overloadedSinceMillis, load, queueMillis(highestPriority))
-        : new ServiceStatus(false, 0, load, 0);
-  }
 }
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/Placement.java
@@ -321,7 +321,7 @@
         best.expectedWaitMillis(),
         best.expectedRunMillis(),
         slotHoldTimes.meanMillis(request.service()).orElse(0),
-        targets.measuredLoad(request.service(), request::allowsRegion, now));
+        targets.measuredLoad(request.service(), now));
   }
 
   /**
--- a/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/placing/TargetTable.java
@@ -297,11 +297,8 @@
     return slots <= 0 ? 0 : Math.min(1, requests / slots);
   }
 
-  /**
-   * Returns the load of a service's targets in those of {@code regions} that have reported
-   * recently.
-   */
-  ServiceLoad measuredLoad(String service, Predicate<String> regions, long now) {
+  /** Returns the load of a service's targets in the regions that have reported recently. */
+  ServiceLoad measuredLoad(String service, long now) {
     double requests = 0;
     int slots = 0;
     long reports = 0;
@@ -310,7 +307,7 @@
         loadsByService.getOrDefault(service, Map.of()).entrySet()) {
       RegionLoad region = entry.getValue();
       boolean isRecent = region.reportAgeMillis(now) <= ServiceLoad.MAX_REPORT_AGE_MILLIS;
-      if (!isRecent || region.reportCount() == 0 || !regions.test(entry.getKey())) {
+      if (!isRecent || region.reportCount() == 0) {
         continue;
       }
       requests += region.estimatedRequestCount();
