--- a/sageladder-core/src/main/java/org/sageladder/core/quota/Quotas.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quota/Quotas.java
@@ -53,10 +53,7 @@
   /** Interval of the notices, which are repeated since datagrams may be lost and VMs may start. */
   private static final long NOTICE_INTERVAL_MILLIS = 1_000;
 
-  /**
-   * Time after a change of the first coordinator until it may end the need for tokens: by then all
-   * VMs know the change and have reported.
-   */
+  /** Time after a change of the first coordinator until all VMs have reported to it. */
   private static final long COORDINATOR_CHANGE_MILLIS = 3_000;
 
   /** Time after which the first notice is repeated. */
@@ -85,33 +82,6 @@
     }
   }
 
-  private static final class LimitedWorkspace {
-    final Workspace workspace;
-    final WorkspaceRateLimiter limiter;
-    List<String> coordinatorOrder = List.of();
-    int coordinatorIndex;
-    int failedAttempts;
-    long retryFirstCoordinatorMillis;
-    String firstCoordinator = "";
-    String lastCoordinator = "";
-    long firstCoordinatorSinceMillis;
-
-    LimitedWorkspace(Workspace workspace, WorkspaceRateLimiter limiter) {
-      this.workspace = workspace;
-      this.limiter = limiter;
-    }
-  }
-
-  private static final class CoordinatedWorkspace {
-    final QuotaCoordinator coordinator;
-    long nextNoticeMillis = Long.MIN_VALUE;
-    boolean noticeSent;
-
-    CoordinatedWorkspace(QuotaCoordinator coordinator) {
-      this.coordinator = coordinator;
-    }
-  }
-
   private final String self;
   private final long discoveryMillis;
   private Peers peers;
