Quotas: Retry-After of refused requests no longer overflows

What callers saw: a request refused on a coordinator's answer was asked to stay away for 9,223,372,036,854,774,808 ms, which became a third of the time it had left, where the coordinator had said 250 ms. Evidence: WorkspaceRateLimiterTest failed before with that figure. Half of the lowest value cannot overflow, as with the last report's time.

--- a/sageladder-core/src/main/java/org/sageladder/core/quota/WorkspaceRateLimiter.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/quota/WorkspaceRateLimiter.java
@@ -82,7 +82,7 @@
   private boolean hasUnreported;
   private int maxUnreported = 1;
   private int unreportedShare;
-  private long takeoverUntilMillis = Long.MIN_VALUE;
+  private long takeoverUntilMillis = Long.MIN_VALUE / 2;
   private int admittedSinceReport;
   private int admittedUnacknowledged;
   private @Nullable UsageReport unansweredReport;
