--- a/review/standins/review/Deployment.java
+++ b/review/standins/review/Deployment.java
@@ -197,9 +197,7 @@
 
     private void beat() {
       while (true) {
-        if (isUp) {
-          register();
-        }
+        register();
         try {
           Thread.sleep(1_500);
         } catch (InterruptedException e) {
@@ -209,6 +207,9 @@
     }
 
     synchronized void register() {
+      if (!isUp) {
+        return;
+      }
       sequence++;
       long coldMillis = Math.max(0, startedAt + 3_000 - System.currentTimeMillis());
       store.put(
@@ -238,13 +239,19 @@
       thread.start();
     }
 
+    /** Its entry is removed without notice; it goes on serving. */
+    synchronized void leave() {
+      isUp = false;
+      store.remove("servers/" + id);
+    }
+
     /** Has power again, as a new incarnation that is cold. */
     void returnFromDark(String newId) throws IOException {
       server.returnFromDark();
       id = newId;
       startedAt = System.currentTimeMillis();
-      register();
       isUp = true;
+      register();
     }
   }
 
--- a/review/standins/review/SlowReaders.java
+++ b/review/standins/review/SlowReaders.java
@@ -23,7 +23,8 @@
   private static final int PIPELINED = 24;
   private static final int DOWNLOAD_BYTES = 250_000;
   private static final int OTHERS = 16;
-  private static final long SECONDS = 20;
+  private static final int WAVES = 3;
+  private static final long WAVE_MILLIS = 15_000;
 
   private final Deployment deployment;
   private final Set<String> run = ConcurrentHashMap.newKeySet();
@@ -31,6 +32,7 @@
   private final AtomicInteger refused = new AtomicInteger();
   private final AtomicInteger downloads = new AtomicInteger();
   private final List<String> lost = new ArrayList<>();
+  private final AtomicInteger ends = new AtomicInteger();
   private volatile boolean isEnding;
 
   private SlowReaders(Deployment deployment) {
@@ -63,25 +65,26 @@
     for (int i = 0; i < OTHERS; i++) {
       others.add(start(() -> order(vm)));
     }
+    start(() -> restart(vm));
     Thread.sleep(3_000);
-    for (int i = 0; i < SLOW_CLIENTS; i++) {
-      start(() -> download(vm, isTroubled));
-      Thread.sleep(50);
+    for (int wave = 1; wave <= WAVES; wave++) {
+      long endsAt = System.currentTimeMillis() + WAVE_MILLIS;
+      for (int i = 0; i < SLOW_CLIENTS; i++) {
+        start(() -> download(vm, isTroubled));
+        Thread.sleep(50);
+      }
+      deployment.note("wave " + wave + ": all downloads asked for");
+      Thread.sleep(Math.max(0, endsAt - System.currentTimeMillis()));
     }
-    deployment.note("all downloads asked for");
-    Thread.sleep(SECONDS * 1_000);
     isEnding = true;
     for (Thread other : others) {
       other.join(8_000);
     }
-    boolean isAlive = vm.process.isAlive();
-    int readiness = isAlive ? vm.readiness() : 0;
-    deployment.noteLog(vm, "OutOfMemory", 10);
-    deployment.noteLog(vm, "Java heap space", 10);
+    deployment.noteLog(vm, "OutOfMemory", 5);
     deployment.note(
-        "downloads answered " + downloads + "; orders answered " + answered + ", not run "
-            + refused + ", closed without an answer though run " + lost.size() + "; VM "
-            + (isAlive ? "runs, readiness " + readiness : "has ended"));
+        "downloads answered " + downloads + "; orders answered " + answered + ", refused " + refused
+            + ", closed without an answer though run " + lost.size() + "; the process of "
+            + vm.name + " ended by itself " + ends + " times");
     lost.stream().limit(20).forEach(each -> deployment.note("LOST " + each));
     return lost.size() <= 3;
   }
@@ -93,6 +96,25 @@
     return thread;
   }
 
+  /** Starts the process again a second after it has ended, as the platform does. */
+  private void restart(Deployment.Vm vm) {
+    while (!isEnding) {
+      if (!vm.process.isAlive()) {
+        ends.incrementAndGet();
+        deployment.note(
+            "process of " + vm.name + " ended by itself with code " + vm.process.exitValue());
+        sleep(1_000);
+        try {
+          vm.start();
+        } catch (IOException e) {
+          deployment.note("not started again: " + e);
+          return;
+        }
+      }
+      sleep(100);
+    }
+  }
+
   /** Sends one request after the other on a kept connection. */
   private void order(Deployment.Vm vm) {
     while (!isEnding) {
@@ -122,7 +144,6 @@
           break;
         }
       } catch (IOException e) {
-        deployment.note("no connection for orders: " + e);
         sleep(500);
       } catch (InterruptedException e) {
         return;
@@ -148,9 +169,7 @@
         downloads.incrementAndGet();
       }
     } catch (IOException e) {
-      if (!isEnding) {
-        deployment.note("download: " + e);
-      }
+      // The entry VM has closed the connection, or the client has waited long enough.
     }
   }
 
--- a/review/standins/review/Store.java
+++ b/review/standins/review/Store.java
@@ -19,11 +19,11 @@
   private static final Pattern PUT =
       Pattern.compile("\"key\":\"([^\"]*)\",\"value\":\"([^\"]*)\",\"lease\":(\\d+)");
   private static final Pattern TTL = Pattern.compile("\"ttl_time\":\"(\\d+)ms\"");
-  private static final int PAGE_ITEMS = 500;
+  private static final int PAGE_ITEMS = 50;
 
   private record Item(String value, long revision, long created, long lease) {}
 
-  private record Event(String key, long revision, String json) {}
+  private record Event(String key, long revision, String json, long atMillis, Item item) {}
 
   private static final class Lease {
     long millis;
@@ -36,6 +36,7 @@
   private final Map<Long, Lease> leases = new HashMap<>();
   private long revision = 100;
   private long nextLease = 1;
+  private long laterPagesAgeMillis;
 
   Store(String host, int port) throws IOException {
     server = new Server(host, port, this::handle);
@@ -56,10 +57,19 @@
   synchronized void remove(String key) {
     if (items.remove(key) != null) {
       revision++;
-      addEvent(key, "{\"key\":\"" + key + "\",\"revision\":" + revision + ",\"tombstone\":true}");
+      addEvent(
+          key, "{\"key\":\"" + key + "\",\"revision\":" + revision + ",\"tombstone\":true}", null);
     }
   }
 
+  /**
+   * Answers stale reads of a page after the first one with the state of so long ago, as a replica
+   * does that is behind the one that served the first page.
+   */
+  synchronized void setLaterPagesAge(long millis) {
+    laterPagesAgeMillis = millis;
+  }
+
   /** Keys that begin with {@code prefix}. */
   synchronized List<String> keys(String prefix) {
     return items.keySet().stream().filter(key -> key.startsWith(prefix)).toList();
@@ -70,11 +80,11 @@
     Item previous = items.get(key);
     Item item = new Item(base64, revision, previous == null ? revision : previous.created(), lease);
     items.put(key, item);
-    addEvent(key, json(key, item));
+    addEvent(key, json(key, item), item);
   }
 
-  private void addEvent(String key, String json) {
-    events.add(new Event(key, revision, json));
+  private void addEvent(String key, String json, Item item) {
+    events.add(new Event(key, revision, json, System.currentTimeMillis(), item));
     notifyAll();
   }
 
@@ -90,7 +100,8 @@
     Map<String, String> query = query(target.length > 1 ? target[1] : "");
     String text = new String(body.bytes(), StandardCharsets.UTF_8);
     if (target[0].equals("/kv-range")) {
-      reply(out, 200, range(query.getOrDefault("prefix", ""), query.get("after")));
+      boolean mayBeStale = "1".equals(query.get("stale_ok"));
+      reply(out, 200, range(query.getOrDefault("prefix", ""), query.get("after"), mayBeStale));
     } else if (target[0].equals("/kv-key")) {
       String item = one(query.getOrDefault("key", ""));
       reply(out, item == null ? 404 : 200, item == null ? "{}" : item);
@@ -141,10 +152,27 @@
     return item == null ? null : json(key, item);
   }
 
-  private synchronized String range(String prefix, String after) {
+  private synchronized String range(String prefix, String after, boolean mayBeStale) {
+    TreeMap<String, Item> served = items;
+    long asOf = revision;
+    if (mayBeStale && after != null && laterPagesAgeMillis > 0) {
+      served = new TreeMap<>();
+      long until = System.currentTimeMillis() - laterPagesAgeMillis;
+      for (Event event : events) {
+        if (event.atMillis() > until) {
+          break;
+        }
+        asOf = event.revision();
+        if (event.item() == null) {
+          served.remove(event.key());
+        } else {
+          served.put(event.key(), event.item());
+        }
+      }
+    }
     List<String> page = new ArrayList<>();
     boolean hasMore = false;
-    for (Map.Entry<String, Item> entry : items.entrySet()) {
+    for (Map.Entry<String, Item> entry : served.entrySet()) {
       String key = entry.getKey();
       if (!key.startsWith(prefix) || (after != null && key.compareTo(after) <= 0)) {
         continue;
@@ -156,7 +184,7 @@
       page.add(json(key, entry.getValue()));
     }
     return "{\"items\":[" + String.join(",", page) + "],\"more_pages\":" + hasMore + ",\"as_of\":"
-        + revision + "}";
+        + asOf + "}";
   }
 
   private synchronized String watch(String prefix, long after, long waitMillis)
