--- a/review/standins/review/BodyThroughPeer.java
+++ b/review/standins/review/BodyThroughPeer.java
@@ -12,7 +12,8 @@
  * succession. Fails if a backend runs a request with another body than its client sent.
  */
 final class BodyThroughPeer {
-  private static final int ROUNDS = 6;
+  private static final int ROUNDS = 8;
+  private static final long CHANGE_GAP_MILLIS = 255;
   private static final int BODY_BYTES = 300_000;
   private static final String SERVICE = "wuno96b";
   private static final String IDLE_SERVICE = "kafi81c";
@@ -64,7 +65,6 @@
             deployment.addVm("front-b-1", "127.0.0.13", "riga-agenskalns"));
     for (Deployment.Vm vm : vms) {
       vm.start();
-      Thread.sleep(100);
     }
     deployment.awaitReady();
     for (Deployment.Vm vm : vms) {
@@ -84,10 +84,11 @@
       for (int change = 1; change <= 12; change++) {
         deployment.publish(++version);
         if (change == 2) {
-          requests.add(send(vms.get(0), "round " + round));
-          requests.add(send(vms.get(1), "round " + round));
+          for (Deployment.Vm vm : vms.subList(0, 2)) {
+            requests.add(send(vm, "round " + round));
+          }
         }
-        Thread.sleep(330);
+        Thread.sleep(CHANGE_GAP_MILLIS);
       }
       for (Thread request : requests) {
         request.join();
@@ -99,7 +100,11 @@
         }
         deployment.note("backends of riga-old-town are back");
       }
-      Thread.sleep(round == ROUNDS || !violations.isEmpty() ? 500 : 9_000);
+      long backAt = System.currentTimeMillis();
+      if (round < ROUNDS && violations.isEmpty()) {
+        restart(vms.get(1));
+        Thread.sleep(Math.max(0, backAt + 5_000 - System.currentTimeMillis()));
+      }
     }
     for (Deployment.Vm vm : vms) {
       deployment.noteLog(vm, "RULES_OUT_OF_DATE", 10);
@@ -112,6 +117,17 @@
     return violations.isEmpty();
   }
 
+  /** Stops and starts an entry VM as planned; with it the time at which it fetches changes moves. */
+  private void restart(Deployment.Vm vm) throws Exception {
+    vm.terminate();
+    vm.process.waitFor(10, java.util.concurrent.TimeUnit.SECONDS);
+    Thread.sleep(new Random().nextInt(600));
+    vm.start();
+    for (int i = 0; i < 100 && vm.readiness() != 200; i++) {
+      Thread.sleep(50);
+    }
+  }
+
   private Thread send(Deployment.Vm vm, String what) {
     String id = Long.toHexString(new Random().nextLong());
     byte[] body = new byte[BODY_BYTES];
