Following the store goes on after a callback or an item that throws

Cause: each call to the store is made from the callback of the one before. The client marks a call as ended and cancels its timer, then runs the callback; what is thrown there reached only exceptionCaught, which closed the connection without a line. No result, no failure and no timer was left. A page is applied in a loop, so that one item that throws also hid those behind it.

Each call and delay has a number, so that a late result of an earlier one cannot start a second chain. New lines and metrics name type and place, never the message, which may quote API keys. StoreFollowerTest now lets any exception of a task on the loop fail its test, where some kinds left the test waiting.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/Loop.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Loop.java
@@ -26,6 +26,8 @@
   private final Transport transport;
   private final Executor taskExecutor;
   private final Runnable onClose;
+  private Consumer<Throwable> failureListener =
+      failure -> System.err.println("sageladder: threw " + FailureLog.describe(failure));
 
   private Loop(
       EventLoop eventLoop,
@@ -121,16 +123,40 @@
     return transport.openDatagrams(this, host, port, receiver, failed);
   }
 
+  /** Sets the receiver of what tasks and guarded callbacks throw; by default standard error. */
+  public void setFailureListener(Consumer<Throwable> listener) {
+    failureListener = listener;
+  }
+
+  /**
+   * Runs a task or callback whose failure must not end what runs it. A stack overflow is reported
+   * as well, since the depth of calls may follow what was received.
+   */
+  public void runGuarded(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException | VirtualMachineError e) {
+      reportFailure(e);
+    }
+  }
+
+  /** Reports what a callback has thrown to the failure listener. */
+  public void reportFailure(Throwable failure) {
+    failureListener.accept(failure);
+  }
+
   /** Queues {@code task} for execution on the event loop. */
   public void execute(Runnable task) {
-    eventLoop.execute(() -> taskExecutor.execute(task));
+    eventLoop.execute(() -> taskExecutor.execute(() -> runGuarded(task)));
   }
 
   /** Runs {@code task} on the event loop after {@code delayMillis}. */
   public Timer schedule(long delayMillis, Runnable task) {
     var future =
         eventLoop.schedule(
-            () -> taskExecutor.execute(task), Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
+            () -> taskExecutor.execute(() -> runGuarded(task)),
+            Math.max(0, delayMillis),
+            TimeUnit.MILLISECONDS);
     return () -> {
       var unused = future.cancel(false);
     };
@@ -140,7 +166,7 @@
   public void scheduleAtFixedRate(long intervalMillis, Runnable task) {
     var unused =
         eventLoop.scheduleAtFixedRate(
-            () -> taskExecutor.execute(task),
+            () -> taskExecutor.execute(() -> runGuarded(task)),
             intervalMillis,
             intervalMillis,
             TimeUnit.MILLISECONDS);
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Sockets.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Sockets.java
@@ -154,7 +154,10 @@
             .group(loop.eventLoop())
             .channel(NioDatagramChannel.class)
             .option(ChannelOption.ALLOCATOR, loop.allocator())
-            .handler(datagramHandler(receiver))
+            .handler(
+                datagramHandler(
+                    (fromHost, fromPort, bytes) ->
+                        loop.runGuarded(() -> receiver.onDatagram(fromHost, fromPort, bytes))))
             .bind(host, port)
             .addListener(
                 (ChannelFuture done) -> {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
@@ -251,8 +251,9 @@
    * there continue. Malformed rules change nothing, since an older version never comes back.
    */
   @Override
-  public void onMalformed(String key, @Nullable ItemContent previous, ItemContent.Malformed item) {
-    malformedItems.record(key, item);
+  public void onMalformed(
+      String key, long revision, @Nullable ItemContent previous, ItemContent.Malformed item) {
+    malformedItems.record(key, revision, item);
     if (previous instanceof ItemContent.Target target) {
       forwarder.targets().scheduleRemoval(target.target().id(), loop.nowMillis());
     } else if (previous instanceof ItemContent.Entry entry) {
@@ -264,6 +265,11 @@
     }
   }
 
+  @Override
+  public void onNotApplied(String key, long revision, Throwable failure) {
+    malformedItems.recordNotApplied(key, revision, failure);
+  }
+
   private void rewriteRegistration() {
     EntryRegistration current = registration;
     if (current != null) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryRegistration.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryRegistration.java
@@ -148,7 +148,8 @@
   }
 
   private void notifyCallListener(StoreResult<Long> result) {
-    callListener.onCall(!(result instanceof StoreResult.Failed<Long>));
+    boolean answered = !(result instanceof StoreResult.Failed<Long>);
+    loop.runGuarded(() -> callListener.onCall(answered));
   }
 
   /** Interval at which a lease of {@code leaseMillis} is renewed. */
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
@@ -6,9 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.event.EventKind;
 import org.sageladder.core.event.EventSink;
+import org.sageladder.forward.FailureLog;
 import org.sageladder.forward.Loop;
 
 /**
@@ -34,6 +36,11 @@
    */
   private static final long MAX_CATCH_UP_MILLIS = 1_000;
 
+  /** Longer than any call to the store or delay between calls takes. */
+  private static final long STALLED_AFTER_MILLIS = 20_000;
+
+  private static final long STALL_CHECK_INTERVAL_MILLIS = 5_000;
+
   /** Receives the changes of items. */
   public interface Listener {
     /** An item is new or has changed. */
@@ -50,9 +57,17 @@
     /**
      * An item was overwritten by a malformed one.
      *
+     * @param revision the store's revision of the malformed item
      * @param previous its last valid content, or null if there was none
      */
-    void onMalformed(String key, @Nullable ItemContent previous, ItemContent.Malformed item);
+    void onMalformed(
+        String key, long revision, @Nullable ItemContent previous, ItemContent.Malformed item);
+
+    /**
+     * A method above has thrown {@code failure} for a change; the item's earlier content may still
+     * be in use.
+     */
+    void onNotApplied(String key, long revision, Throwable failure);
 
     /** The first read of all items is complete. */
     void onInitialReadComplete();
@@ -71,8 +86,12 @@
   private long readRevision;
   private boolean isInitialReadComplete;
   private int consecutiveFailures;
-  private int watchId;
   private boolean isWatching;
+
+  /** The call or delay that is under way; the end of an earlier one is ignored. */
+  private long currentStep;
+
+  private long stepStartedAtMillis;
   private boolean isStoreSilent;
   private boolean isReadingAgain;
   private long catchingUpUntilMillis;
@@ -100,7 +119,11 @@
   public static StoreFollower start(
       Loop loop, PlatformStore store, ZoneChangeFeed changeFeed, Listener listener, EventSink log) {
     StoreFollower follower = new StoreFollower(loop, store, changeFeed, listener, log);
-    loop.execute(() -> follower.read(null, true));
+    loop.execute(
+        () -> {
+          loop.scheduleAtFixedRate(STALL_CHECK_INTERVAL_MILLIS, follower::restartIfStalled);
+          follower.read(null, true);
+        });
     return follower;
   }
 
@@ -126,17 +149,84 @@
       keysInRead.clear();
       readRevision = -1;
     }
+    Runnable retry = () -> read(null, mayBeStale && !isInitialReadComplete);
     store.read(
         afterKey,
         mayBeStale,
-        result -> {
-          if (result instanceof StoreResult.Done<StorePage> done) {
-            onSuccess();
-            readPage(done.value(), mayBeStale);
-            return;
-          }
-          onFailure("read", result, () -> read(null, mayBeStale && !isInitialReadComplete));
-        });
+        startStep(
+            "read",
+            result -> {
+              if (result instanceof StoreResult.Done<StorePage> done) {
+                onSuccess();
+                readPage(done.value(), mayBeStale);
+                return;
+              }
+              onFailure("read", String.valueOf(result), retry);
+            },
+            retry));
+  }
+
+  /**
+   * Starts a call and returns the callback for its result. Following goes on from callbacks only,
+   * so that {@code retry} runs if the handler throws.
+   */
+  private Consumer<StoreResult<StorePage>> startStep(
+      String call, Consumer<StoreResult<StorePage>> handler, Runnable retry) {
+    long step = startStep();
+    return result -> {
+      if (step != currentStep) {
+        return;
+      }
+      runStep(call, () -> handler.accept(result), retry);
+    };
+  }
+
+  private void runStep(String call, Runnable step, Runnable retry) {
+    try {
+      step.run();
+    } catch (RuntimeException | VirtualMachineError e) {
+      loop.reportFailure(e);
+      onFailure(call, "threw " + FailureLog.describe(e), retry);
+    }
+  }
+
+  private long startStep() {
+    currentStep++;
+    stepStartedAtMillis = loop.nowMillis();
+    return currentStep;
+  }
+
+  private void scheduleStep(String call, long delayMillis, Runnable task) {
+    long step = startStep();
+    var unused =
+        loop.schedule(
+            delayMillis,
+            () -> {
+              if (step == currentStep) {
+                runStep(call, task, task);
+              }
+            });
+  }
+
+  /** Goes on with following if neither a call nor a delay is under way. */
+  private void restartIfStalled() {
+    long idleMillis = loop.nowMillis() - stepStartedAtMillis;
+    if (idleMillis < STALLED_AFTER_MILLIS) {
+      return;
+    }
+    log.record(
+        EventKind.STORE_DOWN,
+        "",
+        "",
+        "store",
+        revision,
+        "not followed for " + idleMillis + " ms; starting again");
+    recordFailure();
+    if (isInitialReadComplete && !isReadingAgain) {
+      watch();
+    } else {
+      read(null, !isInitialReadComplete);
+    }
   }
 
   private void readPage(StorePage page, boolean mayBeStale) {
@@ -198,17 +288,16 @@
   }
 
   private void watch() {
-    watchId++;
-    int startedWatchId = watchId;
     isWatching = true;
     changeFeed.requestChanges(
         revision,
-        result -> {
-          if (startedWatchId == watchId) {
-            isWatching = false;
-            onWatchResult(result);
-          }
-        });
+        startStep(
+            "watch",
+            result -> {
+              isWatching = false;
+              onWatchResult(result);
+            },
+            this::watch));
   }
 
   private void onWatchResult(StoreResult<StorePage> result) {
@@ -237,7 +326,7 @@
       read(null, false);
       return;
     }
-    onFailure("watch", result, this::watch);
+    onFailure("watch", String.valueOf(result), this::watch);
   }
 
   private void scheduleWatch(long delayMillis) {
@@ -245,15 +334,7 @@
       watch();
       return;
     }
-    int endedWatchId = watchId;
-    var unused =
-        loop.schedule(
-            delayMillis,
-            () -> {
-              if (endedWatchId == watchId) {
-                watch();
-              }
-            });
+    scheduleStep("watch", delayMillis, this::watch);
   }
 
   private void recordFailure() {
@@ -275,14 +356,14 @@
     consecutiveFailures = 0;
   }
 
-  private void onFailure(String call, StoreResult<?> result, Runnable retry) {
+  private void onFailure(String call, String cause, Runnable retry) {
     consecutiveFailures++;
     if (consecutiveFailures == 1) {
-      log.record(EventKind.STORE_DOWN, "", "", "store", revision, call + ": " + result);
+      log.record(EventKind.STORE_DOWN, "", "", "store", revision, call + ": " + cause);
     }
     long delayMillis =
         Math.min(MAX_RETRY_DELAY_MILLIS, RETRY_DELAY_STEP_MILLIS * consecutiveFailures);
-    var unused = loop.schedule(delayMillis, retry);
+    scheduleStep(call, delayMillis, retry);
   }
 
   private boolean isTargetRemoval(StoreItem item) {
@@ -295,23 +376,32 @@
   private void apply(List<StoreItem> items) {
     int removedTargetCount = (int) items.stream().filter(this::isTargetRemoval).count();
     for (StoreItem item : items) {
-      KnownItem previous = knownItems.get(item.key());
-      if (previous != null && previous.revision() >= item.revision()) {
-        continue;
-      }
-      ItemContent content = item.content();
-      if (content instanceof ItemContent.Malformed malformed) {
-        ItemContent last = previous == null ? null : previous.content();
-        knownItems.put(item.key(), new KnownItem(item.revision(), last));
-        listener.onMalformed(item.key(), last, malformed);
-        continue;
-      }
-      knownItems.put(item.key(), new KnownItem(item.revision(), content));
-      if (content != null) {
-        listener.onChanged(item.key(), content);
-      } else if (previous != null && previous.content() != null) {
-        listener.onRemoved(item.key(), previous.content(), removedTargetCount);
+      // What one item brings about must not hide the items behind it.
+      try {
+        apply(item, removedTargetCount);
+      } catch (RuntimeException | VirtualMachineError e) {
+        loop.runGuarded(() -> listener.onNotApplied(item.key(), item.revision(), e));
       }
     }
   }
+
+  private void apply(StoreItem item, int removedTargetCount) {
+    KnownItem previous = knownItems.get(item.key());
+    if (previous != null && previous.revision() >= item.revision()) {
+      return;
+    }
+    ItemContent content = item.content();
+    if (content instanceof ItemContent.Malformed malformed) {
+      ItemContent last = previous == null ? null : previous.content();
+      knownItems.put(item.key(), new KnownItem(item.revision(), last));
+      listener.onMalformed(item.key(), item.revision(), last, malformed);
+      return;
+    }
+    knownItems.put(item.key(), new KnownItem(item.revision(), content));
+    if (content != null) {
+      listener.onChanged(item.key(), content);
+    } else if (previous != null && previous.content() != null) {
+      listener.onRemoved(item.key(), previous.content(), removedTargetCount);
+    }
+  }
 }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerTest.java
@@ -2,8 +2,13 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -14,7 +19,10 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.sageladder.core.event.EventSink;
+import org.sageladder.core.time.VirtualTime;
+import org.sageladder.forward.DatagramPort;
 import org.sageladder.forward.Loop;
+import org.sageladder.forward.Transport;
 
 /** Following the store through its failures. */
 class StoreFollowerTest {
@@ -38,9 +46,14 @@
   /** Records the evacuated zones in order. */
   private static final class ZoneRecorder implements StoreFollower.Listener {
     final List<String> evacuated = new ArrayList<>();
+    final List<String> notApplied = new ArrayList<>();
+    boolean failsAfterInitialRead;
 
     @Override
     public void onChanged(String key, ItemContent content) {
+      if (key.equals("overflowing")) {
+        throw new StackOverflowError();
+      }
       if (content instanceof ItemContent.ZoneEvacuated zone) {
         evacuated.add(zone.zone());
       }
@@ -53,10 +66,44 @@
 
     @Override
     public void onMalformed(
-        String key, @Nullable ItemContent previous, ItemContent.Malformed item) {}
+        String key, long revision, @Nullable ItemContent previous, ItemContent.Malformed item) {}
+
+    @Override
+    public void onNotApplied(String key, long revision, Throwable failure) {
+      notApplied.add(key + " " + revision);
+    }
+
+    @Override
+    public void onInitialReadComplete() {
+      if (failsAfterInitialRead) {
+        failsAfterInitialRead = false;
+        throw new IllegalStateException("initial read");
+      }
+    }
+  }
+
+  /** Opens nothing: the store of these tests is an object. */
+  private static final class NoNetwork implements Transport {
+    @Override
+    public ChannelFuture connect(
+        Loop loop, String host, int port, int connectTimeoutMillis, ChannelHandler handler) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public ChannelFuture listen(Loop loop, String host, int port, ChannelHandler handler) {
+      throw new UnsupportedOperationException();
+    }
 
     @Override
-    public void onInitialReadComplete() {}
+    public DatagramPort openDatagrams(
+        Loop loop,
+        String host,
+        int port,
+        DatagramPort.Receiver receiver,
+        Consumer<Throwable> failed) {
+      throw new UnsupportedOperationException();
+    }
   }
 
   private final Loop loop = Loop.start();
@@ -88,7 +135,7 @@
           try {
             task.run();
             done.complete(null);
-          } catch (AssertionError e) {
+          } catch (RuntimeException | Error e) {
             done.completeExceptionally(e);
           }
         });
@@ -166,4 +213,51 @@
                     page(14, evacuated("z-1", 14), new StoreItem("z-1", 13, null)))));
     assertEquals(List.of("z-1"), zoneRecorder.evacuated);
   }
+
+  /** Guards against a VM that follows nothing any more after one item could not be applied. */
+  @Test
+  void itemThatCannotBeAppliedNeitherHidesOthersNorEndsTheFollowing() throws Exception {
+    Consumer<StoreResult<StorePage>> first = nextWatch();
+    StoreItem overflowing =
+        new StoreItem("overflowing", 11, new ItemContent.ZoneEvacuated("overflowing"));
+    onLoop(() -> first.accept(new StoreResult.Done<>(page(12, overflowing, evacuated("z-1", 12)))));
+    assertEquals(List.of("z-1"), zoneRecorder.evacuated);
+    assertEquals(List.of("overflowing 11"), zoneRecorder.notApplied);
+    Consumer<StoreResult<StorePage>> second = nextWatch();
+    onLoop(() -> second.accept(new StoreResult.Done<>(page(13, evacuated("z-2", 13)))));
+    assertEquals(List.of("z-1", "z-2"), zoneRecorder.evacuated);
+  }
+
+  /** Guards against a VM that never watches since its listener failed after the first read. */
+  @Test
+  void watchStartsAlthoughTheListenerFailsAfterTheInitialRead() throws Exception {
+    WatchedStore watched = new WatchedStore();
+    ZoneRecorder failing = new ZoneRecorder();
+    failing.failsAfterInitialRead = true;
+    StoreFollower started = StoreFollower.start(loop, watched, failing, EventSink.none());
+    Consumer<StoreResult<StorePage>> watch = watched.watches.poll(60, TimeUnit.SECONDS);
+    assertNotNull(watch);
+    onLoop(() -> assertTrue(started.hadFailureWithin(60_000)));
+  }
+
+  /** Guards against a VM that follows nothing any more since the result of a call was lost. */
+  @Test
+  void followingStartsAgainAfterTheResultOfACallWasLost() {
+    EmbeddedChannel channel = new EmbeddedChannel();
+    channel.freezeTime();
+    VirtualTime time = VirtualTime.startingAt(0);
+    Loop frozen = Loop.on(channel.eventLoop(), time, new NoNetwork(), Runnable::run);
+    WatchedStore silent = new WatchedStore();
+    StoreFollower started =
+        StoreFollower.start(frozen, silent, new ZoneRecorder(), EventSink.none());
+    channel.runPendingTasks();
+    assertEquals(1, silent.watches.size());
+    for (int second = 0; second < 30; second++) {
+      time.advance(Duration.ofSeconds(1));
+      channel.advanceTimeBy(1, TimeUnit.SECONDS);
+      channel.runScheduledPendingTasks();
+    }
+    assertEquals(2, silent.watches.size());
+    assertTrue(started.hadFailureWithin(60_000));
+  }
 }
