A streamed body is never sent on without its beginning

Cause: a VM that does not reach its targets has another VM serve the request. A body of more than 64 kB is streamed there and dropped as it is written. If that VM refuses for certain, here since its rules are older, Exchange.onPeerUnavailable placed the request again without asking whether the body can be sent again, as all other ways to a second attempt do; what was left of the body was framed as the whole.

Change: each second attempt goes through one method, which ends a request whose body was streamed: 503 with Retry-After, which is true, since it has not run. BufferedBody rejects a second connection after it was streamed on one, and TargetConnection breaks off a request whose bytes differ from what was received or from the length in its head, so that no path can end a short request as a whole one, or send bytes that no head announces.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/BufferedBody.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/BufferedBody.java
@@ -9,7 +9,7 @@
 
 /**
  * The body of a request. A small body is buffered completely so that it can be sent again; a larger
- * one is streamed and can be sent only once.
+ * one is streamed on one connection and cannot be sent on another.
  */
 final class BufferedBody {
   /** Most bodies are a few kilobytes, and a VM has some hundred requests in flight. */
@@ -24,7 +24,7 @@
   private long bufferedBytes;
   private long receivedBytes;
   private boolean isComplete;
-  private boolean isStreaming;
+  private @Nullable TargetConnection streamedOn;
 
   void add(ByteBuf bytes) {
     addToHash(bytes);
@@ -54,7 +54,7 @@
 
   /** True while the body can still be sent to another target from its beginning. */
   boolean isReplayable() {
-    return !isStreaming;
+    return streamedOn == null;
   }
 
   /** True while the buffer has room for more bytes from the caller. */
@@ -62,20 +62,28 @@
     return bufferedBytes <= MAX_BUFFERED_BYTES;
   }
 
-  /** Writes the bytes received so far, and the end of the request once the body is complete. */
+  /**
+   * Writes the bytes received so far, and the end of the request once the body is complete.
+   *
+   * @throws IllegalStateException if a part of the body was streamed on another connection, so that
+   *     the rest would be taken for the whole
+   */
   void writeTo(TargetConnection connection) {
-    if (isComplete && !isStreaming) {
+    if (streamedOn != null && streamedOn != connection) {
+      throw new IllegalStateException("part of the body was streamed on another connection");
+    }
+    if (isComplete && streamedOn == null) {
       parts.forEach(part -> connection.writeBody(part.retainedDuplicate()));
-      connection.endRequest();
+      connection.endRequest(receivedBytes);
       return;
     }
-    isStreaming = true;
+    streamedOn = connection;
     while (!parts.isEmpty()) {
       connection.writeBody(parts.removeFirst());
     }
     bufferedBytes = 0;
     if (isComplete) {
-      connection.endRequest();
+      connection.endRequest(receivedBytes);
     }
   }
 
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -32,7 +32,7 @@
   /** A response is sent this long before the caller's deadline, to arrive in time. */
   private static final long RESPONSE_MARGIN_MILLIS = 20;
 
-  /** An entry VM that has started receives its first rules within about this time. */
+  /** An entry VM receives its first rules, or newer ones, within about this time. */
   private static final long NO_RULES_RETRY_AFTER_MILLIS = 500;
 
   /** Retry delay of requests that would be refused again in any case. */
@@ -302,6 +302,23 @@
     return current;
   }
 
+  /**
+   * Sends the request elsewhere after an attempt that did not end it. A body that was streamed is
+   * gone with that attempt; then the caller has to send the request again.
+   */
+  private void placeAgain(long retryAfterMillis) {
+    if (isFinished) {
+      return;
+    }
+    if (!body.isReplayable()) {
+      forwarder.metrics().count("requests_with_streamed_body_refused");
+      endWithoutResponse(
+          ResultCode.TARGET_REFUSED, retryAfterMillis, "its streamed body cannot be sent again");
+      return;
+    }
+    placeRequest();
+  }
+
   private void placeRequest() {
     isPlaced = true;
     long quarantineMillis = forwarder.crashDetector().quarantineMillis(this::fingerprint);
@@ -348,11 +365,22 @@
     endWithoutResponse(ResultCode.STOPPING, Shutdown.RETRY_AFTER_MILLIS, Shutdown.REFUSAL_REASON);
   }
 
-  /** Called if another entry VM cannot be reached, or cannot serve the request itself. */
-  void onPeerUnavailable(PeerAttempt failed, String cause) {
+  /** Called if another entry VM cannot be reached; nothing of the request was sent. */
+  void onPeerUnreachable(PeerAttempt failed, String cause) {
     attempt = null;
     logAttempt(EventKind.RETRIED, failed, cause);
-    placeUnlessFinished();
+    placeAgain(0);
+  }
+
+  /**
+   * Called if another entry VM cannot serve the request itself, which has not run there.
+   *
+   * @param hasOlderRules true if that VM can serve it once it has received newer rules
+   */
+  void onPeerUnavailable(PeerAttempt refused, ResultCode code, boolean hasOlderRules) {
+    attempt = null;
+    logAttempt(EventKind.RETRIED, refused, code.name());
+    placeAgain(hasOlderRules ? NO_RULES_RETRY_AFTER_MILLIS : 0);
   }
 
   /** Called if another entry VM refused the request, which has not run there. */
@@ -418,7 +446,7 @@
     attemptLimit.recordUnreached();
     logAttempt(EventKind.RETRIED, failed, "not sent: " + cause);
     if (attemptLimit.permitsAnotherTarget(remainingMillis())) {
-      placeRequest();
+      placeAgain(0);
       return;
     }
     ResultCode code = caller.isPeer() ? ResultCode.RELAY_UNAVAILABLE : ResultCode.NO_TARGET;
@@ -440,7 +468,7 @@
       attemptLimit.recordSent();
     }
     if (canTryAnotherTarget()) {
-      placeRequest();
+      placeAgain(0);
       return;
     }
     endWithoutResponse(
@@ -461,18 +489,12 @@
       return;
     }
     if (requireRoute().idempotent() && canTryAnotherTarget()) {
-      failed.beforeSendingAgain(this::placeUnlessFinished);
+      failed.beforeSendingAgain(() -> placeAgain(0));
       return;
     }
     endWithoutResponse(ResultCode.TARGET_LOST, 0, cause);
   }
 
-  private void placeUnlessFinished() {
-    if (!isFinished) {
-      placeRequest();
-    }
-  }
-
   private boolean canTryAnotherTarget() {
     return body.isReplayable()
         && attemptLimit.tryAcquireRetry(requireRoute(), service, remainingMillis(), subject());
@@ -488,7 +510,7 @@
       mayHaveRun = true;
       dropFallbackResponse();
       fallbackResponse = response;
-      placeRequest();
+      placeAgain(0);
       return;
     }
     deliver(done, response);
--- a/sageladder-forward/src/main/java/org/sageladder/forward/PeerAttempt.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/PeerAttempt.java
@@ -70,7 +70,7 @@
     }
     detach();
     forwarder().relayPeers().recordUnreachable(peer, forwarder().loop().nowMillis());
-    exchange().onPeerUnavailable(this, cause);
+    exchange().onPeerUnreachable(this, cause);
   }
 
   @Override
@@ -145,10 +145,11 @@
   private void onErrorResponse(ResultCode code, BufferedResponse buffered) {
     if (REFUSALS_OF_ONE_VM.contains(code)) {
       buffered.release();
-      if (code == ResultCode.RELAY_UNAVAILABLE || code == ResultCode.STOPPING) {
+      boolean cannotServe = code == ResultCode.RELAY_UNAVAILABLE || code == ResultCode.STOPPING;
+      if (cannotServe) {
         forwarder().relayPeers().recordRefusal(peer, forwarder().loop().nowMillis());
       }
-      exchange().onPeerUnavailable(this, code.name());
+      exchange().onPeerUnavailable(this, code, !cannotServe);
       return;
     }
     // A request that was quarantined after it may have run has another status than the code's own.
--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
@@ -65,6 +66,8 @@
   private @Nullable String requestId;
   private boolean isHeadRequest;
   private boolean isRequestComplete;
+  private long maxBodyBytes;
+  private long writtenBodyBytes;
   private boolean hasResponseBytes;
   private boolean isDiscarding;
   private int discardedCount;
@@ -155,12 +158,23 @@
     requestId = id;
     isHeadRequest = head.method().equals(HttpMethod.HEAD);
     isRequestComplete = false;
+    maxBodyBytes = announcedBodyBytes(head);
+    writtenBodyBytes = 0;
     hasResponseBytes = false;
     discardedCount = 0;
     informationalCount = 0;
     var unused = context().write(head);
   }
 
+  /** Length of the body by the head; the maximum if it is sent in chunks. */
+  private static long announcedBodyBytes(HttpRequest head) {
+    if (HttpUtil.isTransferEncodingChunked(head)) {
+      return Long.MAX_VALUE;
+    }
+    String length = head.headers().get(HttpHeaderNames.CONTENT_LENGTH);
+    return length == null ? 0 : Long.parseLong(length);
+  }
+
   /**
    * Enables keep-alive probes, so that the kernel ends the connection if the target does not answer
    * them. With a request in flight, this must be called only after a new connection has reached the
@@ -171,13 +185,30 @@
     Sockets.enableKeepAlive(context().channel());
   }
 
-  /** Writes bytes of the request's body and takes ownership of them. */
+  /**
+   * Writes bytes of the request's body and takes ownership of them. The request is lost if its head
+   * announces fewer, since the peer would take the rest for another request.
+   */
   void writeBody(ByteBuf bytes) {
+    writtenBodyBytes += bytes.readableBytes();
+    if (writtenBodyBytes > maxBodyBytes) {
+      bytes.release();
+      fail("the body is longer than the " + maxBodyBytes + " bytes that the head announces");
+      return;
+    }
     var unused = context().writeAndFlush(new DefaultHttpContent(bytes));
   }
 
-  /** Ends the request's body. */
-  void endRequest() {
+  /**
+   * Ends the request, whose body has {@code bodyBytes} in all. The request is lost if fewer were
+   * written, since the peer would take them for the whole body.
+   */
+  void endRequest(long bodyBytes) {
+    boolean isShort = maxBodyBytes != Long.MAX_VALUE && writtenBodyBytes < maxBodyBytes;
+    if (writtenBodyBytes != bodyBytes || isShort) {
+      fail("only " + writtenBodyBytes + " bytes of the body were written");
+      return;
+    }
     isRequestComplete = true;
     var unused = context().writeAndFlush(new DefaultLastHttpContent());
   }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/RelayTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/RelayTest.java
@@ -15,6 +15,9 @@
 
 /** Requests at an entry VM that reaches no target are served by another one. */
 class RelayTest {
+  /** More than is buffered of a body. */
+  private static final int STREAMED_BYTES = 200_000;
+
   private static ForwardingFixture cutOff() throws Exception {
     ForwardingFixture fixture = ForwardingFixture.open();
     fixture.addUnreachableTarget();
@@ -205,4 +208,70 @@
       assertTrue(silent.connectionEnds.poll(10, TimeUnit.SECONDS) != null);
     }
   }
+
+  /** Guards against a run without the part of the body that a peer got before it refused. */
+  @Test
+  void streamedBodyIsNotSentAgainAfterTheRefusalOfAPeerWithOlderRules() throws Exception {
+    try (ForwardingFixture refusing = ForwardingFixture.open()) {
+      assertStreamedBodyIsNotSentAgain(refusing);
+    }
+  }
+
+  /** As above, a peer that has no rules yet. */
+  @Test
+  void streamedBodyIsNotSentAgainAfterTheRefusalOfAPeerWithoutRules() throws Exception {
+    try (ForwardingFixture refusing = ForwardingFixture.withoutRules()) {
+      assertStreamedBodyIsNotSentAgain(refusing);
+    }
+  }
+
+  /** As above, a peer that is stopping. */
+  @Test
+  void streamedBodyIsNotSentAgainAfterTheRefusalOfAStoppingPeer() throws Exception {
+    try (ForwardingFixture refusing = ForwardingFixture.open()) {
+      refusing.onLoop(
+          () -> {
+            refusing.forwarder.applyRules(ForwardingFixture.rules(2));
+            refusing.forwarder.beginShutdown(100);
+          });
+      assertStreamedBodyIsNotSentAgain(refusing);
+    }
+  }
+
+  /** As above, a peer that reaches no target either. */
+  @Test
+  void streamedBodyIsNotSentAgainAfterTheRefusalOfAPeerWithoutTargets() throws Exception {
+    try (ForwardingFixture refusing = cutOff()) {
+      refusing.onLoop(() -> refusing.forwarder.applyRules(ForwardingFixture.rules(2)));
+      assertStreamedBodyIsNotSentAgain(refusing);
+    }
+  }
+
+  private static void assertStreamedBodyIsNotSentAgain(ForwardingFixture refusing)
+      throws Exception {
+    ScriptedTarget target = ScriptedTarget.of(request -> request.respond("ran"));
+    try (ForwardingFixture working = ForwardingFixture.open(target);
+        ForwardingFixture fixture = cutOff();
+        Caller caller = fixture.caller()) {
+      RelayPeer first = refusing.openPeerPort("127.0.0.1");
+      RelayPeer second = working.openPeerPort("127.0.0.1");
+      fixture.useRelayPeers(
+          ForwardingFixture.peer("e-1-refusing", first.host(), first.port()), second);
+      fixture.onLoop(() -> fixture.forwarder.applyRules(ForwardingFixture.rules(2)));
+      working.onLoop(() -> working.forwarder.applyRules(ForwardingFixture.rules(2)));
+      // The body does not end here, so that it cannot be buffered whole.
+      String part = "x".repeat(STREAMED_BYTES);
+      caller.write(
+          "POST /once/1 HTTP/1.1\r\nHost: h\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+              + Integer.toHexString(STREAMED_BYTES)
+              + "\r\n"
+              + part
+              + "\r\n");
+      Response response = caller.readResponse();
+      assertEquals(503, response.status());
+      assertEquals(ResultCode.TARGET_REFUSED.number(), resultCode(response));
+      assertTrue(Double.parseDouble(response.header("Retry-After")) > 0);
+      assertEquals(List.of(), target.receivedRequests);
+    }
+  }
 }
--- /dev/null
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/TargetConnectionTest.java
@@ -0,0 +1,127 @@
+package org.sageladder.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What of a request's body reaches a target. */
+class TargetConnectionTest {
+  /** Records why the request was lost. */
+  private static final class LossRecorder implements TargetConnection.Listener {
+    final List<String> losses = new ArrayList<>();
+
+    @Override
+    public void onHead(HttpResponse response) {}
+
+    @Override
+    public void onBodyBytes(ByteBuf bytes) {
+      bytes.release();
+    }
+
+    @Override
+    public void onComplete() {}
+
+    @Override
+    public void onLost(String cause) {
+      losses.add(cause);
+    }
+
+    @Override
+    public void onWritable() {}
+  }
+
+  private final TargetConnection connection = new TargetConnection(new TestDialect(), 1_000);
+  private final EmbeddedChannel channel = new EmbeddedChannel();
+  private final LossRecorder recorder = new LossRecorder();
+
+  private void send(boolean isChunked, int contentLength) {
+    connection.install(channel.pipeline());
+    HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/once/1");
+    HttpUtil.setTransferEncodingChunked(head, isChunked);
+    if (contentLength > 0) {
+      head.headers().set(HttpHeaderNames.CONTENT_LENGTH, contentLength);
+    }
+    connection.send(head, "a", recorder);
+  }
+
+  private static ByteBuf bytes(String text) {
+    return Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
+  }
+
+  private String sentText() {
+    StringBuilder text = new StringBuilder();
+    for (ByteBuf out = channel.readOutbound(); out != null; out = channel.readOutbound()) {
+      text.append(out.toString(StandardCharsets.UTF_8));
+      out.release();
+    }
+    return text.toString();
+  }
+
+  /** Guards against a part of a body that a target takes for the whole. */
+  @Test
+  void requestWithoutPartOfItsBodyIsNotEnded() {
+    send(true, 0);
+    connection.writeBody(bytes("rest"));
+    connection.endRequest(10);
+    assertFalse(channel.isOpen());
+    assertFalse(sentText().endsWith("0\r\n\r\n"));
+    assertEquals(List.of("only 4 bytes of the body were written"), recorder.losses);
+  }
+
+  @Test
+  void requestShorterThanItsContentLengthIsNotEnded() {
+    send(false, 10);
+    connection.writeBody(bytes("rest"));
+    connection.endRequest(4);
+    assertFalse(channel.isOpen());
+    assertEquals(1, recorder.losses.size());
+  }
+
+  /** Guards against bytes of a body that a target takes for another request. */
+  @Test
+  void bodyThatTheHeadDoesNotAnnounceIsNotSent() {
+    send(false, 0);
+    connection.writeBody(bytes("GET /other HTTP/1.1\r\n\r\n"));
+    assertFalse(sentText().contains("/other"));
+    assertFalse(channel.isOpen());
+    assertEquals(1, recorder.losses.size());
+  }
+
+  @Test
+  void wholeBodyIsEnded() {
+    send(true, 0);
+    connection.writeBody(bytes("rest"));
+    connection.endRequest(4);
+    assertTrue(sentText().endsWith("0\r\n\r\n"));
+    assertEquals(List.of(), recorder.losses);
+  }
+
+  /** Guards against a body whose beginning went to another connection. */
+  @Test
+  void streamedBodyIsRejectedOnAnotherConnection() {
+    send(true, 0);
+    BufferedBody body = new BufferedBody();
+    body.add(bytes("beginning"));
+    body.writeTo(connection);
+    body.add(bytes("rest"));
+    TargetConnection other = new TargetConnection(new TestDialect(), 1_000);
+    assertThrows(IllegalStateException.class, () -> body.writeTo(other));
+    assertFalse(body.isReplayable());
+  }
+}
