Reads of the store begin the watch at the lowest revision of their pages

Cause: a VM reads all items once, which may be stale, then watches from the revision of that read, for which it took that of the first page. A later page may come from an older replica. What changed between the two is neither on the page nor in the watch; a removal there is never seen, and an added item not until it changes again.

Change: the revision of a read is the lowest of its pages, for the watch and for items that the read did not return. A page without items that has further ones, which ended the read so that the rest counted as removed, is a failed read.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
@@ -17,9 +17,10 @@
  * Follows all items of the platform's store: reads them once, then watches for changes.
  *
  * <p>The first read may be stale, since the watch continues from its revision and delivers what is
- * missing. Pages are not a consistent snapshot and watches may deliver duplicates: a change is
- * applied only if its revision is higher than the known one of the item. If the store has discarded
- * the required history, everything is read again and missing items count as removed.
+ * missing. Pages are not a consistent snapshot, and each may be of another age: the revision of a
+ * read is the lowest of its pages'. Watches may therefore deliver duplicates: a change is applied
+ * only if its revision is higher than the known one of the item. If the store has discarded the
+ * required history, everything is read again and missing items count as removed.
  */
 public final class StoreFollower {
   /**
@@ -147,9 +148,9 @@
   private void read(@Nullable String afterKey, boolean mayBeStale) {
     if (afterKey == null) {
       keysInRead.clear();
-      readRevision = -1;
+      readRevision = Long.MAX_VALUE;
     }
-    Runnable retry = () -> read(null, mayBeStale && !isInitialReadComplete);
+    Runnable retry = retryRead(mayBeStale);
     store.read(
         afterKey,
         mayBeStale,
@@ -166,6 +167,10 @@
             retry));
   }
 
+  private Runnable retryRead(boolean mayBeStale) {
+    return () -> read(null, mayBeStale && !isInitialReadComplete);
+  }
+
   /**
    * Starts a call and returns the callback for its result. Following goes on from callbacks only,
    * so that {@code retry} runs if the handler throws.
@@ -230,12 +235,15 @@
   }
 
   private void readPage(StorePage page, boolean mayBeStale) {
-    if (readRevision < 0) {
-      readRevision = page.asOfRevision();
-    }
+    readRevision = Math.min(readRevision, page.asOfRevision());
     page.items().forEach(item -> keysInRead.add(item.key()));
     apply(page.items());
-    if (page.hasMore() && !page.items().isEmpty()) {
+    if (page.hasMore()) {
+      if (page.items().isEmpty()) {
+        // Without a last key the rest cannot be read, and would count as removed.
+        onFailure("read", "an empty page before the last one", retryRead(mayBeStale));
+        return;
+      }
       read(page.items().get(page.items().size() - 1).key(), mayBeStale);
       return;
     }
@@ -244,6 +252,8 @@
     revision = readRevision;
     if (!isInitialReadComplete) {
       isInitialReadComplete = true;
+      // The read may be stale; changes since then arrive with the first answer of the watch.
+      catchingUpUntilMillis = loop.nowMillis() + MAX_CATCH_UP_MILLIS;
       listener.onInitialReadComplete();
     }
     watch();
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerTest.java
@@ -5,8 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandler;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -20,9 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.sageladder.core.event.EventSink;
 import org.sageladder.core.time.VirtualTime;
-import org.sageladder.forward.DatagramPort;
 import org.sageladder.forward.Loop;
-import org.sageladder.forward.Transport;
 
 /** Following the store through its failures. */
 class StoreFollowerTest {
@@ -82,30 +78,6 @@
     }
   }
 
-  /** Opens nothing: the store of these tests is an object. */
-  private static final class NoNetwork implements Transport {
-    @Override
-    public ChannelFuture connect(
-        Loop loop, String host, int port, int connectTimeoutMillis, ChannelHandler handler) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public ChannelFuture listen(Loop loop, String host, int port, ChannelHandler handler) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public DatagramPort openDatagrams(
-        Loop loop,
-        String host,
-        int port,
-        DatagramPort.Receiver receiver,
-        Consumer<Throwable> failed) {
-      throw new UnsupportedOperationException();
-    }
-  }
-
   private final Loop loop = Loop.start();
   private final WatchedStore store = new WatchedStore();
   private final ZoneRecorder zoneRecorder = new ZoneRecorder();
@@ -178,6 +150,18 @@
     onLoop(() -> assertFalse(follower.isOutOfContact()));
   }
 
+  /** Requests on a route added shortly before a VM started got 404 if its first read was stale. */
+  @Test
+  void vmIsOutOfContactUntilTheChangesSinceItsFirstReadHaveArrived() throws Exception {
+    Consumer<StoreResult<StorePage>> first = nextWatch();
+    onLoop(
+        () -> {
+          assertTrue(follower.isOutOfContact());
+          first.accept(new StoreResult.Done<>(page(12)));
+          assertFalse(follower.isOutOfContact());
+        });
+  }
+
   /** Answered calls start no new watch unless one failed before, since each watch is priced. */
   @Test
   void answeredCallsStartNoWatchWithoutAFailure() throws Exception {
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
@@ -72,6 +72,13 @@
     return all;
   }
 
+  /** Troubles of reads of the store that may be stale; these are never chosen at random. */
+  public static Map<String, Trouble> staleReads() {
+    Map<String, Trouble> all = new LinkedHashMap<>();
+    StaleReadTroubles.addTo(all);
+    return all;
+  }
+
   /** The trouble with that name, or null. */
   public static @Nullable Trouble find(String name) {
     Map<String, Trouble> known = all();
@@ -81,6 +88,7 @@
     known.putAll(restartTroubles());
     known.putAll(targetCuts());
     known.putAll(plannedStops());
+    known.putAll(staleReads());
     return known.get(name);
   }
 
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/StoreModel.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/StoreModel.java
@@ -21,6 +21,8 @@
   /** Maximum number of items in a page of the platform's store. */
   public static final int MAX_PAGE_ITEMS = 500;
 
+  private static final long FIRST_REVISION = 100;
+
   /**
    * An item of the store.
    *
@@ -51,13 +53,17 @@
 
   private record Lease(long ttlMillis, long expiresAtMillis) {}
 
+  /** A change, with the time at which replicas may not have it yet. */
+  private record Write(Item item, long atMillis) {}
+
   private final LongSupplier clock;
-  private final int maxPageItems;
+  private int maxPageItems;
+  private final List<Write> writes = new ArrayList<>();
   private final NavigableMap<String, Item> items = new TreeMap<>();
   private final List<Item> history = new ArrayList<>();
   private final Map<Long, Lease> leases = new LinkedHashMap<>();
   private final List<Watch> watches = new ArrayList<>();
-  private long revision = 100;
+  private long revision = FIRST_REVISION;
   private long compactedRevision;
   private long lastLeaseId = 7_000;
   private boolean areWatchesStalled;
@@ -90,20 +96,53 @@
         .toList();
   }
 
+  /** Limits the items of a page from now on. */
+  public void limitPages(int maxItems) {
+    maxPageItems = maxItems;
+  }
+
   /** Returns a page of items whose keys start with {@code prefix} and follow {@code afterKey}. */
   public Page range(String prefix, @Nullable String afterKey) {
+    return page(items, revision, prefix, afterKey);
+  }
+
+  /** Returns such a page as a replica has it that is {@code lagMillis} behind. */
+  public Page staleRange(String prefix, @Nullable String afterKey, long lagMillis) {
+    long asOfMillis = clock.getAsLong() - lagMillis;
+    NavigableMap<String, Item> replica = new TreeMap<>();
+    long replicaRevision = FIRST_REVISION;
+    for (Write write : writes) {
+      if (write.atMillis() > asOfMillis) {
+        break;
+      }
+      Item item = write.item();
+      replicaRevision = item.revision();
+      if (item.value() == null) {
+        replica.remove(item.key());
+      } else {
+        replica.put(item.key(), item);
+      }
+    }
+    return page(replica, replicaRevision, prefix, afterKey);
+  }
+
+  private Page page(
+      NavigableMap<String, Item> from,
+      long asOfRevision,
+      String prefix,
+      @Nullable String afterKey) {
     List<Item> page = new ArrayList<>();
     boolean inclusive = afterKey == null;
-    for (Item item : items.tailMap(inclusive ? prefix : afterKey, inclusive).values()) {
+    for (Item item : from.tailMap(inclusive ? prefix : afterKey, inclusive).values()) {
       if (!item.key().startsWith(prefix)) {
         break;
       }
       if (page.size() == maxPageItems) {
-        return new Page(page, true, revision);
+        return new Page(page, true, asOfRevision);
       }
       page.add(item);
     }
-    return new Page(page, false, revision);
+    return new Page(page, false, asOfRevision);
   }
 
   /** Completes with the first changes after {@code afterRevision}, or empty after the wait. */
@@ -159,6 +198,7 @@
 
   private void recordChange(Item item) {
     history.add(item);
+    writes.add(new Write(item, clock.getAsLong()));
     if (areWatchesStalled) {
       return;
     }
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/StorePort.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/StorePort.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import org.sageladder.forward.Loop;
 
@@ -40,6 +41,7 @@
   private final Map<String, Integer> callCounts = new HashMap<>();
   private StoreFaultMode faultMode = StoreFaultMode.NONE;
   private Predicate<String> isAffected = caller -> true;
+  private LongSupplier replicaLagMillis = () -> 0;
 
   private StorePort(Loop loop, StoreModel model) {
     this.loop = loop;
@@ -70,6 +72,11 @@
     faultMode = StoreFaultMode.NONE;
   }
 
+  /** Sets how far the replica is behind that serves the next read that may be stale. */
+  public void setReplicaLag(LongSupplier lagMillis) {
+    replicaLagMillis = lagMillis;
+  }
+
   /** Returns whether a report from the target at that IP address would be accepted now. */
   public boolean acceptsReports(String ip) {
     return faultMode == StoreFaultMode.NONE
@@ -164,9 +171,15 @@
     try {
       if (path.equals("/kv-range")) {
         String afterKey = parameter(query, "after", "");
+        boolean mayBeStale = parameter(query, "stale_ok", "0").equals("1");
+        String prefix = parameter(query, "prefix", "");
+        String after = afterKey.isEmpty() ? null : afterKey;
+        long lagMillis = mayBeStale ? replicaLagMillis.getAsLong() : 0;
         return pageReply(
             "items",
-            model.range(parameter(query, "prefix", ""), afterKey.isEmpty() ? null : afterKey));
+            lagMillis == 0
+                ? model.range(prefix, after)
+                : model.staleRange(prefix, after, lagMillis));
       }
       if (path.equals("/kv-lease")) {
         return grantLease(JSON.readTree(body));
