Pipelined requests: the depth of calls no longer grows with their number

Cause: a request that ends gives the turn to the next, whose waiting answer is written and ends it, which gives the turn to the next; some 200 waiting answers overflow the event loop's stack of 256 kB. The overflow leaves the connection with nobody in turn. The bound of 16 pipelined requests was checked between reads only.

Change: one loop passes the turn; a request that ends in its turn returns to it. The requests of one read beyond the bound are held back by Netty's FlowControlHandler until reading goes on.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.handler.flow.FlowControlHandler;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -54,6 +55,7 @@
   private @Nullable ChannelHandlerContext context;
   private @Nullable Exchange receivingExchange;
   private boolean isClosing;
+  private boolean isPassingTurn;
   private boolean hasReceivedBytes;
   private boolean isLastRequestReceived;
   private boolean isClosingCounted;
@@ -94,6 +96,8 @@
           }
         },
         new HttpRequestDecoder(config),
+        // Holds back the requests of one read while reading is disabled.
+        new FlowControlHandler(),
         new HttpResponseEncoder(),
         this);
   }
@@ -244,18 +248,40 @@
 
   /** Ends the response that is due and continues with the next request. */
   void onExchangeEnded(Exchange exchange, boolean close) {
-    flush();
     exchanges.remove(exchange);
     idleSinceMillis = forwarder.loop().nowMillis();
     if (close) {
       closeAfterFlush();
       return;
     }
-    Exchange next = exchanges.peekFirst();
-    if (next != null) {
-      next.onTurn();
+    passTurn();
+  }
+
+  /**
+   * Gives the turn to the next request, and to those behind it whose responses are ready. A request
+   * that ends in its turn calls this again; the call under way goes on, so that the depth of calls
+   * does not grow with the number of requests that a caller pipelines.
+   */
+  private void passTurn() {
+    if (isPassingTurn) {
+      return;
+    }
+    isPassingTurn = true;
+    try {
+      Exchange previous = null;
+      Exchange next = exchanges.peekFirst();
+      while (next != null && next != previous && !isClosing) {
+        next.onTurn();
+        previous = next;
+        next = exchanges.peekFirst();
+      }
+    } finally {
+      isPassingTurn = false;
+    }
+    if (!isClosing) {
+      flush();
+      updateReading();
     }
-    updateReading();
   }
 
   /**
--- a/sageladder-forward/src/test/java/org/sageladder/forward/ForwardingFixture.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/ForwardingFixture.java
@@ -33,27 +33,7 @@
 
   final Loop loop = Loop.start();
   final Metrics metrics = new Metrics();
-  final Forwarder forwarder =
-      Forwarder.create(
-          loop,
-          new TestDialect(),
-          new Forwarder.Options(
-              "e-1",
-              "z",
-              "r",
-              1,
-              1.5,
-              5,
-              RETRY_RATIO,
-              100,
-              10_000,
-              1,
-              1,
-              QuotaTolerance.exact(),
-              3_000,
-              true),
-          EventSink.none(),
-          metrics);
+  final Forwarder forwarder = newForwarder(loop, metrics);
   private final List<ScriptedTarget> targets = new ArrayList<>();
   private final int port;
 
@@ -82,6 +62,30 @@
     return fixture;
   }
 
+  /** Creates a forwarder without rules and targets. */
+  static Forwarder newForwarder(Loop loop, Metrics metrics) {
+    return Forwarder.create(
+        loop,
+        new TestDialect(),
+        new Forwarder.Options(
+            "e-1",
+            "z",
+            "r",
+            1,
+            1.5,
+            5,
+            RETRY_RATIO,
+            100,
+            10_000,
+            1,
+            1,
+            QuotaTolerance.exact(),
+            3_000,
+            true),
+        EventSink.none(),
+        metrics);
+  }
+
   /** Opens a fixture without rules. */
   static ForwardingFixture withoutRules() throws Exception {
     return new ForwardingFixture();
