Responses that wait for their turn are released as their caller leaves

What callers saw: at a VM whose callers had left while answers of theirs waited, answers that targets broke off arrived as cut answers of status 200, where they had been replaced by 502 before.

Cause: a complete response that waits is held by the function that writes it. As the caller leaves, the function was dropped: the buffers stayed allocated until collected and their bytes stayed counted in ResponseMemory, beyond whose limit no response is buffered.

Change: a waiting response comes with what discards it.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -523,7 +523,8 @@
           boolean close = turn.mustClose();
           response.writeComplete(caller, head.method().equals(HttpMethod.HEAD), close);
           finish(EventKind.ANSWERED, from, "status " + response.status(), close);
-        });
+        },
+        response::release);
   }
 
   /** Receives bytes of a response and takes ownership of them. */
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -612,6 +612,11 @@
     return peerConnections;
   }
 
+  /** Bytes of responses that are buffered now. */
+  public long bufferedResponseBytes() {
+    return responseMemory.bytes();
+  }
+
   ResponseMemory responseMemory() {
     return responseMemory;
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/ResponseTurn.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseTurn.java
@@ -19,7 +19,7 @@
   private final Exchange exchange;
   private final HttpRequest head;
   private final BufferedBody body;
-  private @Nullable Runnable pendingResponse;
+  private @Nullable PendingResponse pendingResponse;
   private boolean isStreaming;
 
   ResponseTurn(
@@ -35,13 +35,24 @@
     this.body = body;
   }
 
+  /** A response that waits; {@code discard} releases what it holds if it is never written. */
+  private record PendingResponse(Runnable write, Runnable discard) {}
+
   /** Runs {@code writeResponse} now, or once it is this request's turn. */
   void run(Runnable writeResponse) {
+    run(writeResponse, () -> {});
+  }
+
+  /**
+   * Runs {@code writeResponse} now, or once it is this request's turn; {@code discard} in its place
+   * if the caller leaves before.
+   */
+  void run(Runnable writeResponse, Runnable discard) {
     if (caller.isFirst(exchange)) {
       writeResponse.run();
       return;
     }
-    pendingResponse = writeResponse;
+    pendingResponse = new PendingResponse(writeResponse, discard);
   }
 
   /** True if a response waits for its turn. */
@@ -51,17 +62,21 @@
 
   /** Drops the response that waits for its turn. */
   void drop() {
+    PendingResponse dropped = pendingResponse;
     pendingResponse = null;
+    if (dropped != null) {
+      dropped.discard().run();
+    }
   }
 
   /** Writes the response that waited for its turn; false if there is none. */
   boolean runPending() {
-    Runnable writeResponse = pendingResponse;
+    PendingResponse pending = pendingResponse;
     pendingResponse = null;
-    if (writeResponse == null) {
+    if (pending == null) {
       return false;
     }
-    writeResponse.run();
+    pending.write().run();
     return true;
   }
 
--- a/sageladder-forward/src/test/java/org/sageladder/forward/EndlessResponseTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/EndlessResponseTest.java
@@ -120,6 +120,28 @@
     }
   }
 
+  /** Guards against responses that are buffered no more since callers have left. */
+  @Test
+  void responseThatWaitsAsItsCallerLeavesIsNotCountedAnyMore() throws Exception {
+    ScriptedTarget target =
+        ScriptedTarget.of(
+            request -> {
+              if (request.path().equals("/safe/ready")) {
+                request.respond("x".repeat(20_000));
+              }
+            });
+    try (ForwardingFixture fixture = ForwardingFixture.open(target)) {
+      Caller caller = fixture.caller();
+      caller.sendGet("/safe/slow", "a");
+      caller.sendGet("/safe/ready", "b");
+      while (bufferedBytes(fixture) < 20_000) {
+        Thread.sleep(10);
+      }
+      caller.close();
+      assertEquals(0, bytesAfterClose(fixture));
+    }
+  }
+
   private static void waitForRequests(ScriptedTarget target) throws InterruptedException {
     for (int i = 0; i < 200 && target.receivedRequests.size() < MIN_RUNNING_REQUESTS; i++) {
       Thread.sleep(50);
