A request whose Connection header lists its length or host is refused

What callers saw: nothing.

Cause: headers listed in Connection are not sent on, Content-Length included, so that the body followed a head without a length.

Change: a head that lists Content-Length, Transfer-Encoding or Host in Connection gets 400 and the connection is closed; Content-Length and Host are never left out by name.

--- a/sageladder-core/src/main/java/org/sageladder/core/message/HopByHopHeaders.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/message/HopByHopHeaders.java
@@ -27,6 +27,9 @@
           "upgrade",
           "expect");
 
+  /** Headers that a message needs on each connection, even if its sender lists them. */
+  private static final Set<String> ALWAYS_FORWARDED = Set.of("content-length", "host");
+
   private final Set<String> listed;
 
   private HopByHopHeaders(Set<String> listed) {
@@ -52,6 +55,11 @@
   /** Returns whether the header with that name, in any case, is not forwarded. */
   public boolean contains(String header) {
     String name = header.toLowerCase(Locale.ROOT);
-    return STANDARD.contains(name) || listed.contains(name);
+    return STANDARD.contains(name) || (listed.contains(name) && !ALWAYS_FORWARDED.contains(name));
+  }
+
+  /** Returns whether {@code Connection} lists the header with that name, in any case. */
+  public boolean isListed(String header) {
+    return listed.contains(header.toLowerCase(Locale.ROOT));
   }
 }
--- a/sageladder-core/src/test/java/org/sageladder/core/message/HopByHopHeadersTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/message/HopByHopHeadersTest.java
@@ -20,6 +20,16 @@
     assertFalse(headers.contains("X-Third"));
   }
 
+  /** Guards against a body that is sent on without its length and taken for another request. */
+  @Test
+  void lengthAndHostAreForwardedAlthoughTheyAreListed() {
+    HopByHopHeaders headers = HopByHopHeaders.of(List.of("Content-Length, host"));
+    assertFalse(headers.contains("Content-Length"));
+    assertFalse(headers.contains("Host"));
+    assertTrue(headers.isListed("content-length"));
+    assertFalse(headers.isListed("Transfer-Encoding"));
+  }
+
   @Test
   void standardHopByHopHeadersAreRecognised() {
     HopByHopHeaders headers = HopByHopHeaders.of(List.of());
--- a/sageladder-forward/src/main/java/org/sageladder/forward/RequestHeadValidator.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/RequestHeadValidator.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Locale;
 import org.jspecify.annotations.Nullable;
+import org.sageladder.core.message.HopByHopHeaders;
 import org.sageladder.core.result.ResultCode;
 
 /**
@@ -16,6 +17,9 @@
  * served by the other.
  */
 final class RequestHeadValidator {
+  private static final List<String> FRAMING_HEADERS =
+      List.of("content-length", "transfer-encoding", "host");
+
   private RequestHeadValidator() {}
 
   /** Returns the reason for rejecting the head, or null if it is valid. */
@@ -29,12 +33,24 @@
     if (headers.getAll(HttpHeaderNames.HOST).size() != 1 || !head.uri().startsWith("/")) {
       return ResultCode.MALFORMED_REQUEST;
     }
+    if (namesFramingHeader(headers.getAll(HttpHeaderNames.CONNECTION))) {
+      return ResultCode.MALFORMED_REQUEST;
+    }
     if (requestId == null || requestId.isEmpty()) {
       return ResultCode.MALFORMED_REQUEST;
     }
     return null;
   }
 
+  /**
+   * True if {@code Connection} names a header without which a target would find another end of the
+   * request, or another host.
+   */
+  private static boolean namesFramingHeader(List<String> connectionValues) {
+    HopByHopHeaders headers = HopByHopHeaders.of(connectionValues);
+    return FRAMING_HEADERS.stream().anyMatch(headers::isListed);
+  }
+
   /** The host named by the caller, in lower case and without port. */
   static String hostName(HttpRequest head) {
     String host = head.headers().get(HttpHeaderNames.HOST);
--- a/sageladder-forward/src/test/java/org/sageladder/forward/AtMostOnceTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/AtMostOnceTest.java
@@ -169,6 +169,8 @@
       "POST /safe/1 HTTP/1.1\r\nHost: h\r\nId: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
       "POST /safe/1 HTTP/1.1\r\nHost: h\r\nId: a\r\nTransfer-Encoding: gzip\r\n\r\n",
       "POST /safe/1 HTTP/1.1\r\nHost: h\r\nId: a\r\nContent-Length: x\r\n\r\n",
+      "GET /safe/1 HTTP/1.1\r\nHost: h\r\nId: a\r\nConnection: close, HOST\r\n\r\n",
+      "GET /safe/1 HTTP/1.1\r\nHost: h\r\nId: a\r\nConnection: transfer-encoding\r\n\r\n",
       "nonsense\r\n\r\n"
     };
     try (ForwardingFixture fixture = ForwardingFixture.open(target)) {
@@ -187,6 +189,21 @@
     }
   }
 
+  /** Guards against a body without its length, which a target takes for a request of its own. */
+  @Test
+  void bodyWhoseLengthIsListedInConnectionIsRefused() throws Exception {
+    ScriptedTarget target = ScriptedTarget.of(request -> request.respond("ran"));
+    String hidden = "GET /safe/hidden HTTP/1.1\r\nHost: h\r\nId: z\r\n\r\n";
+    try (ForwardingFixture fixture = ForwardingFixture.open(target);
+        Caller caller = fixture.caller()) {
+      caller.write("POST /safe/1 HTTP/1.1\r\nHost: h\r\nId: a\r\nConnection: Content-Length\r\n");
+      caller.write("Content-Length: " + hidden.length() + "\r\n\r\n" + hidden);
+      assertEquals(400, caller.readResponse().status());
+      assertTrue(caller.isClosedByPeer());
+      assertEquals(0, target.receivedRequests.size());
+    }
+  }
+
   /**
    * A 404 means that no such route exists, which only a VM that has rules can determine; without
    * rules the result is 503.
