A request target with bytes that are not printable ASCII is refused

Cause: the decoder reads the request line as ISO 8859-1, the encoder writes it as UTF-8.

Evidence: AtMostOnceTest.ambiguousHeadsAreRefused with two more heads fails on.

Change: such a request gets 400.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/RequestHeadValidator.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/RequestHeadValidator.java
@@ -33,7 +33,8 @@
     if (headers.getAll(HttpHeaderNames.HOST).size() != 1 || !head.uri().startsWith("/")) {
       return ResultCode.MALFORMED_REQUEST;
     }
-    if (namesFramingHeader(headers.getAll(HttpHeaderNames.CONNECTION))) {
+    if (namesFramingHeader(headers.getAll(HttpHeaderNames.CONNECTION))
+        || !isPrintable(head.uri())) {
       return ResultCode.MALFORMED_REQUEST;
     }
     if (requestId == null || requestId.isEmpty()) {
@@ -51,6 +52,11 @@
     return FRAMING_HEADERS.stream().anyMatch(headers::isListed);
   }
 
+  /** Other characters would reach the target as other bytes. */
+  private static boolean isPrintable(String uri) {
+    return uri.chars().allMatch(c -> c > ' ' && c <= '~');
+  }
+
   /** The host named by the caller, in lower case and without port. */
   static String hostName(HttpRequest head) {
     String host = head.headers().get(HttpHeaderNames.HOST);
--- a/sageladder-forward/src/test/java/org/sageladder/forward/AtMostOnceTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/AtMostOnceTest.java
@@ -171,6 +171,8 @@
       "POST /safe/1 HTTP/1.1\r\nHost: h\r\nId: a\r\nContent-Length: x\r\n\r\n",
       "GET /safe/1 HTTP/1.1\r\nHost: h\r\nId: a\r\nConnection: close, HOST\r\n\r\n",
       "GET /safe/1 HTTP/1.1\r\nHost: h\r\nId: a\r\nConnection: transfer-encoding\r\n\r\n",
+      "GET /safe/\u00f5 HTTP/1.1\r\nHost: h\r\nId: a\r\n\r\n",
+      "GET /safe/\u007f HTTP/1.1\r\nHost: h\r\nId: a\r\n\r\n",
       "nonsense\r\n\r\n"
     };
     try (ForwardingFixture fixture = ForwardingFixture.open(target)) {
