An entry VM whose item was removed from the store writes it again

Cause: a write without an answer may be executed later, under a lease that has been replaced. As that lease ends the item is removed; the VM renews the new lease and never writes the item again.

Change: a VM that sees its own item removed writes it with its next renewal, unless the item is there again by then, as after a lapse of the lease that it has noticed itself.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
@@ -180,6 +180,10 @@
     } else if (content instanceof ItemContent.Entry entry) {
       pendingMemberRemovals.remove(entry.vm().name());
       entryDirectory.add(entry.vm());
+      EntryRegistration current = registration;
+      if (current != null && entry.vm().name().equals(self.name())) {
+        current.onItemPresent();
+      }
       log.record(EventKind.MEMBER_JOINED, "", "", entry.vm().name(), 0, entry.vm().address());
       schedulePublishEntries();
     }
@@ -239,6 +243,9 @@
       forwarder.onCapacityChange();
       log.record(EventKind.VIEW_CHANGED, "", "", zone.zone(), 0, "zone evacuation ended");
     } else if (previous instanceof ItemContent.Entry entry) {
+      if (entry.vm().name().equals(self.name())) {
+        rewriteRegistration();
+      }
       long graceMillis = mayBeLeaseLapse(removedTargetCount) ? LAPSE_GRACE_MILLIS : 0;
       pendingMemberRemovals.add(entry.vm().name());
       var unused = loop.schedule(graceMillis, () -> onMemberLeft(entry.vm()));
@@ -273,7 +280,7 @@
   private void rewriteRegistration() {
     EntryRegistration current = registration;
     if (current != null) {
-      current.onOverwritten();
+      current.onItemLost();
     }
   }
 
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryRegistration.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryRegistration.java
@@ -28,7 +28,7 @@
   private final long leaseMillis;
   private long leaseId;
   private boolean isStopping;
-  private boolean isOverwritten;
+  private boolean isItemLost;
 
   /** Receives the outcome of each call to the store. */
   @FunctionalInterface
@@ -97,6 +97,7 @@
   }
 
   private void writeEntry(long newLeaseId) {
+    isItemLost = false;
     self = currentSelf.get();
     store.writeEntry(
         self,
@@ -115,17 +116,24 @@
         });
   }
 
-  /** Writes the item again at the next renewal, after another writer has overwritten it. */
-  void onOverwritten() {
-    isOverwritten = true;
+  /**
+   * Writes the item again at the next renewal, after another writer has overwritten it, or after it
+   * was removed: a write that the store executed late may have attached it to an earlier lease.
+   */
+  void onItemLost() {
+    isItemLost = true;
+  }
+
+  /** The store has the item, as after a write that followed its removal. */
+  void onItemPresent() {
+    isItemLost = false;
   }
 
   private void renewLease() {
     if (isStopping) {
       return;
     }
-    if (isOverwritten || !self.equals(currentSelf.get())) {
-      isOverwritten = false;
+    if (isItemLost || !self.equals(currentSelf.get())) {
       writeEntry(leaseId);
       return;
     }
