Responses are held for callers that read slowly within a limit

Cause: a response that is written to a caller's channel left the count of buffered bytes, although it stays in the heap until the kernel takes it, and nothing asked whether the caller reads before the next response was written and the next request started.

Change: bytes count until the kernel has them. A response is due, and a further request read, only once the caller has read enough of those before. With a quarter of the heap held, the connection whose caller has read nothing for longest is closed, and any after the operator's idle timeout.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/BufferedResponse.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/BufferedResponse.java
@@ -1,7 +1,6 @@
 package org.sageladder.forward;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -88,7 +87,7 @@
 
   private void writeParts(CallerConnection caller) {
     for (ByteBuf part : parts) {
-      caller.write(new DefaultHttpContent(part));
+      caller.writeBody(part);
     }
     clearParts();
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObject;
@@ -45,6 +46,8 @@
 
   private static final int MAX_CHUNK_BYTES = 32 << 10;
 
+  private static final long NEVER = Long.MAX_VALUE;
+
   /** Time for the first request of a new connection to arrive, from callers in any region. */
   private static final long FIRST_REQUEST_MILLIS = 300;
 
@@ -63,6 +66,7 @@
   private long discardedBytes;
   private long headStartedAtMillis;
   private long idleSinceMillis;
+  private long unreadSinceMillis = NEVER;
 
   /**
    * Creates the handler of a new connection.
@@ -189,9 +193,11 @@
     }
   }
 
+  /** False while a body has no room, or a further request would add to unread responses. */
   private boolean canReadMore() {
+    Exchange receiving = receivingExchange;
     return exchanges.size() < MAX_PIPELINED_REQUESTS
-        && (receivingExchange == null || receivingExchange.acceptsMoreBody());
+        && (receiving == null ? isWritable() : receiving.acceptsMoreBody());
   }
 
   /** Updates whether more bytes are read from the caller. */
@@ -219,9 +225,12 @@
     exchange.refuseAndClose(code);
   }
 
-  /** True if the response of {@code exchange} may be written now. */
-  boolean isFirst(Exchange exchange) {
-    return exchanges.peekFirst() == exchange;
+  /**
+   * True if the response of {@code exchange} may be written now: those before it are written, and
+   * the caller has read enough of them.
+   */
+  boolean isDue(Exchange exchange) {
+    return exchanges.peekFirst() == exchange && isWritable();
   }
 
   /**
@@ -242,6 +251,15 @@
     var unused = context().write(part);
   }
 
+  /** Writes bytes of a response's body, which count as buffered until the kernel has them. */
+  void writeBody(ByteBuf bytes) {
+    ResponseMemory memory = forwarder.responseMemory();
+    int count = bytes.readableBytes();
+    memory.add(count);
+    var unused =
+        context().write(new DefaultHttpContent(bytes)).addListener(done -> memory.remove(count));
+  }
+
   void flush() {
     context().flush();
   }
@@ -270,7 +288,7 @@
     try {
       Exchange previous = null;
       Exchange next = exchanges.peekFirst();
-      while (next != null && next != previous && !isClosing) {
+      while (next != null && next != previous && !isClosing && isWritable()) {
         next.onTurn();
         previous = next;
         next = exchanges.peekFirst();
@@ -318,6 +336,13 @@
     var unusedTimer = forwarder.loop().schedule(LINGER_MILLIS, () -> Sockets.close(context()));
   }
 
+  /** Closes the connection of a caller that does not read its responses. */
+  void closeSlowReader() {
+    forwarder.metrics().count("slow_readers_closed");
+    forwarder.logCallerFailure("closed", "its responses were not read");
+    closeNow();
+  }
+
   /** Closes the connection at once, so that a partial response does not look complete. */
   void closeNow() {
     isClosing = true;
@@ -326,12 +351,23 @@
 
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-    Exchange first = exchanges.peekFirst();
-    if (first != null && ctx.channel().isWritable()) {
-      first.onCallerWritable();
+    if (ctx.channel().isWritable()) {
+      unreadSinceMillis = NEVER;
+      passTurn();
+      return;
+    }
+    unreadSinceMillis = forwarder.loop().nowMillis();
+    updateReading();
+    if (forwarder.responseMemory().isExhausted()) {
+      connections.closeSlowestReader();
     }
   }
 
+  /** When the caller ceased to read what was written; the maximum if it reads. */
+  long unreadSinceMillis() {
+    return unreadSinceMillis;
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     if (isClosingCounted) {
@@ -357,6 +393,10 @@
    * Closes the connection if a request head takes too long or the connection is idle for too long.
    */
   void sweep(long now, CallerLimits limits) {
+    if (unreadSinceMillis != NEVER && now - unreadSinceMillis > limits.idleTimeoutMillis()) {
+      closeSlowReader();
+      return;
+    }
     if (isClosing) {
       closeUnread(now, limits);
       return;
--- a/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnections.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnections.java
@@ -1,5 +1,6 @@
 package org.sageladder.forward;
 
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -71,6 +72,14 @@
     return closingCount + " connections closing, " + receivingCount + " receiving";
   }
 
+  /** Closes the connection whose caller has read nothing for longest. */
+  void closeSlowestReader() {
+    open.stream()
+        .filter(connection -> connection.unreadSinceMillis() != Long.MAX_VALUE)
+        .min(Comparator.comparingLong(CallerConnection::unreadSinceMillis))
+        .ifPresent(CallerConnection::closeSlowReader);
+  }
+
   void closeIdle() {
     forEach(CallerConnection::closeIfIdle);
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/ResponseMemory.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseMemory.java
@@ -1,13 +1,17 @@
 package org.sageladder.forward;
 
 /**
- * Bytes of all responses that are buffered in memory, so that many large or endless responses at
- * once do not use up the heap.
+ * Bytes of all responses that are held in memory, from their arrival until the kernel has them for
+ * the caller, so that many large or endless responses, or callers that read slowly, do not use up
+ * the heap.
  */
 final class ResponseMemory {
   /** An eighth of the heap with which entry VMs run. */
   private static final long MAX_BYTES = 8 << 20;
 
+  /** A quarter of that heap, which responses reach that are no longer buffered but streamed. */
+  private static final long EXHAUSTED_BYTES = 16 << 20;
+
   private long bytes;
 
   /** Counts bytes that are buffered from now on. */
@@ -25,6 +29,11 @@
     return bytes >= MAX_BYTES;
   }
 
+  /** True if callers that do not read have to be disconnected. */
+  boolean isExhausted() {
+    return bytes >= EXHAUSTED_BYTES;
+  }
+
   long bytes() {
     return bytes;
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/ResponseTurn.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseTurn.java
@@ -1,7 +1,6 @@
 package org.sageladder.forward;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import org.jspecify.annotations.Nullable;
@@ -48,7 +47,7 @@
    * if the caller leaves before.
    */
   void run(Runnable writeResponse, Runnable discard) {
-    if (caller.isFirst(exchange)) {
+    if (caller.isDue(exchange)) {
       writeResponse.run();
       return;
     }
@@ -88,7 +87,7 @@
   /** Buffers bytes of the response, or writes them if it is large; takes ownership of them. */
   void receive(Attempt from, BufferedResponse response, ByteBuf bytes) {
     if (isStreaming) {
-      caller.write(new DefaultHttpContent(bytes));
+      caller.writeBody(bytes);
       caller.flush();
       from.setReading(caller.isWritable());
       return;
@@ -97,7 +96,7 @@
     if (response.receivedBytes() <= MAX_BUFFERED_BYTES && !forwarder.responseMemory().isFull()) {
       return;
     }
-    if (!caller.isFirst(exchange)) {
+    if (!caller.isDue(exchange)) {
       from.setReading(false);
       return;
     }
--- /dev/null
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/SlowReaderTest.java
@@ -0,0 +1,68 @@
+package org.sageladder.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.sageladder.forward.ForwardingFixture.Caller;
+
+/** Guards against a heap used up by responses that callers read slowly or not at all. */
+class SlowReaderTest {
+  /** Together more than the kernel and the limit of pipelined requests take. */
+  private static final int REQUESTS = 200;
+
+  /** Few enough that a response is buffered until it is complete. */
+  private static final int RESPONSE_BYTES = 200_000;
+
+  /** More than the pipelined requests in flight have; their responses wait. */
+  private static final long MAX_HELD_BYTES = 8 << 20;
+
+  private static long heldBytes(ForwardingFixture fixture) throws Exception {
+    long[] bytes = new long[1];
+    fixture.onLoop(() -> bytes[0] = fixture.forwarder.bufferedResponseBytes());
+    return bytes[0];
+  }
+
+  @Test
+  void requestsAreHeldBackUntilTheCallerReads() throws Exception {
+    ScriptedTarget target =
+        ScriptedTarget.of(request -> request.respond(request.path() + "x".repeat(RESPONSE_BYTES)));
+    try (ForwardingFixture fixture = ForwardingFixture.open(target);
+        Caller slow = fixture.caller();
+        Caller other = fixture.caller()) {
+      for (int i = 0; i < REQUESTS; i++) {
+        slow.sendGet("/safe/" + i, "s-" + i);
+      }
+      for (int i = 0; i < 30; i++) {
+        Thread.sleep(50);
+        assertTrue(heldBytes(fixture) < MAX_HELD_BYTES);
+        assertEquals(200, other.exchange("/safe/other", "o-" + i).status());
+      }
+      long started =
+          target.receivedRequests.stream().filter(each -> !each.path().endsWith("other")).count();
+      assertTrue(started < REQUESTS, started + " requests were started");
+      for (int i = 0; i < REQUESTS; i++) {
+        assertTrue(slow.readResponse().body().startsWith("/safe/" + i + "x"));
+      }
+    }
+  }
+
+  @Test
+  void bytesOfACallerThatLeavesAreNotCountedAnyMore() throws Exception {
+    ScriptedTarget target =
+        ScriptedTarget.of(request -> request.respond("x".repeat(RESPONSE_BYTES)));
+    try (ForwardingFixture fixture = ForwardingFixture.open(target)) {
+      Caller slow = fixture.caller();
+      for (int i = 0; i < REQUESTS; i++) {
+        slow.sendGet("/safe/" + i, "s-" + i);
+      }
+      while (heldBytes(fixture) == 0) {
+        Thread.sleep(10);
+      }
+      slow.close();
+      while (heldBytes(fixture) > 0) {
+        Thread.sleep(10);
+      }
+    }
+  }
+}
