TargetServerTest: a restarted target is awaited by its incarnation

Cause: a crash closes the caller's connection before the port. The wait for a port that accepts connections could reach the one that is about to close; the request after it met a closed port.

Change: both tests of a restart wait until requests are answered by the next incarnation.

--- a/sageladder-standin/src/test/java/org/sageladder/standin/target/TargetServerTest.java
+++ b/sageladder-standin/src/test/java/org/sageladder/standin/target/TargetServerTest.java
@@ -218,8 +218,7 @@
           ConnectException.class,
           () -> new Socket(InetAddress.getLoopbackAddress(), target.port()).close());
       target.restart();
-      await(() -> canConnect(target));
-      assertTrue(text(target, "/load").contains("\"incarnation\":3"));
+      await(() -> isIncarnation(target, 3));
       assertEquals(1, target.executions().count("2"));
       assertEquals(0, target.busySlotCount());
     }
@@ -229,16 +228,18 @@
   void crashedTargetRestartsAsTheNextIncarnation() throws Exception {
     try (TargetServer target = TargetServer.start(options().crashMillis(20))) {
       assertThrows(IOException.class, () -> send(to(target, "/x?work=1&crash=1")));
-      await(() -> canConnect(target));
-      assertTrue(text(target, "/load").contains("\"incarnation\":2"));
+      await(() -> isIncarnation(target, 2));
     }
   }
 
-  private static boolean canConnect(TargetServer target) {
-    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), target.port())) {
-      return socket.isConnected();
+  /** True once requests reach that incarnation; a port that is about to close may still accept. */
+  private boolean isIncarnation(TargetServer target, int number) {
+    try {
+      return text(target, "/load").contains("\"incarnation\":" + number);
     } catch (IOException e) {
       return false;
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
     }
   }
 
