Slow readers: only callers that read nothing for the idle timeout are closed

What callers would see: a caller that reads 250 kB in 20 s was taken for one that reads nothing, since the time counted from when much was unread until little was.

Change: the time begins anew with each part that the kernel takes. A connection that is closed so does not count any more, so that the next one is closed if memory is still short.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
@@ -257,7 +257,19 @@
     int count = bytes.readableBytes();
     memory.add(count);
     var unused =
-        context().write(new DefaultHttpContent(bytes)).addListener(done -> memory.remove(count));
+        context()
+            .write(new DefaultHttpContent(bytes))
+            .addListener(
+                done -> {
+                  memory.remove(count);
+                  recordReadByCaller();
+                });
+  }
+
+  private void recordReadByCaller() {
+    if (unreadSinceMillis != NEVER) {
+      unreadSinceMillis = forwarder.loop().nowMillis();
+    }
   }
 
   void flush() {
@@ -340,6 +352,7 @@
   void closeSlowReader() {
     forwarder.metrics().count("slow_readers_closed");
     forwarder.logCallerFailure("closed", "its responses were not read");
+    unreadSinceMillis = NEVER;
     closeNow();
   }
 
@@ -363,7 +376,7 @@
     }
   }
 
-  /** When the caller ceased to read what was written; the maximum if it reads. */
+  /** When the caller last read anything while much was unread; the maximum if little is. */
   long unreadSinceMillis() {
     return unreadSinceMillis;
   }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/EndlessResponseTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/EndlessResponseTest.java
@@ -134,7 +134,7 @@
       Caller caller = fixture.caller();
       caller.sendGet("/safe/slow", "a");
       caller.sendGet("/safe/ready", "b");
-      while (bufferedBytes(fixture) < 20_000) {
+      for (int i = 0; i < 6_000 && bufferedBytes(fixture) < 20_000; i++) {
         Thread.sleep(10);
       }
       caller.close();
--- a/sageladder-forward/src/test/java/org/sageladder/forward/ForwardingFixture.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/ForwardingFixture.java
@@ -157,6 +157,11 @@
   }
 
   static RoutingRules rules(long version) {
+    return rules(version, LIMITS);
+  }
+
+  /** The same rules with other limits for callers. */
+  static RoutingRules rules(long version, CallerLimits limits) {
     return RoutingRules.of(
         version,
         List.of(
@@ -164,7 +169,7 @@
             route("/once/", false, 60_000),
             route("/hasty/", true, 300)),
         List.of(new ServiceRule("s", 100, 0, 0)),
-        LIMITS);
+        limits);
   }
 
   /**
--- a/sageladder-forward/src/test/java/org/sageladder/forward/SlowReaderTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/SlowReaderTest.java
@@ -3,10 +3,14 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.sageladder.core.routing.CallerLimits;
 import org.sageladder.forward.ForwardingFixture.Caller;
 
 /** Guards against a heap used up by responses that callers read slowly or not at all. */
+@Timeout(value = 5, unit = TimeUnit.MINUTES)
 class SlowReaderTest {
   /** Together more than the kernel and the limit of pipelined requests take. */
   private static final int REQUESTS = 200;
@@ -47,6 +51,28 @@
     }
   }
 
+  @Test
+  void callerThatReadsNothingIsDisconnected() throws Exception {
+    ScriptedTarget target =
+        ScriptedTarget.of(request -> request.respond("x".repeat(RESPONSE_BYTES)));
+    try (ForwardingFixture fixture = ForwardingFixture.open(target);
+        Caller slow = fixture.caller()) {
+      CallerLimits hasty = new CallerLimits(2_048, 1 << 20, 60_000, 300);
+      fixture.onLoop(() -> fixture.forwarder.applyRules(ForwardingFixture.rules(2, hasty)));
+      for (int i = 0; i < REQUESTS; i++) {
+        slow.sendGet("/safe/" + i, "s-" + i);
+      }
+      String[] text = {""};
+      while (!text[0].contains("slow_readers_closed 1")) {
+        Thread.sleep(10);
+        fixture.onLoop(() -> text[0] = fixture.metrics.text());
+      }
+      while (heldBytes(fixture) > 0) {
+        Thread.sleep(10);
+      }
+    }
+  }
+
   @Test
   void bytesOfACallerThatLeavesAreNotCountedAnyMore() throws Exception {
     ScriptedTarget target =
