Exchange: deadline, 100 Continue and refusals of peers in fewer lines

The time that a request has is computed by RequestDeadline, 100 Continue is written by CallerConnection, and one method takes both ends of an attempt at another VM. No behaviour changes.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
@@ -1,11 +1,13 @@
 package org.sageladder.forward;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -13,7 +15,9 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
@@ -251,6 +255,14 @@
     var unused = context().write(part);
   }
 
+  /** Asks the caller to send the body of its request. */
+  void writeContinue() {
+    write(
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+    flush();
+  }
+
   /** Writes bytes of a response's body, which count as buffered until the kernel has them. */
   void writeBody(ByteBuf bytes) {
     ResponseMemory memory = forwarder.responseMemory();
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -1,13 +1,10 @@
 package org.sageladder.forward;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Optional;
@@ -29,11 +26,8 @@
  * can have run the request.
  */
 final class Exchange {
-  /** A response is sent this long before the caller's deadline, to arrive in time. */
-  private static final long RESPONSE_MARGIN_MILLIS = 20;
-
   /** An entry VM receives its first rules, or newer ones, within about this time. */
-  private static final long NO_RULES_RETRY_AFTER_MILLIS = 500;
+  static final long NO_RULES_RETRY_AFTER_MILLIS = 500;
 
   /** Retry delay of requests that would be refused again in any case. */
   private static final long NO_RETRY_AFTER = -1;
@@ -214,11 +208,7 @@
       service = forwarder.nextService(matchedRule);
     }
     long callerMillis = forwarder.dialect().deadlineMillis(head.headers());
-    long timeoutMillis = matchedRule.timeoutMillis();
-    if (callerMillis >= 0) {
-      timeoutMillis = Math.min(timeoutMillis, Math.max(0, callerMillis - RESPONSE_MARGIN_MILLIS));
-    }
-    deadline.start(timeoutMillis, this::onDeadline);
+    deadline.start(matchedRule.timeoutMillis(), callerMillis, this::onDeadline);
     String key = forwarder.dialect().objectKey(head.headers());
     objectHash = RequestFingerprint.objectHash(matchedRule, key == null ? requestId : key);
     if (!caller.isPeer()) {
@@ -230,10 +220,7 @@
       return;
     }
     if (HttpUtil.is100ContinueExpected(head)) {
-      caller.write(
-          new DefaultFullHttpResponse(
-              HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
-      caller.flush();
+      caller.writeContinue();
     }
   }
 
@@ -365,22 +352,15 @@
     endWithoutResponse(ResultCode.STOPPING, Shutdown.RETRY_AFTER_MILLIS, Shutdown.REFUSAL_REASON);
   }
 
-  /** Called if another entry VM cannot be reached; nothing of the request was sent. */
-  void onPeerUnreachable(PeerAttempt failed, String cause) {
-    attempt = null;
-    logAttempt(EventKind.RETRIED, failed, cause);
-    placeAgain(0);
-  }
-
   /**
-   * Called if another entry VM cannot serve the request itself, which has not run there.
+   * Called if another entry VM cannot be reached or cannot serve the request, which has not run.
    *
-   * @param hasOlderRules true if that VM can serve it once it has received newer rules
+   * @param retryAfterMillis time for the caller to wait if the request cannot be sent elsewhere
    */
-  void onPeerUnavailable(PeerAttempt refused, ResultCode code, boolean hasOlderRules) {
+  void onPeerUnavailable(PeerAttempt failed, String cause, long retryAfterMillis) {
     attempt = null;
-    logAttempt(EventKind.RETRIED, refused, code.name());
-    placeAgain(hasOlderRules ? NO_RULES_RETRY_AFTER_MILLIS : 0);
+    logAttempt(EventKind.RETRIED, failed, cause);
+    placeAgain(retryAfterMillis);
   }
 
   /** Called if another entry VM refused the request, which has not run there. */
--- a/sageladder-forward/src/main/java/org/sageladder/forward/PeerAttempt.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/PeerAttempt.java
@@ -70,7 +70,7 @@
     }
     detach();
     forwarder().relayPeers().recordUnreachable(peer, forwarder().loop().nowMillis());
-    exchange().onPeerUnreachable(this, cause);
+    exchange().onPeerUnavailable(this, cause, 0);
   }
 
   @Override
@@ -149,7 +149,9 @@
       if (cannotServe) {
         forwarder().relayPeers().recordRefusal(peer, forwarder().loop().nowMillis());
       }
-      exchange().onPeerUnavailable(this, code, !cannotServe);
+      // Otherwise the VM has older rules, and can serve the request once it has newer ones.
+      long retryAfterMillis = cannotServe ? 0 : Exchange.NO_RULES_RETRY_AFTER_MILLIS;
+      exchange().onPeerUnavailable(this, code.name(), retryAfterMillis);
       return;
     }
     // A request that was quarantined after it may have run has another status than the code's own.
--- a/sageladder-forward/src/main/java/org/sageladder/forward/RequestDeadline.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/RequestDeadline.java
@@ -10,6 +10,9 @@
   private static final double MIN_RETRY_AFTER_FACTOR = 0.75;
   private static final double MAX_RETRY_AFTER_FACTOR = 1 + MIN_RETRY_AFTER_FACTOR;
 
+  /** A response is sent this long before the caller's deadline, to arrive in time. */
+  private static final long RESPONSE_MARGIN_MILLIS = 20;
+
   private final Loop loop;
   private long atMillis = Long.MAX_VALUE;
   private Loop.@Nullable Timer timer;
@@ -18,8 +21,17 @@
     this.loop = loop;
   }
 
-  /** Runs {@code onExpired} after {@code millis}, unless the deadline is cancelled before. */
-  void start(long millis, Runnable onExpired) {
+  /**
+   * Starts the time that a request has, by its route and its caller; {@code onExpired} runs at its
+   * end, unless the deadline is cancelled before.
+   *
+   * @param callerMillis how long the caller waits, or a negative number if it does not say
+   */
+  void start(long routeMillis, long callerMillis, Runnable onExpired) {
+    long millis = routeMillis;
+    if (callerMillis >= 0) {
+      millis = Math.min(millis, Math.max(0, callerMillis - RESPONSE_MARGIN_MILLIS));
+    }
     atMillis = loop.nowMillis() + millis;
     timer = loop.schedule(millis, onExpired);
   }
