--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/StoreTroubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/StoreTroubles.java
@@ -36,6 +36,9 @@
               + "\"config_version\":\"v1\",\"slots\":3,\"state\":\"ready\","
               + "\"cold_left\":\"0ms\",\"sequence\":1}");
 
+  /** Objects in objects, deeper than calls on the stack of an entry VM can be. */
+  private static final String NESTED_ENTRY = "{\"a\":".repeat(3_000);
+
   private static final List<StoreFaultMode> REFUSAL_MODES =
       List.of(
           StoreFaultMode.BUSY,
@@ -99,6 +102,7 @@
       String text = FOREIGN_ENTRIES.get((i + random.nextInt(2)) % FOREIGN_ENTRIES.size());
       put(fleet, "servers/other-" + i, PlatformTexts.base64(text));
     }
+    put(fleet, "servers/other-nested", PlatformTexts.base64(NESTED_ENTRY));
     String key = "servers/" + fleet.runningTargets().get(0).process().facts().id();
     StoreModel.Item original = fleet.store().find(key);
     String value = original == null ? null : original.value();
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
@@ -79,6 +79,13 @@
     return all;
   }
 
+  /** Troubles of requests with large bodies; these are never chosen at random. */
+  public static Map<String, Trouble> largeBodies() {
+    Map<String, Trouble> all = new LinkedHashMap<>();
+    LargeBodyTroubles.addTo(all);
+    return all;
+  }
+
   /** The trouble with that name, or null. */
   public static @Nullable Trouble find(String name) {
     Map<String, Trouble> known = all();
@@ -89,6 +96,7 @@
     known.putAll(targetCuts());
     known.putAll(plannedStops());
     known.putAll(staleReads());
+    known.putAll(largeBodies());
     return known.get(name);
   }
 
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/CallersStandIn.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/CallersStandIn.java
@@ -59,6 +59,13 @@
     Ledger.@Nullable Credential drawCredential(Random random);
   }
 
+  private static final int DEFAULT_BODY_BYTES = 200;
+
+  /** Longer bodies are sent in chunks of this length. */
+  private static final int CHUNK_LENGTH = 32 << 10;
+
+  private static final long CHUNK_PAUSE_MILLIS = 4;
+
   private final class Request {
     final RequestProfile profile;
     final Ledger.@Nullable Credential credential =
@@ -84,7 +91,7 @@
       this.profile = profile;
       this.startedAtMillis = loop.nowMillis();
       this.object = object;
-      this.body = profile.idempotent() ? "" : "body of " + object + ' ' + "x".repeat(200);
+      this.body = profile.idempotent() ? "" : "body of " + object + ' ' + "x".repeat(bodyBytes);
       this.remainingRetries = remainingRetries;
       this.completion = completion;
     }
@@ -94,6 +101,7 @@
     }
   }
 
+  private int bodyBytes = DEFAULT_BODY_BYTES;
   private final Loop loop;
   private final Location location;
   private final Ledger ledger;
@@ -169,6 +177,11 @@
     credentialSource = source;
   }
 
+  /** Sets the approximate length of the bodies of new requests that must not run twice. */
+  public void setBodyBytes(int bytes) {
+    bodyBytes = bytes;
+  }
+
   /** Stops sending new requests; requests in flight and their retries continue. */
   public void stop() {
     isSending = false;
@@ -369,12 +382,28 @@
             host(address),
             loop.nowMillis(),
             request.remainingMillis()));
-    connection.send(
-        request.profile.idempotent() ? "GET" : "POST",
-        path,
-        headers,
-        request.body,
-        reply -> onReply(request, address, connection, id, reply));
+    Consumer<CallerConnection.Reply> onReply =
+        reply -> onReply(request, address, connection, id, reply);
+    if (request.body.length() > CHUNK_LENGTH) {
+      connection.sendPieces(chunkedPost(path, headers, request.body), CHUNK_PAUSE_MILLIS, onReply);
+      return;
+    }
+    String method = request.profile.idempotent() ? "GET" : "POST";
+    connection.send(method, path, headers, request.body, onReply);
+  }
+
+  /** The request's head and then its body in chunks. */
+  private static List<String> chunkedPost(String path, Map<String, String> headers, String body) {
+    StringBuilder head = new StringBuilder("POST " + path + " HTTP/1.1\r\n");
+    headers.forEach((name, value) -> head.append(name + ": " + value + "\r\n"));
+    List<String> pieces = new ArrayList<>();
+    pieces.add(head + "Transfer-Encoding: chunked\r\n\r\n");
+    for (int from = 0; from < body.length(); from += CHUNK_LENGTH) {
+      String chunk = body.substring(from, Math.min(body.length(), from + CHUNK_LENGTH));
+      pieces.add(Integer.toHexString(chunk.length()) + "\r\n" + chunk + "\r\n");
+    }
+    pieces.add("0\r\n\r\n");
+    return pieces;
   }
 
   private void onReply(
