Real processes: targets leave, routes change, entries of other writers, a store that forgets

An excuse for a fault of the store ends with the fault, no longer with the run. A heartbeat that changes nothing is no change of a target's entry.

--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/EntryVmProcess.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/EntryVmProcess.java
@@ -35,26 +35,42 @@
 
   private final String name;
   private final List<String> command;
+  private final Path checkout;
   private final Path settings;
   private final Path log;
   private Process process;
   private boolean isTerminated;
 
-  private EntryVmProcess(String name, List<String> command, Path settings, Path log) {
+  private EntryVmProcess(
+      String name, List<String> command, Path checkout, Path settings, Path log) {
     this.name = name;
     this.command = command;
+    this.checkout = checkout;
     this.settings = settings;
     this.log = log;
   }
 
-  /** Writes the settings; the process is not started yet. Its output is appended to its log. */
-  static EntryVmProcess create(String name, List<String> command, String settingsText, Path folder)
+  /**
+   * Writes the settings; the process is not started yet. Its output is appended to its log.
+   *
+   * @param program command line of an entry VM and the folder in which it is started
+   * @param folder receives the settings and the log
+   */
+  static EntryVmProcess create(String name, Program program, String settingsText, Path folder)
       throws IOException {
-    Path settings = folder.resolve(name + ".toml");
+    Path settings = folder.resolve(name + ".toml").toAbsolutePath();
     Files.writeString(settings, settingsText);
-    return new EntryVmProcess(name, command, settings, folder.resolve(name + ".jsonl"));
+    Path log = folder.resolve(name + ".jsonl");
+    return new EntryVmProcess(name, program.command(), program.checkout(), settings, log);
   }
 
+  /**
+   * The program of an entry VM.
+   *
+   * @param checkout folder in which it is started; relative paths of {@code command} begin here
+   */
+  record Program(List<String> command, Path checkout) {}
+
   private static void killAll() {
     STARTED.forEach(Process::destroyForcibly);
   }
@@ -66,6 +82,7 @@
   /** Starts the process, also again after it has ended. */
   void start() throws IOException {
     ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+    builder.directory(checkout.toFile());
     builder.environment().put(SETTINGS_VARIABLE, settings.toString());
     isTerminated = false;
     process = builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/FaultInjector.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/FaultInjector.java
@@ -85,27 +85,37 @@
 
   private void schedule(FaultSeries series) {
     for (long at = series.fromMillis(); at < series.toMillis(); at += series.everyMillis()) {
-      steps.add(new Step(at, () -> inject(series.kind())));
+      steps.add(new Step(at, () -> inject(series)));
     }
     steps.add(new Step(series.toMillis(), () -> end(series.kind())));
   }
 
-  private void inject(FaultSeries.Kind kind) throws IOException, InterruptedException {
-    switch (kind) {
+  private void inject(FaultSeries series) throws IOException, InterruptedException {
+    switch (series.kind()) {
       case KILL_ONE -> kill(1);
       case KILL_HALF -> kill(fleet.entryVms().size() / 2);
       case KILL_ALL -> kill(fleet.entryVms().size());
       case STOP_ONE -> stopOne();
       case TERMINATE_ONE -> terminateOne();
       case HANG_UP_ONE -> hangUpOne();
-      case CONFIGURE -> fleet.configure();
+      case CONFIGURE -> fleet.runOnLoop(fleet.changes()::configure);
+      case CHANGE_ROUTES -> fleet.runOnLoop(fleet.changes()::changeRoutes);
+      case REPLACE_TARGET -> fleet.runOnLoop(() -> fleet.changes().replaceTarget(true));
+      case REMOVE_TARGET -> fleet.runOnLoop(() -> fleet.changes().replaceTarget(false));
+      case EVACUATE_ZONE -> fleet.runOnLoop(fleet.changes()::evacuateZone);
+      case WRITE_FOREIGN_ENTRY -> fleet.runOnLoop(fleet.changes()::writeForeignEntry);
+      case WRITE_LONG_ENTRIES -> fleet.runOnLoop(fleet.changes()::writeLongEntries);
+      case FORGET_HISTORY -> forgetHistory();
+      case DROP_WATCHES -> dropWatches();
       case OCCUPY_PROCESSORS -> occupyProcessors();
       case CRASH_TARGETS -> crashTargets();
       case FAIL_REQUESTS -> setFault(TargetStandIn.Fault.FAILS);
       case LOSE_ANSWERS -> setFault(TargetStandIn.Fault.LOSES_ANSWER);
-      case SILENCE_STORE -> setStoreFault(StoreFaultMode.SILENT);
-      case REFUSE_AT_STORE -> setStoreFault(StoreFaultMode.BUSY);
-      default -> throw new IllegalArgumentException("unknown fault " + kind);
+      case SILENCE_STORE -> setStoreFault(StoreFaultMode.SILENT, series);
+      case REFUSE_AT_STORE -> setStoreFault(StoreFaultMode.BUSY, series);
+      case SLOW_STORE -> setStoreFault(StoreFaultMode.SLOW, series);
+      case LOSE_STORE_ANSWERS -> setStoreFault(StoreFaultMode.LOSES_ANSWERS, series);
+      default -> throw new IllegalArgumentException("unknown fault " + series.kind());
     }
   }
 
@@ -114,7 +124,9 @@
       case STOP_ONE -> continueStopped();
       case OCCUPY_PROCESSORS -> busyProcesses.close();
       case FAIL_REQUESTS, LOSE_ANSWERS -> setFault(TargetStandIn.Fault.NONE);
-      case SILENCE_STORE, REFUSE_AT_STORE -> setStoreFault(StoreFaultMode.NONE);
+      case SILENCE_STORE, REFUSE_AT_STORE, SLOW_STORE, LOSE_STORE_ANSWERS ->
+          fleet.runOnLoop(() -> fleet.storePort().clearFault());
+      case EVACUATE_ZONE -> fleet.runOnLoop(fleet.changes()::endEvacuation);
       default -> {}
     }
   }
@@ -209,11 +221,21 @@
     fleet.runOnLoop(() -> fleet.targets().forEach(target -> target.process().setFault(fault, 1)));
   }
 
-  private void setStoreFault(StoreFaultMode mode) {
-    fleet.recordTrouble(trafficMillis - elapsedMillis());
+  private void setStoreFault(StoreFaultMode mode, FaultSeries series) {
+    fleet.recordTrouble(Math.max(0, series.toMillis() - elapsedMillis()));
     fleet.runOnLoop(() -> fleet.storePort().setFault(mode, caller -> true));
   }
 
+  private void forgetHistory() {
+    fleet.recordTrouble(PlatformChanges.WATCH_SILENCE_MILLIS);
+    fleet.runOnLoop(fleet.changes()::forgetHistory);
+  }
+
+  private void dropWatches() {
+    fleet.recordTrouble(0);
+    fleet.runOnLoop(fleet.storePort()::dropWatches);
+  }
+
   private void restartEnded() {
     for (EntryVmProcess vm : fleet.entryVms()) {
       if (!vm.isAlive() && !restarting.contains(vm)) {
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/FaultSeries.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/FaultSeries.java
@@ -24,11 +24,47 @@
   private static final int RANDOM_EVERY_RANGE_MILLIS = 4_000;
   private static final long MIN_STOP_EVERY_MILLIS = 600;
   private static final int STOP_EVERY_RANGE_MILLIS = 2_000;
+  private static final long MIN_CHANGE_EVERY_MILLIS = 1_500;
+  private static final int CHANGE_EVERY_RANGE_MILLIS = 4_000;
 
   /** What is no disturbance: requests must survive all of these. */
   private static final List<Kind> PLANNED_KINDS =
       List.of(Kind.TERMINATE_ONE, Kind.HANG_UP_ONE, Kind.CONFIGURE, Kind.OCCUPY_PROCESSORS);
 
+  /** What {@link #random} draws from; the order decides what a seed draws. */
+  private static final List<Kind> FAULT_KINDS =
+      List.of(
+          Kind.KILL_ONE,
+          Kind.KILL_HALF,
+          Kind.KILL_ALL,
+          Kind.STOP_ONE,
+          Kind.TERMINATE_ONE,
+          Kind.HANG_UP_ONE,
+          Kind.CONFIGURE,
+          Kind.OCCUPY_PROCESSORS,
+          Kind.CRASH_TARGETS,
+          Kind.FAIL_REQUESTS,
+          Kind.LOSE_ANSWERS,
+          Kind.SILENCE_STORE,
+          Kind.REFUSE_AT_STORE);
+
+  /** What {@link #randomChanges} draws from besides planned work. */
+  private static final List<Kind> CHANGE_KINDS =
+      List.of(
+          Kind.CHANGE_ROUTES,
+          Kind.REPLACE_TARGET,
+          Kind.REMOVE_TARGET,
+          Kind.EVACUATE_ZONE,
+          Kind.WRITE_FOREIGN_ENTRY,
+          Kind.WRITE_LONG_ENTRIES,
+          Kind.FORGET_HISTORY,
+          Kind.DROP_WATCHES,
+          Kind.SLOW_STORE,
+          Kind.LOSE_STORE_ANSWERS,
+          Kind.CRASH_TARGETS,
+          Kind.TERMINATE_ONE,
+          Kind.KILL_ONE);
+
   /** What is injected. */
   enum Kind {
     /** SIGKILL to one entry VM. */
@@ -56,7 +92,27 @@
     /** The store answers nothing until the series ends. */
     SILENCE_STORE,
     /** The store refuses all calls until the series ends. */
-    REFUSE_AT_STORE;
+    REFUSE_AT_STORE,
+    /** A newer configuration that adds a route, drops an older added one and moves another. */
+    CHANGE_ROUTES,
+    /** A target is added, and another of its service and zone announces that it leaves. */
+    REPLACE_TARGET,
+    /** As REPLACE_TARGET, but the entry of the target that leaves is removed unannounced. */
+    REMOVE_TARGET,
+    /** A zone is evacuated, and taken back with cold targets before the next one. */
+    EVACUATE_ZONE,
+    /** A malformed entry beside those of the targets: nested, long, of other types, no base64. */
+    WRITE_FOREIGN_ENTRY,
+    /** Several entries of the maximum length beside those of the targets. */
+    WRITE_LONG_ENTRIES,
+    /** Watches get no changes while a target leaves; then the store discards its history. */
+    FORGET_HISTORY,
+    /** The store never answers the watches that wait, as on connections that are silent. */
+    DROP_WATCHES,
+    /** The store answers slowly until the series ends. */
+    SLOW_STORE,
+    /** The store executes calls and resets their connections until the series ends. */
+    LOSE_STORE_ANSWERS;
 
     String text() {
       return name().toLowerCase(Locale.ROOT).replace('_', '-');
@@ -91,7 +147,18 @@
 
   /** Series drawn from a seed, most of which overlap. */
   static List<FaultSeries> random(long seed, long trafficMillis) {
-    return random(seed, trafficMillis, List.of(Kind.values()));
+    return random(seed, trafficMillis, FAULT_KINDS);
+  }
+
+  /** Series drawn from a seed, with targets that are replaced and routes that change throughout. */
+  static List<FaultSeries> randomChanges(long seed, long trafficMillis) {
+    List<FaultSeries> series = new ArrayList<>(random(seed, trafficMillis, CHANGE_KINDS));
+    Random random = new Random(seed);
+    long routesEveryMillis = MIN_CHANGE_EVERY_MILLIS + random.nextInt(CHANGE_EVERY_RANGE_MILLIS);
+    long targetsEveryMillis = MIN_CHANGE_EVERY_MILLIS + random.nextInt(CHANGE_EVERY_RANGE_MILLIS);
+    series.add(new FaultSeries(Kind.CHANGE_ROUTES, 0, trafficMillis, routesEveryMillis));
+    series.add(new FaultSeries(Kind.REPLACE_TARGET, 0, trafficMillis, targetsEveryMillis));
+    return series;
   }
 
   /** Series of planned work drawn from a seed, with planned stops all the while. */
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/ProcessFleet.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/ProcessFleet.java
@@ -4,14 +4,11 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import java.util.function.Supplier;
-import org.sageladder.core.routing.RouteRule;
 import org.sageladder.forward.Loop;
 import org.sageladder.scenario.Deployment;
 import org.sageladder.scenario.Deployment.Service;
@@ -19,6 +16,7 @@
 import org.sageladder.standin.platform.CallersStandIn;
 import org.sageladder.standin.platform.PersistentCallers;
 import org.sageladder.standin.platform.PlatformTexts;
+import org.sageladder.standin.platform.RequestProfile;
 import org.sageladder.standin.platform.ServerPort;
 import org.sageladder.standin.platform.StoreModel;
 import org.sageladder.standin.platform.StorePort;
@@ -29,13 +27,14 @@
  * tell them apart.
  */
 final class ProcessFleet implements AutoCloseable {
-  private static final long FIRST_VERSION = 7;
-
   /** Time from a planned stop within which its effects count as planned. */
   private static final long PLANNED_STOP_MILLIS = 7_000;
 
   private static final int PERSISTENT_CONNECTIONS = 8;
 
+  /** Each VM is asked on the newest route with a connection of its own for this long. */
+  private static final long NEWEST_ROUTE_MILLIS = 5_000;
+
   private record Vm(
       EntryVmProcess process, String zone, String region, String host, List<Integer> ports) {
     String callersAddress() {
@@ -52,37 +51,41 @@
   private final Loop loop = Loop.start();
   private final SimulatedDay day = new SimulatedDay();
   private final LocalPorts ports = LocalPorts.reserve();
-  private final Map<String, RouteRule> routes = new HashMap<>();
   private final List<Vm> vms = new ArrayList<>();
   private final List<ProcessTarget> targets = new ArrayList<>();
   private final List<CallersStandIn> callers = new ArrayList<>();
   private final StoreModel store;
   private final StorePort storePort;
-  private long version = FIRST_VERSION;
+  private final PlatformChanges changes;
   private int plannedStopCount;
+  private int newestRouteCallerCount;
+  private boolean hasTraffic;
   private long startedAtMillis;
 
-  private ProcessFleet(Deployment deployment, long seed, List<String> command, Path folder)
+  private ProcessFleet(
+      Deployment deployment, long seed, EntryVmProcess.Program program, Path folder)
       throws IOException {
     this.deployment = deployment;
     this.seed = seed;
-    deployment.routes().forEach(route -> routes.put(route.name(), route));
     this.store = new StoreModel(loop::nowMillis, StoreModel.MAX_PAGE_ITEMS);
+    ProcessTarget.World world = new ProcessTarget.World(loop, store, day.ledger(), seed);
+    this.changes = new PlatformChanges(world, deployment, day, ports, targets);
     int port = ports.next();
     this.storePort = callOnLoop(() -> openStore(port));
-    createTargets();
-    createEntryVms(command, folder, LocalPorts.HOST + ':' + port);
+    createTargets(world);
+    createEntryVms(program, folder, LocalPorts.HOST + ':' + port);
   }
 
   /**
    * Starts store, targets and entry VMs; the traffic starts with {@link #startTraffic}.
    *
-   * @param command command line of an entry VM
+   * @param program the program of an entry VM
    * @param folder receives the settings and logs of the entry VMs
    */
-  static ProcessFleet start(Deployment deployment, long seed, List<String> command, Path folder)
+  static ProcessFleet start(
+      Deployment deployment, long seed, EntryVmProcess.Program program, Path folder)
       throws IOException {
-    ProcessFleet fleet = new ProcessFleet(deployment, seed, command, folder);
+    ProcessFleet fleet = new ProcessFleet(deployment, seed, program, folder);
     for (Vm vm : fleet.vms) {
       vm.process().start();
     }
@@ -90,28 +93,16 @@
   }
 
   private StorePort openStore(int port) {
-    writeConfiguration();
-    deployment.routes().forEach(day::allowRoute);
+    changes.writeConfiguration();
     return StorePort.open(loop, LocalPorts.HOST, port, store, ServerPort.OpenListener.ignored());
   }
 
-  private void writeConfiguration() {
-    String configuration =
-        PlatformTexts.configuration(version, deployment.routes(), deployment.serviceRules());
-    var unused = store.put("op/config", PlatformTexts.base64(configuration), 0);
+  /** Changes of the platform, which must be used on the loop only. */
+  PlatformChanges changes() {
+    return changes;
   }
 
-  /** Puts a newer configuration in force. */
-  void configure() {
-    runOnLoop(
-        () -> {
-          version++;
-          writeConfiguration();
-        });
-  }
-
-  private void createTargets() throws IOException {
-    ProcessTarget.World world = new ProcessTarget.World(loop, store, day.ledger(), seed);
+  private void createTargets(ProcessTarget.World world) throws IOException {
     for (Service service : deployment.services()) {
       for (Map.Entry<String, Integer> count : service.targetsByZone().entrySet()) {
         for (int i = 0; i < count.getValue(); i++) {
@@ -124,7 +115,7 @@
     loop.execute(() -> targets.forEach(target -> target.start(0)));
   }
 
-  private void createEntryVms(List<String> command, Path folder, String storeAddress)
+  private void createEntryVms(EntryVmProcess.Program program, Path folder, String storeAddress)
       throws IOException {
     List<Integer> vmPorts = List.of(ports.next(), ports.next(), ports.next(), ports.nextPair());
     for (String zone : deployment.regionByZone().keySet()) {
@@ -134,7 +125,7 @@
         String settings =
             PlatformTexts.settings(
                 name, host, zone, deployment.regionByZone(), vmPorts, storeAddress);
-        EntryVmProcess process = EntryVmProcess.create(name, command, settings, folder);
+        EntryVmProcess process = EntryVmProcess.create(name, program, settings, folder);
         vms.add(new Vm(process, zone, regionOf(zone), host, vmPorts));
       }
     }
@@ -154,6 +145,8 @@
               .regionByZone()
               .keySet()
               .forEach(zone -> callers.add(startCallers(zone, fraction)));
+          hasTraffic = true;
+          loop.scheduleAtFixedRate(NEWEST_ROUTE_MILLIS, this::startCallersOfNewestRoute);
           return true;
         });
   }
@@ -165,7 +158,7 @@
         deployment.requestProfiles(),
         fraction,
         day.ledger(),
-        route -> Optional.ofNullable(routes.get(route)),
+        changes::route,
         seed,
         ended -> day.requests().add(ended));
   }
@@ -225,6 +218,7 @@
   void stopTraffic() {
     runOnLoop(
         () -> {
+          hasTraffic = false;
           callers.forEach(CallersStandIn::stop);
           day.endMillis(loop.nowMillis());
         });
@@ -276,19 +270,32 @@
    */
   void startPersistentCallers(EntryVmProcess process, long delayMillis, long millis) {
     Vm vm = vmOf(process);
-    PersistentCallers.World world =
-        new PersistentCallers.World(
-            loop,
-            day.ledger(),
-            deployment.requestProfiles(),
-            route -> Optional.ofNullable(routes.get(route)));
     String name = "late-" + process.name() + '-' + plannedStopCount;
     runOnLoop(
         () ->
-            PersistentCallers.of(world, name, vm.region(), vm.callersAddress(), seed)
+            persistentCallers(vm, name, deployment.requestProfiles())
                 .start(PERSISTENT_CONNECTIONS, delayMillis, millis));
   }
 
+  private PersistentCallers persistentCallers(Vm vm, String name, List<RequestProfile> profiles) {
+    PersistentCallers.World world =
+        new PersistentCallers.World(loop, day.ledger(), profiles, changes::route);
+    return PersistentCallers.of(world, name, vm.region(), vm.callersAddress(), seed);
+  }
+
+  /** Asks each VM on the newest route, whatever look-ups say. */
+  private void startCallersOfNewestRoute() {
+    List<RequestProfile> profiles = changes.requestsOnNewestRoute();
+    if (profiles.isEmpty() || !hasTraffic) {
+      return;
+    }
+    newestRouteCallerCount++;
+    for (Vm vm : vms) {
+      String name = "newest-" + vm.process().name() + '-' + newestRouteCallerCount;
+      persistentCallers(vm, name, profiles).sendWhole().start(1, 0, NEWEST_ROUTE_MILLIS);
+    }
+  }
+
   /** Evaluates the day on the loop of the stand-ins, after {@link #stopTraffic}. */
   <T> T evaluate(Function<SimulatedDay, T> evaluation) {
     return callOnLoop(() -> evaluation.apply(day));
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/ProcessMain.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/ProcessMain.java
@@ -49,6 +49,9 @@
         Option.builder().longOpt("planned").desc("draw planned work only, with stops").get());
     options.addOption(
         Option.builder().longOpt("crowded").desc("other runs use the same processors").get());
+    options.addOption(
+        Option.builder().longOpt("changes").desc("draw changes of the platform, with stops").get());
+    addOption(options, "checkout", "FOLDER", "runs entry VMs built there, as of another commit");
     addOption(options, "logs", "FOLDER", "keeps settings and logs of the entry VMs here");
     options.addOption(Option.builder().longOpt("help").desc("print this and exit").get());
     try {
@@ -86,7 +89,7 @@
     Path folder = logFolder(line);
     boolean isCrowded = line.hasOption("crowded");
     ProcessRun run = new ProcessRun(deployment, seed, series, trafficMillis, isCrowded);
-    ProcessRun.Result result = run.play(entryVmCommand(), folder);
+    ProcessRun.Result result = run.play(entryVmProgram(line), folder);
     String verdict = result.violations().isEmpty() ? "kept" : "BROKEN";
     System.out.printf(Locale.ROOT, "seed %d: %s %s%n", seed, verdict, series);
     System.out.print(result.summary());
@@ -110,6 +113,9 @@
     if (texts != null) {
       return Stream.of(texts).map(FaultSeries::parse).toList();
     }
+    if (line.hasOption("changes")) {
+      return FaultSeries.randomChanges(seed, trafficMillis);
+    }
     return line.hasOption("planned")
         ? FaultSeries.randomPlanned(seed, trafficMillis)
         : FaultSeries.random(seed, trafficMillis);
@@ -131,13 +137,15 @@
     return Long.parseLong(text);
   }
 
-  /** The command of the deploy file; its paths are relative to the repository's root. */
-  private static List<String> entryVmCommand() throws IOException {
-    Matcher run = RUN_LINE.matcher(Files.readString(DEPLOY_FILE));
+  /** The program of the deploy file, whose paths are relative to the checkout's root. */
+  private static EntryVmProcess.Program entryVmProgram(CommandLine line) throws IOException {
+    Path checkout = Path.of(line.getOptionValue("checkout", "")).toAbsolutePath();
+    Path deployFile = checkout.resolve(DEPLOY_FILE);
+    Matcher run = RUN_LINE.matcher(Files.readString(deployFile));
     if (!run.find()) {
-      throw new IOException(DEPLOY_FILE + " has no line run = \"...\"");
+      throw new IOException(deployFile + " has no line run = \"...\"");
     }
-    return List.of(run.group(1).split(" ", -1));
+    return new EntryVmProcess.Program(List.of(run.group(1).split(" ", -1)), checkout);
   }
 
   private static void printViolations(List<String> violations) {
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/ProcessRun.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/ProcessRun.java
@@ -43,11 +43,12 @@
   /**
    * Plays the run.
    *
-   * @param command command line of an entry VM
+   * @param program the program of an entry VM
    * @param folder receives the settings and logs of the entry VMs
    */
-  Result play(List<String> command, Path folder) throws IOException, InterruptedException {
-    try (ProcessFleet fleet = ProcessFleet.start(deployment, seed, command, folder)) {
+  Result play(EntryVmProcess.Program program, Path folder)
+      throws IOException, InterruptedException {
+    try (ProcessFleet fleet = ProcessFleet.start(deployment, seed, program, folder)) {
       Thread.sleep(START_UP_MILLIS);
       fleet.startTraffic();
       if (isCrowded) {
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/ProcessTarget.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/ProcessTarget.java
@@ -5,6 +5,8 @@
 import org.sageladder.forward.Loop;
 import org.sageladder.scenario.Deployment.Service;
 import org.sageladder.standin.platform.Ledger;
+import org.sageladder.standin.platform.Ledger.PlatformEvent;
+import org.sageladder.standin.platform.PlatformBounds;
 import org.sageladder.standin.platform.PlatformTexts;
 import org.sageladder.standin.platform.StoreModel;
 import org.sageladder.standin.platform.TargetStandIn;
@@ -16,6 +18,9 @@
   /** The platform removes the entry of a target that has been silent for this long. */
   private static final long EXPIRY_MILLIS = 3 * HEARTBEAT_MILLIS;
 
+  /** A target goes on serving for this long after the time in which it is to be drained. */
+  private static final long SERVING_AFTER_DRAIN_MILLIS = 1_500;
+
   /** The loop, the store and the ledger that all targets share. */
   record World(Loop loop, StoreModel store, Ledger ledger, long seed) {}
 
@@ -27,6 +32,7 @@
   private final int port;
   private int startCount;
   private boolean isStopped;
+  private boolean isLeaving;
   private boolean isListening;
   private StandInHost host;
   private TargetStandIn process;
@@ -40,6 +46,11 @@
     this.port = port;
   }
 
+  /** A target of the same service and zone on another port, not started yet. */
+  ProcessTarget successor(String successorName, int successorPort) {
+    return new ProcessTarget(world, service, zone, region, successorName, successorPort);
+  }
+
   Service service() {
     return service;
   }
@@ -87,9 +98,16 @@
   }
 
   private void register() {
+    if (isLeaving && !process.facts().isDraining()) {
+      return;
+    }
     process.onFactsStored();
-    String entry = PlatformTexts.targetEntry(process.facts(), 0);
-    var unused = world.store().put(key(), PlatformTexts.base64(entry), 0);
+    String entry = PlatformTexts.base64(PlatformTexts.targetEntry(process.facts(), 0));
+    StoreModel.Item stored = world.store().find(key());
+    // A heartbeat that changes nothing is no change of the entry.
+    if (stored == null || !entry.equals(stored.value())) {
+      var unused = world.store().put(key(), entry, 0);
+    }
   }
 
   /** Crashes, and starts again cold as a new incarnation after {@code downMillis}. */
@@ -100,9 +118,55 @@
     host.kill();
     String crashedKey = key();
     schedule(EXPIRY_MILLIS, () -> world.store().remove(crashedKey));
+    isLeaving = false;
     schedule(downMillis, () -> start(service.traits().coldMillis()));
   }
 
+  /** True from {@link #leave} on. */
+  boolean isLeaving() {
+    return isLeaving;
+  }
+
+  /**
+   * Leaves for good: goes on serving for the time that the platform allows, then ends; must be
+   * called on the loop.
+   *
+   * @param isAnnounced false if its entry is removed without having announced it
+   */
+  void leave(boolean isAnnounced) {
+    isLeaving = true;
+    String leavingKey = key();
+    if (isAnnounced) {
+      process.startDraining();
+      register();
+    } else {
+      world.store().remove(leavingKey);
+    }
+    world
+        .ledger()
+        .recordEvent(
+            PlatformEvent.Kind.TARGET_LEAVES,
+            process.facts().incarnation().toString(),
+            world.loop().nowMillis());
+    schedule(
+        PlatformBounds.standard().drainMillis() + SERVING_AFTER_DRAIN_MILLIS,
+        () -> {
+          stop();
+          world.store().remove(leavingKey);
+        });
+  }
+
+  /** Becomes cold, as after its zone was evacuated. */
+  void becomeCold() {
+    if (isAlive()) {
+      process.becomeCold();
+    }
+  }
+
+  String zone() {
+    return zone;
+  }
+
   /** Ends the target for good; must be called on the loop. */
   void stop() {
     isStopped = true;
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/StoreTroubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/StoreTroubles.java
@@ -17,28 +17,6 @@
   private static final int REFUSED_VM_COUNT = 2;
   private static final long WATCH_SILENCE_MILLIS = 1_000;
   private static final long OVERWRITTEN_MILLIS = 2_500;
-  private static final String FOREIGN_ENTRY_PREFIX =
-      "{\"service\":\"search\",\"address\":\"10.5.0.1:9000\",\"zone\":\"north-a\",";
-
-  /**
-   * Entries with an unknown state, no slots, an invalid zone, no JSON, an address without a port.
-   */
-  private static final List<String> FOREIGN_ENTRIES =
-      List.of(
-          FOREIGN_ENTRY_PREFIX
-              + "\"config_version\":\"v1\",\"slots\":3,\"state\":\"resting\","
-              + "\"cold_left\":\"0ms\",\"sequence\":1}",
-          FOREIGN_ENTRY_PREFIX + "\"state\":\"ready\",\"cold_left\":\"0ms\",\"sequence\":1}",
-          "{\"service\":\"search\",\"address\":\"10.5.0.1:9000\",\"slots\":3,"
-              + "\"config_version\":\"v1\",\"zone\":7,\"state\":\"ready\"}",
-          "no JSON at all",
-          "{\"service\":\"search\",\"address\":\"10.5.0.1\",\"zone\":\"north-a\","
-              + "\"config_version\":\"v1\",\"slots\":3,\"state\":\"ready\","
-              + "\"cold_left\":\"0ms\",\"sequence\":1}");
-
-  /** Objects in objects, deeper than calls on the stack of an entry VM can be. */
-  private static final String NESTED_ENTRY = "{\"a\":".repeat(3_000);
-
   private static final List<StoreFaultMode> REFUSAL_MODES =
       List.of(
           StoreFaultMode.BUSY,
@@ -98,11 +76,12 @@
    * for a while.
    */
   private static void writeForeignEntries(Fleet fleet, Random random) {
-    for (int i = 0; i < FOREIGN_ENTRIES.size(); i++) {
-      String text = FOREIGN_ENTRIES.get((i + random.nextInt(2)) % FOREIGN_ENTRIES.size());
+    for (int i = 0; i < ForeignEntries.MALFORMED.size(); i++) {
+      String text =
+          ForeignEntries.MALFORMED.get((i + random.nextInt(2)) % ForeignEntries.MALFORMED.size());
       put(fleet, "servers/other-" + i, PlatformTexts.base64(text));
     }
-    put(fleet, "servers/other-nested", PlatformTexts.base64(NESTED_ENTRY));
+    put(fleet, "servers/other-nested", PlatformTexts.base64(ForeignEntries.NESTED));
     String key = "servers/" + fleet.runningTargets().get(0).process().facts().id();
     StoreModel.Item original = fleet.store().find(key);
     String value = original == null ? null : original.value();
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/process/FaultSeriesTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/process/FaultSeriesTest.java
@@ -46,6 +46,20 @@
     }
   }
 
+  @Test
+  void changesHoldNewRoutesAndLeavingTargetsAllTheWhile() {
+    for (long seed = 1; seed <= 50; seed++) {
+      List<FaultSeries> drawn = FaultSeries.randomChanges(seed, 40_000);
+      assertEquals(drawn, FaultSeries.randomChanges(seed, 40_000));
+      for (FaultSeries.Kind kind :
+          List.of(FaultSeries.Kind.CHANGE_ROUTES, FaultSeries.Kind.REPLACE_TARGET)) {
+        assertTrue(
+            drawn.stream()
+                .anyMatch(series -> series.kind() == kind && series.toMillis() == 40_000));
+      }
+    }
+  }
+
   @Test
   void sameSeedDrawsTheSameSeriesWithinTheTraffic() {
     for (long seed = 1; seed <= 50; seed++) {
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/PersistentCallers.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/PersistentCallers.java
@@ -45,6 +45,7 @@
   private final String region;
   private final String address;
   private final Random random;
+  private List<Style> styles = List.of(Style.values());
   private long endMillis;
   private int lastRequestNumber;
 
@@ -67,6 +68,12 @@
     return new PersistentCallers(world, name, region, address, seed);
   }
 
+  /** Sends each request whole from now on. */
+  public PersistentCallers sendWhole() {
+    styles = List.of(Style.WHOLE);
+    return this;
+  }
+
   /**
    * Opens {@code connectionCount} connections, each of which sends its first request at a random
    * time from {@code delayMillis} on and its last one within {@code millis} after that.
@@ -94,7 +101,7 @@
       return;
     }
     RequestProfile profile = world.profiles().get(random.nextInt(world.profiles().size()));
-    Style style = Style.values()[random.nextInt(Style.values().length)];
+    Style style = styles.get(random.nextInt(styles.size()));
     send(profile, style, connection);
     if (style == Style.PIPELINED && profile.idempotent()) {
       send(profile, Style.WHOLE, connection);
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/StorePort.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/StorePort.java
@@ -67,6 +67,11 @@
     isAffected = affects;
   }
 
+  /** Never answers the watches that wait now; later calls are answered. */
+  public void dropWatches() {
+    model.dropWatches();
+  }
+
   /** Ends the fault. */
   public void clearFault() {
     faultMode = StoreFaultMode.NONE;
