Following the store goes on behind a response that is too long

What callers saw: 404 or 503 on added routes at all entry VMs, and requests at targets that had left, for as long as the VMs ran. Cause: the client takes responses of 3 MiB at most. A watch has one response for all changes since its revision; a few entries of the maximum length (1 MiB, a third more in base64) within the 600 ms between two watches exceed that. The connection was closed as if nothing had come, and the same watch was sent again, with the same response, for good. Any writer of entries can bring it about. Ruled out: a longer limit, since the heap is 64 MB and nothing bounds the sum. Change: a response that cannot be taken is told from none. Behind one of a watch all items are read in pages, which the store keeps at 1 MB, and the next watch goes on from there. The store's stand-in keeps its pages at that length.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
@@ -332,13 +332,23 @@
           revision,
           "discarded by the store; reading all items");
       recordFailure();
-      isReadingAgain = true;
-      read(null, false);
+      readAgain();
+      return;
+    }
+    if (result instanceof StoreResult.Failed<StorePage> failed && failed.isUnreadable()) {
+      // A watch from the same revision has the same response; pages of a read are shorter.
+      onFailure("watch", failed.cause(), this::readAgain);
       return;
     }
     onFailure("watch", String.valueOf(result), this::watch);
   }
 
+  /** Reads all items, since what is known cannot be brought up to date by watching. */
+  private void readAgain() {
+    isReadingAgain = true;
+    read(null, false);
+  }
+
   private void scheduleWatch(long delayMillis) {
     if (delayMillis == 0) {
       watch();
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreResult.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreResult.java
@@ -12,6 +12,16 @@
   /** What the call refers to no longer exists: history, a lease, or the expected revision. */
   record Gone<T>() implements StoreResult<T> {}
 
-  /** No response or a refusal; a change may have been made nevertheless. */
-  record Failed<T>(String cause) implements StoreResult<T> {}
+  /**
+   * No usable response; a change may have been made nevertheless.
+   *
+   * @param isUnreadable true if the store responded, but its response is too large or cannot be
+   *     decoded, so that the same call is likely to fail again
+   */
+  record Failed<T>(String cause, boolean isUnreadable) implements StoreResult<T> {
+    /** No response, or a refusal. */
+    public Failed(String cause) {
+      this(cause, false);
+    }
+  }
 }
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/StoreModel.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/StoreModel.java
@@ -21,6 +21,9 @@
   /** Maximum number of items in a page of the platform's store. */
   public static final int MAX_PAGE_ITEMS = 500;
 
+  /** A page ends before the item with which its values would be longer than this. */
+  private static final int MAX_PAGE_CHARS = 1 << 20;
+
   private static final long FIRST_REVISION = 100;
 
   /**
@@ -132,12 +135,16 @@
       String prefix,
       @Nullable String afterKey) {
     List<Item> page = new ArrayList<>();
+    int pageChars = 0;
     boolean inclusive = afterKey == null;
     for (Item item : from.tailMap(inclusive ? prefix : afterKey, inclusive).values()) {
       if (!item.key().startsWith(prefix)) {
         break;
       }
-      if (page.size() == maxPageItems) {
+      String value = item.value();
+      pageChars += value == null ? 0 : value.length();
+      boolean isFull = page.size() == maxPageItems || pageChars > MAX_PAGE_CHARS;
+      if (isFull && !page.isEmpty()) {
         return new Page(page, true, asOfRevision);
       }
       page.add(item);
