An item of the store that could not be applied is applied again

What callers would see: a VM that goes by an old version, or uses a target that has left, for good and believes in its contact: 404 on added routes. Cause: what a change sets off may throw. The change was logged as not applied and counted as known all the same, so that nothing ever applied it. Besides, a class that cannot be initialised (LinkageError, as after a stack overflow in its initialiser) passed each of the guards and ended the following until the check for stalls, up to 25 s later. Evidence: by reading and by the test; not seen in a run of processes. Change: such an item keeps its earlier state and is applied again after 0.5 s, 1 s, up to 30 s, until it succeeds, is superseded or is gone; until then the VM counts as out of contact. Guards of callbacks take LinkageError too.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/Loop.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Loop.java
@@ -135,7 +135,7 @@
   public void runGuarded(Runnable task) {
     try {
       task.run();
-    } catch (RuntimeException | VirtualMachineError e) {
+    } catch (RuntimeException | LinkageError | VirtualMachineError e) {
       reportFailure(e);
     }
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
@@ -1,8 +1,10 @@
 package org.sageladder.forward.control;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -42,6 +44,11 @@
 
   private static final long STALL_CHECK_INTERVAL_MILLIS = 5_000;
 
+  /** Delays before an item that could not be applied is applied again; they double. */
+  private static final long MIN_APPLY_DELAY_MILLIS = 500;
+
+  private static final long MAX_APPLY_DELAY_MILLIS = 30_000;
+
   /** Receives the changes of items. */
   public interface Listener {
     /** An item is new or has changed. */
@@ -66,7 +73,7 @@
 
     /**
      * A method above has thrown {@code failure} for a change; the item's earlier content may still
-     * be in use.
+     * be in use. The method is called again later.
      */
     void onNotApplied(String key, long revision, Throwable failure);
 
@@ -82,7 +89,10 @@
   private final Listener listener;
   private final EventSink log;
   private final Map<String, KnownItem> knownItems = new HashMap<>();
+  private final Map<String, StoreItem> unappliedItems = new LinkedHashMap<>();
   private final Set<String> keysInRead = new HashSet<>();
+  private boolean isApplyAgainScheduled;
+  private long applyAgainDelayMillis = MIN_APPLY_DELAY_MILLIS;
   private long revision = -1;
   private long readRevision;
   private boolean isInitialReadComplete;
@@ -142,6 +152,7 @@
     return consecutiveFailures > 0
         || isStoreSilent
         || isReadingAgain
+        || !unappliedItems.isEmpty()
         || loop.nowMillis() < catchingUpUntilMillis;
   }
 
@@ -189,7 +200,7 @@
   private void runStep(String call, Runnable step, Runnable retry) {
     try {
       step.run();
-    } catch (RuntimeException | VirtualMachineError e) {
+    } catch (RuntimeException | LinkageError | VirtualMachineError e) {
       loop.reportFailure(e);
       onFailure(call, "threw " + FailureLog.describe(e), retry);
     }
@@ -269,6 +280,9 @@
             missing.add(new StoreItem(key, readRevision, null));
           }
         });
+    unappliedItems
+        .values()
+        .removeIf(item -> item.revision() <= readRevision && !keysInRead.contains(item.key()));
     apply(missing);
   }
 
@@ -393,23 +407,25 @@
         && previous.content() instanceof ItemContent.Target;
   }
 
-  private void apply(List<StoreItem> items) {
+  private void apply(Collection<StoreItem> items) {
     int removedTargetCount = (int) items.stream().filter(this::isTargetRemoval).count();
     for (StoreItem item : items) {
+      KnownItem previous = knownItems.get(item.key());
+      if (previous != null && previous.revision() >= item.revision()) {
+        unappliedItems.remove(item.key(), item);
+        continue;
+      }
       // What one item brings about must not hide the items behind it.
       try {
-        apply(item, removedTargetCount);
-      } catch (RuntimeException | VirtualMachineError e) {
-        loop.runGuarded(() -> listener.onNotApplied(item.key(), item.revision(), e));
+        apply(item, previous, removedTargetCount);
+        unappliedItems.remove(item.key());
+      } catch (RuntimeException | LinkageError | VirtualMachineError e) {
+        onNotApplied(item, previous, e);
       }
     }
   }
 
-  private void apply(StoreItem item, int removedTargetCount) {
-    KnownItem previous = knownItems.get(item.key());
-    if (previous != null && previous.revision() >= item.revision()) {
-      return;
-    }
+  private void apply(StoreItem item, @Nullable KnownItem previous, int removedTargetCount) {
     ItemContent content = item.content();
     if (content instanceof ItemContent.Malformed malformed) {
       ItemContent last = previous == null ? null : previous.content();
@@ -424,4 +440,34 @@
       listener.onRemoved(item.key(), previous.content(), removedTargetCount);
     }
   }
+
+  /** Keeps an item that could not be applied, and applies it again after a delay. */
+  private void onNotApplied(StoreItem item, @Nullable KnownItem previous, Throwable failure) {
+    if (previous == null) {
+      knownItems.remove(item.key());
+    } else {
+      knownItems.put(item.key(), previous);
+    }
+    unappliedItems.put(item.key(), item);
+    loop.runGuarded(() -> listener.onNotApplied(item.key(), item.revision(), failure));
+    scheduleApplyAgain();
+  }
+
+  private void scheduleApplyAgain() {
+    if (isApplyAgainScheduled) {
+      return;
+    }
+    isApplyAgainScheduled = true;
+    var unused = loop.schedule(applyAgainDelayMillis, this::applyAgain);
+    applyAgainDelayMillis = Math.min(MAX_APPLY_DELAY_MILLIS, 2 * applyAgainDelayMillis);
+  }
+
+  private void applyAgain() {
+    isApplyAgainScheduled = false;
+    int waiting = unappliedItems.size();
+    apply(List.copyOf(unappliedItems.values()));
+    if (unappliedItems.size() < waiting) {
+      applyAgainDelayMillis = MIN_APPLY_DELAY_MILLIS;
+    }
+  }
 }
