A VM notices that its watch does not deliver what the store has

What callers saw: 404 on added routes, requests at targets that had left. Each VM reported ready and believed in its contact. Cause: a watch that will never be answered looks like one for which there is no change, for up to 13.5 s. Keep-alive probes do not cover one that is sent on a connection that became silent in the pause before it (its bytes are under way, so that no probe is sent), and renewals on other connections are answered. Change: while a watch waits, the VM reads the store's revision once by its own small item, stale, at a tenth of the price: after 2 s if the watch follows a pause, else after 6 s. If the same watch still waits 1 s after a higher revision was named, everything is read again, with a line and a count, and the VM is out of contact meanwhile. If that read finds nothing new, the checks pause for a minute. A step that never ends (a lost callback) is noticed by its own longest time, 5 to 17 s, in place of 20 to 25 s.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
@@ -124,6 +124,18 @@
     return changeFeed.contactAgeMillis();
   }
 
+  /** How far this VM follows the store. */
+  public StoreFollower.Progress progress() {
+    StoreFollower current = follower;
+    return current == null ? StoreFollower.Progress.none() : current.progress();
+  }
+
+  /** True if what this VM knows of the store may be out of date. */
+  public boolean isOutOfContact() {
+    StoreFollower current = follower;
+    return current == null || current.isOutOfContact();
+  }
+
   /** True if calls to the store failed recently. */
   public boolean hadRecentFailures() {
     StoreFollower current = follower;
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
@@ -39,10 +39,22 @@
    */
   private static final long MAX_CATCH_UP_MILLIS = 1_000;
 
-  /** Longer than any call to the store or delay between calls takes. */
-  private static final long STALLED_AFTER_MILLIS = 20_000;
+  /** Longer than a call takes that does not wait for changes. */
+  private static final long MAX_CALL_MILLIS = 5_000;
 
-  private static final long STALL_CHECK_INTERVAL_MILLIS = 5_000;
+  private static final long STALL_CHECK_INTERVAL_MILLIS = 2_000;
+
+  /** Time after which the store's revision is compared with that of a watch that still waits. */
+  private static final long REVISION_CHECK_DELAY_MILLIS = 6_000;
+
+  /** The same for a watch after a pause, in which its connection may have become silent. */
+  private static final long REVISION_CHECK_DELAY_AFTER_PAUSE_MILLIS = 2_000;
+
+  /** A watch that waits receives a change within this time, also from a slow store. */
+  private static final long MAX_WATCH_LAG_MILLIS = 1_000;
+
+  /** Pause of the checks after one that asked for a read although there was nothing new. */
+  private static final long REVISION_CHECK_PAUSE_MILLIS = 60_000;
 
   /** Delays before an item that could not be applied is applied again; they double. */
   private static final long MIN_APPLY_DELAY_MILLIS = 500;
@@ -103,8 +115,15 @@
   private long currentStep;
 
   private long stepStartedAtMillis;
+  private long stepOverdueAtMillis;
+  private long nextRevisionCheckMillis;
+  private long lastAnswerAtMillis;
+  private long lastChangeAtMillis;
+  private int timesBehind;
   private boolean isStoreSilent;
   private boolean isReadingAgain;
+  private boolean isRevisionInDoubt;
+  private long readStartedAtMillis;
   private long catchingUpUntilMillis;
   private boolean hasEverFailed;
   private long lastFailureAtMillis;
@@ -138,6 +157,38 @@
     return follower;
   }
 
+  /**
+   * How far this VM follows the store.
+   *
+   * @param revision revision up to which the changes are known
+   * @param answerAgeMillis time since the store or another VM last answered
+   * @param changeAgeMillis time since the last change was received
+   * @param timesBehind how often the store had changes that a watch did not deliver
+   * @param unappliedItems number of items that could not be applied yet
+   */
+  public record Progress(
+      long revision,
+      long answerAgeMillis,
+      long changeAgeMillis,
+      int timesBehind,
+      int unappliedItems) {
+    /** Nothing has been read yet. */
+    static Progress none() {
+      return new Progress(-1, 0, 0, 0, 0);
+    }
+  }
+
+  /** How far this VM follows the store now. */
+  public Progress progress() {
+    long now = loop.nowMillis();
+    return new Progress(
+        revision,
+        now - lastAnswerAtMillis,
+        now - lastChangeAtMillis,
+        timesBehind,
+        unappliedItems.size());
+  }
+
   /** True while calls fail, and for {@code millis} after that. */
   public boolean hadFailureWithin(long millis) {
     return consecutiveFailures > 0
@@ -159,6 +210,7 @@
   private void read(@Nullable String afterKey, boolean mayBeStale) {
     if (afterKey == null) {
       keysInRead.clear();
+      readStartedAtMillis = loop.nowMillis();
       readRevision = Long.MAX_VALUE;
     }
     Runnable retry = retryRead(mayBeStale);
@@ -175,7 +227,8 @@
               }
               onFailure("read", String.valueOf(result), retry);
             },
-            retry));
+            retry,
+            MAX_CALL_MILLIS));
   }
 
   private Runnable retryRead(boolean mayBeStale) {
@@ -187,8 +240,8 @@
    * so that {@code retry} runs if the handler throws.
    */
   private Consumer<StoreResult<StorePage>> startStep(
-      String call, Consumer<StoreResult<StorePage>> handler, Runnable retry) {
-    long step = startStep();
+      String call, Consumer<StoreResult<StorePage>> handler, Runnable retry, long maxMillis) {
+    long step = startStep(maxMillis);
     return result -> {
       if (step != currentStep) {
         return;
@@ -206,14 +259,15 @@
     }
   }
 
-  private long startStep() {
+  private long startStep(long maxMillis) {
     currentStep++;
     stepStartedAtMillis = loop.nowMillis();
+    stepOverdueAtMillis = stepStartedAtMillis + maxMillis;
     return currentStep;
   }
 
   private void scheduleStep(String call, long delayMillis, Runnable task) {
-    long step = startStep();
+    long step = startStep(delayMillis + MAX_CALL_MILLIS);
     var unused =
         loop.schedule(
             delayMillis,
@@ -226,10 +280,10 @@
 
   /** Goes on with following if neither a call nor a delay is under way. */
   private void restartIfStalled() {
-    long idleMillis = loop.nowMillis() - stepStartedAtMillis;
-    if (idleMillis < STALLED_AFTER_MILLIS) {
+    if (loop.nowMillis() < stepOverdueAtMillis) {
       return;
     }
+    long idleMillis = loop.nowMillis() - stepStartedAtMillis;
     log.record(
         EventKind.STORE_DOWN,
         "",
@@ -239,7 +293,7 @@
         "not followed for " + idleMillis + " ms; starting again");
     recordFailure();
     if (isInitialReadComplete && !isReadingAgain) {
-      watch();
+      watch(true);
     } else {
       read(null, !isInitialReadComplete);
     }
@@ -260,6 +314,11 @@
     }
     removeMissing();
     isReadingAgain = false;
+    lastAnswerAtMillis = loop.nowMillis();
+    if (isRevisionInDoubt && lastChangeAtMillis < readStartedAtMillis) {
+      nextRevisionCheckMillis = loop.nowMillis() + REVISION_CHECK_PAUSE_MILLIS;
+    }
+    isRevisionInDoubt = false;
     revision = readRevision;
     if (!isInitialReadComplete) {
       isInitialReadComplete = true;
@@ -267,7 +326,7 @@
       catchingUpUntilMillis = loop.nowMillis() + MAX_CATCH_UP_MILLIS;
       listener.onInitialReadComplete();
     }
-    watch();
+    watch(false);
   }
 
   /** Removes items that a complete read did not return, unless they are newer than the read. */
@@ -306,28 +365,79 @@
     if (isStoreSilent && isWatching) {
       log.record(
           EventKind.STORE_UP, "", "", "store", revision, "answers again; starting a new watch");
-      watch();
+      watch(true);
     }
     isStoreSilent = false;
   }
 
-  private void watch() {
+  /**
+   * Waits for changes.
+   *
+   * @param isAfterPause true if no response has arrived just now
+   */
+  private void watch(boolean isAfterPause) {
     isWatching = true;
-    changeFeed.requestChanges(
-        revision,
+    Consumer<StoreResult<StorePage>> callback =
         startStep(
             "watch",
             result -> {
               isWatching = false;
               onWatchResult(result);
             },
-            this::watch));
+            () -> watch(true),
+            ZoneChangeFeed.WATCH_TIMEOUT_MILLIS + MAX_CALL_MILLIS);
+    long step = currentStep;
+    long checkDelayMillis =
+        isAfterPause ? REVISION_CHECK_DELAY_AFTER_PAUSE_MILLIS : REVISION_CHECK_DELAY_MILLIS;
+    var unused = loop.schedule(checkDelayMillis, () -> checkRevision(step));
+    changeFeed.requestChanges(revision, callback);
+  }
+
+  /**
+   * Compares the store's revision with the known one while a watch waits.
+   *
+   * <p>A watch that will never be answered, as on a connection that has become silent, looks like
+   * one for which there is no change.
+   */
+  private void checkRevision(long step) {
+    boolean isDue = loop.nowMillis() >= nextRevisionCheckMillis;
+    if (step != currentStep || !isDue || !changeFeed.isReader()) {
+      return;
+    }
+    changeFeed.readRevision(
+        result -> {
+          if (result instanceof StoreResult.Done<Long> done && done.value() > revision) {
+            long storeRevision = done.value();
+            var unused =
+                loop.schedule(MAX_WATCH_LAG_MILLIS, () -> onStillWaiting(step, storeRevision));
+          }
+        });
+  }
+
+  /** Reads everything if a watch still waits although the store has changes for it. */
+  private void onStillWaiting(long step, long storeRevision) {
+    if (step != currentStep) {
+      return;
+    }
+    timesBehind++;
+    log.record(
+        EventKind.STORE_DOWN,
+        "",
+        "",
+        "store",
+        revision,
+        "behind revision " + storeRevision + " of the store; reading all items");
+    recordFailure();
+    isWatching = false;
+    isRevisionInDoubt = true;
+    readAgain();
   }
 
   private void onWatchResult(StoreResult<StorePage> result) {
     if (result instanceof StoreResult.Done<StorePage> done) {
       onSuccess();
       catchingUpUntilMillis = 0;
+      lastAnswerAtMillis = loop.nowMillis();
       if (changeFeed.hadRecentFailures()) {
         recordFailure();
       }
@@ -354,7 +464,7 @@
       onFailure("watch", failed.cause(), this::readAgain);
       return;
     }
-    onFailure("watch", String.valueOf(result), this::watch);
+    onFailure("watch", String.valueOf(result), () -> watch(true));
   }
 
   /** Reads all items, since what is known cannot be brought up to date by watching. */
@@ -365,10 +475,10 @@
 
   private void scheduleWatch(long delayMillis) {
     if (delayMillis == 0) {
-      watch();
+      watch(false);
       return;
     }
-    scheduleStep("watch", delayMillis, this::watch);
+    scheduleStep("watch", delayMillis, () -> watch(true));
   }
 
   private void recordFailure() {
@@ -417,6 +527,7 @@
       }
       // What one item brings about must not hide the items behind it.
       try {
+        lastChangeAtMillis = loop.nowMillis();
         apply(item, previous, removedTargetCount);
         unappliedItems.remove(item.key());
       } catch (RuntimeException | LinkageError | VirtualMachineError e) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/ZoneChangeFeed.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/ZoneChangeFeed.java
@@ -23,7 +23,7 @@
    * Timeout of a watch. Each watch costs one call, so a long timeout keeps calls few; it also
    * bounds the staleness of a VM whose watch result was lost unnoticed.
    */
-  private static final long WATCH_TIMEOUT_MILLIS = 12_000;
+  static final long WATCH_TIMEOUT_MILLIS = 12_000;
 
   /**
    * Delay before the next watch after changes, so that changes in quick succession cost one call.
@@ -141,6 +141,11 @@
     }
   }
 
+  /** Reads the revision of the store; see {@link PlatformStore#readRevision}. */
+  void readRevision(Consumer<StoreResult<Long>> callback) {
+    store.readRevision(self.name(), callback);
+  }
+
   /**
    * Requests the changes after {@code revision}; the result is empty if there were none for a
    * while.
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/FakeStore.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/FakeStore.java
@@ -10,6 +10,9 @@
   public void read(
       @Nullable String afterKey, boolean mayBeStale, Consumer<StoreResult<StorePage>> callback) {}
 
+  @Override
+  public void readRevision(String vmName, Consumer<StoreResult<Long>> callback) {}
+
   @Override
   public void grantLease(long durationMillis, Consumer<StoreResult<Long>> callback) {}
 
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerProgressTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerProgressTest.java
@@ -16,21 +16,32 @@
 import org.sageladder.core.time.VirtualTime;
 import org.sageladder.forward.Loop;
 
-/** A follower that does not apply what it learns notices it. */
+/** A follower that no longer learns, or does not apply what it learns, notices it. */
 class StoreFollowerProgressTest {
+  private static final long BOUND_SECONDS = 8;
+
   /** A store at a revision of the test's choice, whose watches are never answered. */
   private static final class SilentWatchStore extends FakeStore {
     long revision = 10;
+    int strictReads;
+    int revisionReads;
     StoreItem[] items = {};
 
     @Override
     public void read(
         @Nullable String afterKey, boolean mayBeStale, Consumer<StoreResult<StorePage>> callback) {
+      strictReads += mayBeStale ? 0 : 1;
       callback.accept(new StoreResult.Done<>(new StorePage(List.of(items), false, revision)));
     }
 
     @Override
     public void watch(long after, long waitMillis, Consumer<StoreResult<StorePage>> callback) {}
+
+    @Override
+    public void readRevision(String vmName, Consumer<StoreResult<Long>> callback) {
+      revisionReads++;
+      callback.accept(new StoreResult.Done<>(revision));
+    }
   }
 
   /** Records the evacuated zones; fails as often as the test says. */
@@ -85,6 +96,38 @@
     return new StoreItem(zone, revision, new ItemContent.ZoneEvacuated(zone));
   }
 
+  /** Guards against a VM without news since its watch waits on a connection that is silent. */
+  @Test
+  void storeIsReadAgainIfItHasChangesThatTheWatchDoesNotDeliver() {
+    StoreFollower follower = start();
+    store.revision = 11;
+    store.items = new StoreItem[] {evacuated("z-1", 11)};
+    runFor(BOUND_SECONDS);
+    assertEquals(List.of("z-1"), zones.evacuated);
+    assertEquals(11, follower.progress().revision());
+    assertEquals(1, follower.progress().timesBehind());
+  }
+
+  /** Guards against reads of all items while there is nothing new, since each is priced. */
+  @Test
+  void nothingIsReadAgainIfTheStoreHasNoChanges() {
+    start();
+    runFor(BOUND_SECONDS);
+    assertEquals(1, store.revisionReads);
+    assertEquals(0, store.strictReads);
+  }
+
+  /** Guards against reads again and again if the store counts changes that no watch delivers. */
+  @Test
+  void readsPauseAfterOneThatFoundNothingNew() {
+    start();
+    for (int second = 0; second < 60; second++) {
+      store.revision++;
+      runFor(1);
+    }
+    assertEquals(1, store.strictReads);
+  }
+
   /** Guards against a VM that stays at an old version since a new one was not applied once. */
   @Test
   void itemThatCouldNotBeAppliedIsAppliedAgain() {
@@ -93,8 +136,10 @@
     store.items = new StoreItem[] {evacuated("z-1", 9), evacuated("z-2", 10)};
     StoreFollower follower = start();
     assertTrue(follower.isOutOfContact());
+    assertEquals(2, follower.progress().unappliedItems());
     runFor(2);
     assertEquals(List.of("z-1", "z-2"), zones.evacuated);
+    assertEquals(0, follower.progress().unappliedItems());
     assertFalse(follower.isOutOfContact());
   }
 }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreReadProperties.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreReadProperties.java
@@ -38,6 +38,7 @@
   private static final class ChangingStore extends FakeStore {
     private final Random random;
     private final List<Change> history = new ArrayList<>();
+    private boolean losesResults;
     private int oldestKept;
     private boolean isCalm;
     private @Nullable Runnable pendingWatch;
@@ -89,6 +90,19 @@
       }
     }
 
+    /** The result of a call is never returned, or returned twice. */
+    private Consumer<StoreResult<StorePage>> unreliable(Consumer<StoreResult<StorePage>> callback) {
+      if (!losesResults || isCalm) {
+        return callback;
+      }
+      int times = List.of(0, 1, 1, 1, 1, 1, 1, 2).get(random.nextInt(8));
+      return result -> {
+        for (int i = 0; i < times; i++) {
+          callback.accept(result);
+        }
+      };
+    }
+
     private boolean fails() {
       return !isCalm && random.nextInt(6) == 0;
     }
@@ -97,7 +111,7 @@
     public void read(
         @Nullable String afterKey, boolean mayBeStale, Consumer<StoreResult<StorePage>> callback) {
       if (fails()) {
-        callback.accept(new StoreResult.Failed<>("status 503"));
+        callback.accept(new StoreResult.Failed<>("status 503", random.nextBoolean()));
         return;
       }
       change(isCalm ? 0 : random.nextInt(3));
@@ -114,17 +128,23 @@
         }
         items.add(itemOf(item.getKey(), item.getValue()));
       }
-      callback.accept(new StoreResult.Done<>(new StorePage(items, hasMore, asOf)));
+      unreliable(callback).accept(new StoreResult.Done<>(new StorePage(items, hasMore, asOf)));
     }
 
     @Override
     public void watch(long revision, long waitMillis, Consumer<StoreResult<StorePage>> callback) {
-      pendingWatch = () -> answerWatch((int) revision, callback);
+      Consumer<StoreResult<StorePage>> answered = unreliable(callback);
+      pendingWatch = () -> answerWatch((int) revision, answered);
+    }
+
+    @Override
+    public void readRevision(String vmName, Consumer<StoreResult<Long>> callback) {
+      callback.accept(new StoreResult.Done<>((long) revision()));
     }
 
     private void answerWatch(int from, Consumer<StoreResult<StorePage>> callback) {
       if (fails()) {
-        callback.accept(new StoreResult.Failed<>("no response"));
+        callback.accept(new StoreResult.Failed<>("no response", random.nextBoolean()));
       } else if (from < oldestKept) {
         callback.accept(new StoreResult.Gone<>());
       } else {
@@ -146,15 +166,28 @@
   /** The items as the follower's listener knows them, each with its revision. */
   private static final class KnownItems implements StoreFollower.Listener {
     final Map<String, Integer> revisionByKey = new TreeMap<>();
+    private final @Nullable Random failures;
+
+    KnownItems(@Nullable Random failures) {
+      this.failures = failures;
+    }
+
+    private void failAtTimes() {
+      if (failures != null && failures.nextInt(10) == 0) {
+        throw new NoClassDefFoundError();
+      }
+    }
 
     @Override
     public void onChanged(String key, ItemContent content) {
+      failAtTimes();
       String zone = ((ItemContent.ZoneEvacuated) content).zone();
       revisionByKey.put(key, Integer.parseInt(zone.substring(zone.indexOf('@') + 1)));
     }
 
     @Override
     public void onRemoved(String key, ItemContent previous, int removedTargetCount) {
+      failAtTimes();
       revisionByKey.remove(key);
     }
 
@@ -164,7 +197,9 @@
 
     @Override
     public void onNotApplied(String key, long revision, Throwable failure) {
-      throw new AssertionError(key, failure);
+      if (failures == null) {
+        throw new AssertionError(key, failure);
+      }
     }
 
     @Override
@@ -173,12 +208,23 @@
 
   @Property(tries = 2_000, seed = "20261205")
   void followerKnowsTheItemsOfTheStoreOnceItsWatchIsAnswered(@ForAll long seed) {
+    follow(seed, false);
+  }
+
+  /** Guards against a follower that stays behind after a lost result or a failing listener. */
+  @Property(tries = 2_000, seed = "20261206")
+  void followerCatchesUpAfterResultsWereLostAndChangesNotApplied(@ForAll long seed) {
+    follow(seed, true);
+  }
+
+  private static void follow(long seed, boolean losesResults) {
     EmbeddedChannel channel = new EmbeddedChannel();
     channel.freezeTime();
     VirtualTime time = VirtualTime.startingAt(0);
     Loop loop = Loop.on(channel.eventLoop(), time, new NoNetwork(), Runnable::run);
     ChangingStore store = new ChangingStore(new Random(seed));
-    KnownItems known = new KnownItems();
+    store.losesResults = losesResults;
+    KnownItems known = new KnownItems(losesResults ? new Random(seed) : null);
     StoreFollower follower = StoreFollower.start(loop, store, known, EventSink.none());
     for (int i = 0; i < STEPS; i++) {
       boolean isCalm = i > STEPS / 2;
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/StorePort.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/StorePort.java
@@ -186,6 +186,9 @@
                 ? model.range(prefix, after)
                 : model.staleRange(prefix, after, lagMillis));
       }
+      if (path.equals("/kv-key")) {
+        return itemReply(parameter(query, "key", ""));
+      }
       if (path.equals("/kv-lease")) {
         return grantLease(JSON.readTree(body));
       }
@@ -250,6 +253,17 @@
     return Reply.empty(410);
   }
 
+  private Reply itemReply(String key) {
+    StoreModel.Item item = model.find(key);
+    if (item == null) {
+      return Reply.empty(404);
+    }
+    Reply reply = Reply.empty(200);
+    writeItem(reply.body(), item);
+    reply.body().put("as_of", model.revision());
+    return reply;
+  }
+
   private static Reply pageReply(String name, StoreModel.Page page) {
     Reply reply = Reply.empty(200);
     ArrayNode rows = reply.body().putArray(name);
