Own interface: a thread that follows the store goes on after an error

What callers would see: a relay that never learns of a newer contract, nor its zone, while it answers as before. The loops that watch the contract and fetch the list of VMs went on after exceptions only; an Error (a stack overflow while an answer is decoded) ended their thread without a line. The revision of a batch was taken as known before its changes were passed on. Change: what a call throws counts as its failure, with a line and a retry; a batch counts as known once its changes are passed on.

--- a/sageladder-entry/src/main/java/org/sageladder/entry/control/StoreWorker.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/control/StoreWorker.java
@@ -24,7 +24,8 @@
 
 /**
  * Makes the control plane's blocking calls to the platform on its own threads and passes the
- * results to the control thread.
+ * results to the control thread. What a call throws counts as its failure, also a stack overflow: a
+ * thread that ended would leave this VM without news of the contract.
  */
 final class StoreWorker implements AutoCloseable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -120,7 +121,7 @@
       Runnable reportResult = performElectionCall(call, election);
       recordSuccess();
       results.runOnControlThread(reportResult);
-    } catch (StoreException | RuntimeException e) {
+    } catch (StoreException | RuntimeException | LinkageError | VirtualMachineError e) {
       recordFailure(e);
       results.runOnControlThread(election::onFailure);
     }
@@ -152,7 +153,7 @@
         recordSuccess();
         results.runOnControlThread(() -> results.onInitialRead(contract));
         return;
-      } catch (StoreException | RuntimeException e) {
+      } catch (StoreException | RuntimeException | LinkageError | VirtualMachineError e) {
         recordFailure(e);
         sleep(backoff.recordFailure());
       }
@@ -175,12 +176,12 @@
       }
       try {
         WatchBatch batch = ((Store) store).watch(contractKey, afterRevision, WATCH_TIMEOUT);
-        afterRevision = batch.nextRevision();
         recordSuccess();
         backoff.recordSuccess();
         forEachContract(
             batch, value -> results.runOnControlThread(() -> results.onContractChanged(value)));
-      } catch (StoreException | RuntimeException e) {
+        afterRevision = batch.nextRevision();
+      } catch (StoreException | RuntimeException | LinkageError | VirtualMachineError e) {
         recordFailure(e);
         sleep(backoff.recordFailure());
       }
@@ -207,7 +208,7 @@
         backoff.recordSuccess();
         results.runOnControlThread(() -> results.onPlatformList(vms));
         awaitNextFetch();
-      } catch (StoreException | RuntimeException e) {
+      } catch (StoreException | RuntimeException | LinkageError | VirtualMachineError e) {
         recordFailure(e);
         sleep(backoff.recordFailure());
       }
@@ -234,13 +235,13 @@
     }
   }
 
-  private void recordFailure(Exception cause) {
+  private void recordFailure(Throwable cause) {
     if (isClosed) {
       return;
     }
     if (!isFailing) {
       isFailing = true;
-      events.record(EventKind.STORE_DOWN, "", "", "", 0, String.valueOf(cause.getMessage()));
+      events.record(EventKind.STORE_DOWN, "", "", "", 0, String.valueOf(cause));
     }
     logger.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
         "call to the platform failed; the known state stays in force: %s", cause.getMessage());
