--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
@@ -110,7 +110,7 @@
             loop, store, forwarder, entryDirectory, self, leaseMillis, changeFeed, log);
     StoreFollower follower = StoreFollower.start(loop, store, changeFeed, control, log);
     control.follower = follower;
-    forwarder.setStaleRulesCheck(follower::isOutOfContact);
+    forwarder.setStaleRulesCheck(follower::mayHaveStaleRules);
     return control;
   }
 
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
@@ -50,6 +50,11 @@
   /** The same for a watch after a pause, in which its connection may have become silent. */
   private static final long REVISION_CHECK_DELAY_AFTER_PAUSE_MILLIS = 2_000;
 
+  /** A route or API key that is unknown may be new unless the rules were confirmed since then. */
+  private static final long MAX_UNCONFIRMED_MILLIS = 2_000;
+
+  private static final long CONFIRMATION_INTERVAL_MILLIS = 1_000;
+
   /** A watch that waits receives a change within this time, also from a slow store. */
   private static final long MAX_WATCH_LAG_MILLIS = 1_000;
 
@@ -119,6 +124,8 @@
   private long nextRevisionCheckMillis;
   private long lastAnswerAtMillis;
   private long lastChangeAtMillis;
+  private long confirmedAtMillis;
+  private long lastConfirmationCallMillis;
   private int timesBehind;
   private boolean isStoreSilent;
   private boolean isReadingAgain;
@@ -207,6 +214,24 @@
         || loop.nowMillis() < catchingUpUntilMillis;
   }
 
+  /**
+   * True if changes may be unknown that the store has had for longer than {@link
+   * #MAX_UNCONFIRMED_MILLIS}. If nothing has shown the contrary recently, the store is asked, so
+   * that the answer is another one soon.
+   */
+  public boolean mayHaveStaleRules() {
+    if (isOutOfContact()) {
+      return true;
+    }
+    if (loop.nowMillis() - confirmedAtMillis <= MAX_UNCONFIRMED_MILLIS) {
+      return false;
+    }
+    if (loop.nowMillis() - lastConfirmationCallMillis >= CONFIRMATION_INTERVAL_MILLIS) {
+      confirm(currentStep);
+    }
+    return true;
+  }
+
   private void read(@Nullable String afterKey, boolean mayBeStale) {
     if (afterKey == null) {
       keysInRead.clear();
@@ -315,6 +340,9 @@
     removeMissing();
     isReadingAgain = false;
     lastAnswerAtMillis = loop.nowMillis();
+    if (!mayBeStale) {
+      confirmedAtMillis = Math.max(confirmedAtMillis, readStartedAtMillis);
+    }
     if (isRevisionInDoubt && lastChangeAtMillis < readStartedAtMillis) {
       nextRevisionCheckMillis = loop.nowMillis() + REVISION_CHECK_PAUSE_MILLIS;
     }
@@ -404,19 +432,35 @@
     if (step != currentStep || !isDue || !changeFeed.isReader()) {
       return;
     }
+    confirm(step);
+  }
+
+  /** Asks for the store's revision, which confirms that of the watch or calls it into doubt. */
+  private void confirm(long step) {
+    long startedAtMillis = loop.nowMillis();
+    lastConfirmationCallMillis = startedAtMillis;
     changeFeed.readRevision(
         result -> {
-          if (result instanceof StoreResult.Done<Long> done && done.value() > revision) {
-            long storeRevision = done.value();
-            var unused =
-                loop.schedule(MAX_WATCH_LAG_MILLIS, () -> onStillWaiting(step, storeRevision));
+          if (!(result instanceof StoreResult.Done<Long> done) || done.value() <= revision) {
+            confirmUnlessFailed(result, startedAtMillis);
+            return;
           }
+          long storeRevision = done.value();
+          var unused =
+              loop.schedule(MAX_WATCH_LAG_MILLIS, () -> onStillWaiting(step, storeRevision));
         });
   }
 
+  /** A VM without an item of its own gets no revision, and has no reason to doubt what it knows. */
+  private void confirmUnlessFailed(StoreResult<Long> result, long atMillis) {
+    if (!(result instanceof StoreResult.Failed<Long>)) {
+      confirmedAtMillis = Math.max(confirmedAtMillis, atMillis);
+    }
+  }
+
   /** Reads everything if a watch still waits although the store has changes for it. */
   private void onStillWaiting(long step, long storeRevision) {
-    if (step != currentStep) {
+    if (step != currentStep || !isWatching) {
       return;
     }
     timesBehind++;
@@ -438,6 +482,7 @@
       onSuccess();
       catchingUpUntilMillis = 0;
       lastAnswerAtMillis = loop.nowMillis();
+      confirmedAtMillis = lastAnswerAtMillis;
       if (changeFeed.hadRecentFailures()) {
         recordFailure();
       }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerProgressTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerProgressTest.java
@@ -142,4 +142,33 @@
     assertEquals(0, follower.progress().unappliedItems());
     assertFalse(follower.isOutOfContact());
   }
+
+  /** Guards against a final 404 on a new route at a VM whose watch is silent without its notice. */
+  @Test
+  void unknownRouteIsFinalOnlyOnceTheStoreHasConfirmedTheRules() {
+    StoreFollower follower = start();
+    runFor(3);
+    assertTrue(follower.mayHaveStaleRules());
+    channel.runPendingTasks();
+    assertFalse(follower.mayHaveStaleRules());
+    store.revision = 11;
+    runFor(3);
+    assertTrue(follower.mayHaveStaleRules());
+    runFor(2);
+    assertEquals(11, follower.progress().revision());
+    assertFalse(follower.mayHaveStaleRules());
+  }
+
+  /** Guards against a call to the store for each request on an unknown route. */
+  @Test
+  void requestsOnUnknownRoutesAskTheStoreAtMostOnceASecond() {
+    StoreFollower follower = start();
+    runFor(3);
+    int before = store.revisionReads;
+    for (int i = 0; i < 100; i++) {
+      assertTrue(i > 0 || follower.mayHaveStaleRules());
+      boolean unused = follower.mayHaveStaleRules();
+    }
+    assertEquals(before + 1, store.revisionReads);
+  }
 }
