Soak of real processes whose platform changes: all VMs end at the newest state

Change: after each run of sageladder-processes the metrics of each VM are compared with the store: version, number of targets, out of contact (BEHIND).

--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/PlatformChanges.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/PlatformChanges.java
@@ -74,6 +74,11 @@
         : List.of(shortRequests(routes.get(addedRoutes.getLast())));
   }
 
+  /** Version of the newest configuration. */
+  long version() {
+    return version;
+  }
+
   /** Writes the configuration under the current version. */
   void writeConfiguration() {
     String configuration =
@@ -162,7 +167,8 @@
     }
     ProcessTarget leaving = staying.get(random.nextInt(staying.size()));
     try {
-      ProcessTarget added = leaving.successor("t-" + targets.size(), ports.next());
+      ProcessTarget added =
+          leaving.successor(ProcessTarget.NAME_PREFIX + targets.size(), ports.next());
       targets.add(added);
       added.start(leaving.service().traits().coldMillis());
     } catch (IOException e) {
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/ProcessFleet.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/ProcessFleet.java
@@ -32,6 +32,11 @@
 
   private static final int PERSISTENT_CONNECTIONS = 8;
 
+  /** The limit only guards against a VM that never catches up. */
+  private static final int CATCH_UP_TRIES = 60;
+
+  private static final long CATCH_UP_PAUSE_MILLIS = 500;
+
   /** Each VM is asked on the newest route with a connection of its own for this long. */
   private static final long NEWEST_ROUTE_MILLIS = 5_000;
 
@@ -44,6 +49,10 @@
     String lookUpAddress() {
       return host + ':' + ports.get(2);
     }
+
+    String metricsAddress() {
+      return host + ':' + ports.get(3);
+    }
   }
 
   private final Deployment deployment;
@@ -107,7 +116,7 @@
       for (Map.Entry<String, Integer> count : service.targetsByZone().entrySet()) {
         for (int i = 0; i < count.getValue(); i++) {
           String zone = count.getKey();
-          String name = "t-" + targets.size();
+          String name = ProcessTarget.NAME_PREFIX + targets.size();
           targets.add(new ProcessTarget(world, service, zone, regionOf(zone), name, ports.next()));
         }
       }
@@ -296,6 +305,55 @@
     }
   }
 
+  /**
+   * Compares what the VMs know with the store, once nothing changes any more. A VM that differs is
+   * asked again for a while, since it may wait for a processor.
+   *
+   * @return a line for each VM that knows less
+   */
+  List<String> vmsBehind() throws InterruptedException {
+    List<String> behind = new ArrayList<>();
+    for (Vm vm : vms) {
+      String difference = difference(vm);
+      for (int i = 0; i < CATCH_UP_TRIES && !difference.isEmpty(); i++) {
+        Thread.sleep(CATCH_UP_PAUSE_MILLIS);
+        difference = difference(vm);
+      }
+      if (!difference.isEmpty()) {
+        behind.add(vm.process().name() + ' ' + difference);
+      }
+    }
+    return behind;
+  }
+
+  private String difference(Vm vm) throws InterruptedException {
+    if (!vm.process().isAlive()) {
+      return "";
+    }
+    Map<String, Long> expected =
+        callOnLoop(
+            () ->
+                Map.of(
+                    "rules_version",
+                    changes.version(),
+                    "store_out_of_contact",
+                    0L,
+                    "targets",
+                    (long) store.keys(ProcessTarget.KEY_PREFIX).size()));
+    try {
+      VmFigures figures = VmFigures.read(vm.metricsAddress());
+      for (Map.Entry<String, Long> each : expected.entrySet()) {
+        long value = figures.value(each.getKey()).orElse(each.getValue());
+        if (value != each.getValue()) {
+          return "has " + each.getKey() + ' ' + value + ", expected " + each.getValue();
+        }
+      }
+      return "";
+    } catch (IOException e) {
+      return "does not answer: " + e.getMessage();
+    }
+  }
+
   /** Evaluates the day on the loop of the stand-ins, after {@link #stopTraffic}. */
   <T> T evaluate(Function<SimulatedDay, T> evaluation) {
     return callOnLoop(() -> evaluation.apply(day));
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/ProcessRun.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/ProcessRun.java
@@ -59,6 +59,7 @@
       fleet.stopTraffic();
       Thread.sleep(AFTER_TRAFFIC_MILLIS);
       List<String> violations = new ArrayList<>(fleet.evaluate(ProcessRun::violations));
+      fleet.vmsBehind().forEach(vm -> violations.add("BEHIND: " + vm));
       unexpectedEnds.forEach(end -> violations.add("FAULT: " + end));
       String stops = fleet.plannedStopCount() == 0 ? "" : injector.stopTimes().toString();
       return new Result(violations, fleet.evaluate(day -> describe(day, fleet)) + stops);
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/ProcessTarget.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/ProcessTarget.java
@@ -13,6 +13,11 @@
 
 /** A target on a port of its own, and its entry in the store. */
 final class ProcessTarget {
+  /** Names of targets begin with this, and the keys of their entries with {@link #KEY_PREFIX}. */
+  static final String NAME_PREFIX = "t-";
+
+  static final String KEY_PREFIX = "servers/" + NAME_PREFIX;
+
   private static final long HEARTBEAT_MILLIS = 1_500;
 
   /** The platform removes the entry of a target that has been silent for this long. */
@@ -178,6 +183,6 @@
   }
 
   private String key() {
-    return "servers/" + name + "-" + startCount;
+    return KEY_PREFIX + name.substring(NAME_PREFIX.length()) + "-" + startCount;
   }
 }
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/process/PlannedStopSoakTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/process/PlannedStopSoakTest.java
@@ -7,7 +7,6 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.sageladder.adapter.PlatformMain;
 import org.sageladder.scenario.Deployment;
 
 /** Guards against planned stops of real processes that cut off requests or end in another way. */
@@ -23,24 +22,7 @@
   void keepsAllRules(long seed) throws Exception {
     List<FaultSeries> series = FaultSeries.randomPlanned(seed, TRAFFIC_MILLIS);
     ProcessRun run = new ProcessRun(Deployment.bookings(), seed, series, TRAFFIC_MILLIS, true);
-    ProcessRun.Result result = run.play(entryVmProgram(), folder);
+    ProcessRun.Result result = run.play(EntryVmPrograms.ofThisBuild(), folder);
     assertEquals(List.of(), result.violations(), series + "\n" + result.summary());
   }
-
-  /** An entry VM with the classes of this process. */
-  private static EntryVmProcess.Program entryVmProgram() {
-    List<String> command =
-        List.of(
-            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-Xmx64m",
-            "-Xss256k",
-            "-XX:+UseSerialGC",
-            "-XX:TieredStopAtLevel=1",
-            "-Dio.netty.noUnsafe=true",
-            "-Dio.netty.allocator.type=unpooled",
-            "-cp",
-            System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
-            PlatformMain.class.getName());
-    return new EntryVmProcess.Program(command, Path.of("").toAbsolutePath());
-  }
 }
