--- a/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalLoad.java
+++ b/sageladder-assembly/src/main/java/org/sageladder/assembly/LocalLoad.java
@@ -79,6 +79,7 @@
     }
     Thread.sleep(duration.toMillis());
     streams.forEach(stream -> stream.cancel(false));
+    awaitLastSend();
     callers.shutdown();
     long graceMillis = 2 * MAX_DEADLINE.toMillis();
     if (!callers.awaitTermination(graceMillis, TimeUnit.MILLISECONDS)) {
@@ -86,6 +87,12 @@
     }
   }
 
+  /** Callers that shut down accept no request, not even one that is being sent. */
+  private void awaitLastSend() throws InterruptedException {
+    scheduler.shutdown();
+    var unused = scheduler.awaitTermination(MAX_DEADLINE.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
   private void sendScheduled(Contract.Service service) {
     sentCount.incrementAndGet();
     long dueNanos = System.nanoTime();
