Real processes: only routes that changed count as changed; added routes in one place

Cause: each configuration was recorded as a change of all of its routes, so that CONFIG was not judged where configurations follow each other within 2.5 s. The shape of an added route stood twice.

--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/PlatformChanges.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/PlatformChanges.java
@@ -15,6 +15,7 @@
 import org.sageladder.core.routing.ServiceShare;
 import org.sageladder.scenario.Deployment;
 import org.sageladder.scenario.SimulatedDay;
+import org.sageladder.scenario.trouble.AddedRoutes;
 import org.sageladder.scenario.trouble.ForeignEntries;
 import org.sageladder.standin.platform.Ledger.PlatformEvent;
 import org.sageladder.standin.platform.PlatformTexts;
@@ -28,9 +29,6 @@
   private static final long FIRST_VERSION = 7;
   private static final int MAX_ADDED_ROUTES = 3;
   private static final int LONG_ENTRY_COUNT = 4;
-  private static final long ADDED_ROUTE_WORK_MILLIS = 5;
-  private static final long ADDED_ROUTE_GOAL_MILLIS = 1_000;
-  private static final int ADDED_ROUTE_OBJECT_COUNT = 24;
   static final long WATCH_SILENCE_MILLIS = 1_000;
 
   private final ProcessTarget.World world;
@@ -40,6 +38,7 @@
   private final List<ProcessTarget> targets;
   private final Random random;
   private final Map<String, RouteRule> routes = new HashMap<>();
+  private final Map<String, RouteRule> writtenRoutes = new HashMap<>();
   private final Deque<String> addedRoutes = new ArrayDeque<>();
   private long version = FIRST_VERSION;
   private int addedRouteCount;
@@ -86,8 +85,10 @@
             version, List.copyOf(routes.values()), deployment.serviceRules());
     var unused = world.store().put("op/config", PlatformTexts.base64(configuration), 0);
     for (RouteRule route : routes.values()) {
-      day.allowRoute(route);
-      record(PlatformEvent.Kind.CONFIGURATION, route.name());
+      if (!route.equals(writtenRoutes.put(route.name(), route))) {
+        day.allowRoute(route);
+        record(PlatformEvent.Kind.CONFIGURATION, route.name());
+      }
     }
   }
 
@@ -110,23 +111,10 @@
     configure();
   }
 
-  /** The shape of the busiest route, under a name and prefix of its own. */
   private RouteRule addedRoute(String name) {
     RouteRule template =
         deployment.routes().stream().filter(RouteRule::idempotent).findFirst().orElseThrow();
-    return new RouteRule(
-        name,
-        template.host(),
-        '/' + name + '/',
-        true,
-        template.timeoutMillis(),
-        ADDED_ROUTE_GOAL_MILLIS,
-        template.priority(),
-        template.services(),
-        template.maxTargets(),
-        true,
-        template.regions(),
-        template.anonymous());
+    return AddedRoutes.like(template, name);
   }
 
   private static RequestProfile shortRequests(RouteRule route) {
@@ -136,11 +124,11 @@
         route.prefix(),
         true,
         1,
-        ADDED_ROUTE_WORK_MILLIS,
+        AddedRoutes.WORK_MILLIS,
         route.latencyGoalMillis(),
         route.timeoutMillis(),
         0,
-        ADDED_ROUTE_OBJECT_COUNT,
+        AddedRoutes.OBJECT_COUNT,
         RequestProfile.ConnectionUse.KEPT);
   }
 
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/OperatorTroubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/OperatorTroubles.java
@@ -22,11 +22,8 @@
   private static final long MOVED_MILLIS = 5_000;
 
   private static final String ADDED_ROUTE = "added";
-  private static final long ADDED_ROUTE_GOAL_MILLIS = 1_000;
   private static final long ADDED_ROUTE_DEADLINE_MILLIS = 1_000;
-  private static final long ADDED_ROUTE_WORK_MILLIS = 5;
   private static final double ADDED_ROUTE_REQUESTS_PER_SECOND = 5;
-  private static final int ADDED_ROUTE_OBJECT_COUNT = 24;
 
   /** Factor on the usual request rate while the route is added. */
   private static final double ADDED_ROUTE_RATE_FACTOR = 1.5;
@@ -103,20 +100,7 @@
             .filter(route -> route.name().equals(busiest.route()))
             .findFirst()
             .orElseThrow();
-    RouteRule added =
-        new RouteRule(
-            ADDED_ROUTE,
-            template.host(),
-            '/' + ADDED_ROUTE + '/',
-            true,
-            template.timeoutMillis(),
-            ADDED_ROUTE_GOAL_MILLIS,
-            template.priority(),
-            template.services(),
-            template.maxTargets(),
-            true,
-            template.regions(),
-            template.anonymous());
+    RouteRule added = AddedRoutes.like(template, ADDED_ROUTE);
     fleet.addRoute(added, shortRequests(added));
     fleet.callers().forEach(callers -> callers.setRateFactor(ADDED_ROUTE_RATE_FACTOR));
   }
@@ -128,11 +112,11 @@
         route.prefix(),
         true,
         ADDED_ROUTE_REQUESTS_PER_SECOND,
-        ADDED_ROUTE_WORK_MILLIS,
+        AddedRoutes.WORK_MILLIS,
         route.latencyGoalMillis(),
         ADDED_ROUTE_DEADLINE_MILLIS,
         0,
-        ADDED_ROUTE_OBJECT_COUNT,
+        AddedRoutes.OBJECT_COUNT,
         RequestProfile.ConnectionUse.FRESH);
   }
 
