Events: a late writer no longer overwrites a later event of its slot

What operators would see: the time line of a process of the own interface stops for good, since its reader waits for an event that is gone. Cause: a writer takes its number and stores its event later. If others go once around the buffer in between, it stored the older event over the later one, and a reader breaks off at a slot that is older than expected, each time. Change: an event is stored only over an older one.

--- a/sageladder-core/src/main/java/org/sageladder/core/event/EventBuffer.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/event/EventBuffer.java
@@ -76,7 +76,22 @@
     long sequence = nextSequence.getAndIncrement();
     Event event =
         new Event(sequence, wallMicros(), kind, request, contract, subject, revision, detail);
-    slots.setRelease((int) sequence & mask, event);
+    store((int) sequence & mask, event);
+  }
+
+  /**
+   * Stores an event unless its slot has a later one already: its writer may have waited for a
+   * processor while others went once around the buffer, and a reader would wait for the later event
+   * for good.
+   */
+  private void store(int index, Event event) {
+    Event current = slots.getAcquire(index);
+    while (current == null || current.sequence() < event.sequence()) {
+      if (slots.compareAndSet(index, current, event)) {
+        return;
+      }
+      current = slots.getAcquire(index);
+    }
   }
 
   /**
--- a/sageladder-core/src/test/java/org/sageladder/core/event/EventBufferTest.java
+++ b/sageladder-core/src/test/java/org/sageladder/core/event/EventBufferTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
+import org.sageladder.core.time.TimeSource;
 import org.sageladder.core.time.VirtualTime;
 
 class EventBufferTest {
@@ -81,6 +82,41 @@
     assertEquals(seen.stream().sorted().distinct().toList(), seen);
   }
 
+  /** Guards against a reader that never gets beyond an event that a late writer has overwritten. */
+  @Test
+  void lateWriterDoesNotOverwriteALaterEvent() {
+    Runnable[] whileWriting = {() -> {}};
+    TimeSource interrupted =
+        new TimeSource() {
+          @Override
+          public long nanos() {
+            Runnable others = whileWriting[0];
+            whileWriting[0] = () -> {};
+            others.run();
+            return time.nanos();
+          }
+
+          @Override
+          public long wallMillis() {
+            return time.wallMillis();
+          }
+        };
+    EventBuffer buffer = EventBuffer.withCapacity(4, interrupted);
+    whileWriting[0] =
+        () -> {
+          for (int i = 2; i <= 5; i++) {
+            record(buffer, String.valueOf(i));
+          }
+        };
+    record(buffer, "1");
+
+    EventBuffer.Batch batch = buffer.readAfter(0, 100);
+
+    assertEquals(List.of("2", "3", "4", "5"), details(batch));
+    assertEquals(1, batch.lostCount());
+    assertEquals(5, batch.lastSequence());
+  }
+
   private static void record(EventBuffer buffer, String detail) {
     buffer.record(EventKind.ADMITTED, "r", "kannelkoda", "t", 0, detail);
   }
