Read once more: former cases of a property as before, a check that cannot pass unseen

Cause: an added draw in the store of StoreReadProperties changed the cases that the seed of the former property plays; its second property let changes throw to the very end, so that a removal could still wait to be applied (found by hand at try 25,670 of 100,000). BEHIND passed over a metric that a VM does not have. Change: the draw is made for the second property only, so that the former one plays what it played; changes stop throwing when the other faults end, which is what the property states; a metric that is missing counts as a difference (an earlier commit without it is reported). One comment reworded. No statement of the product changed. Measured: sageladder-forward StoreFollower*Test, StoreReadProperties, ZoneChangeFeedTest and ChangingPlatformSoakTest, PlannedStopSoakTest and FaultSeriesTest passed once each.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
@@ -401,7 +401,7 @@
   /**
    * Waits for changes.
    *
-   * @param isAfterPause true if no response has arrived just now
+   * @param isAfterPause true if connections to the store may have been idle before
    */
   private void watch(boolean isAfterPause) {
     isWatching = true;
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreReadProperties.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreReadProperties.java
@@ -103,6 +103,10 @@
       };
     }
 
+    private StoreResult<StorePage> failure(String cause) {
+      return new StoreResult.Failed<>(cause, losesResults && random.nextBoolean());
+    }
+
     private boolean fails() {
       return !isCalm && random.nextInt(6) == 0;
     }
@@ -111,7 +115,7 @@
     public void read(
         @Nullable String afterKey, boolean mayBeStale, Consumer<StoreResult<StorePage>> callback) {
       if (fails()) {
-        callback.accept(new StoreResult.Failed<>("status 503", random.nextBoolean()));
+        callback.accept(failure("status 503"));
         return;
       }
       change(isCalm ? 0 : random.nextInt(3));
@@ -144,7 +148,7 @@
 
     private void answerWatch(int from, Consumer<StoreResult<StorePage>> callback) {
       if (fails()) {
-        callback.accept(new StoreResult.Failed<>("no response", random.nextBoolean()));
+        callback.accept(failure("no response"));
       } else if (from < oldestKept) {
         callback.accept(new StoreResult.Gone<>());
       } else {
@@ -167,13 +171,14 @@
   private static final class KnownItems implements StoreFollower.Listener {
     final Map<String, Integer> revisionByKey = new TreeMap<>();
     private final @Nullable Random failures;
+    boolean isCalm;
 
     KnownItems(@Nullable Random failures) {
       this.failures = failures;
     }
 
     private void failAtTimes() {
-      if (failures != null && failures.nextInt(10) == 0) {
+      if (failures != null && !isCalm && failures.nextInt(10) == 0) {
         throw new NoClassDefFoundError();
       }
     }
@@ -211,7 +216,9 @@
     follow(seed, false);
   }
 
-  /** Guards against a follower that stays behind after a lost result or a failing listener. */
+  /**
+   * Guards against a follower that stays behind once results are lost and changes throw no more.
+   */
   @Property(tries = 2_000, seed = "20261206")
   void followerCatchesUpAfterResultsWereLostAndChangesNotApplied(@ForAll long seed) {
     follow(seed, true);
@@ -231,6 +238,7 @@
       time.advance(Duration.ofSeconds(1));
       channel.advanceTimeBy(1, TimeUnit.SECONDS);
       channel.runPendingTasks();
+      known.isCalm = isCalm;
       store.step(isCalm);
     }
     assertEquals(store.itemsAt(store.revision()), known.revisionByKey);
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/ProcessFleet.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/ProcessFleet.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -32,7 +33,7 @@
 
   private static final int PERSISTENT_CONNECTIONS = 8;
 
-  /** The limit only guards against a VM that never catches up. */
+  /** Of all VMs together; the limit only guards against a VM that never catches up. */
   private static final int CATCH_UP_TRIES = 60;
 
   private static final long CATCH_UP_PAUSE_MILLIS = 500;
@@ -306,16 +307,18 @@
   }
 
   /**
-   * Compares what the VMs know with the store, once nothing changes any more. A VM that differs is
-   * asked again for a while, since it may wait for a processor.
+   * Compares what the VMs know with the store, once nothing changes any more. VMs that differ are
+   * asked again for a while, since they may wait for a processor.
    *
-   * @return a line for each VM that knows less
+   * @return a line for each VM that differs, or that does not tell, as those of earlier commits
    */
   List<String> vmsBehind() throws InterruptedException {
     List<String> behind = new ArrayList<>();
+    int tries = 0;
     for (Vm vm : vms) {
       String difference = difference(vm);
-      for (int i = 0; i < CATCH_UP_TRIES && !difference.isEmpty(); i++) {
+      while (!difference.isEmpty() && tries < CATCH_UP_TRIES) {
+        tries++;
         Thread.sleep(CATCH_UP_PAUSE_MILLIS);
         difference = difference(vm);
       }
@@ -343,9 +346,9 @@
     try {
       VmFigures figures = VmFigures.read(vm.metricsAddress());
       for (Map.Entry<String, Long> each : expected.entrySet()) {
-        long value = figures.value(each.getKey()).orElse(each.getValue());
-        if (value != each.getValue()) {
-          return "has " + each.getKey() + ' ' + value + ", expected " + each.getValue();
+        OptionalLong value = figures.value(each.getKey());
+        if (value.isEmpty() || value.getAsLong() != each.getValue()) {
+          return each.getKey() + " is " + value + ", expected " + each.getValue();
         }
       }
       return "";
