--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/SimulatedDay.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/SimulatedDay.java
@@ -153,6 +153,21 @@
         .noneMatch(span -> overlaps(span, fromMillis - bounds.discoveryMillis(), toMillis));
   }
 
+  /**
+   * Returns true if the entry VM was in contact both when it took a request from its caller and
+   * when the request arrived at a target. A trouble between the two moments, or before the contact
+   * time of the first, excuses nothing.
+   */
+  public boolean isHandledInContact(String vm, long takenMillis, long arrivedMillis) {
+    return isInContact(vm, takenMillis, takenMillis)
+        && isInContact(vm, arrivedMillis, arrivedMillis);
+  }
+
+  /** Returns true if no trouble affected all entry VMs during the contact time before. */
+  public boolean isStoreStable(long atMillis) {
+    return isInContact(ALL_ENTRY_VMS, atMillis, atMillis);
+  }
+
   /**
    * Returns true if this entry VM itself was restarted, suspended, cut off or otherwise disturbed
    * between {@code fromMillis} and {@code toMillis}.
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/ArrivalRules.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/ArrivalRules.java
@@ -79,10 +79,17 @@
               && arrival.at() > atMillis + day.bounds().drainMillis()
               && day.areLinksHealthy(arrival.zone(), arrival.at())
               && !day.mayBeHeldUp(arrival.from(), arrival.at())
-              && day.isInContact(arrival.from(), atMillis, arrival.at());
+              && day.isStoreStable(atMillis)
+              && isHandledInContact(day, arrival);
         });
   }
 
+  private static boolean isHandledInContact(SimulatedDay day, Arrival arrival) {
+    long takenMillis =
+        day.ledger().attempt(arrival.id()).map(Attempt::sentAtMillis).orElse(arrival.at());
+    return day.isHandledInContact(arrival.from(), takenMillis, arrival.at());
+  }
+
   static List<String> afterEvacuation(SimulatedDay day) {
     List<PlatformEvent> evacuations = day.ledger().events(PlatformEvent.Kind.ZONE_EMPTIED);
     List<PlatformEvent> reopened = day.ledger().events(PlatformEvent.Kind.ZONE_TAKEN_BACK);
@@ -110,7 +117,7 @@
         && arrival.at() < reopenedMillis
         && day.areLinksHealthy(arrival.zone(), arrival.at())
         && !day.mayBeHeldUp(arrival.from(), arrival.at())
-        && day.isInContact(arrival.from(), evacuated.atMillis(), arrival.at());
+        && isHandledInContact(day, arrival);
   }
 
   /** Requests sent to a service that only an older configuration allows. */
@@ -130,7 +137,7 @@
           return !allowedServices.contains(arrival.service())
               && attempt.get().sentAtMillis()
                   > changedMillis + day.bounds().configurationApplyMillis()
-              && day.isInContact(arrival.from(), changedMillis, arrival.at());
+              && isHandledInContact(day, arrival);
         });
   }
 
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
@@ -251,6 +251,26 @@
     assertNotViolated("DRAIN");
   }
 
+  /** Guards against a check that excuses a VM for all that happened during an earlier trouble. */
+  @Test
+  void sentAfterDrainByAVmThatIsInContactAgain() {
+    long contact = day.bounds().discoveryMillis();
+    ledger.recordEvent(PlatformEvent.Kind.TARGET_LEAVES, "t-1", BASE_MILLIS);
+    day.recordTrouble(
+        new SimulatedDay.TroubleInterval(VM, false, BASE_MILLIS - 10, BASE_MILLIS + 10));
+    long againMillis = BASE_MILLIS + 10 + contact + 1;
+    recordSent("early", true, againMillis - 1);
+    ledger.recordArrival(arrival("early", againMillis + 5));
+    assertNotViolated("DRAIN");
+    recordSent("q", true, againMillis);
+    ledger.recordArrival(arrival("q", againMillis + 5));
+    assertViolated("DRAIN");
+    String all = SimulatedDay.ALL_ENTRY_VMS;
+    day.recordTrouble(
+        new SimulatedDay.TroubleInterval(all, false, BASE_MILLIS - 10, BASE_MILLIS - 10));
+    assertNotViolated("DRAIN");
+  }
+
   @Test
   void sentAfterEvacuation() {
     long bound = day.bounds().evacuateMillis();
