--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/ZoneChangeFeed.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/ZoneChangeFeed.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.event.EventKind;
@@ -113,9 +114,14 @@
     }
   }
 
+  /** Returns the VM that reads the store for {@code zone}, of the live VMs with these names. */
+  public static Optional<String> chooseReader(String zone, List<String> names) {
+    return Rendezvous.choose("reader of " + zone, names);
+  }
+
   private @Nullable EntryVm chooseReader(List<EntryVm> zoneVms) {
     List<String> names = zoneVms.stream().map(EntryVm::name).toList();
-    String chosen = Rendezvous.choose("reader of " + self.zone(), names).orElse("");
+    String chosen = chooseReader(self.zone(), names).orElse("");
     for (EntryVm vm : zoneVms) {
       if (vm.name().equals(chosen)) {
         return vm;
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/FleetEntry.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/FleetEntry.java
@@ -27,6 +27,11 @@
     this.host = host;
   }
 
+  /** Its name. */
+  public String name() {
+    return name;
+  }
+
   /** Its host. */
   public SimulatedHost host() {
     return host;
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
@@ -79,6 +79,13 @@
     return all;
   }
 
+  /** Troubles of VMs that read the store for others; these are never chosen at random. */
+  public static Map<String, Trouble> readerTroubles() {
+    Map<String, Trouble> all = new LinkedHashMap<>();
+    ReaderTroubles.addTo(all);
+    return all;
+  }
+
   /** Troubles of requests with large bodies; these are never chosen at random. */
   public static Map<String, Trouble> largeBodies() {
     Map<String, Trouble> all = new LinkedHashMap<>();
@@ -97,6 +104,7 @@
     known.putAll(plannedStops());
     known.putAll(staleReads());
     known.putAll(largeBodies());
+    known.putAll(readerTroubles());
     return known.get(name);
   }
 
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/StorePort.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/StorePort.java
@@ -41,6 +41,7 @@
   private final Map<String, Integer> callCounts = new HashMap<>();
   private StoreFaultMode faultMode = StoreFaultMode.NONE;
   private Predicate<String> isAffected = caller -> true;
+  private final Map<String, StoreFaultMode> refusedCallers = new HashMap<>();
   private LongSupplier replicaLagMillis = () -> 0;
 
   private StorePort(Loop loop, StoreModel model) {
@@ -67,6 +68,19 @@
     isAffected = affects;
   }
 
+  /**
+   * Injects a fault into the calls from one IP address, whatever other fault there is. Its watches
+   * that wait now are answered as usual.
+   */
+  public void refuse(String callerIp, StoreFaultMode mode) {
+    refusedCallers.put(callerIp, mode);
+  }
+
+  /** Ends the fault of that IP address. */
+  public void acceptAgain(String callerIp) {
+    refusedCallers.remove(callerIp);
+  }
+
   /** Never answers the watches that wait now; later calls are answered. */
   public void dropWatches() {
     model.dropWatches();
@@ -117,7 +131,8 @@
     QueryStringDecoder query = new QueryStringDecoder(request.uri());
     byte[] body = ByteBufUtil.getBytes(request.content());
     callCounts.merge(query.path(), 1, Integer::sum);
-    StoreFaultMode mode = isAffected.test(exchange.callerIp()) ? faultMode : StoreFaultMode.NONE;
+    StoreFaultMode common = isAffected.test(exchange.callerIp()) ? faultMode : StoreFaultMode.NONE;
+    StoreFaultMode mode = refusedCallers.getOrDefault(exchange.callerIp(), common);
     boolean isWrite = query.path().equals("/kv-txn") || query.path().equals("/kv-lease");
     switch (mode) {
       case BUSY -> answer(exchange, Reply.empty(503), ANSWER_DELAY_MILLIS);
