Logs and metrics say from whom a leaving was learnt and how late it may be

The line of a leaving target had the time for which a removal is held, and nothing that tells late news of a reader from a late processor: now the VM that relayed it, an upper bound on how long the store had it, and own requests in flight there; the histogram target_leaving_delay sums both. No change of behaviour.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
@@ -11,6 +11,7 @@
 import org.sageladder.core.event.EventSink;
 import org.sageladder.core.placing.ColdTargetLimiter.EntryVmLocation;
 import org.sageladder.core.placing.TargetFacts;
+import org.sageladder.core.placing.TargetState;
 import org.sageladder.core.placing.TargetTable;
 import org.sageladder.core.routing.RoutingRules;
 import org.sageladder.forward.Forwarder;
@@ -234,7 +235,32 @@
         target.service(),
         target.id(),
         target.incarnation().startedAtMillis(),
-        change + ", " + target.zone() + ", cold start " + target.remainingColdMillis() + " ms");
+        change
+            + ", "
+            + target.zone()
+            + ", cold start "
+            + target.remainingColdMillis()
+            + " ms"
+            + (target.isDraining() ? recordLeaving(target.id(), 0) : ""));
+  }
+
+  /**
+   * Records how long after the store this VM learnt that a target leaves, and describes it for the
+   * log.
+   *
+   * @param holdMillis time until it gets no more requests
+   */
+  private String recordLeaving(String target, long holdMillis) {
+    StoreFollower current = follower;
+    StoreFollower.News news = current == null ? StoreFollower.News.none() : current.news();
+    forwarder.metrics().recordMillis("target_leaving_delay", news.maxAgeMillis() + holdMillis);
+    int inFlight = forwarder.targets().find(target).map(TargetState::inFlight).orElse(0);
+    return ", from "
+        + news.source()
+        + " at most "
+        + news.maxAgeMillis()
+        + " ms later, own in flight there "
+        + inFlight;
   }
 
   @Override
@@ -249,7 +275,10 @@
           "",
           target.target().id(),
           0,
-          "removed, applied after " + graceMillis + " ms");
+          "removed, applied after "
+              + graceMillis
+              + " ms"
+              + recordLeaving(target.target().id(), graceMillis));
     } else if (previous instanceof ItemContent.ZoneEvacuated zone) {
       forwarder.targets().endEvacuation(zone.zone(), loop.nowMillis(), coldStartMillis());
       forwarder.onCapacityChange();
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
@@ -132,6 +132,7 @@
   private boolean isRevisionInDoubt;
   private long readStartedAtMillis;
   private long catchingUpUntilMillis;
+  private News news = News.none();
   private boolean hasEverFailed;
   private long lastFailureAtMillis;
 
@@ -142,6 +143,7 @@
     this.changeFeed = changeFeed;
     this.listener = listener;
     this.log = log;
+    this.confirmedAtMillis = loop.nowMillis();
   }
 
   /** Starts to follow the store directly. */
@@ -185,6 +187,25 @@
     }
   }
 
+  /**
+   * Where the changes that were applied last came from.
+   *
+   * @param source name of the VM that relayed them, or {@code store}
+   * @param maxAgeMillis how long the store may have had them, at most: time since this VM was last
+   *     known to have all changes
+   */
+  public record News(String source, long maxAgeMillis) {
+    /** Nothing has been applied yet. */
+    static News none() {
+      return new News("store", 0);
+    }
+  }
+
+  /** Where the changes that are being applied came from, or those that were applied last. */
+  public News news() {
+    return news;
+  }
+
   /** How far this VM follows the store now. */
   public Progress progress() {
     long now = loop.nowMillis();
@@ -325,6 +346,7 @@
   }
 
   private void readPage(StorePage page, boolean mayBeStale) {
+    recordNews("store");
     readRevision = Math.min(readRevision, page.asOfRevision());
     page.items().forEach(item -> keysInRead.add(item.key()));
     apply(page.items());
@@ -477,9 +499,15 @@
     readAgain();
   }
 
+  /** Records the source of an answer, before what it confirms is recorded. */
+  private void recordNews(String source) {
+    news = new News(source, loop.nowMillis() - confirmedAtMillis);
+  }
+
   private void onWatchResult(StoreResult<StorePage> result) {
     if (result instanceof StoreResult.Done<StorePage> done) {
       onSuccess();
+      recordNews(changeFeed.source());
       catchingUpUntilMillis = 0;
       lastAnswerAtMillis = loop.nowMillis();
       confirmedAtMillis = lastAnswerAtMillis;
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/ZoneChangeFeed.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/ZoneChangeFeed.java
@@ -135,6 +135,12 @@
     return !isRelayed;
   }
 
+  /** Name of the VM that answered last, or {@code store}. */
+  String source() {
+    EntryVm readerVm = reader;
+    return isRelayed && readerVm != null ? readerVm.name() : "store";
+  }
+
   /** Time since the store last answered this VM. */
   public long contactAgeMillis() {
     return loop.nowMillis() - lastContactAtMillis;
