A removal is held as a lapsed lease only if the store did not serve this VM

Callers saw requests at targets that had left, from VMs without any trouble of their own that follow the reader of their zone.

A follower now holds removals only if the store has not served itself either, by its own renewals, within their interval: leases lapse in no shorter time, and an outage that ends them fails its own calls. In the same way a single watch that was cut off, a response that is too long, discarded history and a watch behind the store's revision no longer count: in each of these the store was there.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
@@ -133,6 +133,7 @@
   private long readStartedAtMillis;
   private long catchingUpUntilMillis;
   private News news = News.none();
+  private boolean isFailing;
   private boolean hasEverFailed;
   private long lastFailureAtMillis;
 
@@ -217,10 +218,13 @@
         unappliedItems.size());
   }
 
-  /** True while calls fail, and for {@code millis} after that. */
+  /**
+   * True while the store does not serve this VM, and for {@code millis} after that, so that leases
+   * may have lapsed. A single watch that was cut off is no such failure, nor is an answer that says
+   * that history was discarded or that cannot be read.
+   */
   public boolean hadFailureWithin(long millis) {
-    return consecutiveFailures > 0
-        || (hasEverFailed && loop.nowMillis() - lastFailureAtMillis < millis);
+    return isFailing || (hasEverFailed && loop.nowMillis() - lastFailureAtMillis < millis);
   }
 
   /**
@@ -493,7 +497,6 @@
         "store",
         revision,
         "behind revision " + storeRevision + " of the store; reading all items");
-    recordFailure();
     isWatching = false;
     isRevisionInDoubt = true;
     readAgain();
@@ -511,7 +514,7 @@
       catchingUpUntilMillis = 0;
       lastAnswerAtMillis = loop.nowMillis();
       confirmedAtMillis = lastAnswerAtMillis;
-      if (changeFeed.hadRecentFailures()) {
+      if (changeFeed.mayStoreHaveBeenAway()) {
         recordFailure();
       }
       StorePage page = done.value();
@@ -528,16 +531,17 @@
           "history",
           revision,
           "discarded by the store; reading all items");
-      recordFailure();
       readAgain();
       return;
     }
     if (result instanceof StoreResult.Failed<StorePage> failed && failed.isUnreadable()) {
       // A watch from the same revision has the same response; pages of a read are shorter.
-      onFailure("watch", failed.cause(), this::readAgain);
+      retryAfterFailure("watch", failed.cause(), this::readAgain);
       return;
     }
-    onFailure("watch", String.valueOf(result), () -> watch(true));
+    // The store may cut off a watch that waits; the next call tells whether it serves this VM.
+    isFailing |= consecutiveFailures > 0;
+    retryAfterFailure("watch", String.valueOf(result), () -> watch(true));
   }
 
   /** Reads all items, since what is known cannot be brought up to date by watching. */
@@ -568,12 +572,20 @@
           "store",
           revision,
           "after " + consecutiveFailures + " consecutive failures");
+    }
+    if (isFailing) {
       recordFailure();
     }
+    isFailing = false;
     consecutiveFailures = 0;
   }
 
   private void onFailure(String call, String cause, Runnable retry) {
+    isFailing = true;
+    retryAfterFailure(call, cause, retry);
+  }
+
+  private void retryAfterFailure(String call, String cause, Runnable retry) {
     consecutiveFailures++;
     if (consecutiveFailures == 1) {
       log.record(EventKind.STORE_DOWN, "", "", "store", revision, call + ": " + cause);
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/ZoneChangeFeed.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/ZoneChangeFeed.java
@@ -228,8 +228,11 @@
     return anyChange ? BATCH_DELAY_MILLIS : 0;
   }
 
-  /** True if the VM that answered last had recent failures of calls to the store. */
-  boolean hadRecentFailures() {
-    return hadRecentFailures;
+  /**
+   * True if calls of the VM that answered last have failed, and the store has not served this VM
+   * meanwhile. Otherwise only that VM had trouble, and no lease has lapsed by it.
+   */
+  boolean mayStoreHaveBeenAway() {
+    return hadRecentFailures && contactAgeMillis() > maxContactAgeMillis;
   }
 }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerTest.java
@@ -186,6 +186,27 @@
     onLoop(() -> assertTrue(follower.hadFailureWithin(60_000)));
   }
 
+  /** Guards against removals that are held as lapsed leases although the store was never away. */
+  @Test
+  void answersThatCannotBeUsedAndSingleCutWatchesAreNoFailuresOfTheStore() throws Exception {
+    for (StoreResult<StorePage> result :
+        List.<StoreResult<StorePage>>of(
+            new StoreResult.Failed<>("no response"),
+            new StoreResult.Failed<>("the response is too long", true),
+            new StoreResult.Gone<>())) {
+      Consumer<StoreResult<StorePage>> watch = nextWatch();
+      onLoop(() -> watch.accept(result));
+      Consumer<StoreResult<StorePage>> next = nextWatch();
+      onLoop(() -> next.accept(new StoreResult.Done<>(page(11))));
+      onLoop(() -> assertFalse(follower.hadFailureWithin(60_000), result.toString()));
+    }
+    Consumer<StoreResult<StorePage>> first = nextWatch();
+    onLoop(() -> first.accept(new StoreResult.Failed<>("no response")));
+    Consumer<StoreResult<StorePage>> second = nextWatch();
+    onLoop(() -> second.accept(new StoreResult.Failed<>("no response")));
+    onLoop(() -> assertTrue(follower.hadFailureWithin(60_000)));
+  }
+
   /** A repeated or older change does not undo a newer one. */
   @Test
   void olderRevisionOfAnItemIsIgnored() throws Exception {
