One call without an answer is no outage of the store

Callers saw a request at a target 3.3 s after it had left, from a reader whose connections had become silent. Its keep-alive probes ended them after 3 s, it learnt of the target then, and held the removal for another 1.2 s since one renewal of its lease had been sent on a silent connection and not been answered.

Leases lapse only in outages in which two calls of a kind fail one after the other; StoreOutageDetector counts them. The existing test of the first failure takes two unanswered calls now and checks the time of the outage as well; a single one has its own test, which the former code fails by its definition.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
@@ -109,6 +109,7 @@
   private final Map<String, StoreItem> unappliedItems = new LinkedHashMap<>();
   private final Set<String> keysInRead = new HashSet<>();
   private boolean isApplyAgainScheduled;
+  private final StoreOutageDetector outages;
   private long applyAgainDelayMillis = MIN_APPLY_DELAY_MILLIS;
   private long revision = -1;
   private long readRevision;
@@ -133,9 +134,6 @@
   private long readStartedAtMillis;
   private long catchingUpUntilMillis;
   private News news = News.none();
-  private boolean isFailing;
-  private boolean hasEverFailed;
-  private long lastFailureAtMillis;
 
   private StoreFollower(
       Loop loop, PlatformStore store, ZoneChangeFeed changeFeed, Listener listener, EventSink log) {
@@ -152,6 +150,7 @@
       Loop loop, PlatformStore store, Listener listener, EventSink log) {
     return start(loop, store, ZoneChangeFeed.direct(loop, store), listener, log);
   }
+    this.outages = new StoreOutageDetector(loop);
 
   /**
    * Starts to follow: changes come from {@code changeFeed}, reads of all items from {@code store}.
@@ -220,11 +219,11 @@
 
   /**
    * True while the store does not serve this VM, and for {@code millis} after that, so that leases
-   * may have lapsed. A single watch that was cut off is no such failure, nor is an answer that says
+   * may have lapsed. A single call without an answer is no such failure, nor is an answer that says
    * that history was discarded or that cannot be read.
    */
   public boolean hadFailureWithin(long millis) {
-    return isFailing || (hasEverFailed && loop.nowMillis() - lastFailureAtMillis < millis);
+    return outages.wasOutageWithin(millis);
   }
 
   /**
@@ -341,7 +340,7 @@
         "store",
         revision,
         "not followed for " + idleMillis + " ms; starting again");
-    recordFailure();
+    outages.recordPastOutage();
     if (isInitialReadComplete && !isReadingAgain) {
       watch(true);
     } else {
@@ -413,7 +412,6 @@
       return;
     }
     if (isStoreSilent) {
-      recordFailure();
       catchingUpUntilMillis = loop.nowMillis() + MAX_CATCH_UP_MILLIS;
     }
     if (isStoreSilent && isWatching) {
@@ -434,8 +432,10 @@
     Consumer<StoreResult<StorePage>> callback =
         startStep(
             "watch",
+      outages.recordUnansweredCall();
             result -> {
               isWatching = false;
+    outages.recordAnswer();
               onWatchResult(result);
             },
             () -> watch(true),
@@ -515,7 +515,7 @@
       lastAnswerAtMillis = loop.nowMillis();
       confirmedAtMillis = lastAnswerAtMillis;
       if (changeFeed.mayStoreHaveBeenAway()) {
-        recordFailure();
+        outages.recordPastOutage();
       }
       StorePage page = done.value();
       apply(page.items());
@@ -540,7 +540,7 @@
       return;
     }
     // The store may cut off a watch that waits; the next call tells whether it serves this VM.
-    isFailing |= consecutiveFailures > 0;
+    outages.recordFailures(consecutiveFailures + 1);
     retryAfterFailure("watch", String.valueOf(result), () -> watch(true));
   }
 
@@ -558,11 +558,6 @@
     scheduleStep("watch", delayMillis, () -> watch(true));
   }
 
-  private void recordFailure() {
-    hasEverFailed = true;
-    lastFailureAtMillis = loop.nowMillis();
-  }
-
   private void onSuccess() {
     if (consecutiveFailures > 0) {
       log.record(
@@ -573,15 +568,14 @@
           revision,
           "after " + consecutiveFailures + " consecutive failures");
     }
-    if (isFailing) {
-      recordFailure();
+    if (changeFeed.isReader()) {
+      outages.recordAnswer();
     }
-    isFailing = false;
     consecutiveFailures = 0;
   }
 
   private void onFailure(String call, String cause, Runnable retry) {
-    isFailing = true;
+    outages.recordOutage();
     retryAfterFailure(call, cause, retry);
   }
 
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerTest.java
@@ -182,10 +182,21 @@
     nextWatch();
     onLoop(() -> assertFalse(follower.hadFailureWithin(3_000)));
     onLoop(() -> follower.onStoreCall(false));
+    onLoop(() -> follower.onStoreCall(false));
+    onLoop(() -> assertTrue(follower.hadFailureWithin(0)));
     onLoop(() -> follower.onStoreCall(true));
     onLoop(() -> assertTrue(follower.hadFailureWithin(60_000)));
   }
 
+  /** Guards against removals that are held after one call on a connection that was silent. */
+  @Test
+  void aSingleCallWithoutAnAnswerIsNoOutage() throws Exception {
+    nextWatch();
+    onLoop(() -> follower.onStoreCall(false));
+    onLoop(() -> follower.onStoreCall(true));
+    onLoop(() -> assertFalse(follower.hadFailureWithin(60_000)));
+  }
+
   /** Guards against removals that are held as lapsed leases although the store was never away. */
   @Test
   void answersThatCannotBeUsedAndSingleCutWatchesAreNoFailuresOfTheStore() throws Exception {
