What a reader relays is as old as the store's last confirmation, end to end

Callers saw requests at targets that had left, from VMs without trouble whose reader's watch alone was not answered: renewals of its lease kept its contact young, so that its zone had no news for up to 8 s and each VM believed it.

A reader now states how long ago it was known to have all changes: an answered watch, a complete read, or the store's revision, which it reads every 0.8 s while others follow it. Followers take that age over, so that unknown routes are final by the same measure, and read the store themselves beyond 1.6 s, whatever the reader's trouble is. After a watch that did not deliver, the next ones are checked each second until one does: the reader itself was behind for 5 s again.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
@@ -120,9 +120,10 @@
     return changeFeed.isReader();
   }
 
-  /** Time since the store last answered this VM. */
-  public long contactAgeMillis() {
-    return changeFeed.contactAgeMillis();
+  /** See {@link StoreFollower#confirmedAgeMillis}. */
+  public long confirmedAgeMillis() {
+    StoreFollower current = follower;
+    return current == null ? Long.MAX_VALUE : current.confirmedAgeMillis();
   }
 
   /** How far this VM follows the store. */
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
@@ -55,6 +55,10 @@
 
   private static final long CONFIRMATION_INTERVAL_MILLIS = 1_000;
 
+  /** The same while other VMs follow this one: well below the age that they accept. */
+  private static final long RELAY_CONFIRMATION_INTERVAL_MILLIS =
+      ZoneChangeFeed.MAX_NEWS_AGE_MILLIS / 2;
+
   /** A watch that waits receives a change within this time, also from a slow store. */
   private static final long MAX_WATCH_LAG_MILLIS = 1_000;
 
@@ -105,11 +109,11 @@
   private final ZoneChangeFeed changeFeed;
   private final Listener listener;
   private final EventSink log;
+  private final StoreOutageDetector outages;
   private final Map<String, KnownItem> knownItems = new HashMap<>();
   private final Map<String, StoreItem> unappliedItems = new LinkedHashMap<>();
   private final Set<String> keysInRead = new HashSet<>();
   private boolean isApplyAgainScheduled;
-  private final StoreOutageDetector outages;
   private long applyAgainDelayMillis = MIN_APPLY_DELAY_MILLIS;
   private long revision = -1;
   private long readRevision;
@@ -131,6 +135,10 @@
   private boolean isStoreSilent;
   private boolean isReadingAgain;
   private boolean isRevisionInDoubt;
+
+  /** True from a watch that did not deliver what the store had until the next one that does. */
+  private boolean areWatchesInDoubt;
+
   private long readStartedAtMillis;
   private long catchingUpUntilMillis;
   private News news = News.none();
@@ -142,6 +150,7 @@
     this.changeFeed = changeFeed;
     this.listener = listener;
     this.log = log;
+    this.outages = new StoreOutageDetector(loop);
     this.confirmedAtMillis = loop.nowMillis();
   }
 
@@ -150,7 +159,6 @@
       Loop loop, PlatformStore store, Listener listener, EventSink log) {
     return start(loop, store, ZoneChangeFeed.direct(loop, store), listener, log);
   }
-    this.outages = new StoreOutageDetector(loop);
 
   /**
    * Starts to follow: changes come from {@code changeFeed}, reads of all items from {@code store}.
@@ -250,10 +258,26 @@
     if (loop.nowMillis() - confirmedAtMillis <= MAX_UNCONFIRMED_MILLIS) {
       return false;
     }
-    if (loop.nowMillis() - lastConfirmationCallMillis >= CONFIRMATION_INTERVAL_MILLIS) {
+    confirmAtIntervals(CONFIRMATION_INTERVAL_MILLIS);
+    return true;
+  }
+
+  /**
+   * Time since this VM was last known to have all changes of the store, for a VM that follows it.
+   * While others ask, the store is asked in time to keep this short.
+   */
+  public long confirmedAgeMillis() {
+    long ageMillis = loop.nowMillis() - confirmedAtMillis;
+    if (ageMillis >= RELAY_CONFIRMATION_INTERVAL_MILLIS) {
+      confirmAtIntervals(RELAY_CONFIRMATION_INTERVAL_MILLIS);
+    }
+    return ageMillis;
+  }
+
+  private void confirmAtIntervals(long intervalMillis) {
+    if (loop.nowMillis() - lastConfirmationCallMillis >= intervalMillis) {
       confirm(currentStep);
     }
-    return true;
   }
 
   private void read(@Nullable String afterKey, boolean mayBeStale) {
@@ -409,8 +433,10 @@
     changeFeed.recordStoreCall(answered);
     if (!answered) {
       isStoreSilent = true;
+      outages.recordUnansweredCall();
       return;
     }
+    outages.recordAnswer();
     if (isStoreSilent) {
       catchingUpUntilMillis = loop.nowMillis() + MAX_CATCH_UP_MILLIS;
     }
@@ -432,10 +458,8 @@
     Consumer<StoreResult<StorePage>> callback =
         startStep(
             "watch",
-      outages.recordUnansweredCall();
             result -> {
               isWatching = false;
-    outages.recordAnswer();
               onWatchResult(result);
             },
             () -> watch(true),
@@ -443,7 +467,8 @@
     long step = currentStep;
     long checkDelayMillis =
         isAfterPause ? REVISION_CHECK_DELAY_AFTER_PAUSE_MILLIS : REVISION_CHECK_DELAY_MILLIS;
-    var unused = loop.schedule(checkDelayMillis, () -> checkRevision(step));
+    scheduleRevisionCheck(
+        step, areWatchesInDoubt ? CONFIRMATION_INTERVAL_MILLIS : checkDelayMillis);
     changeFeed.requestChanges(revision, callback);
   }
 
@@ -451,14 +476,22 @@
    * Compares the store's revision with the known one while a watch waits.
    *
    * <p>A watch that will never be answered, as on a connection that has become silent, looks like
-   * one for which there is no change.
+   * one for which there is no change. After such a watch the next ones are checked again and again.
    */
   private void checkRevision(long step) {
-    boolean isDue = loop.nowMillis() >= nextRevisionCheckMillis;
-    if (step != currentStep || !isDue || !changeFeed.isReader()) {
+    if (step != currentStep || !changeFeed.isReader()) {
       return;
     }
-    confirm(step);
+    if (loop.nowMillis() >= nextRevisionCheckMillis) {
+      confirm(step);
+    }
+    if (areWatchesInDoubt) {
+      scheduleRevisionCheck(step, CONFIRMATION_INTERVAL_MILLIS);
+    }
+  }
+
+  private void scheduleRevisionCheck(long step, long delayMillis) {
+    var unused = loop.schedule(delayMillis, () -> checkRevision(step));
   }
 
   /** Asks for the store's revision, which confirms that of the watch or calls it into doubt. */
@@ -499,6 +532,7 @@
         "behind revision " + storeRevision + " of the store; reading all items");
     isWatching = false;
     isRevisionInDoubt = true;
+    areWatchesInDoubt = true;
     readAgain();
   }
 
@@ -510,10 +544,12 @@
   private void onWatchResult(StoreResult<StorePage> result) {
     if (result instanceof StoreResult.Done<StorePage> done) {
       onSuccess();
+      areWatchesInDoubt = false;
       recordNews(changeFeed.source());
       catchingUpUntilMillis = 0;
       lastAnswerAtMillis = loop.nowMillis();
-      confirmedAtMillis = lastAnswerAtMillis;
+      confirmedAtMillis =
+          Math.max(confirmedAtMillis, lastAnswerAtMillis - changeFeed.answerAgeMillis());
       if (changeFeed.mayStoreHaveBeenAway()) {
         outages.recordPastOutage();
       }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/ZoneChangeFeed.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/ZoneChangeFeed.java
@@ -15,9 +15,10 @@
  * and not with VMs.
  *
  * <p>All VMs of a zone choose the same reader by rendezvous hashing over the list of live VMs. The
- * others poll it a few times a second. If it does not respond, was out of contact with the store
- * for too long or is not reading the store itself, a VM reads the store directly for a while. It is
- * then stale by at most the time it took to detect the failure, and its revision never goes back.
+ * others poll it a few times a second. Each answer states how long ago the reader was known to have
+ * all changes. If it does not respond, is not reading the store itself, or what it knows may be too
+ * old, a VM reads the store directly for a while: what is too old counts from the store to the VM,
+ * whatever the reader's trouble. The VM's revision never goes back.
  */
 public final class ZoneChangeFeed {
   /**
@@ -43,7 +44,13 @@
   /** In smaller zones a reader saves too few calls for the delay that it adds. */
   private static final int MIN_VMS_FOR_READER = 3;
 
-  /** Tolerance for a reader's contact with the store beyond the regular interval. */
+  /**
+   * What a reader knows may be this old. With the interval of polls and a call to the store it
+   * stays below the bound of 2.5 s on targets that leave.
+   */
+  static final long MAX_NEWS_AGE_MILLIS = 1_600;
+
+  /** Tolerance for this VM's contact with the store beyond the regular interval. */
   private static final long CONTACT_SLACK_MILLIS = 500;
 
   private final Loop loop;
@@ -56,6 +63,7 @@
   private long directUntilMillis = Long.MIN_VALUE;
   private boolean isRelayed;
   private boolean hadRecentFailures;
+  private long answerAgeMillis;
   private long lastContactAtMillis;
 
   private ZoneChangeFeed(
@@ -141,8 +149,16 @@
     return isRelayed && readerVm != null ? readerVm.name() : "store";
   }
 
+  /**
+   * Time for which the VM that answered last had not been known to have all changes; 0 if that was
+   * the store.
+   */
+  long answerAgeMillis() {
+    return isRelayed ? answerAgeMillis : 0;
+  }
+
   /** Time since the store last answered this VM. */
-  public long contactAgeMillis() {
+  private long contactAgeMillis() {
     return loop.nowMillis() - lastContactAtMillis;
   }
 
@@ -184,15 +200,16 @@
       StoreResult<PeerChangeSource.Changes> result,
       Consumer<StoreResult<StorePage>> callback) {
     if (result instanceof StoreResult.Done<PeerChangeSource.Changes> done
-        && done.value().contactAgeMillis() <= maxContactAgeMillis) {
+        && done.value().ageMillis() <= MAX_NEWS_AGE_MILLIS) {
+      answerAgeMillis = done.value().ageMillis();
       hadRecentFailures = done.value().hadRecentFailures();
       callback.accept(new StoreResult.Done<>(done.value().page()));
       return;
     }
     directUntilMillis = loop.nowMillis() + DIRECT_FALLBACK_MILLIS;
     String cause =
-        result instanceof StoreResult.Done<?>
-            ? "its last contact with the store is too old"
+        result instanceof StoreResult.Done<PeerChangeSource.Changes> done
+            ? "it may have been behind the store for " + done.value().ageMillis() + " ms"
             : "" + result;
     log.record(
         EventKind.MEMBER_SILENT,
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerProgressTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerProgressTest.java
@@ -171,4 +171,32 @@
     }
     assertEquals(before + 1, store.revisionReads);
   }
+
+  /** Guards against followers that believe a VM whose watch alone is silent. */
+  @Test
+  void whatAVmRelaysAgesWhileItsWatchDoesNotDeliverWhatTheStoreHas() {
+    StoreFollower follower = start();
+    runFor(1);
+    assertEquals(1_000, follower.confirmedAgeMillis());
+    assertEquals(0, follower.confirmedAgeMillis());
+    store.revision = 11;
+    runFor(1);
+    assertEquals(1_000, follower.confirmedAgeMillis());
+    assertEquals(1_000, follower.confirmedAgeMillis());
+  }
+
+  /** Guards against a VM that is behind for seconds again since its next watch is silent too. */
+  @Test
+  void watchesAfterASilentOneAreCheckedAgainAndAgain() {
+    StoreFollower follower = start();
+    store.revision = 11;
+    store.items = new StoreItem[] {evacuated("z-1", 11)};
+    runFor(BOUND_SECONDS);
+    runFor(4);
+    store.revision = 12;
+    store.items = new StoreItem[] {evacuated("z-1", 11), evacuated("z-2", 12)};
+    runFor(3);
+    assertEquals(List.of("z-1", "z-2"), zones.evacuated);
+    assertEquals(2, follower.progress().timesBehind());
+  }
 }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/ZoneChangeFeedTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/ZoneChangeFeedTest.java
@@ -34,10 +34,10 @@
   private StoreResult<PeerChangeSource.Changes> peerResult = changes(10, false);
 
   private static StoreResult<PeerChangeSource.Changes> changes(
-      long contactAgeMillis, boolean hadRecentFailures) {
+      long ageMillis, boolean hadRecentFailures) {
     return new StoreResult.Done<>(
         new PeerChangeSource.Changes(
-            new StorePage(List.of(), false, 7), contactAgeMillis, hadRecentFailures));
+            new StorePage(List.of(), false, 7), ageMillis, hadRecentFailures));
   }
 
   private static EntryVm vm(String name, String zone) {
@@ -115,7 +115,7 @@
         List.<StoreResult<PeerChangeSource.Changes>>of(
             new StoreResult.Failed<>("no answer"),
             new StoreResult.Gone<>(),
-            changes(CONTACT_INTERVAL_MILLIS + 501, false))) {
+            changes(ZoneChangeFeed.MAX_NEWS_AGE_MILLIS + 1, false))) {
       ZoneChangeFeed feed = followingFeed();
       int watchesBefore = store.watches;
       peerResult = badResult;
@@ -129,6 +129,20 @@
     }
   }
 
+  /**
+   * Guards against rules that a VM takes for confirmed because a reader that may be behind answers.
+   */
+  @Test
+  void newsOfAReaderIsAsOldAsTheReaderSays() throws Exception {
+    ZoneChangeFeed feed = followingFeed();
+    peerResult = changes(1_500, false);
+    awaitChanges(feed);
+    assertEquals(1_500, feed.answerAgeMillis());
+    peerResult = new StoreResult.Failed<>("no answer");
+    awaitChanges(feed);
+    assertEquals(0, feed.answerAgeMillis());
+  }
+
   /**
    * Guards against lapsed entries that followers of the reader would treat as removed targets, and
    * against removals that they hold as lapsed while only their reader has trouble.
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/ReaderTroubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/ReaderTroubles.java
@@ -48,6 +48,7 @@
     put(all, "readers-stopped", ReaderTroubles::stop);
     put(all, "readers-cut-from-store", ReaderTroubles::cutFromStore);
     put(all, "readers-turned-away", ReaderTroubles::turnAway);
+    put(all, "readers-watch-unanswered", ReaderTroubles::leaveWatchUnanswered);
     put(all, "readers-connections-silent", ReaderTroubles::silenceConnections);
   }
 
@@ -122,10 +123,18 @@
 
   /** The store refuses the calls of this VM alone, or leaves them unanswered. */
   private static void turnAway(Fleet fleet, FleetEntry reader, Random random) {
+    refuse(fleet, reader, random, Troubles.pickOne(REFUSAL_MODES, random));
+  }
+
+  private static void leaveWatchUnanswered(Fleet fleet, FleetEntry reader, Random random) {
+    refuse(fleet, reader, random, StoreFaultMode.SILENT_WATCHES);
+  }
+
+  private static void refuse(Fleet fleet, FleetEntry reader, Random random, StoreFaultMode mode) {
     long millis = Troubles.randomMillis(random, MIN_CUT_MILLIS, MAX_CUT_MILLIS);
     Troubles.recordAt(fleet, reader, millis);
     String ip = reader.host().ip();
-    fleet.storePort().refuse(ip, Troubles.pickOne(REFUSAL_MODES, random));
+    fleet.storePort().refuse(ip, mode);
     fleet.runAfter(millis, () -> fleet.storePort().acceptAgain(ip));
   }
 
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/StoreFaultMode.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/StoreFaultMode.java
@@ -12,6 +12,8 @@
   RESETS,
   /** Never answers, not even pending watches; calls have no effect. */
   SILENT,
+  /** Never answers watches; other calls are answered. */
+  SILENT_WATCHES,
   /** Executes the call and resets the connection without an answer. */
   LOSES_ANSWERS,
   /** Executes writes three seconds later without an answer; reads work. */
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/StorePort.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/StorePort.java
@@ -139,6 +139,13 @@
       case TOO_MANY -> answer(exchange, Reply.empty(429), ANSWER_DELAY_MILLIS);
       case RESETS -> exchange.reset();
       case SILENT -> exchange.stopReading();
+      case SILENT_WATCHES -> {
+        if (query.path().equals("/kv-watch")) {
+          exchange.stopReading();
+        } else {
+          serve(exchange, query, body, ANSWER_DELAY_MILLIS);
+        }
+      }
       case LOSES_ANSWERS -> {
         if (!query.path().equals("/kv-watch")) {
           var unused = execute(query, body);
