--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/NetworkTroubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/NetworkTroubles.java
@@ -30,7 +30,11 @@
 
   private static void cutFromStore(Fleet fleet, Random random) {
     FleetEntry entry = Troubles.pickEntry(fleet, random);
-    long millis = Troubles.randomMillis(random, MIN_CUT_MILLIS, MAX_CUT_MILLIS);
+    cutFromStore(fleet, entry, Troubles.randomMillis(random, MIN_CUT_MILLIS, MAX_CUT_MILLIS));
+  }
+
+  /** Partitions one entry VM from the store. */
+  static void cutFromStore(Fleet fleet, FleetEntry entry, long millis) {
     Troubles.recordAt(fleet, entry, millis);
     SimulatedHost store = fleet.storeHost();
     cut(
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/ReaderTroubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/ReaderTroubles.java
@@ -7,8 +7,6 @@
 import org.sageladder.forward.control.ZoneChangeFeed;
 import org.sageladder.scenario.Fleet;
 import org.sageladder.scenario.FleetEntry;
-import org.sageladder.standin.network.SimulatedHost;
-import org.sageladder.standin.network.SimulatedNetwork.Partition;
 import org.sageladder.standin.platform.StoreFaultMode;
 
 /**
@@ -27,13 +25,6 @@
   /** The grace time of a planned stop, plus time for the following start. */
   private static final long STOP_MILLIS = 7_000;
 
-  private static final List<StoreFaultMode> REFUSAL_MODES =
-      List.of(
-          StoreFaultMode.BUSY,
-          StoreFaultMode.TOO_MANY,
-          StoreFaultMode.RESETS,
-          StoreFaultMode.SILENT);
-
   /** Disturbs one reader. */
   @FunctionalInterface
   private interface Disturbance {
@@ -110,20 +101,12 @@
 
   private static void cutFromStore(Fleet fleet, FleetEntry reader, Random random) {
     long millis = Troubles.randomMillis(random, MIN_CUT_MILLIS, MAX_CUT_MILLIS);
-    Troubles.recordAt(fleet, reader, millis);
-    SimulatedHost store = fleet.storeHost();
-    SimulatedHost host = reader.host();
-    Partition cut =
-        fleet
-            .network()
-            .partition(
-                (from, to) -> (from == host && to == store) || (from == store && to == host));
-    fleet.runAfter(millis, cut::close);
+    NetworkTroubles.cutFromStore(fleet, reader, millis);
   }
 
   /** The store refuses the calls of this VM alone, or leaves them unanswered. */
   private static void turnAway(Fleet fleet, FleetEntry reader, Random random) {
-    refuse(fleet, reader, random, Troubles.pickOne(REFUSAL_MODES, random));
+    refuse(fleet, reader, random, Troubles.pickOne(StoreTroubles.REFUSAL_MODES, random));
   }
 
   private static void leaveWatchUnanswered(Fleet fleet, FleetEntry reader, Random random) {
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/StoreTroubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/StoreTroubles.java
@@ -17,7 +17,9 @@
   private static final int REFUSED_VM_COUNT = 2;
   private static final long WATCH_SILENCE_MILLIS = 1_000;
   private static final long OVERWRITTEN_MILLIS = 2_500;
-  private static final List<StoreFaultMode> REFUSAL_MODES =
+
+  /** How a store may refuse the calls of some VMs while it serves the others. */
+  static final List<StoreFaultMode> REFUSAL_MODES =
       List.of(
           StoreFaultMode.BUSY,
           StoreFaultMode.TOO_MANY,
