A VM is not confirmed by its start

Callers on a route that was just added could get a final 404 from a VM that had started less than 2 s before and had a stale first read alone, and followers could believe a reader in the same state.

The log names no delay and the histogram counts none before the first confirmation.

StoreFollowerProgressTest: theFirstReadConfirmsNothing and whatAVmRelaysIsTooOldBeforeTheStoreHasConfirmedIt failed on (true expected, false seen) and pass. ReaderTroublesTest, StoreReaderTest, StaleReadsTest and ScenarioTest pass.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
@@ -123,7 +123,7 @@
   /** See {@link StoreFollower#confirmedAgeMillis}. */
   public long confirmedAgeMillis() {
     StoreFollower current = follower;
-    return current == null ? Long.MAX_VALUE : current.confirmedAgeMillis();
+    return current == null ? StoreConfirmation.NEVER : current.confirmedAgeMillis();
   }
 
   /** How far this VM follows the store. */
@@ -246,22 +246,18 @@
   }
 
   /**
-   * Records how long after the store this VM learnt that a target leaves, and describes it for the
-   * log.
-   *
-   * @param holdMillis time until it gets no more requests
+   * Describes from whom this VM learnt that a target leaves, and how late, and records the delay.
    */
   private String recordLeaving(String target, long holdMillis) {
     StoreFollower current = follower;
     StoreFollower.News news = current == null ? StoreFollower.News.none() : current.news();
-    forwarder.metrics().recordMillis("target_leaving_delay", news.maxAgeMillis() + holdMillis);
+    String delay = "";
+    if (news.maxAgeMillis() != StoreConfirmation.NEVER) {
+      forwarder.metrics().recordMillis("target_leaving_delay", news.maxAgeMillis() + holdMillis);
+      delay = " at most " + news.maxAgeMillis() + " ms later";
+    }
     int inFlight = forwarder.targets().find(target).map(TargetState::inFlight).orElse(0);
-    return ", from "
-        + news.source()
-        + " at most "
-        + news.maxAgeMillis()
-        + " ms later, own in flight there "
-        + inFlight;
+    return ", from " + news.source() + delay + ", own in flight there " + inFlight;
   }
 
   @Override
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
@@ -110,6 +110,7 @@
   private final Listener listener;
   private final EventSink log;
   private final StoreOutageDetector outages;
+  private final StoreConfirmation confirmation;
   private final Map<String, KnownItem> knownItems = new HashMap<>();
   private final Map<String, StoreItem> unappliedItems = new LinkedHashMap<>();
   private final Set<String> keysInRead = new HashSet<>();
@@ -129,8 +130,6 @@
   private long nextRevisionCheckMillis;
   private long lastAnswerAtMillis;
   private long lastChangeAtMillis;
-  private long confirmedAtMillis;
-  private long lastConfirmationCallMillis;
   private int timesBehind;
   private boolean isStoreSilent;
   private boolean isReadingAgain;
@@ -151,7 +150,7 @@
     this.listener = listener;
     this.log = log;
     this.outages = new StoreOutageDetector(loop);
-    this.confirmedAtMillis = loop.nowMillis();
+    this.confirmation = new StoreConfirmation(loop);
   }
 
   /** Starts to follow the store directly. */
@@ -200,12 +199,12 @@
    *
    * @param source name of the VM that relayed them, or {@code store}
    * @param maxAgeMillis how long the store may have had them, at most: time since this VM was last
-   *     known to have all changes
+   *     known to have all changes, or {@link StoreConfirmation#NEVER}
    */
   public record News(String source, long maxAgeMillis) {
     /** Nothing has been applied yet. */
     static News none() {
-      return new News("store", 0);
+      return new News("store", StoreConfirmation.NEVER);
     }
   }
 
@@ -255,7 +254,7 @@
     if (isOutOfContact()) {
       return true;
     }
-    if (loop.nowMillis() - confirmedAtMillis <= MAX_UNCONFIRMED_MILLIS) {
+    if (confirmation.ageMillis() <= MAX_UNCONFIRMED_MILLIS) {
       return false;
     }
     confirmAtIntervals(CONFIRMATION_INTERVAL_MILLIS);
@@ -267,7 +266,7 @@
    * While others ask, the store is asked in time to keep this short.
    */
   public long confirmedAgeMillis() {
-    long ageMillis = loop.nowMillis() - confirmedAtMillis;
+    long ageMillis = confirmation.ageMillis();
     if (ageMillis >= RELAY_CONFIRMATION_INTERVAL_MILLIS) {
       confirmAtIntervals(RELAY_CONFIRMATION_INTERVAL_MILLIS);
     }
@@ -275,7 +274,7 @@
   }
 
   private void confirmAtIntervals(long intervalMillis) {
-    if (loop.nowMillis() - lastConfirmationCallMillis >= intervalMillis) {
+    if (confirmation.mayAskAgain(intervalMillis)) {
       confirm(currentStep);
     }
   }
@@ -390,7 +389,7 @@
     isReadingAgain = false;
     lastAnswerAtMillis = loop.nowMillis();
     if (!mayBeStale) {
-      confirmedAtMillis = Math.max(confirmedAtMillis, readStartedAtMillis);
+      confirmation.confirm(readStartedAtMillis);
     }
     if (isRevisionInDoubt && lastChangeAtMillis < readStartedAtMillis) {
       nextRevisionCheckMillis = loop.nowMillis() + REVISION_CHECK_PAUSE_MILLIS;
@@ -497,7 +496,7 @@
   /** Asks for the store's revision, which confirms that of the watch or calls it into doubt. */
   private void confirm(long step) {
     long startedAtMillis = loop.nowMillis();
-    lastConfirmationCallMillis = startedAtMillis;
+    confirmation.recordAsked();
     changeFeed.readRevision(
         result -> {
           if (!(result instanceof StoreResult.Done<Long> done) || done.value() <= revision) {
@@ -513,7 +512,7 @@
   /** A VM without an item of its own gets no revision, and has no reason to doubt what it knows. */
   private void confirmUnlessFailed(StoreResult<Long> result, long atMillis) {
     if (!(result instanceof StoreResult.Failed<Long>)) {
-      confirmedAtMillis = Math.max(confirmedAtMillis, atMillis);
+      confirmation.confirm(atMillis);
     }
   }
 
@@ -538,7 +537,7 @@
 
   /** Records the source of an answer, before what it confirms is recorded. */
   private void recordNews(String source) {
-    news = new News(source, loop.nowMillis() - confirmedAtMillis);
+    news = new News(source, confirmation.ageMillis());
   }
 
   private void onWatchResult(StoreResult<StorePage> result) {
@@ -548,8 +547,7 @@
       recordNews(changeFeed.source());
       catchingUpUntilMillis = 0;
       lastAnswerAtMillis = loop.nowMillis();
-      confirmedAtMillis =
-          Math.max(confirmedAtMillis, lastAnswerAtMillis - changeFeed.answerAgeMillis());
+      confirmation.confirm(lastAnswerAtMillis - changeFeed.answerAgeMillis());
       if (changeFeed.mayStoreHaveBeenAway()) {
         outages.recordPastOutage();
       }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerProgressTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerProgressTest.java
@@ -172,10 +172,29 @@
     assertEquals(before + 1, store.revisionReads);
   }
 
+  /**
+   * Guards against a final 404 on a new route at a VM that has only its first read, maybe stale.
+   */
+  @Test
+  void theFirstReadConfirmsNothing() {
+    StoreFollower follower = start();
+    runFor(1);
+    assertFalse(follower.isOutOfContact());
+    assertTrue(follower.mayHaveStaleRules());
+  }
+
+  /** Guards against followers that believe a VM that has only its first read. */
+  @Test
+  void whatAVmRelaysIsTooOldBeforeTheStoreHasConfirmedIt() {
+    StoreFollower follower = start();
+    assertTrue(follower.confirmedAgeMillis() > ZoneChangeFeed.MAX_NEWS_AGE_MILLIS);
+  }
+
   /** Guards against followers that believe a VM whose watch alone is silent. */
   @Test
   void whatAVmRelaysAgesWhileItsWatchDoesNotDeliverWhatTheStoreHas() {
     StoreFollower follower = start();
+    assertEquals(StoreConfirmation.NEVER, follower.confirmedAgeMillis());
     runFor(1);
     assertEquals(1_000, follower.confirmedAgeMillis());
     assertEquals(0, follower.confirmedAgeMillis());
