--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/ArrivalRules.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/ArrivalRules.java
@@ -81,14 +81,19 @@
               && day.areLinksHealthy(arrival.zone(), arrival.at())
               && !day.mayBeHeldUp(arrival.from(), arrival.at())
               && day.isStoreStable(atMillis)
-              && isHandledInContact(day, arrival);
+              && isHandledInContact(day, arrival, atMillis);
         });
   }
 
-  private static boolean isHandledInContact(SimulatedDay day, Arrival arrival) {
+  /**
+   * Returns true if the entry VM was in contact when it took the request, or at {@code
+   * changedMillis} if it had taken it before, and when the request arrived.
+   */
+  private static boolean isHandledInContact(SimulatedDay day, Arrival arrival, long changedMillis) {
     long takenMillis =
         day.ledger().attempt(arrival.id()).map(Attempt::sentAtMillis).orElse(arrival.at());
-    return day.isHandledInContact(arrival.from(), takenMillis, arrival.at());
+    return day.isHandledInContact(
+        arrival.from(), Math.max(takenMillis, changedMillis), arrival.at());
   }
 
   static List<String> afterEvacuation(SimulatedDay day) {
@@ -118,7 +123,7 @@
         && arrival.at() < reopenedMillis
         && day.areLinksHealthy(arrival.zone(), arrival.at())
         && !day.mayBeHeldUp(arrival.from(), arrival.at())
-        && isHandledInContact(day, arrival);
+        && isHandledInContact(day, arrival, evacuated.atMillis());
   }
 
   /**
@@ -144,7 +149,7 @@
           return !allowedServices.contains(arrival.service())
               && attempt.get().sentAtMillis()
                   > changedMillis + day.bounds().configurationApplyMillis()
-              && isHandledInContact(day, arrival);
+              && isHandledInContact(day, arrival, changedMillis);
         });
   }
 
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
@@ -282,6 +282,21 @@
     assertNotViolated("EVAC");
   }
 
+  /** Guards against an excuse by a trouble that was over when what the rule is about began. */
+  @Test
+  void troubleBeforeARequestExcusesNothingThatChangedLater() {
+    long contact = day.bounds().discoveryMillis();
+    day.recordTrouble(
+        new SimulatedDay.TroubleInterval(VM, false, BASE_MILLIS - 10, BASE_MILLIS - 10));
+    recordSent("q", true, BASE_MILLIS);
+    long changedMillis = BASE_MILLIS + contact;
+    ledger.recordEvent(PlatformEvent.Kind.TARGET_LEAVES, "t-1", changedMillis);
+    ledger.recordEvent(PlatformEvent.Kind.ZONE_EMPTIED, "north-a", changedMillis);
+    ledger.recordArrival(arrival("q", changedMillis + day.bounds().evacuateMillis() + 1));
+    assertViolated("DRAIN");
+    assertViolated("EVAC");
+  }
+
   @Test
   void staleConfiguration() {
     ledger.recordEvent(PlatformEvent.Kind.CONFIGURATION, "safe", BASE_MILLIS);
