--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
@@ -120,10 +120,10 @@
     return changeFeed.isReader();
   }
 
-  /** See {@link StoreFollower#confirmedAgeMillis}. */
-  public long confirmedAgeMillis() {
+  /** See {@link StoreFollower#stalenessMillis}. */
+  public long stalenessMillis() {
     StoreFollower current = follower;
-    return current == null ? StoreConfirmation.NEVER : current.confirmedAgeMillis();
+    return current == null ? StoreConfirmation.NEVER : current.stalenessMillis();
   }
 
   /** How far this VM follows the store. */
@@ -230,6 +230,9 @@
   private void applyTarget(TargetFacts target) {
     TargetTable.Change change = forwarder.updateTarget(target);
     EventKind kind = target.isDraining() ? EventKind.TARGET_LEAVING : EventKind.TARGET_HELD;
+    if (target.isDraining()) {
+      recordLeavingDelay(0);
+    }
     log.record(
         kind,
         "",
@@ -242,22 +245,30 @@
             + ", cold start "
             + target.remainingColdMillis()
             + " ms"
-            + (target.isDraining() ? recordLeaving(target.id(), 0) : ""));
+            + (target.isDraining() ? describeOrigin(target.id()) : ""));
   }
 
-  /**
-   * Describes from whom this VM learnt that a target leaves, and how late, and records the delay.
-   */
-  private String recordLeaving(String target, long holdMillis) {
+  private StoreFollower.ChangeOrigin changeOrigin() {
     StoreFollower current = follower;
-    StoreFollower.News news = current == null ? StoreFollower.News.none() : current.news();
-    String delay = "";
-    if (news.maxAgeMillis() != StoreConfirmation.NEVER) {
-      forwarder.metrics().recordMillis("target_leaving_delay", news.maxAgeMillis() + holdMillis);
-      delay = " at most " + news.maxAgeMillis() + " ms later";
+    return current == null ? StoreFollower.ChangeOrigin.none() : current.changeOrigin();
+  }
+
+  /** Records how late a target that leaves gets its last request, as an upper bound. */
+  private void recordLeavingDelay(long graceMillis) {
+    long maxDelayMillis = changeOrigin().maxDelayMillis();
+    if (maxDelayMillis != StoreConfirmation.NEVER) {
+      forwarder.metrics().recordMillis("target_leaving_delay", maxDelayMillis + graceMillis);
     }
+  }
+
+  private String describeOrigin(String target) {
+    StoreFollower.ChangeOrigin origin = changeOrigin();
+    String delay =
+        origin.maxDelayMillis() == StoreConfirmation.NEVER
+            ? ""
+            : " with a delay of at most " + origin.maxDelayMillis() + " ms";
     int inFlight = forwarder.targets().find(target).map(TargetState::inFlight).orElse(0);
-    return ", from " + news.source() + delay + ", own in flight there " + inFlight;
+    return ", received from " + origin.source() + delay + ", own in flight there " + inFlight;
   }
 
   @Override
@@ -266,16 +277,14 @@
       long graceMillis = mayBeLeaseLapse(removedTargetCount) ? LAPSE_GRACE_MILLIS : 0;
       forwarder.targets().scheduleRemoval(target.target().id(), loop.nowMillis() + graceMillis);
       forwarder.onCapacityChange();
+      recordLeavingDelay(graceMillis);
       log.record(
           EventKind.TARGET_LEAVING,
           "",
           "",
           target.target().id(),
           0,
-          "removed, applied after "
-              + graceMillis
-              + " ms"
-              + recordLeaving(target.target().id(), graceMillis));
+          "removed, applied after " + graceMillis + " ms" + describeOrigin(target.target().id()));
     } else if (previous instanceof ItemContent.ZoneEvacuated zone) {
       forwarder.targets().endEvacuation(zone.zone(), loop.nowMillis(), coldStartMillis());
       forwarder.onCapacityChange();
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/PeerChangeSource.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/PeerChangeSource.java
@@ -9,10 +9,10 @@
    * Changes as the other VM returned them.
    *
    * @param page the changes that it has seen
-   * @param ageMillis time since it was last known to have all changes of the store
+   * @param stalenessMillis time since it was last known to have all changes of the store
    * @param hadRecentFailures true if its calls to the store failed recently
    */
-  record Changes(StorePage page, long ageMillis, boolean hadRecentFailures) {}
+  record Changes(StorePage page, long stalenessMillis, boolean hadRecentFailures) {}
 
   /**
    * Fetches the changes after {@code revision} that the VM has seen. Results in {@code Gone} if its
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
@@ -55,9 +55,9 @@
 
   private static final long CONFIRMATION_INTERVAL_MILLIS = 1_000;
 
-  /** The same while other VMs follow this one: well below the age that they accept. */
+  /** The same while other VMs follow this one, well below the staleness that they accept. */
   private static final long RELAY_CONFIRMATION_INTERVAL_MILLIS =
-      ZoneChangeFeed.MAX_NEWS_AGE_MILLIS / 2;
+      ZoneChangeFeed.MAX_STALENESS_MILLIS / 2;
 
   /** A watch that waits receives a change within this time, also from a slow store. */
   private static final long MAX_WATCH_LAG_MILLIS = 1_000;
@@ -135,12 +135,12 @@
   private boolean isReadingAgain;
   private boolean isRevisionInDoubt;
 
-  /** True from a watch that did not deliver what the store had until the next one that does. */
+  /** True after a watch that did not deliver what the store had, until one is answered. */
   private boolean areWatchesInDoubt;
 
   private long readStartedAtMillis;
   private long catchingUpUntilMillis;
-  private News news = News.none();
+  private ChangeOrigin changeOrigin = ChangeOrigin.none();
 
   private StoreFollower(
       Loop loop, PlatformStore store, ZoneChangeFeed changeFeed, Listener listener, EventSink log) {
@@ -198,19 +198,19 @@
    * Where the changes that were applied last came from.
    *
    * @param source name of the VM that relayed them, or {@code store}
-   * @param maxAgeMillis how long the store may have had them, at most: time since this VM was last
-   *     known to have all changes, or {@link StoreConfirmation#NEVER}
+   * @param maxDelayMillis upper bound on the time for which the store has had them, since this VM
+   *     was last known to have all changes; {@link StoreConfirmation#NEVER} if it never was
    */
-  public record News(String source, long maxAgeMillis) {
+  public record ChangeOrigin(String source, long maxDelayMillis) {
     /** Nothing has been applied yet. */
-    static News none() {
-      return new News("store", StoreConfirmation.NEVER);
+    static ChangeOrigin none() {
+      return new ChangeOrigin("store", StoreConfirmation.NEVER);
     }
   }
 
   /** Where the changes that are being applied came from, or those that were applied last. */
-  public News news() {
-    return news;
+  public ChangeOrigin changeOrigin() {
+    return changeOrigin;
   }
 
   /** How far this VM follows the store now. */
@@ -262,15 +262,16 @@
   }
 
   /**
-   * Time since this VM was last known to have all changes of the store, for a VM that follows it.
-   * While others ask, the store is asked in time to keep this short.
+   * Time since this VM was last known to have all changes of the store, or {@link
+   * StoreConfirmation#NEVER}. VMs that follow this one ask for it; meanwhile the store's revision
+   * is read often enough to keep it short.
    */
-  public long confirmedAgeMillis() {
-    long ageMillis = confirmation.ageMillis();
-    if (ageMillis >= RELAY_CONFIRMATION_INTERVAL_MILLIS) {
+  public long stalenessMillis() {
+    long stalenessMillis = confirmation.ageMillis();
+    if (stalenessMillis >= RELAY_CONFIRMATION_INTERVAL_MILLIS) {
       confirmAtIntervals(RELAY_CONFIRMATION_INTERVAL_MILLIS);
     }
-    return ageMillis;
+    return stalenessMillis;
   }
 
   private void confirmAtIntervals(long intervalMillis) {
@@ -372,7 +373,7 @@
   }
 
   private void readPage(StorePage page, boolean mayBeStale) {
-    recordNews("store");
+    recordOrigin("store");
     readRevision = Math.min(readRevision, page.asOfRevision());
     page.items().forEach(item -> keysInRead.add(item.key()));
     apply(page.items());
@@ -475,7 +476,7 @@
    * Compares the store's revision with the known one while a watch waits.
    *
    * <p>A watch that will never be answered, as on a connection that has become silent, looks like
-   * one for which there is no change. After such a watch the next ones are checked again and again.
+   * one for which there is no change. After such a watch the next ones are checked repeatedly.
    */
   private void checkRevision(long step) {
     if (step != currentStep || !changeFeed.isReader()) {
@@ -535,19 +536,19 @@
     readAgain();
   }
 
-  /** Records the source of an answer, before what it confirms is recorded. */
-  private void recordNews(String source) {
-    news = new News(source, confirmation.ageMillis());
+  /** Must be called before what the answer confirms is recorded. */
+  private void recordOrigin(String source) {
+    changeOrigin = new ChangeOrigin(source, confirmation.ageMillis());
   }
 
   private void onWatchResult(StoreResult<StorePage> result) {
     if (result instanceof StoreResult.Done<StorePage> done) {
       onSuccess();
       areWatchesInDoubt = false;
-      recordNews(changeFeed.source());
+      recordOrigin(changeFeed.source());
       catchingUpUntilMillis = 0;
       lastAnswerAtMillis = loop.nowMillis();
-      confirmation.confirm(lastAnswerAtMillis - changeFeed.answerAgeMillis());
+      confirmation.confirm(lastAnswerAtMillis - changeFeed.readerStalenessMillis());
       if (changeFeed.mayStoreHaveBeenAway()) {
         outages.recordPastOutage();
       }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/ZoneChangeFeed.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/ZoneChangeFeed.java
@@ -15,10 +15,10 @@
  * and not with VMs.
  *
  * <p>All VMs of a zone choose the same reader by rendezvous hashing over the list of live VMs. The
- * others poll it a few times a second. Each answer states how long ago the reader was known to have
- * all changes. If it does not respond, is not reading the store itself, or what it knows may be too
- * old, a VM reads the store directly for a while: what is too old counts from the store to the VM,
- * whatever the reader's trouble. The VM's revision never goes back.
+ * others poll it a few times a second, and each answer states the reader's staleness: the time
+ * since the reader was last known to have all changes of the store. If the reader does not respond,
+ * does not read the store itself or is too stale, a VM reads the store directly for a while. Its
+ * revision never goes back.
  */
 public final class ZoneChangeFeed {
   /**
@@ -45,10 +45,10 @@
   private static final int MIN_VMS_FOR_READER = 3;
 
   /**
-   * What a reader knows may be this old. With the interval of polls and a call to the store it
-   * stays below the bound of 2.5 s on targets that leave.
+   * Maximum staleness of a reader. With the poll interval and a call to the store the total stays
+   * below the shortest bound on draining targets, 2,500 ms.
    */
-  static final long MAX_NEWS_AGE_MILLIS = 1_600;
+  static final long MAX_STALENESS_MILLIS = 1_600;
 
   /** Tolerance for this VM's contact with the store beyond the regular interval. */
   private static final long CONTACT_SLACK_MILLIS = 500;
@@ -63,7 +63,7 @@
   private long directUntilMillis = Long.MIN_VALUE;
   private boolean isRelayed;
   private boolean hadRecentFailures;
-  private long answerAgeMillis;
+  private long readerStalenessMillis;
   private long lastContactAtMillis;
 
   private ZoneChangeFeed(
@@ -149,12 +149,9 @@
     return isRelayed && readerVm != null ? readerVm.name() : "store";
   }
 
-  /**
-   * Time for which the VM that answered last had not been known to have all changes; 0 if that was
-   * the store.
-   */
-  long answerAgeMillis() {
-    return isRelayed ? answerAgeMillis : 0;
+  /** Staleness of the VM that answered last, as it stated; 0 if the store itself answered. */
+  long readerStalenessMillis() {
+    return isRelayed ? readerStalenessMillis : 0;
   }
 
   /** Time since the store last answered this VM. */
@@ -200,8 +197,8 @@
       StoreResult<PeerChangeSource.Changes> result,
       Consumer<StoreResult<StorePage>> callback) {
     if (result instanceof StoreResult.Done<PeerChangeSource.Changes> done
-        && done.value().ageMillis() <= MAX_NEWS_AGE_MILLIS) {
-      answerAgeMillis = done.value().ageMillis();
+        && done.value().stalenessMillis() <= MAX_STALENESS_MILLIS) {
+      readerStalenessMillis = done.value().stalenessMillis();
       hadRecentFailures = done.value().hadRecentFailures();
       callback.accept(new StoreResult.Done<>(done.value().page()));
       return;
@@ -209,7 +206,7 @@
     directUntilMillis = loop.nowMillis() + DIRECT_FALLBACK_MILLIS;
     String cause =
         result instanceof StoreResult.Done<PeerChangeSource.Changes> done
-            ? "it may have been behind the store for " + done.value().ageMillis() + " ms"
+            ? describeStaleness(done.value().stalenessMillis())
             : "" + result;
     log.record(
         EventKind.MEMBER_SILENT,
@@ -221,6 +218,12 @@
     watchStore(revision, callback);
   }
 
+  private static String describeStaleness(long stalenessMillis) {
+    return stalenessMillis == StoreConfirmation.NEVER
+        ? "the store has not confirmed yet what it knows"
+        : "it may have been behind the store for " + stalenessMillis + " ms";
+  }
+
   private void watchStore(long revision, Consumer<StoreResult<StorePage>> callback) {
     isRelayed = false;
     hadRecentFailures = false;
@@ -246,8 +249,8 @@
   }
 
   /**
-   * True if calls of the VM that answered last have failed, and the store has not served this VM
-   * meanwhile. Otherwise only that VM had trouble, and no lease has lapsed by it.
+   * True if calls of the VM that answered last have failed and the store has not answered this VM
+   * recently either. If it has, only the other VM is affected, and no lease has lapsed.
    */
   boolean mayStoreHaveBeenAway() {
     return hadRecentFailures && contactAgeMillis() > maxContactAgeMillis;
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerProgressTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerProgressTest.java
@@ -185,28 +185,28 @@
 
   /** Guards against followers that believe a VM that has only its first read. */
   @Test
-  void whatAVmRelaysIsTooOldBeforeTheStoreHasConfirmedIt() {
+  void vmIsTooStaleToRelayBeforeTheStoreHasConfirmedWhatItKnows() {
     StoreFollower follower = start();
-    assertTrue(follower.confirmedAgeMillis() > ZoneChangeFeed.MAX_NEWS_AGE_MILLIS);
+    assertTrue(follower.stalenessMillis() > ZoneChangeFeed.MAX_STALENESS_MILLIS);
   }
 
   /** Guards against followers that believe a VM whose watch alone is silent. */
   @Test
-  void whatAVmRelaysAgesWhileItsWatchDoesNotDeliverWhatTheStoreHas() {
+  void vmIsStaleWhileItsWatchDoesNotDeliverWhatTheStoreHas() {
     StoreFollower follower = start();
-    assertEquals(StoreConfirmation.NEVER, follower.confirmedAgeMillis());
+    assertEquals(StoreConfirmation.NEVER, follower.stalenessMillis());
     runFor(1);
-    assertEquals(1_000, follower.confirmedAgeMillis());
-    assertEquals(0, follower.confirmedAgeMillis());
+    assertEquals(1_000, follower.stalenessMillis());
+    assertEquals(0, follower.stalenessMillis());
     store.revision = 11;
     runFor(1);
-    assertEquals(1_000, follower.confirmedAgeMillis());
-    assertEquals(1_000, follower.confirmedAgeMillis());
+    assertEquals(1_000, follower.stalenessMillis());
+    assertEquals(1_000, follower.stalenessMillis());
   }
 
   /** Guards against a VM that is behind for seconds again since its next watch is silent too. */
   @Test
-  void watchesAfterASilentOneAreCheckedAgainAndAgain() {
+  void watchesAfterASilentOneAreCheckedRepeatedly() {
     StoreFollower follower = start();
     store.revision = 11;
     store.items = new StoreItem[] {evacuated("z-1", 11)};
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/ZoneChangeFeedTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/ZoneChangeFeedTest.java
@@ -34,10 +34,10 @@
   private StoreResult<PeerChangeSource.Changes> peerResult = changes(10, false);
 
   private static StoreResult<PeerChangeSource.Changes> changes(
-      long ageMillis, boolean hadRecentFailures) {
+      long stalenessMillis, boolean hadRecentFailures) {
     return new StoreResult.Done<>(
         new PeerChangeSource.Changes(
-            new StorePage(List.of(), false, 7), ageMillis, hadRecentFailures));
+            new StorePage(List.of(), false, 7), stalenessMillis, hadRecentFailures));
   }
 
   private static EntryVm vm(String name, String zone) {
@@ -115,7 +115,8 @@
         List.<StoreResult<PeerChangeSource.Changes>>of(
             new StoreResult.Failed<>("no answer"),
             new StoreResult.Gone<>(),
-            changes(ZoneChangeFeed.MAX_NEWS_AGE_MILLIS + 1, false))) {
+            changes(ZoneChangeFeed.MAX_STALENESS_MILLIS + 1, false),
+            changes(CONTACT_INTERVAL_MILLIS + 501, false))) {
       ZoneChangeFeed feed = followingFeed();
       int watchesBefore = store.watches;
       peerResult = badResult;
@@ -129,18 +130,16 @@
     }
   }
 
-  /**
-   * Guards against rules that a VM takes for confirmed because a reader that may be behind answers.
-   */
+  /** Guards against rules that count as confirmed since a reader answers that may be behind. */
   @Test
-  void newsOfAReaderIsAsOldAsTheReaderSays() throws Exception {
+  void followersTakeOverTheStalenessOfTheirReader() throws Exception {
     ZoneChangeFeed feed = followingFeed();
     peerResult = changes(1_500, false);
     awaitChanges(feed);
-    assertEquals(1_500, feed.answerAgeMillis());
+    assertEquals(1_500, feed.readerStalenessMillis());
     peerResult = new StoreResult.Failed<>("no answer");
     awaitChanges(feed);
-    assertEquals(0, feed.answerAgeMillis());
+    assertEquals(0, feed.readerStalenessMillis());
   }
 
   /**
