--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/ReaderTroubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/ReaderTroubles.java
@@ -1,5 +1,6 @@
 package org.sageladder.scenario.trouble;
 
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -25,6 +26,9 @@
   /** The grace time of a planned stop, plus time for the following start. */
   private static final long STOP_MILLIS = 7_000;
 
+  /** How far the store's replicas are behind in troubles beside stale reads. */
+  private static final long REPLICA_LAG_MILLIS = 5_500;
+
   /** Disturbs one reader. */
   @FunctionalInterface
   private interface Disturbance {
@@ -43,6 +47,20 @@
     put(all, "readers-connections-silent", ReaderTroubles::silenceConnections);
   }
 
+  /** Adds the same troubles with replicas of the store that are seconds behind. */
+  static void addBesideStaleReadsTo(Map<String, Trouble> all) {
+    Map<String, Trouble> troubles = new LinkedHashMap<>();
+    addTo(troubles);
+    troubles.forEach((name, trouble) -> all.put(name + "-stale-reads", besideStaleReads(trouble)));
+  }
+
+  private static Trouble besideStaleReads(Trouble trouble) {
+    return (fleet, random) -> {
+      fleet.storePort().setReplicaLag(() -> REPLICA_LAG_MILLIS);
+      trouble.inject(fleet, random);
+    };
+  }
+
   private static void put(Map<String, Trouble> all, String name, Disturbance disturbance) {
     all.put(name, (fleet, random) -> inject(fleet, random, disturbance));
   }
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
@@ -86,6 +86,13 @@
     return all;
   }
 
+  /** The same beside reads of the store that are stale; these are never chosen at random. */
+  public static Map<String, Trouble> readerTroublesBesideStaleReads() {
+    Map<String, Trouble> all = new LinkedHashMap<>();
+    ReaderTroubles.addBesideStaleReadsTo(all);
+    return all;
+  }
+
   /** Troubles of requests with large bodies; these are never chosen at random. */
   public static Map<String, Trouble> largeBodies() {
     Map<String, Trouble> all = new LinkedHashMap<>();
@@ -105,6 +112,7 @@
     known.putAll(staleReads());
     known.putAll(largeBodies());
     known.putAll(readerTroubles());
+    known.putAll(readerTroublesBesideStaleReads());
     return known.get(name);
   }
 
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/StorePort.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/StorePort.java
@@ -15,6 +15,7 @@
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
 import org.sageladder.forward.Loop;
 
 /** Serves a {@link StoreModel} over the platform's HTTP protocol, with fault injection. */
@@ -198,18 +199,12 @@
     try {
       if (path.equals("/kv-range")) {
         String afterKey = parameter(query, "after", "");
-        boolean mayBeStale = parameter(query, "stale_ok", "0").equals("1");
         String prefix = parameter(query, "prefix", "");
-        String after = afterKey.isEmpty() ? null : afterKey;
-        long lagMillis = mayBeStale ? replicaLagMillis.getAsLong() : 0;
-        return pageReply(
-            "items",
-            lagMillis == 0
-                ? model.range(prefix, after)
-                : model.staleRange(prefix, after, lagMillis));
+        return pageReply("items", readPage(query, prefix, afterKey.isEmpty() ? null : afterKey));
       }
       if (path.equals("/kv-key")) {
-        return itemReply(parameter(query, "key", ""));
+        String key = parameter(query, "key", "");
+        return itemReply(key, readPage(query, key, null));
       }
       if (path.equals("/kv-lease")) {
         return grantLease(JSON.readTree(body));
@@ -231,6 +226,15 @@
     }
   }
 
+  private StoreModel.Page readPage(
+      QueryStringDecoder query, String prefix, @Nullable String afterKey) {
+    boolean mayBeStale = parameter(query, "stale_ok", "0").equals("1");
+    long lagMillis = mayBeStale ? replicaLagMillis.getAsLong() : 0;
+    return lagMillis == 0
+        ? model.range(prefix, afterKey)
+        : model.staleRange(prefix, afterKey, lagMillis);
+  }
+
   private Reply grantLease(JsonNode body) {
     String ttl = body.path("ttl_time").asText();
     long millis = PlatformTexts.parseMillis(ttl);
@@ -275,14 +279,14 @@
     return Reply.empty(410);
   }
 
-  private Reply itemReply(String key) {
-    StoreModel.Item item = model.find(key);
-    if (item == null) {
+  private static Reply itemReply(String key, StoreModel.Page page) {
+    StoreModel.Item first = page.items().isEmpty() ? null : page.items().get(0);
+    if (first == null || !first.key().equals(key)) {
       return Reply.empty(404);
     }
     Reply reply = Reply.empty(200);
-    writeItem(reply.body(), item);
-    reply.body().put("as_of", model.revision());
+    writeItem(reply.body(), first);
+    reply.body().put("as_of", page.asOfRevision());
     return reply;
   }
 
