--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
@@ -221,7 +221,7 @@
         "",
         "rules",
         rules.version(),
-        rules.routeCount() + " routes");
+        rules.routeCount() + " routes" + describeOrigin());
     if (isFirst && !isStopping) {
       register();
     }
@@ -245,7 +245,7 @@
             + ", cold start "
             + target.remainingColdMillis()
             + " ms"
-            + (target.isDraining() ? describeOrigin(target.id()) : ""));
+            + (target.isDraining() ? describeLeaving(target.id()) : ""));
   }
 
   private StoreFollower.ChangeOrigin changeOrigin() {
@@ -261,14 +261,18 @@
     }
   }
 
-  private String describeOrigin(String target) {
+  private String describeOrigin() {
     StoreFollower.ChangeOrigin origin = changeOrigin();
     String delay =
         origin.maxDelayMillis() == StoreConfirmation.NEVER
             ? ""
             : " with a delay of at most " + origin.maxDelayMillis() + " ms";
+    return ", received from " + origin.source() + delay;
+  }
+
+  private String describeLeaving(String target) {
     int inFlight = forwarder.targets().find(target).map(TargetState::inFlight).orElse(0);
-    return ", received from " + origin.source() + delay + ", own in flight there " + inFlight;
+    return describeOrigin() + ", own in flight there " + inFlight;
   }
 
   @Override
@@ -284,7 +288,7 @@
           "",
           target.target().id(),
           0,
-          "removed, applied after " + graceMillis + " ms" + describeOrigin(target.target().id()));
+          "removed, applied after " + graceMillis + " ms" + describeLeaving(target.target().id()));
     } else if (previous instanceof ItemContent.ZoneEvacuated zone) {
       forwarder.targets().endEvacuation(zone.zone(), loop.nowMillis(), coldStartMillis());
       forwarder.onCapacityChange();
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
@@ -3,11 +3,9 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.event.EventKind;
@@ -113,11 +111,10 @@
   private final StoreConfirmation confirmation;
   private final Map<String, KnownItem> knownItems = new HashMap<>();
   private final Map<String, StoreItem> unappliedItems = new LinkedHashMap<>();
-  private final Set<String> keysInRead = new HashSet<>();
+  private final FullRead fullRead = new FullRead();
   private boolean isApplyAgainScheduled;
   private long applyAgainDelayMillis = MIN_APPLY_DELAY_MILLIS;
   private long revision = -1;
-  private long readRevision;
   private boolean isInitialReadComplete;
   private int consecutiveFailures;
   private boolean isWatching;
@@ -138,7 +135,6 @@
   /** True after a watch that did not deliver what the store had, until one is answered. */
   private boolean areWatchesInDoubt;
 
-  private long readStartedAtMillis;
   private long catchingUpUntilMillis;
   private ChangeOrigin changeOrigin = ChangeOrigin.none();
 
@@ -179,6 +175,8 @@
    * @param revision revision up to which the changes are known
    * @param answerAgeMillis time since the store or another VM last answered
    * @param changeAgeMillis time since the last change was received
+   * @param confirmationAgeMillis time since this VM was last known to have all changes; -1 if it
+   *     never was
    * @param timesBehind how often the store had changes that a watch did not deliver
    * @param unappliedItems number of items that could not be applied yet
    */
@@ -186,11 +184,12 @@
       long revision,
       long answerAgeMillis,
       long changeAgeMillis,
+      long confirmationAgeMillis,
       int timesBehind,
       int unappliedItems) {
     /** Nothing has been read yet. */
     static Progress none() {
-      return new Progress(-1, 0, 0, 0, 0);
+      return new Progress(-1, 0, 0, -1, 0, 0);
     }
   }
 
@@ -220,6 +219,7 @@
         revision,
         now - lastAnswerAtMillis,
         now - lastChangeAtMillis,
+        confirmation.ageMillis() == StoreConfirmation.NEVER ? -1 : confirmation.ageMillis(),
         timesBehind,
         unappliedItems.size());
   }
@@ -282,9 +282,7 @@
 
   private void read(@Nullable String afterKey, boolean mayBeStale) {
     if (afterKey == null) {
-      keysInRead.clear();
-      readStartedAtMillis = loop.nowMillis();
-      readRevision = Long.MAX_VALUE;
+      fullRead.begin(loop.nowMillis());
     }
     Runnable retry = retryRead(mayBeStale);
     store.read(
@@ -374,8 +372,7 @@
 
   private void readPage(StorePage page, boolean mayBeStale) {
     recordOrigin("store");
-    readRevision = Math.min(readRevision, page.asOfRevision());
-    page.items().forEach(item -> keysInRead.add(item.key()));
+    fullRead.add(page);
     apply(page.items());
     if (page.hasMore()) {
       if (page.items().isEmpty()) {
@@ -387,16 +384,18 @@
       return;
     }
     removeMissing();
+    String summary = fullRead.complete(loop.nowMillis());
+    log.record(EventKind.STORE_UP, "", "", "store", fullRead.revision(), summary);
     isReadingAgain = false;
     lastAnswerAtMillis = loop.nowMillis();
     if (!mayBeStale) {
-      confirmation.confirm(readStartedAtMillis);
+      confirmation.confirm(fullRead.startedAtMillis());
     }
-    if (isRevisionInDoubt && lastChangeAtMillis < readStartedAtMillis) {
+    if (isRevisionInDoubt && lastChangeAtMillis < fullRead.startedAtMillis()) {
       nextRevisionCheckMillis = loop.nowMillis() + REVISION_CHECK_PAUSE_MILLIS;
     }
     isRevisionInDoubt = false;
-    revision = readRevision;
+    revision = fullRead.revision();
     if (!isInitialReadComplete) {
       isInitialReadComplete = true;
       // The read may be stale; changes since then arrive with the first answer of the watch.
@@ -411,14 +410,11 @@
     List<StoreItem> missing = new ArrayList<>();
     knownItems.forEach(
         (key, item) -> {
-          boolean isOlder = item.revision() <= readRevision;
-          if (item.content() != null && isOlder && !keysInRead.contains(key)) {
-            missing.add(new StoreItem(key, readRevision, null));
+          if (item.content() != null && fullRead.isMissing(key, item.revision())) {
+            missing.add(new StoreItem(key, fullRead.revision(), null));
           }
         });
-    unappliedItems
-        .values()
-        .removeIf(item -> item.revision() <= readRevision && !keysInRead.contains(item.key()));
+    unappliedItems.values().removeIf(item -> fullRead.isMissing(item.key(), item.revision()));
     apply(missing);
   }
 
