A VM confirms what it knows by the store's current revision only

Callers saw requests at targets that had left up to 6 s before. A VM asked for the store's revision by a read that may be seconds old. Such an answer never exceeds the revision that the VM has, so it confirmed the VM as of now: a reader whose watch was not answered told its followers that it was up to date, and a 404 on a new route was final. A VM without an item of its own got no revision at all, and took that for a confirmation too.

The revision is now read as of the call, by a range without items, which states it whether or not the VM is registered; only such an answer confirms.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/PlatformStore.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/PlatformStore.java
@@ -22,11 +22,8 @@
   /** Waits up to {@code waitMillis} for changes after {@code revision}. */
   void watch(long revision, long waitMillis, Consumer<StoreResult<StorePage>> callback);
 
-  /**
-   * Reads the revision of the store by way of the item of {@code vmName}, at a tenth of the price
-   * of other reads; it may be seconds old. Results in {@code Gone} if there is no such item.
-   */
-  void readRevision(String vmName, Consumer<StoreResult<Long>> callback);
+  /** Reads the revision of the store at some time between the call and its result. */
+  void readRevision(Consumer<StoreResult<Long>> callback);
 
   /** Grants a lease of {@code durationMillis}; results in its id. */
   void grantLease(long durationMillis, Consumer<StoreResult<Long>> callback);
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
@@ -496,8 +496,11 @@
     confirmation.recordAsked();
     changeFeed.readRevision(
         result -> {
-          if (!(result instanceof StoreResult.Done<Long> done) || done.value() <= revision) {
-            confirmUnlessFailed(result, startedAtMillis);
+          if (!(result instanceof StoreResult.Done<Long> done)) {
+            return;
+          }
+          if (done.value() <= revision) {
+            confirmation.confirm(startedAtMillis);
             return;
           }
           long storeRevision = done.value();
@@ -506,13 +509,6 @@
         });
   }
 
-  /** A VM without an item of its own gets no revision, and has no reason to doubt what it knows. */
-  private void confirmUnlessFailed(StoreResult<Long> result, long atMillis) {
-    if (!(result instanceof StoreResult.Failed<Long>)) {
-      confirmation.confirm(atMillis);
-    }
-  }
-
   /** Reads everything if a watch still waits although the store has changes for it. */
   private void onStillWaiting(long step, long storeRevision) {
     if (step != currentStep || !isWatching) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/ZoneChangeFeed.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/ZoneChangeFeed.java
@@ -168,7 +168,7 @@
 
   /** Reads the revision of the store; see {@link PlatformStore#readRevision}. */
   void readRevision(Consumer<StoreResult<Long>> callback) {
-    store.readRevision(self.name(), callback);
+    store.readRevision(callback);
   }
 
   /**
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/FakeStore.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/FakeStore.java
@@ -11,7 +11,7 @@
       @Nullable String afterKey, boolean mayBeStale, Consumer<StoreResult<StorePage>> callback) {}
 
   @Override
-  public void readRevision(String vmName, Consumer<StoreResult<Long>> callback) {}
+  public void readRevision(Consumer<StoreResult<Long>> callback) {}
 
   @Override
   public void grantLease(long durationMillis, Consumer<StoreResult<Long>> callback) {}
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerProgressTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerProgressTest.java
@@ -38,7 +38,7 @@
     public void watch(long after, long waitMillis, Consumer<StoreResult<StorePage>> callback) {}
 
     @Override
-    public void readRevision(String vmName, Consumer<StoreResult<Long>> callback) {
+    public void readRevision(Consumer<StoreResult<Long>> callback) {
       revisionReads++;
       callback.accept(new StoreResult.Done<>(revision));
     }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreReadProperties.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreReadProperties.java
@@ -142,7 +142,7 @@
     }
 
     @Override
-    public void readRevision(String vmName, Consumer<StoreResult<Long>> callback) {
+    public void readRevision(Consumer<StoreResult<Long>> callback) {
       callback.accept(new StoreResult.Done<>((long) revision()));
     }
 
