An answer confirms what the store had when it was asked

An answer that is long on its way, behind a slow store or a poll that took up to 800 ms, counted as confirmed when it arrived; followers added no time for their own poll. Whoever waited longest seemed most up to date.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
@@ -540,7 +540,7 @@
       recordOrigin(changeFeed.source());
       catchingUpUntilMillis = 0;
       lastAnswerAtMillis = loop.nowMillis();
-      confirmation.confirm(lastAnswerAtMillis - changeFeed.readerStalenessMillis());
+      confirmation.confirm(stepStartedAtMillis - changeFeed.readerStalenessMillis());
       if (changeFeed.mayStoreHaveBeenAway()) {
         outages.recordPastOutage();
       }
