The VM with the fastest link reads the store for its zone

A configuration of 1,400 routes is several hundred kilobytes.

VMs announce their link's rate, and a zone's reader is chosen among those with the highest. ZoneChangeFeedTest.readerIsAVmWithTheFastestLink failed before.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryVm.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryVm.java
@@ -10,6 +10,7 @@
  * @param address host and port for callers
  * @param peerAddress host and port for datagrams of other VMs, or empty if it receives none
  * @param relayAddress host and port at which it serves requests of other VMs' callers, or empty
+ * @param linkMbps rate of its network link in Mbit/s, or 0 if unknown
  * @param reachesTargets false if it reaches no target
  */
 public record EntryVm(
@@ -19,10 +20,12 @@
     String address,
     String peerAddress,
     String relayAddress,
+    double linkMbps,
     boolean reachesTargets) {
   /** The same VM, which reaches targets or not. */
   public EntryVm withReachesTargets(boolean newReachesTargets) {
-    return new EntryVm(name, zone, region, address, peerAddress, relayAddress, newReachesTargets);
+    return new EntryVm(
+        name, zone, region, address, peerAddress, relayAddress, linkMbps, newReachesTargets);
   }
 
   /** The VM as one that serves requests of other VMs' callers; empty if it serves none. */
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/ZoneChangeFeed.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/ZoneChangeFeed.java
@@ -14,11 +14,11 @@
  * Follows the store through one reader VM per zone, so that the number of calls grows with zones
  * and not with VMs.
  *
- * <p>All VMs of a zone choose the same reader by rendezvous hashing over the list of live VMs. The
- * others poll it a few times a second, and each answer states the reader's staleness: the time
- * since the reader was last known to have all changes of the store. If the reader does not respond,
- * does not read the store itself or is too stale, a VM reads the store directly for a while. Its
- * revision never goes back.
+ * <p>All VMs of a zone choose the same reader by rendezvous hashing over the live VMs with the
+ * fastest link. The others poll it a few times a second, and each answer states the reader's
+ * staleness: the time since the reader was last known to have all changes of the store. If the
+ * reader does not respond, does not read the store itself or is too stale, a VM reads the store
+ * directly for a while. Its revision never goes back.
  */
 public final class ZoneChangeFeed {
   /**
@@ -103,7 +103,7 @@
         store,
         (readerVm, revision, timeoutMillis, callback) ->
             callback.accept(new StoreResult.Failed<>("no peers")),
-        new EntryVm("", "", "", "", "", "", true),
+        new EntryVm("", "", "", "", "", "", 0, true),
         0,
         EventSink.none());
   }
@@ -122,13 +122,16 @@
     }
   }
 
-  /** Returns the VM that reads the store for {@code zone}, of the live VMs with these names. */
+  /** Returns the VM that reads the store for {@code zone}, of live VMs with equally fast links. */
   public static Optional<String> chooseReader(String zone, List<String> names) {
     return Rendezvous.choose("reader of " + zone, names);
   }
 
+  /** A changed configuration is large, and the reader sends it to all other VMs of the zone. */
   private @Nullable EntryVm chooseReader(List<EntryVm> zoneVms) {
-    List<String> names = zoneVms.stream().map(EntryVm::name).toList();
+    double maxLinkMbps = zoneVms.stream().mapToDouble(EntryVm::linkMbps).max().orElse(0);
+    List<String> names =
+        zoneVms.stream().filter(vm -> vm.linkMbps() == maxLinkMbps).map(EntryVm::name).toList();
     String chosen = chooseReader(self.zone(), names).orElse("");
     for (EntryVm vm : zoneVms) {
       if (vm.name().equals(chosen)) {
--- a/sageladder-forward/src/test/java/org/sageladder/forward/PeerExchangeTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/PeerExchangeTest.java
@@ -22,7 +22,7 @@
   private static final int MAX_SENDS = 50;
 
   private static EntryVm vm(String name, int port) {
-    return new EntryVm(name, "z", "r", "127.0.0.1:1", "127.0.0.1:" + port, "", true);
+    return new EntryVm(name, "z", "r", "127.0.0.1:1", "127.0.0.1:" + port, "", 0, true);
   }
 
   /** Guards against VMs without answers, since the store turned them away, that admit at will. */
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/EntryDirectoryTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/EntryDirectoryTest.java
@@ -9,7 +9,7 @@
 /** Which entry VMs a directory contains. */
 class EntryDirectoryTest {
   private static EntryVm vm(String name) {
-    return new EntryVm(name, "z", "r", name + ":1", name + ":2", "", true);
+    return new EntryVm(name, "z", "r", name + ":1", name + ":2", "", 0, true);
   }
 
   /** Guards against a VM whose registration lapsed and that coordinates quotas beside another. */
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreConfirmationTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreConfirmationTest.java
@@ -91,7 +91,7 @@
   }
 
   private static EntryVm vm(String name) {
-    return new EntryVm(name, "z", "r", "10.0.0.1:1", "10.0.0.1:2", "", true);
+    return new EntryVm(name, "z", "r", "10.0.0.1:1", "10.0.0.1:2", "", 0, true);
   }
 
   private void runFor(long millis) {
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/ZoneChangeFeedTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/ZoneChangeFeedTest.java
@@ -41,7 +41,11 @@
   }
 
   private static EntryVm vm(String name, String zone) {
-    return new EntryVm(name, zone, "r", "10.0.0.1:1", "10.0.0.1:2", "", true);
+    return new EntryVm(name, zone, "r", "10.0.0.1:1", "10.0.0.1:2", "", 0, true);
+  }
+
+  private static EntryVm vmWithLink(String name, double linkMbps) {
+    return new EntryVm(name, "z", "r", "10.0.0.1:1", "10.0.0.1:2", "", linkMbps, true);
   }
 
   private ZoneChangeFeed feed(String self) {
@@ -130,6 +134,22 @@
     }
   }
 
+  /** Guards against a configuration that a reader with a slow link cannot pass on in time. */
+  @Test
+  void readerIsAVmWithTheFastestLink() throws Exception {
+    for (int fastest = 0; fastest < 3; fastest++) {
+      List<EntryVm> vms = new ArrayList<>();
+      for (int i = 0; i < 3; i++) {
+        vms.add(vmWithLink("e-" + i, i == fastest ? 200 : 10));
+      }
+      askedPeers.clear();
+      ZoneChangeFeed feed = feed("e-" + (fastest + 1) % 3);
+      feed.updateLiveVms(vms);
+      awaitChanges(feed);
+      assertEquals(List.of("e-" + fastest), askedPeers);
+    }
+  }
+
   /** Guards against rules that count as confirmed since a reader answers that may be behind. */
   @Test
   void followersTakeOverTheStalenessOfTheirReader() throws Exception {
