A watch that waits is checked every two seconds

A VM that reads the store itself compared the store's revision with its own once for each watch, 2 or 6 s after its start. A watch that fell silent after the check, as on a connection that has become silent, was noticed after up to 13 s, while leases were renewed and nothing in the log told it.

The check now repeats, by a read that may be stale: it costs a tenth, can show that changes are missing, and is kept apart from the read that confirms. The test of unknown routes keeps such reads at the old revision, since the check would find the change first; the bound of the tests falls from 8 to 4 s, and the test that nothing is read again now counts both kinds (0 fresh, 4 stale in 8 s; before 1).

The stand-in counts stale reads apart.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/PlatformStore.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/PlatformStore.java
@@ -25,6 +25,12 @@
   /** Reads the revision of the store at some time between the call and its result. */
   void readRevision(Consumer<StoreResult<Long>> callback);
 
+  /**
+   * Reads a revision that the store has reached, maybe seconds before, at a tenth of the price. It
+   * can show that changes are missing, but not that none are.
+   */
+  void readPastRevision(Consumer<StoreResult<Long>> callback);
+
   /** Grants a lease of {@code durationMillis}; results in its id. */
   void grantLease(long durationMillis, Consumer<StoreResult<Long>> callback);
 
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/StoreFollower.java
@@ -42,11 +42,8 @@
 
   private static final long STALL_CHECK_INTERVAL_MILLIS = 2_000;
 
-  /** Time after which the store's revision is compared with that of a watch that still waits. */
-  private static final long REVISION_CHECK_DELAY_MILLIS = 6_000;
-
-  /** The same for a watch after a pause, in which its connection may have become silent. */
-  private static final long REVISION_CHECK_DELAY_AFTER_PAUSE_MILLIS = 2_000;
+  /** Interval at which a past revision of the store is compared with that of a watch that waits. */
+  private static final long REVISION_CHECK_INTERVAL_MILLIS = 2_000;
 
   /** A route or API key that is unknown may be new unless the rules were confirmed since then. */
   private static final long MAX_UNCONFIRMED_MILLIS = 2_000;
@@ -364,7 +361,7 @@
         "not followed for " + idleMillis + " ms; starting again");
     outages.recordPastOutage();
     if (isInitialReadComplete && !isReadingAgain) {
-      watch(true);
+      watch();
     } else {
       read(null, !isInitialReadComplete);
     }
@@ -402,7 +399,7 @@
       catchingUpUntilMillis = loop.nowMillis() + MAX_CATCH_UP_MILLIS;
       listener.onInitialReadComplete();
     }
-    watch(false);
+    watch();
   }
 
   /** Removes items that a complete read did not return, unless they are newer than the read. */
@@ -439,17 +436,13 @@
     if (isStoreSilent && isWatching) {
       log.record(
           EventKind.STORE_UP, "", "", "store", revision, "answers again; starting a new watch");
-      watch(true);
+      watch();
     }
     isStoreSilent = false;
   }
 
-  /**
-   * Waits for changes.
-   *
-   * @param isAfterPause true if connections to the store may have been idle before
-   */
-  private void watch(boolean isAfterPause) {
+  /** Waits for changes. */
+  private void watch() {
     isWatching = true;
     Consumer<StoreResult<StorePage>> callback =
         startStep(
@@ -458,13 +451,9 @@
               isWatching = false;
               onWatchResult(result);
             },
-            () -> watch(true),
+            this::watch,
             ZoneChangeFeed.WATCH_TIMEOUT_MILLIS + MAX_CALL_MILLIS);
-    long step = currentStep;
-    long checkDelayMillis =
-        isAfterPause ? REVISION_CHECK_DELAY_AFTER_PAUSE_MILLIS : REVISION_CHECK_DELAY_MILLIS;
-    scheduleRevisionCheck(
-        step, areWatchesInDoubt ? CONFIRMATION_INTERVAL_MILLIS : checkDelayMillis);
+    scheduleRevisionCheck(currentStep);
     changeFeed.requestChanges(revision, callback);
   }
 
@@ -472,21 +461,25 @@
    * Compares the store's revision with the known one while a watch waits.
    *
    * <p>A watch that will never be answered, as on a connection that has become silent, looks like
-   * one for which there is no change. After such a watch the next ones are checked repeatedly.
+   * one for which there is no change. After such a watch the next ones are checked more often.
    */
   private void checkRevision(long step) {
     if (step != currentStep || !changeFeed.isReader()) {
       return;
     }
     if (loop.nowMillis() >= nextRevisionCheckMillis) {
-      confirm(step);
-    }
-    if (areWatchesInDoubt) {
-      scheduleRevisionCheck(step, CONFIRMATION_INTERVAL_MILLIS);
+      if (areWatchesInDoubt) {
+        confirm(step);
+      } else {
+        changeFeed.readPastRevision(result -> doubtIfNewer(step, result));
+      }
     }
+    scheduleRevisionCheck(step);
   }
 
-  private void scheduleRevisionCheck(long step, long delayMillis) {
+  private void scheduleRevisionCheck(long step) {
+    long delayMillis =
+        areWatchesInDoubt ? CONFIRMATION_INTERVAL_MILLIS : REVISION_CHECK_INTERVAL_MILLIS;
     var unused = loop.schedule(delayMillis, () -> checkRevision(step));
   }
 
@@ -496,19 +489,21 @@
     confirmation.recordAsked();
     changeFeed.readRevision(
         result -> {
-          if (!(result instanceof StoreResult.Done<Long> done)) {
-            return;
-          }
-          if (done.value() <= revision) {
+          if (result instanceof StoreResult.Done<Long> done && done.value() <= revision) {
             confirmation.confirm(startedAtMillis);
-            return;
           }
-          long storeRevision = done.value();
-          var unused =
-              loop.schedule(MAX_WATCH_LAG_MILLIS, () -> onStillWaiting(step, storeRevision));
+          doubtIfNewer(step, result);
         });
   }
 
+  /** Gives a watch the usual time to deliver what the store has, then reads everything. */
+  private void doubtIfNewer(long step, StoreResult<Long> result) {
+    if (result instanceof StoreResult.Done<Long> done && done.value() > revision) {
+      long storeRevision = done.value();
+      var unused = loop.schedule(MAX_WATCH_LAG_MILLIS, () -> onStillWaiting(step, storeRevision));
+    }
+  }
+
   /** Reads everything if a watch still waits although the store has changes for it. */
   private void onStillWaiting(long step, long storeRevision) {
     if (step != currentStep || !isWatching) {
@@ -568,7 +563,7 @@
     }
     // The store may cut off a watch that waits; the next call tells whether it serves this VM.
     outages.recordFailures(consecutiveFailures + 1);
-    retryAfterFailure("watch", String.valueOf(result), () -> watch(true));
+    retryAfterFailure("watch", String.valueOf(result), this::watch);
   }
 
   /** Reads all items, since what is known cannot be brought up to date by watching. */
@@ -579,10 +574,10 @@
 
   private void scheduleWatch(long delayMillis) {
     if (delayMillis == 0) {
-      watch(false);
+      watch();
       return;
     }
-    scheduleStep("watch", delayMillis, () -> watch(true));
+    scheduleStep("watch", delayMillis, this::watch);
   }
 
   private void onSuccess() {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/ZoneChangeFeed.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/ZoneChangeFeed.java
@@ -174,6 +174,11 @@
     store.readRevision(callback);
   }
 
+  /** Reads a past revision of the store; see {@link PlatformStore#readPastRevision}. */
+  void readPastRevision(Consumer<StoreResult<Long>> callback) {
+    store.readPastRevision(callback);
+  }
+
   /**
    * Requests the changes after {@code revision}; the result is empty if there were none for a
    * while.
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/FakeStore.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/FakeStore.java
@@ -13,6 +13,9 @@
   @Override
   public void readRevision(Consumer<StoreResult<Long>> callback) {}
 
+  @Override
+  public void readPastRevision(Consumer<StoreResult<Long>> callback) {}
+
   @Override
   public void grantLease(long durationMillis, Consumer<StoreResult<Long>> callback) {}
 
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerProgressTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreFollowerProgressTest.java
@@ -18,13 +18,18 @@
 
 /** A follower that no longer learns, or does not apply what it learns, notices it. */
 class StoreFollowerProgressTest {
-  private static final long BOUND_SECONDS = 8;
+  private static final long BOUND_SECONDS = 4;
 
   /** A store at a revision of the test's choice, whose watches are never answered. */
   private static final class SilentWatchStore extends FakeStore {
     long revision = 10;
     int strictReads;
     int revisionReads;
+    int pastRevisionReads;
+
+    /** What reads of the past return, or -1 for the current revision. */
+    long pastRevision = -1;
+
     StoreItem[] items = {};
 
     @Override
@@ -42,6 +47,12 @@
       revisionReads++;
       callback.accept(new StoreResult.Done<>(revision));
     }
+
+    @Override
+    public void readPastRevision(Consumer<StoreResult<Long>> callback) {
+      pastRevisionReads++;
+      callback.accept(new StoreResult.Done<>(pastRevision >= 0 ? pastRevision : revision));
+    }
   }
 
   /** Records the evacuated zones; fails as often as the test says. */
@@ -108,12 +119,33 @@
     assertEquals(1, follower.progress().timesBehind());
   }
 
+  /** Guards against a VM without news for long since its watch became silent while it waited. */
+  @Test
+  void watchIsCheckedAgainAfterACheckThatFoundNoChanges() {
+    start();
+    runFor(5);
+    store.revision = 11;
+    store.items = new StoreItem[] {evacuated("z-1", 11)};
+    runFor(BOUND_SECONDS);
+    assertEquals(List.of("z-1"), zones.evacuated);
+  }
+
+  /** Guards against a VM that counts as up to date since a read of the past shows no changes. */
+  @Test
+  void pastRevisionConfirmsNothing() {
+    StoreFollower follower = start();
+    runFor(BOUND_SECONDS);
+    assertTrue(store.pastRevisionReads > 0);
+    assertEquals(-1, follower.progress().confirmationAgeMillis());
+  }
+
   /** Guards against reads of all items while there is nothing new, since each is priced. */
   @Test
   void nothingIsReadAgainIfTheStoreHasNoChanges() {
     start();
-    runFor(BOUND_SECONDS);
-    assertEquals(1, store.revisionReads);
+    runFor(8);
+    assertEquals(4, store.pastRevisionReads);
+    assertEquals(0, store.revisionReads);
     assertEquals(0, store.strictReads);
   }
 
@@ -147,6 +179,7 @@
   @Test
   void unknownRouteIsFinalOnlyOnceTheStoreHasConfirmedTheRules() {
     StoreFollower follower = start();
+    store.pastRevision = 10;
     runFor(3);
     assertTrue(follower.mayHaveStaleRules());
     channel.runPendingTasks();
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreReadProperties.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/StoreReadProperties.java
@@ -146,6 +146,11 @@
       callback.accept(new StoreResult.Done<>((long) revision()));
     }
 
+    @Override
+    public void readPastRevision(Consumer<StoreResult<Long>> callback) {
+      readRevision(callback);
+    }
+
     private void answerWatch(int from, Consumer<StoreResult<StorePage>> callback) {
       if (fails()) {
         callback.accept(failure("no response"));
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/StorePort.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/StorePort.java
@@ -105,8 +105,8 @@
   }
 
   /**
-   * Returns the number of calls so far by kind, which is the first segment of their path, including
-   * refused ones.
+   * Returns the number of calls so far by kind, including refused ones: the first segment of their
+   * path, followed by {@code ?stale_ok} for reads that may be stale.
    */
   public Map<String, Integer> callCountsByKind() {
     Map<String, Integer> counts = new TreeMap<>();
@@ -131,7 +131,7 @@
   private void handle(FullHttpRequest request, ServerPort.Exchange exchange) {
     QueryStringDecoder query = new QueryStringDecoder(request.uri());
     byte[] body = ByteBufUtil.getBytes(request.content());
-    callCounts.merge(query.path(), 1, Integer::sum);
+    callCounts.merge(query.path() + (mayBeStale(query) ? "?stale_ok" : ""), 1, Integer::sum);
     StoreFaultMode common = isAffected.test(exchange.callerIp()) ? faultMode : StoreFaultMode.NONE;
     StoreFaultMode mode = refusedCallers.getOrDefault(exchange.callerIp(), common);
     boolean isWrite = query.path().equals("/kv-txn") || query.path().equals("/kv-lease");
@@ -226,10 +226,13 @@
     }
   }
 
+  private static boolean mayBeStale(QueryStringDecoder query) {
+    return parameter(query, "stale_ok", "0").equals("1");
+  }
+
   private StoreModel.Page readPage(
       QueryStringDecoder query, String prefix, @Nullable String afterKey) {
-    boolean mayBeStale = parameter(query, "stale_ok", "0").equals("1");
-    long lagMillis = mayBeStale ? replicaLagMillis.getAsLong() : 0;
+    long lagMillis = mayBeStale(query) ? replicaLagMillis.getAsLong() : 0;
     return lagMillis == 0
         ? model.range(prefix, afterKey)
         : model.staleRange(prefix, afterKey, lagMillis);
