--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/PeerChangeSource.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/PeerChangeSource.java
@@ -18,6 +18,8 @@
    * Fetches the changes after {@code revision} that the VM has seen. Results in {@code Gone} if its
    * history does not reach back that far, and in {@code Failed} if it does not read the store
    * directly.
+   *
+   * @param timeoutMillis how long the VM may be silent; a large response may take twice as long
    */
   void fetch(
       EntryVm peer, long revision, long timeoutMillis, Consumer<StoreResult<Changes>> callback);
