Changes of a stale reader are applied before the store is read

A reader confirms what it knows when others ask it. Such changes are valid whatever the reader's age; they are applied, with that age, and the store is watched at once from there.

ZoneChangeFeedTest.changesOfAStaleReaderAreUsedBeforeTheStoreIsRead failed before.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/PeerChangeSource.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/PeerChangeSource.java
@@ -12,7 +12,12 @@
    * @param stalenessMillis time since it was last known to have all changes of the store
    * @param hadRecentFailures true if its calls to the store failed recently
    */
-  record Changes(StorePage page, long stalenessMillis, boolean hadRecentFailures) {}
+  record Changes(StorePage page, long stalenessMillis, boolean hadRecentFailures) {
+    /** True unless the VM has seen no change. */
+    boolean hasAny() {
+      return !page.items().isEmpty();
+    }
+  }
 
   /**
    * Fetches the changes after {@code revision} that the VM has seen. Results in {@code Gone} if its
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/ZoneChangeFeed.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/ZoneChangeFeed.java
@@ -204,18 +204,30 @@
       long revision,
       StoreResult<PeerChangeSource.Changes> result,
       Consumer<StoreResult<StorePage>> callback) {
-    if (result instanceof StoreResult.Done<PeerChangeSource.Changes> done
-        && done.value().stalenessMillis() <= MAX_STALENESS_MILLIS) {
-      readerStalenessMillis = done.value().stalenessMillis();
-      hadRecentFailures = done.value().hadRecentFailures();
-      callback.accept(new StoreResult.Done<>(done.value().page()));
+    if (!(result instanceof StoreResult.Done<PeerChangeSource.Changes> done)) {
+      bypass(readerVm, String.valueOf(result));
+      watchStore(revision, callback);
       return;
     }
+    PeerChangeSource.Changes changes = done.value();
+    boolean isStale = changes.stalenessMillis() > MAX_STALENESS_MILLIS;
+    if (isStale) {
+      bypass(readerVm, describeStaleness(changes.stalenessMillis()));
+    }
+    // Changes of a stale reader are valid, and large ones need not be sent again.
+    boolean isUsable = changes.stalenessMillis() != StoreConfirmation.NEVER;
+    if (isStale && !(isUsable && changes.hasAny())) {
+      watchStore(revision, callback);
+      return;
+    }
+    readerStalenessMillis = changes.stalenessMillis();
+    hadRecentFailures = changes.hadRecentFailures();
+    callback.accept(new StoreResult.Done<>(changes.page()));
+  }
+
+  /** Reads the store directly for a while. */
+  private void bypass(EntryVm readerVm, String cause) {
     directUntilMillis = loop.nowMillis() + DIRECT_FALLBACK_MILLIS;
-    String cause =
-        result instanceof StoreResult.Done<PeerChangeSource.Changes> done
-            ? describeStaleness(done.value().stalenessMillis())
-            : "" + result;
     log.record(
         EventKind.MEMBER_SILENT,
         "",
@@ -223,7 +235,6 @@
         readerVm.name(),
         0,
         "reading the store directly: " + cause);
-    watchStore(revision, callback);
   }
 
   private static String describeStaleness(long stalenessMillis) {
@@ -251,7 +262,7 @@
    */
   long nextDelayMillis(boolean anyChange) {
     if (isRelayed) {
-      return PEER_POLL_INTERVAL_MILLIS;
+      return loop.nowMillis() < directUntilMillis ? 0 : PEER_POLL_INTERVAL_MILLIS;
     }
     return anyChange ? BATCH_DELAY_MILLIS : 0;
   }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/control/ZoneChangeFeedTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/control/ZoneChangeFeedTest.java
@@ -150,6 +150,22 @@
     }
   }
 
+  /** Guards against a large change that is sent again since its transfer made the reader stale. */
+  @Test
+  void changesOfAStaleReaderAreUsedBeforeTheStoreIsRead() throws Exception {
+    ZoneChangeFeed feed = followingFeed();
+    StoreItem change = new StoreItem("z-1", 8, new ItemContent.ZoneEvacuated("z-1"));
+    StorePage page = new StorePage(List.of(change), false, 8);
+    peerResult = new StoreResult.Done<>(new PeerChangeSource.Changes(page, 10_000, false));
+    int watchesBefore = store.watches;
+    awaitChanges(feed);
+    assertEquals(watchesBefore, store.watches);
+    assertEquals(10_000, feed.readerStalenessMillis());
+    assertEquals(0, feed.nextDelayMillis(true));
+    awaitChanges(feed);
+    assertEquals(watchesBefore + 1, store.watches);
+  }
+
   /** Guards against rules that count as confirmed since a reader answers that may be behind. */
   @Test
   void followersTakeOverTheStalenessOfTheirReader() throws Exception {
