--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/KeyRules.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/KeyRules.java
@@ -92,6 +92,17 @@
     return credential.wasEverConfigured() && !revoked;
   }
 
+  private static boolean isSentAfterRevocation(SimulatedDay day, String id, String key) {
+    return day.ledger().events(PlatformEvent.Kind.KEY_TAKEN_AWAY).stream()
+        .filter(event -> event.subject().equals(key))
+        .anyMatch(
+            event ->
+                day.ledger()
+                    .attempt(id)
+                    .filter(attempt -> attempt.sentAtMillis() > event.atMillis())
+                    .isPresent());
+  }
+
   private static boolean isSentInContact(SimulatedDay day, String id, long afterMillis) {
     return day.ledger()
         .attempt(id)
@@ -154,7 +165,10 @@
     return allowed * (1 + day.bounds().quotaExcessFraction()) + day.bounds().quotaExcessRequests();
   }
 
-  /** Workspaces whose requests succeed far less often than those of all workspaces together. */
+  /**
+   * Workspaces whose requests succeed far less often than those of all workspaces together, without
+   * requests that were sent after the revocation of their key.
+   */
   static List<String> starvedWorkspaces(SimulatedDay day) {
     Map<String, int[]> counts = new HashMap<>();
     int[] totalCounts = new int[2];
@@ -162,6 +176,7 @@
       day.ledger()
           .credential(id)
           .filter(credential -> !credential.workspace().isEmpty())
+          .filter(credential -> !isSentAfterRevocation(day, id, credential.key()))
           .ifPresent(
               credential -> {
                 int succeeded =
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/KeyRulesTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/KeyRulesTest.java
@@ -99,4 +99,28 @@
     }
     assertViolated(KeyRules.starvedWorkspaces(day));
   }
+
+  /** Guards against a workspace that counts as starved since callers go on with a revoked key. */
+  @Test
+  void requestsWithARevokedKeyDoNotStarveAWorkspace() {
+    ledger.recordEvent(Ledger.PlatformEvent.Kind.KEY_TAKEN_AWAY, "k-choir", 50);
+    for (int i = 0; i < 200; i++) {
+      String id = "q" + i;
+      recordSent(id, i % 2 == 0 ? "choir" : "museum", true, i);
+      int status = i % 2 == 0 && i > 50 ? 401 : 200;
+      ledger.recordAnswer(new Ledger.Answered(id, status, "", true, id, i + 5L));
+    }
+    assertEquals(List.of(), KeyRules.starvedWorkspaces(day));
+  }
+
+  @Test
+  void requestsSentBeforeTheRevocationOfTheirKeyCount() {
+    ledger.recordEvent(Ledger.PlatformEvent.Kind.KEY_TAKEN_AWAY, "k-choir", 50);
+    for (int i = 0; i < 100; i++) {
+      String id = "q" + i;
+      recordSent(id, i < 30 ? "choir" : "museum", true, i);
+      ledger.recordAnswer(new Ledger.Answered(id, i < 30 ? 401 : 200, "", true, id, i + 5L));
+    }
+    assertViolated(KeyRules.starvedWorkspaces(day));
+  }
 }
