Logs and metrics name the bytes of targets that are no part of a response

Change: RESPONSE_DISCARDED with the reason (UNSOLICITED, OTHER_REQUEST, MALFORMED), the request that the bytes answer, the number of the request on its connection, the connection's age, how many bytes were received before the request, and the first 100 bytes, escaped. Three counters. The decoder of responses stands in a class of its own.

Measured: TargetConnectionTest.discardedBytesAreQuoted passes, as do the other tests of TargetConnectionTest and ResponseIntegrityTest (16 of 16). Not measured: processor time.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -170,8 +170,17 @@
     placement.updateZoneShare(options.zoneFraction());
     placement.admission().onStateChange(requestLog::recordOverload);
     this.relayPeers = new RelayPeers(options.zone(), options.region());
-    this.peerConnections = new TargetConnectionPool<>(loop, dialect);
-    this.connectionPool = new TargetConnectionPool<>(loop, dialect);
+    this.peerConnections =
+        new TargetConnectionPool<>(
+            loop,
+            dialect,
+            (peer, discarded) -> requestLog.recordDiscarded(peer.name(), 0, discarded));
+    this.connectionPool =
+        new TargetConnectionPool<>(
+            loop,
+            dialect,
+            (target, discarded) ->
+                requestLog.recordDiscarded(target.id(), target.startedAtMillis(), discarded));
     this.crashDetector =
         new CrashDetector(
             loop,
--- a/sageladder-forward/src/main/java/org/sageladder/forward/RequestLog.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/RequestLog.java
@@ -50,6 +50,25 @@
         detail + attempt.describeEstimate() + of.workspaceSuffix());
   }
 
+  /**
+   * Records received bytes that are no part of the response to a request.
+   *
+   * @param peer id of the target or name of the entry VM that sent them
+   * @param startedAtMillis Unix time at which the target started, or 0
+   */
+  void recordDiscarded(String peer, long startedAtMillis, DiscardedResponse discarded) {
+    metrics.count("responses_discarded_" + toLowerCase(discarded.reason()));
+    String answered =
+        discarded.answeredId().isEmpty() ? "" : " to request " + discarded.answeredId();
+    log.record(
+        EventKind.RESPONSE_DISCARDED,
+        discarded.requestId(),
+        "",
+        peer,
+        startedAtMillis,
+        discarded.reason() + answered + ", " + discarded.detail());
+  }
+
   /**
    * Records whether the retry budget permits another attempt.
    *
--- /dev/null
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseDecoder.java
@@ -0,0 +1,39 @@
+package org.sageladder.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.util.function.BooleanSupplier;
+
+/** Decodes the responses of one connection. */
+final class ResponseDecoder extends HttpResponseDecoder {
+  private static final int MAX_HEAD_BYTES = 64 << 10;
+  private static final int MAX_CHUNK_BYTES = 64 << 10;
+
+  private final BooleanSupplier isHeadRequest;
+
+  /**
+   * Creates a decoder.
+   *
+   * @param isHeadRequest true if the request in flight is a HEAD, whose response has no body
+   */
+  ResponseDecoder(BooleanSupplier isHeadRequest) {
+    super(
+        new HttpDecoderConfig()
+            .setMaxHeaderSize(MAX_HEAD_BYTES)
+            .setMaxInitialLineLength(MAX_HEAD_BYTES)
+            .setMaxChunkSize(MAX_CHUNK_BYTES));
+    this.isHeadRequest = isHeadRequest;
+  }
+
+  @Override
+  protected boolean isContentAlwaysEmpty(HttpMessage message) {
+    return isHeadRequest.getAsBoolean() || super.isContentAlwaysEmpty(message);
+  }
+
+  /** Bytes received but not decoded yet, in the decoder's own buffer. */
+  ByteBuf undecodedBytes() {
+    return internalBuffer();
+  }
+}
--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
@@ -7,14 +7,11 @@
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -30,8 +27,6 @@
  * connection with any irregularity is not reused.
  */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
-  private static final int MAX_HEAD_BYTES = 64 << 10;
-  private static final int MAX_CHUNK_BYTES = 64 << 10;
   private static final int MAX_DISCARDED_RESPONSES = 3;
 
   /** A target sends few interim responses to one request. */
@@ -59,12 +54,33 @@
     void onWritable();
   }
 
+  /** Receives what is discarded, for logs and metrics. */
+  @FunctionalInterface
+  interface DiscardListener {
+    /**
+     * Received bytes were discarded.
+     *
+     * @param answeredId id of the request that they answer, or empty if unknown
+     */
+    void onDiscarded(TargetConnection from, DiscardedResponse.Reason reason, String answeredId);
+
+    /** A listener that does nothing. */
+    static DiscardListener none() {
+      return (from, reason, answeredId) -> {};
+    }
+  }
+
   private final Dialect dialect;
   private final long defaultIdleMillis;
+  private final DiscardListener discardListener;
+  private final ReceivedBytes receivedBytes = new ReceivedBytes();
   private @Nullable ChannelHandlerContext context;
   private @Nullable Listener listener;
   private @Nullable String requestId;
+  private int requestCount;
+  private long bytesBeforeRequest;
   private boolean isHeadRequest;
+  private final ResponseDecoder decoder = new ResponseDecoder(() -> isHeadRequest);
   private boolean isRequestComplete;
   private long maxBodyBytes;
   private long writtenBodyBytes;
@@ -81,28 +97,16 @@
   private boolean isEndedByPeer;
   private @Nullable Runnable onIdleClose;
 
-  TargetConnection(Dialect dialect, long defaultIdleMillis) {
+  TargetConnection(Dialect dialect, long defaultIdleMillis, DiscardListener discardListener) {
     this.dialect = dialect;
     this.defaultIdleMillis = defaultIdleMillis;
+    this.discardListener = discardListener;
     this.maxIdleMillis = defaultIdleMillis;
   }
 
   /** Adds the codec and this handler to the pipeline of a new channel. */
   void install(ChannelPipeline pipeline) {
-    HttpDecoderConfig config =
-        new HttpDecoderConfig()
-            .setMaxHeaderSize(MAX_HEAD_BYTES)
-            .setMaxInitialLineLength(MAX_HEAD_BYTES)
-            .setMaxChunkSize(MAX_CHUNK_BYTES);
-    pipeline.addLast(
-        new HttpRequestEncoder(),
-        new HttpResponseDecoder(config) {
-          @Override
-          protected boolean isContentAlwaysEmpty(HttpMessage message) {
-            return isHeadRequest || super.isContentAlwaysEmpty(message);
-          }
-        },
-        this);
+    pipeline.addLast(receivedBytes, new HttpRequestEncoder(), decoder, this);
   }
 
   @Override
@@ -156,6 +160,8 @@
   void send(HttpRequest head, String id, Listener to) {
     listener = to;
     requestId = id;
+    requestCount++;
+    bytesBeforeRequest = receivedBytes.count();
     isHeadRequest = head.method().equals(HttpMethod.HEAD);
     isRequestComplete = false;
     maxBodyBytes = announcedBodyBytes(head);
@@ -263,6 +269,9 @@
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     if (listener == null) {
+      if (message instanceof HttpResponse response) {
+        recordDiscard(DiscardedResponse.Reason.UNSOLICITED, answeredRequestId(response));
+      }
       ReferenceCountUtil.release(message);
       isIntact = false;
       Sockets.close(ctx);
@@ -279,6 +288,7 @@
 
   private void onHead(HttpResponse response) {
     if (response.decoderResult().isFailure()) {
+      recordDiscard(DiscardedResponse.Reason.MALFORMED, "");
       fail("malformed response: " + response.decoderResult().cause());
       return;
     }
@@ -292,6 +302,7 @@
     }
     String id = dialect.answeredRequestId(response.headers());
     if (id != null && !id.equals(requestId)) {
+      recordDiscard(DiscardedResponse.Reason.OTHER_REQUEST, id);
       isDiscarding = true;
       isIntact = false;
       discardedCount++;
@@ -316,6 +327,35 @@
     }
   }
 
+  private String answeredRequestId(HttpResponse response) {
+    String id = dialect.answeredRequestId(response.headers());
+    return id == null ? "" : id;
+  }
+
+  private void recordDiscard(DiscardedResponse.Reason reason, String answeredId) {
+    discardListener.onDiscarded(this, reason, answeredId);
+  }
+
+  /** Id of the request in flight, or empty. */
+  String requestIdInFlight() {
+    String id = requestId;
+    return listener == null || id == null ? "" : id;
+  }
+
+  /** What the connection has carried and received, for log lines. */
+  String describe(long now) {
+    return "request "
+        + requestCount
+        + " on a connection opened "
+        + (now - openedAtMillis)
+        + " ms ago, "
+        + bytesBeforeRequest
+        + " bytes received before it, "
+        + receivedBytes.count()
+        + " in all since the previous response: "
+        + receivedBytes.quote();
+  }
+
   private long parseIdleMillis(@Nullable String keepAlive) {
     if (keepAlive == null) {
       return defaultIdleMillis;
@@ -356,6 +396,7 @@
     }
     if (content instanceof LastHttpContent && listener == to) {
       listener = null;
+      receivedBytes.restartWith(decoder.undecodedBytes());
       to.onComplete();
     }
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnectionPool.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnectionPool.java
@@ -7,6 +7,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.DoubleConsumer;
 import org.jspecify.annotations.Nullable;
@@ -33,11 +34,19 @@
 
   private final Loop loop;
   private final Dialect dialect;
+  private final BiConsumer<K, DiscardedResponse> discardListener;
   private final Map<K, Deque<TargetConnection>> idleConnections = new HashMap<>();
 
-  TargetConnectionPool(Loop loop, Dialect dialect) {
+  /**
+   * Creates an empty pool.
+   *
+   * @param discardListener receives what connections to a peer discard
+   */
+  TargetConnectionPool(
+      Loop loop, Dialect dialect, BiConsumer<K, DiscardedResponse> discardListener) {
     this.loop = loop;
     this.dialect = dialect;
+    this.discardListener = discardListener;
   }
 
   /**
@@ -60,7 +69,7 @@
       ready.accept(idle);
       return;
     }
-    TargetConnection connection = new TargetConnection(dialect, DEFAULT_IDLE_MILLIS);
+    TargetConnection connection = newConnection(peer);
     long from = loop.nowNanos();
     loop.connect(host, port, CONNECT_TIMEOUT_MILLIS, initializer(connection))
         .addListener(
@@ -75,6 +84,20 @@
             });
   }
 
+  private TargetConnection newConnection(K peer) {
+    return new TargetConnection(
+        dialect,
+        DEFAULT_IDLE_MILLIS,
+        (from, reason, answeredId) ->
+            discardListener.accept(
+                peer,
+                new DiscardedResponse(
+                    reason,
+                    from.requestIdInFlight(),
+                    answeredId,
+                    from.describe(loop.nowMillis()))));
+  }
+
   private static ChannelInitializer<Channel> initializer(TargetConnection connection) {
     return new ChannelInitializer<>() {
       @Override
--- a/sageladder-forward/src/test/java/org/sageladder/forward/TargetConnectionTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/TargetConnectionTest.java
@@ -46,7 +46,8 @@
     public void onWritable() {}
   }
 
-  private final TargetConnection connection = new TargetConnection(new TestDialect(), 1_000);
+  private final TargetConnection connection =
+      new TargetConnection(new TestDialect(), 1_000, TargetConnection.DiscardListener.none());
   private final EmbeddedChannel channel = new EmbeddedChannel();
   private final LossRecorder recorder = new LossRecorder();
 
@@ -120,8 +121,30 @@
     body.add(bytes("beginning"));
     body.writeTo(connection);
     body.add(bytes("rest"));
-    TargetConnection other = new TargetConnection(new TestDialect(), 1_000);
+    TargetConnection other =
+        new TargetConnection(new TestDialect(), 1_000, TargetConnection.DiscardListener.none());
     assertThrows(IllegalStateException.class, () -> body.writeTo(other));
     assertFalse(body.isReplayable());
   }
+
+  /** Guards against responses that are discarded without a trace of what was received. */
+  @Test
+  void discardedBytesAreQuoted() {
+    List<String> discards = new ArrayList<>();
+    TargetConnection described =
+        new TargetConnection(
+            new TestDialect(),
+            1_000,
+            (from, reason, answeredId) -> discards.add(reason + ", " + from.describe(512)));
+    described.install(channel.pipeline());
+    described.markOpened(500);
+    HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/safe/1");
+    described.send(head, "a", recorder);
+    channel.writeInbound(bytes("no\\\u0001 response\r\n"));
+    assertEquals(
+        List.of(
+            "MALFORMED, request 1 on a connection opened 12 ms ago, 0 bytes received before it,"
+                + " 15 in all since the previous response: 'no\\\\\\x01 response\\r\\n'"),
+        discards);
+  }
 }
