--- /dev/null
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/UnfinishedResponseTest.java
@@ -0,0 +1,35 @@
+package org.sageladder.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sageladder.forward.ForwardingFixture.Caller;
+import org.sageladder.forward.ForwardingFixture.Response;
+
+/** A target sends a part of a second response, and then the response to the next request. */
+class UnfinishedResponseTest {
+  /** Guards against the status of a second response with the headers and body of the next one. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void statusOfTheNextResponseIsItsOwn(boolean isLate) throws Exception {
+    String piece = "HTTP/1.1 200 OK";
+    ScriptedTarget target =
+        ScriptedTarget.of(
+            request -> {
+              String response = ScriptedTarget.okResponse(request.header("Id"), "own");
+              if (request.header("Id").equals("a")) {
+                request.write(response + (isLate ? "" : piece));
+                return;
+              }
+              String late = isLate && request.indexOnConnection() > 1 ? piece : "";
+              request.write(late + response.replace("200 OK", "500 Failed"));
+            });
+    try (ForwardingFixture fixture = ForwardingFixture.open(target);
+        Caller caller = fixture.caller()) {
+      assertEquals(200, caller.exchange("/once/1", "a").status());
+      Response next = caller.exchange("/once/1", "b");
+      assertEquals(isLate ? 502 : 500, next.status());
+    }
+  }
+}
