Bytes that a target sends without a request end its connection before they are decoded

What callers saw: the status of a second response with the headers and the body of their own.

Cause: a part of a second response was received with the end of the first one or while the connection was idle. The decoder reports nothing of an incomplete head and keeps it, so the connection counted as unused, carried the next request, and the part became the beginning of the next response. Only whole heads were judged.

Change: a handler before the decoder drops bytes that are received while no request is in flight and closes the connection; a response behind which bytes are left undecoded ends its connection; and what lies unread as an idle connection is taken for a request is read first (the read that accepted connections already had before they are closed as idle, now for connections to targets and entry VMs too; a connection that its peer has closed is noticed there as well, so that no request is sent on it).

Ruled out: to judge by the decoder's buffer alone. It is empty after a complete line, in the middle of a head.

Measured: UnfinishedResponseTest, the piece with the first response: 200 before, 500 (own) now; connectionWithUnreadBytesCarriesNoRequest passes.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/ListeningSocket.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ListeningSocket.java
@@ -15,7 +15,7 @@
     if (socket == null) {
       return 0;
     }
-    accepted.add(new AcceptedSocket(this, socket));
+    accepted.add(new ConnectedSocket(this, socket));
     return 1;
   }
 
--- a/sageladder-forward/src/main/java/org/sageladder/forward/ReceivedBytes.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ReceivedBytes.java
@@ -3,24 +3,45 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.ReferenceCountUtil;
+import java.util.function.BooleanSupplier;
 
 /**
- * Counts the bytes that a connection receives and keeps the first ones, for log lines.
+ * Keeps bytes that belong to no request from the decoder of a connection, and describes what was
+ * received for log lines.
  *
- * <p>It stands before the decoder, which reports nothing of a head that is incomplete or malformed.
+ * <p>The decoder would keep a part of a head, which it does not report, and take it for the
+ * beginning of the next response.
  */
 final class ReceivedBytes extends ChannelInboundHandlerAdapter {
   private static final int MAX_QUOTED_BYTES = 100;
 
+  private final BooleanSupplier isRequestInFlight;
+  private final Runnable onUnsolicited;
   private final byte[] firstBytes = new byte[MAX_QUOTED_BYTES];
   private int firstCount;
   private long count;
 
+  /**
+   * Creates a handler that stands before the decoder.
+   *
+   * @param onUnsolicited called when bytes were received and dropped, since no request is in flight
+   */
+  ReceivedBytes(BooleanSupplier isRequestInFlight, Runnable onUnsolicited) {
+    this.isRequestInFlight = isRequestInFlight;
+    this.onUnsolicited = onUnsolicited;
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     if (message instanceof ByteBuf bytes) {
       record(bytes);
     }
+    if (!isRequestInFlight.getAsBoolean()) {
+      ReferenceCountUtil.release(message);
+      onUnsolicited.run();
+      return;
+    }
     ctx.fireChannelRead(message);
   }
 
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Sockets.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Sockets.java
@@ -15,7 +15,6 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioDatagramChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.function.Consumer;
@@ -64,12 +63,13 @@
   }
 
   /**
-   * Reads what has arrived on an accepted connection, to be called before it is closed as idle: an
-   * event loop that is late may not have read a request that arrived long ago.
+   * Reads what has arrived on a connection and closes it if the peer has. To be called before a
+   * decision that depends on it: an event loop that is late may not have read what arrived long
+   * ago.
    */
   static void readReceived(Channel connection) {
-    if (connection instanceof AcceptedSocket accepted) {
-      accepted.readReceived();
+    if (connection instanceof ConnectedSocket socket) {
+      socket.readReceived();
     }
   }
 
@@ -106,7 +106,7 @@
       Loop loop, String host, int port, int connectTimeoutMillis, ChannelHandler handler) {
     return new Bootstrap()
         .group(loop.eventLoop())
-        .channel(NioSocketChannel.class)
+        .channelFactory(ConnectedSocket::new)
         .option(ChannelOption.ALLOCATOR, loop.allocator())
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
         .option(ChannelOption.TCP_NODELAY, true)
--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
@@ -22,9 +22,9 @@
  * One connection to a target or to another entry VM; carries one request at a time.
  *
  * <p>Guards against responses that belong to no request: a target may send a second response after
- * a complete one, late, where the next response is expected. A response with the id of another
- * request is discarded, bytes received while no request is in flight close the connection, and a
- * connection with any irregularity is not reused.
+ * a complete one, late, where the next response is expected, or a part of one. A response with the
+ * id of another request is discarded, bytes received while no request is in flight close the
+ * connection before they are decoded, and a connection with any irregularity is not reused.
  */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
   private static final int MAX_DISCARDED_RESPONSES = 3;
@@ -73,7 +73,8 @@
   private final Dialect dialect;
   private final long defaultIdleMillis;
   private final DiscardListener discardListener;
-  private final ReceivedBytes receivedBytes = new ReceivedBytes();
+  private final ReceivedBytes receivedBytes =
+      new ReceivedBytes(this::isRequestInFlight, this::onUnsolicitedBytes);
   private @Nullable ChannelHandlerContext context;
   private @Nullable Listener listener;
   private @Nullable String requestId;
@@ -122,6 +123,11 @@
     return current;
   }
 
+  /** Reads what was received while the connection was idle; such bytes close it. */
+  void readReceived() {
+    Sockets.readReceived(context().channel());
+  }
+
   /**
    * True if the connection is active and has been idle for less than {@code fraction} of the time
    * for which the target keeps idle connections.
@@ -269,12 +275,7 @@
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     if (listener == null) {
-      if (message instanceof HttpResponse response) {
-        recordDiscard(DiscardedResponse.Reason.UNSOLICITED, answeredRequestId(response));
-      }
       ReferenceCountUtil.release(message);
-      isIntact = false;
-      Sockets.close(ctx);
       return;
     }
     hasResponseBytes = true;
@@ -327,15 +328,21 @@
     }
   }
 
-  private String answeredRequestId(HttpResponse response) {
-    String id = dialect.answeredRequestId(response.headers());
-    return id == null ? "" : id;
-  }
-
   private void recordDiscard(DiscardedResponse.Reason reason, String answeredId) {
     discardListener.onDiscarded(this, reason, answeredId);
   }
 
+  private boolean isRequestInFlight() {
+    return listener != null;
+  }
+
+  /** Bytes were received that belong to no request: whatever follows them cannot be trusted. */
+  private void onUnsolicitedBytes() {
+    recordDiscard(DiscardedResponse.Reason.UNSOLICITED, "");
+    isIntact = false;
+    Sockets.close(context());
+  }
+
   /** Id of the request in flight, or empty. */
   String requestIdInFlight() {
     String id = requestId;
@@ -397,6 +404,9 @@
     if (content instanceof LastHttpContent && listener == to) {
       listener = null;
       receivedBytes.restartWith(decoder.undecodedBytes());
+      if (receivedBytes.count() > 0) {
+        onUnsolicitedBytes();
+      }
       to.onComplete();
     }
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnectionPool.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnectionPool.java
@@ -113,6 +113,7 @@
     while (idle != null && !idle.isEmpty()) {
       TargetConnection last = idle.removeLast();
       last.markInUse();
+      last.readReceived();
       if (last.isIdleBelowFraction(now, SAFE_IDLE_FRACTION)
           && last.isIdleAtMost(now, maxIdleMillis)) {
         return last;
--- a/sageladder-forward/src/test/java/org/sageladder/forward/ScriptedTarget.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/ScriptedTarget.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -36,6 +37,14 @@
       out.flush();
     }
 
+    void writeUnchecked(String text) {
+      try {
+        write(text);
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+
     void respond(String body) throws IOException {
       write(okResponse(header("Id"), body));
     }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/UnfinishedResponseTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/UnfinishedResponseTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sageladder.forward.ForwardingFixture.Caller;
@@ -32,4 +33,21 @@
       assertEquals(isLate ? 502 : 500, next.status());
     }
   }
+
+  /** Guards against a request that must not repeat on a connection whose next bytes are foreign. */
+  @Test
+  void connectionWithUnreadBytesCarriesNoRequest() throws Exception {
+    ScriptedTarget target = ScriptedTarget.of(request -> request.respond("own"));
+    try (ForwardingFixture fixture = ForwardingFixture.open(target);
+        Caller caller = fixture.caller()) {
+      assertEquals(200, caller.exchange("/once/1", "a").status());
+      fixture.onLoop(
+          () -> {
+            target.receivedRequests.get(0).writeUnchecked("HTTP/1.1 500 Failed");
+            caller.sendGetUnchecked("/once/1", "b");
+          });
+      assertEquals(200, caller.readResponse().status());
+      assertEquals(1, target.receivedRequests.get(1).indexOnConnection());
+    }
+  }
 }
