A head that holds the status line of another response is malformed

What callers saw: the status of a second response with the id, the seal and the body of their own, as in the users' record.

Cause: a part of a second response that arrives behind the next request cannot be told from the beginning of its response. A target that breaks off in a head and then sends the next response makes one head of both, and reason phrases and headers accept any text.

Change: heads, also interim ones, are malformed if they hold a status line behind their own or another version than HTTP/1.0 or 1.1. The request is lost, and sent elsewhere if it may be repeated.

Ruled out: to take the last status line for the right one. The headers before it belong to the other response.

--- /dev/null
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseHeadValidator.java
@@ -0,0 +1,46 @@
+package org.sageladder.forward;
+
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.Map;
+import java.util.regex.Pattern;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Recognizes the head of a response that begins with a part of another one.
+ *
+ * <p>A target that breaks off in the head of a response that no request asked for may send the
+ * response to the next request behind it. The status line of that response then stands in a reason
+ * phrase or a header, which accept any text: {@code HTTP/1.1 200 OKHTTP/1.1 500 Failed}.
+ */
+final class ResponseHeadValidator {
+  private static final String PROTOCOL_PREFIX = "HTTP/";
+  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+
+  private ResponseHeadValidator() {}
+
+  /** Describes why a head is malformed, or returns null if it is not. */
+  static @Nullable String findFault(HttpResponse head) {
+    if (head.decoderResult().isFailure()) {
+      return String.valueOf(head.decoderResult().cause());
+    }
+    String version = head.protocolVersion().text();
+    if (!version.equals(HttpVersion.HTTP_1_1.text())
+        && !version.equals(HttpVersion.HTTP_1_0.text())) {
+      return "unknown version";
+    }
+    if (containsStatusLine(head.status().reasonPhrase())) {
+      return "a second status line in the first one";
+    }
+    for (Map.Entry<String, String> header : head.headers()) {
+      if (containsStatusLine(header.getKey()) || containsStatusLine(header.getValue())) {
+        return "a second status line among the headers";
+      }
+    }
+    return null;
+  }
+
+  private static boolean containsStatusLine(String text) {
+    return text.contains(PROTOCOL_PREFIX) && STATUS_LINE.matcher(text).find();
+  }
+}
--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
@@ -288,9 +288,10 @@
   }
 
   private void onHead(HttpResponse response) {
-    if (response.decoderResult().isFailure()) {
+    String fault = ResponseHeadValidator.findFault(response);
+    if (fault != null) {
       recordDiscard(DiscardedResponse.Reason.MALFORMED, "");
-      fail("malformed response: " + response.decoderResult().cause());
+      fail("malformed response: " + fault);
       return;
     }
     if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
