A response without an id is no response to a later request of its connection

What callers would see: the whole response to another request, with its seal and body.

Cause: a response without an id was taken for that of the request in flight. Targets echo the id of each request that has one, and a request without one is refused here; on a connection that has carried another request such a response may be a late second one.

Change: it is discarded like a response with another id, unless it is the connection's first.

Ruled out: to count the request as lost at once. Its own response may follow, and a request that must not repeat has no other.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
@@ -303,8 +303,8 @@
       return;
     }
     String id = dialect.answeredRequestId(response.headers());
-    if (id != null && !id.equals(requestId)) {
-      recordDiscard(DiscardedResponse.Reason.OTHER_REQUEST, id);
+    if (!mayAnswerCurrentRequest(id)) {
+      recordDiscard(DiscardedResponse.Reason.OTHER_REQUEST, id == null ? "" : id);
       isDiscarding = true;
       isIntact = false;
       discardedCount++;
@@ -333,6 +333,14 @@
     discardListener.onDiscarded(this, reason, answeredId);
   }
 
+  /**
+   * True if a response with this id, or null, may belong to the request in flight. Without an id it
+   * may be a late second response to any request that the connection has carried.
+   */
+  private boolean mayAnswerCurrentRequest(@Nullable String id) {
+    return id == null ? requestCount == 1 : id.equals(requestId);
+  }
+
   private boolean isRequestInFlight() {
     return listener != null;
   }
