A response without length that a failed write cuts off is lost

What callers would see: 2xx with the right id and seal and a part of the body, as complete.

Cause: a response without length ends with its connection, and the decoder ends it whenever the connection becomes inactive. A failed read is reported before that; a failed write, while the request's body is still being sent, closes the connection without a report.

Change: each write has a promise that reports its failure, which comes before the end of the connection; the listener is added before the write, since one that fails at once would be reported too late.

Measured: TargetConnectionTest.responseThatEndsWithAFailedWriteIsLost failed before (no loss, one complete response), passes; all 185 tests of sageladder-forward pass.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
@@ -1,9 +1,12 @@
 package org.sageladder.forward;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
@@ -75,6 +78,7 @@
   private final DiscardListener discardListener;
   private final ReceivedBytes receivedBytes =
       new ReceivedBytes(this::isRequestInFlight, this::onUnsolicitedBytes);
+  private final ChannelFutureListener writeListener = this::onWritten;
   private @Nullable ChannelHandlerContext context;
   private @Nullable Listener listener;
   private @Nullable String requestId;
@@ -175,7 +179,7 @@
     hasResponseBytes = false;
     discardedCount = 0;
     informationalCount = 0;
-    var unused = context().write(head);
+    var unused = context().write(head, newWritePromise());
   }
 
   /** Length of the body by the head; the maximum if it is sent in chunks. */
@@ -208,7 +212,7 @@
       fail("the body is longer than the " + maxBodyBytes + " bytes that the head announces");
       return;
     }
-    var unused = context().writeAndFlush(new DefaultHttpContent(bytes));
+    var unused = context().writeAndFlush(new DefaultHttpContent(bytes), newWritePromise());
   }
 
   /**
@@ -222,7 +226,7 @@
       return;
     }
     isRequestComplete = true;
-    var unused = context().writeAndFlush(new DefaultLastHttpContent());
+    var unused = context().writeAndFlush(new DefaultLastHttpContent(), newWritePromise());
   }
 
   /** False while the target does not accept more bytes. */
@@ -428,12 +432,30 @@
     }
   }
 
+  /** Returns a promise that reports a failure before the end of the connection is reported. */
+  private ChannelPromise newWritePromise() {
+    return context().newPromise().addListener(writeListener);
+  }
+
+  private void onWritten(ChannelFuture write) {
+    if (!write.isSuccess() && listener != null) {
+      onConnectionLost(write.cause());
+    }
+  }
+
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    // A reset cuts off a response without length. It must count as lost before the decoder takes
-    // the end of the connection for the end of the response.
+    onConnectionLost(cause);
+  }
+
+  /**
+   * A read or a write has failed, which cuts off a response without length. The response counts as
+   * lost before the decoder takes the end of the connection for the end of the response.
+   */
+  private void onConnectionLost(Throwable cause) {
     isEndedByPeer = true;
-    fail(String.valueOf(cause.getMessage()));
+    String message = cause.getMessage();
+    fail(message == null ? cause.toString() : message);
   }
 
   @Override
--- a/sageladder-forward/src/test/java/org/sageladder/forward/TargetConnectionTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/TargetConnectionTest.java
@@ -7,6 +7,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -15,6 +18,8 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -25,6 +30,7 @@
   /** Records why the request was lost. */
   private static final class LossRecorder implements TargetConnection.Listener {
     final List<String> losses = new ArrayList<>();
+    int completedCount;
 
     @Override
     public void onHead(HttpResponse response) {}
@@ -35,7 +41,9 @@
     }
 
     @Override
-    public void onComplete() {}
+    public void onComplete() {
+      completedCount++;
+    }
 
     @Override
     public void onLost(String cause) {
@@ -147,4 +155,32 @@
                 + " 15 in all since the previous response: 'no\\\\\\x01 response\\r\\n'"),
         discards);
   }
+
+  /** Guards against a response without length that is cut by a failed write and looks complete. */
+  @Test
+  void responseThatEndsWithAFailedWriteIsLost() {
+    ChannelOutboundHandlerAdapter failingSocket =
+        new ChannelOutboundHandlerAdapter() {
+          private final List<ChannelPromise> writes = new ArrayList<>();
+
+          @Override
+          public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+            ReferenceCountUtil.release(message);
+            writes.add(promise);
+          }
+
+          @Override
+          public void flush(ChannelHandlerContext ctx) {
+            writes.forEach(write -> write.setFailure(new IOException("Broken pipe")));
+            var unused = ctx.close();
+          }
+        };
+    send(true, 0);
+    connection.writeBody(bytes("begin"));
+    channel.writeInbound(bytes("HTTP/1.1 200 OK\r\nId: a\r\nSeal: s\r\n\r\nhalf"));
+    channel.pipeline().addFirst(failingSocket);
+    connection.writeBody(bytes("rest"));
+    assertEquals(List.of("Broken pipe"), recorder.losses);
+    assertEquals(0, recorder.completedCount);
+  }
 }
