A response to another request is no sign of the current one

What callers would see: a wait until the deadline, where another target could have answered.

Cause: any bytes received after a request was sent counted as bytes of its response, also those of a response with another id. The check whether the target can still be reached was left out then, and a target that ended behind such a response counted neither as out of contact nor as crashed by the request.

Change: only heads that may belong to the request count (its own, interim ones, malformed ones). onHead is split by what a head is. Measured: TargetConnectionTest.responseToAnotherRequestIsNoSignOfTheCurrentOne failed on the former TargetConnection (true where false was expected) and passes; all 190 tests and properties of sageladder-forward pass.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
@@ -239,7 +239,7 @@
     context().channel().config().setAutoRead(on);
   }
 
-  /** True once any byte of a response to the current request was received. */
+  /** True once any byte was received that may be of the response to the current request. */
   boolean hasResponseBytes() {
     return hasResponseBytes;
   }
@@ -282,7 +282,6 @@
       ReferenceCountUtil.release(message);
       return;
     }
-    hasResponseBytes = true;
     if (message instanceof HttpResponse response) {
       onHead(response);
     }
@@ -294,36 +293,49 @@
   private void onHead(HttpResponse response) {
     String fault = ResponseHeadValidator.findFault(response);
     if (fault != null) {
+      hasResponseBytes = true;
       recordDiscard(DiscardedResponse.Reason.MALFORMED, "");
       fail("malformed response: " + fault);
       return;
     }
     if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-      isDiscarding = true;
-      informationalCount++;
-      if (informationalCount > MAX_INFORMATIONAL_RESPONSES) {
-        fail("too many interim responses");
-      }
+      hasResponseBytes = true;
+      onInterimHead();
       return;
     }
     String id = dialect.answeredRequestId(response.headers());
-    if (!mayAnswerCurrentRequest(id)) {
-      recordDiscard(DiscardedResponse.Reason.OTHER_REQUEST, id == null ? "" : id);
-      isDiscarding = true;
-      isIntact = false;
-      discardedCount++;
-      if (discardedCount > MAX_DISCARDED_RESPONSES) {
-        fail("responses to other requests");
-      }
-      return;
+    if (mayAnswerCurrentRequest(id)) {
+      hasResponseBytes = true;
+      onOwnHead(response);
+    } else {
+      onOtherHead(id == null ? "" : id);
     }
-    isDiscarding = false;
-    if (!HttpUtil.isKeepAlive(response)) {
-      isIntact = false;
+  }
+
+  private void onInterimHead() {
+    isDiscarding = true;
+    informationalCount++;
+    if (informationalCount > MAX_INFORMATIONAL_RESPONSES) {
+      fail("too many interim responses");
+    }
+  }
+
+  private void onOtherHead(String id) {
+    recordDiscard(DiscardedResponse.Reason.OTHER_REQUEST, id);
+    isDiscarding = true;
+    isIntact = false;
+    discardedCount++;
+    if (discardedCount > MAX_DISCARDED_RESPONSES) {
+      fail("responses to other requests");
     }
+  }
+
+  private void onOwnHead(HttpResponse response) {
+    isDiscarding = false;
     boolean hasLength =
         HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
-    if (!hasLength && !isHeadRequest) {
+    boolean endsWithConnection = !hasLength && !isHeadRequest;
+    if (endsWithConnection || !HttpUtil.isKeepAlive(response)) {
       isIntact = false;
     }
     maxIdleMillis = parseIdleMillis(response.headers().get("keep-alive"));
--- a/sageladder-forward/src/test/java/org/sageladder/forward/TargetConnectionTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/TargetConnectionTest.java
@@ -183,4 +183,14 @@
     assertEquals(List.of("Broken pipe"), recorder.losses);
     assertEquals(0, recorder.completedCount);
   }
+
+  /** Guards against a lost target that is never checked, since it had answered another request. */
+  @Test
+  void responseToAnotherRequestIsNoSignOfTheCurrentOne() {
+    send(true, 0);
+    channel.writeInbound(bytes("HTTP/1.1 200 OK\r\nId: z\r\nContent-Length: 2\r\n\r\nno"));
+    assertFalse(connection.hasResponseBytes());
+    channel.writeInbound(bytes("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\n"));
+    assertTrue(connection.hasResponseBytes());
+  }
 }
