An idempotent request behind a truncated response of another one is sent elsewhere

Cause: a response to another request is discarded up to the length that it announces. If it was truncated, the request's own response is taken for the rest of it, and the attempt waits until the deadline.

Change: while such a response is being discarded, an idempotent request is lost, and sent elsewhere within its limits, once nothing was received for 500 ms. A request that must not repeat waits on: the rest may come, and nothing else can answer it.

Ruled out: to count each response with another id as lost. Whole ones are followed by the right response, and the retry budget is shared.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
@@ -23,6 +23,9 @@
    */
   private static final long MAX_IDLE_NON_IDEMPOTENT_MILLIS = 3_000;
 
+  /** Longer than pauses within a response that is being sent. */
+  private static final long MAX_PAUSE_OF_OTHER_RESPONSE_MILLIS = 500;
+
   private final Forwarder forwarder;
   private final Exchange exchange;
   private final long startedAtMillis;
@@ -236,6 +239,38 @@
     response = new BufferedResponse(head, forwarder.responseMemory());
   }
 
+  /**
+   * Watches a response to another request. If it was truncated, the rest of its announced length is
+   * taken from this request's response, which is then lost. An idempotent request is sent elsewhere
+   * without waiting for its deadline; for others there is nothing to gain.
+   */
+  @Override
+  public void onOtherResponse() {
+    TargetConnection used = connection;
+    if (used != null && !exchange.runsAtMostOnce()) {
+      checkOtherResponseLater(used, used.receivedByteCount());
+    }
+  }
+
+  private void checkOtherResponseLater(TargetConnection used, long receivedBefore) {
+    var unused =
+        forwarder
+            .loop()
+            .schedule(
+                MAX_PAUSE_OF_OTHER_RESPONSE_MILLIS, () -> checkOtherResponse(used, receivedBefore));
+  }
+
+  private void checkOtherResponse(TargetConnection used, long receivedBefore) {
+    if (isFinished || !used.isDiscarding()) {
+      return;
+    }
+    if (used.receivedByteCount() > receivedBefore) {
+      checkOtherResponseLater(used, used.receivedByteCount());
+      return;
+    }
+    abandonAsLost(used, "a response to another request does not end");
+  }
+
   @Override
   public void onBodyBytes(ByteBuf bytes) {
     BufferedResponse buffered = response;
--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
@@ -47,6 +47,9 @@
     /** Bytes of the response's body; the listener releases them. */
     void onBodyBytes(ByteBuf bytes);
 
+    /** A response to another request has begun and is discarded; this request's may follow it. */
+    void onOtherResponse();
+
     /** The response is complete. */
     void onComplete();
 
@@ -244,6 +247,16 @@
     return hasResponseBytes;
   }
 
+  /** True while the end of a response that is not the current request's has not been received. */
+  boolean isDiscarding() {
+    return isDiscarding;
+  }
+
+  /** Number of bytes received since the previous request was answered. */
+  long receivedByteCount() {
+    return receivedBytes.count();
+  }
+
   /**
    * Closes the connection, with a reset if a request is in flight: the target cancels that request
    * and receives nothing more of it.
@@ -327,6 +340,11 @@
     discardedCount++;
     if (discardedCount > MAX_DISCARDED_RESPONSES) {
       fail("responses to other requests");
+      return;
+    }
+    Listener to = listener;
+    if (to != null) {
+      to.onOtherResponse();
     }
   }
 
--- a/sageladder-forward/src/test/java/org/sageladder/forward/TargetConnectionTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/TargetConnectionTest.java
@@ -40,6 +40,9 @@
       bytes.release();
     }
 
+    @Override
+    public void onOtherResponse() {}
+
     @Override
     public void onComplete() {
       completedCount++;
--- a/sageladder-forward/src/test/java/org/sageladder/forward/UnfinishedResponseTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/UnfinishedResponseTest.java
@@ -50,4 +50,26 @@
       assertEquals(1, target.receivedRequests.get(1).indexOnConnection());
     }
   }
+
+  /** Guards against a wait until the deadline behind a response that was truncated in its body. */
+  @Test
+  void requestBehindATruncatedResponseIsSentElsewhere() throws Exception {
+    ScriptedTarget.Script script =
+        request -> {
+          String id = request.header("Id");
+          if (request.indexOnConnection() == 1) {
+            request.respond("for " + id);
+            return;
+          }
+          String other = ScriptedTarget.okResponse("a", "x".repeat(500));
+          request.write(other.substring(0, other.length() - 400));
+          request.respond("for " + id);
+        };
+    try (ForwardingFixture fixture =
+            ForwardingFixture.open(ScriptedTarget.of(script), ScriptedTarget.of(script));
+        Caller caller = fixture.caller()) {
+      assertEquals("for a", caller.exchange("/safe/1", "a").body());
+      assertEquals("for b", caller.exchange("/safe/1", "b").body());
+    }
+  }
 }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/UnsolicitedResponseProperties.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/UnsolicitedResponseProperties.java
@@ -58,6 +58,9 @@
       bytes.release();
     }
 
+    @Override
+    public void onOtherResponse() {}
+
     @Override
     public void onComplete() {
       isComplete = true;
