Requests that must not repeat get new connections to a target that sends pieces of responses

What callers would see: 502 for a booking that has run, again and again, at a target that stutters.

Cause: a response behind a part of another one is lost, since its head cannot be trusted. An idempotent request is sent elsewhere, but one that must not repeat has no other result.

Change: for 10 s after such a head on a connection that had carried other requests, requests that must not repeat get new connections to that target or entry VM. Idle ones stay for idempotent requests. Whole responses to other requests do not count: what follows them is not lost.

Ruled out: to take the response from behind the last status line in the head. A target that repeats a caller's text in a header would then let the caller choose the status.

Measured: UnfinishedResponseTest.nonIdempotentRequestsGetNewConnectionsToATargetThatSendsPieces failed with the time set to nothing (502 for the fourth request), passes; all 192 tests and properties of sageladder-forward pass.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
@@ -106,9 +106,11 @@
     return forwarder.loop().nowMillis() - startedAtMillis;
   }
 
-  /** Maximum idle time of a connection that the request may reuse. */
-  static long maxIdleMillis(boolean atMostOnce) {
-    return atMostOnce ? MAX_IDLE_NON_IDEMPOTENT_MILLIS : Long.MAX_VALUE;
+  /** Maximum idle time of a connection to {@code peer} that the request may reuse. */
+  static <K> long maxIdleMillis(TargetConnectionPool<K> pool, K peer, boolean atMostOnce) {
+    return atMostOnce
+        ? pool.maxIdleMillisNonIdempotent(peer, MAX_IDLE_NON_IDEMPOTENT_MILLIS)
+        : Long.MAX_VALUE;
   }
 
   /**
--- a/sageladder-forward/src/main/java/org/sageladder/forward/PeerAttempt.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/PeerAttempt.java
@@ -43,16 +43,15 @@
     forwarder().attempts().add(this);
     forwarder().relayPeers().recordStart(peer);
     forwarder().metrics().count("requests_relayed");
-    forwarder()
-        .peerConnections()
-        .acquire(
-            peer,
-            host(),
-            port(),
-            maxIdleMillis(atMostOnce),
-            this::onConnected,
-            this::onConnectFailed,
-            millis -> {});
+    TargetConnectionPool<RelayPeer> pool = forwarder().peerConnections();
+    pool.acquire(
+        peer,
+        host(),
+        port(),
+        maxIdleMillis(pool, peer, atMostOnce),
+        this::onConnected,
+        this::onConnectFailed,
+        millis -> {});
   }
 
   private void onConnected(TargetConnection opened) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetAttempt.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetAttempt.java
@@ -96,16 +96,16 @@
   void start(boolean atMostOnce) {
     forwarder().attempts().add(this);
     forwarder().placement().recordSent(decision, startedAtMillis());
-    forwarder()
-        .connectionPool()
-        .acquire(
-            facts().incarnation(),
-            host(),
-            port(),
-            maxIdleMillis(atMostOnce),
-            this::onConnected,
-            this::onConnectFailed,
-            this::onEstablished);
+    TargetConnectionPool<TargetIncarnation> pool = forwarder().connectionPool();
+    TargetIncarnation incarnation = facts().incarnation();
+    pool.acquire(
+        incarnation,
+        host(),
+        port(),
+        maxIdleMillis(pool, incarnation, atMostOnce),
+        this::onConnected,
+        this::onConnectFailed,
+        this::onEstablished);
   }
 
   private void onEstablished(double millis) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
@@ -372,7 +372,12 @@
    * may be a late second response to any request that the connection has carried.
    */
   private boolean mayAnswerCurrentRequest(@Nullable String id) {
-    return id == null ? requestCount == 1 : id.equals(requestId);
+    return id == null ? !hasCarriedOtherRequests() : id.equals(requestId);
+  }
+
+  /** True if the request in flight is not the first one on this connection. */
+  boolean hasCarriedOtherRequests() {
+    return requestCount > 1;
   }
 
   private boolean isRequestInFlight() {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnectionPool.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnectionPool.java
@@ -32,10 +32,21 @@
    */
   private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
+  /** Idle limit of a request that must use a new connection. */
+  private static final long NEW_CONNECTION_ONLY = -1;
+
+  /**
+   * Time for which a peer that has sent a part of a response before another one is suspected to do
+   * so again. The response behind such a part is lost, which costs requests that must not repeat
+   * their result; on a new connection nothing can stand before it.
+   */
+  private static final long SUSPECT_MILLIS = 10_000;
+
   private final Loop loop;
   private final Dialect dialect;
   private final BiConsumer<K, DiscardedResponse> discardListener;
   private final Map<K, Deque<TargetConnection>> idleConnections = new HashMap<>();
+  private final Map<K, Long> suspectedUntilMillis = new HashMap<>();
 
   /**
    * Creates an empty pool.
@@ -53,7 +64,7 @@
    * Passes a connection to {@code ready}, or the reason why there is none to {@code failed}.
    *
    * @param peer the peer that accepts connections at {@code host:port}
-   * @param maxIdleMillis an idle connection older than this is not reused
+   * @param maxIdleMillis an idle connection older than this is not reused; none if negative
    * @param established receives the milliseconds that opening a new connection took
    */
   void acquire(
@@ -64,7 +75,7 @@
       Consumer<TargetConnection> ready,
       Consumer<String> failed,
       DoubleConsumer established) {
-    TargetConnection idle = takeIdle(peer, maxIdleMillis);
+    TargetConnection idle = maxIdleMillis < 0 ? null : takeIdle(peer, maxIdleMillis);
     if (idle != null) {
       ready.accept(idle);
       return;
@@ -88,14 +99,29 @@
     return new TargetConnection(
         dialect,
         DEFAULT_IDLE_MILLIS,
-        (from, reason, answeredId) ->
-            discardListener.accept(
-                peer,
-                new DiscardedResponse(
-                    reason,
-                    from.requestIdInFlight(),
-                    answeredId,
-                    from.describe(loop.nowMillis()))));
+        (from, reason, answeredId) -> onDiscarded(peer, from, reason, answeredId));
+  }
+
+  private void onDiscarded(
+      K peer, TargetConnection from, DiscardedResponse.Reason reason, String answeredId) {
+    long now = loop.nowMillis();
+    if (reason == DiscardedResponse.Reason.MALFORMED && from.hasCarriedOtherRequests()) {
+      suspectedUntilMillis.put(peer, now + SUSPECT_MILLIS);
+    }
+    discardListener.accept(
+        peer,
+        new DiscardedResponse(reason, from.requestIdInFlight(), answeredId, from.describe(now)));
+  }
+
+  /**
+   * Maximum idle time of a connection to a peer that a non-idempotent request may reuse.
+   *
+   * @param maxIdleMillis the limit for a peer that is not suspected
+   */
+  long maxIdleMillisNonIdempotent(K peer, long maxIdleMillis) {
+    boolean isSuspected =
+        suspectedUntilMillis.getOrDefault(peer, Long.MIN_VALUE) > loop.nowMillis();
+    return isSuspected ? NEW_CONNECTION_ONLY : maxIdleMillis;
   }
 
   private static ChannelInitializer<Channel> initializer(TargetConnection connection) {
@@ -138,6 +164,7 @@
 
   /** Closes the idle connections to a peer that has ended. */
   void closeIdle(K peer) {
+    suspectedUntilMillis.remove(peer);
     Deque<TargetConnection> idle = idleConnections.remove(peer);
     if (idle != null) {
       idle.forEach(
@@ -151,6 +178,7 @@
   /** Closes connections that have been idle for too long to be reused. */
   void sweep() {
     long now = loop.nowMillis();
+    suspectedUntilMillis.values().removeIf(until -> until <= now);
     for (Deque<TargetConnection> idle : idleConnections.values()) {
       while (!idle.isEmpty() && !idle.peekFirst().isIdleBelowFraction(now, SAFE_IDLE_FRACTION)) {
         TargetConnection old = idle.removeFirst();
--- a/sageladder-forward/src/test/java/org/sageladder/forward/UnfinishedResponseTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/UnfinishedResponseTest.java
@@ -72,4 +72,22 @@
       assertEquals("for b", caller.exchange("/safe/1", "b").body());
     }
   }
+
+  /** Guards against results of non-idempotent requests that a target loses one after another. */
+  @Test
+  void nonIdempotentRequestsGetNewConnectionsToATargetThatSendsPieces() throws Exception {
+    ScriptedTarget target =
+        ScriptedTarget.of(
+            request -> {
+              String piece = request.indexOnConnection() > 1 ? "HTTP/1.1 200 OK" : "";
+              request.write(piece + ScriptedTarget.okResponse(request.header("Id"), "own"));
+            });
+    try (ForwardingFixture fixture = ForwardingFixture.open(target);
+        Caller caller = fixture.caller()) {
+      assertEquals(200, caller.exchange("/once/1", "a").status());
+      assertEquals(502, caller.exchange("/once/1", "b").status());
+      assertEquals(200, caller.exchange("/once/1", "c").status());
+      assertEquals(200, caller.exchange("/once/1", "d").status());
+    }
+  }
 }
