--- a/sageladder-forward/src/main/java/org/sageladder/forward/ReceivedBytes.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ReceivedBytes.java
@@ -13,7 +13,7 @@
  * <p>The decoder would keep a part of a head, which it does not report, and take it for the
  * beginning of the next response.
  */
-final class ReceivedBytes extends ChannelInboundHandlerAdapter {
+public final class ReceivedBytes extends ChannelInboundHandlerAdapter {
   private static final int MAX_QUOTED_BYTES = 100;
 
   private final BooleanSupplier isRequestInFlight;
@@ -27,7 +27,7 @@
    *
    * @param onUnsolicited called when bytes were received and dropped, since no request is in flight
    */
-  ReceivedBytes(BooleanSupplier isRequestInFlight, Runnable onUnsolicited) {
+  public ReceivedBytes(BooleanSupplier isRequestInFlight, Runnable onUnsolicited) {
     this.isRequestInFlight = isRequestInFlight;
     this.onUnsolicited = onUnsolicited;
   }
@@ -53,19 +53,19 @@
   }
 
   /** Forgets all bytes received so far, except {@code undecoded}, the last ones. */
-  void restartWith(ByteBuf undecoded) {
+  public void restartWith(ByteBuf undecoded) {
     firstCount = 0;
     count = 0;
     record(undecoded);
   }
 
   /** Number of bytes received since the last restart. */
-  long count() {
+  public long count() {
     return count;
   }
 
   /** The first bytes received since the last restart; other than printable ones are escaped. */
-  String quote() {
+  public String quote() {
     StringBuilder text = new StringBuilder("'");
     for (int i = 0; i < firstCount; i++) {
       char c = (char) (firstBytes[i] & 0xff);
--- a/sageladder-forward/src/main/java/org/sageladder/forward/ResponseDecoder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseDecoder.java
@@ -7,7 +7,7 @@
 import java.util.function.BooleanSupplier;
 
 /** Decodes the responses of one connection. */
-final class ResponseDecoder extends HttpResponseDecoder {
+public final class ResponseDecoder extends HttpResponseDecoder {
   private static final int MAX_HEAD_BYTES = 64 << 10;
   private static final int MAX_CHUNK_BYTES = 64 << 10;
 
@@ -18,7 +18,7 @@
    *
    * @param isHeadRequest true if the request in flight is a HEAD, whose response has no body
    */
-  ResponseDecoder(BooleanSupplier isHeadRequest) {
+  public ResponseDecoder(BooleanSupplier isHeadRequest) {
     super(
         new HttpDecoderConfig()
             .setMaxHeaderSize(MAX_HEAD_BYTES)
@@ -33,7 +33,7 @@
   }
 
   /** Bytes received but not decoded yet, in the decoder's own buffer. */
-  ByteBuf undecodedBytes() {
+  public ByteBuf undecodedBytes() {
     return internalBuffer();
   }
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Sockets.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Sockets.java
@@ -67,7 +67,7 @@
    * decision that depends on it: an event loop that is late may not have read what arrived long
    * ago.
    */
-  static void readReceived(Channel connection) {
+  public static void readReceived(Channel connection) {
     if (connection instanceof ConnectedSocket socket) {
       socket.readReceived();
     }
