--- a/sageladder-forward/src/main/java/org/sageladder/forward/ResponseHeadValidator.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseHeadValidator.java
@@ -13,14 +13,14 @@
  * response to the next request behind it. The status line of that response then stands in a reason
  * phrase or a header, which accept any text: {@code HTTP/1.1 200 OKHTTP/1.1 500 Failed}.
  */
-final class ResponseHeadValidator {
+public final class ResponseHeadValidator {
   private static final String PROTOCOL_PREFIX = "HTTP/";
   private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
 
   private ResponseHeadValidator() {}
 
   /** Describes why a head is malformed, or returns null if it is not. */
-  static @Nullable String findFault(HttpResponse head) {
+  public static @Nullable String findFault(HttpResponse head) {
     if (head.decoderResult().isFailure()) {
       return String.valueOf(head.decoderResult().cause());
     }
