A request with two ids is malformed

What callers would see: a wait until the deadline, and a run whose response is discarded.

Cause: the first Request-Id was taken for the id of the request, and both were sent to the target. One that reads the last of them runs the request under an id that this VM does not know, and its response has the id of another request.

Change: the id of such a request is unknown, so that it is refused with 400, like one without an id. Each client attempt has one id by the protocol.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/Dialect.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Dialect.java
@@ -10,7 +10,7 @@
  * <p>The forwarding code depends only on this interface, so that it works with any platform.
  */
 public interface Dialect {
-  /** Id of the caller's attempt, or null if there is none. */
+  /** Id of the caller's attempt, or null if it is missing or repeated. */
   @Nullable String requestId(HttpHeaders request);
 
   /** Milliseconds that the caller will wait, or -1 if unspecified. */
--- a/sageladder-forward/src/test/java/org/sageladder/forward/AtMostOnceTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/AtMostOnceTest.java
@@ -166,6 +166,7 @@
       "GET /safe/1 HTTP/1.1\r\nHost: h\r\nHost: g\r\nId: a\r\n\r\n",
       "GET /safe/1 HTTP/1.1\r\nId: a\r\n\r\n",
       "GET /safe/1 HTTP/1.1\r\nHost: h\r\n\r\n",
+      "GET /safe/1 HTTP/1.1\r\nHost: h\r\nId: a\r\nId: b\r\n\r\n",
       "POST /safe/1 HTTP/1.1\r\nHost: h\r\nId: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
       "POST /safe/1 HTTP/1.1\r\nHost: h\r\nId: a\r\nTransfer-Encoding: gzip\r\n\r\n",
       "POST /safe/1 HTTP/1.1\r\nHost: h\r\nId: a\r\nContent-Length: x\r\n\r\n",
--- a/sageladder-forward/src/test/java/org/sageladder/forward/TestDialect.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/TestDialect.java
@@ -9,7 +9,7 @@
 final class TestDialect implements Dialect {
   @Override
   public @Nullable String requestId(HttpHeaders request) {
-    return request.get("Id");
+    return request.getAll("Id").size() == 1 ? request.get("Id") : null;
   }
 
   @Override
