A request whose body cannot be decoded is refused at once

What callers would see: no response until the deadline, then 503 or 504, though the request could not be served any more.

Cause: a chunk with a malformed length got a response of its own behind that of its request, whose body never ended. The request waited for the rest until its deadline, and a target that received a part of the body kept a slot for as long.

Change: the request itself is refused with 400 under its own id, its attempt is abandoned with a reset, and nothing behind it is read. A response that is being written is broken off, as it has to be for a body that is too long; both now take the same path.

Measured: AtMostOnceTest.malformedBodyIsRefusedAtOnce failed before (503 at the deadline) and passes; the other tests of the class pass.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
@@ -218,7 +218,15 @@
     // Without the exception message, which quotes the unparsable input and thus may contain an API
     // key.
     forwarder.logCallerFailure("unreadable", cause == null ? "" : cause.getClass().getSimpleName());
-    refuseAndClose(tooLong ? ResultCode.HEAD_TOO_LARGE : ResultCode.MALFORMED_REQUEST);
+    ResultCode code = tooLong ? ResultCode.HEAD_TOO_LARGE : ResultCode.MALFORMED_REQUEST;
+    Exchange receiving = receivingExchange;
+    if (receiving == null) {
+      refuseAndClose(code);
+      return;
+    }
+    receivingExchange = null;
+    isLastRequestReceived = true;
+    receiving.refuseBody(code);
   }
 
   private void refuseAndClose(ResultCode code) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -232,13 +232,25 @@
     }
     body.add(bytes);
     if (body.receivedBytes() > forwarder.callerLimits().maxBodyBytes()) {
-      abandonAttempt();
-      refuseAndClose(ResultCode.BODY_TOO_LARGE);
+      refuseBody(ResultCode.BODY_TOO_LARGE);
       return;
     }
     onBodyProgress();
   }
 
+  /** Ends the request, since the rest of its body cannot be read. */
+  void refuseBody(ResultCode code) {
+    if (isFinished) {
+      return;
+    }
+    abandonAttempt();
+    if (turn.isStreaming()) {
+      abortResponse("the rest of the request's body cannot be read");
+      return;
+    }
+    refuseAndClose(code);
+  }
+
   /** The body is complete. */
   void onBodyEnd() {
     body.complete();
--- a/sageladder-forward/src/test/java/org/sageladder/forward/AtMostOnceTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/AtMostOnceTest.java
@@ -192,6 +192,24 @@
     }
   }
 
+  /** Guards against a wait until the deadline for a body whose rest cannot be decoded. */
+  @Test
+  void malformedBodyIsRefusedAtOnce() throws Exception {
+    ScriptedTarget target = ScriptedTarget.of(request -> request.respond("ran"));
+    try (ForwardingFixture fixture = ForwardingFixture.open(target);
+        Caller caller = fixture.caller()) {
+      caller.write(
+          "POST /hasty/1 HTTP/1.1\r\nHost: h\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+      caller.write("3\r\nabc\r\nzz\r\n");
+      Response response = caller.readResponse();
+      assertEquals(400, response.status());
+      assertEquals("a", response.header("Id"));
+      assertTrue(caller.isClosedByPeer());
+      assertEquals(0, target.receivedRequests.size());
+      assertEquals(0, fixture.inFlightCount());
+    }
+  }
+
   /** Guards against a body without its length, which a target takes for a request of its own. */
   @Test
   void bodyWhoseLengthIsListedInConnectionIsRefused() throws Exception {
