An interim response waits for the turn of its request

What callers would see: behind a request that is still unanswered, 100 Continue in place of the response to the earlier request; while that response is being written, none at all, and 503 at the deadline, since the caller waits for it before it sends its body.

Cause: 100 Continue was written as soon as the head was read. The encoder, in the middle of another response, fails such a write, which was not noticed.

Change: it is written in the turn of its request, and left out if the body has arrived meanwhile.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -55,6 +55,7 @@
   private final ResponseTurn turn;
   private boolean mayHaveRun;
   private boolean isWaitingForTurn;
+  private boolean isContinueDue;
   private boolean isPlaced;
   private boolean isFinished;
   private boolean isEndRecorded;
@@ -219,9 +220,18 @@
       refuseStopping();
       return;
     }
-    if (HttpUtil.is100ContinueExpected(head)) {
+    isContinueDue = HttpUtil.is100ContinueExpected(head);
+    if (isFirst) {
+      writeContinueIfDue();
+    }
+  }
+
+  /** Asks for the body in this request's turn; before, it would stand in another response. */
+  private void writeContinueIfDue() {
+    if (isContinueDue && !body.isComplete()) {
       caller.writeContinue();
     }
+    isContinueDue = false;
   }
 
   /** Receives bytes of the body and takes ownership of them. */
@@ -286,6 +296,7 @@
     if (turn.runPending()) {
       return;
     }
+    writeContinueIfDue();
     if (isWaitingForTurn) {
       isWaitingForTurn = false;
       onBodyProgress();
--- a/sageladder-forward/src/test/java/org/sageladder/forward/ForwardingFixture.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/ForwardingFixture.java
@@ -239,6 +239,10 @@
 
   /** A response as the caller receives it. */
   record Response(int status, String head, String body) {
+    static Response ofHead(String head) {
+      return new Response(Integer.parseInt(head.substring(9, 12)), head, "");
+    }
+
     String header(String name) {
       return head.lines()
           .filter(line -> line.regionMatches(true, 0, name + ":", 0, name.length() + 1))
@@ -298,6 +302,12 @@
     }
 
     Response readResponse() throws IOException {
+      Response headOnly = Response.ofHead(readHead());
+      int length = Integer.parseInt(headOnly.header("content-length"));
+      return new Response(headOnly.status(), headOnly.head(), readBody(length));
+    }
+
+    String readHead() throws IOException {
       StringBuilder head = new StringBuilder();
       while (head.length() < 4 || !head.substring(head.length() - 4).equals("\r\n\r\n")) {
         int read = in.read();
@@ -306,15 +316,15 @@
         }
         head.append((char) read);
       }
-      Response headOnly =
-          new Response(Integer.parseInt(head.substring(9, 12)), head.toString(), "");
-      int length = Integer.parseInt(headOnly.header("content-length"));
+      return head.toString();
+    }
+
+    String readBody(int length) throws IOException {
       byte[] body = in.readNBytes(length);
       if (body.length < length) {
         throw new IOException("the body ended after " + body.length + " of " + length);
       }
-      return new Response(
-          headOnly.status(), headOnly.head(), new String(body, StandardCharsets.ISO_8859_1));
+      return new String(body, StandardCharsets.ISO_8859_1);
     }
 
     /** True if the connection ends without another byte. */
