--- a/sageladder-forward/src/test/java/org/sageladder/forward/ForwardingFixture.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/ForwardingFixture.java
@@ -327,6 +327,24 @@
       return new String(body, StandardCharsets.ISO_8859_1);
     }
 
+    /** True if a response with status 200 arrives whole; false if it is another or is cut off. */
+    boolean readsCompleteSuccess() {
+      try {
+        Response head = Response.ofHead(readHead());
+        if (head.status() != 200) {
+          return false;
+        }
+        if (!head.header("transfer-encoding").isEmpty()) {
+          return new String(in.readAllBytes(), StandardCharsets.ISO_8859_1)
+              .endsWith("\r\n0\r\n\r\n");
+        }
+        var unused = readBody(Integer.parseInt(head.header("content-length")));
+        return true;
+      } catch (IOException cutOff) {
+        return false;
+      }
+    }
+
     /** True if the connection ends without another byte. */
     boolean isClosedByPeer() throws IOException {
       return in.read() < 0;
--- a/sageladder-forward/src/test/java/org/sageladder/forward/RelayTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/RelayTest.java
@@ -1,6 +1,7 @@
 package org.sageladder.forward;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetAddress;
@@ -76,6 +77,35 @@
     }
   }
 
+  /** Guards against a part of a response that a peer passes on as a whole one. */
+  @Test
+  void responseTruncatedAtTheTargetOfAPeerIsNotComplete() throws Exception {
+    String part = "x".repeat(STREAMED_BYTES * 2);
+    String[] heads = {
+      "Content-Length: 900000\r\n\r\n" + part,
+      "Content-Length: 10\r\n\r\nshort",
+      "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(part.length()) + "\r\n" + part,
+      "Transfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+      "\r\n" + part,
+      "\r\nshort"
+    };
+    for (String rest : heads) {
+      ScriptedTarget target =
+          ScriptedTarget.of(
+              request -> {
+                request.write("HTTP/1.1 200 OK\r\nId: a\r\nSeal: s\r\n" + rest);
+                request.reset();
+              });
+      try (ForwardingFixture peer = ForwardingFixture.open(target);
+          ForwardingFixture fixture = cutOff();
+          Caller caller = fixture.caller()) {
+        fixture.useRelayPeers(peer.openPeerPort("127.0.0.1"));
+        caller.sendGet("/once/1", "a");
+        assertFalse(caller.readsCompleteSuccess(), rest.lines().findFirst().orElse(""));
+      }
+    }
+  }
+
   /** Guards against a 404 from a peer that has not received the newest rules yet. */
   @Test
   void peerWithOlderRulesDoesNotDecide() throws Exception {
