A peer accepts the largest head that its sender accepts

What callers would see: 431 for a head within the limit, which callers do not repeat, at a VM that reaches no target. On a connection that has carried another request that response, which has no id, would not count as one at all: the request is lost.

Cause: a VM adds headers to a request that it passes on, and the peer applied the limit for callers to the result.

Change: the port for entry VMs allows 4 KiB more.

Measured: RelayTest.largestHeadIsServedByPeer failed before (431) and passes; all 16 tests of the class pass.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
@@ -50,6 +50,9 @@
 
   private static final int MAX_CHUNK_BYTES = 32 << 10;
 
+  /** Room for the headers that another entry VM adds to a head of the maximum size. */
+  private static final int RELAY_HEADER_BYTES = 4 << 10;
+
   private static final long NEVER = Long.MAX_VALUE;
 
   /** Time for the first request of a new connection to arrive, from callers in any region. */
@@ -85,11 +88,11 @@
   }
 
   void install(ChannelPipeline pipeline) {
-    CallerLimits limits = forwarder.callerLimits();
+    int maxHeadBytes = forwarder.callerLimits().maxHeadBytes() + (isPeer ? RELAY_HEADER_BYTES : 0);
     HttpDecoderConfig config =
         new HttpDecoderConfig()
-            .setMaxInitialLineLength(limits.maxHeadBytes())
-            .setMaxHeaderSize(limits.maxHeadBytes())
+            .setMaxInitialLineLength(maxHeadBytes)
+            .setMaxHeaderSize(maxHeadBytes)
             .setMaxChunkSize(MAX_CHUNK_BYTES);
     pipeline.addLast(
         new ChannelInboundHandlerAdapter() {
--- a/sageladder-forward/src/test/java/org/sageladder/forward/RelayTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/RelayTest.java
@@ -77,6 +77,21 @@
     }
   }
 
+  /** Guards against a head within the limit that the headers for the peer make too long. */
+  @Test
+  void largestHeadIsServedByPeer() throws Exception {
+    ScriptedTarget target = ScriptedTarget.of(request -> request.respond("ran"));
+    String start = "GET /safe/1 HTTP/1.1\r\nHost: h\r\nId: a\r\nNote: ";
+    int room = ForwardingFixture.LIMITS.maxHeadBytes() - start.length() - 10;
+    try (ForwardingFixture peer = ForwardingFixture.open(target);
+        ForwardingFixture fixture = cutOff();
+        Caller caller = fixture.caller()) {
+      fixture.useRelayPeers(peer.openPeerPort("127.0.0.1"));
+      caller.write(start + "n".repeat(room) + "\r\n\r\n");
+      assertEquals(200, caller.readResponse().status());
+    }
+  }
+
   /** Guards against a part of a response that a peer passes on as a whole one. */
   @Test
   void responseTruncatedAtTheTargetOfAPeerIsNotComplete() throws Exception {
