The own interface rejects a response head that begins with a part of another one

Cause: the HTTP library keeps a part of a head that is received behind a response or while a connection is idle, and takes it for the beginning of the next response. Whole heads without a request end the connection.

Change: Connector, which all clients of the own interface use, fails a response whose reason phrase or headers hold a status line. The request counts as lost and its connection is closed.

Ruled out: another response whose whole head arrives behind the next request. Responses of the own interface name no request, so that nothing tells it apart; this remains.

--- a/sageladder-http/src/main/java/org/sageladder/http/Connector.java
+++ b/sageladder-http/src/main/java/org/sageladder/http/Connector.java
@@ -68,7 +68,7 @@
                     .setTcpNoDelay(true)
                     .setSelectInterval(TimeValue.of(SELECT_INTERVAL))
                     .build())
-            .setHttpProcessor(httpProcessorWithoutExpect())
+            .setHttpProcessor(httpProcessor())
             .setIOSessionListener(new SocketTimeoutDisabler())
             .setPoolConcurrencyPolicy(PoolConcurrencyPolicy.LAX)
             .setDefaultMaxPerRoute(connectionsPerHost)
@@ -80,17 +80,18 @@
   }
 
   /**
-   * Returns the library's default processors except the one for {@code Expect: 100-continue}, which
-   * costs a round trip for each request with a body. Targets and entry VMs can respond before the
-   * end of a body without it.
+   * Returns the library's default processors and a check of response heads, without the one for
+   * {@code Expect: 100-continue}, which costs a round trip for each request with a body. Targets
+   * and entry VMs can respond before the end of a body without it.
    */
-  private static HttpProcessor httpProcessorWithoutExpect() {
+  private static HttpProcessor httpProcessor() {
     return HttpProcessorBuilder.create()
         .addAll(
             RequestTargetHost.INSTANCE,
             RequestContent.INSTANCE,
             RequestConnControl.INSTANCE,
             new RequestUserAgent("sageladder"))
+        .add(new ResponseHeadValidator())
         .build();
   }
 
