Tests of parts of responses at the embedded client and between entry VMs

UnfinishedResponseTest.truncatedResponseIsLost of sageladder-entry: the connection ends or is reset at each byte of a response with a length, in chunks, and with neither; it passes.

The cuts end before the last chunk, "0\r\n\r\n". The HTTP library takes a connection that ends behind the digit 0 for the end of the chunks; the body is whole then, unless a peer writes chunk lengths with leading zeros, which neither entry VMs nor targets do.

--- a/sageladder-client/src/test/java/org/sageladder/client/ScriptedEntry.java
+++ b/sageladder-client/src/test/java/org/sageladder/client/ScriptedEntry.java
@@ -15,13 +15,14 @@
 
 /**
  * An entry VM that answers each request head with the bytes of a test's script, then closes the
- * connection.
+ * connection unless it is to keep connections.
  */
 final class ScriptedEntry implements AutoCloseable {
   private final ServerSocket server;
   private final Thread acceptor;
   private final List<String> heads = Collections.synchronizedList(new ArrayList<>());
   private volatile Function<String, String> script = head -> "";
+  private volatile boolean keepsConnections;
 
   private ScriptedEntry(ServerSocket server) {
     this.server = server;
@@ -49,6 +50,12 @@
     return this;
   }
 
+  /** Keeps connections open, one at a time, until the client closes them. */
+  ScriptedEntry keepConnections() {
+    keepsConnections = true;
+    return this;
+  }
+
   /** Heads of all requests so far, without look-ups. */
   List<String> requests() {
     return List.copyOf(heads).stream().filter(head -> head.contains("/v1/request/")).toList();
@@ -62,9 +69,13 @@
   private void serve() {
     while (!server.isClosed()) {
       try (Socket socket = server.accept()) {
-        String head = readHead(new BufferedInputStream(socket.getInputStream()));
-        heads.add(head);
-        socket.getOutputStream().write(script.apply(head).getBytes(StandardCharsets.UTF_8));
+        InputStream in = new BufferedInputStream(socket.getInputStream());
+        String head = readHead(in);
+        while (!head.isEmpty()) {
+          heads.add(head);
+          socket.getOutputStream().write(script.apply(head).getBytes(StandardCharsets.UTF_8));
+          head = keepsConnections ? readHead(in) : "";
+        }
       } catch (IOException ignored) {
         // The client disconnected or the test has ended.
       }
--- a/sageladder-entry/src/test/java/org/sageladder/entry/exchange/UnfinishedResponseTest.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/exchange/UnfinishedResponseTest.java
@@ -11,6 +11,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.EntityDetails;
@@ -145,4 +146,39 @@
       assertNextIsOwnOrLost("", OTHER.substring(0, cut));
     }
   }
+
+  /** A reset, or the end of the connection, at each byte before the end of a response. */
+  @Test
+  void truncatedResponseIsLost() throws Exception {
+    String chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nown\r\n";
+    String allButLastByte = OTHER.substring(0, OTHER.length() - 1);
+    String withoutLength = "HTTP/1.1 200 OK\r\n\r\nown";
+    for (boolean isReset : new boolean[] {false, true}) {
+      for (String part : List.of(allButLastByte, chunked, withoutLength)) {
+        for (int cut = 0; cut <= part.length(); cut++) {
+          assertEquals("lost", exchangeTruncated(part.substring(0, cut), isReset), "cut " + cut);
+        }
+      }
+    }
+  }
+
+  private static String exchangeTruncated(String part, boolean isReset) throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        OutboundClient client = OutboundClient.start(1, 1)) {
+      Target.startThread(() -> sendTruncated(server, part, isReset));
+      return exchange(client, server.getLocalPort(), "/first");
+    }
+  }
+
+  private static void sendTruncated(ServerSocket server, String part, boolean isReset) {
+    try (Socket socket = server.accept()) {
+      Target.readHead(new BufferedInputStream(socket.getInputStream()));
+      socket.getOutputStream().write(part.getBytes(StandardCharsets.US_ASCII));
+      if (isReset) {
+        socket.setSoLinger(true, 0);
+      }
+    } catch (IOException ended) {
+      return;
+    }
+  }
 }
