The own interface refuses a request made of a part of a request and of the next one

What callers would see: the response to a request that nobody sent, such as GGET /b, or the path of one request with the headers of another.

Cause: as on the callers' port of the platform: a method accepts any token, and a header any text.

Change: the check moves to core.message.MergedRequests, and both ports use it.

Measured: HttpListenerTest.partOfRequestIsNoPartOfTheNext, a request cut at each byte before another one, failed before (404, that is handled, at the cut behind 1 byte) and passes; all 6 tests of org.sageladder.entry.http pass.

--- a/sageladder-entry/src/main/java/org/sageladder/entry/http/HttpListener.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/http/HttpListener.java
@@ -87,6 +87,7 @@
         new ServerHttp1StreamDuplexerFactory(
             HttpProcessors.customServer("sageladder")
                 .addFirst(RequestFramingValidator.create())
+                .add(new MergedRequestValidator())
                 .addLast(resultHeaderInterceptor())
                 .build(),
             new DefaultAsyncResponseExchangeHandlerFactory(
--- a/sageladder-entry/src/test/java/org/sageladder/entry/http/HttpListenerTest.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/http/HttpListenerTest.java
@@ -75,6 +75,35 @@
     }
   }
 
+  /** Guards against a request that nobody sent, made of a part of one and of the next one. */
+  @Test
+  void partOfRequestIsNoPartOfTheNext() throws Exception {
+    String part = "GET /a HTTP/1.1\r\nNote: n\r\nHost: e\r\n\r\n";
+    String next = "GET /b HTTP/1.1\r\nHost: e\r\n\r\n";
+    BlockingQueue<String> handled = new LinkedBlockingQueue<>();
+    CallerExchange.Handler handler =
+        exchange -> {
+          handled.add(exchange.request().getMethod() + " " + exchange.request().getPath());
+          respondNotFound(exchange);
+        };
+    try (HttpListener listener = open(9, LONG_IDLE_TIMEOUT, handler)) {
+      for (int cut = 0; cut <= part.length(); cut++) {
+        try (Socket caller = connect(listener)) {
+          caller
+              .getOutputStream()
+              .write((part.substring(0, cut) + next).getBytes(StandardCharsets.US_ASCII));
+          boolean isApart = cut == 0 || cut == part.length();
+          assertEquals(isApart, statusLine(caller).startsWith("HTTP/1.1 404 "), "cut " + cut);
+        }
+      }
+      // The last connection carries both requests; the second may be handled later.
+      assertEquals("GET /b", handled.take());
+      assertEquals("GET /a", handled.take());
+      assertEquals("GET /b", handled.take());
+      assertTrue(handled.isEmpty(), "a merged request was handled");
+    }
+  }
+
   /** Guards against callers who hold a connection open by not closing it after a refusal. */
   @Test
   void connectionThatTheCallerDoesNotCloseEnds() throws Exception {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/RequestHeadValidator.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/RequestHeadValidator.java
@@ -6,9 +6,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.message.HopByHopHeaders;
+import org.sageladder.core.message.MergedRequests;
 import org.sageladder.core.result.ResultCode;
 
 /**
@@ -23,15 +23,6 @@
   private static final List<String> FRAMING_HEADERS =
       List.of("content-length", "transfer-encoding", "host");
 
-  private static final List<String> COMMON_METHODS =
-      List.of("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", "TRACE", "CONNECT");
-
-  /** The only registered method that ends with the name of another one. */
-  private static final String PROPPATCH = "PROPPATCH";
-
-  private static final String PROTOCOL_PREFIX = "HTTP/1.";
-  private static final Pattern REQUEST_LINE_AT_END = Pattern.compile("[A-Z] /\\S* HTTP/1\\.\\d$");
-
   private RequestHeadValidator() {}
 
   /** Returns the reason for rejecting the head, or null if it is valid. */
@@ -52,23 +43,16 @@
     if (requestId == null || requestId.isEmpty()) {
       return ResultCode.MALFORMED_REQUEST;
     }
-    if (endsWithOtherMethod(head.method().name()) || containsRequestLine(headers)) {
+    if (MergedRequests.isMergedMethod(head.method().name()) || containsRequestLine(headers)) {
       return ResultCode.MALFORMED_REQUEST;
     }
     return null;
   }
 
-  private static boolean endsWithOtherMethod(String method) {
-    return !COMMON_METHODS.contains(method)
-        && !method.equals(PROPPATCH)
-        && COMMON_METHODS.stream().anyMatch(method::endsWith);
-  }
-
   /** True if a header ends with the first line of another request. */
   private static boolean containsRequestLine(HttpHeaders headers) {
     for (Map.Entry<String, String> header : headers) {
-      String value = header.getValue();
-      if (value.contains(PROTOCOL_PREFIX) && REQUEST_LINE_AT_END.matcher(value).find()) {
+      if (MergedRequests.isMergedHeader(header.getValue())) {
         return true;
       }
     }
