--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -55,6 +55,7 @@
   private final ResponseTurn turn;
   private boolean mayHaveRun;
   private boolean isWaitingForTurn;
+  private boolean isContinueDue;
   private boolean isPlaced;
   private boolean isFinished;
   private boolean isEndRecorded;
@@ -219,9 +220,18 @@
       refuseStopping();
       return;
     }
-    if (HttpUtil.is100ContinueExpected(head)) {
+    isContinueDue = HttpUtil.is100ContinueExpected(head);
+    if (isFirst) {
+      writeContinueIfDue();
+    }
+  }
+
+  /** Asks for the body in this request's turn; before, it would stand in another response. */
+  private void writeContinueIfDue() {
+    if (isContinueDue && !body.isComplete()) {
       caller.writeContinue();
     }
+    isContinueDue = false;
   }
 
   /** Receives bytes of the body and takes ownership of them. */
@@ -232,13 +242,25 @@
     }
     body.add(bytes);
     if (body.receivedBytes() > forwarder.callerLimits().maxBodyBytes()) {
-      abandonAttempt();
-      refuseAndClose(ResultCode.BODY_TOO_LARGE);
+      refuseBody(ResultCode.BODY_TOO_LARGE);
       return;
     }
     onBodyProgress();
   }
 
+  /** Ends the request, since the rest of its body cannot be read. */
+  void refuseBody(ResultCode code) {
+    if (isFinished) {
+      return;
+    }
+    abandonAttempt();
+    if (turn.isStreaming()) {
+      abortResponse("the rest of the request's body cannot be read");
+      return;
+    }
+    refuseAndClose(code);
+  }
+
   /** The body is complete. */
   void onBodyEnd() {
     body.complete();
@@ -274,6 +296,7 @@
     if (turn.runPending()) {
       return;
     }
+    writeContinueIfDue();
     if (isWaitingForTurn) {
       isWaitingForTurn = false;
       onBodyProgress();
--- a/sageladder-forward/src/main/java/org/sageladder/forward/RequestHeadValidator.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/RequestHeadValidator.java
@@ -5,8 +5,10 @@
 import io.netty.handler.codec.http.HttpRequest;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.message.HopByHopHeaders;
+import org.sageladder.core.message.MergedRequests;
 import org.sageladder.core.result.ResultCode;
 
 /**
@@ -14,7 +16,8 @@
  *
  * <p>If a target determined the length of a request otherwise than this entry VM, a second request
  * could be smuggled inside its body. A request with two hosts could be routed by one of them and
- * served by the other.
+ * served by the other. And a caller that breaks off in a head, or sends a longer body than it
+ * announced, makes one head of these bytes and of its next request: {@code GGET /path HTTP/1.1}.
  */
 final class RequestHeadValidator {
   private static final List<String> FRAMING_HEADERS =
@@ -40,9 +43,22 @@
     if (requestId == null || requestId.isEmpty()) {
       return ResultCode.MALFORMED_REQUEST;
     }
+    if (MergedRequests.isMergedMethod(head.method().name()) || containsRequestLine(headers)) {
+      return ResultCode.MALFORMED_REQUEST;
+    }
     return null;
   }
 
+  /** True if a header ends with the first line of another request. */
+  private static boolean containsRequestLine(HttpHeaders headers) {
+    for (Map.Entry<String, String> header : headers) {
+      if (MergedRequests.isMergedHeader(header.getValue())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /**
    * True if {@code Connection} names a header without which a target would find another end of the
    * request, or another host.
--- a/sageladder-forward/src/test/java/org/sageladder/forward/AtMostOnceTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/AtMostOnceTest.java
@@ -166,6 +166,7 @@
       "GET /safe/1 HTTP/1.1\r\nHost: h\r\nHost: g\r\nId: a\r\n\r\n",
       "GET /safe/1 HTTP/1.1\r\nId: a\r\n\r\n",
       "GET /safe/1 HTTP/1.1\r\nHost: h\r\n\r\n",
+      "GET /safe/1 HTTP/1.1\r\nHost: h\r\nId: a\r\nId: b\r\n\r\n",
       "POST /safe/1 HTTP/1.1\r\nHost: h\r\nId: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
       "POST /safe/1 HTTP/1.1\r\nHost: h\r\nId: a\r\nTransfer-Encoding: gzip\r\n\r\n",
       "POST /safe/1 HTTP/1.1\r\nHost: h\r\nId: a\r\nContent-Length: x\r\n\r\n",
@@ -191,6 +192,24 @@
     }
   }
 
+  /** Guards against a wait until the deadline for a body whose rest cannot be decoded. */
+  @Test
+  void malformedBodyIsRefusedAtOnce() throws Exception {
+    ScriptedTarget target = ScriptedTarget.of(request -> request.respond("ran"));
+    try (ForwardingFixture fixture = ForwardingFixture.open(target);
+        Caller caller = fixture.caller()) {
+      caller.write(
+          "POST /hasty/1 HTTP/1.1\r\nHost: h\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+      caller.write("3\r\nabc\r\nzz\r\n");
+      Response response = caller.readResponse();
+      assertEquals(400, response.status());
+      assertEquals("a", response.header("Id"));
+      assertTrue(caller.isClosedByPeer());
+      assertEquals(0, target.receivedRequests.size());
+      assertEquals(0, fixture.inFlightCount());
+    }
+  }
+
   /** Guards against a body without its length, which a target takes for a request of its own. */
   @Test
   void bodyWhoseLengthIsListedInConnectionIsRefused() throws Exception {
