Second responses of the stand-in come late, in pieces, spoilt and without an id

What callers saw: a 2xx for a request that failed at its target.

Cause: the stand-in's targets sent a second response only whole, in one write with the first. One seal served all responses, and MIXED accepted a response without an id, a failure with another body and a failure without its seal.

Behind such bytes half of a connection's requests fail with 500. A seal follows from the id; MIXED wants status, id, seal and body of one run, also for failures.

--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/ResponseRules.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/ResponseRules.java
@@ -14,6 +14,7 @@
   /** Time after the last trouble within which the system must serve requests again. */
   private static final long MAX_RECOVERY_MILLIS = 15_000;
 
+  private static final int FAILED = 500;
   private static final double MIN_SUCCESS_FRACTION = 0.25;
 
   private ResponseRules() {}
@@ -57,20 +58,20 @@
     return violations;
   }
 
+  /** Status, id, seal and body must be those of one run; only targets seal, or answer 500. */
   private static boolean isCorrect(SimulatedDay day, Ledger.Answered answer) {
     if (answer.named() != null && !answer.named().equals(answer.id())) {
       return false;
     }
     boolean success = answer.status() >= 200 && answer.status() < 300;
     if (!success && !answer.sealed()) {
-      return true;
+      return answer.status() != FAILED;
     }
     return answer.sealed()
+        && answer.named() != null
         && day.ledger().runs(answer.id()).stream()
             .anyMatch(
-                run ->
-                    run.status() == answer.status()
-                        && (!success || answer.body().equals(run.responseBody())));
+                run -> run.status() == answer.status() && answer.body().equals(run.responseBody()));
   }
 
   static List<String> notRecovered(SimulatedDay day) {
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/TargetTroubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/TargetTroubles.java
@@ -22,6 +22,8 @@
   private static final double ADDED_FRACTION = 0.1;
   private static final double FAULTY_FRACTION = 0.5;
   private static final double FAULTY_RESPONSE_FRACTION = 0.05;
+  private static final double UNSOLICITED_FRACTION = 0.3;
+  private static final long UNSOLICITED_MILLIS = 12_000;
   private static final double SLOWDOWN_FACTOR = 4;
   private static final long TROUBLE_MILLIS = 6_000;
   private static final long REPLACEMENT_GAP_MILLIS = 700;
@@ -45,6 +47,22 @@
     all.put("targets-start-again", TargetTroubles::restartBehindCut);
   }
 
+  /** Adds troubles of bytes that belong to no request, and of heads that break off. */
+  static void addUnsolicitedTo(Map<String, Trouble> all) {
+    all.put("answers-cut-in-head", unsolicited(Fault.CUTS_HEAD));
+    all.put("answers-twice-late", unsolicited(Fault.ANSWERS_TWICE_LATE));
+    all.put("answers-twice-in-pieces", unsolicited(Fault.ANSWERS_TWICE_IN_PIECES));
+    all.put("answers-twice-cut", unsolicited(Fault.ANSWERS_TWICE_CUT));
+    all.put("answers-twice-spoilt", unsolicited(Fault.ANSWERS_TWICE_SPOILT));
+    all.put("answers-twice-without-id", unsolicited(Fault.ANSWERS_TWICE_WITHOUT_ID));
+    all.put("answers-and-bytes", unsolicited(Fault.ADDS_BYTES));
+  }
+
+  private static Trouble unsolicited(Fault fault) {
+    return (fleet, random) ->
+        injectFault(fleet, random, fault, UNSOLICITED_FRACTION, UNSOLICITED_MILLIS);
+  }
+
   /** Returns {@code fraction} of the running targets, chosen at random. */
   static List<FleetTarget> pick(Fleet fleet, Random random, double fraction) {
     List<FleetTarget> all = new ArrayList<>(fleet.runningTargets());
@@ -108,10 +126,15 @@
   }
 
   private static void injectFault(Fleet fleet, Random random, Fault fault) {
+    injectFault(fleet, random, fault, FAULTY_RESPONSE_FRACTION, TROUBLE_MILLIS);
+  }
+
+  private static void injectFault(
+      Fleet fleet, Random random, Fault fault, double fraction, long millis) {
     List<FleetTarget> affected = pick(fleet, random, FAULTY_FRACTION);
-    Troubles.recordAtAll(fleet, TROUBLE_MILLIS);
-    affected.forEach(target -> target.process().setFault(fault, FAULTY_RESPONSE_FRACTION));
+    Troubles.recordAtAll(fleet, millis);
+    affected.forEach(target -> target.process().setFault(fault, fraction));
     fleet.runAfter(
-        TROUBLE_MILLIS, () -> affected.forEach(target -> target.process().setFault(Fault.NONE, 0)));
+        millis, () -> affected.forEach(target -> target.process().setFault(Fault.NONE, 0)));
   }
 }
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
@@ -100,6 +100,13 @@
     return all;
   }
 
+  /** Troubles of bytes that belong to no request; these are never chosen at random. */
+  public static Map<String, Trouble> unsolicitedAnswers() {
+    Map<String, Trouble> all = new LinkedHashMap<>();
+    TargetTroubles.addUnsolicitedTo(all);
+    return all;
+  }
+
   /** The trouble with that name, or null. */
   public static @Nullable Trouble find(String name) {
     Map<String, Trouble> known = all();
@@ -111,6 +118,7 @@
     known.putAll(plannedStops());
     known.putAll(staleReads());
     known.putAll(largeBodies());
+    known.putAll(unsolicitedAnswers());
     known.putAll(readerTroubles());
     known.putAll(readerTroublesBesideStaleReads());
     return known.get(name);
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
@@ -119,6 +119,38 @@
     assertViolated("MIXED");
   }
 
+  @Test
+  void responseWithoutId() {
+    recordSent("q", true, 0);
+    recordRun("q", 200, "mine");
+    ledger.recordAnswer(new Answered("q", 200, "mine", true, null, 5));
+    assertViolated("MIXED");
+  }
+
+  @Test
+  void otherStatusThanTheTargets() {
+    recordSent("q", true, 0);
+    recordRun("q", 500, "mine");
+    ledger.recordAnswer(new Answered("q", 200, "mine", true, "q", 5));
+    assertViolated("MIXED");
+  }
+
+  @Test
+  void failureWithAnotherBody() {
+    recordSent("q", true, 0);
+    recordRun("q", 500, "mine");
+    ledger.recordAnswer(new Answered("q", 500, "min", true, "q", 5));
+    assertViolated("MIXED");
+  }
+
+  @Test
+  void failureOfATargetWithoutItsSeal() {
+    recordSent("q", true, 0);
+    recordRun("q", 500, "mine");
+    ledger.recordAnswer(new Answered("q", 500, "mine", false, "q", 5));
+    assertViolated("MIXED");
+  }
+
   private void denyOnAddedRoute(int count, long sentMillis) {
     for (int i = 0; i < count; i++) {
       String id = "denied-" + sentMillis + '-' + i;
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/CallersStandIn.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/CallersStandIn.java
@@ -425,7 +425,7 @@
             id,
             complete.status(),
             complete.body(),
-            headers.contains("Server-Seal"),
+            PlatformTexts.seal(id).equals(headers.get("Server-Seal")),
             headers.get("Request-Id"),
             loop.nowMillis()));
     if (QUARANTINED.equals(headers.get("Sageladder-Result"))) {
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/PersistentCallers.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/PersistentCallers.java
@@ -176,7 +176,7 @@
                 id,
                 complete.status(),
                 complete.body(),
-                complete.headers().contains("Server-Seal"),
+                PlatformTexts.seal(id).equals(complete.headers().get("Server-Seal")),
                 complete.headers().get("Request-Id"),
                 now));
     if (connection.isUsable()) {
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/PlatformTexts.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/PlatformTexts.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -23,6 +24,11 @@
 
   private PlatformTexts() {}
 
+  /** The seal of the answer to a request. */
+  static String seal(String requestId) {
+    return HexFormat.of().toHexDigits((short) requestId.hashCode());
+  }
+
   /** Encodes a value as the store's API carries it. */
   public static String base64(String text) {
     return Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8));
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/ServerPort.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/ServerPort.java
@@ -91,6 +91,18 @@
       return context.channel().isActive();
     }
 
+    /** Bytes of no request that are still to be sent on the connection. */
+    ExtraBytes extra() {
+      return ExtraBytes.of(context.channel());
+    }
+
+    private void writeExtra(ExtraBytes.Moment moment) {
+      byte[] due = extra().take(moment);
+      if (due.length > 0) {
+        var unused = context.channel().pipeline().firstContext().write(Unpooled.wrappedBuffer(due));
+      }
+    }
+
     /** Sets an action that runs once if the connection closes before the answer. */
     void setOnDisconnect(Runnable callback) {
       onDisconnect = callback;
@@ -114,12 +126,28 @@
               Unpooled.wrappedBuffer(body));
       headers.forEach((name, value) -> response.headers().set(name, value));
       response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
-      var written = context.writeAndFlush(response);
+      writeExtra(ExtraBytes.Moment.BEFORE_NEXT_ANSWER);
+      var written = context.write(response);
+      writeExtra(ExtraBytes.Moment.BEHIND_NEXT_ANSWER);
+      context.flush();
       if ("close".equals(headers.get("Connection"))) {
         var unused = written.addListener(done -> Sockets.close(context));
       }
     }
 
+    /** Writes an answer past the codec, between the extra bytes that are due with it. */
+    void writeRawAnswer(byte[] answer) {
+      byte[] before = extra().take(ExtraBytes.Moment.BEFORE_NEXT_ANSWER);
+      byte[] behind = extra().take(ExtraBytes.Moment.BEHIND_NEXT_ANSWER);
+      onDisconnect = null;
+      var unused =
+          context
+              .channel()
+              .pipeline()
+              .firstContext()
+              .writeAndFlush(Unpooled.wrappedBuffer(before, answer, behind));
+    }
+
     /** Writes raw bytes past the codec, as a faulty server would send them. */
     void writeRaw(byte[] bytes, boolean closesAfterwards) {
       onDisconnect = null;
@@ -157,6 +185,8 @@
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
       Exchange exchange = new Exchange(ctx);
       lastExchange = exchange;
+      exchange.writeExtra(ExtraBytes.Moment.AFTER_NEXT_REQUEST);
+      ctx.flush();
       handler.handle(request, exchange);
     }
 
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/TargetStandIn.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/TargetStandIn.java
@@ -36,7 +36,25 @@
     /** Answers without a length; closing the connection ends the answer. */
     UNFRAMED,
     /** Answers with status 500. */
-    FAILS
+    FAILS,
+    /** Closes the connection within the head of the answer. */
+    CUTS_HEAD,
+    /**
+     * Sends a second answer later: on the idle connection, as the next request has come, or just
+     * before its answer. Behind this and the faults below every second request of the connection
+     * fails with status 500.
+     */
+    ANSWERS_TWICE_LATE,
+    /** Sends a part of a second answer, and the rest never, before or behind the next answer. */
+    ANSWERS_TWICE_IN_PIECES,
+    /** Sends a part of a second answer later and closes the connection. */
+    ANSWERS_TWICE_CUT,
+    /** Sends a second answer in which a byte is wrong, with the answer or later. */
+    ANSWERS_TWICE_SPOILT,
+    /** Sends a second answer without an id, with the answer or later. */
+    ANSWERS_TWICE_WITHOUT_ID,
+    /** Sends bytes that are no answer behind a complete one, with it or later. */
+    ADDS_BYTES
   }
 
   private static final double COLD_SERVICE_TIME_FACTOR = 2;
@@ -82,6 +100,7 @@
   private final TargetTraits traits;
   private final Ledger ledger;
   private final Random random;
+  private final UnsolicitedAnswers unsolicited;
   private final Runnable crashProcess;
   private final Deque<Job> queue = new ArrayDeque<>();
   private final Set<Job> running = new LinkedHashSet<>();
@@ -111,6 +130,7 @@
     this.traits = traits;
     this.ledger = ledger;
     this.random = new Random(seed ^ facts.id().hashCode());
+    this.unsolicited = new UnsolicitedAnswers(loop, ~seed ^ facts.id().hashCode());
     this.crashProcess = crashProcess;
     this.coldUntilMillis = loop.nowMillis() + facts.remainingColdMillis();
     this.coldKnownAtMillis = loop.nowMillis();
@@ -402,7 +422,8 @@
 
   private void sendAnswer(Job job, int status) {
     Fault drawn = random.nextDouble() < faultFraction ? fault : Fault.NONE;
-    int sentStatus = drawn == Fault.FAILS ? 500 : status;
+    boolean fails = drawn == Fault.FAILS || unsolicited.drawsFailure(job.exchange);
+    int sentStatus = fails ? 500 : status;
     String body = "work " + job.id + " of " + facts.id() + ' ' + ".".repeat(PADDING_LENGTH);
     Ledger.Run run = job.run;
     if (run != null) {
@@ -424,7 +445,15 @@
       case UNFRAMED ->
           job.exchange.writeRaw(
               unframedAnswerText(sentStatus, job.id, body).getBytes(StandardCharsets.UTF_8), true);
-      default -> job.exchange.writeRaw(answer, false);
+      case CUTS_HEAD -> job.exchange.writeRaw(unsolicited.cutInHead(answer), true);
+      case ANSWERS_TWICE_LATE,
+          ANSWERS_TWICE_IN_PIECES,
+          ANSWERS_TWICE_CUT,
+          ANSWERS_TWICE_SPOILT,
+          ANSWERS_TWICE_WITHOUT_ID,
+          ADDS_BYTES ->
+          unsolicited.send(drawn, answer, job.id, job.exchange);
+      default -> job.exchange.writeRawAnswer(answer);
     }
   }
 
@@ -448,7 +477,9 @@
   }
 
   private String answerHeaders(String id) {
-    StringBuilder text = new StringBuilder("Request-Id: " + id + "\r\nServer-Seal: seal\r\n");
+    StringBuilder text =
+        new StringBuilder(
+            "Request-Id: " + id + "\r\nServer-Seal: " + PlatformTexts.seal(id) + "\r\n");
     signalHeaders()
         .forEach((name, value) -> text.append(name).append(": ").append(value).append("\r\n"));
     return text.toString();
