--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/FaultInjector.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/FaultInjector.java
@@ -9,7 +9,7 @@
 import java.util.Random;
 import java.util.Set;
 import org.sageladder.standin.platform.StoreFaultMode;
-import org.sageladder.standin.platform.TargetStandIn;
+import org.sageladder.standin.platform.TargetStandIn.Fault;
 
 /** Injects series of faults into a fleet, and starts entry VMs that have ended again. */
 final class FaultInjector {
@@ -19,6 +19,7 @@
   private static final long POLL_MILLIS = 20;
   private static final int CRASHED_TARGETS_DIVISOR = 3;
   private static final long TARGET_DOWN_MILLIS = 1_500;
+  private static final double UNSOLICITED_FRACTION = 0.3;
   private static final long GRACE_MILLIS = 6_000;
 
   /** Time in which callers connect before a planned stop begins. */
@@ -109,8 +110,16 @@
       case DROP_WATCHES -> dropWatches();
       case OCCUPY_PROCESSORS -> occupyProcessors();
       case CRASH_TARGETS -> crashTargets();
-      case FAIL_REQUESTS -> setFault(TargetStandIn.Fault.FAILS);
-      case LOSE_ANSWERS -> setFault(TargetStandIn.Fault.LOSES_ANSWER);
+      case FAIL_REQUESTS -> setFault(Fault.FAILS, 1);
+      case LOSE_ANSWERS -> setFault(Fault.LOSES_ANSWER, 1);
+      case CUT_HEADS -> setFault(Fault.CUTS_HEAD, UNSOLICITED_FRACTION);
+      case ANSWER_TWICE_LATE -> setFault(Fault.ANSWERS_TWICE_LATE, UNSOLICITED_FRACTION);
+      case ANSWER_TWICE_IN_PIECES -> setFault(Fault.ANSWERS_TWICE_IN_PIECES, UNSOLICITED_FRACTION);
+      case ANSWER_TWICE_CUT -> setFault(Fault.ANSWERS_TWICE_CUT, UNSOLICITED_FRACTION);
+      case ANSWER_TWICE_SPOILT -> setFault(Fault.ANSWERS_TWICE_SPOILT, UNSOLICITED_FRACTION);
+      case ANSWER_TWICE_WITHOUT_ID ->
+          setFault(Fault.ANSWERS_TWICE_WITHOUT_ID, UNSOLICITED_FRACTION);
+      case ADD_BYTES -> setFault(Fault.ADDS_BYTES, UNSOLICITED_FRACTION);
       case SILENCE_STORE -> setStoreFault(StoreFaultMode.SILENT, series);
       case REFUSE_AT_STORE -> setStoreFault(StoreFaultMode.BUSY, series);
       case SLOW_STORE -> setStoreFault(StoreFaultMode.SLOW, series);
@@ -123,7 +132,16 @@
     switch (kind) {
       case STOP_ONE -> continueStopped();
       case OCCUPY_PROCESSORS -> busyProcesses.close();
-      case FAIL_REQUESTS, LOSE_ANSWERS -> setFault(TargetStandIn.Fault.NONE);
+      case FAIL_REQUESTS,
+          LOSE_ANSWERS,
+          CUT_HEADS,
+          ANSWER_TWICE_LATE,
+          ANSWER_TWICE_IN_PIECES,
+          ANSWER_TWICE_CUT,
+          ANSWER_TWICE_SPOILT,
+          ANSWER_TWICE_WITHOUT_ID,
+          ADD_BYTES ->
+          setFault(Fault.NONE, 0);
       case SILENCE_STORE, REFUSE_AT_STORE, SLOW_STORE, LOSE_STORE_ANSWERS ->
           fleet.runOnLoop(() -> fleet.storePort().clearFault());
       case EVACUATE_ZONE -> fleet.runOnLoop(fleet.changes()::endEvacuation);
@@ -216,9 +234,10 @@
         .forEach(target -> target.crash(TARGET_DOWN_MILLIS));
   }
 
-  private void setFault(TargetStandIn.Fault fault) {
+  private void setFault(Fault fault, double fraction) {
     fleet.recordTrouble(trafficMillis - elapsedMillis());
-    fleet.runOnLoop(() -> fleet.targets().forEach(target -> target.process().setFault(fault, 1)));
+    fleet.runOnLoop(
+        () -> fleet.targets().forEach(target -> target.process().setFault(fault, fraction)));
   }
 
   private void setStoreFault(StoreFaultMode mode, FaultSeries series) {
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/FaultSeries.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/FaultSeries.java
@@ -65,6 +65,17 @@
           Kind.TERMINATE_ONE,
           Kind.KILL_ONE);
 
+  /** What {@link #randomUnsolicited} draws from, beside faults and changes. */
+  private static final List<Kind> UNSOLICITED_KINDS =
+      List.of(
+          Kind.CUT_HEADS,
+          Kind.ANSWER_TWICE_LATE,
+          Kind.ANSWER_TWICE_IN_PIECES,
+          Kind.ANSWER_TWICE_CUT,
+          Kind.ANSWER_TWICE_SPOILT,
+          Kind.ANSWER_TWICE_WITHOUT_ID,
+          Kind.ADD_BYTES);
+
   /** What is injected. */
   enum Kind {
     /** SIGKILL to one entry VM. */
@@ -112,7 +123,21 @@
     /** The store answers slowly until the series ends. */
     SLOW_STORE,
     /** The store executes calls and resets their connections until the series ends. */
-    LOSE_STORE_ANSWERS;
+    LOSE_STORE_ANSWERS,
+    /** Targets break off within heads until the series ends. */
+    CUT_HEADS,
+    /** Targets send second answers later until the series ends. */
+    ANSWER_TWICE_LATE,
+    /** Targets send second answers in pieces until the series ends. */
+    ANSWER_TWICE_IN_PIECES,
+    /** Targets send parts of second answers and close until the series ends. */
+    ANSWER_TWICE_CUT,
+    /** Targets send second answers with a wrong byte until the series ends. */
+    ANSWER_TWICE_SPOILT,
+    /** Targets send second answers without an id until the series ends. */
+    ANSWER_TWICE_WITHOUT_ID,
+    /** Targets send bytes that are no answer behind answers until the series ends. */
+    ADD_BYTES;
 
     String text() {
       return name().toLowerCase(Locale.ROOT).replace('_', '-');
@@ -169,6 +194,19 @@
     return series;
   }
 
+  /** Changes and planned stops all the while, beside bytes that belong to no request. */
+  static List<FaultSeries> randomUnsolicited(long seed, long trafficMillis) {
+    List<FaultSeries> series = new ArrayList<>(randomChanges(seed, trafficMillis));
+    series.addAll(random(seed, trafficMillis, UNSOLICITED_KINDS));
+    Random random = new Random(~seed);
+    long stopsEveryMillis = MIN_STOP_EVERY_MILLIS + random.nextInt(STOP_EVERY_RANGE_MILLIS);
+    long killsEveryMillis = MIN_CHANGE_EVERY_MILLIS + random.nextInt(CHANGE_EVERY_RANGE_MILLIS);
+    series.add(new FaultSeries(Kind.TERMINATE_ONE, 0, trafficMillis, stopsEveryMillis));
+    series.add(new FaultSeries(Kind.KILL_ONE, 0, trafficMillis, killsEveryMillis));
+    series.add(new FaultSeries(Kind.HANG_UP_ONE, 0, trafficMillis, stopsEveryMillis));
+    return series;
+  }
+
   private static List<FaultSeries> random(long seed, long trafficMillis, List<Kind> kinds) {
     Random random = new Random(seed);
     int count = MIN_RANDOM_SERIES + random.nextInt(RANDOM_SERIES_RANGE);
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/ProcessMain.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/ProcessMain.java
@@ -51,6 +51,11 @@
         Option.builder().longOpt("crowded").desc("other runs use the same processors").get());
     options.addOption(
         Option.builder().longOpt("changes").desc("draw changes of the platform, with stops").get());
+    options.addOption(
+        Option.builder()
+            .longOpt("unsolicited")
+            .desc("draw bytes of no request beside changes, with stops")
+            .get());
     addOption(options, "checkout", "FOLDER", "runs entry VMs built there, as of another commit");
     addOption(options, "logs", "FOLDER", "keeps settings and logs of the entry VMs here");
     options.addOption(Option.builder().longOpt("help").desc("print this and exit").get());
@@ -116,6 +121,9 @@
     if (line.hasOption("changes")) {
       return FaultSeries.randomChanges(seed, trafficMillis);
     }
+    if (line.hasOption("unsolicited")) {
+      return FaultSeries.randomUnsolicited(seed, trafficMillis);
+    }
     return line.hasOption("planned")
         ? FaultSeries.randomPlanned(seed, trafficMillis)
         : FaultSeries.random(seed, trafficMillis);
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/process/FaultSeriesTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/process/FaultSeriesTest.java
@@ -70,4 +70,23 @@
       }
     }
   }
+
+  @Test
+  void unsolicitedBytesComeBesideStopsKillsSignalsAndChanges() {
+    for (long seed = 1; seed <= 50; seed++) {
+      List<FaultSeries> drawn = FaultSeries.randomUnsolicited(seed, 40_000);
+      assertEquals(drawn, FaultSeries.randomUnsolicited(seed, 40_000));
+      assertTrue(drawn.containsAll(FaultSeries.randomChanges(seed, 40_000)));
+      assertTrue(
+          drawn.stream()
+              .anyMatch(series -> series.kind().compareTo(FaultSeries.Kind.CUT_HEADS) >= 0));
+      for (FaultSeries.Kind kind :
+          List.of(
+              FaultSeries.Kind.TERMINATE_ONE,
+              FaultSeries.Kind.KILL_ONE,
+              FaultSeries.Kind.HANG_UP_ONE)) {
+        assertTrue(drawn.stream().anyMatch(series -> series.kind() == kind));
+      }
+    }
+  }
 }
