An entry VM that restarted is used again for requests of a VM that reaches no target

Cause: eleven of twelve VMs are killed. Within 110 ms the twelfth finds that each refuses connections, and avoids it for 4 s. They register again 0.5 to 1 s after the kill, the twelfth knows it after 1.3 s, but what it knew of their last processes still held.

Ruled out: that the peers refused (others served 82 of 114 and 96 of 102 in the two half seconds after they started), that the VM did not know them (MEMBER_JOINED lines), that it did not know its own loss (TARGETS_LOST from the beginning of the cut on). Two of its three first relayed requests do go to VMs behind the same cut that do not know it yet; left.

Change: a registration that a VM writes ends its avoidance. A VM that cannot be reached from here alone is tried once more for each registration that it writes.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -249,6 +249,11 @@
     relayPeers.update(others);
   }
 
+  /** Records that another entry VM has written its registration. */
+  public void onEntryVmRegistered(String name) {
+    relayPeers.recordRegistered(name);
+  }
+
   /** Opens the callers' port. */
   public void listen(String host, int port, Runnable opened, Consumer<Throwable> failed) {
     loop.listen(host, port, connectionInitializer(false))
--- a/sageladder-forward/src/main/java/org/sageladder/forward/RelayPeers.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/RelayPeers.java
@@ -45,6 +45,14 @@
     avoidUntilMillis.keySet().retainAll(names);
   }
 
+  /**
+   * Records that a VM has written its registration. Its process may be a new one, which accepts
+   * connections although the last one did not.
+   */
+  void recordRegistered(String name) {
+    avoidUntilMillis.remove(name);
+  }
+
   /** True if one of the VMs has that IP address. */
   boolean isListed(String host) {
     return peers.stream().anyMatch(peer -> peer.host().equals(host));
--- a/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/control/EntryControl.java
@@ -194,6 +194,7 @@
     } else if (content instanceof ItemContent.Entry entry) {
       pendingMemberRemovals.remove(entry.vm().name());
       entryDirectory.add(entry.vm());
+      forwarder.onEntryVmRegistered(entry.vm().name());
       EntryRegistration current = registration;
       if (current != null && entry.vm().name().equals(self.name())) {
         current.onItemPresent();
--- a/sageladder-forward/src/test/java/org/sageladder/forward/RelayPeersTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/RelayPeersTest.java
@@ -48,6 +48,17 @@
     assertEquals("near", choose(Set.of(), 1_500));
   }
 
+  /** Guards against requests refused since the last processes of restarted VMs were unreachable. */
+  @Test
+  void unreachablePeerIsUsedOnceItRegistersAgain() {
+    peers.update(List.of(SAME_ZONE, SAME_REGION));
+    peers.recordUnreachable(SAME_ZONE, 0);
+    peers.recordUnreachable(SAME_REGION, 0);
+    peers.recordRegistered("middle");
+    assertEquals("middle", choose(Set.of(), 500));
+    assertEquals("none", choose(Set.of("middle"), 500));
+  }
+
   @Test
   void onlyAllowedRegionsAreUsed() {
     peers.update(List.of(SAME_ZONE, OTHER_REGION));
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/EntryVmsCutFromTargetsTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/EntryVmsCutFromTargetsTest.java
@@ -34,4 +34,11 @@
     Outcome outcome = scenario.run(Deployment.forSeed(99), LogSource.none());
     assertEquals(List.of(), outcome.violations());
   }
+
+  /** Guards against refusals for seconds at a VM whose peers were unreachable while restarting. */
+  @Test
+  void requestsAreRelayedAgainOnceAllPeersHaveRestarted() {
+    Outcome outcome = Scenario.random(3).run(Deployment.bookings(), LogSource.none());
+    assertEquals(List.of(), outcome.violations());
+  }
 }
