A status line beside the name of a header is malformed

What callers would see: 2xx with the id, seal and body of a request that failed, as before the check of second status lines: that check does not see the line.

Cause: the decoder of responses tolerates spaces between a header's name and its colon, and drops whatever stands between them, or all of a line without a colon. A part of a response that ends in a line with a word, and a space or other text before the next status line, makes that line a header 'word' without a value.

Change: such a header makes the head malformed. Spaces alone before the colon are accepted as before.

Ruled out: the same with folded lines (the text stays in a value, which is checked) and on the callers' side (the decoder of requests accepts no space before the colon).

--- a/sageladder-forward/src/main/java/org/sageladder/forward/ResponseDecoder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseDecoder.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.AsciiString;
 import java.util.function.BooleanSupplier;
 
 /** Decodes the responses of one connection. */
@@ -32,6 +33,23 @@
     return isHeadRequest.getAsBoolean() || super.isContentAlwaysEmpty(message);
   }
 
+  /**
+   * Rejects a header with other text between its name and the colon, or without a colon. The
+   * default drops that text, which may be the status line of a response behind a part of another
+   * one.
+   */
+  @Override
+  protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+    int end = start + length;
+    while (end < line.length && (line[end] == ' ' || line[end] == '\t')) {
+      end++;
+    }
+    if (end == line.length || line[end] != ':') {
+      throw new IllegalArgumentException("no colon behind the name of a header");
+    }
+    return super.splitHeaderName(line, start, length);
+  }
+
   /** Bytes received but not decoded yet, in the decoder's own buffer. */
   ByteBuf undecodedBytes() {
     return internalBuffer();
--- a/sageladder-forward/src/test/java/org/sageladder/forward/TargetConnectionTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/TargetConnectionTest.java
@@ -24,6 +24,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** What of a request's body reaches a target. */
 class TargetConnectionTest {
@@ -196,4 +198,24 @@
     channel.writeInbound(bytes("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\n"));
     assertTrue(connection.hasResponseBytes());
   }
+
+  /** Guards against a status line that the decoder drops as a part of a header's name. */
+  @ParameterizedTest
+  @ValueSource(strings = {"words HTTP/1.1 500 Failed", "X HTTP/1.1 500 Failed: too late", "X"})
+  void statusLineBesideTheNameOfAHeaderIsMalformed(String line) {
+    send(false, 0);
+    connection.endRequest(0);
+    channel.writeInbound(
+        bytes("HTTP/1.1 200 OK\r\n" + line + "\r\nId: a\r\nContent-Length: 0\r\n\r\n"));
+    assertEquals(1, recorder.losses.size());
+  }
+
+  /** Guards against proper responses that are rejected for a space before the colon. */
+  @Test
+  void nameOfAHeaderMayEndWithSpaces() {
+    send(false, 0);
+    connection.endRequest(0);
+    channel.writeInbound(bytes("HTTP/1.1 200 OK\r\nId : a\r\nContent-Length: 0\r\n\r\n"));
+    assertEquals(1, recorder.completedCount);
+  }
 }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/UnsolicitedResponseProperties.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/UnsolicitedResponseProperties.java
@@ -11,8 +11,10 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
@@ -40,6 +42,33 @@
     BEHIND_NEXT_RESPONSE
   }
 
+  /** How the next response states where it ends. */
+  enum Framing {
+    LENGTH,
+    CHUNKS,
+    END_OF_CONNECTION,
+    NO_CONTENT,
+    HEAD
+  }
+
+  /** How the bytes that a target sends are split into reads. */
+  enum Delivery {
+    TOGETHER,
+    SPLIT,
+    SINGLE_BYTES
+  }
+
+  /** A response that no request asked for, of which the first bytes are received. */
+  record Piece(String response, int cut, Arrival arrival) {
+    String text() {
+      return response.substring(0, Math.min(cut, response.length()));
+    }
+
+    String textAt(Arrival moment) {
+      return arrival == moment ? text() : "";
+    }
+  }
+
   /** Records one response. */
   private static final class Recorder implements TargetConnection.Listener {
     @Nullable HttpResponse head;
@@ -76,13 +105,18 @@
 
     /** Fails unless what was received is the response with status 500 or a part of it. */
     void assertOwnOrNone(String id, String ownBody) {
+      assertOwnOrNone(500, "Failed", id, ownBody);
+    }
+
+    /** Fails unless what was received is the response with this status or a part of it. */
+    void assertOwnOrNone(int status, String reason, String id, String ownBody) {
       HttpResponse received = head;
       if (received == null) {
         assertTrue(!isComplete && body.isEmpty(), "a body without a head");
         return;
       }
-      assertEquals(500, received.status().code());
-      assertEquals("Failed", received.status().reasonPhrase());
+      assertEquals(status, received.status().code());
+      assertEquals(reason, received.status().reasonPhrase());
       assertEquals(id, received.headers().get("Id"));
       assertEquals("own", received.headers().get("Seal"));
       assertTrue(ownBody.startsWith(body.toString()), body.toString());
@@ -106,7 +140,21 @@
         "HTTP/1.1 204 No Content\r\nSeal: other\r\nId: a\r\n\r\n",
         "HTTP/1.1 100 Continue\r\nX-Hint: one\r\n\r\n",
         "HTTP/1.0 200 OK\r\nSeal: other\r\n" + length + "\r\n" + body,
+        "HTTP/1.0 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nother\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nId: a\r\n"
+            + length
+            + "Transfer-Encoding: chunked\r\n\r\n"
+            + "5;ext=1\r\nother\r\n0\r\nTrailer: one\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n" + length + "Content-Length: 10\r\nId: a\r\n\r\n" + body,
+        "HTTP/1.1 200 OK\r\nX-Folded: one\r\n two\r\n\tthree\r\nId: a\r\n" + length + "\r\n" + body,
+        "HTTP/1.1 200 OK\rId: a\r" + length.replace("\n", "") + "\r" + body,
+        "HTTP/1.1 101 Switching Protocols\r\nUpgrade: h2c\r\nConnection: upgrade\r\n\r\n" + body,
+        "HTTP/1.1 304 Not Modified\r\nId: a\r\n" + length + "\r\n",
+        "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n" + body,
+        "HTTP/1.1 \t200  OK\r\n\u0000\u0001Id: a\r\n" + length + "\r\n" + body,
+        "\u0000\u0000\r\n\r\nHTTP/1.1 200 OK\r\nId: a\r\n" + length + "\r\n" + body,
         "HTTP/1.1 200 OK\nId: a\nSeal: other\n" + length.replace("\r", "") + "\n" + body,
+        "HTTP/1.1 200 OK\r\nnot a header\r\nnor this : one\r\nId: a\r\n" + length + "\r\n" + body,
         "200 OK\r\n\r\nSeal: other\r\n",
         " \r\n\u0001\u0002 nonsense: HTTP\r\n\r\n");
   }
@@ -122,10 +170,14 @@
     }
 
     Recorder request(String id) {
+      return request(HttpMethod.GET, id);
+    }
+
+    Recorder request(HttpMethod method, String id) {
       Recorder recorder = new Recorder();
       connection.markInUse();
       connection.send(
-          new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/safe/1"), id, recorder);
+          new DefaultHttpRequest(HttpVersion.HTTP_1_1, method, "/safe/1"), id, recorder);
       connection.endRequest(0);
       return recorder;
     }
@@ -137,12 +189,45 @@
     }
   }
 
+  private static void send(Target target, String text, Delivery delivery, int splitAt) {
+    int split = Math.min(splitAt, text.length());
+    List<String> reads =
+        switch (delivery) {
+          case TOGETHER -> List.of(text);
+          case SPLIT -> List.of(text.substring(0, split), text.substring(split));
+          case SINGLE_BYTES -> List.of(text.split("", -1));
+        };
+    reads.forEach(target::send);
+  }
+
+  private static String response(Framing framing, String id, String body) {
+    String headers = "\r\nId: " + id + "\r\nSeal: own\r\n";
+    String head = "HTTP/1.1 500 Failed" + headers;
+    String length = "Content-Length: " + body.length() + "\r\n\r\n";
+    return switch (framing) {
+      case LENGTH -> head + length + body;
+      case CHUNKS -> head + "Transfer-Encoding: chunked\r\n\r\n" + chunks(body);
+      case END_OF_CONNECTION -> head + "\r\n" + body;
+      case NO_CONTENT -> "HTTP/1.1 204 No Content" + headers + "\r\n";
+      case HEAD -> head + length;
+    };
+  }
+
+  private static String chunks(String body) {
+    int half = body.length() / 2;
+    return chunk(body.substring(0, half)) + chunk(body.substring(half)) + "0\r\n\r\n";
+  }
+
+  private static String chunk(String part) {
+    return Integer.toHexString(part.length()) + "\r\n" + part + "\r\n";
+  }
+
   private static String response(int status, String reason, String id, String seal, String body) {
     String head = "HTTP/1.1 " + status + ' ' + reason + "\r\nId: " + id + "\r\nSeal: " + seal;
     return head + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
   }
 
-  @Property(tries = 30_000)
+  @Property(tries = 30_000, seed = "20261206")
   void nextResponseIsOwnOrNone(
       @ForAll("unsolicited") String unsolicited,
       @ForAll Arrival arrival,
@@ -178,6 +263,55 @@
     assertTrue(next.isComplete != next.isLost, "the request has no end or two");
   }
 
+  @Provide
+  Arbitrary<Piece> piece() {
+    return Combinators.combine(unsolicited(), cut(), Arbitraries.of(Arrival.class)).as(Piece::new);
+  }
+
+  /** Pieces of two responses, next responses of all kinds, and any split into reads. */
+  @Property(tries = 30_000, seed = "20261206")
+  void nextResponseOfAnyKindIsOwnOrNone(
+      @ForAll("piece") Piece one,
+      @ForAll("piece") Piece two,
+      @ForAll boolean isFirstHead,
+      @ForAll Framing framing,
+      @ForAll Delivery delivery,
+      @ForAll("cut") int splitAt) {
+    Target target = new Target();
+    Recorder first = target.request(isFirstHead ? HttpMethod.HEAD : HttpMethod.GET, "a");
+    String firstResponse = response(200, "OK", "a", "first", isFirstHead ? "" : "body of a");
+    send(
+        target,
+        firstResponse
+            + one.textAt(Arrival.WITH_FIRST_RESPONSE)
+            + two.textAt(Arrival.WITH_FIRST_RESPONSE),
+        delivery,
+        splitAt);
+    assertTrue(first.isComplete);
+    if (!target.connection.isReusable()) {
+      return;
+    }
+    target.connection.markIdle(0, () -> {});
+    send(target, one.textAt(Arrival.IDLE) + two.textAt(Arrival.IDLE), delivery, splitAt);
+    if (!target.connection.isReusable()) {
+      return;
+    }
+    Recorder next = target.request(framing == Framing.HEAD ? HttpMethod.HEAD : HttpMethod.GET, "b");
+    Arrival late = Arrival.AFTER_NEXT_REQUEST;
+    send(target, one.textAt(late) + two.textAt(late), delivery, splitAt);
+    String ownBody = "x".repeat(20);
+    Arrival with = Arrival.WITH_NEXT_RESPONSE;
+    String own = response(framing, "b", ownBody);
+    send(target, one.textAt(with) + two.textAt(with) + own, delivery, splitAt);
+    var unused = target.channel.close();
+    if (framing == Framing.NO_CONTENT) {
+      next.assertOwnOrNone(204, "No Content", "b", "");
+    } else {
+      next.assertOwnOrNone("b", framing == Framing.HEAD ? "" : ownBody);
+    }
+    assertTrue(next.isComplete != next.isLost, "the request has no end or two");
+  }
+
   @Provide
   Arbitrary<Integer> cut() {
     return Arbitraries.integers().between(0, MAX_BYTES);
