A connection whose response was held back is read again when it is idle

What callers would see: 504 at the deadline for a request that its target has answered in time.

Cause: while a caller is slow, or a pipelined response of more than 256 KiB waits for its turn, the target's connection is not read. If the end of the response was already received, the response completes with reading off, the connection is pooled so, and nothing enables reading for the next request on it.

Change: reading is enabled when a connection becomes idle, which also lets an idle connection notice its end and bytes that belong to no request.

Measured: SlowReaderTest.connectionOfAHeldBackResponseIsReadAgain failed before (504 in place of 200), passes.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
@@ -274,6 +274,8 @@
 
   /** Marks the connection as idle; {@code closeListener} is called if it ends while idle. */
   void markIdle(long now, Runnable closeListener) {
+    // A response that was held back for its caller may have ended while reading was off.
+    setReading(true);
     idleSinceMillis = now;
     lastAliveMillis = now;
     onIdleClose = closeListener;
--- a/sageladder-forward/src/test/java/org/sageladder/forward/SlowReaderTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/SlowReaderTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -18,6 +19,9 @@
   /** Few enough that a response is buffered until it is complete. */
   private static final int RESPONSE_BYTES = 200_000;
 
+  /** Responses that are larger pause reading until it is their turn. */
+  private static final int MAX_BUFFERED_BYTES = 256 << 10;
+
   /** More than the pipelined requests in flight have; their responses wait. */
   private static final long MAX_HELD_BYTES = 8 << 20;
 
@@ -91,4 +95,32 @@
       }
     }
   }
+
+  /** Guards against a reused connection that is not read, since its last response was held back. */
+  @Test
+  void connectionOfAHeldBackResponseIsReadAgain() throws Exception {
+    CountDownLatch held = new CountDownLatch(1);
+    String body = "x".repeat(MAX_BUFFERED_BYTES + 1);
+    ScriptedTarget target =
+        ScriptedTarget.of(
+            request -> {
+              if (request.path().endsWith("first")) {
+                held.await();
+              }
+              request.respond(request.path().endsWith("large") ? body : "small");
+            });
+    try (ForwardingFixture fixture = ForwardingFixture.open(target);
+        Caller pipelining = fixture.caller();
+        Caller other = fixture.caller()) {
+      pipelining.sendGet("/safe/first", "a");
+      pipelining.sendGet("/safe/large", "b");
+      while (heldBytes(fixture) < body.length()) {
+        Thread.sleep(10);
+      }
+      assertEquals(200, other.exchange("/hasty/other", "c").status());
+      held.countDown();
+      assertEquals("small", pipelining.readResponse().body());
+      assertEquals(body, pipelining.readResponse().body());
+    }
+  }
 }
