A response that switches protocols is malformed

What callers would see: 504 at the deadline, and a VM that leaks memory.

Cause: 101 counted as an interim response. The decoder then hands on all further bytes undecoded, which no handler released, and no response can follow.

Change: 101 is malformed, since requests to targets never ask for another protocol.

Measured: TargetConnectionTest.switchedProtocolIsMalformed failed before (the request was not lost), passes. The leak is by reading, not measured.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/ResponseHeadValidator.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseHeadValidator.java
@@ -1,13 +1,15 @@
 package org.sageladder.forward;
 
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Map;
 import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Recognizes the head of a response that begins with a part of another one.
+ * Recognizes heads that are no response to a request of this VM, such as those that begin with a
+ * part of another response.
  *
  * <p>A target that breaks off in the head of a response that no request asked for may send the
  * response to the next request behind it. The status line of that response then stands in a reason
@@ -29,6 +31,9 @@
         && !version.equals(HttpVersion.HTTP_1_0.text())) {
       return "unknown version";
     }
+    if (head.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+      return "another protocol";
+    }
     if (containsStatusLine(head.status().reasonPhrase())) {
       return "a second status line in the first one";
     }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/TargetConnectionTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/TargetConnectionTest.java
@@ -218,4 +218,14 @@
     channel.writeInbound(bytes("HTTP/1.1 200 OK\r\nId : a\r\nContent-Length: 0\r\n\r\n"));
     assertEquals(1, recorder.completedCount);
   }
+
+  /** Guards against a wait until the deadline for a response in HTTP/1.1. */
+  @Test
+  void switchedProtocolIsMalformed() {
+    send(false, 0);
+    connection.endRequest(0);
+    channel.writeInbound(
+        bytes("HTTP/1.1 101 Switching Protocols\r\nUpgrade: h2c\r\nConnection: upgrade\r\n\r\nh2"));
+    assertEquals(1, recorder.losses.size());
+  }
 }
