A second status line may have other spaces

What callers would see: the status of a part of a response, if the target's status line has a tab or several spaces, which the decoder accepts.

Change: the check for a second status line accepts the same spaces as the decoder.

Measured: TargetConnectionTest.secondStatusLineMayHaveOtherSpaces failed before, passes.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/ResponseHeadValidator.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseHeadValidator.java
@@ -17,7 +17,7 @@
  */
 final class ResponseHeadValidator {
   private static final String PROTOCOL_PREFIX = "HTTP/";
-  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d\\s+\\d{3}");
 
   private ResponseHeadValidator() {}
 
--- a/sageladder-forward/src/test/java/org/sageladder/forward/TargetConnectionTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/TargetConnectionTest.java
@@ -228,4 +228,14 @@
         bytes("HTTP/1.1 101 Switching Protocols\r\nUpgrade: h2c\r\nConnection: upgrade\r\n\r\nh2"));
     assertEquals(1, recorder.losses.size());
   }
+
+  /** Guards against a status line behind a part of another one that other spaces hide. */
+  @Test
+  void secondStatusLineMayHaveOtherSpaces() {
+    send(false, 0);
+    connection.endRequest(0);
+    channel.writeInbound(
+        bytes("HTTP/1.1 200 OKHTTP/1.1\t 500 Failed\r\nId: a\r\nContent-Length: 0\r\n\r\n"));
+    assertEquals(1, recorder.losses.size());
+  }
 }
