New connections to a target that sends pieces replace idle ones

What callers would see: 502 for requests that must not repeat, since a target resets connections beyond its limit.

Cause: for 10 s after a piece, each such request opens a new connection, which becomes idle after it and is closed only after seconds, so that the number of connections grows with each request.

Change: a request that must use a new connection closes the oldest idle one first.

Measured: UnfinishedResponseTest.newConnectionsToATargetThatSendsPiecesReplaceIdleOnes failed before (0 of 3 connections closed), passes.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnectionPool.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnectionPool.java
@@ -75,6 +75,9 @@
       Consumer<TargetConnection> ready,
       Consumer<String> failed,
       DoubleConsumer established) {
+    if (maxIdleMillis == NEW_CONNECTION_ONLY) {
+      closeOldestIdle(peer);
+    }
     TargetConnection idle = maxIdleMillis < 0 ? null : takeIdle(peer, maxIdleMillis);
     if (idle != null) {
       ready.accept(idle);
@@ -162,6 +165,16 @@
     connection.markIdle(loop.nowMillis(), () -> idle.remove(connection));
   }
 
+  /** Makes room for a new connection at a peer that limits how many it accepts. */
+  private void closeOldestIdle(K peer) {
+    Deque<TargetConnection> idle = idleConnections.get(peer);
+    TargetConnection oldest = idle == null ? null : idle.pollFirst();
+    if (oldest != null) {
+      oldest.markInUse();
+      oldest.abandon();
+    }
+  }
+
   /** Closes the idle connections to a peer that has ended. */
   void closeIdle(K peer) {
     suspectedUntilMillis.remove(peer);
--- a/sageladder-forward/src/test/java/org/sageladder/forward/UnfinishedResponseTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/UnfinishedResponseTest.java
@@ -1,7 +1,9 @@
 package org.sageladder.forward;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -90,4 +92,27 @@
       assertEquals(200, caller.exchange("/once/1", "d").status());
     }
   }
+
+  /** Guards against connections that pile up at a target that sends pieces. */
+  @Test
+  void newConnectionsToATargetThatSendsPiecesReplaceIdleOnes() throws Exception {
+    ScriptedTarget target =
+        ScriptedTarget.of(
+            request -> {
+              String piece = request.header("Id").equals("b") ? "HTTP/1.1 200 OK" : "";
+              request.write(piece + ScriptedTarget.okResponse(request.header("Id"), "own"));
+            });
+    try (ForwardingFixture fixture = ForwardingFixture.open(target);
+        Caller caller = fixture.caller()) {
+      assertEquals(200, caller.exchange("/once/1", "a").status());
+      assertEquals(502, caller.exchange("/once/1", "b").status());
+      assertNotNull(target.connectionEnds.poll(1, TimeUnit.MINUTES));
+      for (int i = 0; i < 4; i++) {
+        assertEquals(200, caller.exchange("/once/1", "c-" + i).status());
+      }
+      for (int i = 0; i < 3; i++) {
+        assertNotNull(target.connectionEnds.poll(2, TimeUnit.SECONDS), i + " of 3 are closed");
+      }
+    }
+  }
 }
