A response that has no body keeps its connection

What callers would see: nothing; targets get a new connection after each 204 or 304 without a length, which neither needs.

Cause: a response without length counted as ending with its connection unless it answers a HEAD.

Change: the decoder says whether a response has a body.

Measured: TargetConnectionTest.responseWithoutBodyKeepsTheConnection failed before for 204 and 304, passes.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/ResponseDecoder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseDecoder.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
 import java.util.function.BooleanSupplier;
@@ -50,6 +51,11 @@
     return super.splitHeaderName(line, start, length);
   }
 
+  /** True if a response to the request in flight has no body, whatever its headers say. */
+  boolean isWithoutBody(HttpResponse response) {
+    return isContentAlwaysEmpty(response);
+  }
+
   /** Bytes received but not decoded yet, in the decoder's own buffer. */
   ByteBuf undecodedBytes() {
     return internalBuffer();
--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
@@ -354,7 +354,7 @@
     isDiscarding = false;
     boolean hasLength =
         HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
-    boolean endsWithConnection = !hasLength && !isHeadRequest;
+    boolean endsWithConnection = !hasLength && !decoder.isWithoutBody(response);
     if (endsWithConnection || !HttpUtil.isKeepAlive(response)) {
       isIntact = false;
     }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/TargetConnectionTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/TargetConnectionTest.java
@@ -238,4 +238,15 @@
         bytes("HTTP/1.1 200 OKHTTP/1.1\t 500 Failed\r\nId: a\r\nContent-Length: 0\r\n\r\n"));
     assertEquals(1, recorder.losses.size());
   }
+
+  /** Guards against new connections after responses that have no body and need no length. */
+  @ParameterizedTest
+  @ValueSource(strings = {"204 No Content", "304 Not Modified"})
+  void responseWithoutBodyKeepsTheConnection(String status) {
+    send(false, 0);
+    connection.endRequest(0);
+    channel.writeInbound(bytes("HTTP/1.1 " + status + "\r\nId: a\r\n\r\n"));
+    assertEquals(1, recorder.completedCount);
+    assertTrue(connection.isReusable());
+  }
 }
