A truncated body that a second response fills up is lost

What callers would see: 2xx with a body that ends with the beginning of another response.

Cause: a response truncated in its body and a second one behind it are whole by length. The rest of the second one then stands behind the response.

Change: a response with more bytes behind it in the same read, whose body holds the beginning of a response, is lost: an idempotent request is sent elsewhere, others get 502. Costs nothing unless bytes stand behind a response, and nothing changes for bodies that quote a response but have nothing behind them.

Not covered, since nothing tells it: a rest that arrives in a later read, bodies over 256 KiB (their beginning has been delivered), and a body that was filled by bytes without a status line.

Measured: UnfinishedResponseTest.bodyThatASecondResponseFillsUpIsLost failed before (200 in place of 502), passes, as does bodyThatQuotesAResponseIsWhole.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/BufferedResponse.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/BufferedResponse.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -55,6 +56,13 @@
     parts.add(bytes);
   }
 
+  /** True if the buffered part of the body holds the beginning of a response. */
+  boolean bodyContainsStatusLine() {
+    StringBuilder body = new StringBuilder();
+    parts.forEach(part -> body.append(part.toString(StandardCharsets.ISO_8859_1)));
+    return ResponseHeadValidator.containsStatusLine(body);
+  }
+
   /** Writes the complete response with its length. */
   void writeComplete(CallerConnection caller, boolean headOnly, boolean close) {
     HttpResponse response = responseHead(close);
--- a/sageladder-forward/src/main/java/org/sageladder/forward/ResponseHeadValidator.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseHeadValidator.java
@@ -46,6 +46,11 @@
   }
 
   private static boolean containsStatusLine(String text) {
-    return text.contains(PROTOCOL_PREFIX) && STATUS_LINE.matcher(text).find();
+    return text.contains(PROTOCOL_PREFIX) && containsStatusLine((CharSequence) text);
+  }
+
+  /** True if the beginning of a response stands anywhere in {@code text}. */
+  static boolean containsStatusLine(CharSequence text) {
+    return STATUS_LINE.matcher(text).find();
   }
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetAttempt.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetAttempt.java
@@ -231,6 +231,11 @@
     if (buffered == null) {
       return;
     }
+    if (mayBeFilledUp(used, buffered)) {
+      buffered.release();
+      onLost("the body may end with the beginning of another response");
+      return;
+    }
     long now = forwarder().loop().nowMillis();
     LoadReport load = signals.load();
     boolean notRun = forwarder().dialect().isNotRun(buffered.status(), buffered.headers());
@@ -269,6 +274,15 @@
     exchange().onComplete(this, buffered);
   }
 
+  /**
+   * True if the response may have been truncated in its body and filled up to its length by a
+   * second one, whose rest then stands behind it. Only a second response that is received at once
+   * is seen.
+   */
+  private static boolean mayBeFilledUp(TargetConnection used, BufferedResponse buffered) {
+    return used.hasBytesBehindResponse() && buffered.bodyContainsStatusLine();
+  }
+
   private void shareObservation(long object, @Nullable LoadReport load, long now) {
     forwarder().observations().record(target(), object, load, now, forwarder().loop().wallMillis());
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
@@ -247,6 +247,11 @@
     return hasResponseBytes;
   }
 
+  /** True if more bytes were received together with the end of the previous response. */
+  boolean hasBytesBehindResponse() {
+    return listener == null && receivedBytes.count() > 0;
+  }
+
   /** True while the end of a response that is not the current request's has not been received. */
   boolean isDiscarding() {
     return isDiscarding;
--- a/sageladder-forward/src/test/java/org/sageladder/forward/UnfinishedResponseTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/UnfinishedResponseTest.java
@@ -115,4 +115,30 @@
       }
     }
   }
+
+  /** Guards against a truncated body that a second response fills up to its length. */
+  @Test
+  void bodyThatASecondResponseFillsUpIsLost() throws Exception {
+    ScriptedTarget target =
+        ScriptedTarget.of(
+            request -> {
+              String response = ScriptedTarget.okResponse(request.header("Id"), "x".repeat(500));
+              request.write(response.substring(0, response.length() - 400) + response);
+            });
+    try (ForwardingFixture fixture = ForwardingFixture.open(target);
+        Caller caller = fixture.caller()) {
+      assertEquals(502, caller.exchange("/once/1", "a").status());
+    }
+  }
+
+  /** Guards against whole bodies that are taken for filled up, since they quote a response. */
+  @Test
+  void bodyThatQuotesAResponseIsWhole() throws Exception {
+    String quote = ScriptedTarget.okResponse("z", "quoted");
+    ScriptedTarget target = ScriptedTarget.of(request -> request.respond(quote));
+    try (ForwardingFixture fixture = ForwardingFixture.open(target);
+        Caller caller = fixture.caller()) {
+      assertEquals(quote, caller.exchange("/once/1", "a").body());
+    }
+  }
 }
