A body may be released while it is being written

What callers would see: a closed connection in place of 502 or of another target's response.

Cause: a failed write now ends its attempt at once, within the write. If that ends the request, its body is released in the middle of the loop that writes it.

Ruled out: to report the failure in a later task. In the embedded channel of the tests the end of the connection then comes first.

Change: the copies to be written are made before the first is written. The test's failing socket is shared by two tests.

Measured: TargetConnectionTest.bodyMayBeReleasedWhileItIsWritten failed before (NullPointerException in BufferedBody.writeTo), passes; not seen on real sockets.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/BufferedBody.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/BufferedBody.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -73,7 +74,9 @@
       throw new IllegalStateException("part of the body was streamed on another connection");
     }
     if (isComplete && streamedOn == null) {
-      parts.forEach(part -> connection.writeBody(part.retainedDuplicate()));
+      // A write that fails ends the attempt at once, which may release this body.
+      List<ByteBuf> copies = parts.stream().map(ByteBuf::retainedDuplicate).toList();
+      copies.forEach(connection::writeBody);
       connection.endRequest(receivedBytes);
       return;
     }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/TargetConnectionTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/TargetConnectionTest.java
@@ -33,6 +33,7 @@
   private static final class LossRecorder implements TargetConnection.Listener {
     final List<String> losses = new ArrayList<>();
     int completedCount;
+    Runnable onLoss = () -> {};
 
     @Override
     public void onHead(HttpResponse response) {}
@@ -53,6 +54,7 @@
     @Override
     public void onLost(String cause) {
       losses.add(cause);
+      onLoss.run();
     }
 
     @Override
@@ -161,29 +163,33 @@
         discards);
   }
 
+  /** Fails all writes and then closes the connection. */
+  private static ChannelOutboundHandlerAdapter failingSocket() {
+    return new ChannelOutboundHandlerAdapter() {
+      private final List<ChannelPromise> writes = new ArrayList<>();
+
+      @Override
+      public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+        ReferenceCountUtil.release(message);
+        writes.add(promise);
+      }
+
+      @Override
+      public void flush(ChannelHandlerContext ctx) {
+        writes.forEach(write -> write.setFailure(new IOException("Broken pipe")));
+        writes.clear();
+        var unused = ctx.close();
+      }
+    };
+  }
+
   /** Guards against a response without length that is cut by a failed write and looks complete. */
   @Test
   void responseThatEndsWithAFailedWriteIsLost() {
-    ChannelOutboundHandlerAdapter failingSocket =
-        new ChannelOutboundHandlerAdapter() {
-          private final List<ChannelPromise> writes = new ArrayList<>();
-
-          @Override
-          public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
-            ReferenceCountUtil.release(message);
-            writes.add(promise);
-          }
-
-          @Override
-          public void flush(ChannelHandlerContext ctx) {
-            writes.forEach(write -> write.setFailure(new IOException("Broken pipe")));
-            var unused = ctx.close();
-          }
-        };
     send(true, 0);
     connection.writeBody(bytes("begin"));
     channel.writeInbound(bytes("HTTP/1.1 200 OK\r\nId: a\r\nSeal: s\r\n\r\nhalf"));
-    channel.pipeline().addFirst(failingSocket);
+    channel.pipeline().addFirst(failingSocket());
     connection.writeBody(bytes("rest"));
     assertEquals(List.of("Broken pipe"), recorder.losses);
     assertEquals(0, recorder.completedCount);
@@ -249,4 +255,18 @@
     assertEquals(1, recorder.completedCount);
     assertTrue(connection.isReusable());
   }
+
+  /** Guards against an exception if a failed write ends the request and releases its body. */
+  @Test
+  void bodyMayBeReleasedWhileItIsWritten() {
+    BufferedBody body = new BufferedBody();
+    body.add(bytes("begin"));
+    body.add(bytes("rest"));
+    body.complete();
+    recorder.onLoss = body::release;
+    channel.pipeline().addFirst(failingSocket());
+    send(true, 0);
+    body.writeTo(connection);
+    assertEquals(List.of("Broken pipe"), recorder.losses);
+  }
 }
