--- a/sageladder-forward/src/main/java/org/sageladder/forward/ResponseDecoder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseDecoder.java
@@ -3,7 +3,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.AsciiString;
 import java.util.function.BooleanSupplier;
 
 /** Decodes the responses of one connection. */
@@ -32,6 +34,28 @@
     return isHeadRequest.getAsBoolean() || super.isContentAlwaysEmpty(message);
   }
 
+  /**
+   * Rejects a header with other text between its name and the colon, or without a colon. The
+   * default drops that text, which may be the status line of a response behind a part of another
+   * one.
+   */
+  @Override
+  protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+    int end = start + length;
+    while (end < line.length && (line[end] == ' ' || line[end] == '\t')) {
+      end++;
+    }
+    if (end == line.length || line[end] != ':') {
+      throw new IllegalArgumentException("no colon behind the name of a header");
+    }
+    return super.splitHeaderName(line, start, length);
+  }
+
+  /** True if a response to the request in flight has no body, whatever its headers say. */
+  boolean isWithoutBody(HttpResponse response) {
+    return isContentAlwaysEmpty(response);
+  }
+
   /** Bytes received but not decoded yet, in the decoder's own buffer. */
   public ByteBuf undecodedBytes() {
     return internalBuffer();
--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
@@ -247,6 +247,11 @@
     return hasResponseBytes;
   }
 
+  /** True if more bytes were received together with the end of the previous response. */
+  boolean hasBytesBehindResponse() {
+    return listener == null && receivedBytes.count() > 0;
+  }
+
   /** True while the end of a response that is not the current request's has not been received. */
   boolean isDiscarding() {
     return isDiscarding;
@@ -274,6 +279,8 @@
 
   /** Marks the connection as idle; {@code closeListener} is called if it ends while idle. */
   void markIdle(long now, Runnable closeListener) {
+    // A response that was held back for its caller may have ended while reading was off.
+    setReading(true);
     idleSinceMillis = now;
     lastAliveMillis = now;
     onIdleClose = closeListener;
@@ -352,7 +359,7 @@
     isDiscarding = false;
     boolean hasLength =
         HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
-    boolean endsWithConnection = !hasLength && !isHeadRequest;
+    boolean endsWithConnection = !hasLength && !decoder.isWithoutBody(response);
     if (endsWithConnection || !HttpUtil.isKeepAlive(response)) {
       isIntact = false;
     }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/TargetConnectionTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/TargetConnectionTest.java
@@ -24,6 +24,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** What of a request's body reaches a target. */
 class TargetConnectionTest {
@@ -31,6 +33,7 @@
   private static final class LossRecorder implements TargetConnection.Listener {
     final List<String> losses = new ArrayList<>();
     int completedCount;
+    Runnable onLoss = () -> {};
 
     @Override
     public void onHead(HttpResponse response) {}
@@ -51,6 +54,7 @@
     @Override
     public void onLost(String cause) {
       losses.add(cause);
+      onLoss.run();
     }
 
     @Override
@@ -159,29 +163,33 @@
         discards);
   }
 
+  /** Fails all writes and then closes the connection. */
+  private static ChannelOutboundHandlerAdapter failingSocket() {
+    return new ChannelOutboundHandlerAdapter() {
+      private final List<ChannelPromise> writes = new ArrayList<>();
+
+      @Override
+      public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+        ReferenceCountUtil.release(message);
+        writes.add(promise);
+      }
+
+      @Override
+      public void flush(ChannelHandlerContext ctx) {
+        writes.forEach(write -> write.setFailure(new IOException("Broken pipe")));
+        writes.clear();
+        var unused = ctx.close();
+      }
+    };
+  }
+
   /** Guards against a response without length that is cut by a failed write and looks complete. */
   @Test
   void responseThatEndsWithAFailedWriteIsLost() {
-    ChannelOutboundHandlerAdapter failingSocket =
-        new ChannelOutboundHandlerAdapter() {
-          private final List<ChannelPromise> writes = new ArrayList<>();
-
-          @Override
-          public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
-            ReferenceCountUtil.release(message);
-            writes.add(promise);
-          }
-
-          @Override
-          public void flush(ChannelHandlerContext ctx) {
-            writes.forEach(write -> write.setFailure(new IOException("Broken pipe")));
-            var unused = ctx.close();
-          }
-        };
     send(true, 0);
     connection.writeBody(bytes("begin"));
     channel.writeInbound(bytes("HTTP/1.1 200 OK\r\nId: a\r\nSeal: s\r\n\r\nhalf"));
-    channel.pipeline().addFirst(failingSocket);
+    channel.pipeline().addFirst(failingSocket());
     connection.writeBody(bytes("rest"));
     assertEquals(List.of("Broken pipe"), recorder.losses);
     assertEquals(0, recorder.completedCount);
@@ -196,4 +204,69 @@
     channel.writeInbound(bytes("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\n"));
     assertTrue(connection.hasResponseBytes());
   }
+
+  /** Guards against a status line that the decoder drops as a part of a header's name. */
+  @ParameterizedTest
+  @ValueSource(strings = {"words HTTP/1.1 500 Failed", "X HTTP/1.1 500 Failed: too late", "X"})
+  void statusLineBesideTheNameOfAHeaderIsMalformed(String line) {
+    send(false, 0);
+    connection.endRequest(0);
+    channel.writeInbound(
+        bytes("HTTP/1.1 200 OK\r\n" + line + "\r\nId: a\r\nContent-Length: 0\r\n\r\n"));
+    assertEquals(1, recorder.losses.size());
+  }
+
+  /** Guards against proper responses that are rejected for a space before the colon. */
+  @Test
+  void nameOfAHeaderMayEndWithSpaces() {
+    send(false, 0);
+    connection.endRequest(0);
+    channel.writeInbound(bytes("HTTP/1.1 200 OK\r\nId : a\r\nContent-Length: 0\r\n\r\n"));
+    assertEquals(1, recorder.completedCount);
+  }
+
+  /** Guards against a wait until the deadline for a response in HTTP/1.1. */
+  @Test
+  void switchedProtocolIsMalformed() {
+    send(false, 0);
+    connection.endRequest(0);
+    channel.writeInbound(
+        bytes("HTTP/1.1 101 Switching Protocols\r\nUpgrade: h2c\r\nConnection: upgrade\r\n\r\nh2"));
+    assertEquals(1, recorder.losses.size());
+  }
+
+  /** Guards against a status line behind a part of another one that other spaces hide. */
+  @Test
+  void secondStatusLineMayHaveOtherSpaces() {
+    send(false, 0);
+    connection.endRequest(0);
+    channel.writeInbound(
+        bytes("HTTP/1.1 200 OKHTTP/1.1\t 500 Failed\r\nId: a\r\nContent-Length: 0\r\n\r\n"));
+    assertEquals(1, recorder.losses.size());
+  }
+
+  /** Guards against new connections after responses that have no body and need no length. */
+  @ParameterizedTest
+  @ValueSource(strings = {"204 No Content", "304 Not Modified"})
+  void responseWithoutBodyKeepsTheConnection(String status) {
+    send(false, 0);
+    connection.endRequest(0);
+    channel.writeInbound(bytes("HTTP/1.1 " + status + "\r\nId: a\r\n\r\n"));
+    assertEquals(1, recorder.completedCount);
+    assertTrue(connection.isReusable());
+  }
+
+  /** Guards against an exception if a failed write ends the request and releases its body. */
+  @Test
+  void bodyMayBeReleasedWhileItIsWritten() {
+    BufferedBody body = new BufferedBody();
+    body.add(bytes("begin"));
+    body.add(bytes("rest"));
+    body.complete();
+    recorder.onLoss = body::release;
+    channel.pipeline().addFirst(failingSocket());
+    send(true, 0);
+    body.writeTo(connection);
+    assertEquals(List.of("Broken pipe"), recorder.losses);
+  }
 }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/UnfinishedResponseTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/UnfinishedResponseTest.java
@@ -1,7 +1,9 @@
 package org.sageladder.forward;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -90,4 +92,53 @@
       assertEquals(200, caller.exchange("/once/1", "d").status());
     }
   }
+
+  /** Guards against connections that pile up at a target that sends pieces. */
+  @Test
+  void newConnectionsToATargetThatSendsPiecesReplaceIdleOnes() throws Exception {
+    ScriptedTarget target =
+        ScriptedTarget.of(
+            request -> {
+              String piece = request.header("Id").equals("b") ? "HTTP/1.1 200 OK" : "";
+              request.write(piece + ScriptedTarget.okResponse(request.header("Id"), "own"));
+            });
+    try (ForwardingFixture fixture = ForwardingFixture.open(target);
+        Caller caller = fixture.caller()) {
+      assertEquals(200, caller.exchange("/once/1", "a").status());
+      assertEquals(502, caller.exchange("/once/1", "b").status());
+      assertNotNull(target.connectionEnds.poll(1, TimeUnit.MINUTES));
+      for (int i = 0; i < 4; i++) {
+        assertEquals(200, caller.exchange("/once/1", "c-" + i).status());
+      }
+      for (int i = 0; i < 3; i++) {
+        assertNotNull(target.connectionEnds.poll(2, TimeUnit.SECONDS), i + " of 3 are closed");
+      }
+    }
+  }
+
+  /** Guards against a truncated body that a second response fills up to its length. */
+  @Test
+  void bodyThatASecondResponseFillsUpIsLost() throws Exception {
+    ScriptedTarget target =
+        ScriptedTarget.of(
+            request -> {
+              String response = ScriptedTarget.okResponse(request.header("Id"), "x".repeat(500));
+              request.write(response.substring(0, response.length() - 400) + response);
+            });
+    try (ForwardingFixture fixture = ForwardingFixture.open(target);
+        Caller caller = fixture.caller()) {
+      assertEquals(502, caller.exchange("/once/1", "a").status());
+    }
+  }
+
+  /** Guards against whole bodies that are taken for filled up, since they quote a response. */
+  @Test
+  void bodyThatQuotesAResponseIsWhole() throws Exception {
+    String quote = ScriptedTarget.okResponse("z", "quoted");
+    ScriptedTarget target = ScriptedTarget.of(request -> request.respond(quote));
+    try (ForwardingFixture fixture = ForwardingFixture.open(target);
+        Caller caller = fixture.caller()) {
+      assertEquals(quote, caller.exchange("/once/1", "a").body());
+    }
+  }
 }
