Exchange: the fallback response and 100 Continue in classes of their own

Change: ResponseTurn, which orders what is written to the caller, writes 100 Continue too; FallbackResponse holds the failure that is returned if no other target answers. No change of behaviour.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -55,11 +55,10 @@
   private final ResponseTurn turn;
   private boolean mayHaveRun;
   private boolean isWaitingForTurn;
-  private boolean isContinueDue;
   private boolean isPlaced;
   private boolean isFinished;
   private boolean isEndRecorded;
-  private @Nullable BufferedResponse fallbackResponse;
+  private final FallbackResponse fallbackResponse = new FallbackResponse();
 
   Exchange(Forwarder forwarder, CallerConnection caller, HttpRequest head) {
     this.forwarder = forwarder;
@@ -220,18 +219,7 @@
       refuseStopping();
       return;
     }
-    isContinueDue = HttpUtil.is100ContinueExpected(head);
-    if (isFirst) {
-      writeContinueIfDue();
-    }
-  }
-
-  /** Asks for the body in this request's turn; before, it would stand in another response. */
-  private void writeContinueIfDue() {
-    if (isContinueDue && !body.isComplete()) {
-      caller.writeContinue();
-    }
-    isContinueDue = false;
+    turn.acceptBody(isFirst);
   }
 
   /** Receives bytes of the body and takes ownership of them. */
@@ -296,7 +284,7 @@
     if (turn.runPending()) {
       return;
     }
-    writeContinueIfDue();
+    turn.writeContinueIfDue();
     if (isWaitingForTurn) {
       isWaitingForTurn = false;
       onBodyProgress();
@@ -389,7 +377,7 @@
   /** Called if another entry VM refused the request, which has not run there. */
   void onRelayedRefusal(PeerAttempt refused, ResultCode code, BufferedResponse response) {
     attempt = null;
-    if (fallbackResponse == null && !mayHaveRun) {
+    if (!fallbackResponse.isPresent() && !mayHaveRun) {
       deliver(refused, response);
       return;
     }
@@ -511,8 +499,7 @@
     if (response.status() >= 500 && requireRoute().idempotent() && canTryAnotherTarget()) {
       logAttempt(EventKind.RETRIED, done, "status " + response.status());
       mayHaveRun = true;
-      dropFallbackResponse();
-      fallbackResponse = response;
+      fallbackResponse.replace(response);
       placeAgain(0);
       return;
     }
@@ -598,9 +585,8 @@
    * gave before if there is one, else with an error response.
    */
   private void endWithoutResponse(ResultCode code, long retryAfterMillis, String reason) {
-    BufferedResponse fallback = fallbackResponse;
+    BufferedResponse fallback = fallbackResponse.take();
     if (fallback != null) {
-      fallbackResponse = null;
       deliver(null, fallback);
       return;
     }
@@ -680,7 +666,7 @@
 
   private void recordEnd(EventKind kind, @Nullable Attempt last, String detail) {
     stopWaiting();
-    dropFallbackResponse();
+    fallbackResponse.release();
     crashEvidence.recordEnd();
     body.release();
     quotaClaim.release();
@@ -706,14 +692,6 @@
     forwarder.requestLog().recordAttempt(kind, subject(), of, detail);
   }
 
-  private void dropFallbackResponse() {
-    BufferedResponse fallback = fallbackResponse;
-    fallbackResponse = null;
-    if (fallback != null) {
-      fallback.release();
-    }
-  }
-
   private void stopWaiting() {
     isFinished = true;
     deadline.cancel();
--- a/sageladder-forward/src/main/java/org/sageladder/forward/ResponseTurn.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseTurn.java
@@ -20,6 +20,7 @@
   private final BufferedBody body;
   private @Nullable PendingResponse pendingResponse;
   private boolean isStreaming;
+  private boolean isContinueDue;
 
   ResponseTurn(
       Forwarder forwarder,
@@ -34,6 +35,27 @@
     this.body = body;
   }
 
+  /**
+   * Asks for the request's body if its caller waits to be asked.
+   *
+   * @param isDue true if all earlier requests are answered; else it is done in this request's turn,
+   *     since the interim response would stand in another one
+   */
+  void acceptBody(boolean isDue) {
+    isContinueDue = HttpUtil.is100ContinueExpected(head);
+    if (isDue) {
+      writeContinueIfDue();
+    }
+  }
+
+  /** Asks for the request's body in its turn, unless it has arrived. */
+  void writeContinueIfDue() {
+    if (isContinueDue && !body.isComplete()) {
+      caller.writeContinue();
+    }
+    isContinueDue = false;
+  }
+
   /** A response that waits; {@code discard} releases what it holds if it is never written. */
   private record PendingResponse(Runnable write, Runnable discard) {}
 
