TargetConnection: the keep-alive timeout in a class of its own, a shorter log line

Change: KeepAliveTimeout reads the header; the count leaves RESPONSE_DISCARDED. The test's text follows the line. No other change of behaviour.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
@@ -35,8 +35,6 @@
   /** A target sends few interim responses to one request. */
   private static final int MAX_INFORMATIONAL_RESPONSES = 16;
 
-  private static final String KEEP_ALIVE_TIMEOUT_PARAMETER = "timeout=";
-
   /**
    * Receives the events of the request in flight; none after {@code onComplete} or {@code onLost}.
    */
@@ -86,7 +84,6 @@
   private @Nullable Listener listener;
   private @Nullable String requestId;
   private int requestCount;
-  private long bytesBeforeRequest;
   private boolean isHeadRequest;
   private final ResponseDecoder decoder = new ResponseDecoder(() -> isHeadRequest);
   private boolean isRequestComplete;
@@ -174,7 +171,6 @@
     listener = to;
     requestId = id;
     requestCount++;
-    bytesBeforeRequest = receivedBytes.count();
     isHeadRequest = head.method().equals(HttpMethod.HEAD);
     isRequestComplete = false;
     maxBodyBytes = announcedBodyBytes(head);
@@ -252,7 +248,7 @@
     return listener == null && receivedBytes.count() > 0;
   }
 
-  /** True while the end of a response that is not the current request's has not been received. */
+  /** True while the end of an interim response, or of one to another request, is due. */
   boolean isDiscarding() {
     return isDiscarding;
   }
@@ -363,7 +359,7 @@
     if (endsWithConnection || !HttpUtil.isKeepAlive(response)) {
       isIntact = false;
     }
-    maxIdleMillis = parseIdleMillis(response.headers().get("keep-alive"));
+    maxIdleMillis = KeepAliveTimeout.millis(response.headers(), defaultIdleMillis);
     Listener to = listener;
     if (to != null) {
       to.onHead(response);
@@ -411,30 +407,11 @@
         + " on a connection opened "
         + (now - openedAtMillis)
         + " ms ago, "
-        + bytesBeforeRequest
-        + " bytes received before it, "
         + receivedBytes.count()
-        + " in all since the previous response: "
+        + " bytes received since the previous response: "
         + receivedBytes.quote();
   }
 
-  private long parseIdleMillis(@Nullable String keepAlive) {
-    if (keepAlive == null) {
-      return defaultIdleMillis;
-    }
-    int start = keepAlive.indexOf(KEEP_ALIVE_TIMEOUT_PARAMETER);
-    if (start < 0) {
-      return defaultIdleMillis;
-    }
-    int end = start + KEEP_ALIVE_TIMEOUT_PARAMETER.length();
-    long seconds = 0;
-    while (end < keepAlive.length() && Character.isDigit(keepAlive.charAt(end))) {
-      seconds = Math.min(3_600, seconds * 10 + keepAlive.charAt(end) - '0');
-      end++;
-    }
-    return seconds * 1_000;
-  }
-
   private void onContent(HttpContent content) {
     Listener to = listener;
     if (to == null || content.decoderResult().isFailure()) {
--- a/sageladder-forward/src/test/java/org/sageladder/forward/TargetConnectionTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/TargetConnectionTest.java
@@ -158,8 +158,8 @@
     channel.writeInbound(bytes("no\\\u0001 response\r\n"));
     assertEquals(
         List.of(
-            "MALFORMED, request 1 on a connection opened 12 ms ago, 0 bytes received before it,"
-                + " 15 in all since the previous response: 'no\\\\\\x01 response\\r\\n'"),
+            "MALFORMED, request 1 on a connection opened 12 ms ago, 15 bytes received since"
+                + " the previous response: 'no\\\\\\x01 response\\r\\n'"),
         discards);
   }
 
