The request for a body moves from Exchange to the turn of its response

ResponseTurn knows whose turn it is, so that it decides when 100 Continue is due; the exchange for malformed requests is built where it is used. No change of behaviour.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
@@ -9,8 +9,10 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
@@ -55,6 +57,10 @@
 
   private static final long NEVER = Long.MAX_VALUE;
 
+  /** Stands for bytes that are not a request; its exchange only sends an error response. */
+  private static final HttpRequest NO_REQUEST =
+      new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+
   /** Time for the first request of a new connection to arrive, from callers in any region. */
   private static final long FIRST_REQUEST_MILLIS = 300;
 
@@ -235,7 +241,7 @@
   private void refuseAndClose(ResultCode code) {
     receivingExchange = null;
     headStartedAtMillis = 0;
-    Exchange exchange = Exchange.forMalformedRequest(forwarder, this);
+    Exchange exchange = new Exchange(forwarder, this, NO_REQUEST);
     exchanges.addLast(exchange);
     exchange.refuseAndClose(code);
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -1,12 +1,10 @@
 package org.sageladder.forward;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.event.EventKind;
@@ -32,9 +30,6 @@
   /** Retry delay of requests that would be refused again in any case. */
   private static final long NO_RETRY_AFTER = -1;
 
-  private static final HttpRequest NO_REQUEST =
-      new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
-
   private final Forwarder forwarder;
   private final CallerConnection caller;
   private final HttpRequest head;
@@ -55,7 +50,6 @@
   private final ResponseTurn turn;
   private boolean mayHaveRun;
   private boolean isWaitingForTurn;
-  private boolean isContinueDue;
   private boolean isPlaced;
   private boolean isFinished;
   private boolean isEndRecorded;
@@ -75,11 +69,6 @@
     forwarder.requestStarted();
   }
 
-  /** An exchange for bytes that are not a request; it only sends an error response. */
-  static Exchange forMalformedRequest(Forwarder forwarder, CallerConnection caller) {
-    return new Exchange(forwarder, caller, NO_REQUEST);
-  }
-
   HttpRequest head() {
     return head;
   }
@@ -220,18 +209,7 @@
       refuseStopping();
       return;
     }
-    isContinueDue = HttpUtil.is100ContinueExpected(head);
-    if (isFirst) {
-      writeContinueIfDue();
-    }
-  }
-
-  /** Asks for the body in this request's turn; before, it would stand in another response. */
-  private void writeContinueIfDue() {
-    if (isContinueDue && !body.isComplete()) {
-      caller.writeContinue();
-    }
-    isContinueDue = false;
+    turn.askForBody();
   }
 
   /** Receives bytes of the body and takes ownership of them. */
@@ -296,7 +274,7 @@
     if (turn.runPending()) {
       return;
     }
-    writeContinueIfDue();
+    turn.askForBody();
     if (isWaitingForTurn) {
       isWaitingForTurn = false;
       onBodyProgress();
--- a/sageladder-forward/src/main/java/org/sageladder/forward/ResponseTurn.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseTurn.java
@@ -20,6 +20,7 @@
   private final BufferedBody body;
   private @Nullable PendingResponse pendingResponse;
   private boolean isStreaming;
+  private boolean isBodyAskedFor;
 
   ResponseTurn(
       Forwarder forwarder,
@@ -54,6 +55,20 @@
     pendingResponse = new PendingResponse(writeResponse, discard);
   }
 
+  /**
+   * Asks the caller for the body if it waits for that and it is this request's turn; before, the
+   * interim response would stand in the response to another request.
+   */
+  void askForBody() {
+    if (isBodyAskedFor || body.isComplete() || !caller.isDue(exchange)) {
+      return;
+    }
+    isBodyAskedFor = true;
+    if (HttpUtil.is100ContinueExpected(head)) {
+      caller.writeContinue();
+    }
+  }
+
   /** True if a response waits for its turn. */
   boolean isWaiting() {
     return pendingResponse != null;
