--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -1,12 +1,10 @@
 package org.sageladder.forward;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.sageladder.core.event.EventKind;
@@ -32,9 +30,6 @@
   /** Retry delay of requests that would be refused again in any case. */
   private static final long NO_RETRY_AFTER = -1;
 
-  private static final HttpRequest NO_REQUEST =
-      new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
-
   private final Forwarder forwarder;
   private final CallerConnection caller;
   private final HttpRequest head;
@@ -74,11 +69,6 @@
     forwarder.requestStarted();
   }
 
-  /** An exchange for bytes that are not a request; it only sends an error response. */
-  static Exchange forMalformedRequest(Forwarder forwarder, CallerConnection caller) {
-    return new Exchange(forwarder, caller, NO_REQUEST);
-  }
-
   HttpRequest head() {
     return head;
   }
@@ -219,7 +209,7 @@
       refuseStopping();
       return;
     }
-    turn.acceptBody(isFirst);
+    turn.askForBody();
   }
 
   /** Receives bytes of the body and takes ownership of them. */
@@ -284,7 +274,7 @@
     if (turn.runPending()) {
       return;
     }
-    turn.writeContinueIfDue();
+    turn.askForBody();
     if (isWaitingForTurn) {
       isWaitingForTurn = false;
       onBodyProgress();
--- a/sageladder-forward/src/main/java/org/sageladder/forward/ResponseTurn.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseTurn.java
@@ -20,7 +20,7 @@
   private final BufferedBody body;
   private @Nullable PendingResponse pendingResponse;
   private boolean isStreaming;
-  private boolean isContinueDue;
+  private boolean isBodyAskedFor;
 
   ResponseTurn(
       Forwarder forwarder,
@@ -35,27 +35,6 @@
     this.body = body;
   }
 
-  /**
-   * Asks for the request's body if its caller waits to be asked.
-   *
-   * @param isDue true if all earlier requests are answered; else it is done in this request's turn,
-   *     since the interim response would stand in another one
-   */
-  void acceptBody(boolean isDue) {
-    isContinueDue = HttpUtil.is100ContinueExpected(head);
-    if (isDue) {
-      writeContinueIfDue();
-    }
-  }
-
-  /** Asks for the request's body in its turn, unless it has arrived. */
-  void writeContinueIfDue() {
-    if (isContinueDue && !body.isComplete()) {
-      caller.writeContinue();
-    }
-    isContinueDue = false;
-  }
-
   /** A response that waits; {@code discard} releases what it holds if it is never written. */
   private record PendingResponse(Runnable write, Runnable discard) {}
 
@@ -76,6 +55,20 @@
     pendingResponse = new PendingResponse(writeResponse, discard);
   }
 
+  /**
+   * Asks the caller for the body if it waits for that and it is this request's turn; before, the
+   * interim response would stand in the response to another request.
+   */
+  void askForBody() {
+    if (isBodyAskedFor || body.isComplete() || !caller.isDue(exchange)) {
+      return;
+    }
+    isBodyAskedFor = true;
+    if (HttpUtil.is100ContinueExpected(head)) {
+      caller.writeContinue();
+    }
+  }
+
   /** True if a response waits for its turn. */
   boolean isWaiting() {
     return pendingResponse != null;
