--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/FaultSeries.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/FaultSeries.java
@@ -27,6 +27,9 @@
   private static final long MIN_CHANGE_EVERY_MILLIS = 1_500;
   private static final int CHANGE_EVERY_RANGE_MILLIS = 4_000;
 
+  /** Most VMs must be up for bytes of no request to meet connections that are used again. */
+  private static final long MIN_RESTART_EVERY_MILLIS = 5_000;
+
   /** What is no disturbance: requests must survive all of these. */
   private static final List<Kind> PLANNED_KINDS =
       List.of(Kind.TERMINATE_ONE, Kind.HANG_UP_ONE, Kind.CONFIGURE, Kind.OCCUPY_PROCESSORS);
@@ -199,8 +202,8 @@
     List<FaultSeries> series = new ArrayList<>(randomChanges(seed, trafficMillis));
     series.addAll(random(seed, trafficMillis, UNSOLICITED_KINDS));
     Random random = new Random(~seed);
-    long stopsEveryMillis = MIN_STOP_EVERY_MILLIS + random.nextInt(STOP_EVERY_RANGE_MILLIS);
-    long killsEveryMillis = MIN_CHANGE_EVERY_MILLIS + random.nextInt(CHANGE_EVERY_RANGE_MILLIS);
+    long stopsEveryMillis = MIN_RESTART_EVERY_MILLIS + random.nextInt(CHANGE_EVERY_RANGE_MILLIS);
+    long killsEveryMillis = MIN_RESTART_EVERY_MILLIS + random.nextInt(CHANGE_EVERY_RANGE_MILLIS);
     series.add(new FaultSeries(Kind.TERMINATE_ONE, 0, trafficMillis, stopsEveryMillis));
     series.add(new FaultSeries(Kind.KILL_ONE, 0, trafficMillis, killsEveryMillis));
     series.add(new FaultSeries(Kind.HANG_UP_ONE, 0, trafficMillis, stopsEveryMillis));
