A response whose status is not a number from 100 to 599 is malformed

What callers saw: a target's response with status 000 reached its caller as HTTP/1.1 0, with id, seal and body; so did 099, 0200, +200, 2000, 600 and 999, some of them as 200. In the client of the store, 000 looked like a call without a response.

Cause: the HTTP decoder takes every text that Integer.parseInt accepts for a status, and ResponseHeadValidator sees the number only, which cannot tell 0200 from 200.

Change: ResponseDecoder judges the text as it was received. RFC 9110, section 15, makes statuses three digits and everything outside 100 to 599 invalid; unregistered statuses within, such as 299 and 599, are returned unchanged. Targets, entry VMs and the store share the decoder, so that an idempotent request goes to another target, another gets 502, and the connection is closed, as with any malformed head.

No status, "2x0" and a control byte within the status were rejected before; their cases are kept.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/ResponseDecoder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseDecoder.java
@@ -7,12 +7,16 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
 import java.util.function.BooleanSupplier;
+import java.util.regex.Pattern;
 
 /** Decodes the responses of one connection. */
 public final class ResponseDecoder extends HttpResponseDecoder {
   private static final int MAX_HEAD_BYTES = 64 << 10;
   private static final int MAX_CHUNK_BYTES = 64 << 10;
 
+  /** RFC 9110, section 15: three digits from 100 to 599. */
+  private static final Pattern STATUS = Pattern.compile("[1-5][0-9]{2}");
+
   private final BooleanSupplier isHeadRequest;
 
   /**
@@ -34,6 +38,20 @@
     return isHeadRequest.getAsBoolean() || super.isContentAlwaysEmpty(message);
   }
 
+  /**
+   * Rejects a status line without a valid status. The default accepts any text that is a number,
+   * such as {@code 000} or {@code +200}.
+   *
+   * @param initialLine version, status and reason phrase
+   */
+  @Override
+  protected HttpMessage createMessage(String[] initialLine) {
+    if (!STATUS.matcher(initialLine[1]).matches()) {
+      throw new IllegalArgumentException("the status is not a number from 100 to 599");
+    }
+    return super.createMessage(initialLine);
+  }
+
   /**
    * Rejects a header with other text between its name and the colon, or without a colon. The
    * default drops that text, which may be the status line of a response behind a part of another
