A blank between the name of a header and its colon makes a response malformed

What callers saw: a target's response with "X-Note : n" reached its caller, the blank removed. Where the name was one of ours, such as "Id : c" beside "Id: b", the caller got both; "Content-Length : 3" was the length of the body of a response of the store.

Cause: the HTTP decoder ends the name of a header of a response at a blank and drops what stands before the colon; ResponseDecoder.splitHeaderName rejected other bytes there, but stepped over blanks by itself. A name holds no blank (RFC 9112, section 5.1). A proxy may remove such a blank; here nothing of the response is passed on, since another reader may take the header for another one.

Change: the colon must follow the name. Trailers go through the same method.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/ResponseDecoder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseDecoder.java
@@ -53,18 +53,15 @@
   }
 
   /**
-   * Rejects a header with other text between its name and the colon, or without a colon. The
-   * default drops that text, which may be the status line of a response behind a part of another
-   * one.
+   * Rejects a header with other bytes between its name and the colon, or without a colon. The
+   * default drops these bytes, which may be the status line of a response behind a part of another
+   * one, and accepts a blank there. The name itself is checked as the header is added.
    */
   @Override
   protected AsciiString splitHeaderName(byte[] line, int start, int length) {
     int end = start + length;
-    while (end < line.length && (line[end] == ' ' || line[end] == '\t')) {
-      end++;
-    }
     if (end == line.length || line[end] != ':') {
-      throw new IllegalArgumentException("no colon behind the name of a header");
+      throw new IllegalArgumentException("no colon at the end of the name of a header");
     }
     return super.splitHeaderName(line, start, length);
   }
