A header line that begins with a blank makes a response malformed

What callers saw: a header whose name begins with a blank became the end of the header before it, as in "Seal: s X-Note: n". Where it was " Transfer-Encoding: chunked", the caller got the chunks with their sizes as the body, under the target's seal.

Cause: the HTTP decoder appends a line that begins with a blank to the header before it (line folding, RFC 9112, section 5.2), and has no hook for that. A proxy may answer such a response with 502, and nothing tells a folded header from one whose name has a blank in front.

Change: ResponseDecoder looks at the first byte of each line that the decoder takes for the head, and marks the head as failed. Bodies are not looked at.

The connection of UnsolicitedResponseProperties moves to EmbeddedTarget, unchanged, for both tests.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/ResponseDecoder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseDecoder.java
@@ -1,11 +1,15 @@
 package org.sageladder.forward;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
+import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.regex.Pattern;
 
@@ -18,6 +22,9 @@
   private static final Pattern STATUS = Pattern.compile("[1-5][0-9]{2}");
 
   private final BooleanSupplier isHeadRequest;
+  private boolean isInHead = true;
+  private boolean isLineStart;
+  private boolean hasFoldedLine;
 
   /**
    * Creates a decoder.
@@ -33,6 +40,47 @@
     this.isHeadRequest = isHeadRequest;
   }
 
+  /**
+   * Decodes the next part of a response. A header line that begins with a blank makes it malformed:
+   * the default appends such a line to the header before it, although it may be a header of its own
+   * that frames the body.
+   */
+  @Override
+  protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out)
+      throws Exception {
+    int start = buffer.readerIndex();
+    int decodedCount = out.size();
+    super.decode(ctx, buffer, out);
+    if (isInHead) {
+      buffer.forEachByte(start, buffer.readerIndex() - start, this::checkHeadByte);
+    }
+    for (Object message : out.subList(decodedCount, out.size())) {
+      onDecoded(message);
+    }
+  }
+
+  /** Always returns true, so that the next byte is checked as well. */
+  private boolean checkHeadByte(byte b) {
+    hasFoldedLine |= isLineStart && (b == ' ' || b == '\t');
+    isLineStart = b == '\n';
+    return true;
+  }
+
+  private void onDecoded(Object message) {
+    if (message instanceof HttpResponse head) {
+      isInHead = false;
+      if (hasFoldedLine) {
+        head.setDecoderResult(
+            DecoderResult.failure(new IllegalArgumentException("a header is folded")));
+      }
+    }
+    if (message instanceof LastHttpContent) {
+      isInHead = true;
+      isLineStart = false;
+      hasFoldedLine = false;
+    }
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     return isHeadRequest.getAsBoolean() || super.isContentAlwaysEmpty(message);
--- a/sageladder-forward/src/test/java/org/sageladder/forward/InvalidHeaderNameTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/InvalidHeaderNameTest.java
@@ -1,6 +1,7 @@
 package org.sageladder.forward;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -83,6 +84,55 @@
     }
   }
 
+  /** Guards against a header that is read as the end of the one before it. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "\r\n X-Note: n",
+        "\r\n\tX-Note: n",
+        "\r\n Content-Length: 3",
+        "\r\nX-Note: n\r\n  more",
+        "\r\n Transfer-Encoding: chunked",
+        "\r\nX-Note: n\r\n : n",
+        "\r\nX-Note: n\r\n \r\nX: y"
+      })
+  void lineThatBeginsWithABlankIsNotForwarded(String lines) throws Exception {
+    for (String statusLine : List.of("HTTP/1.1 200 OK", "HTTP/1.1 100 Continue")) {
+      ScriptedTarget target =
+          ScriptedTarget.of(
+              request -> {
+                String own = response(request.header("Id"), "");
+                String interim = statusLine.contains("100") ? statusLine + "\r\n\r\n" : "";
+                request.write(interim + own.replaceFirst("\r\n", lines + "\r\n"));
+                request.connection().close();
+              });
+      try (ForwardingFixture fixture = ForwardingFixture.open(target);
+          Caller caller = fixture.caller()) {
+        assertEquals(502, caller.exchange("/once/1", "a").status());
+      }
+    }
+  }
+
+  /** Guards against the same where the line is received in pieces, or behind another response. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void lineThatBeginsWithABlankIsNotReceived(boolean isSplit) {
+    EmbeddedTarget target = new EmbeddedTarget();
+    EmbeddedTarget.Recorder first = target.request("a");
+    String body = "b\r\n b\r\n\tb";
+    target.send("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+    assertEquals(body, first.body.toString());
+    assertTrue(first.isComplete && target.connection.isReusable());
+    target.connection.markIdle(0, () -> {});
+    EmbeddedTarget.Recorder next = target.request("b");
+    String folded = response("b", "X-Note: n\r\n more\r\n");
+    for (String read : isSplit ? folded.split("", -1) : new String[] {folded}) {
+      target.send(read);
+    }
+    assertTrue(next.isLost);
+    assertNull(next.head);
+  }
+
   /** Guards against an idempotent request that fails though another target could serve it. */
   @Test
   void idempotentRequestIsSentToAnotherTarget() throws Exception {
--- a/sageladder-forward/src/test/java/org/sageladder/forward/UnsolicitedResponseProperties.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/UnsolicitedResponseProperties.java
@@ -3,14 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpVersion;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
@@ -19,7 +12,6 @@
 import net.jqwik.api.GenerationMode;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Guards against bytes of a response that no request asked for, cut at any byte, that become part
@@ -70,61 +62,6 @@
     }
   }
 
-  /** Records one response. */
-  private static final class Recorder implements TargetConnection.Listener {
-    @Nullable HttpResponse head;
-    final StringBuilder body = new StringBuilder();
-    boolean isComplete;
-    boolean isLost;
-
-    @Override
-    public void onHead(HttpResponse response) {
-      head = response;
-    }
-
-    @Override
-    public void onBodyBytes(ByteBuf bytes) {
-      body.append(bytes.toString(StandardCharsets.ISO_8859_1));
-      bytes.release();
-    }
-
-    @Override
-    public void onOtherResponse() {}
-
-    @Override
-    public void onComplete() {
-      isComplete = true;
-    }
-
-    @Override
-    public void onLost(String cause) {
-      isLost = true;
-    }
-
-    @Override
-    public void onWritable() {}
-
-    /** Fails unless what was received is the response with status 500 or a part of it. */
-    void assertOwnOrNone(String id, String ownBody) {
-      assertOwnOrNone(500, "Failed", id, ownBody);
-    }
-
-    /** Fails unless what was received is the response with this status or a part of it. */
-    void assertOwnOrNone(int status, String reason, String id, String ownBody) {
-      HttpResponse received = head;
-      if (received == null) {
-        assertTrue(!isComplete && body.isEmpty(), "a body without a head");
-        return;
-      }
-      assertEquals(status, received.status().code());
-      assertEquals(reason, received.status().reasonPhrase());
-      assertEquals(id, received.headers().get("Id"));
-      assertEquals("own", received.headers().get("Seal"));
-      assertTrue(ownBody.startsWith(body.toString()), body.toString());
-      assertTrue(!isComplete || ownBody.equals(body.toString()), "a truncated body is complete");
-    }
-  }
-
   @Provide
   Arbitrary<String> unsolicited() {
     String body = "other".repeat(10);
@@ -160,38 +97,7 @@
         " \r\n\u0001\u0002 nonsense: HTTP\r\n\r\n");
   }
 
-  /** A connection to a target whose bytes the test writes. */
-  private static final class Target {
-    final TargetConnection connection =
-        new TargetConnection(new TestDialect(), 60_000, TargetConnection.DiscardListener.none());
-    final EmbeddedChannel channel = new EmbeddedChannel();
-
-    Target() {
-      connection.install(channel.pipeline());
-    }
-
-    Recorder request(String id) {
-      return request(HttpMethod.GET, id);
-    }
-
-    Recorder request(HttpMethod method, String id) {
-      Recorder recorder = new Recorder();
-      connection.markInUse();
-      connection.send(
-          new DefaultHttpRequest(HttpVersion.HTTP_1_1, method, "/safe/1"), id, recorder);
-      connection.endRequest(0);
-      channel.releaseOutbound();
-      return recorder;
-    }
-
-    void send(String text) {
-      if (channel.isOpen() && !text.isEmpty()) {
-        channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
-      }
-    }
-  }
-
-  private static void send(Target target, String text, Delivery delivery, int splitAt) {
+  private static void send(EmbeddedTarget target, String text, Delivery delivery, int splitAt) {
     int split = Math.min(splitAt, text.length());
     List<String> reads =
         switch (delivery) {
@@ -238,8 +144,8 @@
     int cut = Math.min(cutAt, unsolicited.length());
     String piece = unsolicited.substring(0, cut);
     String remainder = rest == Rest.NEVER ? "" : unsolicited.substring(cut);
-    Target target = new Target();
-    Recorder first = target.request("a");
+    EmbeddedTarget target = new EmbeddedTarget();
+    EmbeddedTarget.Recorder first = target.request("a");
     String firstResponse = response(200, "OK", "a", "first", "body of a");
     target.send(firstResponse + (arrival == Arrival.WITH_FIRST_RESPONSE ? piece : ""));
     assertTrue(first.isComplete);
@@ -252,7 +158,7 @@
     if (!target.connection.isReusable()) {
       return;
     }
-    Recorder next = target.request("b");
+    EmbeddedTarget.Recorder next = target.request("b");
     target.send(arrival == Arrival.AFTER_NEXT_REQUEST ? piece : "");
     String ownBody = "x".repeat(20);
     String own = response(500, "Failed", "b", "own", ownBody);
@@ -279,8 +185,9 @@
       @ForAll Framing framing,
       @ForAll Delivery delivery,
       @ForAll("cut") int splitAt) {
-    Target target = new Target();
-    Recorder first = target.request(isFirstHead ? HttpMethod.HEAD : HttpMethod.GET, "a");
+    EmbeddedTarget target = new EmbeddedTarget();
+    EmbeddedTarget.Recorder first =
+        target.request(isFirstHead ? HttpMethod.HEAD : HttpMethod.GET, "a");
     String firstResponse = response(200, "OK", "a", "first", isFirstHead ? "" : "body of a");
     send(
         target,
@@ -298,7 +205,8 @@
     if (!target.connection.isReusable()) {
       return;
     }
-    Recorder next = target.request(framing == Framing.HEAD ? HttpMethod.HEAD : HttpMethod.GET, "b");
+    EmbeddedTarget.Recorder next =
+        target.request(framing == Framing.HEAD ? HttpMethod.HEAD : HttpMethod.GET, "b");
     Arrival late = Arrival.AFTER_NEXT_REQUEST;
     send(target, one.textAt(late) + two.textAt(late), delivery, splitAt);
     String ownBody = "x".repeat(20);
