A control byte in the head of a response makes it malformed

What callers saw: a target's response with a NUL, DEL or another control byte in its reason phrase reached its caller, byte and all, so that what left the VM was no response in the protocol.

Cause: the HTTP decoder checks the bytes of header names and values only; between the words of the status line it skips control bytes, and it keeps those within the reason phrase (RFC 9112, section 4, allows blanks, tabs and visible bytes there).

Change: RawHeadValidator checks the bytes of the head as they were received, folded lines (as before) and control bytes, a CR without LF among them.

CR within the reason phrase was rejected before, at its ends not.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/ResponseDecoder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseDecoder.java
@@ -22,9 +22,8 @@
   private static final Pattern STATUS = Pattern.compile("[1-5][0-9]{2}");
 
   private final BooleanSupplier isHeadRequest;
+  private final RawHeadValidator headValidator = new RawHeadValidator();
   private boolean isInHead = true;
-  private boolean isLineStart;
-  private boolean hasFoldedLine;
 
   /**
    * Creates a decoder.
@@ -40,11 +39,7 @@
     this.isHeadRequest = isHeadRequest;
   }
 
-  /**
-   * Decodes the next part of a response. A header line that begins with a blank makes it malformed:
-   * the default appends such a line to the header before it, although it may be a header of its own
-   * that frames the body.
-   */
+  /** Decodes the next part of a response and checks the bytes of its head. */
   @Override
   protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out)
       throws Exception {
@@ -52,32 +47,24 @@
     int decodedCount = out.size();
     super.decode(ctx, buffer, out);
     if (isInHead) {
-      buffer.forEachByte(start, buffer.readerIndex() - start, this::checkHeadByte);
+      buffer.forEachByte(start, buffer.readerIndex() - start, headValidator);
     }
     for (Object message : out.subList(decodedCount, out.size())) {
       onDecoded(message);
     }
   }
 
-  /** Always returns true, so that the next byte is checked as well. */
-  private boolean checkHeadByte(byte b) {
-    hasFoldedLine |= isLineStart && (b == ' ' || b == '\t');
-    isLineStart = b == '\n';
-    return true;
-  }
-
   private void onDecoded(Object message) {
     if (message instanceof HttpResponse head) {
       isInHead = false;
-      if (hasFoldedLine) {
-        head.setDecoderResult(
-            DecoderResult.failure(new IllegalArgumentException("a header is folded")));
+      String fault = headValidator.fault();
+      if (fault != null) {
+        head.setDecoderResult(DecoderResult.failure(new IllegalArgumentException(fault)));
       }
     }
     if (message instanceof LastHttpContent) {
       isInHead = true;
-      isLineStart = false;
-      hasFoldedLine = false;
+      headValidator.reset();
     }
   }
 
--- a/sageladder-forward/src/test/java/org/sageladder/forward/InvalidStatusTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/InvalidStatusTest.java
@@ -66,6 +66,28 @@
     }
   }
 
+  /** Guards against a control byte that reaches the caller in the reason phrase. */
+  @ParameterizedTest
+  @ValueSource(strings = {"\u0000", "\u0001", "\u000b", "\f", "\r", "\u001f", "\u007f"})
+  void controlByteInTheReasonPhraseIsNotForwarded(String control) throws Exception {
+    for (String reason : List.of(control + "OK", "O" + control + "K", "OK" + control)) {
+      try (ForwardingFixture fixture = ForwardingFixture.open(answering("HTTP/1.1 200 " + reason));
+          Caller caller = fixture.caller()) {
+        assertEquals(502, caller.exchange("/once/1", "a").status(), reason);
+      }
+    }
+  }
+
+  /** Guards against a reason phrase that is rejected though it is valid, or is missing. */
+  @ParameterizedTest
+  @ValueSource(strings = {"", "O K", "O\tK", "\u00e9\u0080"})
+  void anyReasonPhraseIsForwarded(String reason) throws Exception {
+    try (ForwardingFixture fixture = ForwardingFixture.open(answering("HTTP/1.1 200 " + reason));
+        Caller caller = fixture.caller()) {
+      assertEquals(200, caller.exchange("/once/1", "a").status());
+    }
+  }
+
   /** Guards against an invalid status in other framings, on reused connections, and behind 100. */
   @Test
   void invalidStatusOfAnyFramingIsNotForwarded() throws Exception {
