A response in a transfer coding other than chunked is malformed

What callers saw: with one wrong byte in "Transfer-Encoding: chunked", the body was the chunks with their sizes, under the target's seal; so it was with gzip.

Cause: the HTTP decoder reads a body in another coding until the connection ends, and the header, which concerns one connection only, is not forwarded, so that the caller takes the coded bytes for the body. This VM asks for no coding (no TE header).

Change: ResponseHeadValidator accepts chunked, once, and nothing else.

Evidence: ResponseIntegrityTest.unknownTransferCodingIsNotForwarded failed 6 of 7 before, 7 of 7 pass.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/ResponseHeadValidator.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseHeadValidator.java
@@ -1,8 +1,12 @@
 package org.sageladder.forward;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
@@ -34,6 +38,9 @@
     if (head.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
       return "another protocol";
     }
+    if (hasUnknownTransferCoding(head.headers())) {
+      return "another transfer coding than chunked";
+    }
     if (containsStatusLine(head.status().reasonPhrase())) {
       return "a second status line in the first one";
     }
@@ -45,6 +52,14 @@
     return null;
   }
 
+  /** The decoder would take the coded bytes for the body, and the header is not forwarded. */
+  private static boolean hasUnknownTransferCoding(HttpHeaders headers) {
+    List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+    return codings.size() > 1
+        || (codings.size() == 1
+            && !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0)));
+  }
+
   private static boolean containsStatusLine(String text) {
     return text.contains(PROTOCOL_PREFIX) && containsStatusLine((CharSequence) text);
   }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/ResponseIntegrityTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/ResponseIntegrityTest.java
@@ -7,6 +7,8 @@
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sageladder.forward.ForwardingFixture.Caller;
 import org.sageladder.forward.ForwardingFixture.Response;
 
@@ -72,6 +74,28 @@
     }
   }
 
+  /** Guards against the chunks of a body, with their sizes, that count as the body. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"x-chunked", "chunke", "ch unked", "gzip", "gzip, chunked", "chunked, gzip", ""})
+  void unknownTransferCodingIsNotForwarded(String coding) throws Exception {
+    String chunks = "5\r\nfive!\r\n0\r\n\r\n";
+    ScriptedTarget target =
+        ScriptedTarget.of(
+            request -> {
+              request.write(
+                  "HTTP/1.1 200 OK\r\nId: a\r\nSeal: s\r\nTransfer-Encoding: "
+                      + coding
+                      + "\r\n\r\n");
+              request.write(chunks);
+              request.connection().close();
+            });
+    try (ForwardingFixture fixture = ForwardingFixture.open(target);
+        Caller caller = fixture.caller()) {
+      assertEquals(502, caller.exchange("/once/1", "a").status());
+    }
+  }
+
   /** A truncated response to an idempotent request is replaced by that of another target. */
   @Test
   void truncatedResponseIsRetriedAtAnotherTarget() throws Exception {
