Own interface: the lines of a response's head are checked as they were received

What callers saw: on the own interface, a response in which a header's name held a blank or a control byte was a complete answer, as was one with a folded line or a control byte in its reason phrase; so it was for the embedded client.

Cause: HttpCore's parser takes everything before the colon for the name, trims it and joins folded lines; ResponseHeadValidator sees the result only.

Connector builds its requester itself, since the library's builder takes no parser; its settings are the same. Targets, entry VMs, the store of the own interface and the client share Connector.

Each malformed response ends the exchange at once and closes its connection. Statuses that are no three digits from 100 on and other transfer codings were rejected before: their cases are kept, nothing was changed for them.

--- a/sageladder-http/src/main/java/org/sageladder/http/Connector.java
+++ b/sageladder-http/src/main/java/org/sageladder/http/Connector.java
@@ -8,8 +8,13 @@
 import java.util.concurrent.TimeoutException;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.HttpHost;
-import org.apache.hc.core5.http.impl.bootstrap.AsyncRequesterBootstrap;
+import org.apache.hc.core5.http.config.CharCodingConfig;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandlerFactory;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexerFactory;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestWriterFactory;
 import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
@@ -18,7 +23,9 @@
 import org.apache.hc.core5.http.protocol.RequestTargetHost;
 import org.apache.hc.core5.http.protocol.RequestUserAgent;
 import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.pool.PoolConcurrencyPolicy;
+import org.apache.hc.core5.pool.DefaultDisposalCallback;
+import org.apache.hc.core5.pool.LaxConnPool;
+import org.apache.hc.core5.pool.PoolReusePolicy;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.util.TimeValue;
@@ -61,24 +68,41 @@
    */
   public static Connector start(int threads, int connectionsPerHost) {
     HttpAsyncRequester requester =
-        AsyncRequesterBootstrap.bootstrap()
-            .setIOReactorConfig(
-                IOReactorConfig.custom()
-                    .setIoThreadCount(threads)
-                    .setTcpNoDelay(true)
-                    .setSelectInterval(TimeValue.of(SELECT_INTERVAL))
-                    .build())
-            .setHttpProcessor(httpProcessor())
-            .setIOSessionListener(new SocketTimeoutDisabler())
-            .setPoolConcurrencyPolicy(PoolConcurrencyPolicy.LAX)
-            .setDefaultMaxPerRoute(connectionsPerHost)
-            .setMaxTotal(Integer.MAX_VALUE)
-            .setTimeToLive(CONNECTION_TTL)
-            .create();
+        new HttpAsyncRequester(
+            IOReactorConfig.custom()
+                .setIoThreadCount(threads)
+                .setTcpNoDelay(true)
+                .setSelectInterval(TimeValue.of(SELECT_INTERVAL))
+                .build(),
+            new ClientHttp1IOEventHandlerFactory(exchangeFactory(), null, null),
+            null,
+            null,
+            new SocketTimeoutDisabler(),
+            new LaxConnPool<>(
+                connectionsPerHost,
+                CONNECTION_TTL,
+                PoolReusePolicy.LIFO,
+                new DefaultDisposalCallback<>(),
+                null),
+            null,
+            null,
+            null,
+            null);
     requester.start();
     return new Connector(requester);
   }
 
+  private static ClientHttp1StreamDuplexerFactory exchangeFactory() {
+    return new ClientHttp1StreamDuplexerFactory(
+        httpProcessor(),
+        Http1Config.DEFAULT,
+        CharCodingConfig.DEFAULT,
+        DefaultConnectionReuseStrategy.INSTANCE,
+        StrictMessageParser.responses(Http1Config.DEFAULT),
+        DefaultHttpRequestWriterFactory.INSTANCE,
+        null);
+  }
+
   /**
    * Returns the library's default processors and a check of response heads, without the one for
    * {@code Expect: 100-continue}, which costs a round trip for each request with a body. Targets
