Own interface: a status above 599 makes a response malformed

What callers saw: a response with status 600 or 999 reached its caller on the own interface.

Cause: HttpCore rejects statuses below 100 and other than three digits, but has no upper bound.

--- a/sageladder-client/src/test/java/org/sageladder/client/MalformedResponseTest.java
+++ b/sageladder-client/src/test/java/org/sageladder/client/MalformedResponseTest.java
@@ -42,7 +42,7 @@
 
   /** Guards against a response whose status is no HTTP status. */
   @ParameterizedTest
-  @ValueSource(strings = {"000", "099", "0200", "+200"})
+  @ValueSource(strings = {"000", "099", "0200", "+200", "600", "999"})
   void invalidStatusIsNoAnswer(String status) throws IOException {
     assertInstanceOf(Answer.Unknown.class, send(response(status, "")));
   }
