Own interface: a request whose header name is no token is rejected

What targets saw: a request in which a header's name held a blank or a control byte, or a value held a control byte, was accepted on the own interface and passed on, so that a target might read the header under another name than the entry VM.

Cause: as for responses; HttpListener used the library's parser.

Change: HttpListener uses StrictMessageParser too; such requests get 400 and are not handled.

--- a/sageladder-entry/src/main/java/org/sageladder/entry/http/HttpListener.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/http/HttpListener.java
@@ -13,7 +13,6 @@
 import org.apache.hc.core5.http.impl.DefaultContentLengthStrategy;
 import org.apache.hc.core5.http.impl.HttpProcessors;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
-import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParserFactory;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriterFactory;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandlerFactory;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
@@ -29,6 +28,7 @@
 import org.sageladder.core.result.ResultCode;
 import org.sageladder.entry.request.Headers;
 import org.sageladder.entry.request.LocalReplies;
+import org.sageladder.http.StrictMessageParser;
 import org.sageladder.platform.http.DisconnectDetectingSession;
 import org.sageladder.platform.http.LingeringSession;
 
@@ -95,7 +95,7 @@
             config,
             CharCodingConfig.DEFAULT,
             DefaultConnectionReuseStrategy.INSTANCE,
-            new DefaultHttpRequestParserFactory(config),
+            StrictMessageParser.requests(config),
             new DefaultHttpResponseWriterFactory(config),
             RequestFramingValidator.contentLengthStrategy(),
             DefaultContentLengthStrategy.INSTANCE,
--- a/sageladder-entry/src/test/java/org/sageladder/entry/http/HttpListenerTest.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/http/HttpListenerTest.java
@@ -15,6 +15,8 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sageladder.core.result.Result;
 import org.sageladder.core.result.ResultCode;
 import org.sageladder.entry.exchange.CallerExchange;
@@ -104,6 +106,32 @@
     }
   }
 
+  /** Guards against a header that a target would read under another name than its caller sent. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "X Note: n", "X\tNote: n", "X\0Note: n", "X\1Note: n", "X\177Note: n", "X-Note : n",
+            "X-Note\t: n",
+        " X-Note: n", "\tX-Note: n", ": n", "X/Note: n", "X-Note", "Content-Length : 3",
+            "Content Length: 3",
+        " Transfer-Encoding: chunked", "X-Note: a\0b", "X-Note: a\1b", "X-Note: a\rb"
+      })
+  void requestWithAnInvalidHeaderNameIsRejected(String line) throws Exception {
+    BlockingQueue<String> handled = new LinkedBlockingQueue<>();
+    CallerExchange.Handler handler =
+        exchange -> {
+          handled.add(exchange.request().getPath());
+          respondNotFound(exchange);
+        };
+    try (HttpListener listener = open(9, LONG_IDLE_TIMEOUT, handler);
+        Socket caller = connect(listener)) {
+      String request = "GET / HTTP/1.1\r\nHost: e\r\n" + line + "\r\n\r\n";
+      caller.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+      assertEquals("HTTP/1.1 400 Bad Request", statusLine(caller));
+      assertTrue(handled.isEmpty(), "the request was handled");
+    }
+  }
+
   /** Guards against callers who hold a connection open by not closing it after a refusal. */
   @Test
   void connectionThatTheCallerDoesNotCloseEnds() throws Exception {
--- a/sageladder-http/src/main/java/org/sageladder/http/StrictMessageParser.java
+++ b/sageladder-http/src/main/java/org/sageladder/http/StrictMessageParser.java
@@ -3,9 +3,11 @@
 import java.io.IOException;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpMessage;
+import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParserFactory;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseParserFactory;
 import org.apache.hc.core5.http.nio.NHttpMessageParser;
 import org.apache.hc.core5.http.nio.NHttpMessageParserFactory;
@@ -29,6 +31,11 @@
     return factory(new DefaultHttpResponseParserFactory(config));
   }
 
+  /** Returns a factory of parsers for requests. */
+  public static NHttpMessageParserFactory<HttpRequest> requests(Http1Config config) {
+    return factory(new DefaultHttpRequestParserFactory(config));
+  }
+
   private static <T extends HttpMessage> NHttpMessageParserFactory<T> factory(
       NHttpMessageParserFactory<T> parsers) {
     return () -> new StrictMessageParser<>(parsers.create());
