Test: a caller's request whose header name is no token is not sent

Callers' requests with a blank or a control byte in a header's name, or a blank before its colon, get 400 on the platform's path and reach no target: this was so before, nothing was changed for it.

--- a/sageladder-forward/src/test/java/org/sageladder/forward/InvalidHeaderNameTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/InvalidHeaderNameTest.java
@@ -12,7 +12,7 @@
 import org.sageladder.forward.ForwardingFixture.Caller;
 import org.sageladder.forward.ForwardingFixture.Response;
 
-/** A target sends a whole response in which the name of a header is no token. */
+/** A target or a caller sends a whole message in which the name of a header is no token. */
 class InvalidHeaderNameTest {
   private static final String LENGTH = "Content-Length: 3\r\n";
 
@@ -167,6 +167,30 @@
     }
   }
 
+  /** Guards against a header that a target would read under another name than its caller sent. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "X Note: n",
+        "X\tNote: n",
+        "X\u0000Note: n",
+        "X\u0001Note: n",
+        "X-Note : n",
+        "X-Note\t: n",
+        "Content-Length : 3",
+        "Transfer-Encoding : chunked",
+        ": n"
+      })
+  void requestWithAnInvalidNameIsNotSent(String line) throws Exception {
+    ScriptedTarget target = answering("");
+    try (ForwardingFixture fixture = ForwardingFixture.open(target);
+        Caller caller = fixture.caller()) {
+      caller.write("GET /once/1 HTTP/1.1\r\nHost: h\r\nId: a\r\n" + line + "\r\n\r\n");
+      assertEquals(400, caller.readResponse().status());
+      assertEquals(List.of(), target.receivedRequests);
+    }
+  }
+
   /** Guards against names that are rejected though they are tokens. */
   @Test
   void anyTokenIsForwarded() throws Exception {
