Stand-ins send responses with malformed heads, and MIXED sees those that reach callers

What no check saw: a caller that received status 000 was recorded with status 0, which stands for "no answer" and breaks no rule; so was one that received a head that its decoder rejects.

Change: targets send whole responses with an invalid status (INVALID_STATUS) or an invalid header name (INVALID_HEADER), framed or until the close. Callers tell Malformed from Failed, and MIXED counts it; the rule is stricter, nothing that it counted before is left out. A run whose response was malformed has no body, so that no sealed response to it is correct.

--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/FaultInjector.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/FaultInjector.java
@@ -120,6 +120,8 @@
       case ANSWER_TWICE_WITHOUT_ID ->
           setFault(Fault.ANSWERS_TWICE_WITHOUT_ID, UNSOLICITED_FRACTION);
       case ADD_BYTES -> setFault(Fault.ADDS_BYTES, UNSOLICITED_FRACTION);
+      case INVALID_STATUS -> setFault(Fault.INVALID_STATUS, UNSOLICITED_FRACTION);
+      case INVALID_HEADER -> setFault(Fault.INVALID_HEADER, UNSOLICITED_FRACTION);
       case SILENCE_STORE -> setStoreFault(StoreFaultMode.SILENT, series);
       case REFUSE_AT_STORE -> setStoreFault(StoreFaultMode.BUSY, series);
       case SLOW_STORE -> setStoreFault(StoreFaultMode.SLOW, series);
@@ -140,7 +142,9 @@
           ANSWER_TWICE_CUT,
           ANSWER_TWICE_SPOILT,
           ANSWER_TWICE_WITHOUT_ID,
-          ADD_BYTES ->
+          ADD_BYTES,
+          INVALID_STATUS,
+          INVALID_HEADER ->
           setFault(Fault.NONE, 0);
       case SILENCE_STORE, REFUSE_AT_STORE, SLOW_STORE, LOSE_STORE_ANSWERS ->
           fleet.runOnLoop(() -> fleet.storePort().clearFault());
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/FaultSeries.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/FaultSeries.java
@@ -140,7 +140,11 @@
     /** Targets send second answers without an id until the series ends. */
     ANSWER_TWICE_WITHOUT_ID,
     /** Targets send bytes that are no answer behind answers until the series ends. */
-    ADD_BYTES;
+    ADD_BYTES,
+    /** Targets send whole answers with an invalid status until the series ends. */
+    INVALID_STATUS,
+    /** Targets send whole answers with an invalid header name until the series ends. */
+    INVALID_HEADER;
 
     String text() {
       return name().toLowerCase(Locale.ROOT).replace('_', '-');
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/ResponseRules.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/rule/ResponseRules.java
@@ -55,6 +55,10 @@
           .filter(answer -> answer.status() != 0 && !isCorrect(day, answer))
           .ifPresent(answer -> violations.add(attempt.id() + " received " + answer));
     }
+    day.ledger()
+        .malformedAnswers()
+        .forEach(
+            (id, cause) -> violations.add(id + " received bytes that are no answer: " + cause));
     return violations;
   }
 
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/TargetTroubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/TargetTroubles.java
@@ -58,6 +58,12 @@
     all.put("answers-and-bytes", unsolicited(Fault.ADDS_BYTES));
   }
 
+  /** Troubles of whole answers with a malformed head. */
+  static void addMalformedTo(Map<String, Trouble> all) {
+    all.put("answers-with-invalid-status", unsolicited(Fault.INVALID_STATUS));
+    all.put("answers-with-invalid-header", unsolicited(Fault.INVALID_HEADER));
+  }
+
   private static Trouble unsolicited(Fault fault) {
     return (fleet, random) ->
         injectFault(fleet, random, fault, UNSOLICITED_FRACTION, UNSOLICITED_MILLIS);
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/Troubles.java
@@ -107,6 +107,13 @@
     return all;
   }
 
+  /** Troubles of whole answers with a malformed head; these are never chosen at random. */
+  public static Map<String, Trouble> malformedAnswers() {
+    Map<String, Trouble> all = new LinkedHashMap<>();
+    TargetTroubles.addMalformedTo(all);
+    return all;
+  }
+
   /** The trouble with that name, or null. */
   public static @Nullable Trouble find(String name) {
     Map<String, Trouble> known = all();
@@ -119,6 +126,7 @@
     known.putAll(staleReads());
     known.putAll(largeBodies());
     known.putAll(unsolicitedAnswers());
+    known.putAll(malformedAnswers());
     known.putAll(readerTroubles());
     known.putAll(readerTroublesBesideStaleReads());
     return known.get(name);
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/rule/RulesTest.java
@@ -111,6 +111,24 @@
     assertViolated("MIXED");
   }
 
+  @Test
+  void malformedAnswer() {
+    recordSent("q", true, 0);
+    recordRun("q", 200, "mine");
+    ledger.recordAnswer(new Answered("q", 0, "", false, null, 5));
+    assertNotViolated("MIXED");
+    ledger.recordMalformedAnswer("q", "status 0");
+    assertViolated("MIXED");
+  }
+
+  @Test
+  void answerOfARunThatSentNoValidOne() {
+    recordSent("q", true, 0);
+    ledger.recordRunStart("q", "t-1", true, 10).recordEnd(20, 200, null);
+    ledger.recordAnswer(new Answered("q", 200, "mine", true, "q", 5));
+    assertViolated("MIXED");
+  }
+
   @Test
   void responseWithoutSeal() {
     recordSent("q", true, 0);
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/CallerConnection.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/CallerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -29,14 +30,19 @@
 /** A caller's HTTP connection with support for pipelined requests. */
 final class CallerConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
   private static final int MAX_RESPONSE_BODY_BYTES = 4 << 20;
+  private static final int MIN_STATUS = 100;
+  private static final int MAX_STATUS = 599;
 
   /** The outcome of a request on this connection. */
   sealed interface Reply {
     /** A complete answer. */
     record Complete(int status, HttpHeaders headers, String body) implements Reply {}
 
-    /** The connection closed before a complete answer, or the answer was malformed. */
+    /** The connection closed before a complete answer. */
     record Failed(String cause) implements Reply {}
+
+    /** What was received is no answer by the protocol. */
+    record Malformed(String cause) implements Reply {}
   }
 
   private final Deque<Consumer<Reply>> pendingCallbacks = new ArrayDeque<>();
@@ -150,22 +156,30 @@
     if (!HttpUtil.isKeepAlive(response)) {
       isClosing = true;
     }
-    if (callback == null || response.decoderResult().isFailure()) {
+    Reply reply = toReply(response);
+    if (callback == null || !(reply instanceof Reply.Complete)) {
       isClosing = true;
       var unused = ctx.close();
     }
-    if (callback == null) {
-      return;
+    if (callback != null) {
+      callback.accept(reply);
+    }
+  }
+
+  private static Reply toReply(FullHttpResponse response) {
+    Throwable cause = response.decoderResult().cause();
+    if (cause instanceof PrematureChannelClosureException) {
+      return new Reply.Failed("connection closed within an answer");
+    }
+    if (cause != null) {
+      return new Reply.Malformed(cause.toString());
     }
-    if (response.decoderResult().isFailure()) {
-      callback.accept(new Reply.Failed("malformed answer: " + response.decoderResult().cause()));
-      return;
+    int status = response.status().code();
+    if (status < MIN_STATUS || status > MAX_STATUS) {
+      return new Reply.Malformed("status " + status);
     }
-    callback.accept(
-        new Reply.Complete(
-            response.status().code(),
-            response.headers().copy(),
-            response.content().toString(StandardCharsets.UTF_8)));
+    return new Reply.Complete(
+        status, response.headers().copy(), response.content().toString(StandardCharsets.UTF_8));
   }
 
   @Override
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/CallersStandIn.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/CallersStandIn.java
@@ -412,13 +412,15 @@
       CallerConnection connection,
       String id,
       CallerConnection.Reply reply) {
-    if (reply instanceof CallerConnection.Reply.Failed) {
+    if (reply instanceof CallerConnection.Reply.Malformed malformed) {
+      ledger.recordMalformedAnswer(id, malformed.cause());
+    }
+    if (!(reply instanceof CallerConnection.Reply.Complete complete)) {
       ledger.recordAnswer(new Ledger.Answered(id, 0, "", false, null, loop.nowMillis()));
       request.failedAddresses.add(address);
       retry(request, MIN_BACKOFF_MILLIS, 0);
       return;
     }
-    CallerConnection.Reply.Complete complete = (CallerConnection.Reply.Complete) reply;
     HttpHeaders headers = complete.headers();
     ledger.recordAnswer(
         new Ledger.Answered(
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/Ledger.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/Ledger.java
@@ -98,7 +98,10 @@
       this.startedAtMillis = startedAtMillis;
     }
 
-    /** Records the end of the run; status 0 and a null body mean that there was no answer. */
+    /**
+     * Records the end of the run; status 0 and a null body mean that there was no answer, a null
+     * body alone that no valid one was sent.
+     */
     public void recordEnd(long atMillis, int responseStatus, @Nullable String body) {
       endedAtMillis = atMillis;
       status = responseStatus;
@@ -130,7 +133,7 @@
       return endedAtMillis;
     }
 
-    /** Returns the body of the target's answer, or null where there was none. */
+    /** Returns the body of the target's answer, or null where there was no valid one. */
     public @Nullable String responseBody() {
       return responseBody;
     }
@@ -242,6 +245,7 @@
   private final List<String> quarantined = new ArrayList<>();
   private final Map<String, List<Run>> runs = new HashMap<>();
   private final Map<String, Answered> answers = new HashMap<>();
+  private final Map<String, String> malformedAnswers = new LinkedHashMap<>();
   private final Map<String, Long> callerLeftAtMillis = new HashMap<>();
   private final List<PlatformEvent> events = new ArrayList<>();
 
@@ -377,6 +381,16 @@
     answers.putIfAbsent(answer.id(), answer);
   }
 
+  /** Records that a caller received bytes that are no answer in place of one, and why. */
+  public void recordMalformedAnswer(String id, String cause) {
+    malformedAnswers.putIfAbsent(id, cause);
+  }
+
+  /** Returns why callers took what they received for no answer, by the id of the attempt. */
+  public Map<String, String> malformedAnswers() {
+    return malformedAnswers;
+  }
+
   /** Records that a caller closed its connection before the answer. */
   public void recordCallerLeft(String id, long atMillis) {
     callerLeftAtMillis.putIfAbsent(id, atMillis);
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/PersistentCallers.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/PersistentCallers.java
@@ -165,6 +165,9 @@
 
   private void onReply(String id, CallerConnection.Reply reply, CallerConnection connection) {
     long now = world.loop().nowMillis();
+    if (reply instanceof CallerConnection.Reply.Malformed malformed) {
+      world.ledger().recordMalformedAnswer(id, malformed.cause());
+    }
     if (!(reply instanceof CallerConnection.Reply.Complete complete)) {
       world.ledger().recordAnswer(new Ledger.Answered(id, 0, "", false, null, now));
       return;
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/TargetStandIn.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/TargetStandIn.java
@@ -54,7 +54,11 @@
     /** Sends a second answer without an id, with the answer or later. */
     ANSWERS_TWICE_WITHOUT_ID,
     /** Sends bytes that are no answer behind a complete one, with it or later. */
-    ADDS_BYTES
+    ADDS_BYTES,
+    /** Sends a whole answer whose status is no HTTP status. */
+    INVALID_STATUS,
+    /** Sends a whole answer with a header whose name holds a blank or a control byte. */
+    INVALID_HEADER
   }
 
   private static final double COLD_SERVICE_TIME_FACTOR = 2;
@@ -101,6 +105,7 @@
   private final Ledger ledger;
   private final Random random;
   private final UnsolicitedAnswers unsolicited;
+  private final MalformedHeads malformedHeads;
   private final Runnable crashProcess;
   private final Deque<Job> queue = new ArrayDeque<>();
   private final Set<Job> running = new LinkedHashSet<>();
@@ -131,6 +136,7 @@
     this.ledger = ledger;
     this.random = new Random(seed ^ facts.id().hashCode());
     this.unsolicited = new UnsolicitedAnswers(loop, ~seed ^ facts.id().hashCode());
+    this.malformedHeads = new MalformedHeads(seed + facts.id().hashCode());
     this.crashProcess = crashProcess;
     this.coldUntilMillis = loop.nowMillis() + facts.remainingColdMillis();
     this.coldKnownAtMillis = loop.nowMillis();
@@ -426,10 +432,15 @@
     int sentStatus = fails ? 500 : status;
     String body = "work " + job.id + " of " + facts.id() + ' ' + ".".repeat(PADDING_LENGTH);
     Ledger.Run run = job.run;
+    boolean isMalformed = drawn == Fault.INVALID_STATUS || drawn == Fault.INVALID_HEADER;
     if (run != null) {
-      run.recordEnd(loop.nowMillis(), sentStatus, body);
+      run.recordEnd(loop.nowMillis(), sentStatus, isMalformed ? null : body);
     }
     recordSignals(job.exchange, job.id);
+    if (isMalformed) {
+      sendMalformed(drawn, job, sentStatus, body);
+      return;
+    }
     byte[] answer = answerText(sentStatus, job.id, body).getBytes(StandardCharsets.ISO_8859_1);
     switch (drawn) {
       case LOSES_ANSWER -> job.exchange.reset();
@@ -457,6 +468,18 @@
     }
   }
 
+  /** Half of the malformed answers end with their connection. */
+  private void sendMalformed(Fault drawn, Job job, int status, String body) {
+    boolean isUnframed = random.nextBoolean();
+    String answer =
+        isUnframed ? unframedAnswerText(status, job.id, body) : answerText(status, job.id, body);
+    String malformed =
+        drawn == Fault.INVALID_STATUS
+            ? malformedHeads.replaceStatus(answer, status)
+            : malformedHeads.insertHeader(answer);
+    job.exchange.writeRaw(malformed.getBytes(StandardCharsets.ISO_8859_1), isUnframed);
+  }
+
   private String answerText(int status, String id, String body) {
     return "HTTP/1.1 "
         + status
