Test: a malformed head of another entry VM is not forwarded

Cause and change: none of their own; responses of other entry VMs pass the same decoder as those of targets.

--- a/sageladder-forward/src/test/java/org/sageladder/forward/RelayTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/RelayTest.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sageladder.core.result.ResultCode;
 import org.sageladder.forward.ForwardingFixture.Caller;
 import org.sageladder.forward.ForwardingFixture.Response;
@@ -63,6 +65,35 @@
     }
   }
 
+  /** Guards against a malformed head that another entry VM, or a target behind it, lets through. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "000 Failed",
+        "0200 OK",
+        "200 O\u0000K",
+        "200 OK\r\nX Note: n",
+        "200 OK\r\nX-Note : n",
+        "200 OK\r\n X-Note: n",
+        "200 OK\r\nTransfer-Encoding: gzip"
+      })
+  void malformedHeadOfPeerIsNotForwarded(String head) throws Exception {
+    ScriptedTarget brokenPeer =
+        ScriptedTarget.of(
+            request ->
+                request.write(
+                    ScriptedTarget.okResponse(request.header("Id"), "own")
+                        .replace("200 OK", head)));
+    try (ForwardingFixture fixture = cutOff();
+        Caller caller = fixture.caller()) {
+      fixture.useRelayPeers(ForwardingFixture.peer("e-2", "127.0.0.1", brokenPeer.port()));
+      caller.sendPost("/once/1", "a", "bid");
+      assertEquals(502, caller.readResponse().status());
+      assertEquals(1, brokenPeer.receivedRequests.size());
+      brokenPeer.close();
+    }
+  }
+
   /** Guards against a request that goes round among VMs that reach no target. */
   @Test
   void requestIsRefusedOnceNoPeerReachesTargets() throws Exception {
