--- a/sageladder-forward/src/main/java/org/sageladder/forward/RawHeadValidator.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/RawHeadValidator.java
@@ -8,9 +8,9 @@
  * does not.
  *
  * <ul>
- *   <li>A line that begins with a blank: the decoder appends it to the header before it, although
- *       it may be a header of its own that frames the body.
- *   <li>A control byte: the decoder skips it between words or keeps it in the reason phrase.
+ *   <li>A line that begins with whitespace: the decoder appends it to the header before it,
+ *       although it may be a header of its own that frames the body.
+ *   <li>A control character: the decoder skips it between words or keeps it in the reason phrase.
  * </ul>
  */
 final class RawHeadValidator implements ByteProcessor {
@@ -23,16 +23,16 @@
   @Override
   public boolean process(byte next) {
     if (previous == '\n' && (next == ' ' || next == '\t')) {
-      fault = "a line of the head begins with a blank";
+      fault = "a line of the head begins with whitespace";
     }
     if (isControl(next) || (previous == '\r' && next != '\n')) {
-      fault = "a control byte in the head";
+      fault = "a control character in the head";
     }
     previous = next;
     return true;
   }
 
-  /** True for a control byte, but for those that separate words or lines. */
+  /** True for a control character, but for those that separate words or lines. */
   private static boolean isControl(byte b) {
     boolean isSeparator = b == '\t' || b == '\r' || b == '\n';
     return b == DELETE || (b >= 0 && b < ' ' && !isSeparator);
--- a/sageladder-forward/src/main/java/org/sageladder/forward/ResponseDecoder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseDecoder.java
@@ -90,7 +90,7 @@
   /**
    * Rejects a header with other bytes between its name and the colon, or without a colon. The
    * default drops these bytes, which may be the status line of a response behind a part of another
-   * one, and accepts a blank there. The name itself is checked as the header is added.
+   * one, and accepts whitespace there. The name itself is checked as the header is added.
    */
   @Override
   protected AsciiString splitHeaderName(byte[] line, int start, int length) {
--- a/sageladder-forward/src/test/java/org/sageladder/forward/InvalidHeaderNameTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/InvalidHeaderNameTest.java
@@ -25,7 +25,10 @@
     return ScriptedTarget.of(request -> request.write(response(request.header("Id"), line)));
   }
 
-  /** Guards against a header whose name holds, begins or ends with a blank or a control byte. */
+  /**
+   * Guards against a header whose name holds, begins or ends with whitespace or a control
+   * character.
+   */
   @ParameterizedTest
   @ValueSource(
       strings = {
@@ -96,7 +99,7 @@
         "\r\nX-Note: n\r\n : n",
         "\r\nX-Note: n\r\n \r\nX: y"
       })
-  void lineThatBeginsWithABlankIsNotForwarded(String lines) throws Exception {
+  void lineThatBeginsWithWhitespaceIsNotForwarded(String lines) throws Exception {
     for (String statusLine : List.of("HTTP/1.1 200 OK", "HTTP/1.1 100 Continue")) {
       ScriptedTarget target =
           ScriptedTarget.of(
@@ -116,7 +119,7 @@
   /** Guards against the same where the line is received in pieces, or behind another response. */
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
-  void lineThatBeginsWithABlankIsNotReceived(boolean isSplit) {
+  void lineThatBeginsWithWhitespaceIsNotReceived(boolean isSplit) {
     EmbeddedTarget target = new EmbeddedTarget();
     EmbeddedTarget.Recorder first = target.request("a");
     String body = "b\r\n b\r\n\tb";
--- a/sageladder-forward/src/test/java/org/sageladder/forward/InvalidStatusTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/InvalidStatusTest.java
@@ -66,10 +66,10 @@
     }
   }
 
-  /** Guards against a control byte that reaches the caller in the reason phrase. */
+  /** Guards against a control character that reaches the caller in the reason phrase. */
   @ParameterizedTest
   @ValueSource(strings = {"\u0000", "\u0001", "\u000b", "\f", "\r", "\u001f", "\u007f"})
-  void controlByteInTheReasonPhraseIsNotForwarded(String control) throws Exception {
+  void controlCharacterInTheReasonPhraseIsNotForwarded(String control) throws Exception {
     for (String reason : List.of(control + "OK", "O" + control + "K", "OK" + control)) {
       try (ForwardingFixture fixture = ForwardingFixture.open(answering("HTTP/1.1 200 " + reason));
           Caller caller = fixture.caller()) {
--- a/sageladder-http/src/main/java/org/sageladder/http/Connector.java
+++ b/sageladder-http/src/main/java/org/sageladder/http/Connector.java
@@ -74,20 +74,21 @@
                 .setTcpNoDelay(true)
                 .setSelectInterval(TimeValue.of(SELECT_INTERVAL))
                 .build(),
-            new ClientHttp1IOEventHandlerFactory(exchangeFactory(), null, null),
-            null,
-            null,
+            new ClientHttp1IOEventHandlerFactory(
+                exchangeFactory(), /* tlsStrategy= */ null, /* handshakeTimeout= */ null),
+            /* ioSessionDecorator= */ null,
+            /* exceptionCallback= */ null,
             new SocketTimeoutDisabler(),
             new LaxConnPool<>(
                 connectionsPerHost,
                 CONNECTION_TTL,
                 PoolReusePolicy.LIFO,
                 new DefaultDisposalCallback<>(),
-                null),
-            null,
-            null,
-            null,
-            null);
+                /* connPoolListener= */ null),
+            /* tlsStrategy= */ null,
+            /* handshakeTimeout= */ null,
+            /* threadPoolListener= */ null,
+            /* workerSelector= */ null);
     requester.start();
     return new Connector(requester);
   }
@@ -100,7 +101,7 @@
         DefaultConnectionReuseStrategy.INSTANCE,
         StrictMessageParser.responses(Http1Config.DEFAULT),
         DefaultHttpRequestWriterFactory.INSTANCE,
-        null);
+        /* streamListener= */ null);
   }
 
   /**
--- a/sageladder-http/src/main/java/org/sageladder/http/HeadLineValidator.java
+++ b/sageladder-http/src/main/java/org/sageladder/http/HeadLineValidator.java
@@ -8,10 +8,10 @@
  * does not.
  *
  * <ul>
- *   <li>A header line that begins with a blank: the library appends it to the header before it,
+ *   <li>A header line that begins with whitespace: the library appends it to the header before it,
  *       although it may be a header of its own that frames the body.
  *   <li>A header whose name is no token.
- *   <li>A control byte.
+ *   <li>A control character.
  * </ul>
  */
 final class HeadLineValidator {
@@ -27,7 +27,7 @@
       return;
     }
     if (containsControl(line)) {
-      fault = "a control byte in the head";
+      fault = "a control character in the head";
     }
     if (hasStartLine && !isToken(line, line.indexOf(':'))) {
       fault = "the name of a header is no token";
--- a/sageladder-http/src/main/java/org/sageladder/http/LineObservingBuffer.java
+++ b/sageladder-http/src/main/java/org/sageladder/http/LineObservingBuffer.java
@@ -8,7 +8,11 @@
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.util.CharArrayBuffer;
 
-/** Passes each line that is read from a buffer to an observer; lines are read into empty ones. */
+/**
+ * Passes each line that is read from a buffer to an observer.
+ *
+ * <p>Lines must be read into an empty {@link CharArrayBuffer}, as the library's parsers do.
+ */
 final class LineObservingBuffer implements SessionInputBuffer {
   private final SessionInputBuffer buffer;
   private final Consumer<CharArrayBuffer> observer;
--- a/sageladder-http/src/main/java/org/sageladder/http/StrictMessageParser.java
+++ b/sageladder-http/src/main/java/org/sageladder/http/StrictMessageParser.java
@@ -16,7 +16,7 @@
 
 /**
  * Parses the heads of messages and rejects those with a folded line, a header name that is no token
- * or a control byte, which the library accepts.
+ * or a control character, which the library accepts.
  */
 public final class StrictMessageParser<T extends HttpMessage> implements NHttpMessageParser<T> {
   private final NHttpMessageParser<T> parser;
--- a/sageladder-standin/src/main/java/org/sageladder/standin/platform/TargetStandIn.java
+++ b/sageladder-standin/src/main/java/org/sageladder/standin/platform/TargetStandIn.java
@@ -57,7 +57,7 @@
     ADDS_BYTES,
     /** Sends a whole answer whose status is no HTTP status. */
     INVALID_STATUS,
-    /** Sends a whole answer with a header whose name holds a blank or a control byte. */
+    /** Sends a whole answer with a header whose name holds whitespace or a control character. */
     INVALID_HEADER
   }
 
