Tests: a connection carries nothing behind a malformed head

Cause and change: no product code; the tests of invalid statuses and header names also ask that the next request comes over another connection.

--- a/sageladder-forward/src/test/java/org/sageladder/forward/InvalidHeaderNameTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/InvalidHeaderNameTest.java
@@ -56,10 +56,12 @@
         "X-Note"
       })
   void invalidNameIsNotForwarded(String line) throws Exception {
-    try (ForwardingFixture fixture = ForwardingFixture.open(answering(line + "\r\n"));
+    ScriptedTarget target = answering(line + "\r\n");
+    try (ForwardingFixture fixture = ForwardingFixture.open(target);
         Caller caller = fixture.caller()) {
       assertEquals(502, caller.exchange("/once/1", "a").status());
       assertEquals(502, caller.exchange("/once/1", "b").status());
+      assertEquals(1, target.receivedRequests.get(1).indexOnConnection());
       String counter = "sageladder_responses_discarded_malformed 2\n";
       fixture.onLoop(() -> assertTrue(fixture.metrics.text().contains(counter)));
     }
--- a/sageladder-forward/src/test/java/org/sageladder/forward/InvalidStatusTest.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/InvalidStatusTest.java
@@ -46,11 +46,12 @@
         "200\u0000OK"
       })
   void invalidStatusIsNotForwarded(String status) throws Exception {
-    try (ForwardingFixture fixture =
-            ForwardingFixture.open(answering("HTTP/1.1 " + status + " Failed"));
+    ScriptedTarget target = answering("HTTP/1.1 " + status + " Failed");
+    try (ForwardingFixture fixture = ForwardingFixture.open(target);
         Caller caller = fixture.caller()) {
       assertEquals(502, caller.exchange("/once/1", "a").status());
       assertEquals(502, caller.exchange("/once/1", "b").status());
+      assertEquals(1, target.receivedRequests.get(1).indexOnConnection());
       String counter = "sageladder_responses_discarded_malformed 2\n";
       fixture.onLoop(() -> assertTrue(fixture.metrics.text().contains(counter)));
     }
