SingleExchange fails a test whose target cannot respond, as before

The check had become weaker.

Change: only an error of the read that waits for the end counts as the end; any other fails the test.

--- a/sageladder-entry/src/test/java/org/sageladder/entry/exchange/SingleExchange.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/exchange/SingleExchange.java
@@ -66,7 +66,16 @@
       if (in.read(head) > 0) {
         connection.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
       }
-      return !closes && in.read() < 0;
+      return !closes && isEnded(in);
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** True once the client has closed or reset the connection. */
+  private static boolean isEnded(InputStream in) {
+    try {
+      return in.read() < 0;
     } catch (IOException reset) {
       return true;
     }
