Frequent faults of targets are named for what they are

Change: names only (frequentFault, FREQUENT_FAULT_FRACTION, FREQUENT_FAULT_MILLIS).

Measured: MalformedAnswersTest 2 of 2, UnsolicitedAnswersTest 7 of 7, FaultSeriesTest 6 of 6, RulesTest 47 of 47.

--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/FaultInjector.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/FaultInjector.java
@@ -19,7 +19,7 @@
   private static final long POLL_MILLIS = 20;
   private static final int CRASHED_TARGETS_DIVISOR = 3;
   private static final long TARGET_DOWN_MILLIS = 1_500;
-  private static final double UNSOLICITED_FRACTION = 0.3;
+  private static final double FREQUENT_FAULT_FRACTION = 0.3;
   private static final long GRACE_MILLIS = 6_000;
 
   /** Time in which callers connect before a planned stop begins. */
@@ -112,16 +112,17 @@
       case CRASH_TARGETS -> crashTargets();
       case FAIL_REQUESTS -> setFault(Fault.FAILS, 1);
       case LOSE_ANSWERS -> setFault(Fault.LOSES_ANSWER, 1);
-      case CUT_HEADS -> setFault(Fault.CUTS_HEAD, UNSOLICITED_FRACTION);
-      case ANSWER_TWICE_LATE -> setFault(Fault.ANSWERS_TWICE_LATE, UNSOLICITED_FRACTION);
-      case ANSWER_TWICE_IN_PIECES -> setFault(Fault.ANSWERS_TWICE_IN_PIECES, UNSOLICITED_FRACTION);
-      case ANSWER_TWICE_CUT -> setFault(Fault.ANSWERS_TWICE_CUT, UNSOLICITED_FRACTION);
-      case ANSWER_TWICE_SPOILT -> setFault(Fault.ANSWERS_TWICE_SPOILT, UNSOLICITED_FRACTION);
+      case CUT_HEADS -> setFault(Fault.CUTS_HEAD, FREQUENT_FAULT_FRACTION);
+      case ANSWER_TWICE_LATE -> setFault(Fault.ANSWERS_TWICE_LATE, FREQUENT_FAULT_FRACTION);
+      case ANSWER_TWICE_IN_PIECES ->
+          setFault(Fault.ANSWERS_TWICE_IN_PIECES, FREQUENT_FAULT_FRACTION);
+      case ANSWER_TWICE_CUT -> setFault(Fault.ANSWERS_TWICE_CUT, FREQUENT_FAULT_FRACTION);
+      case ANSWER_TWICE_SPOILT -> setFault(Fault.ANSWERS_TWICE_SPOILT, FREQUENT_FAULT_FRACTION);
       case ANSWER_TWICE_WITHOUT_ID ->
-          setFault(Fault.ANSWERS_TWICE_WITHOUT_ID, UNSOLICITED_FRACTION);
-      case ADD_BYTES -> setFault(Fault.ADDS_BYTES, UNSOLICITED_FRACTION);
-      case INVALID_STATUS -> setFault(Fault.INVALID_STATUS, UNSOLICITED_FRACTION);
-      case INVALID_HEADER -> setFault(Fault.INVALID_HEADER, UNSOLICITED_FRACTION);
+          setFault(Fault.ANSWERS_TWICE_WITHOUT_ID, FREQUENT_FAULT_FRACTION);
+      case ADD_BYTES -> setFault(Fault.ADDS_BYTES, FREQUENT_FAULT_FRACTION);
+      case INVALID_STATUS -> setFault(Fault.INVALID_STATUS, FREQUENT_FAULT_FRACTION);
+      case INVALID_HEADER -> setFault(Fault.INVALID_HEADER, FREQUENT_FAULT_FRACTION);
       case SILENCE_STORE -> setStoreFault(StoreFaultMode.SILENT, series);
       case REFUSE_AT_STORE -> setStoreFault(StoreFaultMode.BUSY, series);
       case SLOW_STORE -> setStoreFault(StoreFaultMode.SLOW, series);
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/TargetTroubles.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/trouble/TargetTroubles.java
@@ -22,8 +22,8 @@
   private static final double ADDED_FRACTION = 0.1;
   private static final double FAULTY_FRACTION = 0.5;
   private static final double FAULTY_RESPONSE_FRACTION = 0.05;
-  private static final double UNSOLICITED_FRACTION = 0.3;
-  private static final long UNSOLICITED_MILLIS = 12_000;
+  private static final double FREQUENT_FAULT_FRACTION = 0.3;
+  private static final long FREQUENT_FAULT_MILLIS = 12_000;
   private static final double SLOWDOWN_FACTOR = 4;
   private static final long TROUBLE_MILLIS = 6_000;
   private static final long REPLACEMENT_GAP_MILLIS = 700;
@@ -49,24 +49,24 @@
 
   /** Adds troubles of bytes that belong to no request, and of heads that break off. */
   static void addUnsolicitedTo(Map<String, Trouble> all) {
-    all.put("answers-cut-in-head", unsolicited(Fault.CUTS_HEAD));
-    all.put("answers-twice-late", unsolicited(Fault.ANSWERS_TWICE_LATE));
-    all.put("answers-twice-in-pieces", unsolicited(Fault.ANSWERS_TWICE_IN_PIECES));
-    all.put("answers-twice-cut", unsolicited(Fault.ANSWERS_TWICE_CUT));
-    all.put("answers-twice-spoilt", unsolicited(Fault.ANSWERS_TWICE_SPOILT));
-    all.put("answers-twice-without-id", unsolicited(Fault.ANSWERS_TWICE_WITHOUT_ID));
-    all.put("answers-and-bytes", unsolicited(Fault.ADDS_BYTES));
+    all.put("answers-cut-in-head", frequentFault(Fault.CUTS_HEAD));
+    all.put("answers-twice-late", frequentFault(Fault.ANSWERS_TWICE_LATE));
+    all.put("answers-twice-in-pieces", frequentFault(Fault.ANSWERS_TWICE_IN_PIECES));
+    all.put("answers-twice-cut", frequentFault(Fault.ANSWERS_TWICE_CUT));
+    all.put("answers-twice-spoilt", frequentFault(Fault.ANSWERS_TWICE_SPOILT));
+    all.put("answers-twice-without-id", frequentFault(Fault.ANSWERS_TWICE_WITHOUT_ID));
+    all.put("answers-and-bytes", frequentFault(Fault.ADDS_BYTES));
   }
 
   /** Troubles of whole answers with a malformed head. */
   static void addMalformedTo(Map<String, Trouble> all) {
-    all.put("answers-with-invalid-status", unsolicited(Fault.INVALID_STATUS));
-    all.put("answers-with-invalid-header", unsolicited(Fault.INVALID_HEADER));
+    all.put("answers-with-invalid-status", frequentFault(Fault.INVALID_STATUS));
+    all.put("answers-with-invalid-header", frequentFault(Fault.INVALID_HEADER));
   }
 
-  private static Trouble unsolicited(Fault fault) {
+  private static Trouble frequentFault(Fault fault) {
     return (fleet, random) ->
-        injectFault(fleet, random, fault, UNSOLICITED_FRACTION, UNSOLICITED_MILLIS);
+        injectFault(fleet, random, fault, FREQUENT_FAULT_FRACTION, FREQUENT_FAULT_MILLIS);
   }
 
   /** Returns {@code fraction} of the running targets, chosen at random. */
