--- /dev/null
+++ b/sageladder-bench/src/test/java/org/sageladder/bench/process/DaemonTinyChunksTest.java
@@ -0,0 +1,34 @@
+package org.sageladder.bench.process;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.CleanupMode;
+import org.junit.jupiter.api.io.TempDir;
+import org.sageladder.standin.http.MisbehavingClients.Reading;
+import org.sageladder.standin.http.RequestBytes;
+
+/**
+ * Guards against worker threads that end for lack of memory, by bodies of very many small chunks.
+ */
+class DaemonTinyChunksTest {
+  private static final int CLIENTS = 64;
+
+  @TempDir(cleanup = CleanupMode.ON_SUCCESS)
+  private Path folder;
+
+  @Test
+  void daemonWithstandsChunksOfOneByte() throws Exception {
+    byte[] request =
+        RequestBytes.of(
+                "POST " + SmallDaemon.ARCHIVE_LINE,
+                "Host: e",
+                "Sageladder-Deadline-Millis: 300000",
+                "Transfer-Encoding: chunked")
+            .endOfHead()
+            .chunks(200_000, 1, "")
+            .toByteArray();
+    try (SmallDaemon daemon = SmallDaemon.start(folder)) {
+      daemon.assertWithstands(CLIENTS, request, Reading.EVERYTHING);
+    }
+  }
+}
--- a/sageladder-scenario/src/main/java/org/sageladder/scenario/process/EntryVmProcess.java
+++ b/sageladder-scenario/src/main/java/org/sageladder/scenario/process/EntryVmProcess.java
@@ -94,6 +94,11 @@
     return process.isAlive();
   }
 
+  /** Id of the process that was started last. */
+  long pid() {
+    return process.pid();
+  }
+
   /** Kills the process with SIGKILL, also if it is stopped. */
   void kill() {
     process.destroyForcibly();
--- /dev/null
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/process/ChunkExtensionsTest.java
@@ -0,0 +1,34 @@
+package org.sageladder.scenario.process;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.CleanupMode;
+import org.junit.jupiter.api.io.TempDir;
+import org.sageladder.scenario.process.SmallEntryVm.Door;
+import org.sageladder.standin.http.MisbehavingClients.Reading;
+import org.sageladder.standin.http.RequestBytes;
+
+/** Guards against small chunks that keep the large buffers alive in which they were received. */
+class ChunkExtensionsTest {
+  private static final int CLIENTS = 96;
+
+  @TempDir(cleanup = CleanupMode.ON_SUCCESS)
+  private Path folder;
+
+  @Test
+  void processWithstandsLongChunkExtensions() throws Exception {
+    byte[] request =
+        RequestBytes.of(
+                "POST /plain/1 HTTP/1.1",
+                "Host: h",
+                "Request-Id: m",
+                "Request-Deadline: 30000",
+                "Transfer-Encoding: chunked")
+            .endOfHead()
+            .chunks(63, 1, ";e=" + "x".repeat(15_000))
+            .toByteArray();
+    try (SmallEntryVm vm = SmallEntryVm.start(folder)) {
+      vm.assertWithstands(Door.CALLERS, CLIENTS, request, Reading.EVERYTHING);
+    }
+  }
+}
--- /dev/null
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/process/ConnectionOptionsTest.java
@@ -0,0 +1,36 @@
+package org.sageladder.scenario.process;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.CleanupMode;
+import org.junit.jupiter.api.io.TempDir;
+import org.sageladder.scenario.process.SmallEntryVm.Door;
+import org.sageladder.standin.http.MisbehavingClients.Reading;
+import org.sageladder.standin.http.RequestBytes;
+
+/** Guards against a heap used up by heads with thousands of connection options and cookies. */
+class ConnectionOptionsTest {
+  private static final int CLIENTS = 400;
+
+  @TempDir(cleanup = CleanupMode.ON_SUCCESS)
+  private Path folder;
+
+  @Test
+  void processWithstandsManyConnectionOptions() throws Exception {
+    byte[] request =
+        RequestBytes.of(
+                "POST /plain/1 HTTP/1.1",
+                "Host: h",
+                "Request-Id: m",
+                "Request-Deadline: 30000",
+                "Transfer-Encoding: chunked")
+            .text("Connection: k" + ",k".repeat(3_500) + "\r\n")
+            .text("Cookie: k=v; l\r\n".repeat(500))
+            .endOfHead()
+            .chunks(1, 1, "")
+            .toByteArray();
+    try (SmallEntryVm vm = SmallEntryVm.start(folder)) {
+      vm.assertWithstands(Door.CALLERS, CLIENTS, request, Reading.EVERYTHING);
+    }
+  }
+}
--- /dev/null
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/process/PeerHeadsTest.java
@@ -0,0 +1,29 @@
+package org.sageladder.scenario.process;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.CleanupMode;
+import org.junit.jupiter.api.io.TempDir;
+import org.sageladder.scenario.process.SmallEntryVm.Door;
+import org.sageladder.standin.http.MisbehavingClients.Reading;
+import org.sageladder.standin.http.RequestBytes;
+
+/** Guards against a heap used up at the port for other entry VMs. */
+class PeerHeadsTest {
+  private static final int CLIENTS = 160;
+
+  @TempDir(cleanup = CleanupMode.ON_SUCCESS)
+  private Path folder;
+
+  @Test
+  void processWithstandsUnfinishedHeadsOfPeers() throws Exception {
+    byte[] request =
+        RequestBytes.of(
+                "GET /plain/1 HTTP/1.1", "Host: h", "Request-Id: m", "Request-Deadline: 30000")
+            .emptyHeaders(4_800)
+            .toByteArray();
+    try (SmallEntryVm vm = SmallEntryVm.start(folder)) {
+      vm.assertWithstands(Door.PEERS, CLIENTS, request, Reading.EVERYTHING);
+    }
+  }
+}
--- /dev/null
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/process/UnfinishedTrailersTest.java
@@ -0,0 +1,35 @@
+package org.sageladder.scenario.process;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.CleanupMode;
+import org.junit.jupiter.api.io.TempDir;
+import org.sageladder.scenario.process.SmallEntryVm.Door;
+import org.sageladder.standin.http.MisbehavingClients.Reading;
+import org.sageladder.standin.http.RequestBytes;
+
+/** Guards against a heap used up by trailers that stop before their last line. */
+class UnfinishedTrailersTest {
+  private static final int CLIENTS = 160;
+
+  @TempDir(cleanup = CleanupMode.ON_SUCCESS)
+  private Path folder;
+
+  @Test
+  void processWithstandsUnfinishedTrailers() throws Exception {
+    byte[] request =
+        RequestBytes.of(
+                "POST /plain/1 HTTP/1.1",
+                "Host: h",
+                "Request-Id: m",
+                "Request-Deadline: 30000",
+                "Transfer-Encoding: chunked")
+            .endOfHead()
+            .text("0\r\n")
+            .emptyHeaders(3_900)
+            .toByteArray();
+    try (SmallEntryVm vm = SmallEntryVm.start(folder)) {
+      vm.assertWithstands(Door.CALLERS, CLIENTS, request, Reading.EVERYTHING);
+    }
+  }
+}
--- /dev/null
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/process/UnreadResponsesTest.java
@@ -0,0 +1,30 @@
+package org.sageladder.scenario.process;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.CleanupMode;
+import org.junit.jupiter.api.io.TempDir;
+import org.sageladder.scenario.process.SmallEntryVm.Door;
+import org.sageladder.standin.http.MisbehavingClients.Reading;
+import org.sageladder.standin.http.RequestBytes;
+
+/** Guards against a heap used up by requests pipelined without reading their responses. */
+class UnreadResponsesTest {
+  private static final int CLIENTS = 64;
+
+  @TempDir(cleanup = CleanupMode.ON_SUCCESS)
+  private Path folder;
+
+  @Test
+  void processWithstandsUnreadResponses() throws Exception {
+    byte[] request =
+        RequestBytes.of(
+                "GET /none/1 HTTP/1.1", "Host: h", "Request-Id: m", "Request-Deadline: 30000")
+            .endOfHead()
+            .repeated(4_000)
+            .toByteArray();
+    try (SmallEntryVm vm = SmallEntryVm.start(folder)) {
+      vm.assertWithstands(Door.CALLERS, CLIENTS, request, Reading.NOTHING);
+    }
+  }
+}
