Heads of thousands of lines take little more memory than their bytes

What callers saw: some dozens of legal requests whose heads have thousands of lines, complete or not, ended the process, and with it all requests in flight.

Cause: Netty's headers keep about a hundred bytes of objects for each line; a head of 16 kB with lines of 4 bytes takes 400 kB, once for the request and once more for each attempt, trailers and the heads of responses likewise.

Change: the decoders and the forwarded heads use CompactHeaders, one byte array with four bytes besides the characters of each header.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
@@ -99,7 +99,9 @@
         new HttpDecoderConfig()
             .setMaxInitialLineLength(maxHeadBytes)
             .setMaxHeaderSize(maxHeadBytes)
-            .setMaxChunkSize(MAX_CHUNK_BYTES);
+            .setMaxChunkSize(MAX_CHUNK_BYTES)
+            .setHeadersFactory(CompactHeaders.factory())
+            .setTrailersFactory(CompactHeaders.factory());
     pipeline.addLast(
         new ChannelInboundHandlerAdapter() {
           @Override
--- a/sageladder-forward/src/main/java/org/sageladder/forward/ForwardedHeaders.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ForwardedHeaders.java
@@ -1,6 +1,5 @@
 package org.sageladder.forward;
 
-import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Map;
@@ -14,8 +13,7 @@
   static HttpHeaders of(HttpHeaders headers) {
     HopByHopHeaders connectionHeaders =
         HopByHopHeaders.of(headers.getAll(HttpHeaderNames.CONNECTION));
-    HttpHeaders forwarded =
-        DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders();
+    HttpHeaders forwarded = CompactHeaders.unvalidated();
     for (Map.Entry<String, String> header : headers) {
       if (!connectionHeaders.contains(header.getKey())) {
         forwarded.add(header.getKey(), header.getValue());
--- a/sageladder-forward/src/main/java/org/sageladder/forward/ResponseDecoder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseDecoder.java
@@ -35,7 +35,9 @@
         new HttpDecoderConfig()
             .setMaxHeaderSize(MAX_HEAD_BYTES)
             .setMaxInitialLineLength(MAX_HEAD_BYTES)
-            .setMaxChunkSize(MAX_CHUNK_BYTES));
+            .setMaxChunkSize(MAX_CHUNK_BYTES)
+            .setHeadersFactory(CompactHeaders.factory())
+            .setTrailersFactory(CompactHeaders.factory()));
     this.isHeadRequest = isHeadRequest;
   }
 
