Small chunks of a body are joined and passed on once per read

What callers saw: some dozens of bodies in chunks of one byte, or in small chunks with long extensions, ended the process.

Cause: each chunk was kept as a buffer object of its own that is a part of the buffer of its read, up to 64 kB, which stays alive with it. Each was written to the target and flushed by itself.

Change: ByteSegments copies pieces into buffers of their own, for bodies of requests and of responses. A body that is received goes to the target once per read, and whenever 64 kB are there.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/BufferedBody.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/BufferedBody.java
@@ -3,8 +3,6 @@
 import com.dynatrace.hash4j.hashing.HashStream64;
 import com.dynatrace.hash4j.hashing.Hashing;
 import io.netty.buffer.ByteBuf;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 
@@ -19,19 +17,17 @@
   /** The part of a body that distinguishes requests; no more than is buffered. */
   private static final int MAX_HASHED_BYTES = MAX_BUFFERED_BYTES;
 
-  private final Deque<ByteBuf> parts = new ArrayDeque<>();
+  private final ByteSegments segments = new ByteSegments();
   private @Nullable HashStream64 hash;
   private int hashedBytes;
-  private long bufferedBytes;
   private long receivedBytes;
   private boolean isComplete;
   private @Nullable TargetConnection streamedOn;
 
   void add(ByteBuf bytes) {
     addToHash(bytes);
-    bufferedBytes += bytes.readableBytes();
     receivedBytes += bytes.readableBytes();
-    parts.addLast(bytes);
+    segments.add(bytes);
   }
 
   void complete() {
@@ -50,7 +46,7 @@
 
   /** True once a target can be chosen: the body is complete or too large to be buffered. */
   boolean isReady() {
-    return isComplete || bufferedBytes > MAX_BUFFERED_BYTES;
+    return isComplete || !acceptsMore();
   }
 
   /** True while the body can still be sent to another target from its beginning. */
@@ -58,9 +54,14 @@
     return streamedOn == null;
   }
 
+  /** True if bytes are buffered. */
+  boolean hasBufferedBytes() {
+    return segments.readableBytes() > 0;
+  }
+
   /** True while the buffer has room for more bytes from the caller. */
   boolean acceptsMore() {
-    return bufferedBytes <= MAX_BUFFERED_BYTES;
+    return segments.readableBytes() <= MAX_BUFFERED_BYTES;
   }
 
   /**
@@ -75,16 +76,13 @@
     }
     if (isComplete && streamedOn == null) {
       // A write that fails ends the attempt at once, which may release this body.
-      List<ByteBuf> copies = parts.stream().map(ByteBuf::retainedDuplicate).toList();
+      List<ByteBuf> copies = segments.retainedDuplicates();
       copies.forEach(connection::writeBody);
       connection.endRequest(receivedBytes);
       return;
     }
     streamedOn = connection;
-    while (!parts.isEmpty()) {
-      connection.writeBody(parts.removeFirst());
-    }
-    bufferedBytes = 0;
+    segments.drainTo(connection::writeBody);
     if (isComplete) {
       connection.endRequest(receivedBytes);
     }
@@ -92,9 +90,7 @@
 
   /** Releases all buffered bytes. */
   void release() {
-    parts.forEach(ByteBuf::release);
-    parts.clear();
-    bufferedBytes = 0;
+    segments.release();
   }
 
   /**
--- a/sageladder-forward/src/main/java/org/sageladder/forward/BufferedResponse.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/BufferedResponse.java
@@ -9,8 +9,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
 
 /**
  * A response of a target, buffered until it is complete or too large to buffer.
@@ -21,10 +19,9 @@
  */
 final class BufferedResponse {
   private final HttpResponse head;
-  private final List<ByteBuf> parts = new ArrayList<>();
+  private final ByteSegments segments = new ByteSegments();
   private final ResponseMemory memory;
   private long receivedBytes;
-  private long bufferedBytes;
 
   /**
    * Creates a response without a body so far.
@@ -51,15 +48,14 @@
 
   void add(ByteBuf bytes) {
     receivedBytes += bytes.readableBytes();
-    bufferedBytes += bytes.readableBytes();
     memory.add(bytes.readableBytes());
-    parts.add(bytes);
+    segments.add(bytes);
   }
 
   /** True if the buffered part of the body holds the beginning of a response. */
   boolean bodyContainsStatusLine() {
     StringBuilder body = new StringBuilder();
-    parts.forEach(part -> body.append(part.toString(StandardCharsets.ISO_8859_1)));
+    segments.appendTo(body, StandardCharsets.ISO_8859_1);
     return ResponseHeadValidator.containsStatusLine(body);
   }
 
@@ -94,20 +90,12 @@
   }
 
   private void writeParts(CallerConnection caller) {
-    for (ByteBuf part : parts) {
-      caller.writeBody(part);
-    }
-    clearParts();
-  }
-
-  private void clearParts() {
-    parts.clear();
-    memory.remove(bufferedBytes);
-    bufferedBytes = 0;
+    memory.remove(segments.readableBytes());
+    segments.drainTo(caller::writeBody);
   }
 
   void release() {
-    parts.forEach(ByteBuf::release);
-    clearParts();
+    memory.remove(segments.readableBytes());
+    segments.release();
   }
 }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
@@ -208,6 +208,16 @@
     }
   }
 
+  /** Passes on what one read has brought of a body, however many chunks it had. */
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    Exchange receiving = receivingExchange;
+    if (receiving != null) {
+      receiving.onBodyReceived();
+      updateReading();
+    }
+  }
+
   /** False while a body has no room, or a further request would add to unread responses. */
   private boolean canReadMore() {
     Exchange receiving = receivingExchange;
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -212,7 +212,10 @@
     turn.askForBody();
   }
 
-  /** Receives bytes of the body and takes ownership of them. */
+  /**
+   * Receives bytes of the body and takes ownership of them; {@link #onBodyReceived} follows once
+   * all that was received with them is here.
+   */
   void onBodyBytes(ByteBuf bytes) {
     if (isFinished) {
       bytes.release();
@@ -223,7 +226,16 @@
       refuseBody(ResultCode.BODY_TOO_LARGE);
       return;
     }
-    onBodyProgress();
+    if (!body.acceptsMore()) {
+      onBodyProgress();
+    }
+  }
+
+  /** Passes on the bytes of the body that were received so far. */
+  void onBodyReceived() {
+    if (!isFinished && body.hasBufferedBytes()) {
+      onBodyProgress();
+    }
   }
 
   /** Ends the request, since the rest of its body cannot be read. */
@@ -261,7 +273,7 @@
   /** True while the caller may send more of the body. */
   boolean acceptsMoreBody() {
     Attempt current = attempt;
-    return current == null ? body.acceptsMore() : current.acceptsMoreBody();
+    return body.acceptsMore() && (current == null || current.acceptsMoreBody());
   }
 
   /** Updates whether more bytes are read from the caller. */
