Connections that hold most are ended when clients hold too much memory

What callers saw: some hundred bodies that stop just short of their end, each within the limits, ended the process.

Cause: only bytes of responses were counted. Heads, bodies of requests, what the decoder had decoded ahead of the requests in progress, and what targets had not read yet were not, and nothing limited their sum.

Change: HeldMemory counts for each connection what it, its requests and its decoder hold, up to three eighths of the heap. Beyond that it ends connections by what they hold, among similar ones first those that wait longest for their client, until an eighth of the limit is free. A request that no target has run and that can be answered gets MEMORY_SHORT (39, 503, with Retry-After); else the connection is closed, which promises nothing. RequestDecoder replaces the library's decoder and its flow control: it decodes nothing while the connection is not read, so that at most 16 kB wait as they were received. A connection is read at most four times 16 kB in a row. The time limit on a head does not run while the connection is not read. The former rule that closed slow readers at 16 MB of responses is part of this one.

--- a/sageladder-core/src/main/java/org/sageladder/core/result/ResultCode.java
+++ b/sageladder-core/src/main/java/org/sageladder/core/result/ResultCode.java
@@ -38,6 +38,7 @@
   CANCELLED(36, 499, Outcome.NOT_RUN),
   LINK_LIMIT(37, 503, Outcome.NOT_RUN),
   QUOTA_EXCEEDED(38, 429, Outcome.NOT_RUN),
+  MEMORY_SHORT(39, 503, Outcome.NOT_RUN),
 
   NO_CONTRACT_IN_FORCE(40, 503, Outcome.NOT_RUN),
   STOPPING(41, 503, Outcome.NOT_RUN),
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
@@ -196,6 +196,14 @@
     }
   }
 
+  /** Bytes of heap that the response occupies, and what the peer has not read of the request. */
+  long heldBytes() {
+    TargetConnection current = connection;
+    BufferedResponse buffered = response;
+    long requestBytes = isFinished || current == null ? 0 : current.unwrittenBytes();
+    return requestBytes + (buffered == null ? 0 : buffered.heldBytes());
+  }
+
   /** Abandons the attempt; the peer cancels the request when its connection ends. */
   void abandon() {
     if (isFinished) {
@@ -239,6 +247,7 @@
   @Override
   public void onHead(HttpResponse head) {
     response = new BufferedResponse(head, forwarder.responseMemory());
+    exchange.updateHeld();
   }
 
   /**
--- a/sageladder-forward/src/main/java/org/sageladder/forward/BufferedBody.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/BufferedBody.java
@@ -88,6 +88,11 @@
     }
   }
 
+  /** Bytes of heap that the buffered part occupies. */
+  long heldBytes() {
+    return segments.heldBytes();
+  }
+
   /** Releases all buffered bytes. */
   void release() {
     segments.release();
--- a/sageladder-forward/src/main/java/org/sageladder/forward/BufferedResponse.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/BufferedResponse.java
@@ -46,6 +46,11 @@
     return receivedBytes;
   }
 
+  /** Bytes of heap that the response occupies. */
+  long heldBytes() {
+    return segments.heldBytes() + CompactHeaders.heldBytes(head.headers());
+  }
+
   void add(ByteBuf bytes) {
     receivedBytes += bytes.readableBytes();
     memory.add(bytes.readableBytes());
--- a/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -11,11 +12,9 @@
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -23,7 +22,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
-import io.netty.handler.flow.FlowControlHandler;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -40,7 +38,7 @@
  * responses wait for their turn. Nothing is read after a response that closes the connection: later
  * requests count as not read, and callers send them again.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter {
+final class CallerConnection extends ChannelInboundHandlerAdapter implements HeldMemory.Holder {
   /** With this many requests in flight, the connection is not read until one of them has ended. */
   private static final int MAX_PIPELINED_REQUESTS = 16;
 
@@ -57,6 +55,9 @@
 
   private static final long NEVER = Long.MAX_VALUE;
 
+  /** Heap of a connection without requests: its channel, its pipeline and their buffers. */
+  private static final long CONNECTION_BYTES = 6 << 10;
+
   /** Stands for bytes that are not a request; its exchange only sends an error response. */
   private static final HttpRequest NO_REQUEST =
       new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
@@ -68,7 +69,9 @@
   private final CallerConnections connections;
   private final boolean isPeer;
   private final Deque<Exchange> exchanges = new ArrayDeque<>();
+  private final HeldMemory.Share share;
   private @Nullable ChannelHandlerContext context;
+  private @Nullable RequestDecoder decoder;
   private @Nullable Exchange receivingExchange;
   private boolean isClosing;
   private boolean isPassingTurn;
@@ -79,6 +82,7 @@
   private long discardedBytes;
   private long headStartedAtMillis;
   private long idleSinceMillis;
+  private long lastReceivedMillis;
   private long unreadSinceMillis = NEVER;
 
   /**
@@ -91,17 +95,15 @@
     this.connections = forwarder.callerConnections();
     this.isPeer = isPeer;
     this.idleSinceMillis = forwarder.loop().nowMillis();
+    this.lastReceivedMillis = idleSinceMillis;
+    this.share = forwarder.heldMemory().open(this);
+    share.set(CONNECTION_BYTES);
   }
 
   void install(ChannelPipeline pipeline) {
     int maxHeadBytes = forwarder.callerLimits().maxHeadBytes() + (isPeer ? RELAY_HEADER_BYTES : 0);
-    HttpDecoderConfig config =
-        new HttpDecoderConfig()
-            .setMaxInitialLineLength(maxHeadBytes)
-            .setMaxHeaderSize(maxHeadBytes)
-            .setMaxChunkSize(MAX_CHUNK_BYTES)
-            .setHeadersFactory(CompactHeaders.factory())
-            .setTrailersFactory(CompactHeaders.factory());
+    RequestDecoder newDecoder = new RequestDecoder(maxHeadBytes, MAX_CHUNK_BYTES);
+    decoder = newDecoder;
     pipeline.addLast(
         new ChannelInboundHandlerAdapter() {
           @Override
@@ -114,9 +116,7 @@
             ctx.fireChannelRead(bytes);
           }
         },
-        new HttpRequestDecoder(config),
-        // Holds back the requests of one read while reading is disabled.
-        new FlowControlHandler(),
+        newDecoder,
         new HttpResponseEncoder(),
         this);
   }
@@ -131,8 +131,9 @@
 
   private void onBytesReceived() {
     hasReceivedBytes = true;
+    lastReceivedMillis = forwarder.loop().nowMillis();
     if (receivingExchange == null && headStartedAtMillis == 0 && !isLastRequestReceived) {
-      headStartedAtMillis = forwarder.loop().nowMillis();
+      headStartedAtMillis = lastReceivedMillis;
     }
   }
 
@@ -214,8 +215,53 @@
     Exchange receiving = receivingExchange;
     if (receiving != null) {
       receiving.onBodyReceived();
-      updateReading();
     }
+    updateReading();
+    updateHeld();
+    forwarder.heldMemory().relieve();
+  }
+
+  /** States what the connection and its requests hold now. */
+  void updateHeld() {
+    RequestDecoder current = decoder;
+    long bytes = CONNECTION_BYTES + (current == null ? 0 : current.heldBytes());
+    for (Exchange exchange : exchanges) {
+      bytes += exchange.heldBytes();
+    }
+    share.set(bytes + Sockets.unwrittenBytes(context().channel()));
+  }
+
+  @Override
+  public long waitingSinceMillis() {
+    if (receivingExchange != null || headStartedAtMillis != 0) {
+      return lastReceivedMillis;
+    }
+    return exchanges.isEmpty() ? idleSinceMillis : unreadSinceMillis;
+  }
+
+  /**
+   * Refuses a request that no target has run and that can be answered now, and ends the connection;
+   * in any other state ends it at once. Callers send again what was behind that request.
+   */
+  @Override
+  public void evict() {
+    forwarder.metrics().count("connections_evicted");
+    forwarder.logCallerFailure("closed", "held " + share.bytes() + " bytes, memory is short");
+    while (exchanges.size() > 1) {
+      exchanges.removeLast().onCallerClosed();
+    }
+    receivingExchange = null;
+    Exchange first = exchanges.peekFirst();
+    if (isClosing || first == null || !first.refuseUnsent(ResultCode.MEMORY_SHORT)) {
+      closeNow();
+      share.close();
+      return;
+    }
+    RequestDecoder current = decoder;
+    if (current != null) {
+      current.discard();
+    }
+    updateHeld();
   }
 
   /** False while a body has no room, or a further request would add to unread responses. */
@@ -227,8 +273,19 @@
 
   /** Updates whether more bytes are read from the caller. */
   void updateReading() {
-    if (context().channel().isActive()) {
-      context().channel().config().setAutoRead(canReadMore());
+    Channel channel = context().channel();
+    if (isClosing || !channel.isActive()) {
+      return;
+    }
+    boolean wasReading = channel.config().isAutoRead();
+    boolean isReading = canReadMore();
+    channel.config().setAutoRead(isReading);
+    if (!wasReading && isReading && headStartedAtMillis != 0) {
+      headStartedAtMillis = forwarder.loop().nowMillis();
+    }
+    RequestDecoder current = decoder;
+    if (isReading && current != null) {
+      current.resume();
     }
   }
 
@@ -304,6 +361,7 @@
                 done -> {
                   memory.remove(count);
                   recordReadByCaller();
+                  updateHeld();
                 });
   }
 
@@ -353,6 +411,7 @@
       flush();
       updateReading();
     }
+    updateHeld();
   }
 
   /**
@@ -412,14 +471,7 @@
     }
     unreadSinceMillis = forwarder.loop().nowMillis();
     updateReading();
-    if (forwarder.responseMemory().isExhausted()) {
-      connections.closeSlowestReader();
-    }
-  }
-
-  /** When the caller last read a part of a full write buffer; the maximum while it has room. */
-  long unreadSinceMillis() {
-    return unreadSinceMillis;
+    updateHeld();
   }
 
   @Override
@@ -432,6 +484,7 @@
       connections.lingeringEnded();
     }
     connections.remove(this);
+    share.close();
     while (!exchanges.isEmpty()) {
       exchanges.removeFirst().onCallerClosed();
     }
@@ -470,7 +523,9 @@
   }
 
   private boolean isHeadTooSlow(long now, CallerLimits limits) {
-    return headStartedAtMillis != 0 && now - headStartedAtMillis > limits.headTimeoutMillis();
+    return headStartedAtMillis != 0
+        && context().channel().config().isAutoRead()
+        && now - headStartedAtMillis > limits.headTimeoutMillis();
   }
 
   private boolean isIdleTooLong(long now, CallerLimits limits) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnections.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnections.java
@@ -1,6 +1,5 @@
 package org.sageladder.forward;
 
-import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -72,14 +71,6 @@
     return closingCount + " connections closing, " + receivingCount + " receiving";
   }
 
-  /** Closes the connection whose caller has read nothing for longest. */
-  void closeSlowestReader() {
-    open.stream()
-        .filter(connection -> connection.unreadSinceMillis() != Long.MAX_VALUE)
-        .min(Comparator.comparingLong(CallerConnection::unreadSinceMillis))
-        .ifPresent(CallerConnection::closeSlowReader);
-  }
-
   void closeIdle() {
     forEach(CallerConnection::closeIfIdle);
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -27,6 +27,12 @@
   /** An entry VM receives its first rules, or newer ones, within about this time. */
   static final long NO_RULES_RETRY_AFTER_MILLIS = 500;
 
+  /** Clients that hold too much memory are disconnected within about this time. */
+  private static final long MEMORY_RETRY_AFTER_MILLIS = 500;
+
+  /** Heap of a request and an attempt without their heads and bodies. */
+  private static final long REQUEST_BYTES = 2 << 10;
+
   /** Retry delay of requests that would be refused again in any case. */
   private static final long NO_RETRY_AFTER = -1;
 
@@ -516,12 +522,33 @@
           response.writeComplete(caller, head.method().equals(HttpMethod.HEAD), close);
           finish(EventKind.ANSWERED, from, "status " + response.status(), close);
         },
-        response::release);
+        response::release,
+        response.heldBytes());
+    updateHeld();
   }
 
   /** Receives bytes of a response and takes ownership of them. */
   void onResponseBytes(Attempt from, BufferedResponse response, ByteBuf bytes) {
     turn.receive(from, response, bytes);
+    updateHeld();
+  }
+
+  /** States what the caller's connection holds now. */
+  void updateHeld() {
+    caller.updateHeld();
+  }
+
+  /** Bytes of heap that the request and its response occupy. */
+  long heldBytes() {
+    Attempt current = attempt;
+    return REQUEST_BYTES
+        + CompactHeaders.heldBytes(head.headers())
+        + head.uri().length()
+        + requestId.length()
+        + body.heldBytes()
+        + turn.heldBytes()
+        + fallbackResponse.heldBytes()
+        + (current == null ? 0 : current.heldBytes());
   }
 
   /** Called if the caller accepts more bytes or this request is the next to be answered. */
@@ -618,11 +645,30 @@
    * the request is not known.
    */
   void refuseAndClose(ResultCode code) {
+    refuseAndClose(code, 0, "the request cannot be read");
+  }
+
+  private void refuseAndClose(ResultCode code, long retryAfterMillis, String reason) {
     stopWaiting();
     turn.run(
         () ->
             writeErrorResponse(
-                new ErrorResponse(code, code.httpStatus(), 0, true), "the request cannot be read"));
+                new ErrorResponse(code, code.httpStatus(), retryAfterMillis, true), reason));
+  }
+
+  /**
+   * Refuses the request and closes the connection if the request was not sent to a target and can
+   * be answered now; otherwise returns false.
+   */
+  boolean refuseUnsent(ResultCode code) {
+    Attempt current = attempt;
+    boolean isSent = mayHaveRun || (current != null && current.isSent());
+    if (isFinished || isSent || !caller.isDue(this)) {
+      return false;
+    }
+    abandonAttempt();
+    refuseAndClose(code, addJitter(MEMORY_RETRY_AFTER_MILLIS), "memory is short");
+    return true;
   }
 
   private void respond(ResultCode code, long retryAfterMillis, String reason) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/FallbackResponse.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/FallbackResponse.java
@@ -10,6 +10,12 @@
     return response != null;
   }
 
+  /** Bytes of heap that the response occupies. */
+  long heldBytes() {
+    BufferedResponse kept = response;
+    return kept == null ? 0 : kept.heldBytes();
+  }
+
   /** Keeps a response in place of the former one. */
   void replace(BufferedResponse newResponse) {
     release();
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -79,6 +79,7 @@
   private final Placement placement;
   private final TargetConnectionPool<TargetIncarnation> connectionPool;
   private final ResponseMemory responseMemory = new ResponseMemory();
+  private final HeldMemory heldMemory;
   private final RelayPeers relayPeers;
   private final TargetConnectionPool<RelayPeer> peerConnections;
   private final CrashDetector crashDetector;
@@ -134,6 +135,7 @@
     this.region = options.region();
     this.loop = loop;
     this.shutdown = new Shutdown(loop);
+    this.heldMemory = HeldMemory.ofHeap(loop::execute);
     this.dialect = dialect;
     this.log = log;
     this.metrics = metrics;
@@ -631,6 +633,11 @@
     return responseMemory.bytes();
   }
 
+  /** Memory that callers and other clients hold. */
+  public HeldMemory heldMemory() {
+    return heldMemory;
+  }
+
   ResponseMemory responseMemory() {
     return responseMemory;
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/ResponseMemory.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseMemory.java
@@ -9,9 +9,6 @@
   /** An eighth of the heap with which entry VMs run. */
   private static final long MAX_BYTES = 8 << 20;
 
-  /** A quarter of that heap; streamed responses count too, beyond the limit on buffering. */
-  private static final long EXHAUSTED_BYTES = 16 << 20;
-
   private long bytes;
 
   /** Counts bytes that are buffered from now on. */
@@ -29,11 +26,6 @@
     return bytes >= MAX_BYTES;
   }
 
-  /** True if callers that do not read have to be disconnected. */
-  boolean isExhausted() {
-    return bytes >= EXHAUSTED_BYTES;
-  }
-
   long bytes() {
     return bytes;
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/ResponseTurn.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseTurn.java
@@ -36,23 +36,25 @@
   }
 
   /** A response that waits; {@code discard} releases what it holds if it is never written. */
-  private record PendingResponse(Runnable write, Runnable discard) {}
+  private record PendingResponse(Runnable write, Runnable discard, long heldBytes) {}
 
   /** Runs {@code writeResponse} now, or once it is this request's turn. */
   void run(Runnable writeResponse) {
-    run(writeResponse, () -> {});
+    run(writeResponse, () -> {}, 0);
   }
 
   /**
    * Runs {@code writeResponse} now, or once it is this request's turn; {@code discard} in its place
    * if the caller leaves before.
+   *
+   * @param heldBytes bytes of heap that the response occupies until then
    */
-  void run(Runnable writeResponse, Runnable discard) {
+  void run(Runnable writeResponse, Runnable discard, long heldBytes) {
     if (caller.isDue(exchange)) {
       writeResponse.run();
       return;
     }
-    pendingResponse = new PendingResponse(writeResponse, discard);
+    pendingResponse = new PendingResponse(writeResponse, discard, heldBytes);
   }
 
   /**
@@ -69,6 +71,12 @@
     }
   }
 
+  /** Bytes of heap that a response occupies while it waits for its turn. */
+  long heldBytes() {
+    PendingResponse pending = pendingResponse;
+    return pending == null ? 0 : pending.heldBytes();
+  }
+
   /** True if a response waits for its turn. */
   boolean isWaiting() {
     return pendingResponse != null;
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Sockets.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Sockets.java
@@ -4,12 +4,15 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelOutboundInvoker;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.DatagramPacket;
@@ -34,6 +37,13 @@
   private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
   private static final int KEEP_ALIVE_PROBE_COUNT = 2;
 
+  private static final int MIN_READ_BYTES = 64;
+  private static final int FIRST_READ_BYTES = 2 << 10;
+  private static final int MAX_READ_BYTES = 16 << 10;
+
+  /** More reads in a row would keep other connections waiting. */
+  private static final int MAX_READS_IN_A_ROW = 4;
+
   /** Above the high-water mark of unwritten bytes to one peer, the sender is no longer read. */
   private static final WriteBufferWaterMark WRITE_BUFFER_WATER_MARK =
       new WriteBufferWaterMark(32 << 10, 64 << 10);
@@ -81,6 +91,12 @@
     close(port);
   }
 
+  /** Bytes that were written to a connection and that the kernel has not taken yet. */
+  static long unwrittenBytes(Channel connection) {
+    ChannelOutboundBuffer unwritten = connection.unsafe().outboundBuffer();
+    return unwritten == null ? 0 : unwritten.totalPendingWriteBytes();
+  }
+
   /** Enables keep-alive probes: the kernel ends the connection if the peer does not answer them. */
   public static void enableKeepAlive(Channel connection) {
     connection.config().setOption(ChannelOption.SO_KEEPALIVE, true);
@@ -131,6 +147,7 @@
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childOption(ChannelOption.SO_KEEPALIVE, true)
         .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER_WATER_MARK)
+        .childOption(ChannelOption.RECVBUF_ALLOCATOR, newReadSizes())
         .childOption(
             NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
         .childOption(
@@ -142,6 +159,11 @@
         .bind(host, port);
   }
 
+  private static RecvByteBufAllocator newReadSizes() {
+    return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
+        .maxMessagesPerRead(MAX_READS_IN_A_ROW);
+  }
+
   @Override
   public DatagramPort openDatagrams(
       Loop loop,
--- a/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/TargetConnection.java
@@ -233,6 +233,11 @@
     return context().channel().isWritable();
   }
 
+  /** Bytes that were written and that the kernel has not taken yet. */
+  long unwrittenBytes() {
+    return Sockets.unwrittenBytes(context().channel());
+  }
+
   /** Enables or disables reading, to apply backpressure to the target. */
   void setReading(boolean on) {
     context().channel().config().setAutoRead(on);
