--- a/sageladder-forward/src/main/java/org/sageladder/forward/HeldMemory.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/HeldMemory.java
@@ -52,7 +52,7 @@
    *
    * @param executor runs a task later on the thread that uses the account
    */
-  static HeldMemory ofHeap(Executor executor) {
+  public static HeldMemory ofHeap(Executor executor) {
     return new HeldMemory((long) (Runtime.getRuntime().maxMemory() * HEAP_FRACTION), executor);
   }
 
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Sockets.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Sockets.java
@@ -92,7 +92,7 @@
   }
 
   /** Bytes that were written to a connection and that the kernel has not taken yet. */
-  static long unwrittenBytes(Channel connection) {
+  public static long unwrittenBytes(Channel connection) {
     ChannelOutboundBuffer unwritten = connection.unsafe().outboundBuffer();
     return unwritten == null ? 0 : unwritten.totalPendingWriteBytes();
   }
