Callers cannot use up the descriptors of an entry VM

What callers saw: 600 connections at a VM with 400 descriptors ended the process.

Cause: no port limited its connections. Accepting failed with too many open files; the library logs that through java.util.logging, whose formatter opens the time-zone data, fails for the same reason and throws an Error on the event loop, which ends with it.

A new connection beyond that replaces an idle one, first one that never had a request, else the one that has waited for its caller for longest, at least a second, in the middle of a request; if there is none, the new one is closed before anything is read.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
@@ -76,6 +76,7 @@
   private boolean isClosing;
   private boolean isPassingTurn;
   private boolean hasReceivedBytes;
+  private boolean hasHadRequest;
   private boolean isLastRequestReceived;
   private boolean isClosingCounted;
   private boolean isLingering;
@@ -121,6 +122,12 @@
         this);
   }
 
+  /** Closes the channel of a connection that is not accepted. */
+  void refuse(Channel channel) {
+    share.close();
+    Sockets.close(channel);
+  }
+
   private void discard(ByteBuf bytes) {
     discardedBytes += bytes.readableBytes();
     bytes.release();
@@ -176,6 +183,7 @@
     }
     if (part instanceof HttpRequest head) {
       headStartedAtMillis = 0;
+      hasHadRequest = true;
       isLastRequestReceived = !HttpUtil.isKeepAlive(head);
       Exchange exchange = new Exchange(forwarder, this, head);
       receivingExchange = exchange;
@@ -532,6 +540,16 @@
     return isWithoutRequest() && now - idleSinceMillis > limits.idleTimeoutMillis();
   }
 
+  /** True if no request is being received or answered; a part of a head may be here. */
+  boolean isIdle() {
+    return !isClosing && exchanges.isEmpty();
+  }
+
+  /** True once the head of a request was received. */
+  boolean hasHadRequest() {
+    return hasHadRequest;
+  }
+
   private boolean isWithoutRequest() {
     return exchanges.isEmpty() && headStartedAtMillis == 0;
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnections.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnections.java
@@ -1,7 +1,9 @@
 package org.sageladder.forward;
 
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.sageladder.core.routing.CallerLimits;
@@ -14,8 +16,12 @@
    */
   private static final int MAX_LINGERING_CONNECTIONS = 256;
 
+  /** Longer than a caller pauses in the middle of a request that it is sending. */
+  private static final long MIN_STALLED_MILLIS = 1_000;
+
   private final Consumer<RuntimeException> onFailure;
   private final Set<CallerConnection> open = new LinkedHashSet<>();
+  private int maxConnections = Integer.MAX_VALUE;
   private int lingeringCount;
   private int closingCount;
 
@@ -29,8 +35,56 @@
     this.onFailure = onFailure;
   }
 
-  void add(CallerConnection connection) {
+  /** Limits the number of open connections. */
+  void limit(int newMaxConnections) {
+    maxConnections = newMaxConnections;
+  }
+
+  /**
+   * Adds a connection. Beyond the limit, it replaces one that waits for its caller; false if there
+   * is none, so that the new one is not accepted.
+   */
+  boolean add(CallerConnection connection, long nowMillis) {
+    if (open.size() >= maxConnections && !closeIdlest() && !endStalled(nowMillis)) {
+      return false;
+    }
     open.add(connection);
+    return true;
+  }
+
+  /** Closes a connection without a request, first one that has never had any. */
+  private boolean closeIdlest() {
+    CallerConnection idlest = null;
+    for (CallerConnection connection : open) {
+      if (!connection.isIdle()) {
+        continue;
+      }
+      if (!connection.hasHadRequest()) {
+        idlest = connection;
+        break;
+      }
+      if (idlest == null || connection.waitingSinceMillis() < idlest.waitingSinceMillis()) {
+        idlest = connection;
+      }
+    }
+    if (idlest == null) {
+      return false;
+    }
+    open.remove(idlest);
+    idlest.closeNow();
+    return true;
+  }
+
+  /** Ends the connection that has waited longest for its caller in the middle of a request. */
+  private boolean endStalled(long nowMillis) {
+    Optional<CallerConnection> stalled =
+        open.stream().min(Comparator.comparingLong(CallerConnection::waitingSinceMillis));
+    if (stalled.isEmpty() || stalled.get().waitingSinceMillis() > nowMillis - MIN_STALLED_MILLIS) {
+      return false;
+    }
+    open.remove(stalled.get());
+    stalled.get().evict();
+    return true;
   }
 
   void remove(CallerConnection connection) {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -240,12 +240,22 @@
       @Override
       protected void initChannel(Channel channel) {
         CallerConnection connection = new CallerConnection(Forwarder.this, isPeer);
-        callerConnections.add(connection);
+        if (!callerConnections.add(connection, loop.nowMillis())) {
+          // Nothing was read, so that callers can use another VM at once.
+          metrics.count("connections_refused");
+          connection.refuse(channel);
+          return;
+        }
         connection.install(channel.pipeline());
       }
     };
   }
 
+  /** Limits the open connections of callers and of other entry VMs; without, there is no limit. */
+  public void limitConnections(int maxConnections) {
+    callerConnections.limit(maxConnections);
+  }
+
   /** Updates the list of the other entry VMs that may serve requests for this one. */
   public void updateRelayPeers(Collection<RelayPeer> others) {
     relayPeers.update(others);
