The queue of log lines is limited in characters too

What callers saw: nothing yet; found by reading.

Cause: the queue is limited to 4,096 lines, but a line quotes the id of its request, which the caller chooses and which may be as long as a head: 64 MB of lines behind a blocked standard output.

Change: at most a million characters wait; further lines are dropped and counted as before.

Measured: LongLogLinesTest found 6,000,000 characters queued before and passes now; 337 tests of sageladder-forward pass.

--- a/sageladder-forward/src/main/java/org/sageladder/forward/JsonLineLog.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/JsonLineLog.java
@@ -18,13 +18,16 @@
  * <p>Example: {@code {"at":1764712345123,"vm":"e-1","kind":"ANSWERED","request":"9c41",...}}.
  *
  * <p>Lines are queued for a separate thread, so that a stalled reader of standard output cannot
- * delay requests. If the bounded queue is full, lines are dropped and counted, and the count is
- * logged once there is room.
+ * delay requests. If the bounded queue is full, in lines or in characters, lines are dropped and
+ * counted, and the count is logged once there is room.
  */
 public final class JsonLineLog implements EventSink, AutoCloseable {
   /** Holds about ten seconds of a VM's requests; at 200 bytes per line, less than a megabyte. */
   private static final int MAX_QUEUED_LINES = 4_096;
 
+  /** A line quotes the id of a request, which may be as long as a head. */
+  private static final int MAX_QUEUED_CHARS = 1 << 20;
+
   /** Each wake-up costs CPU time; a delay of 200 ms is short enough to follow the log. */
   private static final long WRITE_INTERVAL_MILLIS = 200;
 
@@ -38,6 +41,7 @@
   private final TimeSource time;
   private final OutputStream out;
   private final ArrayBlockingQueue<String> queuedLines = new ArrayBlockingQueue<>(MAX_QUEUED_LINES);
+  private final AtomicLong queuedCharCount = new AtomicLong();
   private final AtomicLong droppedLineCount = new AtomicLong();
   private volatile boolean isOpen = true;
   private final Thread writerThread;
@@ -82,7 +86,12 @@
     }
     appendField(line, "detail", detail);
     line.append("}\n");
-    if (!queuedLines.offer(line.toString())) {
+    enqueue(line.toString());
+  }
+
+  private void enqueue(String line) {
+    if (queuedCharCount.addAndGet(line.length()) > MAX_QUEUED_CHARS || !queuedLines.offer(line)) {
+      queuedCharCount.addAndGet(-line.length());
       droppedLineCount.incrementAndGet();
     }
   }
@@ -146,6 +155,7 @@
     StringBuilder lines = new StringBuilder();
     String line = queuedLines.poll();
     while (line != null) {
+      queuedCharCount.addAndGet(-line.length());
       if (lines.length() + line.length() > MAX_WRITE_CHARS) {
         writeAndClear(lines);
       }
