The daemon limits a head as a whole

What callers saw: 64 clients whose heads have 95 lines of 8 kB left a process without worker threads.

Cause: only the number and the length of the lines were limited, so that a head could have 800 kB where headBytes allows 16,384, and it is kept in characters of two bytes.

Change: all lines of a head together are limited to headBytes, with 431 as before for a long line.

--- a/sageladder-entry/src/main/java/org/sageladder/entry/http/HttpListener.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/http/HttpListener.java
@@ -95,7 +95,7 @@
             config,
             CharCodingConfig.DEFAULT,
             DefaultConnectionReuseStrategy.INSTANCE,
-            StrictMessageParser.requests(config),
+            StrictMessageParser.requests(config, limits.maxHeadBytes()),
             new DefaultHttpResponseWriterFactory(config),
             RequestFramingValidator.contentLengthStrategy(),
             DefaultContentLengthStrategy.INSTANCE,
--- a/sageladder-forward/src/test/java/org/sageladder/forward/ForwardingFixture.java
+++ b/sageladder-forward/src/test/java/org/sageladder/forward/ForwardingFixture.java
@@ -266,6 +266,11 @@
       this.in = new BufferedInputStream(socket.getInputStream());
     }
 
+    /** Limits the time to wait for bytes. */
+    void setReadTimeout(int millis) throws IOException {
+      socket.setSoTimeout(millis);
+    }
+
     void write(String text) throws IOException {
       socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
       socket.getOutputStream().flush();
--- a/sageladder-http/src/main/java/org/sageladder/http/HeadLineValidator.java
+++ b/sageladder-http/src/main/java/org/sageladder/http/HeadLineValidator.java
@@ -18,11 +18,26 @@
   private static final String TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~";
   private static final char DELETE = 0x7f;
 
+  /** CR and LF. */
+  private static final int LINE_END_BYTES = 2;
+
+  private final int maxHeadBytes;
+  private int headBytes;
   private boolean hasStartLine;
   private @Nullable String fault;
 
+  /**
+   * Creates a validator that has seen no line.
+   *
+   * @param maxHeadBytes limit on all lines together
+   */
+  HeadLineValidator(int maxHeadBytes) {
+    this.maxHeadBytes = maxHeadBytes;
+  }
+
   /** Checks the next line, without its line terminator. */
   void check(CharArrayBuffer line) {
+    headBytes += line.length() + LINE_END_BYTES;
     if (line.isEmpty()) {
       return;
     }
@@ -67,8 +82,14 @@
     return fault;
   }
 
+  /** True if the lines so far are larger than a head may be. */
+  boolean isTooLarge() {
+    return headBytes > maxHeadBytes;
+  }
+
   /** Forgets the lines so far; the next one is the first of another head. */
   void reset() {
+    headBytes = 0;
     hasStartLine = false;
     fault = null;
   }
--- a/sageladder-http/src/main/java/org/sageladder/http/StrictMessageParser.java
+++ b/sageladder-http/src/main/java/org/sageladder/http/StrictMessageParser.java
@@ -5,6 +5,7 @@
 import org.apache.hc.core5.http.HttpMessage;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParserFactory;
@@ -20,25 +21,31 @@
  */
 public final class StrictMessageParser<T extends HttpMessage> implements NHttpMessageParser<T> {
   private final NHttpMessageParser<T> parser;
-  private final HeadLineValidator validator = new HeadLineValidator();
+  private final HeadLineValidator validator;
 
-  private StrictMessageParser(NHttpMessageParser<T> parser) {
+  private StrictMessageParser(NHttpMessageParser<T> parser, int maxHeadBytes) {
     this.parser = parser;
+    this.validator = new HeadLineValidator(maxHeadBytes);
   }
 
   /** Returns a factory of parsers for responses. */
   static NHttpMessageParserFactory<HttpResponse> responses(Http1Config config) {
-    return factory(new DefaultHttpResponseParserFactory(config));
+    return factory(new DefaultHttpResponseParserFactory(config), Integer.MAX_VALUE);
   }
 
-  /** Returns a factory of parsers for requests. */
-  public static NHttpMessageParserFactory<HttpRequest> requests(Http1Config config) {
-    return factory(new DefaultHttpRequestParserFactory(config));
+  /**
+   * Returns a factory of parsers for requests.
+   *
+   * @param maxHeadBytes limit on all lines of a head together
+   */
+  public static NHttpMessageParserFactory<HttpRequest> requests(
+      Http1Config config, int maxHeadBytes) {
+    return factory(new DefaultHttpRequestParserFactory(config), maxHeadBytes);
   }
 
   private static <T extends HttpMessage> NHttpMessageParserFactory<T> factory(
-      NHttpMessageParserFactory<T> parsers) {
-    return () -> new StrictMessageParser<>(parsers.create());
+      NHttpMessageParserFactory<T> parsers, int maxHeadBytes) {
+    return () -> new StrictMessageParser<>(parsers.create(), maxHeadBytes);
   }
 
   /**
@@ -55,6 +62,9 @@
     if (fault != null) {
       throw new ProtocolException(fault);
     }
+    if (validator.isTooLarge()) {
+      throw new MessageConstraintException("the head is too large");
+    }
     if (message != null) {
       validator.reset();
     }
