A daemon whose thread ends by an error ends

What callers saw: after an error in the worker threads the process lived on and accepted no connection; nothing restarted it, and callers waited.

Cause: the library's threads end with the error, and nothing acts on it.

Change: an error that ends a thread ends the process, with exit code 70 (INTERNAL).

--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryMain.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryMain.java
@@ -66,6 +66,7 @@
       System.out.println("settings of " + settings.vm() + " are well formed");
       return;
     }
+    FatalErrors.install();
     Logs.configure(settings.logs(), settings.vm());
     run(settings);
   }
