What a connection of the daemon holds is bounded, and the number of connections by the heap

What callers saw: 400 clients whose bodies stop 10 bytes before their end left a process without worker threads.

Cause: each connection had buffers of 16 kB and 64 kB of a body before a target took it, small chunks a buffer object each; 4,000 connections may be open, whatever the heap.

Change: buffers of 2 kB, a window of 8 kB, small pieces are joined, and the connections of callers take at most half of the heap, those of operators a sixteenth, at 16 kB each: 3,072 of callers with 96 MB. callerLimits.connections remains the limit where the heap allows it.

--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -69,6 +69,12 @@
   private static final Duration LOAD_POLL_INTERVAL = Duration.ofSeconds(1);
   private static final int MAX_PAGE_EVENTS = 2_000;
   private static final Duration STOP_GRACE = Duration.ofSeconds(1);
+
+  /** Heap of a connection whose caller sends a body: buffers, window and objects. */
+  private static final long CONNECTION_BYTES = 16 << 10;
+
+  private static final int HEAP_TO_CALLERS_RATIO = 2;
+  private static final int HEAP_TO_OPERATORS_RATIO = 16;
   private static final Duration KEY_ROTATION_PERIOD = Duration.ofDays(1);
 
   private final EntrySettings settings;
@@ -169,14 +175,15 @@
             HttpListener.open(
                 settings.host(),
                 settings.ports().operators(),
-                connectionLimits(settings, 1),
+                connectionLimits(settings, 1, HEAP_TO_OPERATORS_RATIO),
                 () -> CallerExchange.create(operatorPort)));
     HttpListener callers =
         resources.add(
             HttpListener.open(
                 settings.host(),
                 settings.ports().callers(),
-                connectionLimits(settings, settings.callerLimits().workerThreads()),
+                connectionLimits(
+                    settings, settings.callerLimits().workerThreads(), HEAP_TO_CALLERS_RATIO),
                 () -> CallerExchange.create(pipeline.router(), inFlight)));
     // Closed before the ports, so that waiting callers get their refusals.
     resources.add(gates);
@@ -218,10 +225,20 @@
     control.setTargetProbe(HttpTargetProbe.of(client));
   }
 
-  private static ConnectionLimits connectionLimits(EntrySettings settings, int workerThreads) {
+  /**
+   * Limits of one port.
+   *
+   * @param heapRatio the connections may take this part of the heap, such as 2 for a half
+   */
+  private static ConnectionLimits connectionLimits(
+      EntrySettings settings, int workerThreads, int heapRatio) {
     EntrySettings.CallerLimits limits = settings.callerLimits();
+    long maxByHeap = Runtime.getRuntime().maxMemory() / heapRatio / CONNECTION_BYTES;
     return new ConnectionLimits(
-        workerThreads, limits.maxHeadBytes(), limits.maxConnections(), limits.idleTimeout());
+        workerThreads,
+        limits.maxHeadBytes(),
+        (int) Math.min(limits.maxConnections(), maxByHeap),
+        limits.idleTimeout());
   }
 
   private static PlannedStop createPlannedStop(
--- a/sageladder-entry/src/main/java/org/sageladder/entry/exchange/BodyPipe.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/exchange/BodyPipe.java
@@ -22,6 +22,9 @@
 public final class BodyPipe {
   private static final int HASHED_PREFIX_BYTES = 1 << 14;
 
+  /** Room for small pieces, such as chunks of one byte. */
+  private static final int MIN_BUFFER_BYTES = 1 << 10;
+
   private final Object produceLock = new Object();
   private final Object lock = new Object();
   private final ArrayDeque<ByteBuffer> buffers = new ArrayDeque<>();
@@ -114,9 +117,7 @@
         bytes.position(bytes.limit());
         credit = source;
       } else if (length > 0) {
-        ByteBuffer copy = ByteBuffer.allocate(length);
-        copy.put(bytes).flip();
-        buffers.add(copy);
+        addCopy(bytes);
         output = sink;
       }
     }
@@ -131,6 +132,21 @@
     }
   }
 
+  /**
+   * Appends a copy of {@code bytes} to the last buffer, or to a new one. The first buffer is left
+   * as it is, since it may be being written.
+   */
+  private void addCopy(ByteBuffer bytes) {
+    ByteBuffer last = buffers.size() > 1 ? buffers.peekLast() : null;
+    if (last == null || last.capacity() - last.limit() < bytes.remaining()) {
+      last = ByteBuffer.allocate(Math.max(MIN_BUFFER_BYTES, bytes.remaining())).limit(0);
+      buffers.add(last);
+    }
+    int start = last.limit();
+    last.limit(start + bytes.remaining());
+    last.slice(start, bytes.remaining()).put(bytes);
+  }
+
   private boolean addToPrefix(ByteBuffer bytes) {
     if (prefixBytes == HASHED_PREFIX_BYTES) {
       return false;
--- a/sageladder-entry/src/main/java/org/sageladder/entry/http/HttpListener.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/http/HttpListener.java
@@ -37,6 +37,12 @@
   private static final int HEAD_TO_LINE_RATIO = 2;
   private static final int MAX_HEADERS = 100;
 
+  /** A connection has a buffer of this size for each direction, and longer ones for long lines. */
+  private static final int BUFFER_BYTES = 2 << 10;
+
+  /** Bytes of a body that may be read before they are written to a target. */
+  private static final int BODY_WINDOW_BYTES = 8 << 10;
+
   /** Connections allowed for each one that may wait for its caller to close it. */
   private static final int CONNECTION_TO_LINGERING_RATIO = 8;
 
@@ -82,6 +88,8 @@
         Http1Config.custom()
             .setMaxLineLength(limits.maxHeadBytes() / HEAD_TO_LINE_RATIO)
             .setMaxHeaderCount(MAX_HEADERS)
+            .setBufferSize(BUFFER_BYTES)
+            .setInitialWindowSize(BODY_WINDOW_BYTES)
             .build();
     ServerHttp1StreamDuplexerFactory streams =
         new ServerHttp1StreamDuplexerFactory(
