The daemon limits pipelined requests

What callers saw: 64 clients that pipeline thousands of look-ups without reading the answers, or hundreds of requests with 80 headers, left a process without worker threads.

Cause: the HTTP library reads and starts pipelined requests without a limit.

Change: a connection with 16 unanswered requests is not read. ExchangeMemory estimates the heap of all exchanges at a port; above a quarter of the heap, a connection that pipelines is closed, which promises nothing, while single requests go on.

--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -37,6 +37,7 @@
 import org.sageladder.entry.control.RelayControlPlane;
 import org.sageladder.entry.control.ViewEventRecorder;
 import org.sageladder.entry.exchange.CallerExchange;
+import org.sageladder.entry.exchange.ExchangeMemory;
 import org.sageladder.entry.exchange.InFlightCounter;
 import org.sageladder.entry.exchange.OutboundClient;
 import org.sageladder.entry.gates.GateTable;
@@ -170,13 +171,16 @@
                     settings.vm(), startedMillis, settings.zone(), events, after, MAX_PAGE_EVENTS),
             pipeline.lookUpExplainer(),
             drainRequested::countDown);
+    InFlightCounter operatorsInFlight = InFlightCounter.create();
+    ExchangeMemory operatorsMemory = ExchangeMemory.ofHeap();
     HttpListener operators =
         resources.add(
             HttpListener.open(
                 settings.host(),
                 settings.ports().operators(),
                 connectionLimits(settings, 1, HEAP_TO_OPERATORS_RATIO),
-                () -> CallerExchange.create(operatorPort)));
+                () -> CallerExchange.create(operatorPort, operatorsInFlight, operatorsMemory)));
+    ExchangeMemory callersMemory = ExchangeMemory.ofHeap();
     HttpListener callers =
         resources.add(
             HttpListener.open(
@@ -184,7 +188,7 @@
                 settings.ports().callers(),
                 connectionLimits(
                     settings, settings.callerLimits().workerThreads(), HEAP_TO_CALLERS_RATIO),
-                () -> CallerExchange.create(pipeline.router(), inFlight)));
+                () -> CallerExchange.create(pipeline.router(), inFlight, callersMemory)));
     // Closed before the ports, so that waiting callers get their refusals.
     resources.add(gates);
     registerConnectionMetrics(metrics, callers);
--- a/sageladder-entry/src/main/java/org/sageladder/entry/exchange/CallerExchange.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/exchange/CallerExchange.java
@@ -4,7 +4,10 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
+import org.apache.hc.core5.http.ConnectionClosedException;
+import org.apache.hc.core5.http.EndpointDetails;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -17,6 +20,7 @@
 import org.apache.hc.core5.http.nio.DataStreamChannel;
 import org.apache.hc.core5.http.nio.ResponseChannel;
 import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -39,6 +43,9 @@
     void handle(CallerExchange exchange) throws IOException;
   }
 
+  /** Bytes of a response that may wait for its caller. */
+  private static final long MAX_RESPONSE_BYTES = 64 << 10;
+
   private final Handler handler;
   private final BodyPipe requestBody = BodyPipe.open();
   private final AtomicBoolean isResponseStarted = new AtomicBoolean();
@@ -51,11 +58,14 @@
   private volatile @Nullable BodyPipe responseBody;
   private final InFlightCounter inFlight;
   private final AtomicBoolean isCounted = new AtomicBoolean();
+  private final ExchangeMemory memory;
+  private final AtomicLong heldBytes = new AtomicLong();
   private volatile boolean isResponseComplete;
 
-  private CallerExchange(Handler handler, InFlightCounter inFlight) {
+  private CallerExchange(Handler handler, InFlightCounter inFlight, ExchangeMemory memory) {
     this.handler = handler;
     this.inFlight = inFlight;
+    this.memory = memory;
   }
 
   /** Creates an exchange that waits for its request. */
@@ -68,7 +78,13 @@
    * end.
    */
   public static CallerExchange create(Handler handler, InFlightCounter inFlight) {
-    return new CallerExchange(handler, inFlight);
+    return create(handler, inFlight, ExchangeMemory.ofHeap());
+  }
+
+  /** Creates an exchange that is also counted in {@code memory} until its end. */
+  public static CallerExchange create(
+      Handler handler, InFlightCounter inFlight, ExchangeMemory memory) {
+    return new CallerExchange(handler, inFlight, memory);
   }
 
   /** The head of the request; available once {@link Handler#handle} is called. */
@@ -147,6 +163,8 @@
     try {
       if (details == null) {
         isResponseComplete = true;
+      } else {
+        hold(Math.max(0, Math.min(details.getContentLength(), MAX_RESPONSE_BYTES)));
       }
       if (inFlight.isLeaving()) {
         // The caller must not send its next request on a connection that is about to be closed.
@@ -175,12 +193,34 @@
     context = httpContext;
     isCounted.set(true);
     inFlight.begin();
+    hold(ExchangeMemory.estimate(head, entityDetails));
+    if (memory.isExhausted() && hasEarlierRequest(httpContext)) {
+      throw new ConnectionClosedException("requests are pipelined while memory is short");
+    }
     if (entityDetails == null) {
       requestBody.complete();
     }
     handler.handle(this);
   }
 
+  /** True if an earlier request on the connection is not answered yet. */
+  private static boolean hasEarlierRequest(HttpContext httpContext) {
+    EndpointDetails details = HttpCoreContext.castOrCreate(httpContext).getEndpointDetails();
+    return details != null && details.getRequestCount() - details.getResponseCount() > 1;
+  }
+
+  private void hold(long count) {
+    heldBytes.addAndGet(count);
+    memory.add(count);
+    if (isEnded.get()) {
+      releaseHeld();
+    }
+  }
+
+  private void releaseHeld() {
+    memory.add(-heldBytes.getAndSet(0));
+  }
+
   @Override
   public void updateCapacity(CapacityChannel capacityChannel) throws IOException {
     requestBody.setSource(capacityChannel);
@@ -226,6 +266,7 @@
 
   private void endExchange() {
     isEnded.set(true);
+    releaseHeld();
     if (isCounted.getAndSet(false)) {
       inFlight.end();
     }
--- a/sageladder-entry/src/main/java/org/sageladder/entry/http/HttpListener.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/http/HttpListener.java
@@ -110,7 +110,9 @@
             null,
             null);
     return new HttpAsyncServer(
-        IdleConnectionHandler.decorate(new ServerHttp1IOEventHandlerFactory(streams, null, null)),
+        PipelineLimiter.decorate(
+            IdleConnectionHandler.decorate(
+                new ServerHttp1IOEventHandlerFactory(streams, null, null))),
         IOReactorConfig.custom()
             .setIoThreadCount(limits.workerThreads())
             .setSoTimeout(Timeout.of(limits.idleTimeout()))
--- a/sageladder-entry/src/main/java/org/sageladder/entry/http/IdleConnectionHandler.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/http/IdleConnectionHandler.java
@@ -1,9 +1,6 @@
 package org.sageladder.entry.http;
 
-import java.io.IOException;
-import java.nio.ByteBuffer;
 import org.apache.hc.core5.http.EndpointDetails;
-import org.apache.hc.core5.http.HttpConnection;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOEventHandlerFactory;
@@ -18,15 +15,13 @@
  * caller whose request waits long for a slot; such a connection has received more requests than it
  * has sent responses.
  */
-final class IdleConnectionHandler implements IOEventHandler {
-  private final IOEventHandler delegate;
-
+final class IdleConnectionHandler extends DelegatingEventHandler {
   // Accessed only by the connection's I/O thread.
   private long lastActivityNanos = System.nanoTime();
   private long lastResponseCount;
 
   private IdleConnectionHandler(IOEventHandler delegate) {
-    this.delegate = delegate;
+    super(delegate);
   }
 
   /** Decorates the handler of each connection that {@code factory} creates. */
@@ -46,7 +41,7 @@
   @Override
   public void timeout(IOSession session, Timeout timeout) {
     long now = System.nanoTime();
-    EndpointDetails details = ((HttpConnection) delegate).getEndpointDetails();
+    EndpointDetails details = details();
     long responseCount = details.getResponseCount();
     if (details.getRequestCount() > responseCount || responseCount != lastResponseCount) {
       lastResponseCount = responseCount;
@@ -57,29 +52,4 @@
       session.close(CloseMode.GRACEFUL);
     }
   }
-
-  @Override
-  public void connected(IOSession session) throws IOException {
-    delegate.connected(session);
-  }
-
-  @Override
-  public void inputReady(IOSession session, ByteBuffer bytes) throws IOException {
-    delegate.inputReady(session, bytes);
-  }
-
-  @Override
-  public void outputReady(IOSession session) throws IOException {
-    delegate.outputReady(session);
-  }
-
-  @Override
-  public void exception(IOSession session, Exception cause) {
-    delegate.exception(session, cause);
-  }
-
-  @Override
-  public void disconnected(IOSession session) {
-    delegate.disconnected(session);
-  }
 }
