Error responses have a class of their own; a held-back upload does not count as waiting

A connection that is not read since its target is slow does not count as waiting for its client, so that it is not among the first to be ended.

--- a/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
+++ b/sageladder-entry/src/main/java/org/sageladder/entry/EntryDaemon.java
@@ -171,15 +171,7 @@
                     settings.vm(), startedMillis, settings.zone(), events, after, MAX_PAGE_EVENTS),
             pipeline.lookUpExplainer(),
             drainRequested::countDown);
-    InFlightCounter operatorsInFlight = InFlightCounter.create();
-    ExchangeMemory operatorsMemory = ExchangeMemory.ofHeap();
-    HttpListener operators =
-        resources.add(
-            HttpListener.open(
-                settings.host(),
-                settings.ports().operators(),
-                connectionLimits(settings, 1, HEAP_TO_OPERATORS_RATIO),
-                () -> CallerExchange.create(operatorPort, operatorsInFlight, operatorsMemory)));
+    HttpListener operators = resources.add(openOperatorsPort(settings, operatorPort));
     ExchangeMemory callersMemory = ExchangeMemory.ofHeap();
     HttpListener callers =
         resources.add(
@@ -229,6 +221,17 @@
     control.setTargetProbe(HttpTargetProbe.of(client));
   }
 
+  private static HttpListener openOperatorsPort(EntrySettings settings, OperatorPort port)
+      throws IOException, InterruptedException {
+    InFlightCounter inFlight = InFlightCounter.create();
+    ExchangeMemory memory = ExchangeMemory.ofHeap();
+    return HttpListener.open(
+        settings.host(),
+        settings.ports().operators(),
+        connectionLimits(settings, 1, HEAP_TO_OPERATORS_RATIO),
+        () -> CallerExchange.create(port, inFlight, memory));
+  }
+
   /**
    * Limits of one port.
    *
--- a/sageladder-entry/src/test/java/org/sageladder/entry/http/HttpListenerTest.java
+++ b/sageladder-entry/src/test/java/org/sageladder/entry/http/HttpListenerTest.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ForkJoinPool;
 import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -30,6 +31,8 @@
   /** Much longer than the 200 ms between checks for idle connections, as in every valid setting. */
   private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(2);
 
+  private static final int PIPELINED_REQUESTS = 300;
+
   private static HttpListener open(int connections, Duration idle, CallerExchange.Handler handler)
       throws IOException, InterruptedException {
     return HttpListener.open(
@@ -64,6 +67,29 @@
     return line.toString();
   }
 
+  /** Guards against pipelined requests that stay unread once earlier ones are answered. */
+  @Test
+  void allPipelinedRequestsAreAnswered() throws Exception {
+    CallerExchange.Handler handler =
+        exchange -> ForkJoinPool.commonPool().execute(() -> respondNotFound(exchange));
+    try (HttpListener listener = open(9, LONG_IDLE_TIMEOUT, handler);
+        Socket caller = connect(listener)) {
+      caller.setSoTimeout(60_000);
+      for (int i = 0; i < PIPELINED_REQUESTS; i++) {
+        sendRequest(caller);
+      }
+      StringBuilder text = new StringBuilder();
+      int answerCount = 0;
+      while (answerCount < PIPELINED_REQUESTS) {
+        text.append((char) caller.getInputStream().read());
+        if (text.toString().endsWith("HTTP/1.1 404")) {
+          answerCount++;
+          text.setLength(0);
+        }
+      }
+    }
+  }
+
   /** Guards against a caller that is reset while it is still sending what was refused. */
   @Test
   void callerThatIsStillSendingItsHeadIsNotReset() throws Exception {
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Attempt.java
@@ -247,7 +247,6 @@
   @Override
   public void onHead(HttpResponse head) {
     response = new BufferedResponse(head, forwarder.responseMemory());
-    exchange.updateHeld();
   }
 
   /**
--- a/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
@@ -241,7 +241,8 @@
 
   @Override
   public long waitingSinceMillis() {
-    if (receivingExchange != null || headStartedAtMillis != 0) {
+    boolean isRead = context().channel().config().isAutoRead();
+    if (isRead && (receivingExchange != null || headStartedAtMillis != 0)) {
       return lastReceivedMillis;
     }
     return exchanges.isEmpty() ? idleSinceMillis : unreadSinceMillis;
@@ -260,7 +261,7 @@
     }
     receivingExchange = null;
     Exchange first = exchanges.peekFirst();
-    if (isClosing || first == null || !first.refuseUnsent(ResultCode.MEMORY_SHORT)) {
+    if (isClosing || first == null || !first.refuseUnsent()) {
       closeNow();
       share.close();
       return;
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Exchange.java
@@ -27,15 +27,6 @@
   /** An entry VM receives its first rules, or newer ones, within about this time. */
   static final long NO_RULES_RETRY_AFTER_MILLIS = 500;
 
-  /** Clients that hold too much memory are disconnected within about this time. */
-  private static final long MEMORY_RETRY_AFTER_MILLIS = 500;
-
-  /** Heap of a request and an attempt without their heads and bodies. */
-  private static final long REQUEST_BYTES = 2 << 10;
-
-  /** Retry delay of requests that would be refused again in any case. */
-  private static final long NO_RETRY_AFTER = -1;
-
   private final Forwarder forwarder;
   private final CallerConnection caller;
   private final HttpRequest head;
@@ -54,6 +45,7 @@
   private final AttemptLimit attemptLimit;
   private final NextAttempt nextAttempt;
   private final ResponseTurn turn;
+  private final ErrorResponder errors;
   private boolean mayHaveRun;
   private boolean isWaitingForTurn;
   private boolean isPlaced;
@@ -71,6 +63,7 @@
     this.attemptLimit = new AttemptLimit(forwarder);
     this.nextAttempt = new NextAttempt(forwarder, this, caller.isPeer());
     this.turn = new ResponseTurn(forwarder, caller, this, head, body);
+    this.errors = new ErrorResponder(forwarder, caller, turn, deadline, this);
     this.crashEvidence = new CrashEvidence(forwarder.crashDetector(), this::fingerprint);
     forwarder.requestStarted();
   }
@@ -137,7 +130,8 @@
     }
     RoutingRules rules = forwarder.rules();
     if (rules == null) {
-      refuse(ResultCode.NO_CONTRACT_IN_FORCE, NO_RULES_RETRY_AFTER_MILLIS, "no rules received yet");
+      errors.refuse(
+          ResultCode.NO_CONTRACT_IN_FORCE, NO_RULES_RETRY_AFTER_MILLIS, "no rules received yet");
       return;
     }
     if (caller.isPeer() && !acceptRelayed(rules)) {
@@ -164,11 +158,15 @@
   private boolean acceptRelayed(RoutingRules rules) {
     Optional<RelayHeader> relayHeader = RelayHeader.removeFrom(head.headers());
     if (relayHeader.isEmpty() || !forwarder.relayPeers().isListed(caller.callerAddress())) {
-      refuse(ResultCode.RELAY_UNAVAILABLE, NO_RETRY_AFTER, "not from a known entry VM");
+      errors.refuse(
+          ResultCode.RELAY_UNAVAILABLE, ErrorResponder.NO_RETRY_AFTER, "not from a known entry VM");
       return false;
     }
     if (relayHeader.get().rulesVersion() > rules.version()) {
-      refuse(ResultCode.RULES_OUT_OF_DATE, NO_RETRY_AFTER, "version " + rules.version());
+      errors.refuse(
+          ResultCode.RULES_OUT_OF_DATE,
+          ErrorResponder.NO_RETRY_AFTER,
+          "version " + rules.version());
       return false;
     }
     service = relayHeader.get().service();
@@ -195,7 +193,7 @@
       endWithoutResponse(ResultCode.RULES_OUT_OF_DATE, NO_RULES_RETRY_AFTER_MILLIS, version);
       return;
     }
-    endWithoutResponse(code, NO_RETRY_AFTER, version);
+    endWithoutResponse(code, ErrorResponder.NO_RETRY_AFTER, version);
   }
 
   private void acceptRequest(RouteRule matchedRule, boolean isFirst) {
@@ -419,10 +417,10 @@
     forwarder.metrics().count("requests_quarantined");
     // 503 instead of the result code's own status: the request may not have caused the crashes,
     // and callers retry a 503.
-    respond(
+    errors.respond(
         ResultCode.QUARANTINED,
         mayHaveRun ? 502 : 503,
-        addJitter(quarantineMillis),
+        errors.addJitter(quarantineMillis),
         forwarder.crashDetector().describeQuarantine(fingerprint()));
   }
 
@@ -524,31 +522,20 @@
         },
         response::release,
         response.heldBytes());
-    updateHeld();
+    caller.updateHeld();
   }
 
   /** Receives bytes of a response and takes ownership of them. */
   void onResponseBytes(Attempt from, BufferedResponse response, ByteBuf bytes) {
     turn.receive(from, response, bytes);
-    updateHeld();
-  }
-
-  /** States what the caller's connection holds now. */
-  void updateHeld() {
     caller.updateHeld();
   }
 
   /** Bytes of heap that the request and its response occupy. */
   long heldBytes() {
     Attempt current = attempt;
-    return REQUEST_BYTES
-        + CompactHeaders.heldBytes(head.headers())
-        + head.uri().length()
-        + requestId.length()
-        + body.heldBytes()
-        + turn.heldBytes()
-        + fallbackResponse.heldBytes()
-        + (current == null ? 0 : current.heldBytes());
+    long attemptBytes = current == null ? 0 : current.heldBytes();
+    return requestId.length() + turn.heldBytes() + fallbackResponse.heldBytes() + attemptBytes;
   }
 
   /** Called if the caller accepts more bytes or this request is the next to be answered. */
@@ -621,23 +608,12 @@
     }
     if (!mayHaveRun) {
       ResultCode notRun = code.outcome() == Outcome.NOT_RUN ? code : ResultCode.QUEUE_DEADLINE;
-      refuse(notRun, retryAfterMillis, reason);
+      errors.refuse(notRun, retryAfterMillis, reason);
       return;
     }
     ResultCode unknownOutcomeCode =
         code.outcome() == Outcome.NOT_RUN ? ResultCode.TARGET_LOST : code;
-    respond(unknownOutcomeCode, 0, reason);
-  }
-
-  private void refuse(ResultCode code, long retryAfterMillis, String reason) {
-    respond(
-        code,
-        retryAfterMillis == NO_RETRY_AFTER ? 0 : Math.max(1, addJitter(retryAfterMillis)),
-        reason);
-  }
-
-  private long addJitter(long retryAfterMillis) {
-    return deadline.retryAfterMillis(retryAfterMillis, forwarder.randomFraction());
+    errors.respond(unknownOutcomeCode, unknownOutcomeCode.httpStatus(), 0, reason);
   }
 
   /**
@@ -645,59 +621,31 @@
    * the request is not known.
    */
   void refuseAndClose(ResultCode code) {
-    refuseAndClose(code, 0, "the request cannot be read");
-  }
-
-  private void refuseAndClose(ResultCode code, long retryAfterMillis, String reason) {
-    stopWaiting();
-    turn.run(
-        () ->
-            writeErrorResponse(
-                new ErrorResponse(code, code.httpStatus(), retryAfterMillis, true), reason));
+    errors.refuseUnreadable(code);
   }
 
   /**
    * Refuses the request and closes the connection if the request was not sent to a target and can
    * be answered now; otherwise returns false.
    */
-  boolean refuseUnsent(ResultCode code) {
+  boolean refuseUnsent() {
     Attempt current = attempt;
     boolean isSent = mayHaveRun || (current != null && current.isSent());
     if (isFinished || isSent || !caller.isDue(this)) {
       return false;
     }
     abandonAttempt();
-    refuseAndClose(code, addJitter(MEMORY_RETRY_AFTER_MILLIS), "memory is short");
+    errors.refuseForMemory();
     return true;
   }
 
-  private void respond(ResultCode code, long retryAfterMillis, String reason) {
-    respond(code, code.httpStatus(), retryAfterMillis, reason);
-  }
-
-  private void respond(ResultCode code, int status, long retryAfterMillis, String reason) {
-    stopWaiting();
-    turn.run(
-        () ->
-            writeErrorResponse(
-                new ErrorResponse(code, status, retryAfterMillis, turn.mustClose()), reason));
-  }
-
-  private void writeErrorResponse(ErrorResponse response, String reason) {
-    caller.write(response.toHttpResponse(requestId, forwarder.dialect()));
-    boolean notRun = response.code().outcome() == Outcome.NOT_RUN;
-    String detail = response.code().name() + " " + reason;
-    finish(
-        notRun ? EventKind.REFUSED : EventKind.FAILED, null, detail, response.closesConnection());
-  }
-
   private void abortResponse(String reason) {
     forwarder.metrics().count("answers_broken_off");
     recordEnd(EventKind.FAILED, null, reason);
     caller.closeNow();
   }
 
-  private void finish(EventKind kind, @Nullable Attempt last, String detail, boolean close) {
+  void finish(EventKind kind, @Nullable Attempt last, String detail, boolean close) {
     recordEnd(kind, last, detail);
     caller.onExchangeEnded(this, close);
   }
@@ -740,7 +688,7 @@
     forwarder.requestLog().recordAttempt(kind, subject(), of, detail);
   }
 
-  private void stopWaiting() {
+  void stopWaiting() {
     isFinished = true;
     deadline.cancel();
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/ResponseTurn.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/ResponseTurn.java
@@ -13,6 +13,9 @@
   /** A response up to this size is buffered until complete; see {@link BufferedResponse}. */
   private static final long MAX_BUFFERED_BYTES = 256 << 10;
 
+  /** Heap of a request and an attempt without their heads and bodies. */
+  private static final long REQUEST_BYTES = 2 << 10;
+
   private final Forwarder forwarder;
   private final CallerConnection caller;
   private final Exchange exchange;
@@ -71,10 +74,12 @@
     }
   }
 
-  /** Bytes of heap that a response occupies while it waits for its turn. */
+  /** Bytes of heap of the request, and of a response that waits for its turn. */
   long heldBytes() {
     PendingResponse pending = pendingResponse;
-    return pending == null ? 0 : pending.heldBytes();
+    long headBytes = CompactHeaders.heldBytes(head.headers()) + head.uri().length();
+    long responseBytes = pending == null ? 0 : pending.heldBytes();
+    return REQUEST_BYTES + headBytes + body.heldBytes() + responseBytes;
   }
 
   /** True if a response waits for its turn. */
