DaemonUnreadMetricsTest asks for the path that serves metrics

The test asked for /metrics, which the daemon answers with 404 and a few bytes; its metrics are at /v1/metrics. Crowd and bounds are as before, the responses are larger.

--- a/sageladder-bench/src/test/java/org/sageladder/bench/process/DaemonUnreadMetricsTest.java
+++ b/sageladder-bench/src/test/java/org/sageladder/bench/process/DaemonUnreadMetricsTest.java
@@ -17,7 +17,7 @@
   @Test
   void operatorsPortWithstandsUnreadMetrics() throws Exception {
     byte[] request =
-        RequestBytes.of("GET /metrics HTTP/1.1", "Host: e")
+        RequestBytes.of("GET /v1/metrics HTTP/1.1", "Host: e")
             .endOfHead()
             .repeated(2_000)
             .toByteArray();
