Ports are called ports in the tests, and some comments are plainer

Found in a reading of the whole change as a newcomer: Door is a word of the users' pages, the field says port; four comments had to be read twice. Crowds, bounds and checks are unchanged, the product's code is but for comments.

--- a/sageladder-bench/src/test/java/org/sageladder/bench/process/SmallDaemon.java
+++ b/sageladder-bench/src/test/java/org/sageladder/bench/process/SmallDaemon.java
@@ -39,7 +39,7 @@
 
   private static final int ANSWER_TIMEOUT_MILLIS = 5_000;
 
-  /** Only guard against a daemon that never answers. */
+  /** Only guards against a daemon that never answers. */
   private static final int MAX_ORDINARY_REQUESTS = 24;
 
   private static final int PAUSE_MILLIS = 250;
--- a/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/CallerConnection.java
@@ -217,7 +217,7 @@
     }
   }
 
-  /** Passes on what one read has brought of a body, however many chunks it had. */
+  /** Passes on the part of a body that one read has received, however many chunks it had. */
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
     Exchange receiving = receivingExchange;
@@ -229,7 +229,7 @@
     forwarder.heldMemory().relieve();
   }
 
-  /** States what the connection and its requests hold now. */
+  /** Updates the account of the memory that the connection and its requests hold. */
   void updateHeld() {
     RequestDecoder current = decoder;
     long bytes = CONNECTION_BYTES + (current == null ? 0 : current.heldBytes());
--- a/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/Forwarder.java
@@ -251,7 +251,7 @@
     };
   }
 
-  /** Limits the open connections of callers and of other entry VMs; without, there is no limit. */
+  /** Limits the open connections of callers and other entry VMs; by default, there is no limit. */
   public void limitConnections(int maxConnections) {
     callerConnections.limit(maxConnections);
   }
--- a/sageladder-forward/src/main/java/org/sageladder/forward/HeldMemory.java
+++ b/sageladder-forward/src/main/java/org/sageladder/forward/HeldMemory.java
@@ -29,7 +29,7 @@
 
   /** A connection of a client. */
   public interface Holder {
-    /** Since when the connection waits for its client, or the maximum if the client waits. */
+    /** When the connection began to wait for its client, {@link Long#MAX_VALUE} if it does not. */
     long waitingSinceMillis();
 
     /** Releases what the connection holds; ends it unless a refusal is still to be read. */
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/process/ManyConnectionsTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/process/ManyConnectionsTest.java
@@ -6,7 +6,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
-import org.sageladder.scenario.process.SmallEntryVm.Door;
+import org.sageladder.scenario.process.SmallEntryVm.Port;
 import org.sageladder.standin.http.MisbehavingClients;
 import org.sageladder.standin.http.MisbehavingClients.Reading;
 
@@ -20,19 +20,19 @@
 
   @Test
   void processWithstandsMoreCallersThanDescriptors() throws Exception {
-    assertWithstands(Door.CALLERS);
+    assertWithstands(Port.CALLERS);
   }
 
   @Test
   void processWithstandsMoreLookUpsThanDescriptors() throws Exception {
-    assertWithstands(Door.LOOK_UPS);
+    assertWithstands(Port.LOOK_UPS);
   }
 
-  private void assertWithstands(Door door) throws Exception {
+  private void assertWithstands(Port port) throws Exception {
     try (SmallEntryVm vm =
             SmallEntryVm.start(SmallEntryVm.DEPLOYED_HEAP_MEGABYTES, MAX_DESCRIPTORS, folder);
         MisbehavingClients clients =
-            MisbehavingClients.of(vm.address(door), CLIENTS, new byte[0], Reading.EVERYTHING)) {
+            MisbehavingClients.of(vm.address(port), CLIENTS, new byte[0], Reading.EVERYTHING)) {
       clients.play();
       vm.assertSound();
       int count = vm.openDescriptorCount();
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/process/SmallEntryVm.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/process/SmallEntryVm.java
@@ -36,7 +36,7 @@
  */
 final class SmallEntryVm implements AutoCloseable {
   /** Ports of an entry VM. */
-  enum Door {
+  enum Port {
     CALLERS,
     READINESS,
     LOOK_UPS,
@@ -53,11 +53,11 @@
 
   private static final int TARGET_SLOTS = 2_000;
   private static final long ROUTE_TIMEOUT_MILLIS = 120_000;
-  private static final int SMALLEST_BODY_LIMIT = 1 << 20;
+  private static final int DEFAULT_BODY_LIMIT = 1 << 20;
   private static final int BODY_LIMIT = 64 << 20;
   private static final int ANSWER_TIMEOUT_MILLIS = 5_000;
 
-  /** Only guard against a VM that never answers. */
+  /** Only guards against a VM that never answers. */
   private static final int MAX_ORDINARY_REQUESTS = 60;
 
   private static final int PAUSE_MILLIS = 250;
@@ -66,7 +66,7 @@
   private final LocalPorts ports = LocalPorts.reserve();
   private final int heapMegabytes;
   private final Path folder;
-  private final Map<Door, Integer> doorPorts;
+  private final Map<Port, Integer> portNumbers;
   private final EntryVmProcess process;
   private int requestCount;
 
@@ -75,13 +75,13 @@
     this.heapMegabytes = heapMegabytes;
     this.folder = folder;
     List<Integer> vmPorts = List.of(ports.next(), ports.next(), ports.next(), ports.nextPair());
-    this.doorPorts =
+    this.portNumbers =
         Map.of(
-            Door.CALLERS, vmPorts.get(0),
-            Door.READINESS, vmPorts.get(1),
-            Door.LOOK_UPS, vmPorts.get(2),
-            Door.METRICS, vmPorts.get(3),
-            Door.PEERS, vmPorts.get(3) + 1);
+            Port.CALLERS, vmPorts.get(0),
+            Port.READINESS, vmPorts.get(1),
+            Port.LOOK_UPS, vmPorts.get(2),
+            Port.METRICS, vmPorts.get(3),
+            Port.PEERS, vmPorts.get(3) + 1);
     int storePort = ports.next();
     openStoreAndTarget(storePort, ports.next());
     String settings =
@@ -124,7 +124,7 @@
     String configuration =
         PlatformTexts.configuration(1, routes, List.of(new ServiceRule("s", TARGET_SLOTS, 0, 0)))
             .replace(
-                "\"max_body_bytes\":" + SMALLEST_BODY_LIMIT, "\"max_body_bytes\":" + BODY_LIMIT);
+                "\"max_body_bytes\":" + DEFAULT_BODY_LIMIT, "\"max_body_bytes\":" + BODY_LIMIT);
     TargetFacts facts =
         new TargetFacts(
             new TargetIncarnation("t-1", loop.wallMillis()),
@@ -164,8 +164,8 @@
   }
 
   /** Address of one of the VM's ports. */
-  InetSocketAddress address(Door door) {
-    return new InetSocketAddress(InetAddress.getLoopbackAddress(), doorPorts.get(door));
+  InetSocketAddress address(Port port) {
+    return new InetSocketAddress(InetAddress.getLoopbackAddress(), portNumbers.get(port));
   }
 
   /**
@@ -173,10 +173,10 @@
    * connections open, the process lives within its memory and descriptors, and answers.
    */
   void assertWithstands(
-      Door door, int clientCount, byte[] request, MisbehavingClients.Reading reading)
+      Port port, int clientCount, byte[] request, MisbehavingClients.Reading reading)
       throws Exception {
     try (MisbehavingClients clients =
-        MisbehavingClients.of(address(door), clientCount, request, reading)) {
+        MisbehavingClients.of(address(port), clientCount, request, reading)) {
       clients.play();
       assertSound();
     }
@@ -230,7 +230,7 @@
   private String status(byte[] request, int timeoutMillis) throws IOException {
     try (Socket socket = new Socket()) {
       socket.setSoTimeout(timeoutMillis);
-      socket.connect(address(Door.CALLERS), ANSWER_TIMEOUT_MILLIS);
+      socket.connect(address(Port.CALLERS), ANSWER_TIMEOUT_MILLIS);
       socket.getOutputStream().write(request);
       byte[] start = socket.getInputStream().readNBytes("HTTP/1.1 200".length());
       String line = new String(start, StandardCharsets.ISO_8859_1);
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/process/UnfinishedProbesTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/process/UnfinishedProbesTest.java
@@ -4,7 +4,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
-import org.sageladder.scenario.process.SmallEntryVm.Door;
+import org.sageladder.scenario.process.SmallEntryVm.Port;
 import org.sageladder.standin.http.MisbehavingClients.Reading;
 import org.sageladder.standin.http.RequestBytes;
 
@@ -20,7 +20,7 @@
     byte[] request =
         RequestBytes.of("GET /readiness HTTP/1.1", "Host: h").emptyHeaders(1_900).toByteArray();
     try (SmallEntryVm vm = SmallEntryVm.start(folder)) {
-      vm.assertWithstands(Door.READINESS, CLIENTS, request, Reading.EVERYTHING);
+      vm.assertWithstands(Port.READINESS, CLIENTS, request, Reading.EVERYTHING);
     }
   }
 }
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/process/UnreadLargeResponsesTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/process/UnreadLargeResponsesTest.java
@@ -4,7 +4,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
-import org.sageladder.scenario.process.SmallEntryVm.Door;
+import org.sageladder.scenario.process.SmallEntryVm.Port;
 import org.sageladder.standin.http.MisbehavingClients.Reading;
 import org.sageladder.standin.http.RequestBytes;
 
@@ -24,7 +24,7 @@
             .repeated(16)
             .toByteArray();
     try (SmallEntryVm vm = SmallEntryVm.start(folder)) {
-      vm.assertWithstands(Door.CALLERS, CLIENTS, request, Reading.SLOWLY);
+      vm.assertWithstands(Port.CALLERS, CLIENTS, request, Reading.SLOWLY);
     }
   }
 }
--- a/sageladder-scenario/src/test/java/org/sageladder/scenario/process/UnreadMetricsTest.java
+++ b/sageladder-scenario/src/test/java/org/sageladder/scenario/process/UnreadMetricsTest.java
@@ -4,7 +4,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
-import org.sageladder.scenario.process.SmallEntryVm.Door;
+import org.sageladder.scenario.process.SmallEntryVm.Port;
 import org.sageladder.standin.http.MisbehavingClients.Reading;
 import org.sageladder.standin.http.RequestBytes;
 
@@ -23,7 +23,7 @@
             .repeated(2_000)
             .toByteArray();
     try (SmallEntryVm vm = SmallEntryVm.start(folder)) {
-      vm.assertWithstands(Door.METRICS, CLIENTS, request, Reading.NOTHING);
+      vm.assertWithstands(Port.METRICS, CLIENTS, request, Reading.NOTHING);
     }
   }
 }
