--- a/review/standins-2/QuotaCase.java
+++ b/review/standins-2/QuotaCase.java
@@ -8,9 +8,9 @@
 /**
  * Tenants ask for what is usual, and one of them for 7.5 times that during 6.5 s. One machine of
  * three is in trouble: its process is killed in that time and starts again after a second ({@code
- * kill}), it stands still for five seconds ({@code freeze}), it is told to stop ({@code term}), or
- * the store turns it away for nine seconds and serves the others ({@code away}). Or all processes
- * are killed at the same moment and start again after half a second ({@code herd}).
+ * kill}), or the store turns it away for nine seconds and serves the others ({@code away}). Tried
+ * for the report alone: it stands still for five seconds ({@code freeze}), it is told to stop
+ * ({@code term}), all processes are killed and start again after half a second ({@code herd}).
  *
  * <p>The rule QUOTA: in no window of 5 s more than (rate x window + burst) x (1 + quota_over) +
  * quota_slack requests of a tenant are both sent and arrive at a backend that runs them.
